--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.installed-$(shell sha256sum requirements.lock | cut -c1-12)
+
+.PHONY: env demo test bench format lock proto golden
+
+env: $(STAMP)
+
+$(STAMP): requirements.lock
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet -r requirements.lock
+	$(PY) -m pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: env
+	PYTHONPATH=src:. $(PY) -m demo
+
+test: env
+	VENV=$(VENV) tests/run_checks.sh
+
+bench: env
+	PYTHONPATH=src:. $(PY) -m bench
+
+format: env
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+lock: env
+	$(VENV)/bin/pip-compile --quiet --no-emit-index-url \
+	  --no-emit-find-links --no-emit-trusted-host --strip-extras \
+	  --allow-unsafe --extra dev -o requirements.lock pyproject.toml
+
+proto: env
+	PATH=$(abspath $(VENV)/bin):$$PATH $(PY) -m grpc_tools.protoc -I protos \
+	  --python_out=src --pyi_out=src --grpclib_python_out=src \
+	  protos/guavawing/proto/messages.proto
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The main job on one machine: `python -m demo`."""
--- /dev/null
+++ b/src/guavawing/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of operators."""
--- /dev/null
+++ b/src/guavawing/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands: what changes state."""
--- /dev/null
+++ b/src/guavawing/cli/commands/node.py
@@ -0,0 +1,35 @@
+"""`guavawing node`: runs the daemon."""
+
+import pathlib
+
+import click
+
+from guavawing.cli.exits import run_safely
+from guavawing.node.settings import read_settings
+
+__all__ = ["node"]
+
+
+@click.command()
+@click.option(
+    "--config",
+    "path",
+    type=click.Path(path_type=pathlib.Path),
+    required=True,
+    help="Settings file (INI).",
+)
+@click.option("--check", is_flag=True, help="Check the settings and stop.")
+def node(path: pathlib.Path, check: bool) -> None:
+    """Run the node beside a target.
+
+    Example: guavawing node --config node.ini
+    """
+    settings = run_safely(lambda: read_settings(path))
+    if check:
+        click.echo(f"{path}: ok")
+        return
+    # Imported here so that bad settings are told before sockets are opened
+    # and so that the other commands start quickly.
+    from guavawing.node.daemon import run_node
+
+    run_node(settings)
--- /dev/null
+++ b/src/guavawing/cli/node_client.py
@@ -0,0 +1,80 @@
+"""Client of the nodes' admin servers."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import orjson
+
+from guavawing.errors import ControlError
+from guavawing.model import Address, parse_address
+
+__all__ = ["collect_statuses", "read_status", "send_drain"]
+
+REQUEST_TIMEOUT_S = 2.0
+MAX_CONCURRENT_REQUESTS = 64
+
+Status = dict[str, Any]
+
+
+async def read_status(session: aiohttp.ClientSession, node: Address) -> Status:
+    """Returns the status of a node.
+
+    Raises:
+        ControlError: If the node gives no usable answer.
+    """
+    try:
+        async with session.get(f"http://{node}/status") as resp:
+            resp.raise_for_status()
+            status: Status = orjson.loads(await resp.read())
+            return status
+    except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
+        raise ControlError(f"node {node} did not answer: {exc!r}") from exc
+
+
+async def collect_statuses(node: Address) -> dict[str, Status | None]:
+    """Returns the status of every node that `node` knows, by name.
+
+    A node that does not answer has None.
+
+    Raises:
+        ControlError: If `node` itself gives no usable answer.
+    """
+    limit = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
+    async with _open_session() as session:
+        first = await read_status(session, node)
+
+        async def read_member(member: Status) -> Status | None:
+            async with limit:
+                try:
+                    address = parse_address(member["admin"])
+                    return await read_status(session, address)
+                except ControlError:
+                    return None
+
+        members = [m for m in first["members"] if m["state"] != "left"]
+        statuses = await asyncio.gather(*map(read_member, members))
+    names = [member["node"] for member in members]
+    return dict(sorted(zip(names, statuses, strict=True)))
+
+
+async def send_drain(node: Address, *, draining: bool) -> None:
+    """Starts or ends the drain of a node's target.
+
+    Raises:
+        ControlError: If the node gives no usable answer.
+    """
+    method = "POST" if draining else "DELETE"
+    try:
+        async with (
+            _open_session() as session,
+            session.request(method, f"http://{node}/drain") as resp,
+        ):
+            resp.raise_for_status()
+    except (aiohttp.ClientError, TimeoutError) as exc:
+        raise ControlError(f"node {node} did not answer: {exc!r}") from exc
+
+
+def _open_session() -> aiohttp.ClientSession:
+    timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+    return aiohttp.ClientSession(timeout=timeout)
--- /dev/null
+++ b/src/guavawing/cli/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Queries: what only reads."""
--- /dev/null
+++ b/src/guavawing/errors.py
@@ -0,0 +1,86 @@
+"""The exception tree of guavawing.
+
+Every error raised on purpose derives from `GuavawingError`. A refusal of a
+call is not an exception: it is a value of `guavawing.verdict`.
+"""
+
+__all__ = [
+    "ConfigInvalidError",
+    "ConflictingChangeError",
+    "ControlError",
+    "GuavawingError",
+    "InvalidArgumentError",
+    "MessageInvalidError",
+    "PlatformError",
+    "PlatformUnavailableError",
+    "PlatformWriteUnknownError",
+    "SettingsInvalidError",
+]
+
+
+class GuavawingError(Exception):
+    """Base of every error that guavawing raises."""
+
+
+class InvalidArgumentError(GuavawingError, ValueError):
+    """Raised when a public function receives a value it can't accept."""
+
+
+class SettingsInvalidError(GuavawingError):
+    """Raised when the settings file of a process can't be used.
+
+    The message names the file, section, key, the value and what was
+    expected.
+    """
+
+
+class ConfigInvalidError(GuavawingError):
+    """Raised when a configuration document breaks a rule.
+
+    Attributes:
+        faults: Every broken rule found, with its place in the document.
+    """
+
+    def __init__(self, faults: "tuple[object, ...]") -> None:
+        super().__init__("; ".join(str(fault) for fault in faults))
+        self.faults = faults
+
+
+class MessageInvalidError(GuavawingError):
+    """Raised when bytes from a peer or a caller are not a valid message."""
+
+
+class ControlError(GuavawingError):
+    """Raised when a control request to another node fails."""
+
+
+class PlatformError(GuavawingError):
+    """Base of the errors of the platform's table service and object store."""
+
+
+class PlatformUnavailableError(PlatformError):
+    """Raised when the platform did not carry out a request.
+
+    Nothing was written. The request can be repeated.
+    """
+
+
+class PlatformWriteUnknownError(PlatformError):
+    """Raised when a write got no answer and may have taken effect."""
+
+
+class ConflictingChangeError(PlatformError):
+    """Raised when another operator's change was accepted first.
+
+    Attributes:
+        change_id: Id of the accepted change.
+        version: Version that the accepted change created.
+    """
+
+    def __init__(self, *, change_id: str, version: int) -> None:
+        super().__init__(
+            f"change {change_id} was accepted first as version {version};"
+            " read it with 'guavawing config show' and publish again"
+        )
+        self.change_id = change_id
+        self.version = version
--- /dev/null
+++ b/src/guavawing/membership/member.py
@@ -0,0 +1,56 @@
+"""Members: one node and the target beside it."""
+
+import enum
+
+import attrs
+
+from guavawing.model import Address, MemberId
+
+__all__ = ["Member", "MemberState"]
+
+
+class MemberState(enum.IntEnum):
+    """What is known of a member; the order breaks ties of one sequence."""
+
+    ALIVE = 1
+    SUSPECT = 2
+    DEAD = 3
+    LEFT = 4
+
+
+@attrs.frozen
+class Member:
+    """What the others know of a node.
+
+    Attributes:
+        id: Name of the node, unique in the fleet.
+        incarnation: Chosen at the start of the process; a restart takes a
+            higher one.
+        sequence: Raised by the member itself whenever its record changes.
+        state: What is known of its life.
+        data_centre: Data centre of its VM.
+        region: Region of its data centre.
+        service: Service of its target.
+        mesh: Where it takes calls from other nodes.
+        control: Where it takes gossip (UDP) and pulls (TCP).
+        admin: Where it answers operators.
+        slots: Calls that its target executes at a time.
+        serving: Whether its target takes new calls.
+    """
+
+    id: MemberId
+    incarnation: int
+    sequence: int
+    state: MemberState
+    data_centre: str
+    region: str
+    service: str
+    mesh: Address
+    control: Address
+    admin: Address
+    slots: int
+    serving: bool
+
+    def precedence(self) -> tuple[int, int, int]:
+        """Returns what orders two records of the same member."""
+        return (self.incarnation, self.sequence, self.state)
--- /dev/null
+++ b/src/guavawing/node/daemon.py
@@ -0,0 +1,268 @@
+"""The node daemon: opens every part in order and stops them cleanly."""
+
+import asyncio
+import contextlib
+import random
+import sys
+import time
+from collections.abc import Iterator
+from typing import Any, TextIO
+
+import aiomisc
+import attrs
+import eliot
+
+from guavawing.distribution import Version
+from guavawing.membership import Gossip, Member, MemberState, Notice
+from guavawing.node.admin_server import (
+    AdminActions,
+    build_admin_app,
+    open_admin_server,
+)
+from guavawing.node.caller_server import CallerServer, open_caller_server
+from guavawing.node.claims import Claims
+from guavawing.node.control_server import ControlServer, open_control_server
+from guavawing.node.distributor import Distributor, open_distributor
+from guavawing.node.entry import Entry
+from guavawing.node.gossip_task import GossipTask, open_gossip
+from guavawing.node.mesh_client import open_mesh_pool
+from guavawing.node.mesh_server import MeshServer, open_mesh_server
+from guavawing.node.metrics import Metrics
+from guavawing.node.owner import open_owner
+from guavawing.node.settings import Settings
+from guavawing.node.target_client import open_target_client
+from guavawing.platform.client import open_platform
+from guavawing.policy.choice import Chooser
+
+__all__ = ["run_node"]
+
+HEALTH_PERIOD_S = 0.5
+FAILURES_UNTIL_DOWN = 3
+# Time that other nodes are given to hear that a target takes no new calls.
+DRAIN_NOTICE_S = 1.0
+# Time to close sockets after the last call has ended.
+STOP_MARGIN_S = 10.0
+NANOSECONDS_PER_MS = 1_000_000
+
+
+class Node(aiomisc.Service):
+    """One node; the aiomisc entry point starts and stops it."""
+
+    def __init__(self, settings: Settings) -> None:
+        super().__init__()
+        self._settings = settings
+        self._stack = contextlib.AsyncExitStack()
+        self._metrics = Metrics()
+        self._draining = False
+        self._healthy = False
+
+    async def start(self) -> None:
+        """Opens every part; the caller side comes last."""
+        settings = self._settings
+        self._incarnation = time.time_ns() // NANOSECONDS_PER_MS
+        me = _describe_node(settings, self._incarnation)
+        enter = self._stack.enter_async_context
+        self._gossip = Gossip(me, settings.seeds, random.Random())
+        platform = await enter(open_platform(settings.platform))
+        self._target = await enter(
+            open_target_client(settings.target, connections=0)
+        )
+        self._owner = await enter(
+            open_owner(
+                member_id=me.id,
+                incarnation=self._incarnation,
+                target=self._target,
+                metrics=self._metrics,
+            )
+        )
+        self._distributor = Distributor(
+            platform=platform,
+            table=self._gossip.table,
+            data_centre=settings.data_centre,
+            metrics=self._metrics,
+        )
+        await self._open_servers(me, Claims(platform))
+
+    async def _open_servers(self, me: Member, claims: Claims) -> None:
+        settings = self._settings
+        enter = self._stack.enter_async_context
+        chooser = Chooser(random.Random())
+        pool = await enter(
+            open_mesh_pool(
+                member_id=me.id,
+                incarnation=self._incarnation,
+                on_load=lambda *load: self._entry.take_load(*load),
+            )
+        )
+        self._entry = Entry(
+            me=me,
+            table=self._gossip.table,
+            owner=self._owner,
+            pool=pool,
+            chooser=chooser,
+            claims=claims,
+            metrics=self._metrics,
+        )
+        mesh = MeshServer(
+            owner=self._owner,
+            policies=self._distributor.policies,
+            member_id=me.id,
+            incarnation=self._incarnation,
+        )
+        await enter(open_mesh_server(mesh, settings.mesh))
+        control = ControlServer(self._distributor)
+        await enter(open_control_server(control, settings.control))
+        self._gossip_task = GossipTask(
+            self._gossip,
+            period_s=settings.gossip_period_s,
+            metrics=self._metrics,
+        )
+        self._gossip_task.listen(self._distributor.hear)
+        self._distributor.listen(self._apply_version)
+        await enter(open_gossip(self._gossip_task, settings.control))
+        await enter(
+            open_distributor(
+                self._distributor, poll_period_s=settings.poll_period_s
+            )
+        )
+        self._caller_server = CallerServer(
+            entry=self._entry,
+            policies=self._distributor.policies,
+            metrics=self._metrics,
+        )
+        await enter(open_caller_server(self._caller_server, settings.caller))
+        actions = AdminActions(
+            read_status=self._read_status,
+            is_ready=self._is_ready,
+            set_draining=self._set_draining,
+        )
+        app = build_admin_app(actions, self._metrics)
+        await enter(open_admin_server(app, settings.admin))
+        health = asyncio.get_running_loop().create_task(self._watch_target())
+        self._stack.callback(health.cancel)
+        eliot.log_message(
+            "node-started", node=me.id, incarnation=self._incarnation
+        )
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Drains the target, finishes the calls in flight and leaves."""
+        with eliot.start_action(action_type="stop", node=self._gossip.me.id):
+            self._set_draining(True)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._settings.drain_timeout_s):
+                    await asyncio.sleep(DRAIN_NOTICE_S)
+                    self._caller_server.start_stopping()
+                    await self._caller_server.wait_idle()
+                    await self._owner.wait_idle()
+            self._gossip_task.leave()
+            await self._stack.aclose()
+
+    def _apply_version(self, version: Version) -> None:
+        """Applies the limits of a new version to the target."""
+        policies = self._distributor.policies()
+        assert policies is not None
+        limits = policies.limits_of(self._settings.service)
+        defaults = version.document.defaults
+        slots = 0 if limits is None else limits.slots
+        self._owner.set_limits(slots=slots, queue_limit=defaults.queue_limit)
+        self._gossip_task.set_notice(Notice(version.number, version.digest))
+        self._update_serving()
+
+    def _set_draining(self, draining: bool) -> None:
+        self._draining = draining
+        eliot.log_message("drain", draining=draining)
+        if draining:
+            self._owner.start_draining()
+        else:
+            self._owner.stop_draining()
+        self._update_serving()
+
+    def _update_serving(self) -> None:
+        slots = self._owner.load().slots
+        serving = self._healthy and slots > 0 and not self._draining
+        self._gossip_task.set_target(serving=serving, slots=slots)
+
+    def _is_ready(self) -> bool:
+        return self._distributor.current.number > 0 and not self._draining
+
+    async def _watch_target(self) -> None:
+        failures = 0
+        while True:
+            if await self._target.is_healthy():
+                failures = 0
+                self._healthy = True
+            else:
+                failures += 1
+                self._healthy &= failures < FAILURES_UNTIL_DOWN
+            self._update_serving()
+            await asyncio.sleep(HEALTH_PERIOD_S)
+
+    def _read_status(self) -> dict[str, Any]:
+        me = self._gossip.me
+        current = self._distributor.current
+        return {
+            "node": me.id,
+            "incarnation": me.incarnation,
+            "data_centre": me.data_centre,
+            "service": me.service,
+            "version": current.number,
+            "digest": current.digest.hex(),
+            "ready": self._is_ready(),
+            "serving": me.serving,
+            "draining": self._draining,
+            "load": attrs.asdict(self._owner.load()),
+            "rejections": {
+                str(number): why
+                for number, why in self._distributor.rejections.items()
+            },
+            "members": [
+                {
+                    "node": member.id,
+                    "state": member.state.name.lower(),
+                    "serving": member.serving,
+                    "data_centre": member.data_centre,
+                    "service": member.service,
+                    "admin": str(member.admin),
+                }
+                for member in self._gossip.table
+            ],
+        }
+
+
+def _describe_node(settings: Settings, incarnation: int) -> Member:
+    return Member(
+        id=settings.node_id,
+        incarnation=incarnation,
+        sequence=0,
+        state=MemberState.ALIVE,
+        data_centre=settings.data_centre,
+        region=settings.region,
+        service=settings.service,
+        mesh=settings.mesh,
+        control=settings.control,
+        admin=settings.admin,
+        slots=0,
+        serving=False,
+    )
+
+
+@contextlib.contextmanager
+def _open_log(settings: Settings) -> Iterator[TextIO]:
+    if not settings.log_file:
+        yield sys.stdout
+        return
+    with open(settings.log_file, "a", encoding="utf-8") as stream:
+        yield stream
+
+
+def run_node(settings: Settings) -> None:
+    """Runs a node until it gets SIGTERM or SIGINT."""
+    with _open_log(settings) as stream:
+        eliot.to_file(stream)
+        with aiomisc.entrypoint(
+            Node(settings),
+            log_config=False,
+            pool_size=1,
+            shutdown_timeout=settings.drain_timeout_s + STOP_MARGIN_S,
+        ) as loop:
+            loop.run_forever()
--- /dev/null
+++ b/src/guavawing/node/gossip_task.py
@@ -0,0 +1,129 @@
+"""The task that owns the gossip socket and the member table."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import AsyncIterator, Callable, Sequence
+from typing import cast
+
+from guavawing.errors import MessageInvalidError
+from guavawing.membership import Datagram, Gossip, Notice, Send
+from guavawing.model import Address
+from guavawing.node.metrics import Metrics
+from guavawing.node.wire import (
+    MAX_DATAGRAM_BYTES,
+    decode_datagram,
+    encode_datagram,
+)
+
+__all__ = ["GossipTask", "open_gossip"]
+
+# Share of the gossip period by which rounds are spread.
+PERIOD_JITTER = 0.2
+
+NoticeListener = Callable[[str, Notice], None]
+
+
+class GossipTask(asyncio.DatagramProtocol):
+    """Feeds datagrams and time to the membership machine."""
+
+    def __init__(
+        self, gossip: Gossip, *, period_s: float, metrics: Metrics
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._gossip = gossip
+        self._period_s = period_s
+        self._metrics = metrics
+        self._transport: asyncio.DatagramTransport | None = None
+        self._on_notice: NoticeListener | None = None
+
+    def listen(self, on_notice: NoticeListener) -> None:
+        """Sets who is told of the versions that other members enforce."""
+        self._on_notice = on_notice
+
+    def set_notice(self, notice: Notice) -> None:
+        """Tells a few members at once of the version in force here."""
+        self._gossip.set_notice(notice)
+        self._send(self._gossip.announce())
+
+    def set_target(self, *, serving: bool, slots: int) -> None:
+        """Tells a few members at once whether the target takes calls."""
+        me = self._gossip.me
+        if (me.serving, me.slots) != (serving, slots):
+            self._gossip.set_target(serving=serving, slots=slots)
+            self._send(self._gossip.announce())
+
+    def leave(self) -> None:
+        """Tells the members that this node stops."""
+        self._send(self._gossip.leave())
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the socket."""
+        # uvloop's datagram transport does not derive from asyncio's class.
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Takes a datagram; one that can't be read is dropped."""
+        if len(data) > MAX_DATAGRAM_BYTES:
+            return
+        try:
+            datagram = decode_datagram(data)
+        except MessageInvalidError:
+            return
+        self._count("received", datagram.sender, len(data))
+        self._send(self._gossip.receive(datagram, now=self._loop.time()))
+        self._notify(datagram)
+
+    async def run(self) -> None:
+        """Runs gossip rounds until cancelled."""
+        while True:
+            self._send(self._gossip.tick(now=self._loop.time()))
+            jitter = random.uniform(-PERIOD_JITTER, PERIOD_JITTER)
+            await asyncio.sleep(self._period_s * (1 + jitter))
+
+    def _notify(self, datagram: Datagram) -> None:
+        if self._on_notice is not None and datagram.notice.version:
+            self._on_notice(datagram.sender, datagram.notice)
+
+    def _send(self, sends: Sequence[Send]) -> None:
+        if self._transport is None:
+            return
+        for send in sends:
+            payload = encode_datagram(send.datagram)
+            address = (send.address.host, send.address.port)
+            self._transport.sendto(payload, address)
+            self._count("sent", self._find_id(send.address), len(payload))
+
+    def _find_id(self, address: Address) -> str:
+        for member in self._gossip.table:
+            if member.control == address:
+                return member.id
+        return ""
+
+    def _count(self, direction: str, member_id: str, size: int) -> None:
+        member = self._gossip.table.get(member_id)
+        here = self._gossip.me.data_centre
+        crossed = member is not None and member.data_centre != here
+        labels = {
+            "direction": direction,
+            "kind": "gossip",
+            "cross_data_centre": str(crossed).lower(),
+        }
+        self._metrics.control_bytes.add(labels, size)
+
+
+@contextlib.asynccontextmanager
+async def open_gossip(
+    task: GossipTask, address: Address
+) -> AsyncIterator[GossipTask]:
+    """Binds the gossip socket and runs rounds until closed."""
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(
+        lambda: task, local_addr=(address.host, address.port)
+    )
+    rounds = loop.create_task(task.run())
+    try:
+        yield task
+    finally:
+        rounds.cancel()
+        transport.close()
--- /dev/null
+++ b/src/guavawing/node/owner.py
@@ -0,0 +1,226 @@
+"""The owner side: the only place that hands work to the target."""
+
+import asyncio
+import contextlib
+import itertools
+import secrets
+from collections.abc import AsyncIterator, Sequence
+
+import attrs
+
+from guavawing.node.messages import Answer, CallAttempt
+from guavawing.node.metrics import Metrics
+from guavawing.node.submission import Submission
+from guavawing.node.target_client import TargetClient
+from guavawing.policy.admission import (
+    Action,
+    Admission,
+    QueuedCall,
+    Refuse,
+    Start,
+)
+from guavawing.policy.bound_key import NONCE_BYTES, BoundKey
+from guavawing.policy.choice import LoadReport
+from guavawing.policy.key_table import Begin, Join, KeyTable, Reject, Replay
+from guavawing.verdict import NotRun, Reason, Verdict
+
+__all__ = ["Owner", "open_owner"]
+
+EXPIRY_PERIOD_S = 0.05
+
+
+@attrs.frozen
+class _Call:
+    attempt: CallAttempt
+    fut: asyncio.Future[Answer]
+
+
+class Owner:
+    """Admits calls to the target and suppresses duplicates."""
+
+    def __init__(
+        self,
+        *,
+        member_id: str,
+        incarnation: int,
+        target: TargetClient,
+        metrics: Metrics,
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._member_id = member_id
+        self._incarnation = incarnation
+        self._target = target
+        self._metrics = metrics
+        self._admission = Admission(slots=0, queue_limit=0)
+        self._keys = KeyTable(incarnation=incarnation, now=self._loop.time())
+        self._ids = itertools.count(1)
+        self._calls: dict[int, _Call] = {}
+        self._running_keys: dict[BoundKey, asyncio.Future[Answer]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    def load(self) -> LoadReport:
+        """Returns the load that answers report."""
+        return LoadReport(
+            slots=self._admission.slots,
+            running=self._admission.running,
+            queued=self._admission.queued,
+            draining=self._admission.draining,
+            key_epoch=self._keys.epoch(now=self._loop.time()),
+        )
+
+    def set_limits(self, *, slots: int, queue_limit: int) -> None:
+        """Applies the limits of a new configuration version."""
+        self._carry_out(
+            self._admission.set_limits(
+                slots=slots, queue_limit=queue_limit, now=self._loop.time()
+            )
+        )
+
+    def start_draining(self) -> None:
+        """Refuses new calls; queued and running ones go on."""
+        self._admission.start_draining()
+
+    def stop_draining(self) -> None:
+        """Takes new calls again."""
+        self._admission.stop_draining()
+
+    async def wait_idle(self) -> None:
+        """Waits until no call is queued or running."""
+        await self._idle.wait()
+
+    def mint_key(self) -> BoundKey:
+        """Returns a new key bound to this owner."""
+        return BoundKey(
+            self._member_id,
+            self._incarnation,
+            self._keys.epoch(now=self._loop.time()),
+            secrets.token_urlsafe(NONCE_BYTES),
+        )
+
+    def submit(self, attempt: CallAttempt) -> Submission:
+        """Takes an attempt; the submission's future tells how it ends."""
+        if attempt.key is None:
+            return self._offer(attempt)
+        if attempt.key.owner != self._member_id:
+            return self._refuse(NotRun(Reason.WRONG_OWNER, 0.0))
+        decision = self._keys.begin(
+            attempt.key, attempt.fingerprint, now=self._loop.time()
+        )
+        match decision:
+            case Begin():
+                submission = self._offer(attempt)
+                if not submission.fut.done():
+                    self._running_keys[attempt.key] = submission.fut
+                return submission
+            case Join():
+                return self._join(self._running_keys[attempt.key])
+            case Replay(answer=Answer() as answer):
+                return self._resolve(answer)
+            case Reject(verdict=verdict):
+                return self._refuse(verdict)
+        raise AssertionError(f"unexpected decision {decision!r}")
+
+    def expire(self) -> None:
+        """Refuses the queued calls whose deadline has passed."""
+        if self._admission.queued:
+            now = self._loop.time()
+            self._carry_out(self._admission.expire(now=now))
+
+    def _offer(self, attempt: CallAttempt) -> Submission:
+        call_id = next(self._ids)
+        fut: asyncio.Future[Answer] = self._loop.create_future()
+        self._calls[call_id] = _Call(attempt, fut)
+        self._idle.clear()
+        call = QueuedCall(
+            call_id, attempt.policy.settings.call_class, attempt.deadline
+        )
+        self._carry_out(self._admission.offer(call, now=self._loop.time()))
+        return Submission(fut, lambda: self._cancel(call_id))
+
+    def _cancel(self, call_id: int) -> None:
+        self._carry_out(self._admission.cancel(call_id))
+
+    def _join(self, running: asyncio.Future[Answer]) -> Submission:
+        fut: asyncio.Future[Answer] = self._loop.create_future()
+
+        def copy_answer(done: asyncio.Future[Answer]) -> None:
+            if not fut.done():
+                fut.set_result(done.result())
+
+        running.add_done_callback(copy_answer)
+        return Submission(fut)
+
+    def _refuse(self, verdict: Verdict) -> Submission:
+        self._metrics.owner_refusals.inc({"reason": str(verdict.reason)})
+        return self._resolve(Answer(verdict))
+
+    def _resolve(self, answer: Answer) -> Submission:
+        fut: asyncio.Future[Answer] = self._loop.create_future()
+        fut.set_result(answer)
+        return Submission(fut)
+
+    def _carry_out(self, actions: Sequence[Action]) -> None:
+        for action in actions:
+            match action:
+                case Start(call_id=call_id):
+                    task = self._loop.create_task(self._run(call_id))
+                    self._tasks.add(task)
+                    task.add_done_callback(self._tasks.discard)
+                case Refuse(call_id=call_id, verdict=verdict):
+                    reason = str(verdict.reason)
+                    self._metrics.owner_refusals.inc({"reason": reason})
+                    self._complete(call_id, Answer(verdict))
+
+    async def _run(self, call_id: int) -> None:
+        attempt = self._calls[call_id].attempt
+        now = self._loop.time()
+        if attempt.deadline <= now:
+            answer = Answer(NotRun(Reason.DEADLINE_PASSED))
+        else:
+            answer = await self._target.execute(attempt, now=now)
+        self._complete(call_id, answer)
+        now = self._loop.time()
+        self._carry_out(self._admission.finish(call_id, now=now))
+
+    def _complete(self, call_id: int, answer: Answer) -> None:
+        call = self._calls.pop(call_id)
+        key = call.attempt.key
+        if key is not None:
+            self._running_keys.pop(key, None)
+            if isinstance(answer.verdict, NotRun):
+                self._keys.release(key)
+            else:
+                self._keys.finish(key, answer)
+        call.fut.set_result(answer)
+        if not self._calls:
+            self._idle.set()
+
+
+@contextlib.asynccontextmanager
+async def open_owner(
+    *,
+    member_id: str,
+    incarnation: int,
+    target: TargetClient,
+    metrics: Metrics,
+) -> AsyncIterator[Owner]:
+    """Opens the owner side and sweeps its queue until it is closed."""
+    owner = Owner(
+        member_id=member_id,
+        incarnation=incarnation,
+        target=target,
+        metrics=metrics,
+    )
+
+    async def sweep() -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_PERIOD_S)
+            owner.expire()
+
+    task = asyncio.get_running_loop().create_task(sweep())
+    try:
+        yield owner
+    finally:
+        task.cancel()
--- /dev/null
+++ b/src/guavawing/node/target_client.py
@@ -0,0 +1,137 @@
+"""HTTP client of the one target beside a node."""
+
+import contextlib
+from collections.abc import AsyncIterator, Iterable
+
+import aiohttp
+
+from guavawing.model import Address
+from guavawing.node.messages import Answer, CallAttempt, Headers
+from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
+
+__all__ = ["TargetClient", "open_target_client"]
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+HEALTH_TIMEOUT_S = 1.0
+# Idle connections are closed before a usual server closes them, so that a
+# request is rarely sent on a connection that is being closed.
+IDLE_CONNECTION_S = 3.0
+_HTTP_OK = 200
+_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class _BrokenConnectionError(Exception):
+    """Raised in place of the errors after which aiohttp sends again."""
+
+
+async def _forbid_resending(
+    req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Turns a lost connection into an error that aiohttp doesn't retry.
+
+    aiohttp repeats GET, PUT and DELETE requests by itself when a connection
+    is lost before the answer. The configuration says which requests are
+    idempotent, not the HTTP method, so no request may be repeated here.
+    """
+    try:
+        return await handler(req)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as exc:
+        raise _BrokenConnectionError(str(exc)) from exc
+
+
+class TargetClient:
+    """Sends attempts to the target and says whether they may have run."""
+
+    __slots__ = ("_base", "_session")
+
+    def __init__(
+        self, session: aiohttp.ClientSession, address: Address
+    ) -> None:
+        self._session = session
+        self._base = f"http://{address}"
+
+    async def execute(self, attempt: CallAttempt, *, now: float) -> Answer:
+        """Sends an attempt to the target, once, and reads the whole answer."""
+        timeout = aiohttp.ClientTimeout(total=attempt.deadline - now)
+        try:
+            async with self._session.request(
+                attempt.method,
+                self._base + attempt.path,
+                headers=attempt.headers,
+                data=attempt.body or None,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as resp:
+                return await _read_answer(resp)
+        except aiohttp.ClientConnectorError:
+            return Answer(NotRun(Reason.TARGET_UNREACHABLE, 1.0))
+        except aiohttp.InvalidURL:
+            return Answer(NotRun(Reason.MALFORMED_HEADER))
+        except TimeoutError:
+            return Answer(MayHaveRun(Reason.TARGET_TIMEOUT))
+        except aiohttp.ClientPayloadError:
+            return Answer(MayHaveRun(Reason.ANSWER_TRUNCATED))
+        except (aiohttp.ClientError, _BrokenConnectionError):
+            return Answer(MayHaveRun(Reason.TARGET_BROKE))
+
+    async def is_healthy(self) -> bool:
+        """Returns whether the target's health endpoint answers well."""
+        timeout = aiohttp.ClientTimeout(total=HEALTH_TIMEOUT_S)
+        try:
+            async with self._session.get(
+                self._base + "/health", timeout=timeout
+            ) as resp:
+                return resp.status == _HTTP_OK
+        except (aiohttp.ClientError, TimeoutError, _BrokenConnectionError):
+            return False
+
+
+async def _read_answer(resp: aiohttp.ClientResponse) -> Answer:
+    length = resp.content_length
+    if length is not None and length > MAX_ANSWER_BYTES:
+        return Answer(MayHaveRun(Reason.ANSWER_TOO_LARGE))
+    body = await resp.read()
+    return Answer(
+        Ran(), resp.status, strip_hop_headers(resp.headers.items()), body
+    )
+
+
+def strip_hop_headers(headers: Iterable[tuple[str, str]]) -> Headers:
+    """Returns the headers that are meant for the other end."""
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() not in _HOP_HEADERS
+    )
+
+
+@contextlib.asynccontextmanager
+async def open_target_client(
+    address: Address, *, connections: int
+) -> AsyncIterator[TargetClient]:
+    """Opens a client that holds at most `connections` connections."""
+    connector = aiohttp.TCPConnector(
+        limit=connections, keepalive_timeout=IDLE_CONNECTION_S
+    )
+    async with aiohttp.ClientSession(
+        connector=connector,
+        middlewares=(_forbid_resending,),
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    ) as session:
+        yield TargetClient(session, address)
--- /dev/null
+++ b/src/guavawing/platform/client.py
@@ -0,0 +1,197 @@
+"""Client of the platform's table service and object store.
+
+This is the only module that knows the platform's wire format: JSON over
+HTTP. A row has a revision that rises with every write; a transaction names
+the revision that it expects of each row, 0 for a row that must not exist.
+"""
+
+import contextlib
+from collections.abc import AsyncIterator, Sequence
+from typing import Any
+
+import aiohttp
+import attrs
+import orjson
+
+from guavawing.errors import (
+    PlatformError,
+    PlatformUnavailableError,
+    PlatformWriteUnknownError,
+)
+from guavawing.model import Address
+
+__all__ = [
+    "Platform",
+    "Row",
+    "TransactionRefusedError",
+    "Write",
+    "open_platform",
+]
+
+REQUEST_TIMEOUT_S = 5.0
+MAX_SCAN_ROWS = 1_000
+_NOT_FOUND = 404
+_CONFLICT = 409
+
+
+class TransactionRefusedError(PlatformError):
+    """Raised when a row does not have the revision that a write expects."""
+
+
+@attrs.frozen
+class Row:
+    """One row of a table.
+
+    Attributes:
+        key: Key within the table.
+        value: Value, a JSON object.
+        revision: Rises with every write of the row.
+    """
+
+    key: str
+    value: dict[str, Any]
+    revision: int
+
+
+@attrs.frozen
+class Write:
+    """One write of a transaction.
+
+    Attributes:
+        table: Name of the table.
+        key: Key within the table.
+        value: New value.
+        expected_revision: Revision that the row must have; 0 if it must not
+            exist, None if any will do.
+    """
+
+    table: str
+    key: str
+    value: dict[str, Any]
+    expected_revision: int | None
+
+
+class Platform:
+    """Table service and object store at one address."""
+
+    __slots__ = ("_base", "_session")
+
+    def __init__(
+        self, session: aiohttp.ClientSession, address: Address
+    ) -> None:
+        self._session = session
+        self._base = f"http://{address}"
+
+    async def read_row(self, table: str, key: str) -> Row | None:
+        """Returns a row, or None if it does not exist.
+
+        Raises:
+            PlatformUnavailableError: If the platform gives no usable answer.
+        """
+        payload = await self._read(f"/tables/{table}/rows/{key}")
+        if payload is None:
+            return None
+        return _decode_row(payload)
+
+    async def scan_rows(
+        self, table: str, *, after: str = "", limit: int = MAX_SCAN_ROWS
+    ) -> list[Row]:
+        """Returns up to `limit` rows in order of key, from behind `after`.
+
+        Raises:
+            PlatformUnavailableError: If the platform gives no usable answer.
+        """
+        payload = await self._read(
+            f"/tables/{table}/rows", {"after": after, "limit": str(limit)}
+        )
+        return [_decode_row(entry) for entry in (payload or {})["rows"]]
+
+    async def transact(self, writes: Sequence[Write]) -> None:
+        """Carries out all writes or none.
+
+        Raises:
+            TransactionRefusedError: If a row has another revision.
+            PlatformUnavailableError: If nothing was written.
+            PlatformWriteUnknownError: If the writes may have been carried out.
+        """
+        body = orjson.dumps({"writes": [attrs.asdict(w) for w in writes]})
+        status = await self._write("POST", "/transactions", body)
+        if status == _CONFLICT:
+            raise TransactionRefusedError("a row was written by somebody else")
+
+    async def put_object(self, name: str, payload: bytes) -> None:
+        """Stores an object; storing the same bytes again is harmless.
+
+        Raises:
+            PlatformUnavailableError: If nothing was written.
+            PlatformWriteUnknownError: If the object may have been stored.
+        """
+        await self._write("PUT", f"/objects/{name}", payload)
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Returns an object's bytes, or None if there is none.
+
+        Raises:
+            PlatformUnavailableError: If the platform gives no usable answer.
+        """
+        try:
+            async with self._session.get(
+                f"{self._base}/objects/{name}"
+            ) as resp:
+                if resp.status == _NOT_FOUND:
+                    return None
+                resp.raise_for_status()
+                return await resp.read()
+        except (aiohttp.ClientError, TimeoutError) as exc:
+            raise _unavailable(exc) from exc
+
+    async def _read(
+        self, path: str, params: dict[str, str] | None = None
+    ) -> dict[str, Any] | None:
+        try:
+            async with self._session.get(
+                self._base + path, params=params
+            ) as resp:
+                if resp.status == _NOT_FOUND:
+                    return None
+                resp.raise_for_status()
+                payload: dict[str, Any] = orjson.loads(await resp.read())
+                return payload
+        except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
+            raise _unavailable(exc) from exc
+
+    async def _write(self, method: str, path: str, body: bytes) -> int:
+        try:
+            async with self._session.request(
+                method, self._base + path, data=body
+            ) as resp:
+                if resp.status == _CONFLICT:
+                    return resp.status
+                resp.raise_for_status()
+                return resp.status
+        except aiohttp.ClientConnectorError as exc:
+            raise _unavailable(exc) from exc
+        except aiohttp.ClientResponseError as exc:
+            raise _unavailable(exc) from exc
+        except (aiohttp.ClientError, TimeoutError) as exc:
+            raise PlatformWriteUnknownError(
+                f"no answer to a write: {exc!r}"
+            ) from exc
+
+
+@contextlib.asynccontextmanager
+async def open_platform(
+    address: Address, *, timeout_s: float = REQUEST_TIMEOUT_S
+) -> AsyncIterator[Platform]:
+    """Opens a client of the platform at `address` and closes it after use."""
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        yield Platform(session, address)
+
+
+def _decode_row(entry: dict[str, Any]) -> Row:
+    return Row(entry["key"], entry["value"], entry["revision"])
+
+
+def _unavailable(exc: Exception) -> PlatformUnavailableError:
+    return PlatformUnavailableError(f"the platform did not answer: {exc!r}")
--- /dev/null
+++ b/src/guavawing/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about calls: pure state machines without clocks and sockets."""
--- /dev/null
+++ b/src/guavawing/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated message classes; see protos/ and 'make proto'."""
--- /dev/null
+++ b/src/guavawing/verdict.py
@@ -0,0 +1,94 @@
+"""Verdicts: whether a request may have been executed by a target.
+
+Every answer and every refusal of a call carries one of three verdicts. A
+caller may send a request again after `NotRun`, whatever the request does.
+"""
+
+import enum
+
+import attrs
+
+__all__ = ["MayHaveRun", "NotRun", "Ran", "Reason", "Verdict", "verdict_name"]
+
+
+class Reason(enum.StrEnum):
+    """Machine-readable causes of a verdict; each has its own counter."""
+
+    SERVED = "served"
+    # Refusals at the entry node, before any other process was asked.
+    UNKNOWN_SERVICE = "unknown-service"
+    UNKNOWN_ROUTE = "unknown-route"
+    MISSING_DEADLINE = "missing-deadline"
+    MALFORMED_HEADER = "malformed-header"
+    BODY_TOO_LARGE = "body-too-large"
+    DEADLINE_PASSED = "deadline-passed"
+    TOO_DEEP = "too-deep"
+    NO_CONFIG = "no-config"
+    NO_TARGET = "no-target"
+    TOO_MANY_CALLS = "too-many-calls"
+    STOPPING = "stopping"
+    CANCELLED = "cancelled"
+    INTERNAL = "internal"
+    # Refusals at the owner node, before the target was asked.
+    QUEUE_FULL = "queue-full"
+    CANNOT_MEET_DEADLINE = "cannot-meet-deadline"
+    DRAINING = "draining"
+    WRONG_OWNER = "wrong-owner"
+    KEY_TABLE_FULL = "key-table-full"
+    TARGET_UNREACHABLE = "target-unreachable"
+    KEY_STORE_UNAVAILABLE = "key-store-unavailable"
+    KEY_REUSED = "key-reused"
+    KEY_RELEASED = "key-released"
+    OVERLOADED_PEER = "overloaded-peer"
+    # Outcomes after the target may have been asked.
+    OWNER_UNREACHABLE = "owner-unreachable"
+    OWNER_LOST = "owner-lost"
+    OWNER_REPLACED = "owner-replaced"
+    KEY_EXPIRED = "key-expired"
+    ANSWER_LOST = "answer-lost"
+    ANSWER_TRUNCATED = "answer-truncated"
+    ANSWER_TOO_LARGE = "answer-too-large"
+    TARGET_TIMEOUT = "target-timeout"
+    TARGET_BROKE = "target-broke"
+
+
+@attrs.frozen
+class NotRun:
+    """The target has not executed the request and never will.
+
+    Attributes:
+        reason: Why the request was refused.
+        retry_after_s: When to try again, in seconds; None if a repeat of
+            the same request can't succeed.
+        budget_spent: Whether the layer below has used up its retries, so
+            that outer layers must not retry.
+    """
+
+    reason: Reason
+    retry_after_s: float | None = None
+    budget_spent: bool = False
+
+
+@attrs.frozen
+class Ran:
+    """The target has executed the request and its whole answer is here."""
+
+    reason: Reason = Reason.SERVED
+
+
+@attrs.frozen
+class MayHaveRun:
+    """The target may or may not have executed the request."""
+
+    reason: Reason
+    budget_spent: bool = False
+
+
+Verdict = NotRun | Ran | MayHaveRun
+
+_NAMES = {NotRun: "not-run", Ran: "ran", MayHaveRun: "may-have-run"}
+
+
+def verdict_name(verdict: Verdict) -> str:
+    """Returns the name of a verdict as it stands in a response header."""
+    return _NAMES[type(verdict)]
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around guavawing, for tests and demos."""
--- /dev/null
+++ b/standins/cluster.py
@@ -0,0 +1,356 @@
+"""Starts a small fleet of separate processes on loopback."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator, Iterator, Sequence
+from typing import Any
+
+import aiohttp
+import attrs
+import orjson
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 45.0
+POLL_PERIOD_S = 0.05
+HOST = "127.0.0.1"
+# Below the range from which the kernel picks ports of outgoing connections.
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+
+_SETTINGS = """\
+[node]
+id = {name}
+data_centre = {data_centre}
+region = {region}
+caller = {caller}
+mesh = {mesh}
+control = {control}
+admin = {admin}
+[target]
+service = {service}
+address = {target}
+[platform]
+address = {platform}
+{platform_extra}
+[membership]
+seeds = {seeds}
+{membership_extra}
+[logs]
+file = {log}
+"""
+
+
+def find_ports(count: int) -> list[int]:
+    """Returns ports of the loopback address on which nothing listens."""
+    start = FIRST_PORT + (os.getpid() * 97 + time.time_ns()) % 10_000
+    ports = []
+    for offset in range(LAST_PORT - FIRST_PORT):
+        port = FIRST_PORT + (start + offset) % (LAST_PORT - FIRST_PORT)
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as u:
+            try:
+                tcp.bind((HOST, port))
+                u.bind((HOST, port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise RuntimeError(f"fewer than {count} free ports")
+
+
+@attrs.define
+class Process:
+    """A process of the fleet, stopped by its id.
+
+    Attributes:
+        name: What it is called in messages.
+        argv: Its command line.
+        proc: The running process, if any.
+    """
+
+    name: str
+    argv: list[str]
+    proc: asyncio.subprocess.Process | None = None
+
+    async def start(self, *, log: pathlib.Path) -> None:
+        """Starts the process; its standard error goes to `log`."""
+        with log.open("ab") as stream:
+            self.proc = await asyncio.create_subprocess_exec(
+                *self.argv,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=stream,
+                stderr=stream,
+            )
+
+    def send(self, sig: signal.Signals) -> None:
+        """Sends a signal to the process."""
+        assert self.proc is not None
+        with contextlib.suppress(ProcessLookupError):
+            self.proc.send_signal(sig)
+
+    async def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Waits for the end of the process and returns its exit code."""
+        assert self.proc is not None
+        async with asyncio.timeout(timeout_s):
+            return await self.proc.wait()
+
+    async def kill(self) -> None:
+        """Ends the process at once."""
+        if self.proc is None or self.proc.returncode is not None:
+            return
+        self.send(signal.SIGKILL)
+        await self.proc.wait()
+
+
+@attrs.define
+class FleetNode:
+    """A node, its target and their addresses."""
+
+    name: str
+    service: str
+    data_centre: str
+    region: str
+    caller: str
+    mesh: str
+    control: str
+    admin: str
+    target: str
+    settings: pathlib.Path
+    node: Process
+    target_process: Process
+
+
+@attrs.define
+class Fleet:
+    """A platform stand-in and nodes with their targets."""
+
+    folder: pathlib.Path
+    platform: str
+    platform_process: Process
+    nodes: dict[str, FleetNode]
+    session: aiohttp.ClientSession
+
+    async def start(self) -> None:
+        """Starts every process and waits until the nodes answer."""
+        await self.platform_process.start(log=self.folder / "platform.err")
+        await self.wait_for_http(self.platform, "/counters")
+        for each in self.nodes.values():
+            await each.target_process.start(log=self.log_of(each, "target"))
+        for each in self.nodes.values():
+            await each.node.start(log=self.log_of(each, "node"))
+        for each in self.nodes.values():
+            await self.wait_for_http(each.admin, "/healthz")
+
+    def log_of(self, node: FleetNode, part: str) -> pathlib.Path:
+        """Returns the file for the standard error of a process."""
+        return self.folder / f"{node.name}.{part}.err"
+
+    async def stop(self) -> None:
+        """Ends every process that is left."""
+        for each in self.nodes.values():
+            await each.node.kill()
+            await each.target_process.kill()
+        await self.platform_process.kill()
+
+    async def get(self, address: str, path: str) -> Any:
+        """Returns the JSON that a process answers."""
+        async with self.session.get(f"http://{address}{path}") as resp:
+            resp.raise_for_status()
+            return orjson.loads(await resp.read())
+
+    async def post(self, address: str, path: str, tree: Any = None) -> None:
+        """Posts JSON to a process."""
+        body = orjson.dumps(tree or {})
+        async with self.session.post(
+            f"http://{address}{path}", data=body
+        ) as resp:
+            resp.raise_for_status()
+
+    async def wait_for_http(self, address: str, path: str) -> None:
+        """Waits until a process answers."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while True:
+            try:
+                await self.get(address, path)
+                return
+            except aiohttp.ClientError:
+                if time.monotonic() > deadline:
+                    raise
+            await asyncio.sleep(POLL_PERIOD_S)
+
+    async def run_cli(self, *args: str) -> tuple[int, str, str]:
+        """Runs the command line; returns exit code, output and errors."""
+        env = {
+            **os.environ,
+            "GUAVAWING_PLATFORM": self.platform,
+            "GUAVAWING_NODE": next(iter(self.nodes.values())).admin,
+        }
+        proc = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "guavawing",
+            *args,
+            env=env,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        out, err = await proc.communicate()
+        assert proc.returncode is not None
+        return proc.returncode, out.decode(), err.decode()
+
+    async def wait_for_version(
+        self,
+        version: int,
+        names: Sequence[str] = (),
+        timeout_s: float = 19.0,
+    ) -> list[str]:
+        """Waits until nodes enforce a version; returns those that don't."""
+        behind = list(names or self.nodes)
+        deadline = time.monotonic() + timeout_s
+        while behind and time.monotonic() < deadline:
+            still = []
+            for name in behind:
+                status = await self.get(self.nodes[name].admin, "/status")
+                if status["version"] < version:
+                    still.append(name)
+            behind = still
+            await asyncio.sleep(POLL_PERIOD_S)
+        return behind
+
+    async def wait_for_serving(
+        self, count: int, *, timeout_s: float = START_TIMEOUT_S
+    ) -> bool:
+        """Waits until every node knows `count` serving members."""
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            counts = []
+            for node in self.nodes.values():
+                status = await self.get(node.admin, "/status")
+                serving = [
+                    m
+                    for m in status["members"]
+                    if m["serving"] and m["state"] == "alive"
+                ]
+                counts.append(len(serving))
+            if all(each == count for each in counts):
+                return True
+            await asyncio.sleep(POLL_PERIOD_S)
+        return False
+
+
+@attrs.frozen
+class NodePlan:
+    """Where one node of a fleet stands."""
+
+    name: str
+    service: str
+    data_centre: str
+    region: str
+
+
+def plan_fleet(
+    *, data_centres: Sequence[str], services: Sequence[str], copies: int
+) -> list[NodePlan]:
+    """Returns `copies` nodes a service in each data centre."""
+    return [
+        NodePlan(f"{service}-{centre}-{copy}", service, centre, "vestland")
+        for centre in data_centres
+        for service in services
+        for copy in range(1, copies + 1)
+    ]
+
+
+def build_fleet(
+    folder: pathlib.Path,
+    plans: Sequence[NodePlan],
+    session: aiohttp.ClientSession,
+    *,
+    platform_extra: str = "",
+    membership_extra: str = "",
+    seeds: int = 3,
+) -> Fleet:
+    """Returns a fleet that has not been started yet."""
+    ports = iter(find_ports(1 + 5 * len(plans)))
+
+    def next_address() -> str:
+        return f"{HOST}:{next(ports)}"
+
+    platform = next_address()
+    addresses = [[next_address() for _ in range(5)] for _ in plans]
+    seed_list = ", ".join(entry[2] for entry in addresses[:seeds])
+    nodes = {}
+    for plan, entry in zip(plans, addresses, strict=True):
+        caller, mesh, control, admin, target = entry
+        settings = folder / f"{plan.name}.ini"
+        settings.write_text(
+            _SETTINGS.format(
+                name=plan.name,
+                data_centre=plan.data_centre,
+                region=plan.region,
+                service=plan.service,
+                caller=caller,
+                mesh=mesh,
+                control=control,
+                admin=admin,
+                target=target,
+                platform=platform,
+                platform_extra=platform_extra,
+                seeds=seed_list,
+                membership_extra=membership_extra,
+                log=folder / f"{plan.name}.log",
+            )
+        )
+        nodes[plan.name] = FleetNode(
+            name=plan.name,
+            service=plan.service,
+            data_centre=plan.data_centre,
+            region=plan.region,
+            caller=caller,
+            mesh=mesh,
+            control=control,
+            admin=admin,
+            target=target,
+            settings=settings,
+            node=Process(
+                plan.name,
+                _python("guavawing", "node", "--config", str(settings)),
+            ),
+            target_process=Process(
+                f"{plan.name} target", _python("standins.target", target)
+            ),
+        )
+    process = Process("platform", _python("standins.platform", platform))
+    return Fleet(folder, platform, process, nodes, session)
+
+
+def _python(module: str, *args: str) -> list[str]:
+    return [sys.executable, "-m", module, *args]
+
+
+@contextlib.contextmanager
+def _open_folder() -> Iterator[pathlib.Path]:
+    with tempfile.TemporaryDirectory(prefix="guavawing-") as name:
+        yield pathlib.Path(name)
+
+
+@contextlib.asynccontextmanager
+async def open_fleet(
+    plans: Sequence[NodePlan], **options: Any
+) -> AsyncIterator[Fleet]:
+    """Starts a fleet and ends every process of it after use."""
+    timeout = aiohttp.ClientTimeout(total=10.0)
+    with _open_folder() as folder:
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            fleet = build_fleet(folder, plans, session, **options)
+            try:
+                await fleet.start()
+                yield fleet
+            finally:
+                await fleet.stop()
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,145 @@
+"""Stand-in for the platform: transactional table service and object store.
+
+Run it with `python -m standins.platform IP:PORT`. `POST /faults` changes how
+it fails; `GET /counters` tells how many reads and writes it has served.
+"""
+
+import asyncio
+import sys
+from typing import Any
+
+import attrs
+import orjson
+from aiohttp import web
+
+from guavawing.model import parse_address
+
+
+@attrs.define
+class Faults:
+    """How the stand-in fails.
+
+    Attributes:
+        down: Whether every request is refused with status 503.
+        delay_s: Time added to every request, in seconds.
+        lose_replies: Number of writes to carry out without an answer.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    lose_replies: int = 0
+
+
+class PlatformStandIn:
+    """Tables and objects in memory."""
+
+    def __init__(self) -> None:
+        self._tables: dict[str, dict[str, tuple[Any, int]]] = {}
+        self._objects: dict[str, bytes] = {}
+        self._faults = Faults()
+        self._counters = {"reads": 0, "writes": 0, "bytes": 0}
+
+    def build_app(self) -> web.Application:
+        """Returns the HTTP application."""
+        app = web.Application(
+            middlewares=[self._inject_faults], client_max_size=64 * 2**20
+        )
+        app.router.add_get("/tables/{table}/rows", self._scan)
+        app.router.add_get("/tables/{table}/rows/{key}", self._get_row)
+        app.router.add_post("/transactions", self._transact)
+        app.router.add_put("/objects/{name}", self._put_object)
+        app.router.add_get("/objects/{name}", self._get_object)
+        app.router.add_post("/faults", self._set_faults)
+        app.router.add_get("/counters", self._get_counters)
+        return app
+
+    @web.middleware
+    async def _inject_faults(
+        self, req: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        if req.path in ("/faults", "/counters"):
+            return await handler(req)
+        if self._faults.delay_s:
+            await asyncio.sleep(self._faults.delay_s)
+        if self._faults.down:
+            return web.Response(status=503)
+        is_write = req.method != "GET"
+        self._counters["writes" if is_write else "reads"] += 1
+        resp = await handler(req)
+        if is_write and self._faults.lose_replies > 0:
+            self._faults.lose_replies -= 1
+            assert req.transport is not None
+            req.transport.abort()
+        return resp
+
+    async def _scan(self, req: web.Request) -> web.Response:
+        rows = self._tables.get(req.match_info["table"], {})
+        after = req.query.get("after", "")
+        limit = int(req.query.get("limit", "1000"))
+        keys = sorted(key for key in rows if key > after)[:limit]
+        return _respond({"rows": [_row(key, rows[key]) for key in keys]})
+
+    async def _get_row(self, req: web.Request) -> web.Response:
+        rows = self._tables.get(req.match_info["table"], {})
+        key = req.match_info["key"]
+        if key not in rows:
+            return web.Response(status=404)
+        return _respond(_row(key, rows[key]))
+
+    async def _transact(self, req: web.Request) -> web.Response:
+        writes = orjson.loads(await req.read())["writes"]
+        for write in writes:
+            expected = write["expected_revision"]
+            rows = self._tables.get(write["table"], {})
+            _, revision = rows.get(write["key"], (None, 0))
+            if expected is not None and expected != revision:
+                return web.Response(status=409)
+        for write in writes:
+            rows = self._tables.setdefault(write["table"], {})
+            _, revision = rows.get(write["key"], (None, 0))
+            rows[write["key"]] = (write["value"], revision + 1)
+        return _respond({})
+
+    async def _put_object(self, req: web.Request) -> web.Response:
+        self._objects[req.match_info["name"]] = await req.read()
+        return _respond({})
+
+    async def _get_object(self, req: web.Request) -> web.Response:
+        payload = self._objects.get(req.match_info["name"])
+        if payload is None:
+            return web.Response(status=404)
+        self._counters["bytes"] += len(payload)
+        return web.Response(body=payload)
+
+    async def _set_faults(self, req: web.Request) -> web.Response:
+        self._faults = Faults(**orjson.loads(await req.read()))
+        return _respond({})
+
+    async def _get_counters(self, _: web.Request) -> web.Response:
+        return _respond(self._counters)
+
+
+def _row(key: str, entry: tuple[Any, int]) -> dict[str, Any]:
+    return {"key": key, "value": entry[0], "revision": entry[1]}
+
+
+def _respond(tree: Any) -> web.Response:
+    return web.Response(
+        body=orjson.dumps(tree), content_type="application/json"
+    )
+
+
+def main() -> None:
+    """Serves the stand-in until the process is stopped."""
+    address = parse_address(sys.argv[1])
+    web.run_app(
+        PlatformStandIn().build_app(),
+        host=address.host,
+        port=address.port,
+        print=None,
+        access_log=None,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/processes/settings.feature
@@ -0,0 +1,32 @@
+Feature: The settings of a node are checked before any socket opens
+
+  Scenario Outline: A bad value is refused with its place
+    Given settings in which [<section>] "<key>" is "<value>"
+    When the node is started
+    Then it ends with exit code 2
+    And one line on standard error names "[<section>] <key>", "<value>" and "expected"
+
+    Examples:
+      | section    | key           | value            |
+      | node       | colour        | blue             |
+      | node       | caller        | localhost:7400   |
+      | node       | mesh          | 127.0.0.1:70000  |
+      | node       | admin         | 127.0.0.1        |
+      | node       | id            | two words        |
+      | target     | address       | example.org:80   |
+      | platform   | poll_period_s | often            |
+      | platform   | poll_period_s | -1               |
+      | membership | seeds         | 127.0.0.1:1, ::  |
+      | logs       | level         | loud             |
+
+  Scenario: A missing key is named
+    Given settings without [node] "mesh"
+    When the node is started
+    Then it ends with exit code 2
+    And one line on standard error names "[node] mesh", "got nothing" and "expected"
+
+  Scenario: An unknown section is named
+    Given settings in which [mesh] "port" is "1"
+    When the node is started
+    Then it ends with exit code 2
+    And one line on standard error names "[mesh]", "expected" and "[node]"
--- /dev/null
+++ b/tests/steps/call_steps.py
@@ -0,0 +1,91 @@
+"""Steps that send calls through a fleet."""
+
+from behave import given, then, when
+
+from standins.caller import send_call
+
+
+def pick_node(context, name):
+    return context.fleet.nodes[name]
+
+
+def send(context, node, **options):
+    context.outcome = context.loop.run_until_complete(
+        send_call(
+            context.fleet.session, pick_node(context, node).caller, **options
+        )
+    )
+
+
+@given("a fleet that enforces version {number:d}")
+def step_fleet_enforces(context, number):
+    assert context.version >= number
+
+
+@when('a caller reads "{service}" through "{node}"')
+def step_read(context, service, node):
+    send(context, node, service=service, path="/packages/1")
+
+
+@when('a caller publishes to "{service}" through "{node}" with key "{key}"')
+def step_publish(context, service, node, key):
+    send(
+        context,
+        node,
+        service=service,
+        method="POST",
+        path="/bulletins",
+        key=key,
+        body=b"{}",
+    )
+
+
+@when('a caller sends "{service}" a request with {fault} through "{node}"')
+def step_bad_request(context, service, fault, node):
+    options = {"service": service, "path": "/packages/1"}
+    match fault:
+        case "no deadline":
+            options["deadline_ms"] = None
+        case "a passed deadline":
+            options["deadline_ms"] = 0
+        case "a malformed deadline":
+            options["deadline_ms"] = None
+            options["headers"] = {"Guavawing-Deadline-Ms": "soon"}
+        case "a malformed depth":
+            options["headers"] = {"Guavawing-Depth": "-3"}
+        case "too large a body":
+            options |= {
+                "method": "POST",
+                "path": "/bulletins",
+                "body": b"x" * (1_048_576 + 1),
+            }
+        case "an unknown route":
+            options |= {"method": "PATCH"}
+        case "no fault":
+            pass
+        case _:
+            raise AssertionError(fault)
+    send(context, node, **options)
+
+
+@then('the verdict is "{verdict}" with reason "{reason}"')
+def step_verdict(context, verdict, reason):
+    outcome = context.outcome
+    assert (outcome.verdict, outcome.reason) == (verdict, reason), outcome
+
+
+@then("the status is {status:d}")
+def step_status(context, status):
+    assert context.outcome.status == status, context.outcome
+
+
+@then('key "{key}" was executed {times:d} time')
+@then('key "{key}" was executed {times:d} times')
+def step_executions(context, key, times):
+    executions = 0
+    for node in context.fleet.nodes.values():
+        record = context.loop.run_until_complete(
+            context.fleet.get(node.target, "/record")
+        )
+        executions += record["executions"].get(key, 0)
+    assert executions == times, executions
--- /dev/null
+++ b/tests/steps/settings_steps.py
@@ -0,0 +1,71 @@
+"""Steps that check the settings of a node."""
+
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+from behave import given, then, when
+
+GOOD_SETTINGS = {
+    "node": {
+        "id": "desk-1",
+        "data_centre": "bergen",
+        "region": "vestland",
+        "caller": "127.0.0.1:7400",
+        "mesh": "127.0.0.1:7401",
+        "control": "127.0.0.1:7402",
+        "admin": "127.0.0.1:7403",
+    },
+    "target": {"service": "desk", "address": "127.0.0.1:7500"},
+    "platform": {"address": "127.0.0.1:7000"},
+}
+
+
+@given('settings in which [{section}] "{key}" is "{value}"')
+def step_settings(context, section, key, value):
+    settings = {name: dict(keys) for name, keys in GOOD_SETTINGS.items()}
+    settings.setdefault(section, {})[key] = value
+    write_settings(context, settings)
+
+
+@given('settings without [{section}] "{key}"')
+def step_settings_without(context, section, key):
+    settings = {name: dict(keys) for name, keys in GOOD_SETTINGS.items()}
+    del settings[section][key]
+    write_settings(context, settings)
+
+
+def write_settings(context, settings):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.path = pathlib.Path(folder.name) / "node.ini"
+    lines = []
+    for section, keys in settings.items():
+        lines.append(f"[{section}]")
+        lines += [f"{key} = {value}" for key, value in keys.items()]
+    context.path.write_text("\n".join(lines))
+
+
+@when("the node is started")
+def step_start_node(context):
+    context.result = subprocess.run(
+        [sys.executable, "-m", "guavawing", "node", "--config", context.path],
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+
+
+@then("it ends with exit code {code:d}")
+def step_exit_code(context, code):
+    assert context.result.returncode == code, context.result
+
+
+@then('one line on standard error names "{first}", "{second}" and "{third}"')
+def step_error_line(context, first, second, third):
+    lines = context.result.stderr.strip().splitlines()
+    assert len(lines) == 1, lines
+    assert str(context.path) in lines[0], lines
+    for part in (first, second, third):
+        assert part in lines[0], (part, lines)
