Add a relay for cuts, one schema file per protocol, a bench frame

Cause: cuts between data centres could not be caused on one machine, and parallel fleets could pick the same ports.

Ruled out: network namespaces (not allowed here); faults inside the node (they would test other code than what runs).

Change: nodes connect from their own address and may listen elsewhere than they announce, so a relay can stand between data centres; a fleet reserves a block of ports; bench and golden-file frames.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,11 @@
 	  --allow-unsafe --extra dev -o requirements.lock pyproject.toml
 
 proto: env
+	$(PY) -m grpc_tools.protoc -I protos --python_out=src --pyi_out=src \
+	  protos/guavawing/proto/*.proto
 	PATH=$(abspath $(VENV)/bin):$$PATH $(PY) -m grpc_tools.protoc -I protos \
-	  --python_out=src --pyi_out=src --grpclib_python_out=src \
-	  protos/guavawing/proto/messages.proto
+	  --grpclib_python_out=src protos/guavawing/proto/control.proto
+
+golden: env
+	GUAVAWING_RENEW_GOLDEN=1 PYTHONPATH=src:. $(PY) -m behave tests/cover \
+	  --tags=@golden --no-capture --format progress
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with bounds from the stated targets: `python -m bench`."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,36 @@
+"""Runs benchmarks: `python -m bench [NAME...]`; each is a module here.
+
+A benchmark is a module `bench.measure_NAME` with a coroutine function `run`
+that returns a list of figures.
+"""
+
+import asyncio
+import importlib
+import pathlib
+import sys
+
+from bench.figure import Figure
+
+FOLDER = pathlib.Path(__file__).parent
+PREFIX = "measure_"
+
+
+def find_benchmarks() -> list[str]:
+    """Returns the names of all benchmarks."""
+    paths = sorted(FOLDER.glob(f"{PREFIX}*.py"))
+    return [path.stem.removeprefix(PREFIX) for path in paths]
+
+
+def main() -> int:
+    """Prints a line per figure; returns 1 when one is over its bound."""
+    figures: list[Figure] = []
+    for name in sys.argv[1:] or find_benchmarks():
+        module = importlib.import_module(f"bench.{PREFIX}{name}")
+        for figure in asyncio.run(module.run()):
+            print(figure, flush=True)
+            figures.append(figure)
+    return 1 if any(figure.over for figure in figures) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/guavawing/node/control_server.py
+++ b/src/guavawing/node/control_server.py
@@ -7,8 +7,8 @@
 
 from guavawing.model import Address
 from guavawing.node.distributor import Distributor
-from guavawing.proto.messages_grpc import ControlBase
-from guavawing.proto.messages_pb2 import PullReply, PullRequest
+from guavawing.proto.control_grpc import ControlBase
+from guavawing.proto.control_pb2 import PullReply, PullRequest
 
 __all__ = ["ControlServer", "open_control_server"]
 
--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -63,7 +63,9 @@
         me = _describe_node(settings, self._incarnation)
         enter = self._stack.enter_async_context
         self._gossip = Gossip(me, settings.seeds, random.Random())
-        platform = await enter(open_platform(settings.platform))
+        platform = await enter(
+            open_platform(settings.platform, source=settings.mesh.host)
+        )
         self._target = await enter(
             open_target_client(settings.target, connections=0)
         )
@@ -79,6 +81,7 @@
             platform=platform,
             table=self._gossip.table,
             data_centre=settings.data_centre,
+            source=settings.control.host,
             metrics=self._metrics,
         )
         await self._open_servers(me, Claims(platform))
@@ -91,6 +94,7 @@
             open_mesh_pool(
                 member_id=me.id,
                 incarnation=self._incarnation,
+                source=settings.mesh.host,
                 on_load=lambda *load: self._entry.take_load(*load),
             )
         )
@@ -109,9 +113,12 @@
             member_id=me.id,
             incarnation=self._incarnation,
         )
-        await enter(open_mesh_server(mesh, settings.mesh))
+        await enter(
+            open_mesh_server(mesh, settings.listen_mesh or settings.mesh)
+        )
         control = ControlServer(self._distributor)
-        await enter(open_control_server(control, settings.control))
+        control_address = settings.listen_control or settings.control
+        await enter(open_control_server(control, control_address))
         self._gossip_task = GossipTask(
             self._gossip,
             period_s=settings.gossip_period_s,
@@ -119,7 +126,7 @@
         )
         self._gossip_task.listen(self._distributor.hear)
         self._distributor.listen(self._apply_version)
-        await enter(open_gossip(self._gossip_task, settings.control))
+        await enter(open_gossip(self._gossip_task, control_address))
         await enter(
             open_distributor(
                 self._distributor, poll_period_s=settings.poll_period_s
--- a/src/guavawing/node/wire.py
+++ b/src/guavawing/node/datagrams.py
@@ -1,19 +1,13 @@
-"""Translation between typed messages and protobuf messages."""
+"""Translation between gossip datagrams and their bytes."""
 
 from google.protobuf.message import DecodeError
 
 from guavawing.errors import InvalidArgumentError, MessageInvalidError
 from guavawing.membership import Datagram, Member, MemberState, Notice
 from guavawing.model import parse_address
-from guavawing.policy.choice import LoadReport
-from guavawing.proto import messages_pb2 as pb
+from guavawing.proto import gossip_pb2 as pb
 
-__all__ = [
-    "decode_datagram",
-    "decode_frame",
-    "decode_load",
-    "encode_datagram",
-]
+__all__ = ["MAX_DATAGRAM_BYTES", "decode_datagram", "encode_datagram"]
 
 MAX_DATAGRAM_BYTES = 8_192
 
@@ -51,31 +45,6 @@
         raise MessageInvalidError(f"not a gossip datagram: {exc}") from exc
 
 
-def decode_frame(payload: bytes) -> pb.MeshFrame:
-    """Reads a frame of a connection between two nodes.
-
-    Raises:
-        MessageInvalidError: If the bytes are not a frame.
-    """
-    frame = pb.MeshFrame()
-    try:
-        frame.ParseFromString(payload)
-    except DecodeError as exc:
-        raise MessageInvalidError(f"not a mesh frame: {exc}") from exc
-    return frame
-
-
-def decode_load(load: pb.Load) -> LoadReport:
-    """Returns the load that an owner reported."""
-    return LoadReport(
-        slots=load.slots,
-        running=load.running,
-        queued=load.queued,
-        draining=load.draining,
-        key_epoch=load.key_epoch,
-    )
-
-
 def _encode_member(member: Member) -> pb.MemberRecord:
     return pb.MemberRecord(
         id=member.id,
--- a/src/guavawing/node/distributor.py
+++ b/src/guavawing/node/distributor.py
@@ -9,16 +9,16 @@
 import attrs
 import eliot
 import grpclib
-from grpclib.client import Channel
 
 from guavawing.config import PolicyTable
 from guavawing.distribution import Applied, Rejected, Version, VersionKeeper
 from guavawing.errors import PlatformError
 from guavawing.membership import MemberTable, Notice
+from guavawing.node.channel import SourceChannel
 from guavawing.node.metrics import Metrics
 from guavawing.platform import Platform, fetch_head
-from guavawing.proto.messages_grpc import ControlStub
-from guavawing.proto.messages_pb2 import PullRequest
+from guavawing.proto.control_grpc import ControlStub
+from guavawing.proto.control_pb2 import PullRequest
 
 __all__ = ["Distributor", "open_distributor"]
 
@@ -51,11 +51,13 @@
         platform: Platform,
         table: MemberTable,
         data_centre: str,
+        source: str,
         metrics: Metrics,
     ) -> None:
         self._platform = platform
         self._table = table
         self._data_centre = data_centre
+        self._source = source
         self._metrics = metrics
         self._keeper = VersionKeeper()
         self._policies: PolicyTable | None = None
@@ -135,7 +137,7 @@
         request = PullRequest(
             base_version=current.number, base_digest=current.digest
         )
-        channel = Channel(member.control.host, member.control.port)
+        channel = SourceChannel(member.control, source=self._source)
         try:
             reply = await ControlStub(channel).Pull(
                 request, timeout=PULL_TIMEOUT_S
--- a/src/guavawing/node/frames.py
+++ b/src/guavawing/node/frames.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Iterable, Iterator
 
+from google.protobuf.message import DecodeError
+
 from guavawing.errors import InvalidArgumentError, MessageInvalidError
 from guavawing.node.messages import Answer, CallAttempt, Headers
 from guavawing.policy.bound_key import BoundKey, parse_bound_key
 from guavawing.policy.choice import LoadReport
-from guavawing.proto import messages_pb2 as pb
+from guavawing.proto import calls_pb2 as pb
 from guavawing.verdict import (
     MayHaveRun,
     NotRun,
@@ -20,6 +22,9 @@
     "build_answer_frames",
     "build_hello",
     "build_request",
+    "decode_frame",
+    "decode_headers",
+    "decode_load",
     "read_key",
     "read_verdict",
 ]
@@ -132,6 +137,31 @@
         raise MessageInvalidError(str(exc)) from exc
 
 
+def decode_frame(payload: bytes) -> pb.MeshFrame:
+    """Reads a frame of a connection between two nodes.
+
+    Raises:
+        MessageInvalidError: If the bytes are not a frame.
+    """
+    frame = pb.MeshFrame()
+    try:
+        frame.ParseFromString(payload)
+    except DecodeError as exc:
+        raise MessageInvalidError(f"not a mesh frame: {exc}") from exc
+    return frame
+
+
+def decode_load(load: pb.Load) -> LoadReport:
+    """Returns the load that an owner reported."""
+    return LoadReport(
+        slots=load.slots,
+        running=load.running,
+        queued=load.queued,
+        draining=load.draining,
+        key_epoch=load.key_epoch,
+    )
+
+
 def encode_load(load: LoadReport) -> pb.Load:
     """Returns the message that reports an owner's load."""
     return pb.Load(
--- a/src/guavawing/node/gossip_task.py
+++ b/src/guavawing/node/gossip_task.py
@@ -9,12 +9,12 @@
 from guavawing.errors import MessageInvalidError
 from guavawing.membership import Datagram, Gossip, Notice, Send
 from guavawing.model import Address
-from guavawing.node.metrics import Metrics
-from guavawing.node.wire import (
+from guavawing.node.datagrams import (
     MAX_DATAGRAM_BYTES,
     decode_datagram,
     encode_datagram,
 )
+from guavawing.node.metrics import Metrics
 
 __all__ = ["GossipTask", "open_gossip"]
 
--- a/src/guavawing/node/mesh_client.py
+++ b/src/guavawing/node/mesh_client.py
@@ -16,15 +16,16 @@
     MAX_FRAME_BYTES,
     build_hello,
     build_request,
+    decode_frame,
     decode_headers,
+    decode_load,
     read_verdict,
 )
 from guavawing.node.messages import Answer, CallAttempt
 from guavawing.node.submission import Submission
-from guavawing.node.wire import decode_frame, decode_load
 from guavawing.policy.bound_key import NONCE_BYTES, BoundKey
 from guavawing.policy.choice import LoadReport
-from guavawing.proto import messages_pb2 as pb
+from guavawing.proto import calls_pb2 as pb
 from guavawing.verdict import MayHaveRun, NotRun, Reason, Verdict
 
 __all__ = ["MeshConnection", "MeshPool", "open_mesh_pool"]
@@ -262,10 +263,21 @@
 
 @contextlib.asynccontextmanager
 async def open_mesh_pool(
-    *, member_id: MemberId, incarnation: int, on_load: LoadListener
+    *,
+    member_id: MemberId,
+    incarnation: int,
+    source: str,
+    on_load: LoadListener,
 ) -> AsyncIterator[MeshPool]:
-    """Opens an empty pool and closes its connections after use."""
-    connector = aiohttp.TCPConnector(limit=0)
+    """Opens an empty pool and closes its connections after use.
+
+    Args:
+        member_id: Id of this node.
+        incarnation: Incarnation of this process.
+        source: IP address of this node, from which it connects.
+        on_load: Is told of the loads that owners report.
+    """
+    connector = aiohttp.TCPConnector(limit=0, local_addr=(source, 0))
     async with aiohttp.ClientSession(connector=connector) as session:
         pool = MeshPool(
             session,
--- a/src/guavawing/node/mesh_server.py
+++ b/src/guavawing/node/mesh_server.py
@@ -15,15 +15,15 @@
     MICROSECONDS,
     build_answer_frames,
     build_hello,
+    decode_frame,
     decode_headers,
     read_key,
 )
 from guavawing.node.messages import Answer, CallAttempt
 from guavawing.node.owner import Owner
 from guavawing.node.submission import Submission
-from guavawing.node.wire import decode_frame
 from guavawing.policy.transit import TransitMeter
-from guavawing.proto import messages_pb2 as pb
+from guavawing.proto import calls_pb2 as pb
 from guavawing.verdict import NotRun, Reason
 
 __all__ = ["MeshServer", "open_mesh_server"]
--- a/src/guavawing/node/settings.py
+++ b/src/guavawing/node/settings.py
@@ -31,6 +31,9 @@
         service: Service of the target.
         target: Address of the target.
         platform: Address of the platform.
+        listen_mesh: Where the node binds instead of `mesh`, when addresses
+            are translated on the way; None for `mesh` itself.
+        listen_control: The same for `control`.
         seeds: Control addresses of other nodes, for joining.
         log_file: File for logs; empty for standard output.
         log_level: Least level that is logged.
@@ -51,6 +54,8 @@
     service: str
     target: Address
     platform: Address
+    listen_mesh: Address | None = None
+    listen_control: Address | None = None
     seeds: tuple[Address, ...] = ()
     log_file: str = ""
     log_level: str = "info"
@@ -114,6 +119,8 @@
         "mesh": _Key("mesh", parse_address),
         "control": _Key("control", parse_address),
         "admin": _Key("admin", parse_address),
+        "listen_mesh": _Key("listen_mesh", parse_address, False),
+        "listen_control": _Key("listen_control", parse_address, False),
         "drain_timeout_s": _Key("drain_timeout_s", _parse_seconds, False),
     },
     "target": {
--- a/src/guavawing/platform/client.py
+++ b/src/guavawing/platform/client.py
@@ -181,11 +181,25 @@
 
 @contextlib.asynccontextmanager
 async def open_platform(
-    address: Address, *, timeout_s: float = REQUEST_TIMEOUT_S
+    address: Address,
+    *,
+    source: str | None = None,
+    timeout_s: float = REQUEST_TIMEOUT_S,
 ) -> AsyncIterator[Platform]:
-    """Opens a client of the platform at `address` and closes it after use."""
+    """Opens a client of the platform at `address` and closes it after use.
+
+    Args:
+        address: Where the platform listens.
+        source: IP address to connect from; None for any.
+        timeout_s: Longest time of one request, in seconds.
+    """
     timeout = aiohttp.ClientTimeout(total=timeout_s)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    connector = aiohttp.TCPConnector(
+        local_addr=None if source is None else (source, 0)
+    )
+    async with aiohttp.ClientSession(
+        connector=connector, timeout=timeout
+    ) as session:
         yield Platform(session, address)
 
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -16,6 +17,8 @@
 import attrs
 import orjson
 
+from standins.relay import Relay
+
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 45.0
 POLL_PERIOD_S = 0.05
@@ -23,6 +26,10 @@
 # Below the range from which the kernel picks ports of outgoing connections.
 FIRST_PORT = 20_000
 LAST_PORT = 32_000
+PORTS_PER_BLOCK = 400
+UDP = socket.SOCK_DGRAM
+# Zone of the platform in the rules of a relay.
+PLATFORM_ZONE = "platform"
 
 _SETTINGS = """\
 [node]
@@ -33,6 +40,7 @@
 mesh = {mesh}
 control = {control}
 admin = {admin}
+{node_extra}
 [target]
 service = {service}
 address = {target}
@@ -47,22 +55,43 @@
 """
 
 
-def find_ports(count: int) -> list[int]:
-    """Returns ports of the loopback address on which nothing listens."""
-    start = FIRST_PORT + (os.getpid() * 97 + time.time_ns()) % 10_000
-    ports = []
-    for offset in range(LAST_PORT - FIRST_PORT):
-        port = FIRST_PORT + (start + offset) % (LAST_PORT - FIRST_PORT)
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as u:
+class PortBlock:
+    """A block of ports that belongs to one fleet on this machine.
+
+    The first port of the block is kept bound as long as the block is in
+    use, so that fleets of other processes take other blocks.
+    """
+
+    def __init__(self) -> None:
+        starts = list(range(FIRST_PORT, LAST_PORT, PORTS_PER_BLOCK))
+        random.Random().shuffle(starts)
+        for start in starts:
+            guard = socket.socket()
             try:
-                tcp.bind((HOST, port))
-                u.bind((HOST, port))
+                guard.bind((HOST, start))
             except OSError:
+                guard.close()
                 continue
-        ports.append(port)
-        if len(ports) == count:
-            return ports
-    raise RuntimeError(f"fewer than {count} free ports")
+            self._guard = guard
+            self._ports = iter(range(start + 1, start + PORTS_PER_BLOCK))
+            return
+        raise RuntimeError("every block of ports is in use")
+
+    def take(self, host: str = HOST) -> str:
+        """Returns an address on which nothing listens."""
+        for port in self._ports:
+            with socket.socket() as tcp, socket.socket(type=UDP) as udp:
+                try:
+                    tcp.bind((host, port))
+                    udp.bind((host, port))
+                except OSError:
+                    continue
+            return f"{host}:{port}"
+        raise RuntimeError("the block has no free ports")
+
+    def close(self) -> None:
+        """Gives the block back."""
+        self._guard.close()
 
 
 @attrs.define
@@ -127,6 +156,32 @@
     target_process: Process
 
 
+@attrs.frozen
+class RelayRoute:
+    """An address of the relay and where it forwards to.
+
+    Attributes:
+        listen: Address of the relay.
+        to: Where the receiver listens.
+        zone: Zone of the receiver.
+    """
+
+    listen: str
+    to: str
+    zone: str
+
+    async def open(self, relay: Relay) -> None:
+        """Opens the route for TCP and UDP."""
+        listen, to = _split(self.listen), _split(self.to)
+        await relay.forward_tcp(listen, to, self.zone)
+        await relay.forward_udp(listen, to, self.zone)
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 @attrs.define
 class Fleet:
     """A platform stand-in and nodes with their targets."""
@@ -136,9 +191,15 @@
     platform_process: Process
     nodes: dict[str, FleetNode]
     session: aiohttp.ClientSession
+    ports: PortBlock
+    relay: Relay | None = None
+    routes: list[RelayRoute] = attrs.field(factory=list)
 
     async def start(self) -> None:
         """Starts every process and waits until the nodes answer."""
+        for route in self.routes:
+            assert self.relay is not None
+            await route.open(self.relay)
         await self.platform_process.start(log=self.folder / "platform.err")
         await self.wait_for_http(self.platform, "/counters")
         for each in self.nodes.values():
@@ -158,6 +219,9 @@
             await each.node.kill()
             await each.target_process.kill()
         await self.platform_process.kill()
+        if self.relay is not None:
+            await self.relay.close()
+        self.ports.close()
 
     async def get(self, address: str, path: str) -> Any:
         """Returns the JSON that a process answers."""
@@ -275,19 +339,53 @@
     platform_extra: str = "",
     membership_extra: str = "",
     seeds: int = 3,
+    relayed: bool = False,
 ) -> Fleet:
-    """Returns a fleet that has not been started yet."""
-    ports = iter(find_ports(1 + 5 * len(plans)))
-
-    def next_address() -> str:
-        return f"{HOST}:{next(ports)}"
-
-    platform = next_address()
-    addresses = [[next_address() for _ in range(5)] for _ in plans]
+    """Returns a fleet that has not been started yet.
+
+    Args:
+        folder: Where settings and logs go.
+        plans: The nodes.
+        session: HTTP session of the caller.
+        platform_extra: More lines of the section [platform].
+        membership_extra: More lines of the section [membership].
+        seeds: How many nodes serve as seeds.
+        relayed: Whether a relay stands between nodes, and between the data
+            centres and the platform, so that data centres can be cut off.
+            The platform is the zone "platform" of the relay.
+    """
+    ports = PortBlock()
+    platform = ports.take()
+    process = Process("platform", _python("standins.platform", platform))
+    fleet = Fleet(folder, platform, process, {}, session, ports)
+    centres = sorted({plan.data_centre for plan in plans})
+    hosts = dict.fromkeys(centres, HOST)
+    platforms = dict.fromkeys(centres, platform)
+    if relayed:
+        hosts = {c: f"127.0.{i}.1" for i, c in enumerate(centres, 1)}
+        zones = {host: centre for centre, host in hosts.items()}
+        fleet.relay = Relay(lambda host: zones.get(host, PLATFORM_ZONE))
+        for centre, host in hosts.items():
+            platforms[centre] = ports.take(host)
+            fleet.routes.append(
+                RelayRoute(platforms[centre], platform, PLATFORM_ZONE)
+            )
+    addresses = [
+        [ports.take(hosts[plan.data_centre]) for _ in range(5)]
+        for plan in plans
+    ]
     seed_list = ", ".join(entry[2] for entry in addresses[:seeds])
-    nodes = {}
     for plan, entry in zip(plans, addresses, strict=True):
         caller, mesh, control, admin, target = entry
+        node_extra = ""
+        if relayed:
+            host = hosts[plan.data_centre]
+            listens = {"mesh": ports.take(host), "control": ports.take(host)}
+            for name, announced in (("mesh", mesh), ("control", control)):
+                node_extra += f"listen_{name} = {listens[name]}\n"
+                fleet.routes.append(
+                    RelayRoute(announced, listens[name], plan.data_centre)
+                )
         settings = folder / f"{plan.name}.ini"
         settings.write_text(
             _SETTINGS.format(
@@ -299,15 +397,16 @@
                 mesh=mesh,
                 control=control,
                 admin=admin,
+                node_extra=node_extra,
                 target=target,
-                platform=platform,
+                platform=platforms[plan.data_centre],
                 platform_extra=platform_extra,
                 seeds=seed_list,
                 membership_extra=membership_extra,
                 log=folder / f"{plan.name}.log",
             )
         )
-        nodes[plan.name] = FleetNode(
+        fleet.nodes[plan.name] = FleetNode(
             name=plan.name,
             service=plan.service,
             data_centre=plan.data_centre,
@@ -326,8 +425,7 @@
                 f"{plan.name} target", _python("standins.target", target)
             ),
         )
-    process = Process("platform", _python("standins.platform", platform))
-    return Fleet(folder, platform, process, nodes, session)
+    return fleet
 
 
 def _python(module: str, *args: str) -> list[str]:
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -1,6 +1,7 @@
 """Hooks of behave: event loop and fleets of processes."""
 
 import asyncio
+import threading
 
 from behave import fixture, use_fixture
 
@@ -14,19 +15,37 @@
 
 @fixture
 def event_loop(context):
-    context.loop = asyncio.new_event_loop()
-    yield context.loop
-    context.loop.close()
+    """An event loop in a thread of its own, so that relays go on working.
+
+    Steps run coroutines with `context.run`.
+    """
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever, daemon=True)
+    thread.start()
+
+    def run(coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, loop).result()
+
+    context.loop = loop
+    context.run = run
+    yield loop
+    loop.call_soon_threadsafe(loop.stop)
+    thread.join()
+    loop.close()
 
 
 @fixture
 def fleet(context, tags):
-    """A fleet with a first version; `@data_centres.N` and `@copies.N`."""
+    """A fleet, by default with a first version in force.
+
+    Tags: `@data_centres.N`, `@copies.N` (nodes a service and data centre),
+    `@relayed` (a relay between data centres), `@unpublished`.
+    """
     centres = DATA_CENTRES[: read_number(tags, "data_centres", 2)]
     copies = read_number(tags, "copies", 1)
     plans = plan_fleet(data_centres=centres, services=SERVICES, copies=copies)
-    manager = open_fleet(plans)
-    run = context.loop.run_until_complete
+    manager = open_fleet(plans, relayed="relayed" in tags)
+    run = context.run
     context.fleet = run(manager.__aenter__())
     context.version = 0
     try:
--- a/tests/steps/call_steps.py
+++ b/tests/steps/call_steps.py
@@ -10,7 +10,7 @@
 
 
 def send(context, node, **options):
-    context.outcome = context.loop.run_until_complete(
+    context.outcome = context.run(
         send_call(
             context.fleet.session, pick_node(context, node).caller, **options
         )
@@ -84,8 +84,6 @@
 def step_executions(context, key, times):
     executions = 0
     for node in context.fleet.nodes.values():
-        record = context.loop.run_until_complete(
-            context.fleet.get(node.target, "/record")
-        )
+        record = context.run(context.fleet.get(node.target, "/record"))
         executions += record["executions"].get(key, 0)
     assert executions == times, executions
