Log with levels; a call's id stands in the log of every node it crossed

Cause: the level in the settings was read but not used, and a call could not be followed from node to node.

Ruled out: an eliot action per call at the usual level: a record costs more than the rest of the bookkeeping of a call.

Change: node/logs.py filters by level; calls are logged at debug only.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 env: $(STAMP)
 
-$(STAMP): requirements.lock
+$(STAMP):
 	test -x $(PY) || python3 -m venv $(VENV)
 	$(PY) -m pip install --quiet -r requirements.lock
 	$(PY) -m pip install --quiet --no-deps --no-build-isolation -e .
--- a/src/guavawing/node/caller_server.py
+++ b/src/guavawing/node/caller_server.py
@@ -12,6 +12,7 @@
 from guavawing.config import EffectivePolicy, PolicyTable
 from guavawing.model import Address
 from guavawing.node.entry import Call, Entry, compute_fingerprint
+from guavawing.node.logs import is_logged, log
 from guavawing.node.messages import Answer, CallAttempt
 from guavawing.node.metrics import Metrics
 from guavawing.node.target_client import strip_hop_headers
@@ -107,6 +108,15 @@
             answer = Answer(exc.verdict)
             message = exc.message
         self._metrics.count_call(answer.verdict)
+        if is_logged("debug"):
+            log(
+                "debug",
+                "call",
+                call_id=call_id,
+                service=req.headers.get(SERVICE_HEADER, ""),
+                verdict=verdict_name(answer.verdict),
+                reason=str(answer.verdict.reason),
+            )
         resp = _build_response(answer, call_id, message)
         if self._stopping:
             resp.force_close()
--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -4,14 +4,11 @@
 import contextlib
 import gc
 import random
-import sys
 import time
-from collections.abc import Iterator
-from typing import Any, TextIO
+from typing import Any
 
 import aiomisc
 import attrs
-import eliot
 
 from guavawing.distribution import Version
 from guavawing.membership import Gossip, Member, MemberState, Notice
@@ -26,6 +23,7 @@
 from guavawing.node.distributor import Distributor, open_distributor
 from guavawing.node.entry import Entry
 from guavawing.node.gossip_task import GossipTask, open_gossip
+from guavawing.node.logs import log, log_action, open_logs
 from guavawing.node.mesh_client import open_mesh_pool
 from guavawing.node.mesh_server import MeshServer, open_mesh_server
 from guavawing.node.metrics import Metrics
@@ -151,13 +149,11 @@
         health = asyncio.get_running_loop().create_task(self._watch_target())
         self._stack.callback(health.cancel)
         _settle_garbage_collector()
-        eliot.log_message(
-            "node-started", node=me.id, incarnation=self._incarnation
-        )
+        log("info", "start", node=me.id, incarnation=self._incarnation)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Drains the target, finishes the calls in flight and leaves."""
-        with eliot.start_action(action_type="stop", node=self._gossip.me.id):
+        with log_action("stop", node=self._gossip.me.id):
             self._set_draining(True)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self._settings.drain_timeout_s):
@@ -181,7 +177,7 @@
 
     def _set_draining(self, draining: bool) -> None:
         self._draining = draining
-        eliot.log_message("drain", draining=draining)
+        log("info", "drain", node=self._gossip.me.id, draining=draining)
         if draining:
             self._owner.start_draining()
         else:
@@ -268,23 +264,15 @@
     gc.set_threshold(GC_ALLOCATIONS)
 
 
-@contextlib.contextmanager
-def _open_log(settings: Settings) -> Iterator[TextIO]:
-    if not settings.log_file:
-        yield sys.stdout
-        return
-    with open(settings.log_file, "a", encoding="utf-8") as stream:
-        yield stream
-
-
 def run_node(settings: Settings) -> None:
     """Runs a node until it gets SIGTERM or SIGINT."""
-    with _open_log(settings) as stream:
-        eliot.to_file(stream)
-        with aiomisc.entrypoint(
+    with (
+        open_logs(file=settings.log_file, level=settings.log_level),
+        aiomisc.entrypoint(
             Node(settings),
             log_config=False,
             pool_size=1,
             shutdown_timeout=settings.drain_timeout_s + STOP_MARGIN_S,
-        ) as loop:
-            loop.run_forever()
+        ) as loop,
+    ):
+        loop.run_forever()
--- a/src/guavawing/node/owner.py
+++ b/src/guavawing/node/owner.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from guavawing.node.logs import is_logged, log
 from guavawing.node.messages import Answer, CallAttempt
 from guavawing.node.metrics import Metrics
 from guavawing.node.submission import Submission
@@ -101,6 +102,8 @@
 
     def submit(self, attempt: CallAttempt) -> Submission:
         """Takes an attempt; the submission's future tells how it ends."""
+        if is_logged("debug"):
+            log("debug", "attempt", call_id=attempt.call_id)
         if attempt.key is None:
             return self._offer(attempt)
         if attempt.key.owner != self._member_id:
--- a/src/guavawing/node/settings.py
+++ b/src/guavawing/node/settings.py
@@ -10,10 +10,10 @@
 from guavawing.errors import InvalidArgumentError, SettingsInvalidError
 from guavawing.model import Address, parse_address
 
-__all__ = ["Settings", "read_settings"]
+__all__ = ["LOG_LEVELS", "Settings", "read_settings"]
 
 MAX_NAME_LENGTH = 64
-_LOG_LEVELS = ("debug", "info", "warning", "error")
+LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
 @attrs.frozen
@@ -103,9 +103,9 @@
 
 
 def _parse_level(text: str) -> str:
-    if text not in _LOG_LEVELS:
+    if text not in LOG_LEVELS:
         raise InvalidArgumentError(
-            f"got {text!r}, expected one of {', '.join(_LOG_LEVELS)}"
+            f"got {text!r}, expected one of {', '.join(LOG_LEVELS)}"
         )
     return text
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -52,6 +52,7 @@
 {membership_extra}
 [logs]
 file = {log}
+level = {log_level}
 """
 
 
@@ -340,6 +341,7 @@
     membership_extra: str = "",
     seeds: int = 3,
     relayed: bool = False,
+    log_level: str = "info",
 ) -> Fleet:
     """Returns a fleet that has not been started yet.
 
@@ -353,6 +355,7 @@
         relayed: Whether a relay stands between nodes, and between the data
             centres and the platform, so that data centres can be cut off.
             The platform is the zone "platform" of the relay.
+        log_level: Least level that the nodes log.
     """
     ports = PortBlock()
     platform = ports.take()
@@ -404,6 +407,7 @@
                 seeds=seed_list,
                 membership_extra=membership_extra,
                 log=folder / f"{plan.name}.log",
+                log_level=log_level,
             )
         )
         fleet.nodes[plan.name] = FleetNode(
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -39,12 +39,17 @@
     """A fleet, by default with a first version in force.
 
     Tags: `@data_centres.N`, `@copies.N` (nodes a service and data centre),
-    `@relayed` (a relay between data centres), `@unpublished`.
+    `@relayed` (a relay between data centres), `@unpublished`,
+    `@log_level.NAME`.
     """
     centres = DATA_CENTRES[: read_number(tags, "data_centres", 2)]
     copies = read_number(tags, "copies", 1)
     plans = plan_fleet(data_centres=centres, services=SERVICES, copies=copies)
-    manager = open_fleet(plans, relayed="relayed" in tags)
+    manager = open_fleet(
+        plans,
+        relayed="relayed" in tags,
+        log_level=read_word(tags, "log_level", "info"),
+    )
     run = context.run
     context.fleet = run(manager.__aenter__())
     context.version = 0
@@ -62,9 +67,13 @@
 
 
 def read_number(tags, name, default):
+    return int(read_word(tags, name, default))
+
+
+def read_word(tags, name, default):
     for tag in tags:
         if tag.startswith(f"{name}."):
-            return int(tag.rpartition(".")[2])
+            return tag.rpartition(".")[2]
     return default
 
 
--- /dev/null
+++ b/tests/processes/logs.feature
@@ -0,0 +1,24 @@
+@shared_fleet @data_centres.1 @copies.1 @log_level.debug
+Feature: Logs and probes tell what a node does
+
+  Scenario: A call's id stands in the logs of every node that it crossed
+    When call "trace-7" reads "desk" through "feed-bergen-1"
+    Then the log of "feed-bergen-1" has a record "call" of call "trace-7"
+    And the log of "desk-bergen-1" has a record "attempt" of call "trace-7"
+
+  Scenario: Keys and bodies are not logged
+    When a caller publishes to "desk" through "feed-bergen-1" with key "hidden-key"
+    Then no log holds "hidden-key"
+
+  Scenario: A version that comes in force is logged as an action
+    Then the log of "desk-bergen-1" has an action "apply" that succeeded
+
+  Scenario: A drained node is alive but not ready
+    When "desk-bergen-1" is drained by the command line
+    Then "desk-bergen-1" answers "/healthz" with status 200
+    And "desk-bergen-1" answers "/readyz" with status 503
+    When "desk-bergen-1" is given work again by the command line
+    Then "desk-bergen-1" answers "/readyz" with status 200
+
+  Scenario: Every series has a help text that gives its unit
+    Then every series of "desk-bergen-1" has a help text and a type
