Bound connections on every HTTP listener; pass compressed bodies on

Cause: (1) aiohttp's server decompresses request bodies by itself, so the target got a plain body under a Content-Encoding header and answered 500. (2) A peer could open connections without end, and hold them without a request.

Ruled out: dropping the Content-Encoding header (the body limit and the fingerprint of a key belong to what the caller sent).

Change: node/http_server.py: one kind of listener for callers, mesh and admin; connections beyond a number, and those that stay silent, are closed and counted. The admin server needs no router any more.

--- a/src/guavawing/node/admin_server.py
+++ b/src/guavawing/node/admin_server.py
@@ -3,17 +3,22 @@
 import contextlib
 from collections.abc import AsyncIterator, Callable
 
+import attrs
 import orjson
 from aiohttp import web
 
 from guavawing.model import Address
+from guavawing.node.http_server import BoundedServer, open_http_server
 from guavawing.node.metrics import Metrics
 
-__all__ = ["AdminActions", "open_admin_server"]
+__all__ = ["AdminActions", "AdminServer", "open_admin_server"]
 
-SHUTDOWN_TIMEOUT_S = 1.0
+MAX_CONNECTIONS = 64
 
+Tree = dict[str, object]
 
+
+@attrs.frozen(kw_only=True)
 class AdminActions:
     """What operators can ask of a node.
 
@@ -23,56 +28,57 @@
         set_draining: Starts or ends a drain of the target.
     """
 
-    __slots__ = ("is_ready", "read_status", "set_draining")
-
-    def __init__(
-        self,
-        *,
-        read_status: Callable[[], dict[str, object]],
-        is_ready: Callable[[], bool],
-        set_draining: Callable[[bool], None],
-    ) -> None:
-        self.read_status = read_status
-        self.is_ready = is_ready
-        self.set_draining = set_draining
-
-
-def build_admin_app(actions: AdminActions, metrics: Metrics) -> web.Application:
-    """Returns the HTTP application for operators."""
+    read_status: Callable[[], Tree]
+    is_ready: Callable[[], bool]
+    set_draining: Callable[[bool], None]
 
-    async def get_status(_: web.Request) -> web.Response:
-        return _respond(actions.read_status())
 
-    async def get_health(_: web.Request) -> web.Response:
-        return _respond({"alive": True})
+class AdminServer:
+    """Answers operators and monitoring.
 
-    async def get_readiness(_: web.Request) -> web.Response:
-        ready = actions.is_ready()
-        return _respond({"ready": ready}, status=200 if ready else 503)
+    `/healthz` tells whether the process works at all; `/readyz` whether it
+    should get calls, which a node without a configuration or in a drain
+    should not.
+    """
 
-    async def get_metrics(_: web.Request) -> web.Response:
-        payload, headers = metrics.render()
+    __slots__ = ("_actions", "_routes", "metrics")
+
+    def __init__(self, actions: AdminActions, metrics: Metrics) -> None:
+        self._actions = actions
+        self.metrics = metrics
+        self._routes: dict[tuple[str, str], Callable[[], web.Response]] = {
+            ("GET", "/status"): lambda: _respond(actions.read_status()),
+            ("GET", "/healthz"): lambda: _respond({"alive": True}),
+            ("GET", "/readyz"): self._answer_readiness,
+            ("GET", "/metrics"): self._answer_metrics,
+            ("POST", "/drain"): lambda: self._set_draining(True),
+            ("DELETE", "/drain"): lambda: self._set_draining(False),
+        }
+
+    async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        """Answers one request."""
+        route = self._routes.get((req.method, req.path))
+        if route is None:
+            paths = sorted({path for _, path in self._routes})
+            return _respond(
+                {"error": f"got {req.path!r}, expected one of {paths}"}, 404
+            )
+        return route()
+
+    def _answer_readiness(self) -> web.Response:
+        ready = self._actions.is_ready()
+        return _respond({"ready": ready}, 200 if ready else 503)
+
+    def _answer_metrics(self) -> web.Response:
+        payload, headers = self.metrics.render()
         return web.Response(body=payload, headers=headers)
 
-    async def start_drain(_: web.Request) -> web.Response:
-        actions.set_draining(True)
-        return _respond({"draining": True})
-
-    async def stop_drain(_: web.Request) -> web.Response:
-        actions.set_draining(False)
-        return _respond({"draining": False})
-
-    app = web.Application()
-    app.router.add_get("/status", get_status)
-    app.router.add_get("/healthz", get_health)
-    app.router.add_get("/readyz", get_readiness)
-    app.router.add_get("/metrics", get_metrics)
-    app.router.add_post("/drain", start_drain)
-    app.router.add_delete("/drain", stop_drain)
-    return app
+    def _set_draining(self, draining: bool) -> web.Response:
+        self._actions.set_draining(draining)
+        return _respond({"draining": draining})
 
 
-def _respond(tree: dict[str, object], status: int = 200) -> web.Response:
+def _respond(tree: Tree, status: int = 200) -> web.Response:
     return web.Response(
         status=status,
         body=orjson.dumps(tree),
@@ -82,15 +88,14 @@
 
 @contextlib.asynccontextmanager
 async def open_admin_server(
-    app: web.Application, address: Address
+    server: AdminServer, address: Address
 ) -> AsyncIterator[None]:
     """Listens for operators until closed."""
-    runner = web.AppRunner(
-        app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+    http = BoundedServer(
+        server.handle,
+        name="admin",
+        max_connections=MAX_CONNECTIONS,
+        metrics=server.metrics,
     )
-    await runner.setup()
-    await web.TCPSite(runner, address.host, address.port).start()
-    try:
+    async with open_http_server(http, address):
         yield
-    finally:
-        await runner.cleanup()
--- a/src/guavawing/node/caller_server.py
+++ b/src/guavawing/node/caller_server.py
@@ -12,6 +12,7 @@
 from guavawing.config import EffectivePolicy, PolicyTable
 from guavawing.model import Address
 from guavawing.node.entry import Call, Entry, compute_fingerprint
+from guavawing.node.http_server import BoundedServer, open_http_server
 from guavawing.node.logs import is_logged, log
 from guavawing.node.messages import Answer, CallAttempt
 from guavawing.node.metrics import Metrics
@@ -35,7 +36,7 @@
 MAX_CALL_ID_LENGTH = 64
 CALL_ID_BYTES = 8
 MILLISECONDS = 1_000
-SHUTDOWN_TIMEOUT_S = 1.0
+MAX_CONNECTIONS = 1_024
 
 _STATUS_OF_REASON = {
     Reason.UNKNOWN_SERVICE: 404,
@@ -307,17 +308,15 @@
 
 @contextlib.asynccontextmanager
 async def open_caller_server(
-    server: CallerServer, address: Address
+    server: CallerServer, address: Address, metrics: Metrics
 ) -> AsyncIterator[CallerServer]:
     """Listens for callers until closed."""
-    runner = web.ServerRunner(
-        web.Server(server.handle, access_log=None, handler_cancellation=True),
-        shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+    http = BoundedServer(
+        server.handle,
+        name="caller",
+        max_connections=MAX_CONNECTIONS,
+        metrics=metrics,
+        handler_cancellation=True,
     )
-    await runner.setup()
-    site = web.TCPSite(runner, address.host, address.port)
-    await site.start()
-    try:
+    async with open_http_server(http, address):
         yield server
-    finally:
-        await runner.cleanup()
--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -14,7 +14,7 @@
 from guavawing.membership import Gossip, Member, MemberState, Notice
 from guavawing.node.admin_server import (
     AdminActions,
-    build_admin_app,
+    AdminServer,
     open_admin_server,
 )
 from guavawing.node.caller_server import CallerServer, open_caller_server
@@ -114,9 +114,8 @@
             member_id=me.id,
             incarnation=self._incarnation,
         )
-        await enter(
-            open_mesh_server(mesh, settings.listen_mesh or settings.mesh)
-        )
+        mesh_address = settings.listen_mesh or settings.mesh
+        await enter(open_mesh_server(mesh, mesh_address, self._metrics))
         control = ControlServer(self._distributor)
         control_address = settings.listen_control or settings.control
         await enter(open_control_server(control, control_address))
@@ -138,14 +137,18 @@
             policies=self._distributor.policies,
             metrics=self._metrics,
         )
-        await enter(open_caller_server(self._caller_server, settings.caller))
+        await enter(
+            open_caller_server(
+                self._caller_server, settings.caller, self._metrics
+            )
+        )
         actions = AdminActions(
             read_status=self._read_status,
             is_ready=self._is_ready,
             set_draining=self._set_draining,
         )
-        app = build_admin_app(actions, self._metrics)
-        await enter(open_admin_server(app, settings.admin))
+        admin = AdminServer(actions, self._metrics)
+        await enter(open_admin_server(admin, settings.admin))
         health = asyncio.get_running_loop().create_task(self._watch_target())
         self._stack.callback(health.cancel)
         _settle_garbage_collector()
--- /dev/null
+++ b/src/guavawing/node/http_server.py
@@ -0,0 +1,99 @@
+"""HTTP listeners with bounds on what a peer can cost."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+from guavawing.model import Address
+from guavawing.node.metrics import Metrics
+
+__all__ = ["BoundedServer", "open_http_server"]
+
+# Time from the connection to its first whole request head.
+FIRST_REQUEST_TIMEOUT_S = 10.0
+KEEPALIVE_TIMEOUT_S = 75.0
+SHUTDOWN_TIMEOUT_S = 1.0
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class BoundedServer(web.Server):
+    """A server that closes connections beyond a number, and silent ones."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        *,
+        name: str,
+        max_connections: int,
+        metrics: Metrics,
+        **options: Any,
+    ) -> None:
+        super().__init__(
+            handler,
+            request_factory=self._note_request,
+            access_log=None,
+            # Bodies are passed on as they came, compressed or not.
+            auto_decompress=False,
+            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+            **options,
+        )
+        self._name = name
+        self._max_connections = max_connections
+        self._metrics = metrics
+        self._silent: set[RequestHandler] = set()
+
+    def connection_made(
+        self, handler: Any, transport: asyncio.Transport
+    ) -> None:
+        """Takes a connection, or closes it when there are too many."""
+        super().connection_made(handler, transport)
+        if len(self.connections) > self._max_connections:
+            self._refuse(transport, "too-many")
+            return
+        self._silent.add(handler)
+        asyncio.get_running_loop().call_later(
+            FIRST_REQUEST_TIMEOUT_S, self._close_if_silent, handler, transport
+        )
+
+    def connection_lost(
+        self, handler: Any, exc: BaseException | None = None
+    ) -> None:
+        """Forgets a connection."""
+        super().connection_lost(handler, exc)
+        self._silent.discard(handler)
+
+    def _note_request(
+        self, message: Any, payload: Any, protocol: Any, *rest: Any
+    ) -> web.BaseRequest:
+        self._silent.discard(protocol)
+        return self._make_request(message, payload, protocol, *rest)
+
+    def _close_if_silent(
+        self, handler: Any, transport: asyncio.Transport
+    ) -> None:
+        if handler in self._silent:
+            self._refuse(transport, "silent")
+
+    def _refuse(self, transport: asyncio.Transport, reason: str) -> None:
+        labels = {"listener": self._name, "reason": reason}
+        self._metrics.refused_connections.inc(labels)
+        transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def open_http_server(
+    server: web.Server, address: Address
+) -> AsyncIterator[None]:
+    """Listens at an address until closed."""
+    runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
+    await runner.setup()
+    await web.TCPSite(runner, address.host, address.port).start()
+    try:
+        yield
+    finally:
+        await runner.cleanup()
--- a/src/guavawing/node/mesh_server.py
+++ b/src/guavawing/node/mesh_server.py
@@ -19,7 +19,9 @@
     decode_headers,
     read_key,
 )
+from guavawing.node.http_server import BoundedServer, open_http_server
 from guavawing.node.messages import Answer, CallAttempt
+from guavawing.node.metrics import Metrics
 from guavawing.node.owner import Owner
 from guavawing.node.submission import Submission
 from guavawing.policy.transit import TransitMeter
@@ -30,6 +32,7 @@
 
 PING_PERIOD_S = 10.0
 CLOSE_TIMEOUT_S = 1.0
+MAX_CONNECTIONS = 1_024
 
 PolicySource = Callable[[], PolicyTable | None]
 
@@ -177,16 +180,14 @@
 
 @contextlib.asynccontextmanager
 async def open_mesh_server(
-    server: MeshServer, address: Address
+    server: MeshServer, address: Address, metrics: Metrics
 ) -> AsyncIterator[MeshServer]:
     """Listens for entry nodes until closed."""
-    runner = web.ServerRunner(
-        web.Server(server.handle), shutdown_timeout=CLOSE_TIMEOUT_S
+    http = BoundedServer(
+        server.handle,
+        name="mesh",
+        max_connections=MAX_CONNECTIONS,
+        metrics=metrics,
     )
-    await runner.setup()
-    site = web.TCPSite(runner, address.host, address.port)
-    await site.start()
-    try:
+    async with open_http_server(http, address):
         yield server
-    finally:
-        await runner.cleanup()
--- a/src/guavawing/node/metrics.py
+++ b/src/guavawing/node/metrics.py
@@ -86,6 +86,10 @@
             "guavawing_config_rejections_total",
             "Configuration versions kept out.",
         )
+        self.refused_connections = self._counter(
+            "guavawing_refused_connections_total",
+            "Connections closed by a bound, by listener and reason.",
+        )
         self.control_bytes = self._counter(
             "guavawing_control_bytes_total",
             "Bytes of control traffic, by direction, kind and whether they"
--- /dev/null
+++ b/tests/processes/listeners.feature
@@ -0,0 +1,14 @@
+@shared_fleet @data_centres.1 @copies.1
+Feature: Listeners bound what a peer can cost and pass bodies on unchanged
+
+  Scenario: A compressed body reaches the target in its compressed form
+    When a caller sends "desk" a compressed body through "feed-bergen-1"
+    Then the target has decompressed exactly what the caller compressed
+
+  Scenario: Connections beyond the bound are closed and counted
+    When 80 connections are opened to the "admin" address of "desk-bergen-1"
+    Then at most 64 of them stay open
+    And "feed-bergen-1" and "desk-bergen-1" still answer "/healthz"
+
+  Scenario: A node listens only at the addresses in its settings
+    Then "desk-bergen-1" listens at exactly its addresses
