--- /dev/null
+++ b/bench/measure_transports.py
@@ -0,0 +1,106 @@
+"""Transports weighed for the hop between two nodes: 512 bytes each way.
+
+One request at a time, the transports in turn in one run.
+"""
+
+import asyncio
+import contextlib
+import sys
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import aiohttp
+from grpclib.client import Channel, UnaryUnaryMethod
+from hdrh.histogram import HdrHistogram
+
+from bench.figure import Figure
+from guavawing.proto import calls_pb2 as pb
+from standins.cluster import HOST, PortBlock
+
+CALLS = 2_000
+WARM_UP_CALLS = 200
+HIGHEST_US = 10_000_000
+START_TIMEOUT_S = 10.0
+REQUEST = pb.CallRequest(id=1, service="feed", path="/", body=b"x" * 512)
+
+Call = Callable[[], Awaitable[object]]
+
+
+async def run() -> list[Figure]:
+    """Measures round trips of HTTP, a WebSocket and gRPC."""
+    figures = []
+    async with _open_peer() as (http, grpc), _open_calls(http, grpc) as calls:
+        histograms = {name: HdrHistogram(1, HIGHEST_US, 3) for name in calls}
+        for number in range(WARM_UP_CALLS + CALLS):
+            for name, call in calls.items():
+                start = time.perf_counter()
+                await call()
+                elapsed_us = (time.perf_counter() - start) * 1e6
+                if number >= WARM_UP_CALLS:
+                    histograms[name].record_value(int(elapsed_us))
+    for name, histogram in histograms.items():
+        for percentile in (50, 99):
+            value = histogram.get_value_at_percentile(percentile) / 1000
+            figures.append(
+                Figure(f"transport.{name}_p{percentile}", value, "ms")
+            )
+    return figures
+
+
+@contextlib.asynccontextmanager
+async def _open_peer() -> AsyncIterator[tuple[int, int]]:
+    ports = PortBlock()
+    http, grpc = (int(ports.take().rpartition(":")[2]) for _ in range(2))
+    proc = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "bench.transport_peer", HOST, str(http),
+        str(grpc),
+    )  # fmt: skip
+    try:
+        async with asyncio.timeout(START_TIMEOUT_S):
+            await _wait_for(grpc)
+        yield http, grpc
+    finally:
+        proc.kill()
+        await proc.wait()
+        ports.close()
+
+
+async def _wait_for(port: int) -> None:
+    while True:
+        with contextlib.suppress(OSError):
+            _, writer = await asyncio.open_connection(HOST, port)
+            writer.close()
+            return
+        await asyncio.sleep(0.05)
+
+
+@contextlib.asynccontextmanager
+async def _open_calls(http: int, grpc: int) -> AsyncIterator[dict[str, Call]]:
+    url = f"http://{HOST}:{http}/"
+    channel = Channel(HOST, grpc)
+    unary = UnaryUnaryMethod(
+        channel, "/bench.Echo/Call", pb.CallRequest, pb.CallAnswer
+    )
+    async with (
+        aiohttp.ClientSession() as session,
+        session.ws_connect(url, compress=0) as ws,
+    ):
+
+        async def call_http() -> None:
+            payload = REQUEST.SerializeToString()
+            async with session.post(url, data=payload) as resp:
+                pb.CallAnswer.FromString(await resp.read())
+
+        async def call_websocket() -> None:
+            await ws.send_bytes(REQUEST.SerializeToString())
+            pb.CallAnswer.FromString(await ws.receive_bytes())
+
+        async def call_grpc() -> None:
+            await unary(REQUEST)
+
+        yield {
+            "http": call_http,
+            "websocket": call_websocket,
+            "grpc": call_grpc,
+        }
+    channel.close()
--- /dev/null
+++ b/bench/transport_peer.py
@@ -0,0 +1,61 @@
+"""The far end of `bench.measure_transports`: answers on three transports."""
+
+import asyncio
+import sys
+
+import grpclib.const
+import grpclib.server
+import uvloop
+from aiohttp import web
+
+from guavawing.proto import calls_pb2 as pb
+
+ANSWER = pb.CallAnswer(status=200, body=b"x" * 512)
+
+
+class EchoService:
+    """A gRPC service with one unary method."""
+
+    async def call(self, stream: grpclib.server.Stream) -> None:
+        """Answers a request."""
+        request = await stream.recv_message()
+        await stream.send_message(pb.CallAnswer(id=request.id, body=b"x" * 512))
+
+    def __mapping__(self) -> dict[str, grpclib.const.Handler]:
+        """Returns the methods by path."""
+        return {
+            "/bench.Echo/Call": grpclib.const.Handler(
+                self.call,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                pb.CallRequest,
+                pb.CallAnswer,
+            )
+        }
+
+
+async def answer_http(req: web.BaseRequest) -> web.StreamResponse:
+    """Answers over HTTP, or over a WebSocket when asked to upgrade."""
+    if "Upgrade" not in req.headers:
+        await req.read()
+        return web.Response(body=ANSWER.SerializeToString())
+    ws = web.WebSocketResponse(compress=False)
+    await ws.prepare(req)
+    async for msg in ws:
+        request = pb.CallRequest.FromString(msg.data)
+        answer = pb.CallAnswer(id=request.id, body=b"x" * 512)
+        await ws.send_bytes(answer.SerializeToString())
+    return ws
+
+
+async def serve(host: str, http_port: int, grpc_port: int) -> None:
+    """Listens until the process is ended."""
+    runner = web.ServerRunner(web.Server(answer_http, access_log=None))
+    await runner.setup()
+    await web.TCPSite(runner, host, http_port).start()
+    server = grpclib.server.Server([EchoService()])
+    await server.start(host, grpc_port)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    uvloop.run(serve(sys.argv[1], int(sys.argv[2]), int(sys.argv[3])))
