Check documents against the fixed capacity and tell every fault

Cause: the thin document had no record of what was bought, let duplicate JSON keys, duplicate routes and an exception on another service's route pass, kept an ended exception in force until the next version, and let an AttributeError out of decode_document for a list in place of an object. Ruled out: detecting duplicate keys by comparing with the canonical bytes (an operator's file is not canonical); leaving out fields equal to the code's defaults (the document would change its meaning with the code). Change: part `capacity` with floor and ceiling per limit class; settings by service and route; exceptions for `slots` and `connections` within the capacity; bounded sizes, counts, quotes and fault lists; places without the library's notation; PolicyTable.on_day, next_change, queue_limit_of.

--- a/src/guavawing/config/__init__.py
+++ b/src/guavawing/config/__init__.py
@@ -5,31 +5,43 @@
     decode_document,
     encode_document,
 )
+from guavawing.config.difference import Difference, compare_documents
 from guavawing.config.document import (
+    Capacity,
     Defaults,
     Document,
     ExceptionEntry,
     LimitClass,
+    Overrides,
     Route,
     ServiceEntry,
 )
 from guavawing.config.effective import EffectivePolicy, PolicyTable
 from guavawing.config.fault import Fault
-from guavawing.config.validation import check_document, find_faults
+from guavawing.config.validation import (
+    check_document,
+    find_ended,
+    find_faults,
+)
 
 __all__ = [
+    "Capacity",
     "Defaults",
+    "Difference",
     "Document",
     "EffectivePolicy",
     "ExceptionEntry",
     "Fault",
     "LimitClass",
+    "Overrides",
     "PolicyTable",
     "Route",
     "ServiceEntry",
     "check_document",
+    "compare_documents",
     "compute_digest",
     "decode_document",
     "encode_document",
+    "find_ended",
     "find_faults",
 ]
--- a/src/guavawing/config/codec.py
+++ b/src/guavawing/config/codec.py
@@ -2,62 +2,91 @@
 
 import datetime
 import hashlib
+import json
+import typing
+from collections.abc import Callable, Iterator
 from typing import Any
 
+import attrs
 import cattrs
-import cattrs.errors
 import orjson
+from cattrs.gen import (
+    make_dict_structure_fn,
+    make_dict_unstructure_fn,
+    make_mapping_structure_fn,
+    override,
+)
 from cattrs.preconf.orjson import make_converter
 
-from guavawing.config.document import Document
-from guavawing.config.fault import Fault
+from guavawing.config.document import (
+    Document,
+    ExceptionEntry,
+    Route,
+    Scalar,
+    ServiceEntry,
+)
+from guavawing.config.fault import Fault, quote
 from guavawing.errors import ConfigInvalidError
 from guavawing.model import CallClass
 
 __all__ = ["compute_digest", "decode_document", "encode_document"]
 
-MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
+MAX_DOCUMENT_BYTES = 2 * 1024 * 1024
+MAX_FAULTS = 200
+MAX_PLACE_LENGTH = 200
 
-Scalar = bool | int | float | str
+Hook = Callable[[Any, Any], Any]
+Place = tuple[str, ...]
 
 
 def _structure_scalar(value: Any, _: Any) -> Scalar:
     if isinstance(value, bool | int | float | str):
         return value
-    raise ValueError(f"got {value!r}, expected a number, a word or a flag")
+    raise ValueError(f"got {quote(value)}, expected a number, a word or a flag")
 
 
 def _structure_strictly(value: Any, kind: type) -> Any:
     """Accepts only values of the JSON type itself, without conversion."""
-    if isinstance(value, bool) and kind is not bool:
-        raise ValueError(f"got {value!r}, expected {kind.__name__}")
-    if kind is float and isinstance(value, int):
+    if kind is float and type(value) is int:
         return float(value)
-    if not isinstance(value, kind):
-        raise ValueError(f"got {value!r}, expected {kind.__name__}")
+    if type(value) is not kind:
+        raise ValueError(f"got {quote(value)}, expected {kind.__name__}")
     return value
 
 
 def _structure_date(value: Any, _: Any) -> datetime.date:
+    expected = "a date such as 2027-01-31"
     try:
-        return datetime.date.fromisoformat(value)
+        date = datetime.date.fromisoformat(value)
     except (TypeError, ValueError):
-        raise ValueError(
-            f"got {value!r}, expected a date such as 2027-01-31"
-        ) from None
+        raise ValueError(f"got {quote(value)}, expected {expected}") from None
+    if date.isoformat() != value:
+        raise ValueError(f"got {quote(value)}, expected {expected}")
+    return date
 
 
 def _structure_call_class(value: Any, _: Any) -> CallClass:
     try:
         return CallClass(value)
-    except ValueError:
+    except (TypeError, ValueError):
         names = ", ".join(CallClass)
-        raise ValueError(f"got {value!r}, expected one of {names}") from None
+        raise ValueError(f"got {quote(value)}, expected {names}") from None
 
 
-_converter = make_converter(
-    forbid_extra_keys=True, omit_if_default=False, detailed_validation=True
-)
+def _require_object(inner: Hook) -> Hook:
+    def structure(value: Any, kind: Any) -> Any:
+        if not isinstance(value, dict):
+            raise ValueError(f"got {quote(value)}, expected an object")
+        return inner(value, kind)
+
+    return structure
+
+
+def _is_mapping(kind: Any) -> bool:
+    return typing.get_origin(kind) is dict
+
+
+_converter = make_converter(detailed_validation=True)
 _converter.register_structure_hook_func(
     lambda kind: kind == Scalar, _structure_scalar
 )
@@ -65,13 +94,48 @@
     _converter.register_structure_hook(_kind, _structure_strictly)
 _converter.register_structure_hook(CallClass, _structure_call_class)
 _converter.register_structure_hook(datetime.date, _structure_date)
+_converter.register_structure_hook_factory(
+    attrs.has,
+    lambda cls: _require_object(
+        make_dict_structure_fn(
+            cls,
+            _converter,
+            _cattrs_forbid_extra_keys=True,
+            _cattrs_detailed_validation=True,
+        )
+    ),
+)
+_converter.register_structure_hook_factory(
+    _is_mapping,
+    lambda kind: _require_object(
+        make_mapping_structure_fn(kind, _converter, detailed_validation=True)
+    ),
+)
+# Absent values take no bytes. The fields of `Defaults` are always written, so
+# that a document keeps its meaning when the defaults in the code change.
+for _cls in (ExceptionEntry, Route, ServiceEntry):
+    _absent: Any = {
+        field.name: override(omit_if_default=True)
+        for field in attrs.fields(_cls)
+        if field.default is None
+    }
+    _converter.register_unstructure_hook(
+        _cls, make_dict_unstructure_fn(_cls, _converter, **_absent)
+    )
 
 
 def encode_document(document: Document) -> bytes:
-    """Returns the canonical JSON of a document: sorted keys, no blanks."""
-    return orjson.dumps(
-        _converter.unstructure(document), option=orjson.OPT_SORT_KEYS
-    )
+    """Returns the canonical JSON of a document: sorted keys, no blanks.
+
+    Raises:
+        ConfigInvalidError: If a value can't be written as JSON.
+    """
+    try:
+        return orjson.dumps(
+            _converter.unstructure(document), option=orjson.OPT_SORT_KEYS
+        )
+    except orjson.JSONEncodeError as exc:
+        raise _fail(str(exc)) from None
 
 
 def decode_document(payload: bytes) -> Document:
@@ -82,25 +146,19 @@
             like a document; every fault found is listed.
     """
     if len(payload) > MAX_DOCUMENT_BYTES:
-        raise ConfigInvalidError(
-            (
-                Fault(
-                    "document",
-                    f"got {len(payload)} bytes, expected at most"
-                    f" {MAX_DOCUMENT_BYTES}",
-                ),
-            )
+        raise _fail(
+            f"got {len(payload)} bytes, expected at most {MAX_DOCUMENT_BYTES}"
         )
     try:
         tree = orjson.loads(payload)
     except orjson.JSONDecodeError as exc:
-        raise ConfigInvalidError(
-            (Fault("document", f"not JSON: {exc}"),)
-        ) from None
+        raise _fail(f"not JSON: {exc}") from None
+    _refuse_repeated_keys(payload)
     try:
         return _converter.structure(tree, Document)
-    except (cattrs.BaseValidationError, TypeError, ValueError) as exc:
-        raise ConfigInvalidError(_collect_faults(exc)) from None
+    except (cattrs.BaseValidationError, ValueError) as exc:
+        faults = tuple(_collect_faults(exc, ()))
+        raise ConfigInvalidError(faults[:MAX_FAULTS]) from None
 
 
 def compute_digest(payload: bytes) -> bytes:
@@ -108,12 +166,97 @@
     return hashlib.sha256(payload).digest()
 
 
-def _collect_faults(exc: Exception) -> tuple[Fault, ...]:
-    if not isinstance(exc, cattrs.BaseValidationError):
-        return (Fault("document", str(exc)),)
-    lines = cattrs.transform_error(exc, path="document")
-    faults = []
-    for line in lines:
-        message, _, place = line.rpartition(" @ ")
-        faults.append(Fault(place, message))
-    return tuple(faults)
+def _fail(message: str) -> ConfigInvalidError:
+    return ConfigInvalidError((Fault("document", message),))
+
+
+class _Repeated(dict[str, Any]):
+    """An object of which some keys were given twice."""
+
+    __slots__ = ("names",)
+    names: list[str]
+
+
+def _refuse_repeated_keys(payload: bytes) -> None:
+    """Refuses an object with a key twice, of which orjson keeps the last.
+
+    An operator who pastes a second "routes" would otherwise lose the first
+    without a word.
+    """
+    found = False
+
+    def build(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        nonlocal found
+        tree = dict(pairs)
+        if len(tree) == len(pairs):
+            return tree
+        found = True
+        repeated = _Repeated(tree)
+        seen: set[str] = set()
+        repeated.names = []
+        for name, _ in pairs:
+            if name in seen:
+                repeated.names.append(name)
+            seen.add(name)
+        return repeated
+
+    try:
+        tree = json.loads(payload, object_pairs_hook=build)
+    except RecursionError:
+        raise _fail("got too many levels of nesting") from None
+    except ValueError as exc:
+        raise _fail(f"not JSON: {exc}") from None
+    if found:
+        faults = tuple(_find_repeated(tree, ()))
+        raise ConfigInvalidError(faults[:MAX_FAULTS])
+
+
+def _find_repeated(tree: Any, place: Place) -> Iterator[Fault]:
+    if isinstance(tree, list):
+        for index, child in enumerate(tree):
+            yield from _find_repeated(child, (*place, str(index)))
+    if not isinstance(tree, dict):
+        return
+    if isinstance(tree, _Repeated):
+        for name in tree.names:
+            yield Fault(
+                _join((*place, name)), "got this key twice, expected it once"
+            )
+    for name, child in tree.items():
+        yield from _find_repeated(child, (*place, name))
+
+
+def _collect_faults(exc: BaseException, place: Place) -> Iterator[Fault]:
+    if isinstance(exc, cattrs.ClassValidationError):
+        noted, others = exc.group_exceptions()
+        for child, note in noted:
+            yield from _collect_faults(child, (*place, note.name))
+    elif isinstance(exc, cattrs.IterableValidationError):
+        items, others = exc.group_exceptions()
+        for child, item in items:
+            yield from _collect_faults(child, (*place, str(item.index)))
+    else:
+        others = [exc]  # type: ignore[list-item]
+    for other in others:
+        yield from _describe(other, place)
+
+
+def _describe(exc: BaseException, place: Place) -> Iterator[Fault]:
+    if isinstance(exc, cattrs.ForbiddenExtraKeysError):
+        known = ", ".join(field.name for field in attrs.fields(exc.cl))
+        for name in sorted(exc.extra_fields):
+            yield Fault(
+                _join((*place, name)),
+                f"got an unknown key, expected one of {known}",
+            )
+    elif isinstance(exc, KeyError):
+        yield Fault(_join(place), "got nothing, expected a value")
+    else:
+        yield Fault(_join(place), str(exc))
+
+
+def _join(place: Place) -> str:
+    shown = (
+        name if name.isprintable() and name else quote(name) for name in place
+    )
+    return ".".join(shown)[:MAX_PLACE_LENGTH] or "document"
--- a/src/guavawing/config/document.py
+++ b/src/guavawing/config/document.py
@@ -7,15 +7,20 @@
 from guavawing.model import CallClass
 
 __all__ = [
+    "Capacity",
     "Defaults",
     "Document",
     "ExceptionEntry",
     "LimitClass",
+    "Overrides",
     "Route",
     "ServiceEntry",
 ]
 
 
+Scalar = bool | int | float | str
+
+
 @attrs.frozen
 class LimitClass:
     """Fixed capacity of one target.
@@ -30,7 +35,37 @@
 
 
 @attrs.frozen
-class ServiceEntry:
+class Capacity:
+    """What was bought for each target of a limit class.
+
+    Neither the limit class nor an exception may leave these bounds.
+
+    Attributes:
+        slots_floor: Fewest slots that a target may be limited to.
+        slots_ceiling: Most slots, as many as were bought.
+        connections_ceiling: Most connections, as many as were bought.
+    """
+
+    slots_floor: int
+    slots_ceiling: int
+    connections_ceiling: int
+
+
+@attrs.frozen(kw_only=True)
+class Overrides:
+    """Values in place of those of `Defaults`; None keeps the wider value."""
+
+    call_class: CallClass | None = None
+    deadline_ms: int | None = None
+    queue_limit: int | None = None
+    body_limit: int | None = None
+    max_attempts: int | None = None
+    retry_ratio: float | None = None
+    spill: bool | None = None
+
+
+@attrs.frozen
+class ServiceEntry(Overrides):
     """A service that calls can be routed to.
 
     Attributes:
@@ -41,7 +76,7 @@
 
 
 @attrs.frozen
-class Route:
+class Route(Overrides):
     """Requests of one service that are treated alike.
 
     Attributes:
@@ -49,17 +84,12 @@
         http_method: HTTP method of the requests.
         path_prefix: Start of the path of the requests.
         idempotent: Whether executing a request twice is harmless.
-        call_class: Order of service; None for the fleet's default.
-        deadline_ms: Longest deadline granted, in milliseconds; None for the
-            fleet's default.
     """
 
     service: str
     http_method: str
     path_prefix: str
     idempotent: bool
-    call_class: CallClass | None = None
-    deadline_ms: int | None = None
 
 
 @attrs.frozen
@@ -91,18 +121,18 @@
 
     Attributes:
         service: Service it applies to.
-        setting: Name of a field of `Defaults`.
-        value: Value in place of the default.
+        setting: Name of a field of `Defaults`, or `slots` or `connections`.
+        value: Value in place of the default or of the limit class.
         reason: Why the deviation is needed.
         owner: Who answers for it.
         route: Route it applies to; None for the whole service.
         data_centre: Data centre it applies to; None for all.
-        ends: Last day on which it applies; None for no end.
+        ends: Last day (UTC) on which it applies; None for no end.
     """
 
     service: str
     setting: str
-    value: bool | int | float | str
+    value: Scalar
     reason: str
     owner: str
     route: str | None = None
@@ -117,6 +147,7 @@
     Attributes:
         defaults: Fleet-wide defaults.
         limit_classes: Limit classes by name.
+        capacity: What was bought, by name of the limit class.
         services: Services by name.
         routes: Routes by name.
         exceptions: Exceptions by id.
@@ -124,6 +155,7 @@
 
     defaults: Defaults = Defaults()
     limit_classes: dict[str, LimitClass] = attrs.field(factory=dict)
+    capacity: dict[str, Capacity] = attrs.field(factory=dict)
     services: dict[str, ServiceEntry] = attrs.field(factory=dict)
     routes: dict[str, Route] = attrs.field(factory=dict)
     exceptions: dict[str, ExceptionEntry] = attrs.field(factory=dict)
--- a/src/guavawing/config/effective.py
+++ b/src/guavawing/config/effective.py
@@ -1,15 +1,26 @@
-"""The policy in force for one request: defaults, route, exceptions."""
+"""The policy in force for one request: defaults, service, route, exceptions."""
 
 import datetime
 from typing import Any
 
 import attrs
 
-from guavawing.config.document import Defaults, Document, LimitClass, Route
+from guavawing.config.document import (
+    Defaults,
+    Document,
+    ExceptionEntry,
+    LimitClass,
+    Overrides,
+    Route,
+)
 from guavawing.model import CallClass
 
 __all__ = ["EffectivePolicy", "PolicyTable"]
 
+_DAY = datetime.timedelta(days=1)
+_OVERRIDABLE = tuple(field.name for field in attrs.fields(Overrides))
+_LIMITS = tuple(field.name for field in attrs.fields(LimitClass))
+
 
 @attrs.frozen
 class EffectivePolicy:
@@ -31,9 +42,25 @@
 
 
 class PolicyTable:
-    """Effective policies of one version, looked up by request."""
+    """Effective policies of one version on one day, looked up by request.
+
+    An exception stops applying when its last day (UTC) is over, without a
+    new version. A table never changes, so the node replaces it: `on_day`
+    returns the table of a later day, and `next_change` tells from which day
+    on that is another table.
+    """
 
-    __slots__ = ("_data_centre", "_document", "_policies", "_routes", "_today")
+    __slots__ = (
+        "_data_centre",
+        "_document",
+        "_exceptions",
+        "_limits",
+        "_next_change",
+        "_policies",
+        "_queue_limits",
+        "_routes",
+        "_today",
+    )
 
     def __init__(
         self, document: Document, *, data_centre: str, today: datetime.date
@@ -42,6 +69,8 @@
         self._data_centre = data_centre
         self._today = today
         self._policies: dict[str, EffectivePolicy] = {}
+        self._limits: dict[str, LimitClass] = {}
+        self._queue_limits: dict[str, int] = {}
         self._routes: dict[tuple[str, str], list[tuple[str, str]]] = {}
         for name, route in document.routes.items():
             key = (route.service, route.http_method)
@@ -49,6 +78,28 @@
             entries.append((route.path_prefix, name))
         for entries in self._routes.values():
             entries.sort(key=lambda entry: -len(entry[0]))
+        self._index_exceptions()
+
+    @property
+    def next_change(self) -> datetime.date | None:
+        """First day on which an exception in force here has ended.
+
+        None if no exception in force has an end.
+        """
+        return self._next_change
+
+    def on_day(self, today: datetime.date) -> "PolicyTable":
+        """Returns the policies of the same version on another day.
+
+        That is this table itself as long as nothing changes. A day before
+        this table's own changes nothing either: a clock that is set back
+        doesn't revive an exception that has ended.
+        """
+        if self._next_change is None or today < self._next_change:
+            return self
+        return PolicyTable(
+            self._document, data_centre=self._data_centre, today=today
+        )
 
     def has_service(self, service: str) -> bool:
         """Returns whether the version knows `service`."""
@@ -76,35 +127,87 @@
 
     def limits_of(self, service: str) -> LimitClass | None:
         """Returns the fixed capacity of a target of `service`."""
+        limits = self._limits.get(service)
+        if limits is not None:
+            return limits
         entry = self._document.services.get(service)
         if entry is None:
             return None
-        return self._document.limit_classes[entry.limit_class]
-
-    def _compute(self, name: str, route: Route) -> EffectivePolicy:
-        changes: dict[str, Any] = {}
-        if route.call_class is not None:
-            changes["call_class"] = route.call_class
-        if route.deadline_ms is not None:
-            changes["deadline_ms"] = route.deadline_ms
+        changes: dict[str, Any] = {
+            each.setting: each.value
+            for each in self._exceptions.get(service, ())
+            if each.setting in _LIMITS
+        }
+        limits = attrs.evolve(
+            self._document.limit_classes[entry.limit_class], **changes
+        )
+        self._limits[service] = limits
+        return limits
+
+    def queue_limit_of(self, service: str) -> int:
+        """Returns how many requests may wait at one target of `service`.
+
+        This is the value for the service as a whole; that of a single route
+        is in its `EffectivePolicy`.
+        """
+        limit = self._queue_limits.get(service)
+        if limit is None:
+            limit = self._compute_settings(service, None).queue_limit
+            self._queue_limits[service] = limit
+        return limit
+
+    def _index_exceptions(self) -> None:
+        """Orders the exceptions in force so that narrower ones come later."""
+        self._exceptions: dict[str, list[ExceptionEntry]] = {}
+        ends = []
         for entry in self._document.exceptions.values():
-            if entry.service != route.service:
-                continue
-            if entry.route not in (None, name):
-                continue
             if entry.data_centre not in (None, self._data_centre):
                 continue
-            if entry.ends is not None and entry.ends < self._today:
-                continue
-            value: object = entry.value
-            if entry.setting == "call_class":
-                value = CallClass(str(value))
-            changes[entry.setting] = value
-        service = self._document.services[route.service]
+            if entry.ends is not None:
+                if entry.ends < self._today:
+                    continue
+                ends.append(entry.ends)
+            self._exceptions.setdefault(entry.service, []).append(entry)
+        for entries in self._exceptions.values():
+            entries.sort(
+                key=lambda e: (e.route is not None, e.data_centre is not None)
+            )
+        self._next_change = _find_day_after(min(ends, default=None))
+
+    def _compute(self, name: str, route: Route) -> EffectivePolicy:
+        limits = self.limits_of(route.service)
+        assert limits is not None
         return EffectivePolicy(
             service=route.service,
             route=name,
             idempotent=route.idempotent,
-            settings=attrs.evolve(self._document.defaults, **changes),
-            limits=self._document.limit_classes[service.limit_class],
+            settings=self._compute_settings(route.service, name),
+            limits=limits,
         )
+
+    def _compute_settings(self, service: str, route: str | None) -> Defaults:
+        changes: dict[str, Any] = {}
+        entry = self._document.services.get(service)
+        if entry is not None:
+            changes |= _get_overrides(entry)
+        if route is not None:
+            changes |= _get_overrides(self._document.routes[route])
+        for each in self._exceptions.get(service, ()):
+            if each.setting in _LIMITS or each.route not in (None, route):
+                continue
+            value: object = each.value
+            if each.setting == "call_class":
+                value = CallClass(str(value))
+            changes[each.setting] = value
+        return attrs.evolve(self._document.defaults, **changes)
+
+
+def _find_day_after(day: datetime.date | None) -> datetime.date | None:
+    if day is None or day == datetime.date.max:
+        return None
+    return day + _DAY
+
+
+def _get_overrides(entry: Overrides) -> dict[str, Any]:
+    values = {name: getattr(entry, name) for name in _OVERRIDABLE}
+    return {name: v for name, v in values.items() if v is not None}
--- a/src/guavawing/config/validation.py
+++ b/src/guavawing/config/validation.py
@@ -1,22 +1,27 @@
 """Rules that a document must keep before it is published or applied."""
 
-from collections.abc import Iterator
+import datetime
+import itertools
+import re
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 import attrs
 
 from guavawing.config.document import (
+    Capacity,
     Defaults,
     Document,
     ExceptionEntry,
     LimitClass,
+    Overrides,
     Route,
 )
-from guavawing.config.fault import Fault
+from guavawing.config.fault import Fault, describe_names, quote
 from guavawing.errors import ConfigInvalidError
 from guavawing.model import CallClass
 
-__all__ = ["check_document", "find_faults"]
+__all__ = ["check_document", "find_ended", "find_faults"]
 
 MAX_SLOTS = 10_000
 MAX_CONNECTIONS = 10_000
@@ -26,7 +31,28 @@
 MAX_DEADLINE_MS = 600_000
 MAX_RETRY_RATIO = 1.0
 
-_FIELD_TYPES = {
+MAX_FAULTS = 200
+MAX_LIMIT_CLASSES = 100
+MAX_SERVICES = 2_000
+MAX_ROUTES = 10_000
+MAX_ROUTES_PER_METHOD = 100
+MAX_EXCEPTIONS = 200
+MAX_REASON_LENGTH = 500
+MAX_OWNER_LENGTH = 100
+MAX_PREFIX_LENGTH = 256
+
+HTTP_METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
+
+_NAME = re.compile(r"[A-Za-z0-9_.-]{1,64}")
+_PATH_PREFIX = re.compile(r"/[!-~]*")
+_RANGES: dict[str, tuple[float, float]] = {
+    "deadline_ms": (1, MAX_DEADLINE_MS),
+    "queue_limit": (0, MAX_QUEUE),
+    "body_limit": (0, MAX_BODY_BYTES),
+    "max_attempts": (1, MAX_ATTEMPTS),
+    "retry_ratio": (0.0, MAX_RETRY_RATIO),
+}
+_SETTING_TYPES: dict[str, type] = {
     "call_class": str,
     "deadline_ms": int,
     "queue_limit": int,
@@ -34,36 +60,65 @@
     "max_attempts": int,
     "retry_ratio": float,
     "spill": bool,
+    "slots": int,
+    "connections": int,
 }
+_LIMITS = ("slots", "connections")
 
 
 def check_document(document: Document) -> None:
     """Refuses a document that breaks a rule.
 
     Raises:
-        ConfigInvalidError: With every fault found.
+        ConfigInvalidError: With every fault found, up to `MAX_FAULTS`.
     """
-    faults = tuple(find_faults(document))
+    faults = tuple(itertools.islice(find_faults(document), MAX_FAULTS))
     if faults:
         raise ConfigInvalidError(faults)
 
 
 def find_faults(document: Document) -> Iterator[Fault]:
     """Yields every broken rule of a document."""
-    yield from _check_defaults(document.defaults, "defaults")
+    yield from _check_counts(document)
+    yield from _check_names(document)
+    yield from _check_settings(document.defaults, "defaults")
+    yield from _check_capacities(document)
     for name, limits in document.limit_classes.items():
-        yield from _check_limit_class(limits, f"limit_classes.{name}")
+        yield from _check_limit_class(document, name, limits)
     for name, service in document.services.items():
+        place = f"services.{name}"
         if service.limit_class not in document.limit_classes:
             yield Fault(
-                f"services.{name}.limit_class",
-                f"got {service.limit_class!r}, expected one of"
-                f" {sorted(document.limit_classes)}",
+                f"{place}.limit_class",
+                f"got {quote(service.limit_class)}, expected one of"
+                f" {describe_names(document.limit_classes)}",
             )
-    for name, route in document.routes.items():
-        yield from _check_route(document, route, f"routes.{name}")
+        yield from _check_settings(service, place)
+    yield from _check_routes(document)
+    yield from _check_exceptions(document)
+
+
+def find_ended(
+    document: Document,
+    today: datetime.date,
+    *,
+    base: Document | None = None,
+) -> Iterator[Fault]:
+    """Yields a fault for each exception whose last day is over.
+
+    Publishing refuses these; a node only stops applying them. An exception
+    that `base` has already is passed over: it ended while in force, and must
+    not keep operators from publishing other changes.
+    """
+    known = {} if base is None else base.exceptions
     for name, entry in document.exceptions.items():
-        yield from _check_exception(document, entry, f"exceptions.{name}")
+        if entry.ends is None or entry.ends >= today:
+            continue
+        if known.get(name) != entry:
+            yield Fault(
+                f"exceptions.{name}.ends",
+                f"got {entry.ends}, expected {today} or later",
+            )
 
 
 def _check_range(
@@ -73,27 +128,118 @@
         yield Fault(place, f"got {value}, expected from {low} to {high}")
 
 
-def _check_limit_class(limits: LimitClass, place: str) -> Iterator[Fault]:
-    yield from _check_range(f"{place}.slots", limits.slots, 1, MAX_SLOTS)
+def _check_counts(document: Document) -> Iterator[Fault]:
+    for place, entries, most in (
+        ("limit_classes", document.limit_classes, MAX_LIMIT_CLASSES),
+        ("services", document.services, MAX_SERVICES),
+        ("routes", document.routes, MAX_ROUTES),
+        ("exceptions", document.exceptions, MAX_EXCEPTIONS),
+    ):
+        if len(entries) > most:
+            yield Fault(
+                place, f"got {len(entries)} entries, expected at most {most}"
+            )
+
+
+def _check_names(document: Document) -> Iterator[Fault]:
+    parts: dict[str, Mapping[str, object]] = {
+        "limit_classes": document.limit_classes,
+        "services": document.services,
+        "routes": document.routes,
+        "exceptions": document.exceptions,
+    }
+    for part, entries in parts.items():
+        for name in entries:
+            yield from _check_name(f"{part}.{name}", name)
+
+
+def _check_name(place: str, name: str) -> Iterator[Fault]:
+    if _NAME.fullmatch(name) is None:
+        yield Fault(
+            place,
+            f"got {quote(name)}, expected a name of 1 to 64 letters, digits,"
+            " '-', '_' or '.'",
+        )
+
+
+def _check_settings(
+    values: Defaults | Overrides, place: str
+) -> Iterator[Fault]:
+    for name, (low, high) in _RANGES.items():
+        value = getattr(values, name)
+        if value is not None:
+            yield from _check_range(f"{place}.{name}", value, low, high)
+
+
+def _check_capacities(document: Document) -> Iterator[Fault]:
+    for name, bought in document.capacity.items():
+        place = f"capacity.{name}"
+        if name not in document.limit_classes:
+            yield Fault(place, f"got {quote(name)}, expected a limit class")
+            continue
+        yield from _check_capacity(bought, place)
+
+
+def _check_capacity(bought: Capacity, place: str) -> Iterator[Fault]:
+    yield from _check_range(
+        f"{place}.slots_floor", bought.slots_floor, 1, bought.slots_ceiling
+    )
+    yield from _check_range(
+        f"{place}.slots_ceiling", bought.slots_ceiling, 1, MAX_SLOTS
+    )
+    yield from _check_range(
+        f"{place}.connections_ceiling",
+        bought.connections_ceiling,
+        bought.slots_ceiling,
+        MAX_CONNECTIONS,
+    )
+
+
+def _check_limit_class(
+    document: Document, name: str, limits: LimitClass
+) -> Iterator[Fault]:
+    bought = document.capacity.get(name)
+    if bought is None:
+        yield Fault(
+            f"capacity.{name}",
+            "got nothing, expected what was bought for this limit class",
+        )
+        return
+    place = f"limit_classes.{name}"
+    yield from _check_range(
+        f"{place}.slots", limits.slots, bought.slots_floor, bought.slots_ceiling
+    )
     yield from _check_range(
         f"{place}.connections",
         limits.connections,
         limits.slots,
-        MAX_CONNECTIONS,
+        bought.connections_ceiling,
     )
 
 
-def _check_defaults(defaults: Defaults, place: str) -> Iterator[Fault]:
-    for name, low, high in (
-        ("deadline_ms", 1, MAX_DEADLINE_MS),
-        ("queue_limit", 0, MAX_QUEUE),
-        ("body_limit", 0, MAX_BODY_BYTES),
-        ("max_attempts", 1, MAX_ATTEMPTS),
-        ("retry_ratio", 0.0, MAX_RETRY_RATIO),
-    ):
-        yield from _check_range(
-            f"{place}.{name}", getattr(defaults, name), low, high
-        )
+def _check_routes(document: Document) -> Iterator[Fault]:
+    owners: dict[tuple[str, str, str], str] = {}
+    counts: dict[tuple[str, str], int] = {}
+    for name, route in document.routes.items():
+        place = f"routes.{name}"
+        yield from _check_route(document, route, place)
+        # The longest prefix wins, so only an equal one hides a route.
+        requests = (route.service, route.http_method, route.path_prefix)
+        first = owners.setdefault(requests, name)
+        if first != name:
+            yield Fault(
+                place,
+                f"got the same service, method and path as route {first!r},"
+                " expected other requests",
+            )
+        group = requests[:2]
+        counts[group] = counts.get(group, 0) + 1
+        if counts[group] == MAX_ROUTES_PER_METHOD + 1:
+            yield Fault(
+                place,
+                f"got one more route of {group[1]} requests, expected at most"
+                f" {MAX_ROUTES_PER_METHOD} for a service",
+            )
 
 
 def _check_route(
@@ -102,63 +248,133 @@
     if route.service not in document.services:
         yield Fault(
             f"{place}.service",
-            f"got {route.service!r}, expected one of"
-            f" {sorted(document.services)}",
+            f"got {quote(route.service)}, expected one of"
+            f" {describe_names(document.services)}",
+        )
+    if route.http_method not in HTTP_METHODS:
+        yield Fault(
+            f"{place}.http_method",
+            f"got {quote(route.http_method)}, expected one of"
+            f" {', '.join(HTTP_METHODS)}",
         )
-    if not route.path_prefix.startswith("/"):
+    prefix = route.path_prefix
+    matchable = _PATH_PREFIX.fullmatch(prefix) and not set("?#") & set(prefix)
+    if not matchable or len(prefix) > MAX_PREFIX_LENGTH:
         yield Fault(
             f"{place}.path_prefix",
-            f"got {route.path_prefix!r}, expected a path that starts with /",
+            f"got {quote(prefix)}, expected a path that starts with / and has"
+            f" no blank, ? or #, of at most {MAX_PREFIX_LENGTH} characters",
         )
-    if route.deadline_ms is not None:
-        yield from _check_range(
-            f"{place}.deadline_ms", route.deadline_ms, 1, MAX_DEADLINE_MS
+    yield from _check_settings(route, place)
+
+
+def _check_exceptions(document: Document) -> Iterator[Fault]:
+    owners: dict[tuple[object, ...], str] = {}
+    for name, entry in document.exceptions.items():
+        place = f"exceptions.{name}"
+        yield from _check_scope(document, entry, place)
+        yield from _check_text(
+            f"{place}.reason", entry.reason, MAX_REASON_LENGTH
         )
+        yield from _check_text(f"{place}.owner", entry.owner, MAX_OWNER_LENGTH)
+        yield from _check_value(document, entry, place)
+        scope = (entry.service, entry.route, entry.data_centre, entry.setting)
+        first = owners.setdefault(scope, name)
+        if first != name:
+            yield Fault(
+                place,
+                "got the same service, route, data centre and setting as"
+                f" exception {first!r}, expected one exception for them",
+            )
 
 
-def _check_exception(
+def _check_scope(
     document: Document, entry: ExceptionEntry, place: str
 ) -> Iterator[Fault]:
     if entry.service not in document.services:
         yield Fault(
             f"{place}.service",
-            f"got {entry.service!r}, expected one of"
-            f" {sorted(document.services)}",
+            f"got {quote(entry.service)}, expected one of"
+            f" {describe_names(document.services)}",
+        )
+    if entry.data_centre is not None:
+        yield from _check_name(f"{place}.data_centre", entry.data_centre)
+    if entry.route is None:
+        return
+    route = document.routes.get(entry.route)
+    if route is None or route.service != entry.service:
+        yield Fault(
+            f"{place}.route",
+            f"got {quote(entry.route)}, expected a route of"
+            f" {quote(entry.service)}",
         )
-    if entry.route is not None and entry.route not in document.routes:
+    elif entry.setting in _LIMITS:
         yield Fault(
             f"{place}.route",
-            f"got {entry.route!r}, expected one of {sorted(document.routes)}",
+            f"got {quote(entry.route)}, expected none: {entry.setting!r}"
+            " holds for the whole service",
+        )
+
+
+def _check_text(place: str, text: str, most: int) -> Iterator[Fault]:
+    if not text.strip() or not text.isprintable() or len(text) > most:
+        yield Fault(
+            place,
+            f"got {quote(text)}, expected one line of 1 to {most} characters",
         )
-    for name in ("reason", "owner"):
-        if not getattr(entry, name).strip():
-            yield Fault(f"{place}.{name}", "got an empty text")
-    yield from _check_setting(entry, place)
 
 
-def _check_setting(entry: ExceptionEntry, place: str) -> Iterator[Fault]:
-    kind = _FIELD_TYPES.get(entry.setting)
+def _check_value(
+    document: Document, entry: ExceptionEntry, place: str
+) -> Iterator[Fault]:
+    kind = _SETTING_TYPES.get(entry.setting)
     if kind is None:
         yield Fault(
             f"{place}.setting",
-            f"got {entry.setting!r}, expected one of {sorted(_FIELD_TYPES)}",
+            f"got {quote(entry.setting)}, expected one of"
+            f" {', '.join(sorted(_SETTING_TYPES))}",
         )
         return
-    value = entry.value
-    if kind is float and type(value) is int:
-        value = float(value)
-    if type(value) is not kind:
+    place = f"{place}.value"
+    value: Any = entry.value
+    # JSON writes a whole number of a float without its point.
+    accepted = (float, int) if kind is float else (kind,)
+    if type(value) not in accepted:
+        yield Fault(place, f"got {quote(value)}, expected {kind.__name__}")
+    elif entry.setting == "call_class" and value not in list(CallClass):
         yield Fault(
-            f"{place}.value", f"got {value!r}, expected {kind.__name__}"
+            place, f"got {quote(value)}, expected {', '.join(CallClass)}"
         )
+    elif entry.setting in _LIMITS:
+        yield from _check_limit(document, entry, value, place)
+    elif entry.setting in _RANGES:
+        yield from _check_range(place, value, *_RANGES[entry.setting])
+
+
+def _check_limit(
+    document: Document, entry: ExceptionEntry, value: int, place: str
+) -> Iterator[Fault]:
+    """Keeps an exception within what was bought.
+
+    The bounds are chosen so that a target has a connection for each slot
+    whichever of the exceptions of its service are in force.
+    """
+    service = document.services.get(entry.service)
+    if service is None:
         return
-    if entry.setting == "call_class":
-        if value not in list(CallClass):
-            yield Fault(
-                f"{place}.value",
-                f"got {value!r}, expected one of {[*map(str, CallClass)]}",
-            )
+    limits = document.limit_classes.get(service.limit_class)
+    bought = document.capacity.get(service.limit_class)
+    if limits is None or bought is None:
         return
-    change: dict[str, Any] = {entry.setting: value}
-    changed = attrs.evolve(Defaults(), **change)
-    yield from _check_defaults(changed, f"{place}.value")
+    if entry.setting == "slots":
+        low = bought.slots_floor
+        high = min(bought.slots_ceiling, limits.connections)
+    else:
+        low, high = bought.slots_ceiling, bought.connections_ceiling
+    yield from _check_range(place, value, low, high)
+
+
+assert set(_SETTING_TYPES) == {
+    *(field.name for field in attrs.fields(Overrides)),
+    *_LIMITS,
+}
--- a/standins/documents.py
+++ b/standins/documents.py
@@ -1,6 +1,7 @@
 """Configuration documents for demos, tests and benchmarks."""
 
 from guavawing.config import (
+    Capacity,
     Defaults,
     Document,
     LimitClass,
@@ -15,6 +16,7 @@
     return Document(
         defaults=Defaults(deadline_ms=10_000),
         limit_classes={"small": LimitClass(slots=10, connections=110)},
+        capacity={"small": Capacity(2, 10, 110)},
         services={
             "desk": ServiceEntry("small"),
             "feed": ServiceEntry("small"),
--- /dev/null
+++ b/tests/steps/document_steps.py
@@ -0,0 +1,272 @@
+"""Steps that read, check and apply documents."""
+
+import copy
+import datetime
+import json
+import re
+
+import orjson
+from behave import given, register_type, then, when
+from hypothesis import given as given_any
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from guavawing.config import (
+    Document,
+    PolicyTable,
+    check_document,
+    decode_document,
+    encode_document,
+)
+from guavawing.errors import ConfigInvalidError
+from standins.documents import make_newsroom_document
+
+register_type(Day=datetime.date.fromisoformat)
+register_type(Json=json.loads)
+
+E1 = {
+    "service": "desk",
+    "setting": "deadline_ms",
+    "value": 20_000,
+    "reason": "the archive is moved this month",
+    "owner": "desk team",
+}
+SCOPE = re.compile(
+    r"(?P<service>\w+)(/(?P<route>[\w-]+))?( in (?P<data_centre>\w+))?"
+    r"( until (?P<ends>[\d-]+))? value (?P<value>\d+)"
+)
+BASE_TREE = orjson.loads(encode_document(make_newsroom_document()))
+BASE_TREE["exceptions"] = {"e1": E1}
+
+
+def get_tree(context):
+    if not hasattr(context, "tree"):
+        context.tree = copy.deepcopy(BASE_TREE)
+    return context.tree
+
+
+@given('a document in which "{place}" is {value}')
+def step_edit(context, place, value):
+    node = get_tree(context)
+    *parents, last = place.split(".")
+    for name in parents:
+        node = node[name]
+    if value == "ABSENT":
+        del node[last]
+    else:
+        node[last] = json.loads(value)
+    context.payload = json.dumps(context.tree).encode()
+
+
+@given('an exception "{name}" of "{setting}" for nothing')
+def step_no_exception(context, name, setting):
+    pass
+
+
+@given('an exception "{name}" of "{setting}" for {scope} value {value:d}')
+def step_exception(context, name, setting, scope, value):
+    match = SCOPE.fullmatch(f"{scope} value {value}")
+    fields = {k: v for k, v in match.groupdict().items() if v}
+    fields |= {"setting": setting, "value": value, "reason": "r", "owner": "o"}
+    get_tree(context)["exceptions"][name] = fields
+    context.payload = json.dumps(context.tree).encode()
+
+
+@given("a document with {count:d} {what}")
+def step_many(context, count, what):
+    tree = get_tree(context)
+    if what == "exceptions":
+        services = [f"s{i}" for i in range(count)]
+        tree["services"] |= {n: {"limit_class": "small"} for n in services}
+        tree[what] = {n: E1 | {"service": n} for n in services}
+    elif what == "services":
+        tree[what] |= {f"s{i}": {"limit_class": "small"} for i in range(count)}
+    else:
+        route = tree[what]["desk-read"]
+        for i in range(count):
+            tree["services"].setdefault(f"s{i % 200}", {"limit_class": "small"})
+            tree[what][f"r{i}"] = route | {
+                "service": f"s{i % 200}",
+                "path_prefix": f"/{i}",
+            }
+    context.payload = json.dumps(tree).encode()
+
+
+@given("the bytes {text}")
+def step_bytes(context, text):
+    repeated = re.fullmatch(r"(\d+) times (.)", text)
+    if text == "nothing":
+        context.payload = b""
+    elif text == "invalid UTF-8":
+        context.payload = b'{"\xff":1}'
+    elif repeated:
+        context.payload = repeated[2].encode() * int(repeated[1])
+        if int(repeated[1]) < 1000:
+            context.payload += b"]" * int(repeated[1])
+    else:
+        context.payload = text.encode()
+
+
+@when("the document is read and checked")
+def step_check(context):
+    context.faults = ()
+    try:
+        check_document(decode_document(context.payload))
+    except ConfigInvalidError as exc:
+        context.faults = exc.faults
+
+
+@then('one fault is at "{place}" and says "{text}"')
+def step_one_fault(context, place, text):
+    assert [fault.place for fault in context.faults] == [place], context.faults
+    assert text in context.faults[0].message, context.faults
+
+
+@then("there are faults at these places")
+def step_faults(context):
+    places = sorted(fault.place for fault in context.faults)
+    assert places == [row["place"] for row in context.table], places
+
+
+@then("there are no faults")
+def step_no_faults(context):
+    assert not context.faults, context.faults
+
+
+@when('the policies of "{centre}" are built on {day:Day}')
+def step_policies(context, centre, day):
+    document = decode_document(context.payload)
+    check_document(document)
+    context.policies = PolicyTable(document, data_centre=centre, today=day)
+
+
+@when("the day becomes {day:Day}")
+def step_day(context, day):
+    context.policies = context.policies.on_day(day)
+
+
+@then('route "{route}" has "{setting}" {value:d}')
+def step_setting(context, route, setting, value):
+    policy = context.policies.get(route)
+    assert getattr(policy.settings, setting) == value, policy
+
+
+@then('a target of "{service}" has {slots:d} slots')
+def step_slots(context, service, slots):
+    assert context.policies.limits_of(service).slots == slots
+
+
+@then('the queue limits are {desk:d} for "desk" and {feed:d} for "feed"')
+def step_queues(context, desk, feed):
+    limits = [context.policies.queue_limit_of(s) for s in ("desk", "feed")]
+    assert limits == [desk, feed], limits
+
+
+@then("the policies change next on {day:Day}")
+def step_change_day(context, day):
+    assert context.policies.next_change == day, context.policies.next_change
+
+
+@then("the policies never change again")
+def step_no_change(context):
+    assert context.policies.next_change is None
+
+
+def read_any(payload):
+    """Returns the document, or None when it is refused as it should be."""
+    try:
+        document = decode_document(payload)
+        check_document(document)
+    except ConfigInvalidError as exc:
+        assert exc.faults
+        assert all(fault.place and fault.message for fault in exc.faults)
+        return None
+    return document
+
+
+LEAVES = (
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=8)
+    | st.sampled_from(["desk", "desk-read", "slots", "2027-01-31", "urgent"])
+)
+TREES = st.recursive(
+    LEAVES,
+    lambda children: (
+        st.lists(children, max_size=3)
+        | st.dictionaries(st.text(max_size=4), children, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+def list_places(tree, prefix=()):
+    yield prefix
+    if isinstance(tree, dict):
+        for name, child in tree.items():
+            yield from list_places(child, (*prefix, name))
+
+
+PLACES = [place for place in list_places(BASE_TREE) if place]
+
+
+@st.composite
+def damaged_payloads(draw):
+    tree = copy.deepcopy(BASE_TREE)
+    for _ in range(draw(st.integers(1, 3))):
+        *parents, last = draw(st.sampled_from(PLACES))
+        node = tree
+        for name in parents:
+            node = node.get(name) if isinstance(node, dict) else None
+        if isinstance(node, dict):
+            if draw(st.booleans()):
+                last = draw(st.text(max_size=4))
+            node[last] = draw(TREES)
+    payload = json.dumps(tree).encode()
+    if draw(st.booleans()):
+        cut = draw(st.integers(0, len(payload)))
+        payload = payload[:cut] + draw(st.binary(max_size=4)) + payload[cut:]
+    return payload
+
+
+@then("{count:d} random inputs give a document or a fault")
+def step_fuzz(context, count):
+    @settings(
+        derandomize=True, database=None, deadline=None, max_examples=count
+    )
+    @given_any(damaged_payloads() | st.binary(max_size=40))
+    def check(payload):
+        document = read_any(payload)
+        if document is not None:
+            encoded = encode_document(document)
+            assert encode_document(decode_document(encoded)) == encoded
+
+    check()
+
+
+def make_documents():
+    """Returns a strategy of documents, most of them with faults."""
+    scalars = {
+        int: st.integers(-(2**63), 2**64 - 1),
+        float: st.floats(allow_nan=False, allow_infinity=False),
+        datetime.date: st.dates(),
+    }
+    for kind, strategy in scalars.items():
+        st.register_type_strategy(kind, strategy)
+    return st.from_type(Document)
+
+
+@then("{count:d} random documents keep their bytes through encode and decode")
+def step_round_trip(context, count):
+    @settings(
+        derandomize=True, database=None, deadline=None, max_examples=count
+    )
+    @given_any(make_documents())
+    def check(document):
+        payload = encode_document(document)
+        assert decode_document(payload) == document
+        assert encode_document(decode_document(payload)) == payload
+
+    check()
