Publish once or not at all, and tell operators the truth about it

Cause: the thin publisher looked for its change id before it read the head, so its own late write could come back as somebody else's change; an outage after a lost reply was told as "nothing was written"; a lost reply of the object as an unknown outcome; a second document under one change id as accepted; status 502 after a write as "nothing was written". Ruled out: a lock row (a crash would leave it behind); one object holding head and history (its size grows with every change). Change: head first, then the change row; a history row of fixed-width version number in the same transaction; ChangeIdReusedError, PlatformDataInvalidError; publish_edit repeats an edit on the version that the change started from; the publisher checks the bytes as a node will; an in-memory platform for sessions stepped by hand; faults for single requests in the stand-in.

--- a/src/guavawing/errors.py
+++ b/src/guavawing/errors.py
@@ -5,12 +5,14 @@
 """
 
 __all__ = [
+    "ChangeIdReusedError",
     "ConfigInvalidError",
     "ConflictingChangeError",
     "ControlError",
     "GuavawingError",
     "InvalidArgumentError",
     "MessageInvalidError",
+    "PlatformDataInvalidError",
     "PlatformError",
     "PlatformUnavailableError",
     "PlatformWriteUnknownError",
@@ -69,6 +71,27 @@
     """Raised when a write got no answer and may have taken effect."""
 
 
+class PlatformDataInvalidError(PlatformError):
+    """Raised when a row or an object that the platform holds is damaged."""
+
+
+class ChangeIdReusedError(PlatformError):
+    """Raised when a change id stands for another document already.
+
+    Attributes:
+        change_id: The id.
+        version: Version that the first change of this id created.
+    """
+
+    def __init__(self, *, change_id: str, version: int) -> None:
+        super().__init__(
+            f"change id {change_id} was used for another document, accepted"
+            f" as version {version}"
+        )
+        self.change_id = change_id
+        self.version = version
+
+
 class ConflictingChangeError(PlatformError):
     """Raised when another operator's change was accepted first.
 
--- a/src/guavawing/platform/client.py
+++ b/src/guavawing/platform/client.py
@@ -32,6 +32,8 @@
 MAX_SCAN_ROWS = 1_000
 _NOT_FOUND = 404
 _CONFLICT = 409
+# Statuses that say that a request was not carried out.
+_REFUSALS = frozenset({400, 401, 403, 404, 405, 413, 429, 503})
 
 
 class TransactionRefusedError(PlatformError):
@@ -89,9 +91,7 @@
             PlatformUnavailableError: If the platform gives no usable answer.
         """
         payload = await self._read(f"/tables/{table}/rows/{key}")
-        if payload is None:
-            return None
-        return _decode_row(payload)
+        return None if payload is None else _decode_row(payload)
 
     async def scan_rows(
         self, table: str, *, after: str = "", limit: int = MAX_SCAN_ROWS
@@ -104,7 +104,10 @@
         payload = await self._read(
             f"/tables/{table}/rows", {"after": after, "limit": str(limit)}
         )
-        return [_decode_row(entry) for entry in (payload or {})["rows"]]
+        entries = payload.get("rows") if isinstance(payload, dict) else None
+        if not isinstance(entries, list):
+            raise _unavailable(ValueError("the answer holds no rows"))
+        return [_decode_row(entry) for entry in entries]
 
     async def transact(self, writes: Sequence[Write]) -> None:
         """Carries out all writes or none.
@@ -147,7 +150,7 @@
 
     async def _read(
         self, path: str, params: dict[str, str] | None = None
-    ) -> dict[str, Any] | None:
+    ) -> Any:
         try:
             async with self._session.get(
                 self._base + path, params=params
@@ -155,8 +158,7 @@
                 if resp.status == _NOT_FOUND:
                     return None
                 resp.raise_for_status()
-                payload: dict[str, Any] = orjson.loads(await resp.read())
-                return payload
+                return orjson.loads(await resp.read())
         except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
             raise _unavailable(exc) from exc
 
@@ -172,11 +174,13 @@
         except aiohttp.ClientConnectorError as exc:
             raise _unavailable(exc) from exc
         except aiohttp.ClientResponseError as exc:
-            raise _unavailable(exc) from exc
+            # Any other error of a server may stand for a write that a proxy
+            # passed on and whose answer it then lost.
+            if exc.status in _REFUSALS:
+                raise _unavailable(exc) from exc
+            raise _unknown(exc) from exc
         except (aiohttp.ClientError, TimeoutError) as exc:
-            raise PlatformWriteUnknownError(
-                f"no answer to a write: {exc!r}"
-            ) from exc
+            raise _unknown(exc) from exc
 
 
 @contextlib.asynccontextmanager
@@ -203,9 +207,30 @@
         yield Platform(session, address)
 
 
-def _decode_row(entry: dict[str, Any]) -> Row:
-    return Row(entry["key"], entry["value"], entry["revision"])
+def _decode_row(entry: Any) -> Row:
+    try:
+        row = Row(entry["key"], entry["value"], entry["revision"])
+    except (KeyError, TypeError) as exc:
+        raise _unavailable(exc) from exc
+    if not isinstance(row.value, dict) or type(row.revision) is not int:
+        raise _unavailable(ValueError("the answer is not a row"))
+    return row
 
 
 def _unavailable(exc: Exception) -> PlatformUnavailableError:
-    return PlatformUnavailableError(f"the platform did not answer: {exc!r}")
+    return PlatformUnavailableError(
+        f"the platform gave no usable answer: {_describe(exc)}"
+    )
+
+
+def _unknown(exc: Exception) -> PlatformWriteUnknownError:
+    return PlatformWriteUnknownError(
+        f"the platform gave no answer to a write: {_describe(exc)}"
+    )
+
+
+def _describe(exc: Exception) -> str:
+    """Returns an error in one line; a timeout has no text of its own."""
+    if isinstance(exc, aiohttp.ClientResponseError):
+        return f"status {exc.status}"
+    return " ".join(str(exc).split()) or type(exc).__name__
--- a/src/guavawing/platform/publisher.py
+++ b/src/guavawing/platform/publisher.py
@@ -1,12 +1,20 @@
 """Publishing a document: object first, then one compare-and-set.
 
-The head row holds the newest version. A change is accepted when its
-transaction moves the head from the version that the operator read. A reply
-lost after the write is resolved by looking for the change id in the history,
-so a repeat under the same change id never publishes twice.
+A change is accepted when its transaction moves the head from the version
+that the operator read; the same transaction writes the change under its id
+and into the history. Before that nothing refers to the object, so a crash or
+an outage in between leaves an unused object and nothing else.
+
+An attempt reads the head before it looks for its change id. An earlier
+attempt of the same change, whose reply was lost, may still be on its way. It
+can only be carried out while the head has the revision that the attempt
+expected. So once the head has moved, the change is in the row of its id or
+will never be; the other order would let it slip in between and be reported
+as somebody else's.
 """
 
-from typing import Any
+import datetime
+from collections.abc import Callable
 
 import attrs
 
@@ -16,83 +24,49 @@
     compute_digest,
     decode_document,
     encode_document,
+    find_ended,
 )
 from guavawing.errors import (
+    ChangeIdReusedError,
+    ConfigInvalidError,
     ConflictingChangeError,
+    InvalidArgumentError,
     PlatformUnavailableError,
     PlatformWriteUnknownError,
 )
-from guavawing.platform.client import Platform, TransactionRefusedError, Write
-
-__all__ = ["Head", "fetch_document", "fetch_head", "publish_document"]
-
-HEAD_TABLE = "config-head"
-HEAD_KEY = "head"
-CHANGE_TABLE = "config-changes"
-
-
-@attrs.frozen
-class Head:
-    """The newest accepted version.
-
-    Attributes:
-        version: Number of the version; 0 before the first one.
-        digest: SHA-256 digest of the document.
-        change_id: Id of the change that created it.
-        revision: Revision of the head row.
-    """
-
-    version: int
-    digest: bytes
-    change_id: str
-    revision: int
-
-
-EMPTY_HEAD = Head(version=0, digest=b"", change_id="", revision=0)
-
-
-async def fetch_head(platform: Platform) -> Head:
-    """Returns the newest accepted version.
-
-    Raises:
-        PlatformUnavailableError: If the platform gives no usable answer.
-    """
-    row = await platform.read_row(HEAD_TABLE, HEAD_KEY)
-    if row is None:
-        return EMPTY_HEAD
-    return Head(
-        version=row.value["version"],
-        digest=bytes.fromhex(row.value["digest"]),
-        change_id=row.value["change_id"],
-        revision=row.revision,
-    )
-
+from guavawing.platform.client import TransactionRefusedError, Write
+from guavawing.platform.store import PlatformStore
+from guavawing.platform.versions import (
+    CHANGE_TABLE,
+    HEAD_KEY,
+    HEAD_TABLE,
+    HISTORY_TABLE,
+    Change,
+    Head,
+    encode_change,
+    fetch_change,
+    fetch_document,
+    fetch_head,
+    fetch_version,
+    fetch_version_change,
+    name_history_row,
+    parse_change_id,
+)
 
-async def fetch_document(platform: Platform) -> tuple[Head, Document]:
-    """Returns the newest accepted version and its document.
+__all__ = ["publish_document", "publish_edit"]
 
-    Raises:
-        PlatformUnavailableError: If the platform gives no usable answer.
-        ConfigInvalidError: If the stored document can't be read.
-    """
-    head = await fetch_head(platform)
-    if head.version == 0:
-        return head, Document()
-    payload = await platform.get_object(head.digest.hex())
-    if payload is None:
-        raise PlatformUnavailableError(
-            f"the object of version {head.version} is missing"
-        )
-    return head, decode_document(payload)
+Edit = Callable[[Document], Document]
 
 
 async def publish_document(
-    platform: Platform,
+    platform: PlatformStore,
     document: Document,
     *,
     change_id: str,
     base_version: int,
     author: str,
+    summary: str = "",
+    now: datetime.datetime | None = None,
 ) -> Head:
     """Publishes a document as the version after `base_version`.
 
@@ -102,68 +76,190 @@
         change_id: Id of the change; a repeat under the same id is harmless.
         base_version: Version that the operator started from.
         author: Who makes the change.
+        summary: What the change does, in one line.
+        now: Time of the change; the clock's if left out.
+
+    Returns:
+        The version that the change created, now or at an earlier attempt.
 
     Raises:
+        InvalidArgumentError: If the change id or the base can't be right.
         ConfigInvalidError: If the document breaks a rule.
+        ChangeIdReusedError: If the id stands for another document.
         ConflictingChangeError: If another change was accepted first.
-        PlatformUnavailableError: If nothing was published.
+        PlatformUnavailableError: If this attempt published nothing.
         PlatformWriteUnknownError: If the change may have been published.
     """
-    check_document(document)
-    accepted = await _find_change(platform, change_id)
+    parse_change_id(change_id)
+    payload = _prepare_payload(document)
+    now = now or datetime.datetime.now(datetime.UTC)
+    change = Change(
+        version=base_version + 1,
+        digest=compute_digest(payload),
+        change_id=change_id,
+        author=author,
+        summary=summary,
+        at=now.isoformat(timespec="seconds"),
+    )
+    head = await fetch_head(platform)
+    accepted = await _find_accepted(platform, change)
     if accepted is not None:
         return accepted
-    head = await fetch_head(platform)
-    if head.version != base_version:
-        raise ConflictingChangeError(
-            change_id=head.change_id, version=head.version
+    if base_version > head.version:
+        raise InvalidArgumentError(
+            f"got base version {base_version}, expected at most the newest"
+            f" one, {head.version}"
         )
+    if base_version < head.version:
+        raise await _find_conflict(platform, base_version)
+    await _check_ends(platform, document, base_version, now.date())
+    await _store_object(platform, change, payload)
+    return await _move_head(platform, head, change)
+
+
+async def publish_edit(
+    platform: PlatformStore,
+    edit: Edit,
+    *,
+    change_id: str,
+    author: str,
+    base_version: int | None = None,
+    summary: str = "",
+    now: datetime.datetime | None = None,
+) -> Head:
+    """Edits the newest document and publishes the result.
+
+    A repeat under the same change id applies the edit to the version that
+    the change started from, so that it is known again after the document
+    has moved on.
+
+    Args:
+        platform: Table service and object store.
+        edit: Returns the edited document; raises if the edit doesn't fit.
+        change_id: Id of the change; a repeat under the same id is harmless.
+        author: Who makes the change.
+        base_version: Version that must be the newest; None for any.
+        summary: What the change does, in one line.
+        now: Time of the change; the clock's if left out.
+
+    Raises:
+        GuavawingError: As `publish_document` does.
+    """
+    parse_change_id(change_id)
+    head, document = await fetch_document(platform)
+    change = await fetch_change(platform, change_id)
+    if change is not None:
+        _, base = await fetch_version(platform, change.version - 1)
+        try:
+            same = compute_digest(encode_document(edit(base))) == change.digest
+        except InvalidArgumentError:
+            same = False
+        if not same:
+            raise ChangeIdReusedError(
+                change_id=change_id, version=change.version
+            )
+        return change.to_head()
+    if base_version is not None and base_version < head.version:
+        raise await _find_conflict(platform, base_version)
+    return await publish_document(
+        platform,
+        edit(document),
+        change_id=change_id,
+        base_version=head.version if base_version is None else base_version,
+        author=author,
+        summary=summary,
+        now=now,
+    )
+
+
+def _prepare_payload(document: Document) -> bytes:
+    """Encodes a document and checks its bytes as every node will.
+
+    Raises:
+        ConfigInvalidError: If a node would refuse it.
+    """
     payload = encode_document(document)
-    digest = compute_digest(payload)
-    await platform.put_object(digest.hex(), payload)
-    value = {
-        "version": base_version + 1,
-        "digest": digest.hex(),
-        "change_id": change_id,
-        "author": author,
-    }
-    return await _move_head(platform, head, value)
+    check_document(decode_document(payload))
+    return payload
+
+
+async def _check_ends(
+    platform: PlatformStore,
+    document: Document,
+    base_version: int,
+    today: datetime.date,
+) -> None:
+    if not any(find_ended(document, today)):
+        return
+    _, base = await fetch_version(platform, base_version)
+    faults = tuple(find_ended(document, today, base=base))
+    if faults:
+        raise ConfigInvalidError(faults)
+
+
+async def _store_object(
+    platform: PlatformStore, change: Change, payload: bytes
+) -> None:
+    try:
+        await platform.put_object(change.digest.hex(), payload)
+    except PlatformWriteUnknownError as exc:
+        # Nothing refers to the object yet, whether it is there or not.
+        raise PlatformUnavailableError(str(exc)) from exc
 
 
 async def _move_head(
-    platform: Platform, head: Head, value: dict[str, Any]
+    platform: PlatformStore, head: Head, change: Change
 ) -> Head:
+    value = encode_change(change)
     writes = (
         Write(HEAD_TABLE, HEAD_KEY, value, head.revision),
-        Write(CHANGE_TABLE, value["change_id"], value, 0),
+        Write(CHANGE_TABLE, change.change_id, value, 0),
+        Write(HISTORY_TABLE, name_history_row(change.version), value, 0),
     )
     try:
         await platform.transact(writes)
-    except (PlatformWriteUnknownError, TransactionRefusedError) as exc:
-        accepted = await _find_change(platform, value["change_id"])
-        if accepted is not None:
-            return accepted
-        if isinstance(exc, PlatformWriteUnknownError):
+    except TransactionRefusedError:
+        accepted = await _find_accepted(platform, change)
+        if accepted is None:
+            raise await _find_conflict(platform, head.version) from None
+        return accepted
+    except PlatformWriteUnknownError:
+        accepted = await _try_find_accepted(platform, change)
+        if accepted is None:
             raise
-        newest = await fetch_head(platform)
-        raise ConflictingChangeError(
-            change_id=newest.change_id, version=newest.version
-        ) from exc
-    return Head(
-        version=value["version"],
-        digest=bytes.fromhex(value["digest"]),
-        change_id=value["change_id"],
-        revision=head.revision + 1,
-    )
+        return accepted
+    return attrs.evolve(change.to_head(), revision=head.revision + 1)
 
 
-async def _find_change(platform: Platform, change_id: str) -> Head | None:
-    row = await platform.read_row(CHANGE_TABLE, change_id)
-    if row is None:
+async def _find_accepted(
+    platform: PlatformStore, change: Change
+) -> Head | None:
+    accepted = await fetch_change(platform, change.change_id)
+    if accepted is None:
         return None
-    return Head(
-        version=row.value["version"],
-        digest=bytes.fromhex(row.value["digest"]),
-        change_id=change_id,
-        revision=0,
+    if accepted.digest != change.digest:
+        raise ChangeIdReusedError(
+            change_id=change.change_id, version=accepted.version
+        )
+    return accepted.to_head()
+
+
+async def _try_find_accepted(
+    platform: PlatformStore, change: Change
+) -> Head | None:
+    """Looks for a change whose outcome is unknown; None leaves it so."""
+    try:
+        return await _find_accepted(platform, change)
+    except PlatformUnavailableError:
+        return None
+
+
+async def _find_conflict(
+    platform: PlatformStore, base_version: int
+) -> ConflictingChangeError:
+    """Returns the conflict with the change that followed a version."""
+    winner = await fetch_version_change(platform, base_version + 1)
+    newest = winner or await fetch_head(platform)
+    return ConflictingChangeError(
+        change_id=newest.change_id, version=newest.version
     )
--- /dev/null
+++ b/src/guavawing/platform/store.py
@@ -0,0 +1,29 @@
+"""What publishing and reading need of the platform."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from guavawing.platform.client import MAX_SCAN_ROWS, Row, Write
+
+__all__ = ["PlatformStore"]
+
+
+class PlatformStore(Protocol):
+    """Table service and object store; `Platform` is the one over HTTP."""
+
+    async def read_row(self, table: str, key: str) -> Row | None:
+        """Returns a row, or None if it does not exist."""
+
+    async def scan_rows(
+        self, table: str, *, after: str = "", limit: int = MAX_SCAN_ROWS
+    ) -> list[Row]:
+        """Returns up to `limit` rows in order of key, from behind `after`."""
+
+    async def transact(self, writes: Sequence[Write]) -> None:
+        """Carries out all writes or none."""
+
+    async def put_object(self, name: str, payload: bytes) -> None:
+        """Stores an object; storing the same bytes again is harmless."""
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Returns an object's bytes, or None if there is none."""
--- /dev/null
+++ b/src/guavawing/platform/versions.py
@@ -0,0 +1,267 @@
+"""Reading of published versions: the head, the history, the documents.
+
+A version is described by three rows that one transaction writes: the head,
+the change under its id, and the same change in the history. Keys of the
+history are version numbers of fixed width, so that a scan in order of key
+returns the newest changes without reading the older ones.
+"""
+
+import re
+from collections.abc import Sequence
+from typing import Any
+
+import attrs
+
+from guavawing.config import (
+    Document,
+    compute_digest,
+    decode_document,
+)
+from guavawing.errors import (
+    ConfigInvalidError,
+    InvalidArgumentError,
+    PlatformDataInvalidError,
+)
+from guavawing.platform.client import Row
+from guavawing.platform.store import PlatformStore
+
+__all__ = [
+    "Change",
+    "Head",
+    "fetch_change",
+    "fetch_document",
+    "fetch_head",
+    "fetch_history",
+    "fetch_version",
+    "parse_change_id",
+]
+
+HEAD_TABLE = "config-head"
+HEAD_KEY = "head"
+CHANGE_TABLE = "config-changes"
+HISTORY_TABLE = "config-history"
+HISTORY_PAGE = 1_000
+_VERSION_DIGITS = 12
+_DIGEST_LENGTH = 32
+_CHANGE_ID = re.compile(r"[A-Za-z0-9_.-]{1,64}")
+
+
+@attrs.frozen
+class Head:
+    """The newest accepted version.
+
+    Attributes:
+        version: Number of the version; 0 before the first one.
+        digest: SHA-256 digest of the document.
+        change_id: Id of the change that created it.
+        revision: Revision of the head row; 0 where it was not read.
+    """
+
+    version: int
+    digest: bytes
+    change_id: str
+    revision: int
+
+
+@attrs.frozen
+class Change:
+    """An accepted change.
+
+    Attributes:
+        version: Number of the version that it created.
+        digest: SHA-256 digest of the document.
+        change_id: Id of the change.
+        author: Who made it.
+        summary: What it does, in one line.
+        at: When its author published it, in ISO 8601.
+    """
+
+    version: int
+    digest: bytes
+    change_id: str
+    author: str = ""
+    summary: str = ""
+    at: str = ""
+
+    def to_head(self) -> Head:
+        """Returns the head that this change created."""
+        return Head(self.version, self.digest, self.change_id, revision=0)
+
+
+EMPTY_HEAD = Head(version=0, digest=b"", change_id="", revision=0)
+
+
+def parse_change_id(text: str) -> str:
+    """Returns a change id.
+
+    Raises:
+        InvalidArgumentError: If `text` can't be one.
+    """
+    if _CHANGE_ID.fullmatch(text) is None:
+        raise InvalidArgumentError(
+            f"got the change id {text!r}, expected 1 to 64 letters, digits,"
+            " '-', '_' or '.'"
+        )
+    return text
+
+
+def encode_change(change: Change) -> dict[str, Any]:
+    """Returns the value of the rows that describe a change."""
+    return {**attrs.asdict(change), "digest": change.digest.hex()}
+
+
+def name_history_row(version: int) -> str:
+    """Returns the key of a version in the history."""
+    return f"{version:0{_VERSION_DIGITS}d}"
+
+
+async def fetch_head(platform: PlatformStore) -> Head:
+    """Returns the newest accepted version.
+
+    Raises:
+        PlatformUnavailableError: If the platform gives no usable answer.
+        PlatformDataInvalidError: If the row is damaged.
+    """
+    row = await platform.read_row(HEAD_TABLE, HEAD_KEY)
+    if row is None:
+        return EMPTY_HEAD
+    change = _decode_change(HEAD_TABLE, row)
+    return attrs.evolve(change.to_head(), revision=row.revision)
+
+
+async def fetch_change(
+    platform: PlatformStore, change_id: str
+) -> Change | None:
+    """Returns an accepted change by its id, or None if there is none.
+
+    Raises:
+        PlatformUnavailableError: If the platform gives no usable answer.
+        PlatformDataInvalidError: If the row is damaged.
+    """
+    row = await platform.read_row(CHANGE_TABLE, change_id)
+    return None if row is None else _decode_change(CHANGE_TABLE, row)
+
+
+async def fetch_version_change(
+    platform: PlatformStore, version: int
+) -> Change | None:
+    """Returns the change that created a version, or None.
+
+    Raises:
+        PlatformUnavailableError: If the platform gives no usable answer.
+        PlatformDataInvalidError: If the row is damaged.
+    """
+    row = await platform.read_row(HISTORY_TABLE, name_history_row(version))
+    return None if row is None else _decode_change(HISTORY_TABLE, row)
+
+
+async def fetch_history(
+    platform: PlatformStore, *, limit: int
+) -> Sequence[Change]:
+    """Returns up to `limit` newest changes, the newest first.
+
+    It takes one read of the head and one of each page of the history.
+
+    Raises:
+        PlatformUnavailableError: If the platform gives no usable answer.
+        PlatformDataInvalidError: If a row is damaged.
+    """
+    head = await fetch_head(platform)
+    last = max(head.version - limit, 0)
+    changes: list[Change] = []
+    while last < head.version:
+        rows = await platform.scan_rows(
+            HISTORY_TABLE,
+            after=name_history_row(last),
+            limit=min(HISTORY_PAGE, head.version - last),
+        )
+        if not rows:
+            raise PlatformDataInvalidError(
+                f"the history ends at version {last}, the head is at version"
+                f" {head.version}"
+            )
+        changes += [_decode_change(HISTORY_TABLE, row) for row in rows]
+        last = changes[-1].version
+    return changes[::-1]
+
+
+async def fetch_document(platform: PlatformStore) -> tuple[Head, Document]:
+    """Returns the newest accepted version and its document.
+
+    Raises:
+        PlatformUnavailableError: If the platform gives no usable answer.
+        PlatformDataInvalidError: If a row or the object is damaged.
+    """
+    head = await fetch_head(platform)
+    if head.version == 0:
+        return head, Document()
+    return head, await _fetch_object(platform, head.version, head.digest)
+
+
+async def fetch_version(
+    platform: PlatformStore, version: int
+) -> tuple[Change, Document]:
+    """Returns any accepted version: its change and its document.
+
+    Version 0 stands for the empty document before the first change.
+
+    Raises:
+        InvalidArgumentError: If there is no such version.
+        PlatformUnavailableError: If the platform gives no usable answer.
+        PlatformDataInvalidError: If a row or the object is damaged.
+    """
+    if version == 0:
+        return Change(0, b"", ""), Document()
+    change = await fetch_version_change(platform, version)
+    if change is None:
+        raise InvalidArgumentError(
+            f"got version {version}, expected one that 'guavawing config"
+            " history' lists"
+        )
+    return change, await _fetch_object(platform, version, change.digest)
+
+
+async def _fetch_object(
+    platform: PlatformStore, version: int, digest: bytes
+) -> Document:
+    payload = await platform.get_object(digest.hex())
+    if payload is None:
+        raise PlatformDataInvalidError(
+            f"the object of version {version} is missing"
+        )
+    if compute_digest(payload) != digest:
+        raise PlatformDataInvalidError(
+            f"the object of version {version} is damaged: its digest differs"
+        )
+    try:
+        return decode_document(payload)
+    except ConfigInvalidError as exc:
+        raise PlatformDataInvalidError(
+            f"the object of version {version} can't be read: {exc}"
+        ) from exc
+
+
+def _decode_change(table: str, row: Row) -> Change:
+    value = row.value
+    try:
+        change = Change(
+            version=value["version"],
+            digest=bytes.fromhex(value["digest"]),
+            change_id=value["change_id"],
+            author=str(value.get("author", "")),
+            summary=str(value.get("summary", "")),
+            at=str(value.get("at", "")),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as exc:
+        raise PlatformDataInvalidError(
+            f"row {table}/{row.key} is damaged: {exc!r}"
+        ) from exc
+    whole = (
+        type(change.version) is int
+        and change.version > 0
+        and isinstance(change.change_id, str)
+        and len(change.digest) == _DIGEST_LENGTH
+    )
+    if not whole:
+        raise PlatformDataInvalidError(f"row {table}/{row.key} is damaged")
+    return change
--- /dev/null
+++ b/standins/memory_platform.py
@@ -0,0 +1,163 @@
+"""Stand-in for the platform's client: tables and objects in memory.
+
+It has the methods of `guavawing.platform.Platform`, without sockets, so that
+sessions of several publishers can be stepped by hand and are deterministic.
+Each request first gives up control once; then it meets its fault, if any.
+"""
+
+import enum
+from collections.abc import Callable, Generator, Iterable, Sequence
+from typing import Any
+
+import attrs
+
+from guavawing.errors import (
+    PlatformUnavailableError,
+    PlatformWriteUnknownError,
+)
+from guavawing.platform.client import Row, TransactionRefusedError, Write
+
+
+class CrashError(BaseException):
+    """Ends a publisher at once, as the end of its process would."""
+
+
+class Fault(enum.Enum):
+    """What becomes of one request."""
+
+    NONE = "served"
+    REFUSED = "refused"
+    LOST_REPLY = "carried out, reply lost"
+    LATE = "carried out later, no reply"
+    DROPPED = "never carried out, no reply"
+    CRASH = "publisher ends before it"
+
+
+class _Pause:
+    """Gives up control once."""
+
+    def __await__(self) -> Generator[None, None, None]:
+        yield
+
+
+@attrs.define
+class MemoryStore:
+    """What the platform holds.
+
+    Attributes:
+        tables: Rows with their revision, by table and key.
+        objects: Objects by name.
+        late: Writes that were sent and will still be carried out.
+        reads: Number of reads.
+        writes: Number of writes.
+    """
+
+    tables: dict[str, dict[str, tuple[Any, int]]] = attrs.field(factory=dict)
+    objects: dict[str, bytes] = attrs.field(factory=dict)
+    late: list[Callable[[], object]] = attrs.field(factory=list)
+    reads: int = 0
+    writes: int = 0
+
+    def transact(self, writes: Sequence[Write]) -> bool:
+        """Carries out all writes or none; returns whether it did."""
+        for write in writes:
+            _, revision = self.get_row(write.table, write.key)
+            if write.expected_revision not in (None, revision):
+                return False
+        for write in writes:
+            _, revision = self.get_row(write.table, write.key)
+            rows = self.tables.setdefault(write.table, {})
+            rows[write.key] = (write.value, revision + 1)
+        return True
+
+    def get_row(self, table: str, key: str) -> tuple[Any, int]:
+        """Returns value and revision; revision 0 for a missing row."""
+        return self.tables.get(table, {}).get(key, (None, 0))
+
+    def deliver_late(self, index: int = 0) -> None:
+        """Carries out one of the late writes."""
+        self.late.pop(index)()
+
+
+class MemoryPlatform:
+    """One publisher's client of a store.
+
+    Args:
+        store: What the platform holds; several clients may share it.
+        faults: What becomes of the requests, in order; those after the
+            last one are served.
+        log: Is told of each request and what became of it.
+    """
+
+    def __init__(
+        self,
+        store: MemoryStore,
+        faults: Iterable[Fault] = (),
+        log: Callable[[str], None] = lambda line: None,
+    ) -> None:
+        self._store = store
+        self._faults = iter(faults)
+        self._log = log
+
+    async def read_row(self, table: str, key: str) -> Row | None:
+        """Returns a row, or None if it does not exist."""
+        await self._read(f"read {table}/{key}")
+        value, revision = self._store.get_row(table, key)
+        return Row(key, value, revision) if revision else None
+
+    async def scan_rows(
+        self, table: str, *, after: str = "", limit: int = 1_000
+    ) -> list[Row]:
+        """Returns up to `limit` rows in order of key, from behind `after`."""
+        await self._read(f"scan {table} after {after!r}")
+        rows = self._store.tables.get(table, {})
+        keys = sorted(key for key in rows if key > after)[:limit]
+        return [Row(key, *rows[key]) for key in keys]
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Returns an object's bytes, or None if there is none."""
+        await self._read(f"get object {name[:8]}")
+        return self._store.objects.get(name)
+
+    async def put_object(self, name: str, payload: bytes) -> None:
+        """Stores an object."""
+        await self._write(
+            f"put object {name[:8]}",
+            lambda: self._store.objects.update({name: payload}),
+        )
+
+    async def transact(self, writes: Sequence[Write]) -> None:
+        """Carries out all writes or none."""
+        done = await self._write(
+            "transact " + ", ".join(f"{w.table}/{w.key}" for w in writes),
+            lambda: self._store.transact(writes),
+        )
+        if done is False:
+            raise TransactionRefusedError("a row was written by somebody else")
+
+    async def _begin(self, what: str) -> Fault:
+        await _Pause()
+        fault = next(self._faults, Fault.NONE)
+        self._log(f"{what}: {fault.value}")
+        if fault is Fault.CRASH:
+            raise CrashError
+        if fault is Fault.REFUSED:
+            raise PlatformUnavailableError("the platform did not answer")
+        return fault
+
+    async def _read(self, what: str) -> None:
+        self._store.reads += 1
+        if await self._begin(what) is not Fault.NONE:
+            raise PlatformUnavailableError("the platform did not answer")
+
+    async def _write(self, what: str, action: Callable[[], object]) -> object:
+        self._store.writes += 1
+        fault = await self._begin(what)
+        if fault is Fault.LATE:
+            self._store.late.append(action)
+        result = None
+        if fault in (Fault.NONE, Fault.LOST_REPLY):
+            result = action()
+        if fault is not Fault.NONE:
+            raise PlatformWriteUnknownError("no answer to a write")
+        return result
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -23,20 +23,49 @@
         down: Whether every request is refused with status 503.
         delay_s: Time added to every request, in seconds.
         lose_replies: Number of writes to carry out without an answer.
+        lose_after: Number of writes that are answered before that.
+        lost_status: Status answered in place of a lost reply; 0 to close the
+            connection.
+        serve_first: Number of requests that are served before every request
+            is refused; None for no such limit.
+        garbage: Whether reads are answered with bytes that mean nothing.
     """
 
     down: bool = False
     delay_s: float = 0.0
     lose_replies: int = 0
+    lose_after: int = 0
+    lost_status: int = 0
+    serve_first: int | None = None
+    garbage: bool = False
+
+    def refuses(self) -> bool:
+        """Counts a request; returns whether it is refused."""
+        if self.serve_first is None:
+            return self.down
+        self.serve_first -= 1
+        return self.serve_first < 0
+
+    def loses_reply(self) -> bool:
+        """Counts a write; returns whether its reply is lost."""
+        if self.lose_after > 0:
+            self.lose_after -= 1
+            return False
+        self.lose_replies -= 1
+        return self.lose_replies >= 0
 
 
 class PlatformStandIn:
-    """Tables and objects in memory."""
+    """Tables and objects in memory.
+
+    Attributes:
+        faults: How it fails from now on.
+    """
 
     def __init__(self) -> None:
         self._tables: dict[str, dict[str, tuple[Any, int]]] = {}
         self._objects: dict[str, bytes] = {}
-        self._faults = Faults()
+        self.faults = Faults()
         self._counters = {"reads": 0, "writes": 0, "bytes": 0}
 
     def build_app(self) -> web.Application:
@@ -59,15 +88,18 @@
     ) -> web.StreamResponse:
         if req.path in ("/faults", "/counters"):
             return await handler(req)
-        if self._faults.delay_s:
-            await asyncio.sleep(self._faults.delay_s)
-        if self._faults.down:
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
+        if self.faults.refuses():
             return web.Response(status=503)
         is_write = req.method != "GET"
         self._counters["writes" if is_write else "reads"] += 1
         resp = await handler(req)
-        if is_write and self._faults.lose_replies > 0:
-            self._faults.lose_replies -= 1
+        if not is_write:
+            return web.Response(body=b"[7]") if self.faults.garbage else resp
+        if self.faults.loses_reply():
+            if self.faults.lost_status:
+                return web.Response(status=self.faults.lost_status)
             assert req.transport is not None
             req.transport.abort()
         return resp
@@ -112,7 +144,7 @@
         return web.Response(body=payload)
 
     async def _set_faults(self, req: web.Request) -> web.Response:
-        self._faults = Faults(**orjson.loads(await req.read()))
+        self.faults = Faults(**orjson.loads(await req.read()))
         return _respond({})
 
     async def _get_counters(self, _: web.Request) -> web.Response:
