Detect failures with probes, suspicion and local health

Cause: the thin path gossips a heartbeat of every node about every node and judges by 5 s of silence alone, so a node that was frozen accuses all others when it wakes, and the bytes grow with the fleet. Ruled out: mending the heartbeat table; its cost and its stale timers come from its design. The setting gossip_period_s is now the probe period, by default 1 s.

--- a/src/guavawing/membership/gossip.py
+++ b/src/guavawing/membership/gossip.py
@@ -1,45 +1,101 @@
-"""Gossip between members: heartbeats, records and version notices."""
+"""Membership as one node sees it: probes, rumours and exchanges together."""
 
 import random
-from collections.abc import Iterable
-
-import attrs
+from collections.abc import Iterable, Sequence
 
+from guavawing.membership.detector import Detector, Outgoing
+from guavawing.membership.exchange import Exchange, SyncSend
 from guavawing.membership.member import Member, MemberState
-from guavawing.membership.message import Datagram, Notice, Send
-from guavawing.membership.table import MemberTable
+from guavawing.membership.message import (
+    MAX_DATAGRAM_BYTES,
+    Ack,
+    Body,
+    Claim,
+    Datagram,
+    Nack,
+    Notice,
+    Ping,
+    PingRequest,
+    Push,
+    Send,
+    SummaryAge,
+    SyncPage,
+    SyncRequest,
+    estimate_bytes,
+)
+from guavawing.membership.roster import Roster
+from guavawing.membership.rumours import Update
+from guavawing.membership.summary import sample_contacts
 from guavawing.model import Address, MemberId
 
-__all__ = ["Gossip"]
+__all__ = ["PROBE_PERIOD_S", "TICKS_PER_PERIOD", "Gossip"]
 
-FANOUT = 2
-RECORDS_PER_DATAGRAM = 12
-DEAD_AFTER_S = 5.0
-FORGET_AFTER_S = 60.0
+PROBE_PERIOD_S = 1.0
+TICKS_PER_PERIOD = 5
+FANOUT = 3
+# Members that a leaving one tells itself.
+LEAVE_FANOUT = 8
+# Members of another data centre that a reporter tells of a change.
+REMOTE_FANOUT = 2
+REMOTE_DATAGRAMS_PER_TICK = 4
+# Ticks without the event loop's turn after which the loop is late, and
+# probe periods after which this process has stalled.
+LATE_TICKS = 3
+STALL_PERIODS = 1.5
+# Room that a datagram keeps for its sender, notice and body.
+HEAD_BYTES = 300
+MS_PER_S = 1000
 
 
 class Gossip:
-    """Membership as one node sees it.
+    """The membership machine of one node.
 
-    The member raises its own sequence with every tick, so a record that
-    stays the same for `DEAD_AFTER_S` belongs to a member that has stopped.
+    Events come in by method call with the time as `now`; what is to be sent
+    comes back. `tick` is due `TICKS_PER_PERIOD` times in a probe period.
     """
 
     def __init__(
-        self, me: Member, seeds: Iterable[Address], rng: random.Random
+        self,
+        me: Member,
+        seeds: Iterable[Address],
+        rng: random.Random,
+        *,
+        period_s: float = PROBE_PERIOD_S,
     ) -> None:
-        self._me = me
-        self._seeds = tuple(seeds)
         self._rng = rng
-        self._heard_at: dict[MemberId, float] = {}
+        self._period_s = period_s
+        self._roster = Roster(me, period_s=period_s)
+        self._detector = Detector(self._roster, rng, period_s=period_s)
+        others = (seed for seed in seeds if seed != me.control)
+        self._exchange = Exchange(self._roster, others, rng)
         self._notice = Notice(0, b"")
-        self.table = MemberTable()
-        self.table.merge(me)
+        self._seen_at: float | None = None
+        self.table = self._roster.table
 
     @property
     def me(self) -> Member:
         """This node's own record."""
-        return self._me
+        return self._roster.me
+
+    @property
+    def joined(self) -> bool:
+        """Whether a member of the data centre has told its whole state."""
+        return self._exchange.joined
+
+    @property
+    def health_score(self) -> int:
+        """How far this node doubts its own timing; 0 if not at all."""
+        return self._roster.health.score
+
+    def summary_age(self, data_centre: str, *, now: float) -> float | None:
+        """Returns the age of a summary in seconds; None if never read."""
+        return self._exchange.find_age(data_centre, now=now)
+
+    def add_contacts(
+        self, data_centre: str, contacts: Iterable[Address]
+    ) -> None:
+        """Takes addresses at which members of a data centre may be found."""
+        self._exchange.add_contacts(data_centre, contacts)
 
     def set_notice(self, notice: Notice) -> None:
         """Sets the version that the datagrams tell of."""
@@ -47,91 +103,223 @@
 
     def set_target(self, *, serving: bool, slots: int) -> None:
         """Sets whether this node's target takes new calls, and how many."""
-        self._update_me(serving=serving, slots=slots)
+        self._roster.update_me(serving=serving, slots=slots)
 
     def leave(self) -> list[Send]:
         """Tells other members that this node stops."""
-        self._update_me(state=MemberState.LEFT, serving=False)
-        return self._send_to_some(len(self.table), reply_wanted=False)
+        self._roster.update_me(state=MemberState.LEFT, serving=False)
+        return self._push_to_some(LEAVE_FANOUT) + self._report()
 
     def announce(self) -> list[Send]:
-        """Tells a few members of this node's version at once."""
-        return self._send_to_some(FANOUT, reply_wanted=False)
+        """Tells a few members of this node's news and version at once."""
+        sends = self._push_to_some(FANOUT)
+        for data_centre in self._other_centres():
+            if self._exchange.is_reporter_for(data_centre):
+                sends += self._push(data_centre, 1, ())
+        return sends
 
     def tick(self, *, now: float) -> list[Send]:
-        """Takes the passing of one gossip period."""
-        if self._me.state is MemberState.ALIVE:
-            self._update_me()
-        self._judge_silence(now)
-        sends = self._send_to_some(FANOUT, reply_wanted=True)
-        if len(self.table) == 1 or self._rng.random() < 1 / len(self.table):
-            sends += self._send_to_seeds()
-        return sends
+        """Takes the passing of a tick."""
+        self._observe(now)
+        if self.me.state is MemberState.LEFT:
+            return self._push_to_some(FANOUT) if self._has_news() else []
+        self._roster.expire(now=now)
+        sends = self._pack(self._detector.tick(now=now))
+        reads = self._exchange.tick(now=now)
+        if any(read.body.data_centre == self.me.data_centre for read in reads):
+            sends += self._pack(self._detector.probe_stopped())
+        sends += self._pack_reads(reads)
+        if self._has_news():
+            sends += self._push_to_some(FANOUT)
+        return sends + self._report()
 
     def receive(self, datagram: Datagram, *, now: float) -> list[Send]:
         """Takes a datagram from another member."""
+        self._observe(now)
+        if datagram.sender == self.me.id:
+            return []
+        self._take_updates(datagram, now)
+        if self.me.state is MemberState.LEFT:
+            return []
+        sends = self._take_body(datagram, now)
+        return sends
+
+    def _take_updates(self, datagram: Datagram, now: float) -> None:
+        # A joiner reads what the others know already.
+        joining = not self.joined and isinstance(datagram.body, SyncPage)
         for record in datagram.records:
-            self._take_record(record, now)
-        sender = self.table.get(datagram.sender)
-        if not datagram.reply_wanted or sender is None:
+            self._roster.take_record(record, now=now, spread=not joining)
+        for claim in datagram.claims:
+            self._roster.take_claim(claim, now=now)
+        for age in datagram.ages:
+            self._exchange.take_age(
+                age.data_centre, age.age_ms / MS_PER_S, now=now
+            )
+
+    def _take_body(self, datagram: Datagram, now: float) -> list[Send]:
+        sender = datagram.sender
+        match datagram.body:
+            case Ping() as ping:
+                return self._pack(self._detector.answer(ping, sender))
+            case PingRequest() as request:
+                return self._pack(self._detector.relay(request, now=now))
+            case Ack() as ack:
+                return self._pack(self._detector.take_ack(ack))
+            case Nack() as nack:
+                self._detector.take_nack(nack)
+                return []
+            case SyncRequest() as request:
+                answers = self._exchange.answer(request, now=now)
+                return self._pack_reads(answers)
+            case SyncPage() as page:
+                return self._take_page(page, datagram, now)
+            case Push():
+                return []
+
+    def _take_page(
+        self, page: SyncPage, datagram: Datagram, now: float
+    ) -> list[Send]:
+        member = self.table.get(datagram.sender)
+        if member is None:
             return []
-        return [Send(sender.control, self._make_datagram(reply_wanted=False))]
+        seen = [record.id for record in datagram.records]
+        seen += [claim.subject for claim in datagram.claims]
+        reads = self._exchange.take_page(page, member, seen, now=now)
+        return self._pack_reads(reads)
 
-    def _take_record(self, record: Member, now: float) -> None:
-        if record.id == self._me.id:
-            self._refute(record)
+    def _observe(self, now: float) -> None:
+        """Compares the time with the last event to find a late process."""
+        last, self._seen_at = self._seen_at, now
+        if last is None:
             return
-        if self.table.merge(record):
-            self._heard_at[record.id] = now
+        gap_s = now - last
+        if gap_s > STALL_PERIODS * self._period_s:
+            self._detector.forget()
+            self._roster.distrust_timers(now=now)
+            self._exchange.hasten()
+        elif gap_s > LATE_TICKS * self._period_s / TICKS_PER_PERIOD:
+            self._roster.health.worsen(1)
 
-    def _refute(self, record: Member) -> None:
-        if record.precedence() <= self._me.precedence():
-            return
-        self._update_me(
-            incarnation=max(self._me.incarnation, record.incarnation),
-            sequence=max(self._me.sequence, record.sequence),
+    def _has_news(self) -> bool:
+        return len(self._roster.rumours) > 0
+
+    def _other_centres(self) -> list[str]:
+        here = self.me.data_centre
+        return [name for name in self.table.data_centres() if name != here]
+
+    def _push_to_some(self, count: int) -> list[Send]:
+        running = self._roster.running()
+        chosen = self._rng.sample(running, min(count, len(running)))
+        return self._pack(
+            [(member.control, member.id, Push()) for member in chosen]
         )
 
-    def _judge_silence(self, now: float) -> None:
-        for member in self.table:
-            if member.id == self._me.id:
-                continue
-            silence_s = now - self._heard_at.get(member.id, now)
-            if silence_s > FORGET_AFTER_S:
-                self.table.remove(member.id)
+    def _report(self) -> list[Send]:
+        """Tells other data centres of changes in this one."""
+        outbound = self._roster.outbound
+        if not outbound:
+            return []
+        sends: list[Send] = []
+        changes = tuple(outbound.values())
+        outbound.clear()
+        members = self.table.members_in(self.me.data_centre)
+        for data_centre in self._other_centres():
+            if not self._exchange.is_reporter_for(data_centre):
                 continue
-            alive = member.state is MemberState.ALIVE
-            if alive and silence_s > DEAD_AFTER_S:
-                dead = attrs.evolve(member, state=MemberState.DEAD)
-                self.table.merge(dead)
-
-    def _update_me(self, **changes: object) -> None:
-        changes["sequence"] = (
-            max(self._me.sequence, int(str(changes.get("sequence", 0)))) + 1
-        )
-        self._me = attrs.evolve(self._me, **changes)  # type: ignore[arg-type]
-        self.table.merge(self._me)
-
-    def _send_to_some(self, count: int, *, reply_wanted: bool) -> list[Send]:
-        others = [
-            member
-            for member in self.table
-            if member.id != self._me.id and member.state is MemberState.ALIVE
-        ]
-        chosen = self._rng.sample(others, min(count, len(others)))
-        datagram = self._make_datagram(reply_wanted=reply_wanted)
+            sample = sample_contacts(members, data_centre=data_centre)
+            told = _select_changes(changes, {m.id for m in sample})
+            for part in _split(told)[:REMOTE_DATAGRAMS_PER_TICK]:
+                sends += self._push(data_centre, REMOTE_FANOUT, part)
+        return sends
+
+    def _push(
+        self, data_centre: str, count: int, updates: Sequence[Update]
+    ) -> list[Send]:
+        contacts = self._roster.running(data_centre)
+        chosen = self._rng.sample(contacts, min(count, len(contacts)))
+        datagram = self._make_datagram(Push(), updates)
         return [Send(member.control, datagram) for member in chosen]
 
-    def _send_to_seeds(self) -> list[Send]:
-        datagram = self._make_datagram(reply_wanted=True)
+    def _pack(self, outgoing: Iterable[Outgoing]) -> list[Send]:
         return [
-            Send(seed, datagram)
-            for seed in self._seeds
-            if seed != self._me.control
+            Send(address, self._fill(body, receiver))
+            for address, receiver, body in outgoing
         ]
 
-    def _make_datagram(self, *, reply_wanted: bool) -> Datagram:
-        others = [m for m in self.table if m.id != self._me.id]
-        count = min(RECORDS_PER_DATAGRAM, len(others))
-        records = (self._me, *self._rng.sample(others, count))
-        return Datagram(self._me.id, records, self._notice, reply_wanted)
+    def _fill(self, body: Body, receiver: MemberId) -> Datagram:
+        """Returns a datagram with what its receiver should hear.
+
+        A receiver that is suspected or held dead is told so first, since
+        only it can refute that.
+        """
+        room = MAX_DATAGRAM_BYTES - HEAD_BYTES
+        claim = self._roster.describe_claim(receiver)
+        updates: list[Update] = []
+        if claim is not None:
+            updates.append(claim)
+            room -= estimate_bytes(claim)
+        members = len(self._roster.running()) + 1
+        updates += self._roster.rumours.take(max_bytes=room, members=members)
+        return self._make_datagram(body, updates)
+
+    def _pack_reads(self, reads: Iterable[SyncSend]) -> list[Send]:
+        sends = []
+        for read in reads:
+            updates: list[Update] = [self.me]
+            if read.page is not None:
+                updates += read.page.records
+                updates += read.page.claims
+            else:
+                receiver = self.table.find(read.address)
+                claim = receiver and self._roster.describe_claim(receiver.id)
+                updates += [claim] if claim else []
+            datagram = self._make_datagram(read.body, updates)
+            sends.append(Send(read.address, datagram))
+        return sends
+
+    def _make_datagram(self, body: Body, updates: Iterable[Update]) -> Datagram:
+        records: list[Member] = []
+        claims: list[Claim] = []
+        ages: list[SummaryAge] = []
+        for update in updates:
+            match update:
+                case Member():
+                    records.append(update)
+                case Claim():
+                    claims.append(update)
+                case SummaryAge():
+                    ages.append(update)
+        return Datagram(
+            self.me.id,
+            body,
+            self._notice,
+            tuple(records),
+            tuple(claims),
+            tuple(ages),
+        )
+
+
+def _select_changes(
+    changes: Iterable[Member | Claim], sample: set[MemberId]
+) -> list[Member | Claim]:
+    return [
+        change
+        for change in changes
+        if isinstance(change, Claim)
+        or change.id in sample
+        or not change.serving
+    ]
+
+
+def _split(updates: Iterable[Update]) -> list[list[Update]]:
+    """Returns the updates in parts that fit one datagram each."""
+    parts: list[list[Update]] = []
+    room = 0
+    for update in updates:
+        size = estimate_bytes(update)
+        if size > room:
+            parts.append([])
+            room = MAX_DATAGRAM_BYTES - HEAD_BYTES
+        parts[-1].append(update)
+        room -= size
+    return parts
--- a/src/guavawing/membership/member.py
+++ b/src/guavawing/membership/member.py
@@ -6,7 +6,12 @@
 
 from guavawing.model import Address, MemberId
 
-__all__ = ["Member", "MemberState"]
+__all__ = ["MAX_INCARNATION", "MAX_SEQUENCE", "Member", "MemberState"]
+
+# Incarnations are start times in milliseconds; greater ones than this lie
+# centuries ahead and come from a broken peer.
+MAX_INCARNATION = 2**44
+MAX_SEQUENCE = 2**32
 
 
 class MemberState(enum.IntEnum):
@@ -51,6 +56,15 @@
     slots: int
     serving: bool
 
+    @property
+    def running(self) -> bool:
+        """Whether the member is not known to have stopped."""
+        return self.state <= MemberState.SUSPECT
+
+    def version(self) -> tuple[int, int]:
+        """Returns what only the member itself raises."""
+        return (self.incarnation, self.sequence)
+
     def precedence(self) -> tuple[int, int, int]:
         """Returns what orders two records of the same member."""
         return (self.incarnation, self.sequence, self.state)
--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -25,12 +25,14 @@
 from guavawing.node.distributor import Distributor, open_distributor
 from guavawing.node.entry import Entry
 from guavawing.node.gossip_task import GossipTask, open_gossip
+from guavawing.node.joiner import Joiner, open_joiner
 from guavawing.node.mesh_client import open_mesh_pool
 from guavawing.node.mesh_server import MeshServer, open_mesh_server
 from guavawing.node.metrics import Metrics
 from guavawing.node.owner import open_owner
 from guavawing.node.settings import Settings
 from guavawing.node.target_client import open_target_client
+from guavawing.platform import Platform
 from guavawing.platform.client import open_platform
 from guavawing.policy.choice import Chooser
 
@@ -59,13 +61,13 @@
     async def start(self) -> None:
         """Opens every part; the caller side comes last."""
         settings = self._settings
-        self._incarnation = time.time_ns() // NANOSECONDS_PER_MS
-        me = _describe_node(settings, self._incarnation)
         enter = self._stack.enter_async_context
-        self._gossip = Gossip(me, settings.seeds, random.Random())
         platform = await enter(
             open_platform(settings.platform, source=settings.mesh.host)
         )
+        await self._join(platform)
+        me = self._gossip.me
+        self._incarnation = me.incarnation
         self._target = await enter(
             open_target_client(settings.target, connections=0)
         )
@@ -86,6 +88,35 @@
         )
         await self._open_servers(me, Claims(platform))
 
+    async def _join(self, platform: Platform) -> None:
+        """Finds the other members before any key is bound to this process.
+
+        The data centre may remember a higher incarnation of this node, if
+        the wall clock ran backwards; the node then takes a higher one.
+        """
+        settings = self._settings
+        incarnation = time.time_ns() // NANOSECONDS_PER_MS
+        self._gossip = Gossip(
+            _describe_node(settings, incarnation),
+            settings.seeds,
+            random.Random(),
+            period_s=settings.gossip_period_s,
+        )
+        self._gossip_task = GossipTask(
+            self._gossip,
+            period_s=settings.gossip_period_s,
+            metrics=self._metrics,
+        )
+        enter = self._stack.enter_async_context
+        await enter(
+            open_gossip(
+                self._gossip_task, settings.listen_control or settings.control
+            )
+        )
+        joiner = Joiner(platform, self._gossip, random.Random())
+        await enter(open_joiner(joiner))
+        await joiner.wait_joined()
+
     async def _open_servers(self, me: Member, claims: Claims) -> None:
         settings = self._settings
         enter = self._stack.enter_async_context
@@ -119,14 +150,8 @@
         control = ControlServer(self._distributor)
         control_address = settings.listen_control or settings.control
         await enter(open_control_server(control, control_address))
-        self._gossip_task = GossipTask(
-            self._gossip,
-            period_s=settings.gossip_period_s,
-            metrics=self._metrics,
-        )
         self._gossip_task.listen(self._distributor.hear)
         self._distributor.listen(self._apply_version)
-        await enter(open_gossip(self._gossip_task, control_address))
         await enter(
             open_distributor(
                 self._distributor, poll_period_s=settings.poll_period_s
--- a/src/guavawing/node/gossip_task.py
+++ b/src/guavawing/node/gossip_task.py
@@ -1,13 +1,23 @@
 """The task that owns the gossip socket and the member table."""
 
 import asyncio
+import collections
 import contextlib
+import itertools
 import random
 from collections.abc import AsyncIterator, Callable, Sequence
 from typing import cast
 
 from guavawing.errors import MessageInvalidError
-from guavawing.membership import Datagram, Gossip, Notice, Send
+from guavawing.membership import (
+    TICKS_PER_PERIOD,
+    Datagram,
+    Gossip,
+    MemberState,
+    Notice,
+    PeerLimiter,
+    Send,
+)
 from guavawing.model import Address
 from guavawing.node.datagrams import (
     MAX_DATAGRAM_BYTES,
@@ -18,8 +28,10 @@
 
 __all__ = ["GossipTask", "open_gossip"]
 
-# Share of the gossip period by which rounds are spread.
-PERIOD_JITTER = 0.2
+# Share of the time between ticks by which they are spread.
+TICK_JITTER = 0.1
+# Ticks between two updates of the gauge of members.
+GAUGE_TICKS = 25
 
 NoticeListener = Callable[[str, Notice], None]
 
@@ -32,10 +44,11 @@
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._gossip = gossip
-        self._period_s = period_s
+        self._tick_s = period_s / TICKS_PER_PERIOD
         self._metrics = metrics
         self._transport: asyncio.DatagramTransport | None = None
         self._on_notice: NoticeListener | None = None
+        self._limiter = PeerLimiter(now=self._loop.time())
 
     def listen(self, on_notice: NoticeListener) -> None:
         """Sets who is told of the versions that other members enforce."""
@@ -64,22 +77,36 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Takes a datagram; one that can't be read is dropped."""
+        now = self._loop.time()
+        if not self._limiter.admit(Address(addr[0], addr[1]), now=now):
+            self._metrics.dropped_datagrams.inc({"reason": "rate"})
+            return
         if len(data) > MAX_DATAGRAM_BYTES:
+            self._metrics.dropped_datagrams.inc({"reason": "size"})
             return
         try:
             datagram = decode_datagram(data)
         except MessageInvalidError:
+            self._metrics.dropped_datagrams.inc({"reason": "invalid"})
             return
         self._count("received", datagram.sender, len(data))
-        self._send(self._gossip.receive(datagram, now=self._loop.time()))
+        self._send(self._gossip.receive(datagram, now=now))
         self._notify(datagram)
 
     async def run(self) -> None:
-        """Runs gossip rounds until cancelled."""
-        while True:
+        """Passes time to the machine until cancelled."""
+        for number in itertools.count():
             self._send(self._gossip.tick(now=self._loop.time()))
-            jitter = random.uniform(-PERIOD_JITTER, PERIOD_JITTER)
-            await asyncio.sleep(self._period_s * (1 + jitter))
+            if number % GAUGE_TICKS == 0:
+                self._update_gauge()
+            jitter = random.uniform(-TICK_JITTER, TICK_JITTER)
+            await asyncio.sleep(self._tick_s * (1 + jitter))
+
+    def _update_gauge(self) -> None:
+        counts = collections.Counter(m.state for m in self._gossip.table)
+        for state in MemberState:
+            labels = {"state": state.name.lower()}
+            self._metrics.members.set(labels, counts[state])
 
     def _notify(self, datagram: Datagram) -> None:
         if self._on_notice is not None and datagram.notice.version:
@@ -95,10 +122,8 @@
             self._count("sent", self._find_id(send.address), len(payload))
 
     def _find_id(self, address: Address) -> str:
-        for member in self._gossip.table:
-            if member.control == address:
-                return member.id
-        return ""
+        member = self._gossip.table.find(address)
+        return "" if member is None else member.id
 
     def _count(self, direction: str, member_id: str, size: int) -> None:
         member = self._gossip.table.get(member_id)
@@ -116,7 +141,7 @@
 async def open_gossip(
     task: GossipTask, address: Address
 ) -> AsyncIterator[GossipTask]:
-    """Binds the gossip socket and runs rounds until closed."""
+    """Binds the gossip socket and passes time until closed."""
     loop = asyncio.get_running_loop()
     transport, _ = await loop.create_datagram_endpoint(
         lambda: task, local_addr=(address.host, address.port)
--- /dev/null
+++ b/src/guavawing/node/joiner.py
@@ -0,0 +1,138 @@
+"""The task that finds first contacts and keeps the seed rows fresh."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import AsyncIterator, Iterable, Sequence
+
+import eliot
+
+from guavawing.errors import PlatformError
+from guavawing.membership import Gossip
+from guavawing.platform import Platform
+from guavawing.platform.seeds import (
+    SEEDS_PER_DATA_CENTRE,
+    Seed,
+    fetch_seeds,
+    write_seed,
+)
+
+__all__ = ["Joiner", "open_joiner"]
+
+# Longest time that a node waits for an answer of its data centre before it
+# opens its servers without one.
+JOIN_WAIT_S = 1.0
+JOIN_POLL_S = 0.02
+# Time over which nodes that start together spread their first reads.
+FIRST_READ_SPREAD_S = 12.0
+# Mean time between two reads of the rows by all members of a data centre
+# together.
+CHECK_PERIOD_S = 10.0
+# How long a node without any contact leaves the rows of others alone.
+LONELY_S = 20.0
+
+
+class Joiner:
+    """Reads and writes seed rows at a rate that the fleet's size bounds."""
+
+    def __init__(
+        self, platform: Platform, gossip: Gossip, rng: random.Random
+    ) -> None:
+        self._platform = platform
+        self._gossip = gossip
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+        self._started_at = self._loop.time()
+        self._seen: dict[int, int] = {}
+
+    async def wait_joined(self) -> bool:
+        """Waits a short time for the data centre's answer."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(JOIN_WAIT_S):
+                while not self._gossip.joined:
+                    await asyncio.sleep(JOIN_POLL_S)
+        eliot.log_message("join", joined=self._gossip.joined)
+        return self._gossip.joined
+
+    async def run(self) -> None:
+        """Checks the seed rows until cancelled."""
+        await asyncio.sleep(self._rng.uniform(0, FIRST_READ_SPREAD_S))
+        while True:
+            with contextlib.suppress(PlatformError):
+                await self._check()
+            await asyncio.sleep(self._rng.uniform(0, 2 * self._mean_s()))
+
+    def _mean_s(self) -> float:
+        here = self._gossip.me.data_centre
+        members = self._gossip.table.members_in(here)
+        return CHECK_PERIOD_S * sum(1 for m in members if m.running)
+
+    async def _check(self) -> None:
+        seeds = await fetch_seeds(self._platform)
+        for name in {seed.data_centre for seed in seeds}:
+            addresses = [s.control for s in seeds if s.data_centre == name]
+            self._gossip.add_contacts(name, addresses)
+        here = self._gossip.me.data_centre
+        own = [seed for seed in seeds if seed.data_centre == here]
+        slot = self._find_slot(own)
+        self._seen = {seed.slot: seed.revision for seed in own}
+        if slot is not None:
+            await write_seed(self._platform, slot)
+
+    def _find_slot(self, own: Sequence[Seed]) -> Seed | None:
+        """Returns the row to be taken over by this node, or None."""
+        me = self._gossip.me
+        if any(seed.member_id == me.id for seed in own):
+            return self._find_moved(own)
+        if not own or self._gossip.joined:
+            stale = [seed for seed in own if not self._is_running(seed)]
+        elif self._is_lonely(own):
+            # Every member that the rows name may be gone for good.
+            stale = list(own)
+        else:
+            return None
+        stale += self._list_unused(own)
+        if not stale:
+            return None
+        row = self._rng.choice(stale)
+        return self._take_over(row)
+
+    def _find_moved(self, own: Iterable[Seed]) -> Seed | None:
+        """Returns this node's row if it names another address."""
+        me = self._gossip.me
+        for seed in own:
+            if seed.member_id == me.id and seed.control != me.control:
+                return self._take_over(seed)
+        return None
+
+    def _take_over(self, row: Seed) -> Seed:
+        me = self._gossip.me
+        return Seed(me.data_centre, row.slot, me.id, me.control, row.revision)
+
+    def _list_unused(self, own: Iterable[Seed]) -> list[Seed]:
+        me = self._gossip.me
+        used = {seed.slot for seed in own}
+        return [
+            Seed(me.data_centre, slot, me.id, me.control, 0)
+            for slot in range(SEEDS_PER_DATA_CENTRE)
+            if slot not in used
+        ]
+
+    def _is_running(self, seed: Seed) -> bool:
+        member = self._gossip.table.get(seed.member_id)
+        return member is not None and member.running
+
+    def _is_lonely(self, own: Iterable[Seed]) -> bool:
+        waited_s = self._loop.time() - self._started_at
+        changed = {seed.slot: seed.revision for seed in own} != self._seen
+        return waited_s > LONELY_S and not changed
+
+
+@contextlib.asynccontextmanager
+async def open_joiner(joiner: Joiner) -> AsyncIterator[Joiner]:
+    """Checks the seed rows until closed."""
+    task = asyncio.get_running_loop().create_task(joiner.run())
+    try:
+        yield joiner
+    finally:
+        task.cancel()
--- a/src/guavawing/node/metrics.py
+++ b/src/guavawing/node/metrics.py
@@ -37,6 +37,10 @@
             "Bytes of control traffic, by direction, kind and whether they"
             " crossed data centres.",
         )
+        self.dropped_datagrams = self._counter(
+            "guavawing_dropped_datagrams_total",
+            "Membership datagrams not read, by reason.",
+        )
         self.version = self._gauge(
             "guavawing_config_version", "Configuration version in force."
         )
--- a/src/guavawing/node/settings.py
+++ b/src/guavawing/node/settings.py
@@ -39,7 +39,8 @@
         log_level: Least level that is logged.
         poll_period_s: Mean time between two reads of the head by all nodes
             of a data centre together, in seconds.
-        gossip_period_s: Time between two gossip rounds, in seconds.
+        gossip_period_s: Time between two probes of other members, in
+            seconds.
         drain_timeout_s: Longest time a planned stop waits for running
             calls, in seconds.
     """
@@ -60,7 +61,7 @@
     log_file: str = ""
     log_level: str = "info"
     poll_period_s: float = 1.0
-    gossip_period_s: float = 0.5
+    gossip_period_s: float = 1.0
     drain_timeout_s: float = 30.0
 
 
@@ -76,9 +77,14 @@
 
 def _parse_name(text: str) -> str:
     allowed = all(char.isalnum() or char in "-_." for char in text)
-    if not text or not allowed or len(text) > MAX_NAME_LENGTH:
+    if (
+        not text
+        or not text.isascii()
+        or not allowed
+        or len(text) > MAX_NAME_LENGTH
+    ):
         raise InvalidArgumentError(
-            f"got {text!r}, expected 1 to {MAX_NAME_LENGTH} letters, digits,"
+            f"got {text!r}, expected 1 to {MAX_NAME_LENGTH} ASCII letters,"
             " '-', '_' or '.'"
         )
     return text
--- /dev/null
+++ b/src/guavawing/platform/seeds.py
@@ -0,0 +1,99 @@
+"""Seed rows: a few members of each data centre in the platform's table.
+
+A row names a member, where it gossips and its data centre. Rows have no
+time: whether one is stale is judged by a reader that knows who lives, so a
+row whose member lives is never written again.
+"""
+
+from typing import Any
+
+import attrs
+
+from guavawing.errors import (
+    InvalidArgumentError,
+    PlatformUnavailableError,
+    PlatformWriteUnknownError,
+)
+from guavawing.model import Address, MemberId, parse_address
+from guavawing.platform.client import (
+    Platform,
+    Row,
+    TransactionRefusedError,
+    Write,
+)
+
+__all__ = ["SEEDS_PER_DATA_CENTRE", "Seed", "fetch_seeds", "write_seed"]
+
+SEED_TABLE = "seeds"
+SEEDS_PER_DATA_CENTRE = 5
+
+
+@attrs.frozen
+class Seed:
+    """One seed row.
+
+    Attributes:
+        data_centre: Data centre that the row is for.
+        slot: Number of the row within its data centre, from 0.
+        member_id: Member that the row names.
+        control: Where the member gossips.
+        revision: Revision of the row; 0 if there is none yet.
+    """
+
+    data_centre: str
+    slot: int
+    member_id: MemberId
+    control: Address
+    revision: int
+
+
+async def fetch_seeds(platform: Platform) -> list[Seed]:
+    """Returns the readable seed rows of all data centres.
+
+    Raises:
+        PlatformUnavailableError: If the platform gives no usable answer.
+    """
+    rows = await platform.scan_rows(SEED_TABLE)
+    seeds = (_decode_seed(row) for row in rows)
+    return [seed for seed in seeds if seed is not None]
+
+
+async def write_seed(platform: Platform, seed: Seed) -> bool:
+    """Writes a row that still has the revision of `seed`.
+
+    A write without an answer counts as not carried out: the next reader
+    finds out.
+
+    Returns:
+        Whether the row was written.
+    """
+    value: dict[str, Any] = {
+        "data_centre": seed.data_centre,
+        "slot": seed.slot,
+        "member_id": seed.member_id,
+        "control": str(seed.control),
+    }
+    key = f"{seed.data_centre}.{seed.slot}"
+    try:
+        await platform.transact([Write(SEED_TABLE, key, value, seed.revision)])
+    except (
+        TransactionRefusedError,
+        PlatformUnavailableError,
+        PlatformWriteUnknownError,
+    ):
+        return False
+    return True
+
+
+def _decode_seed(row: Row) -> Seed | None:
+    """Returns the seed of a row, or None if the row can't be read."""
+    try:
+        return Seed(
+            str(row.value["data_centre"]),
+            int(row.value["slot"]),
+            str(row.value["member_id"]),
+            parse_address(str(row.value["control"])),
+            row.revision,
+        )
+    except (KeyError, TypeError, ValueError, InvalidArgumentError):
+        return None
