Learn versions by a pure machine, send deltas, watch cuts

Cause: nodes fetched versions one after another in the order of notices; a slow or lying source held up the rest, every pull carried the whole document, and the sleep between two reads of the head was drawn from a member count that could be 20 minutes old. Change: distribution/learner.py decides (events in, actions out), delta.py/history.py/responder.py answer pulls, poll_schedule.py draws once a period without memory; node/distributor.py carries out. standins/learners.py joins learners in memory for checks and counts. step_publish_version reads the base from the platform, as the scenarios of a feature share a fleet.

--- a/src/guavawing/distribution/__init__.py
+++ b/src/guavawing/distribution/__init__.py
@@ -1,5 +1,6 @@
-"""Distribution: how a node learns, checks and applies versions."""
+"""Distribution: how a node learns, checks, applies and passes on versions."""
 
+from guavawing.distribution.history import VersionHistory, VersionId
 from guavawing.distribution.keeper import (
     Applied,
     ApplyResult,
@@ -7,5 +8,19 @@
     Version,
     VersionKeeper,
 )
+from guavawing.distribution.learner import Learner
+from guavawing.distribution.poll_schedule import PollSchedule
+from guavawing.distribution.responder import PullResponder
 
-__all__ = ["Applied", "ApplyResult", "Rejected", "Version", "VersionKeeper"]
+__all__ = [
+    "Applied",
+    "ApplyResult",
+    "Learner",
+    "PollSchedule",
+    "PullResponder",
+    "Rejected",
+    "Version",
+    "VersionHistory",
+    "VersionId",
+    "VersionKeeper",
+]
--- /dev/null
+++ b/src/guavawing/distribution/delta.py
@@ -0,0 +1,203 @@
+"""Deltas: what turns the payload of one version into that of another.
+
+A payload is canonical JSON: a tree of sections, most of which hold entries
+by name. A delta names the entries that are set or removed in each section.
+Whoever applies a delta checks the digest of the whole result, so a delta
+can be wrong only by failing that check.
+"""
+
+import zlib
+from typing import Any
+
+import attrs
+import orjson
+
+from guavawing.errors import MessageInvalidError
+
+__all__ = [
+    "Delta",
+    "apply_delta",
+    "compose_deltas",
+    "compress_payload",
+    "compute_delta",
+    "decode_delta",
+    "decompress_payload",
+    "encode_delta",
+    "encode_tree",
+]
+
+MAX_DELTA_BYTES = 1024 * 1024
+_COMPRESSION_LEVEL = 6
+
+Tree = dict[str, Any]
+
+
+@attrs.frozen
+class Delta:
+    """Changes of a payload.
+
+    Attributes:
+        set_entries: New values by section and entry.
+        removed_entries: Names of removed entries by section.
+        set_sections: Whole new sections; those that are no mapping, or are
+            a mapping in one of the two payloads only.
+        removed_sections: Names of removed sections.
+    """
+
+    set_entries: dict[str, Tree] = attrs.field(factory=dict)
+    removed_entries: dict[str, list[str]] = attrs.field(factory=dict)
+    set_sections: Tree = attrs.field(factory=dict)
+    removed_sections: list[str] = attrs.field(factory=list)
+
+
+def encode_tree(tree: Tree) -> bytes:
+    """Returns the canonical JSON of a tree: sorted keys, no blanks."""
+    return orjson.dumps(tree, option=orjson.OPT_SORT_KEYS)
+
+
+def compute_delta(old: Tree, new: Tree) -> Delta:
+    """Returns the delta that turns `old` into `new`."""
+    delta = Delta(removed_sections=sorted(old.keys() - new.keys()))
+    for name, section in new.items():
+        before = old.get(name)
+        if before == section and name in old:
+            continue
+        if not isinstance(section, dict) or not isinstance(before, dict):
+            delta.set_sections[name] = section
+            continue
+        changed = {
+            entry: value
+            for entry, value in section.items()
+            if entry not in before or before[entry] != value
+        }
+        if changed:
+            delta.set_entries[name] = changed
+        removed = sorted(before.keys() - section.keys())
+        if removed:
+            delta.removed_entries[name] = removed
+    return delta
+
+
+def apply_delta(payload: bytes, delta: Delta) -> bytes:
+    """Returns the payload that `delta` makes of `payload`.
+
+    Raises:
+        MessageInvalidError: If the delta does not fit the payload.
+    """
+    tree: Tree = orjson.loads(payload)
+    for name in delta.removed_sections:
+        tree.pop(name, None)
+    tree |= delta.set_sections
+    for name in delta.set_entries.keys() | delta.removed_entries.keys():
+        section = tree.get(name)
+        if not isinstance(section, dict):
+            raise MessageInvalidError(
+                f"got changes of {name!r}, expected a section with entries"
+            )
+        for entry in delta.removed_entries.get(name, ()):
+            section.pop(entry, None)
+        section.update(delta.set_entries.get(name, {}))
+    return encode_tree(tree)
+
+
+def compose_deltas(first: Delta, second: Delta) -> Delta:
+    """Returns the delta with the effect of `first` and then `second`."""
+    gone = {*second.removed_sections, *second.set_sections}
+    sections = _without(first.set_sections, gone)
+    entries = _without(first.set_entries, gone)
+    removed = _without(first.removed_entries, gone)
+    for name in second.set_entries.keys() | second.removed_entries.keys():
+        fresh = second.set_entries.get(name, {})
+        dropped = second.removed_entries.get(name, [])
+        if name in sections:
+            kept = _without(sections[name], set(dropped))
+            sections[name] = kept | fresh
+            continue
+        kept = _without(entries.get(name, {}), set(dropped)) | fresh
+        absent = ({*removed.get(name, ()), *dropped}) - fresh.keys()
+        entries.pop(name, None)
+        removed.pop(name, None)
+        if kept:
+            entries[name] = kept
+        if absent:
+            removed[name] = sorted(absent)
+    before = set(first.removed_sections) - second.set_sections.keys()
+    return Delta(
+        entries,
+        removed,
+        sections | second.set_sections,
+        sorted(before | set(second.removed_sections)),
+    )
+
+
+def _without(mapping: dict[str, Any], names: set[str]) -> dict[str, Any]:
+    return {key: mapping[key] for key in mapping if key not in names}
+
+
+def encode_delta(delta: Delta) -> bytes:
+    """Returns the bytes of a delta."""
+    return zlib.compress(
+        encode_tree(attrs.asdict(delta, recurse=False)), _COMPRESSION_LEVEL
+    )
+
+
+def decode_delta(data: bytes) -> Delta:
+    """Reads a delta.
+
+    Raises:
+        MessageInvalidError: If the bytes are not a delta or hold too much.
+    """
+    text = decompress_payload(data, limit=MAX_DELTA_BYTES)
+    try:
+        tree = orjson.loads(text)
+        delta = Delta(**tree)
+    except (orjson.JSONDecodeError, TypeError) as exc:
+        raise MessageInvalidError(f"not a delta: {exc}") from exc
+    shapes = (
+        _is_mapping_of(delta.set_entries, dict),
+        _is_mapping_of(delta.removed_entries, list),
+        isinstance(delta.set_sections, dict),
+        _is_list_of_names(delta.removed_sections),
+    )
+    if not all(shapes) or not all(
+        _is_list_of_names(names) for names in delta.removed_entries.values()
+    ):
+        raise MessageInvalidError("not a delta: a part has another shape")
+    return delta
+
+
+def _is_mapping_of(value: object, kind: type) -> bool:
+    return isinstance(value, dict) and all(
+        isinstance(each, kind) for each in value.values()
+    )
+
+
+def _is_list_of_names(value: object) -> bool:
+    return isinstance(value, list) and all(
+        isinstance(each, str) for each in value
+    )
+
+
+def compress_payload(payload: bytes) -> bytes:
+    """Returns a payload as it crosses the network."""
+    return zlib.compress(payload, _COMPRESSION_LEVEL)
+
+
+def decompress_payload(data: bytes, *, limit: int) -> bytes:
+    """Returns the payload of `data`, which holds at most `limit` bytes.
+
+    Raises:
+        MessageInvalidError: If the bytes are damaged, cut short or too many.
+    """
+    inflater = zlib.decompressobj()
+    try:
+        payload = inflater.decompress(data, limit + 1)
+    except zlib.error as exc:
+        raise MessageInvalidError(f"damaged bytes: {exc}") from exc
+    if len(payload) > limit:
+        raise MessageInvalidError(
+            f"got more than {limit} bytes, expected at most {limit}"
+        )
+    if not inflater.eof or inflater.unused_data:
+        raise MessageInvalidError("got bytes that end early or too late")
+    return payload
--- /dev/null
+++ b/src/guavawing/distribution/history.py
@@ -0,0 +1,89 @@
+"""The last versions of a node, kept as deltas in bounded memory."""
+
+import collections
+
+import attrs
+
+from guavawing.distribution.delta import (
+    Delta,
+    compose_deltas,
+    decode_delta,
+    encode_delta,
+)
+
+__all__ = ["VersionHistory", "VersionId"]
+
+MAX_STEPS = 64
+MAX_HISTORY_BYTES = 256 * 1024
+
+
+@attrs.frozen
+class VersionId:
+    """Names one version: two documents may compete for one number.
+
+    Attributes:
+        number: Number of the version; 0 stands for none.
+        digest: SHA-256 digest of the payload.
+    """
+
+    number: int
+    digest: bytes
+
+
+@attrs.frozen
+class _Step:
+    """A move from one version to the next one in force.
+
+    Attributes:
+        base: The version before.
+        delta: Encoded delta to the version after.
+    """
+
+    base: VersionId
+    delta: bytes
+
+
+class VersionHistory:
+    """Deltas between the versions that were in force, one after another."""
+
+    __slots__ = ("_encoded", "_size", "_steps")
+
+    def __init__(self) -> None:
+        self._steps: collections.deque[_Step] = collections.deque()
+        self._size = 0
+        self._encoded: dict[VersionId, bytes] = {}
+
+    @property
+    def size(self) -> int:
+        """Bytes that the kept deltas take."""
+        return self._size
+
+    def record(self, base: VersionId, delta: Delta) -> None:
+        """Adds the step from `base` to the version in force now."""
+        step = _Step(base, encode_delta(delta))
+        self._encoded.clear()
+        self._steps.append(step)
+        self._size += len(step.delta)
+        while self._size > MAX_HISTORY_BYTES or len(self._steps) > MAX_STEPS:
+            self._size -= len(self._steps.popleft().delta)
+
+    def clear(self) -> None:
+        """Forgets every step, after one that has no delta."""
+        self._steps.clear()
+        self._encoded.clear()
+        self._size = 0
+
+    def find(self, base: VersionId) -> bytes | None:
+        """Returns the encoded delta from `base`; None if it is not known."""
+        if base in self._encoded:
+            return self._encoded[base]
+        total: Delta | None = None
+        for step in self._steps:
+            if total is not None:
+                total = compose_deltas(total, decode_delta(step.delta))
+            elif step.base == base:
+                total = decode_delta(step.delta)
+        if total is None:
+            return None
+        self._encoded[base] = encode_delta(total)
+        return self._encoded[base]
--- a/src/guavawing/node/channel.py
+++ b/src/guavawing/node/channel.py
@@ -1,14 +1,65 @@
-"""gRPC channels that connect from the node's own address."""
+"""gRPC connections that start at the node's own address and count bytes."""
 
 import asyncio
+import contextlib
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from grpclib.client import Channel
 from grpclib.protocol import H2Protocol
+from grpclib.server import Server
 
 from guavawing.model import Address
 
-__all__ = ["SourceChannel"]
+__all__ = ["ByteListener", "CountingServer", "SourceChannel", "open_channel"]
+
+# Direction ("sent" or "received") and size of a piece.
+ByteListener = Callable[[str, int], None]
+
+
+class _CountingTransport:
+    """A transport that tells how much is written to it."""
+
+    def __init__(
+        self, transport: asyncio.Transport, on_bytes: ByteListener
+    ) -> None:
+        self._transport = transport
+        self._on_bytes = on_bytes
+
+    def write(self, data: bytes) -> None:
+        """Writes bytes and counts them."""
+        self._on_bytes("sent", len(data))
+        self._transport.write(data)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._transport, name)
+
+
+class _CountingProtocol(H2Protocol):  # type: ignore[misc]
+    """HTTP/2 with every byte counted and the received ones limited."""
+
+    def __init__(
+        self, *args: Any, on_bytes: ByteListener, limit: int | None
+    ) -> None:
+        super().__init__(*args)
+        self._on_bytes = on_bytes
+        self._left = limit
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the connection."""
+        super().connection_made(
+            _CountingTransport(transport, self._on_bytes)  # type: ignore
+        )
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes; a peer that sends too many is cut off."""
+        self._on_bytes("received", len(data))
+        if self._left is not None:
+            self._left -= len(data)
+            if self._left < 0:
+                self.processor.close("too many bytes")
+                return
+        super().data_received(data)
 
 
 class SourceChannel(Channel):  # type: ignore[misc]
@@ -18,10 +69,29 @@
     opens the connection is replaced.
     """
 
-    def __init__(self, address: Address, *, source: str) -> None:
+    def __init__(
+        self,
+        address: Address,
+        *,
+        source: str,
+        on_bytes: ByteListener,
+        limit: int,
+    ) -> None:
         super().__init__(address.host, address.port)
         self._address = address
         self._source = source
+        self._on_bytes = on_bytes
+        self._limit = limit
+
+    def _protocol_factory(self) -> H2Protocol:
+        plain = super()._protocol_factory()
+        return _CountingProtocol(
+            plain.handler,
+            plain.config,
+            plain.h2_config,
+            on_bytes=self._on_bytes,
+            limit=self._limit,
+        )
 
     async def _create_connection(self) -> H2Protocol:
         loop = asyncio.get_running_loop()
@@ -33,3 +103,42 @@
             local_addr=(self._source, 0),
         )
         return protocol
+
+
+class CountingServer(Server):  # type: ignore[misc]
+    """A gRPC server that counts the bytes of its connections."""
+
+    def __init__(self, handlers: Any, *, on_bytes: ByteListener) -> None:
+        super().__init__(handlers)
+        self._on_bytes = on_bytes
+
+    def _protocol_factory(self) -> H2Protocol:
+        plain = super()._protocol_factory()
+        return _CountingProtocol(
+            plain.handler,
+            plain.config,
+            plain.h2_config,
+            on_bytes=self._on_bytes,
+            limit=None,
+        )
+
+
+@contextlib.contextmanager
+def open_channel(
+    address: Address, *, source: str, on_bytes: ByteListener, limit: int
+) -> Iterator[SourceChannel]:
+    """Opens a channel for one pull and closes it after use.
+
+    Args:
+        address: Where the peer listens.
+        source: IP address to connect from.
+        on_bytes: Told of every piece sent or received.
+        limit: Most bytes accepted from the peer.
+    """
+    channel = SourceChannel(
+        address, source=source, on_bytes=on_bytes, limit=limit
+    )
+    try:
+        yield channel
+    finally:
+        channel.close()
--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -80,6 +80,7 @@
         self._distributor = Distributor(
             platform=platform,
             table=self._gossip.table,
+            node_id=settings.node_id,
             data_centre=settings.data_centre,
             source=settings.control.host,
             metrics=self._metrics,
@@ -116,7 +117,7 @@
         await enter(
             open_mesh_server(mesh, settings.listen_mesh or settings.mesh)
         )
-        control = ControlServer(self._distributor)
+        control = ControlServer(self._distributor, self._metrics)
         control_address = settings.listen_control or settings.control
         await enter(open_control_server(control, control_address))
         self._gossip_task = GossipTask(
--- a/src/guavawing/node/distributor.py
+++ b/src/guavawing/node/distributor.py
@@ -1,80 +1,104 @@
-"""The task that learns of versions, fetches them and puts them in force."""
+"""The task that carries out what the distribution machine decides."""
 
 import asyncio
+import collections
 import contextlib
 import datetime
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 
-import attrs
 import eliot
 import grpclib
 
 from guavawing.config import PolicyTable
-from guavawing.distribution import Applied, Rejected, Version, VersionKeeper
-from guavawing.errors import PlatformError
-from guavawing.membership import MemberTable, Notice
-from guavawing.node.channel import SourceChannel
+from guavawing.config.codec import MAX_DOCUMENT_BYTES
+from guavawing.distribution import (
+    Learner,
+    PollSchedule,
+    Version,
+    VersionHistory,
+    VersionId,
+)
+from guavawing.distribution.delta import decompress_payload
+from guavawing.distribution.events import (
+    PLATFORM,
+    Action,
+    Content,
+    DeltaContent,
+    Event,
+    FetchFailed,
+    FetchFault,
+    FetchObject,
+    NoContent,
+    NoticeHeard,
+    PayloadArrived,
+    PullFromPeer,
+    PutInForce,
+    ReportFault,
+    ReportRejection,
+    SnapshotContent,
+    Tick,
+)
+from guavawing.errors import MessageInvalidError, PlatformError
+from guavawing.membership import Member, MemberState, MemberTable, Notice
+from guavawing.node.channel import ByteListener, open_channel
 from guavawing.node.metrics import Metrics
 from guavawing.platform import Platform, fetch_head
 from guavawing.proto.control_grpc import ControlStub
-from guavawing.proto.control_pb2 import PullRequest
+from guavawing.proto.control_pb2 import PullReply, PullRequest
 
 __all__ = ["Distributor", "open_distributor"]
 
 PULL_TIMEOUT_S = 2.0
-RETRY_DELAY_S = 0.5
+OBJECT_TIMEOUT_S = 3.0
 MAX_PENDING_NOTICES = 64
+# A reply may hold a whole compressed payload, beside HTTP/2 frames.
+MAX_REPLY_BYTES = MAX_DOCUMENT_BYTES + 65_536
+MILLISECONDS_PER_S = 1_000
 
 VersionListener = Callable[[Version], None]
 
 
-@attrs.frozen
-class _HeardNotice:
-    """A version that a member, or the platform, is known to have.
-
-    Attributes:
-        source: Id of the member; empty for the platform.
-        notice: The version.
-    """
-
-    source: str
-    notice: Notice
-
-
 class Distributor:
-    """Owns the version in force at this node."""
+    """Owns the learner, its clock and its fetches."""
 
     def __init__(
         self,
         *,
         platform: Platform,
         table: MemberTable,
+        node_id: str,
         data_centre: str,
         source: str,
         metrics: Metrics,
     ) -> None:
         self._platform = platform
         self._table = table
+        self._node_id = node_id
         self._data_centre = data_centre
         self._source = source
         self._metrics = metrics
-        self._keeper = VersionKeeper()
+        self._learner = Learner(random.Random())
         self._policies: PolicyTable | None = None
-        self._notices: asyncio.Queue[_HeardNotice] = asyncio.Queue(
-            MAX_PENDING_NOTICES
-        )
+        self._events: collections.deque[Event] = collections.deque()
+        self._woken = asyncio.Event()
+        self._fetches: set[asyncio.Task[None]] = set()
         self._listeners: list[VersionListener] = []
 
     @property
     def current(self) -> Version:
         """The version in force."""
-        return self._keeper.current
+        return self._learner.current
+
+    @property
+    def history(self) -> VersionHistory:
+        """The versions before, as deltas."""
+        return self._learner.history
 
     @property
     def rejections(self) -> dict[int, str]:
         """Why newer versions were kept out, by number."""
-        return self._keeper.rejections
+        return self._learner.rejections
 
     def policies(self) -> PolicyTable | None:
         """Returns the policies in force, or None before the first version."""
@@ -86,95 +110,181 @@
 
     def hear(self, source: str, notice: Notice) -> None:
         """Takes the news that a member or the platform has a version."""
-        if not self._keeper.wants(notice.version, notice.digest):
+        version = VersionId(notice.version, notice.digest)
+        if not self._learner.wants(version):
+            return
+        if source != PLATFORM and self._table.get(source) is None:
             return
         # A notice that does not fit is heard again with later gossip.
-        with contextlib.suppress(asyncio.QueueFull):
-            self._notices.put_nowait(_HeardNotice(source, notice))
+        if len(self._events) < MAX_PENDING_NOTICES:
+            self._post(NoticeHeard(source, version, self._is_near(source)))
 
     async def run(self) -> None:
-        """Fetches and applies versions until cancelled."""
+        """Feeds the learner with events and time until cancelled."""
+        loop = asyncio.get_running_loop()
         while True:
-            heard = await self._notices.get()
-            notice = heard.notice
-            if not self._keeper.wants(notice.version, notice.digest):
-                continue
-            payload = await self._fetch(heard)
-            if payload is None:
-                await asyncio.sleep(random.uniform(0, RETRY_DELAY_S))
-                continue
-            self._apply(notice, payload)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(self._learner.next_wake()):
+                    await self._woken.wait()
+            self._woken.clear()
+            events = [*self._events] or [Tick()]
+            self._events.clear()
+            for event in events:
+                actions = self._learner.handle(event, now=loop.time())
+                for action in actions:
+                    self._carry_out(action)
 
     async def poll(self, period_s: float) -> None:
         """Reads the head of the configuration until cancelled.
 
         All nodes of a data centre together make one read in `period_s`.
         """
+        loop = asyncio.get_running_loop()
+        schedule = PollSchedule(
+            random.Random(), period_s=period_s, now=loop.time()
+        )
         while True:
+            await asyncio.sleep(schedule.draw_pause())
+            due = schedule.is_due(
+                now=loop.time(),
+                live_nodes=self._count_live_nodes(),
+                has_version=self.current.number > 0,
+            )
+            if not due:
+                continue
             with contextlib.suppress(PlatformError):
                 head = await fetch_head(self._platform)
-                self.hear("", Notice(head.version, head.digest))
-            members = sum(
-                1 for m in self._table if m.data_centre == self._data_centre
-            )
-            mean_s = period_s * max(members, 1)
-            await asyncio.sleep(random.uniform(0, 2 * mean_s))
-
-    async def _fetch(self, heard: _HeardNotice) -> bytes | None:
-        if heard.source:
-            payload = await self._pull_from_member(heard)
-            if payload is not None:
-                return payload
-        with contextlib.suppress(PlatformError):
-            return await self._platform.get_object(heard.notice.digest.hex())
-        return None
-
-    async def _pull_from_member(self, heard: _HeardNotice) -> bytes | None:
-        member = self._table.get(heard.source)
+                self.hear(PLATFORM, Notice(head.version, head.digest))
+
+    def close(self) -> None:
+        """Cancels every fetch."""
+        for task in self._fetches:
+            task.cancel()
+
+    def _post(self, event: Event) -> None:
+        self._events.append(event)
+        self._woken.set()
+
+    def _is_near(self, source: str) -> bool:
+        member = self._table.get(source)
+        return member is not None and member.data_centre == self._data_centre
+
+    def _count_live_nodes(self) -> int:
+        return sum(
+            1
+            for member in self._table
+            if member.data_centre == self._data_centre
+            and member.state is MemberState.ALIVE
+        )
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case PullFromPeer():
+                self._start(action.fetch_id, self._pull(action))
+            case FetchObject():
+                self._start(action.fetch_id, self._fetch_object(action))
+            case PutInForce(version=version):
+                self._put_in_force(version)
+            case ReportRejection(version=version, message=message):
+                self._metrics.rejections.inc({})
+                eliot.log_message(
+                    "version-rejected", version=version.number, why=message
+                )
+            case ReportFault(source=source, fault=fault):
+                self._metrics.fetch_faults.inc({"reason": str(fault)})
+                eliot.log_message(
+                    "fetch-failed", source=source, reason=str(fault)
+                )
+
+    def _start(
+        self, fetch_id: int, fetch: Coroutine[None, None, Event]
+    ) -> None:
+        async def run() -> None:
+            event: Event = FetchFailed(fetch_id, FetchFault.UNREACHABLE)
+            try:
+                event = await fetch
+            finally:
+                # The learner counts on one event for each fetch.
+                self._post(event)
+
+        task = asyncio.get_running_loop().create_task(run())
+        self._fetches.add(task)
+        task.add_done_callback(self._fetches.discard)
+
+    async def _fetch_object(self, action: FetchObject) -> Event:
+        name = action.version.digest.hex()
+        try:
+            async with asyncio.timeout(OBJECT_TIMEOUT_S):
+                payload = await self._platform.get_object(name)
+        except (PlatformError, TimeoutError):
+            return FetchFailed(action.fetch_id, FetchFault.UNREACHABLE)
+        if payload is None:
+            return FetchFailed(action.fetch_id, FetchFault.WITHHELD)
+        self._count_bytes("object", crossed="platform")(
+            "received", len(payload)
+        )
+        return PayloadArrived(
+            action.fetch_id, action.version, SnapshotContent(payload)
+        )
+
+    async def _pull(self, action: PullFromPeer) -> Event:
+        member = self._table.get(action.peer)
         if member is None:
-            return None
-        current = self._keeper.current
+            return FetchFailed(action.fetch_id, FetchFault.UNREACHABLE)
         request = PullRequest(
-            base_version=current.number, base_digest=current.digest
+            base_version=action.base.number,
+            base_digest=action.base.digest,
+            puller=self._node_id,
         )
-        channel = SourceChannel(member.control, source=self._source)
         try:
-            reply = await ControlStub(channel).Pull(
-                request, timeout=PULL_TIMEOUT_S
-            )
+            reply = await self._exchange(member, request)
         except (grpclib.GRPCError, OSError, TimeoutError):
-            return None
+            return FetchFailed(action.fetch_id, FetchFault.UNREACHABLE)
         except grpclib.exceptions.StreamTerminatedError:
-            return None
-        finally:
-            channel.close()
-        if reply.digest != heard.notice.digest:
-            return None
-        labels = {
-            "direction": "received",
-            "kind": "pull",
-            "cross_data_centre": str(
-                member.data_centre != self._data_centre
-            ).lower(),
-        }
-        self._metrics.control_bytes.add(labels, reply.ByteSize())
-        payload: bytes = reply.snapshot
-        return payload
-
-    def _apply(self, notice: Notice, payload: bytes) -> None:
-        with eliot.start_action(
-            action_type="apply", version=notice.version
-        ) as action:
-            result = self._keeper.apply(notice.version, notice.digest, payload)
-            match result:
-                case Applied(version=version):
-                    self._put_in_force(version)
-                    action.add_success_fields(applied=True)
-                case Rejected(message=message):
-                    self._metrics.rejections.inc({})
-                    action.add_success_fields(applied=False, why=message)
+            return FetchFailed(action.fetch_id, FetchFault.UNREACHABLE)
+        if reply.retry_after_ms:
+            return FetchFailed(
+                action.fetch_id,
+                FetchFault.BUSY,
+                retry_after_s=reply.retry_after_ms / MILLISECONDS_PER_S,
+                ask_instead=reply.ask_instead,
+            )
+        try:
+            content = _read_content(reply, action.base)
+        except MessageInvalidError:
+            return FetchFailed(action.fetch_id, FetchFault.DAMAGED)
+        return PayloadArrived(
+            action.fetch_id, VersionId(reply.version, reply.digest), content
+        )
+
+    async def _exchange(
+        self, member: Member, request: PullRequest
+    ) -> PullReply:
+        crossed = str(member.data_centre != self._data_centre).lower()
+        with open_channel(
+            member.control,
+            source=self._source,
+            on_bytes=self._count_bytes("pull", crossed=crossed),
+            limit=MAX_REPLY_BYTES,
+        ) as channel:
+            # The stub's timeout does not cover the connection.
+            async with asyncio.timeout(PULL_TIMEOUT_S):
+                reply: PullReply = await ControlStub(channel).Pull(request)
+                return reply
+
+    def _count_bytes(self, kind: str, *, crossed: str) -> ByteListener:
+        def count(direction: str, size: int) -> None:
+            labels = {
+                "direction": direction,
+                "kind": kind,
+                "cross_data_centre": crossed,
+            }
+            self._metrics.control_bytes.add(labels, size)
+
+        return count
 
     def _put_in_force(self, version: Version) -> None:
+        eliot.log_message("version-in-force", version=version.number)
         self._policies = PolicyTable(
             version.document,
             data_centre=self._data_centre,
@@ -185,6 +295,16 @@
             listener(version)
 
 
+def _read_content(reply: PullReply, base: VersionId) -> Content:
+    if reply.delta:
+        return DeltaContent(base, reply.delta)
+    if reply.snapshot:
+        return SnapshotContent(
+            decompress_payload(reply.snapshot, limit=MAX_DOCUMENT_BYTES)
+        )
+    return NoContent()
+
+
 @contextlib.asynccontextmanager
 async def open_distributor(
     distributor: Distributor, *, poll_period_s: float
@@ -200,3 +320,4 @@
     finally:
         for task in tasks:
             task.cancel()
+        distributor.close()
--- a/src/guavawing/node/metrics.py
+++ b/src/guavawing/node/metrics.py
@@ -32,6 +32,14 @@
             "guavawing_config_rejections_total",
             "Configuration versions kept out.",
         )
+        self.fetch_faults = self._counter(
+            "guavawing_fetch_faults_total",
+            "Fetches of a version that brought none, by reason.",
+        )
+        self.pulls_answered = self._counter(
+            "guavawing_pulls_answered_total",
+            "Pulls of other nodes, by what was answered.",
+        )
         self.control_bytes = self._counter(
             "guavawing_control_bytes_total",
             "Bytes of control traffic, by direction, kind and whether they"
--- /dev/null
+++ b/standins/learners.py
@@ -0,0 +1,415 @@
+"""Learners joined in memory: messages, a platform and a simulated clock.
+
+It stands in for gossip, pulls and the platform, so that the distribution
+machine can be checked and counted without processes. Everything random comes
+from one seeded generator.
+"""
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable
+
+import attrs
+
+from guavawing.config import compute_digest
+from guavawing.distribution import (
+    Learner,
+    PollSchedule,
+    PullResponder,
+    Version,
+    VersionId,
+)
+from guavawing.distribution.delta import decompress_payload
+from guavawing.distribution.events import (
+    PLATFORM,
+    Action,
+    Content,
+    DeltaContent,
+    Event,
+    FetchFailed,
+    FetchFault,
+    FetchObject,
+    NoContent,
+    NoticeHeard,
+    PayloadArrived,
+    PullFromPeer,
+    PutInForce,
+    ReportFault,
+    SnapshotContent,
+    Tick,
+)
+from guavawing.distribution.responder import (
+    AskLater,
+    SendDelta,
+    SendNothing,
+    SendSnapshot,
+)
+from guavawing.errors import MessageInvalidError
+
+FANOUT = 2
+GOSSIP_PERIOD_S = 0.5
+PULL_TIMEOUT_S = 2.0
+OBJECT_TIMEOUT_S = 3.0
+OBJECT_DELAY_S = 0.02
+# Time that an answer with content keeps its sender busy.
+SEND_TIME_S = 0.005
+PLATFORM_ZONE = "platform"
+MAX_PAYLOAD_BYTES = 2**23
+NO_VERSION_ID = VersionId(0, b"")
+
+Check = Callable[[str, Learner], None]
+Log = Callable[[float, str, Event, list[Action]], None]
+
+
+@attrs.define
+class Faults:
+    """What goes wrong on the way.
+
+    Attributes:
+        loss: Share of messages that are lost.
+        repeat: Share of messages that arrive twice.
+        damage: Share of pieces with one wrong byte.
+        jitter_s: Largest time added to a message, in seconds.
+        cuts: Pairs of zones (sender, receiver) between which all is lost.
+    """
+
+    loss: float = 0.0
+    repeat: float = 0.0
+    damage: float = 0.0
+    jitter_s: float = 0.0
+    cuts: set[tuple[str, str]] = attrs.field(factory=set)
+
+
+@attrs.define
+class SimulatedNode:
+    """One node of the network.
+
+    Attributes:
+        name: Id of the node.
+        zone: Its data centre.
+        learner: Its distribution machine.
+        responder: What answers its peers.
+        schedule: When it reads the head.
+        life: Rises with every restart.
+        frozen: Whether it takes no event; they wait in `waiting`.
+    """
+
+    name: str
+    zone: str
+    learner: Learner
+    responder: PullResponder
+    schedule: PollSchedule
+    life: int = 0
+    frozen: bool = False
+    waiting: list[Event] = attrs.field(factory=list)
+    wake_at: float | None = None
+
+
+class LearnerNetwork:
+    """Learners, a platform and what is between them.
+
+    Attributes:
+        now: Simulated time, in seconds.
+        faults: What goes wrong on the way.
+        counts: Messages by kind, and bytes by kind.
+        published: Digest of each published version by number.
+        in_force_at: When each node put its version in force.
+    """
+
+    def __init__(
+        self,
+        zones: dict[str, str],
+        *,
+        seed: int,
+        check: Check = lambda name, learner: None,
+        log: Log = lambda now, name, event, actions: None,
+        poll_period_s: float = 1.0,
+        delay_s: float = 0.0005,
+        far_delay_s: float = 0.005,
+    ) -> None:
+        self.now = 0.0
+        self.faults = Faults()
+        self.counts: Counter[str] = Counter()
+        self.published: dict[int, bytes] = {}
+        self.in_force_at: dict[str, float] = {}
+        self.rng = random.Random(seed)
+        self._check = check
+        self._log = log
+        self._period_s = poll_period_s
+        self._delays = (delay_s, far_delay_s)
+        self._objects: dict[bytes, bytes] = {}
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._names = list(zones)
+        self._zone_sizes = Counter(zones.values())
+        self.nodes = {
+            name: self._make_node(name, zone) for name, zone in zones.items()
+        }
+        for node in self.nodes.values():
+            self._gossip(node)
+            self._poll(node)
+
+    def publish(self, payload: bytes) -> VersionId:
+        """Stores a payload as the newest version, good or bad."""
+        version = VersionId(len(self.published) + 1, compute_digest(payload))
+        self._objects[version.digest] = payload
+        self.published[version.number] = version.digest
+        return version
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+        self.now = end
+
+    def restart(self, name: str) -> None:
+        """Replaces a node by a fresh one under the same name."""
+        old = self.nodes[name]
+        node = self._make_node(name, old.zone)
+        node.life = old.life + 1
+        self.nodes[name] = node
+        self._gossip(node)
+        self._poll(node)
+
+    def freeze(self, name: str) -> None:
+        """Stops a node; what reaches it waits."""
+        self.nodes[name].frozen = True
+
+    def thaw(self, name: str) -> None:
+        """Lets a frozen node go on."""
+        node = self.nodes[name]
+        node.frozen = False
+        waiting, node.waiting = node.waiting, []
+        for event in [*waiting, Tick()]:
+            self._handle(node, event)
+
+    def tell(self, name: str, source: str, version: VersionId) -> None:
+        """Gives a node a notice that nobody sent."""
+        self._handle(self.nodes[name], NoticeHeard(source, version))
+
+    def versions(self) -> dict[str, int]:
+        """Returns the version in force at each node."""
+        return {
+            name: node.learner.current.number
+            for name, node in self.nodes.items()
+        }
+
+    def _make_node(self, name: str, zone: str) -> SimulatedNode:
+        rng = random.Random(self.rng.random())
+        schedule = PollSchedule(rng, period_s=self._period_s, now=self.now)
+        return SimulatedNode(
+            name, zone, Learner(rng), PullResponder(rng), schedule
+        )
+
+    def _at(self, delay_s: float, action: Callable[[], None]) -> None:
+        entry = (self.now + delay_s, next(self._order), action)
+        heapq.heappush(self._queue, entry)
+
+    def _send(
+        self, sender: str, receiver: str, action: Callable[[], None]
+    ) -> None:
+        """Carries a message between zones, or loses it."""
+        faults = self.faults
+        if (sender, receiver) in faults.cuts:
+            return
+        for _ in range(1 + (self.rng.random() < faults.repeat)):
+            if self.rng.random() < faults.loss:
+                continue
+            delay_s = self._delays[sender != receiver]
+            self._at(delay_s + self.rng.uniform(0, faults.jitter_s), action)
+
+    def _handle(self, node: SimulatedNode, event: Event) -> None:
+        if self.nodes[node.name] is not node:
+            return
+        if node.frozen:
+            node.waiting.append(event)
+            return
+        actions = node.learner.handle(event, now=self.now)
+        self._check(node.name, node.learner)
+        self._log(self.now, node.name, event, actions)
+        for action in actions:
+            self._carry_out(node, action)
+        self._set_wake(node)
+
+    def _set_wake(self, node: SimulatedNode) -> None:
+        wake_at = node.learner.next_wake()
+        if wake_at is None or wake_at == node.wake_at:
+            node.wake_at = wake_at
+            return
+        assert wake_at > self.now, (wake_at, self.now)
+        node.wake_at = wake_at
+
+        def wake() -> None:
+            if node.wake_at == wake_at:
+                node.wake_at = None
+                self._handle(node, Tick())
+
+        self._at(wake_at - self.now, wake)
+
+    def _carry_out(self, node: SimulatedNode, action: Action) -> None:
+        match action:
+            case PullFromPeer():
+                self._pull(node, action)
+            case FetchObject():
+                self._fetch_object(node, action)
+            case PutInForce():
+                self.in_force_at[node.name] = self.now
+                self._notify_some(node, reply_wanted=False)
+            case ReportFault(fault=fault):
+                self.counts[f"fault-{fault}"] += 1
+
+    def _gossip(self, node: SimulatedNode) -> None:
+        if self.nodes.get(node.name, node) is not node:
+            return
+        if not node.frozen:
+            self._notify_some(node, reply_wanted=True)
+        self._at(
+            GOSSIP_PERIOD_S * self.rng.uniform(0.8, 1.2),
+            lambda: self._gossip(node),
+        )
+
+    def _notify_some(self, node: SimulatedNode, *, reply_wanted: bool) -> None:
+        for _ in range(FANOUT):
+            name = self.rng.choice(self._names)
+            if name != node.name:
+                self._notify(node, name, reply_wanted=reply_wanted)
+
+    def _notify(
+        self, node: SimulatedNode, name: str, *, reply_wanted: bool
+    ) -> None:
+        current = node.learner.current
+        version = VersionId(current.number, current.digest)
+        self.counts["notices"] += 1
+
+        def arrive() -> None:
+            receiver = self.nodes[name]
+            near = receiver.zone == node.zone
+            if version.number:
+                notice = NoticeHeard(node.name, version, near)
+                if receiver.learner.wants(version):
+                    self._handle(receiver, notice)
+            if reply_wanted and not receiver.frozen:
+                self._notify(receiver, node.name, reply_wanted=False)
+
+        self._send(node.zone, self.nodes[name].zone, arrive)
+
+    def _poll(self, node: SimulatedNode) -> None:
+        if self.nodes.get(node.name, node) is not node:
+            return
+        due = node.schedule.is_due(
+            now=self.now,
+            live_nodes=self._zone_sizes[node.zone],
+            has_version=node.learner.current.number > 0,
+        )
+        if due and not node.frozen:
+            self.counts["reads"] += 1
+            self._send(node.zone, PLATFORM_ZONE, lambda: self._answer(node))
+        self._at(node.schedule.draw_pause(), lambda: self._poll(node))
+
+    def _answer(self, node: SimulatedNode) -> None:
+        number = len(self.published)
+        if not number:
+            return
+        version = VersionId(number, self.published[number])
+        notice = NoticeHeard(PLATFORM, version)
+        self._send(PLATFORM_ZONE, node.zone, lambda: self._handle(node, notice))
+
+    def _fetch_object(self, node: SimulatedNode, action: FetchObject) -> None:
+        self.counts["objects"] += 1
+        fetch_id = action.fetch_id
+        failed = FetchFailed(fetch_id, FetchFault.UNREACHABLE)
+        self._at(OBJECT_TIMEOUT_S, lambda: self._handle(node, failed))
+        payload = self._objects.get(action.version.digest)
+        event: Event = FetchFailed(fetch_id, FetchFault.WITHHELD)
+        if payload is not None:
+            self.counts["object-bytes"] += len(payload)
+            content = SnapshotContent(self._damage(payload))
+            event = PayloadArrived(fetch_id, action.version, content)
+
+        def reply() -> None:
+            self._send(
+                PLATFORM_ZONE, node.zone, lambda: self._handle(node, event)
+            )
+
+        self._at(
+            OBJECT_DELAY_S,
+            lambda: self._send(node.zone, PLATFORM_ZONE, reply),
+        )
+
+    def _pull(self, node: SimulatedNode, action: PullFromPeer) -> None:
+        fetch_id = action.fetch_id
+        failed = FetchFailed(fetch_id, FetchFault.UNREACHABLE)
+        self._at(PULL_TIMEOUT_S, lambda: self._handle(node, failed))
+        peer = self.nodes.get(action.peer)
+        if peer is None:
+            return
+        kind = "near" if peer.zone == node.zone else "far"
+        self.counts[f"pulls-{kind}"] += 1
+
+        def serve() -> None:
+            server = self.nodes[action.peer]
+            if server.frozen:
+                return
+            event = self._serve(server, node, action, kind)
+            self._send(
+                server.zone, node.zone, lambda: self._handle(node, event)
+            )
+
+        self._send(node.zone, peer.zone, serve)
+
+    def _serve(
+        self,
+        server: SimulatedNode,
+        puller: SimulatedNode,
+        action: PullFromPeer,
+        kind: str,
+    ) -> Event:
+        current = server.learner.current
+        answer = server.responder.begin(
+            puller.name, action.base, current, server.learner.history
+        )
+        content: Content = NoContent()
+        match answer:
+            case AskLater(retry_after_s=retry_after_s, ask_instead=member):
+                return FetchFailed(
+                    action.fetch_id, FetchFault.BUSY, retry_after_s, member
+                )
+            case SendNothing():
+                pass
+            case SendDelta(delta=delta):
+                self.counts["deltas"] += 1
+                self.counts[f"bytes-{kind}"] += len(delta)
+                content = DeltaContent(action.base, self._damage(delta))
+            case SendSnapshot(data=data):
+                self.counts["snapshots"] += 1
+                self.counts[f"bytes-{kind}"] += len(data)
+                content = self._open_snapshot(self._damage(data))
+        if not isinstance(content, NoContent):
+            self._end_answer(server, puller, current)
+        version = VersionId(current.number, current.digest)
+        return PayloadArrived(action.fetch_id, version, content)
+
+    def _end_answer(
+        self, server: SimulatedNode, puller: SimulatedNode, current: Version
+    ) -> None:
+        sent = VersionId(current.number, current.digest)
+        responder = server.responder
+        self._at(SEND_TIME_S, lambda: responder.end(puller.name, sent=sent))
+
+    def _open_snapshot(self, data: bytes) -> Content:
+        try:
+            payload = decompress_payload(data, limit=MAX_PAYLOAD_BYTES)
+        except MessageInvalidError:
+            # A daemon reports this as a damaged piece.
+            return SnapshotContent(b"")
+        return SnapshotContent(payload)
+
+    def _damage(self, data: bytes) -> bytes:
+        if not data or self.rng.random() >= self.faults.damage:
+            return data
+        at = self.rng.randrange(len(data))
+        return data[:at] + bytes([data[at] ^ 0x41]) + data[at + 1 :]
--- /dev/null
+++ b/tests/steps/cut_steps.py
@@ -0,0 +1,155 @@
+"""Steps that cut data centres off, stop processes and watch versions."""
+
+import asyncio
+import contextlib
+import signal
+
+import aiohttp
+from behave import given, then, when
+
+from standins.caller import send_call
+
+
+def split(names):
+    return [name.strip() for name in names.split(",")]
+
+
+@when('"{zone}" is cut in {way} from "{others}"')
+def step_cut_zone(context, zone, way, others):
+    relay = context.fleet.relay
+    for other in split(others):
+        match way:
+            case "both directions":
+                relay.cut_both(zone, other)
+            case "what it sends":
+                relay.cut(zone, other)
+            case "what it hears":
+                relay.cut(other, zone)
+            case _:
+                raise AssertionError(way)
+
+
+@then('the nodes {place} "{zone}" enforce the {version} version within 19 s')
+def step_place_in_force(context, place, zone, version):
+    fleet = context.fleet
+    names = [
+        name
+        for name, node in fleet.nodes.items()
+        if (node.data_centre == zone) == (place == "in")
+    ]
+    number = context.version - (version == "previous")
+    behind = context.run(fleet.wait_for_version(number, names))
+    assert not behind, behind
+    if version == "previous":
+        found = context.run(read_versions(fleet, names))
+        assert set(found.values()) == {number}, found
+
+
+async def read_versions(fleet, names):
+    return {
+        name: (await fleet.get(fleet.nodes[name].admin, "/status"))["version"]
+        for name in names
+    }
+
+
+@then('a read of "{service}" through "{name}" is served')
+def step_read_served(context, service, name):
+    node = context.fleet.nodes[name]
+    outcome = context.run(
+        send_call(
+            context.fleet.session,
+            node.caller,
+            service=service,
+            path="/packages/1",
+        )
+    )
+    assert outcome.verdict == "ran", outcome
+
+
+def find_process(context, name):
+    if name == "platform":
+        return context.fleet.platform_process
+    return context.fleet.nodes[name].node
+
+
+@when('the process of "{name}" is sent {sig}')
+def step_signal(context, name, sig):
+    process = find_process(context, name)
+    process.send(signal.Signals[sig])
+
+
+@when('the process of "{name}" is killed and started again')
+def step_restart(context, name):
+    fleet = context.fleet
+    node = fleet.nodes[name]
+    context.run(node.node.kill())
+    context.run(node.node.start(log=fleet.log_of(node, "node")))
+    context.run(fleet.wait_for_http(node.admin, "/healthz"))
+
+
+@then('"{name}" enforces the newest version within 19 s')
+def step_node_in_force(context, name):
+    behind = context.run(
+        context.fleet.wait_for_version(context.version, [name])
+    )
+    assert not behind, behind
+
+
+@then("one node enforces the newest version within 19 s")
+def step_one_in_force(context):
+    fleet = context.fleet
+
+    async def wait():
+        waits = [
+            asyncio.ensure_future(
+                fleet.wait_for_version(context.version, [name])
+            )
+            for name in fleet.nodes
+        ]
+        done, rest = await asyncio.wait(
+            waits, return_when=asyncio.FIRST_COMPLETED
+        )
+        for each in rest:
+            each.cancel()
+        return [each.result() for each in done]
+
+    assert [] in context.run(wait())
+
+
+@given("the versions of all nodes are watched")
+def step_watch(context):
+    context.seen = {}
+    context.falls = []
+    task = asyncio.run_coroutine_threadsafe(watch(context), context.loop)
+    context.add_cleanup(task.cancel)
+
+
+async def watch(context):
+    """Reads versions until cancelled; a stopped process is left out."""
+    fleet = context.fleet
+    timeout = aiohttp.ClientTimeout(total=0.3)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        while True:
+            for node in fleet.nodes.values():
+                with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                    url = f"http://{node.admin}/status"
+                    async with session.get(url) as resp:
+                        take_status(context, await resp.json())
+            await asyncio.sleep(0.05)
+
+
+def take_status(context, status):
+    name, number = status["node"], status["version"]
+    seen = context.seen.setdefault(name, [])
+    if number == 0:
+        # A process that has just started enforces nothing yet.
+        return
+    if seen and number < seen[-1]:
+        context.falls.append((name, seen[-1], number))
+    seen.append(number)
+
+
+@then("no version was seen to fall")
+def step_no_fall(context):
+    assert len(context.seen) == len(context.fleet.nodes), context.seen
+    assert not context.falls, context.falls
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -4,7 +4,7 @@
 from behave import then, when
 
 from standins.documents import make_newsroom_document
-from tests.support import publish
+from tests.support import publish, read_newest
 
 
 @when('"{one}" and "{other}" are cut from each other')
@@ -19,13 +19,13 @@
 
 @when("a new version is published")
 def step_publish_version(context):
+    # The scenarios of a feature may share a fleet, but not `context.version`.
+    base = context.run(read_newest(context.fleet))
     document = make_newsroom_document()
-    changed = attrs.evolve(
-        document.defaults, deadline_ms=10_000 + context.version
-    )
+    changed = attrs.evolve(document.defaults, deadline_ms=10_000 + base)
     document = attrs.evolve(document, defaults=changed)
-    context.run(publish(context.fleet, document, base=context.version))
-    context.version += 1
+    context.run(publish(context.fleet, document, base=base))
+    context.version = base + 1
 
 
 @then("every node enforces the newest version within {seconds:g} s")
--- a/tests/support.py
+++ b/tests/support.py
@@ -4,7 +4,7 @@
 
 from guavawing.config import Document
 from guavawing.model import parse_address
-from guavawing.platform import Head, publish_document
+from guavawing.platform import Head, fetch_head, publish_document
 from guavawing.platform.client import open_platform
 from standins.cluster import Fleet
 
@@ -21,3 +21,9 @@
             base_version=base,
             author="tests",
         )
+
+
+async def read_newest(fleet: Fleet) -> int:
+    """Returns the number of the newest version on a fleet's platform."""
+    async with open_platform(parse_address(fleet.platform)) as platform:
+        return (await fetch_head(platform)).version
