--- a/tests/processes/distribution.feature
+++ b/tests/processes/distribution.feature
@@ -23,3 +23,9 @@
     Then "desk-bergen-2" enforces the newest version within 19 s
     When the process of "platform" is sent SIGCONT
     Then no version was seen to fall
+
+  Scenario: A member announces versions that it does not have
+    When a member that never answers floods every node with false notices
+    And a new version is published
+    Then every node enforces the newest version within 19 s
+    And no version was seen to fall
--- a/tests/steps/cut_steps.py
+++ b/tests/steps/cut_steps.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import contextlib
+import itertools
 import signal
 
 import aiohttp
 from behave import given, then, when
 
+from guavawing.membership import Datagram, Member, MemberState, Notice
+from guavawing.model import parse_address
+from guavawing.node.datagrams import encode_datagram
 from standins.caller import send_call
 
 
@@ -138,6 +142,55 @@
             await asyncio.sleep(0.05)
 
 
+@when("a member that never answers floods every node with false notices")
+def step_flood(context):
+    task = asyncio.run_coroutine_threadsafe(flood(context.fleet), context.loop)
+    context.add_cleanup(task.cancel)
+
+
+async def flood(fleet):
+    """Sends false notices from a member that accepts and stays silent."""
+    host, port = "127.0.0.1", int(fleet.ports.take().rpartition(":")[2])
+    silent = await asyncio.start_server(
+        lambda _reader, _writer: None, host, port
+    )
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(
+        asyncio.DatagramProtocol, local_addr=(host, port)
+    )
+    try:
+        for turn in itertools.count(1):
+            for node in fleet.nodes.values():
+                payload = make_lie(f"{host}:{port}", turn)
+                address = parse_address(node.control)
+                transport.sendto(payload, (address.host, address.port))
+            await asyncio.sleep(0.02)
+    finally:
+        transport.close()
+        silent.close()
+
+
+def make_lie(address, turn):
+    """Returns a datagram that announces a version which does not exist."""
+    address = parse_address(address)
+    liar = Member(
+        id="liar",
+        incarnation=1,
+        sequence=turn,
+        state=MemberState.ALIVE,
+        data_centre="bergen",
+        region="vestland",
+        service="feed",
+        mesh=address,
+        control=address,
+        admin=address,
+        slots=0,
+        serving=False,
+    )
+    notice = Notice(100 + turn, turn.to_bytes(32))
+    return encode_datagram(Datagram("liar", (liar,), notice))
+
+
 def take_status(context, status):
     name, number = status["node"], status["version"]
     seen = context.seen.setdefault(name, [])
