Hold slots to the target's own end, guarantee each class a share

Cause: the thin path freed a slot at the caller's deadline while the target still worked: 30 calls of 1,500 ms with 300 ms left ran at once in 10 slots (tests/processes/admission.feature failed: max_running 30).

Change: the target client waits for the answer past the deadline and says whether the target has ended; Admission answers the caller (Abandon) and keeps the slot; ClassQueue serves classes in order with guaranteed shares; eviction, estimates by class, Retry-After by the work in front; skipped work is checked once more at the last moment. New reason `evicted`.

Conclusion: slots hold at every instant for any target that ends a call by answering it. A target that ignores the deadline passed to it loses capacity.

--- a/src/guavawing/node/owner.py
+++ b/src/guavawing/node/owner.py
@@ -11,8 +11,9 @@
 from guavawing.node.messages import Answer, CallAttempt
 from guavawing.node.metrics import Metrics
 from guavawing.node.submission import Submission
-from guavawing.node.target_client import TargetClient
+from guavawing.node.target_client import Execution, TargetClient
 from guavawing.policy.admission import (
+    Abandon,
     Action,
     Admission,
     QueuedCall,
@@ -27,12 +28,33 @@
 __all__ = ["Owner", "open_owner"]
 
 EXPIRY_PERIOD_S = 0.05
+# How long a slot stays taken after a connection broke without an answer: a
+# target needs this time at most to see the break and end its work.
+BROKEN_CONNECTION_GRACE_S = 1.0
 
 
-@attrs.frozen
+@attrs.define(eq=False)
 class _Call:
+    """A call that is queued or runs.
+
+    Attributes:
+        attempt: What to send to the target.
+        fut: What the first caller waits for.
+        end: How the call ends at the target; differs from `fut` when the
+            caller is answered before that.
+        waiters: Callers that wait, those that joined under the same key
+            included.
+        wanted: Whether anybody waits.
+    """
+
     attempt: CallAttempt
     fut: asyncio.Future[Answer]
+    end: asyncio.Future[Answer]
+    waiters: int = 1
+
+    @property
+    def wanted(self) -> bool:
+        return self.waiters > 0
 
 
 class Owner:
@@ -55,7 +77,7 @@
         self._keys = KeyTable(incarnation=incarnation, now=self._loop.time())
         self._ids = itertools.count(1)
         self._calls: dict[int, _Call] = {}
-        self._running_keys: dict[BoundKey, asyncio.Future[Answer]] = {}
+        self._running_keys: dict[BoundKey, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._idle = asyncio.Event()
         self._idle.set()
@@ -87,7 +109,7 @@
         self._admission.stop_draining()
 
     async def wait_idle(self) -> None:
-        """Waits until no call is queued or running."""
+        """Waits until no call is queued and the target has ended all."""
         await self._idle.wait()
 
     def mint_key(self) -> BoundKey:
@@ -110,10 +132,7 @@
         )
         match decision:
             case Begin():
-                submission = self._offer(attempt)
-                if not submission.fut.done():
-                    self._running_keys[attempt.key] = submission.fut
-                return submission
+                return self._offer(attempt)
             case Join():
                 return self._join(self._running_keys[attempt.key])
             case Replay(answer=Answer() as answer):
@@ -123,34 +142,45 @@
         raise AssertionError(f"unexpected decision {decision!r}")
 
     def expire(self) -> None:
-        """Refuses the queued calls whose deadline has passed."""
-        if self._admission.queued:
+        """Answers the calls whose deadline has passed."""
+        if self._calls:
             now = self._loop.time()
             self._carry_out(self._admission.expire(now=now))
 
     def _offer(self, attempt: CallAttempt) -> Submission:
         call_id = next(self._ids)
         fut: asyncio.Future[Answer] = self._loop.create_future()
-        self._calls[call_id] = _Call(attempt, fut)
+        end: asyncio.Future[Answer] = self._loop.create_future()
+        self._calls[call_id] = _Call(attempt, fut, end)
+        if attempt.key is not None:
+            self._running_keys[attempt.key] = call_id
         self._idle.clear()
         call = QueuedCall(
             call_id, attempt.policy.settings.call_class, attempt.deadline
         )
         self._carry_out(self._admission.offer(call, now=self._loop.time()))
-        return Submission(fut, lambda: self._cancel(call_id))
-
-    def _cancel(self, call_id: int) -> None:
-        self._carry_out(self._admission.cancel(call_id))
-
-    def _join(self, running: asyncio.Future[Answer]) -> Submission:
+        return Submission(fut, lambda: self._leave(call_id))
+
+    def _leave(self, call_id: int) -> None:
+        """Takes the cancellation of one of the callers of a call."""
+        call = self._calls.get(call_id)
+        if call is None:
+            return
+        call.waiters -= 1
+        if not call.wanted:
+            self._carry_out(self._admission.cancel(call_id))
+
+    def _join(self, call_id: int) -> Submission:
         fut: asyncio.Future[Answer] = self._loop.create_future()
+        call = self._calls[call_id]
+        call.waiters += 1
 
         def copy_answer(done: asyncio.Future[Answer]) -> None:
             if not fut.done():
                 fut.set_result(done.result())
 
-        running.add_done_callback(copy_answer)
-        return Submission(fut)
+        call.end.add_done_callback(copy_answer)
+        return Submission(fut, lambda: self._leave(call_id))
 
     def _refuse(self, verdict: Verdict) -> Submission:
         self._metrics.owner_refusals.inc({"reason": str(verdict.reason)})
@@ -172,32 +202,55 @@
                     reason = str(verdict.reason)
                     self._metrics.owner_refusals.inc({"reason": reason})
                     self._complete(call_id, Answer(verdict))
+                    self._remove(call_id)
+                case Abandon(call_id=call_id, verdict=verdict):
+                    _resolve_once(self._calls[call_id].fut, Answer(verdict))
 
     async def _run(self, call_id: int) -> None:
-        attempt = self._calls[call_id].attempt
+        call = self._calls[call_id]
         now = self._loop.time()
-        if attempt.deadline <= now:
-            answer = Answer(NotRun(Reason.DEADLINE_PASSED))
+        if call.attempt.deadline <= now:
+            execution = _skip(Reason.DEADLINE_PASSED)
+        elif not call.wanted:
+            execution = _skip(Reason.CANCELLED)
         else:
-            answer = await self._target.execute(attempt, now=now)
-        self._complete(call_id, answer)
+            execution = await self._target.execute(call.attempt, now=now)
+        self._complete(call_id, execution.answer)
+        if not execution.ended:
+            await asyncio.sleep(BROKEN_CONNECTION_GRACE_S)
         now = self._loop.time()
-        self._carry_out(self._admission.finish(call_id, now=now))
+        actions = self._admission.finish(call_id, now=now)
+        self._remove(call_id)
+        self._carry_out(actions)
 
     def _complete(self, call_id: int, answer: Answer) -> None:
-        call = self._calls.pop(call_id)
+        """Answers every caller of a call and records how it ended."""
+        call = self._calls[call_id]
         key = call.attempt.key
         if key is not None:
-            self._running_keys.pop(key, None)
+            del self._running_keys[key]
             if isinstance(answer.verdict, NotRun):
                 self._keys.release(key)
             else:
                 self._keys.finish(key, answer)
-        call.fut.set_result(answer)
+        _resolve_once(call.fut, answer)
+        call.end.set_result(answer)
+
+    def _remove(self, call_id: int) -> None:
+        del self._calls[call_id]
         if not self._calls:
             self._idle.set()
 
 
+def _skip(reason: Reason) -> Execution:
+    return Execution(Answer(NotRun(reason)), ended=True)
+
+
+def _resolve_once(fut: asyncio.Future[Answer], answer: Answer) -> None:
+    if not fut.done():
+        fut.set_result(answer)
+
+
 @contextlib.asynccontextmanager
 async def open_owner(
     *,
--- a/src/guavawing/node/target_client.py
+++ b/src/guavawing/node/target_client.py
@@ -4,12 +4,19 @@
 from collections.abc import AsyncIterator, Iterable
 
 import aiohttp
+import attrs
 
 from guavawing.model import Address
 from guavawing.node.messages import Answer, CallAttempt, Headers
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
 
-__all__ = ["TargetClient", "open_target_client"]
+__all__ = ["Execution", "TargetClient", "open_target_client"]
+
+# Time left of a call, in milliseconds, so that the target can end its work
+# when nobody waits for it any more.
+TIME_LEFT_HEADER = "Guavawing-Deadline-Ms"
+MILLISECONDS = 1_000
+CONNECT_RETRY_AFTER_S = 1.0
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 HEALTH_TIMEOUT_S = 1.0
@@ -33,6 +40,21 @@
 )
 
 
+@attrs.frozen
+class Execution:
+    """How an attempt ended at the target.
+
+    Attributes:
+        answer: The target's answer, or the verdict without one.
+        ended: Whether the target is known to have ended its work: it has
+            sent its whole answer, or it never got the request. A connection
+            that broke tells only that no answer will come.
+    """
+
+    answer: Answer
+    ended: bool
+
+
 class _BrokenConnectionError(Exception):
     """Raised in place of the errors after which aiohttp sends again."""
 
@@ -65,29 +87,38 @@
         self._session = session
         self._base = f"http://{address}"
 
-    async def execute(self, attempt: CallAttempt, *, now: float) -> Answer:
-        """Sends an attempt to the target, once, and reads the whole answer."""
-        timeout = aiohttp.ClientTimeout(total=attempt.deadline - now)
+    async def execute(self, attempt: CallAttempt, *, now: float) -> Execution:
+        """Sends an attempt to the target, once, and reads the whole answer.
+
+        The deadline bounds the time to get a connection and is passed to the
+        target. It doesn't end the wait for the answer: closing the
+        connection would hide whether the target still works on the request.
+        """
+        time_left_s = attempt.deadline - now
+        timeout = aiohttp.ClientTimeout(total=None, connect=time_left_s)
+        headers = _replace_time_left(attempt.headers, time_left_s)
         try:
             async with self._session.request(
                 attempt.method,
                 self._base + attempt.path,
-                headers=attempt.headers,
+                headers=headers,
                 data=attempt.body or None,
                 timeout=timeout,
                 allow_redirects=False,
             ) as resp:
                 return await _read_answer(resp)
+        except aiohttp.ConnectionTimeoutError:
+            return Execution(Answer(NotRun(Reason.DEADLINE_PASSED)), ended=True)
         except aiohttp.ClientConnectorError:
-            return Answer(NotRun(Reason.TARGET_UNREACHABLE, 1.0))
+            verdict = NotRun(Reason.TARGET_UNREACHABLE, CONNECT_RETRY_AFTER_S)
+            return Execution(Answer(verdict), ended=True)
         except aiohttp.InvalidURL:
-            return Answer(NotRun(Reason.MALFORMED_HEADER))
-        except TimeoutError:
-            return Answer(MayHaveRun(Reason.TARGET_TIMEOUT))
+            verdict = NotRun(Reason.MALFORMED_HEADER)
+            return Execution(Answer(verdict), ended=True)
         except aiohttp.ClientPayloadError:
-            return Answer(MayHaveRun(Reason.ANSWER_TRUNCATED))
-        except (aiohttp.ClientError, _BrokenConnectionError):
-            return Answer(MayHaveRun(Reason.TARGET_BROKE))
+            return _lose(Reason.ANSWER_TRUNCATED)
+        except (aiohttp.ClientError, _BrokenConnectionError, TimeoutError):
+            return _lose(Reason.TARGET_BROKE)
 
     async def is_healthy(self) -> bool:
         """Returns whether the target's health endpoint answers well."""
@@ -101,14 +132,39 @@
             return False
 
 
-async def _read_answer(resp: aiohttp.ClientResponse) -> Answer:
+async def _read_answer(resp: aiohttp.ClientResponse) -> Execution:
     length = resp.content_length
     if length is not None and length > MAX_ANSWER_BYTES:
-        return Answer(MayHaveRun(Reason.ANSWER_TOO_LARGE))
-    body = await resp.read()
-    return Answer(
-        Ran(), resp.status, strip_hop_headers(resp.headers.items()), body
-    )
+        return _lose(Reason.ANSWER_TOO_LARGE)
+    body = await _read_body(resp)
+    if body is None:
+        return _lose(Reason.ANSWER_TOO_LARGE)
+    headers = strip_hop_headers(resp.headers.items())
+    answer = Answer(Ran(), resp.status, headers, body)
+    return Execution(answer, ended=True)
+
+
+async def _read_body(resp: aiohttp.ClientResponse) -> bytes | None:
+    """Reads a body whose length need not be known; None if too large."""
+    if resp.content_length is not None:
+        return await resp.read()
+    body = bytearray()
+    async for chunk in resp.content.iter_any():
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            return None
+    return bytes(body)
+
+
+def _replace_time_left(headers: Headers, time_left_s: float) -> Headers:
+    time_left_ms = str(max(1, int(time_left_s * MILLISECONDS)))
+    name = TIME_LEFT_HEADER.lower()
+    kept = (each for each in headers if each[0].lower() != name)
+    return (*kept, (TIME_LEFT_HEADER, time_left_ms))
+
+
+def _lose(reason: Reason) -> Execution:
+    return Execution(Answer(MayHaveRun(reason)), ended=False)
 
 
 def strip_hop_headers(headers: Iterable[tuple[str, str]]) -> Headers:
--- /dev/null
+++ b/src/guavawing/policy/class_queue.py
@@ -0,0 +1,145 @@
+"""Calls that wait for a slot: classes in order, deadlines inside a class.
+
+The highest class that waits is served next, except that each lower class is
+guaranteed a share of the starts. A waiting class earns its share with every
+start; when it has earned a whole start, it is served before the others. So
+urgent calls wait for little more than each other, and a class that waits
+gets a start at the latest when `1 / share` others have been made, and one
+more for each other class that is owed a start too.
+"""
+
+import bisect
+
+import attrs
+
+from guavawing.model import CallClass
+
+__all__ = ["CLASS_ORDER", "ClassQueue", "QueuedCall", "guaranteed_share"]
+
+CLASS_ORDER = (CallClass.URGENT, CallClass.NORMAL, CallClass.BULK)
+_GUARANTEED_SHARES = {
+    CallClass.URGENT: 0.0,
+    CallClass.NORMAL: 1 / 8,
+    CallClass.BULK: 1 / 16,
+}
+
+
+def guaranteed_share(call_class: CallClass) -> float:
+    """Returns the least share of a class while lower classes wait too."""
+    if call_class is CallClass.URGENT:
+        return 1.0 - sum(_GUARANTEED_SHARES.values())
+    return _GUARANTEED_SHARES[call_class]
+
+
+@attrs.frozen
+class QueuedCall:
+    """A call that asks for a slot.
+
+    Attributes:
+        id: Unique among the calls of this machine.
+        call_class: Order of service.
+        deadline: Event loop's time at which the caller gives up, in seconds.
+    """
+
+    id: int
+    call_class: CallClass
+    deadline: float
+
+
+class _Lane:
+    """The waiting calls of one class, by deadline."""
+
+    __slots__ = ("credit", "entries", "share")
+
+    def __init__(self, share: float) -> None:
+        self.share = share
+        self.credit = 0.0
+        self.entries: list[tuple[float, int]] = []
+
+
+class ClassQueue:
+    """Waiting calls and the order in which they get slots."""
+
+    __slots__ = ("_calls", "_lanes")
+
+    def __init__(self) -> None:
+        self._calls: dict[int, QueuedCall] = {}
+        self._lanes = {
+            each: _Lane(_GUARANTEED_SHARES[each]) for each in CLASS_ORDER
+        }
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    def __contains__(self, call_id: int) -> bool:
+        return call_id in self._calls
+
+    def count(self, call_class: CallClass) -> int:
+        """Returns how many calls of a class wait."""
+        return len(self._lanes[call_class].entries)
+
+    def count_above(self, call_class: CallClass) -> int:
+        """Returns how many calls of higher classes wait."""
+        above = CLASS_ORDER[: CLASS_ORDER.index(call_class)]
+        return sum(self.count(each) for each in above)
+
+    def count_before(self, call: QueuedCall) -> int:
+        """Returns how many calls of its class go before a call."""
+        entries = self._lanes[call.call_class].entries
+        return bisect.bisect(entries, (call.deadline, call.id))
+
+    def last(self, call_class: CallClass) -> QueuedCall | None:
+        """Returns the call of a class that would be served last."""
+        entries = self._lanes[call_class].entries
+        return self._calls[entries[-1][1]] if entries else None
+
+    def list_expired(self, *, now: float) -> list[QueuedCall]:
+        """Returns the waiting calls whose deadline has passed."""
+        expired = []
+        for lane in self._lanes.values():
+            for deadline, call_id in lane.entries:
+                if deadline > now:
+                    break
+                expired.append(self._calls[call_id])
+        return expired
+
+    def push(self, call: QueuedCall) -> None:
+        """Adds a call."""
+        self._calls[call.id] = call
+        lane = self._lanes[call.call_class]
+        bisect.insort(lane.entries, (call.deadline, call.id))
+
+    def discard(self, call_id: int) -> QueuedCall | None:
+        """Takes a call out; returns None if it doesn't wait."""
+        call = self._calls.pop(call_id, None)
+        if call is None:
+            return None
+        lane = self._lanes[call.call_class]
+        index = bisect.bisect_left(lane.entries, (call.deadline, call.id))
+        del lane.entries[index]
+        if not lane.entries:
+            lane.credit = 0.0
+        return call
+
+    def pop(self) -> QueuedCall:
+        """Takes out the call to serve next.
+
+        Raises:
+            IndexError: If no call waits.
+        """
+        call_class = self._pick_class()
+        for lane in self._lanes.values():
+            if lane.entries:
+                lane.credit = min(1.0, lane.credit + lane.share)
+        self._lanes[call_class].credit = 0.0
+        _, call_id = self._lanes[call_class].entries[0]
+        call = self.discard(call_id)
+        assert call is not None
+        return call
+
+    def _pick_class(self) -> CallClass:
+        waiting = [each for each in CLASS_ORDER if self._lanes[each].entries]
+        for each in waiting:
+            if self._lanes[each].credit >= 1.0:
+                return each
+        return waiting[0]
--- a/src/guavawing/verdict.py
+++ b/src/guavawing/verdict.py
@@ -32,6 +32,7 @@
     # Refusals at the owner node, before the target was asked.
     QUEUE_FULL = "queue-full"
     CANNOT_MEET_DEADLINE = "cannot-meet-deadline"
+    EVICTED = "evicted"
     DRAINING = "draining"
     WRONG_OWNER = "wrong-owner"
     KEY_TABLE_FULL = "key-table-full"
--- /dev/null
+++ b/tests/processes/admission.feature
@@ -0,0 +1,16 @@
+@shared_fleet @data_centres.1 @copies.1
+Feature: A target never has more calls than slots, by its own count
+
+  Scenario: A slot stays taken while the target works on an abandoned call
+    When 3 waves of 10 reads of 1500 ms with a deadline of 300 ms are sent to "desk"
+    Then every call is answered within 1300 ms
+    And the target of "desk-bergen-1" has run at most 10 calls at a time
+    And the target of "desk-bergen-1" has had at most 11 connections at a time
+
+  Scenario: Urgent checks stay in time at twice the capacity
+    When for 4 s each second 60 urgent and 340 bulk calls of 50 ms are sent to "feed"
+    Then every urgent call is served within 1000 ms
+    And at least 30 bulk calls are served
+    And at least 300 bulk calls are refused as not run with a time to come back
+    And the target of "feed-bergen-1" has run at most 10 calls at a time
+    And the target of "feed-bergen-1" has had at most 11 connections at a time
--- /dev/null
+++ b/tests/steps/admission_steps.py
@@ -0,0 +1,302 @@
+"""Steps that drive the admission machine."""
+
+import random
+
+from behave import given, then, when
+from hypothesis import given as given_data
+from hypothesis import settings, strategies
+
+from bench.event_model import (
+    Stream,
+    make_exponential,
+    run_single,
+    select_served,
+)
+from guavawing.model import CallClass
+from guavawing.policy.admission import Admission, QueuedCall
+from tests.golden_files import check_golden
+
+MAX_STARTS_BEFORE_ANY_CLASS = 18
+
+
+class Driver:
+    """Feeds events to a machine and checks its rules after each."""
+
+    def __init__(self, slots, queue_limit):
+        self.machine = Admission(slots=slots, queue_limit=queue_limit)
+        self.limits = [slots, queue_limit]
+        self.calls = {}
+        self.waiting = {}
+        self.running = set()
+        self.answered = {}
+        self.log = []
+
+    def do(self, actions, *, now):
+        for action in actions:
+            kind = type(action).__name__.lower()
+            verdict = getattr(action, "verdict", None)
+            reason = f" {verdict.reason}" if verdict else ""
+            self.log.append(f"{kind} {action.call_id}{reason}")
+            self.take(kind, action.call_id, verdict, now)
+        assert self.machine.running == len(self.running)
+        assert self.machine.queued == len(self.waiting)
+        assert self.machine.queued <= self.limits[1]
+
+    def take(self, kind, call_id, verdict, now):
+        if kind == "start":
+            call = self.calls[call_id]
+            self.running.add(call_id)
+            del self.waiting[call_id]
+            assert len(self.running) <= self.limits[0]
+            assert call.deadline > now, "an expired call was started"
+            for call_class in {self.calls[c].call_class for c in self.waiting}:
+                self.skipped[call_class] = self.skipped.get(call_class, 0) + 1
+                limit = MAX_STARTS_BEFORE_ANY_CLASS
+                assert self.skipped[call_class] <= limit, "a class starves"
+            self.skipped[call.call_class] = 0
+            return
+        assert call_id not in self.answered, "a call was answered twice"
+        self.answered[call_id] = verdict
+        if kind == "refuse":
+            assert call_id not in self.running, "a refusal followed a start"
+            del self.waiting[call_id]
+        else:
+            assert call_id in self.running
+
+    skipped: dict = {}  # noqa: RUF012
+
+    def offer(self, call_class, time_left_s, *, now):
+        call = QueuedCall(len(self.calls) + 1, call_class, now + time_left_s)
+        self.calls[call.id] = call
+        if not any(
+            self.calls[c].call_class is call_class for c in self.waiting
+        ):
+            self.skipped = {**self.skipped, call_class: 0}
+        self.waiting[call.id] = call
+        self.do(self.machine.offer(call, now=now), now=now)
+
+    def finish(self, call_id, *, now):
+        self.running.discard(call_id)
+        self.answered.setdefault(call_id, None)
+        self.do(self.machine.finish(call_id, now=now), now=now)
+
+    def cancel(self, call_id, *, now):
+        if call_id in self.running:
+            self.answered.setdefault(call_id, None)
+        self.do(self.machine.cancel(call_id), now=now)
+
+    def set_limits(self, slots, queue_limit, *, now):
+        self.limits = [slots, queue_limit]
+        actions = self.machine.set_limits(
+            slots=slots, queue_limit=queue_limit, now=now
+        )
+        self.do(actions, now=now)
+
+
+@given("a target with {slots:d} slot and a queue of {limit:d}")
+@given("a target with {slots:d} slots and a queue of {limit:d}")
+def step_target(context, slots, limit):
+    context.driver = Driver(slots, limit)
+
+
+@when('at {now:g} s calls "{classes}" with {left:g} s left are offered')
+def step_offer(context, now, classes, left):
+    for name in classes.split():
+        context.driver.offer(CallClass(name), left, now=now)
+
+
+@when("at {now:g} s deadlines are looked at")
+def step_expire(context, now):
+    context.driver.do(context.driver.machine.expire(now=now), now=now)
+
+
+@when("at {now:g} s the call {call_id:d} ends")
+def step_end(context, now, call_id):
+    context.driver.finish(call_id, now=now)
+
+
+@when("at {now:g} s nothing happens")
+def step_nothing(context, now):
+    pass
+
+
+@when("call {call_id:d} is cancelled")
+def step_cancel(context, call_id):
+    context.driver.cancel(call_id, now=0.0)
+
+
+@when("at {now:g} s the limits fall to {slots:d} slot and a queue of {limit:d}")
+def step_limits(context, now, slots, limit):
+    context.driver.set_limits(slots, limit, now=now)
+
+
+@when("{count:d} times an urgent call is offered and the running call ends")
+def step_flood(context, count):
+    driver = context.driver
+    for number in range(1, count + 1):
+        now = number * 0.01
+        for _ in range(2):
+            driver.offer(CallClass.URGENT, 100.0, now=now)
+        driver.finish(min(driver.running), now=now)
+
+
+@then('the actions are "{expected}"')
+def step_actions(context, expected):
+    assert context.driver.log == expected.split(", "), context.driver.log
+
+
+@then("call {call_id:d} was started")
+def step_was_started(context, call_id):
+    assert f"start {call_id}" in context.driver.log, context.driver.log
+
+
+@then("no call was refused")
+def step_not_refused(context):
+    assert not any("refuse" in each for each in context.driver.log)
+
+
+@when(
+    "every call takes {work:g} s and {count:d} callers come back when told to"
+)
+def step_come_back(context, work, count):
+    context.denied = 0
+    for number in range(1, count + 1):
+        driver = Driver(2, 8)
+        rng = random.Random(number)
+        ends, now = [], 0.0
+        # A first wave teaches the machine how long a call takes.
+        for _ in range(40):
+            driver.offer(CallClass.NORMAL, 100.0, now=now)
+            while driver.running:
+                now += work
+                driver.finish(min(driver.running), now=now)
+        for _ in range(rng.randint(2, 14)):
+            driver.offer(rng.choice([*CallClass]), 100.0, now=now)
+        call_class, left = rng.choice([*CallClass]), rng.uniform(0.15, 1.0)
+        driver.offer(call_class, left, now=now)
+        verdict = driver.answered.get(len(driver.calls))
+        if verdict is None:
+            continue
+        ends = dict.fromkeys(driver.running, now + work)
+        back_at = now + verdict.retry_after_s
+        while ends and min(ends.values()) <= back_at:
+            call_id = min(ends, key=ends.get)
+            end = ends.pop(call_id)
+            driver.finish(call_id, now=end)
+            ends |= {c: end + work for c in driver.running if c not in ends}
+        driver.offer(call_class, left, now=back_at)
+        context.denied += driver.answered.get(len(driver.calls)) is not None
+
+
+@then("every caller was served or let in at its second try")
+def step_let_in(context):
+    assert context.denied == 0, context.denied
+
+
+EVENTS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(
+            ["offer"] * 3 + ["finish"] * 2 + ["cancel", "expire", "limits"]
+        ),
+        strategies.integers(0, 9),
+        strategies.floats(0.0, 0.3),
+    ),
+    max_size=120,
+)
+
+
+def play(driver, events):
+    now = 0.0
+    for kind, number, step_s in events:
+        now += step_s
+        match kind:
+            case "offer":
+                call_class = [*CallClass][number % 3]
+                driver.offer(call_class, (number + 1) * 0.2, now=now)
+            case "finish" if driver.running:
+                running = sorted(driver.running)
+                driver.finish(running[number % len(running)], now=now)
+            case "cancel" if driver.calls:
+                driver.cancel(number % len(driver.calls) + 1, now=now)
+            case "expire":
+                driver.do(driver.machine.expire(now=now), now=now)
+            case "limits":
+                driver.set_limits(number % 4, number, now=now)
+        yield kind, number, now
+    while driver.running:
+        driver.finish(min(driver.running), now=now)
+
+
+@then("random events never break a rule of admission")
+def step_property(context):
+    @settings(derandomize=True, database=None, deadline=None, max_examples=400)
+    @given_data(EVENTS, strategies.integers(1, 4), strategies.integers(0, 12))
+    def check(events, slots, queue_limit):
+        driver = Driver(slots, queue_limit)
+        for _ in play(driver, events):
+            pass
+        driver.set_limits(4, 12, now=1e9)
+        driver.do(driver.machine.expire(now=1e9), now=1e9)
+        assert not driver.waiting and not driver.running
+        assert set(driver.answered) == set(driver.calls)
+
+    check()
+
+
+@when(
+    "{urgent:g} urgent, {normal:g} normal and {bulk:g} bulk of the capacity"
+    " are offered"
+)
+def step_overload_model(context, urgent, normal, bulk):
+    slots, work_s, duration_s = 10, 0.02, 20.0
+    capacity = slots / work_s
+    streams = (
+        Stream(CallClass.URGENT, urgent * capacity, 0.2),
+        Stream(CallClass.NORMAL, normal * capacity, 1.0),
+        Stream(CallClass.BULK, bulk * capacity, 4.0),
+    )
+    context.model, context.target = run_single(
+        Admission(slots=slots, queue_limit=40),
+        streams,
+        work=make_exponential(work_s),
+        duration_s=duration_s,
+        seed=4,
+    )
+    context.capacity = capacity * duration_s
+
+
+@then("every urgent call is served in time")
+def step_urgent_in_time(context):
+    urgent = [c for c in context.model.calls if c.call_class == "urgent"]
+    served = select_served(context.model.calls, CallClass.URGENT)
+    assert urgent and len(served) == len(urgent), (len(served), len(urgent))
+
+
+@then("at least {share:g} of the capacity serves bulk calls")
+def step_bulk_share(context, share):
+    served = select_served(context.model.calls, CallClass.BULK)
+    assert len(served) / context.capacity >= share, len(served)
+
+
+@then("no more calls than slots ever ran")
+def step_model_slots(context):
+    target = context.target
+    assert 0 < target.max_running <= target.admission.slots
+
+
+@then("the session of admission is as in its golden file")
+def step_golden(context):
+    rng = random.Random(4)
+    kinds = ["offer"] * 5 + ["finish"] * 3 + ["cancel", "expire"]
+    events = [
+        (rng.choice(kinds), rng.randint(0, 9), round(rng.uniform(0, 0.1), 3))
+        for _ in range(120)
+    ]
+    driver = Driver(2, 6)
+    lines = []
+    for kind, number, now in play(driver, events):
+        load = f"running {len(driver.running)} queued {len(driver.waiting)}"
+        lines.append(f"{now:.3f} {kind} {number}: {load}")
+        lines += [f"    {entry}" for entry in driver.log]
+        driver.log.clear()
+    check_golden("admission", "\n".join(lines) + "\n")
