--- a/src/guavawing/node/caller_server.py
+++ b/src/guavawing/node/caller_server.py
@@ -49,6 +49,7 @@
     Reason.DEADLINE_PASSED: 504,
     Reason.TARGET_TIMEOUT: 504,
     Reason.QUEUE_FULL: 429,
+    Reason.EVICTED: 429,
 }
 _STATUS_NOT_RUN = 503
 _STATUS_MAY_HAVE_RUN = 502
@@ -93,13 +94,17 @@
         self._in_flight += 1
         self._idle.clear()
         try:
-            return await self._answer(req)
+            resp = await self._answer(req)
+            # A call is in flight until the caller has taken its answer.
+            await resp.prepare(req)
+            await resp.write_eof()
+            return resp
         finally:
             self._in_flight -= 1
             if not self._in_flight:
                 self._idle.set()
 
-    async def _answer(self, req: web.BaseRequest) -> web.StreamResponse:
+    async def _answer(self, req: web.BaseRequest) -> web.Response:
         call_id = _read_call_id(req)
         message = ""
         try:
@@ -125,7 +130,9 @@
 
     async def _read_call(self, req: web.BaseRequest, call_id: str) -> Call:
         if self._stopping:
-            raise _RefusedError(Reason.STOPPING, "this node is stopping")
+            exc = _RefusedError(Reason.STOPPING, "this node is stopping")
+            exc.verdict = NotRun(Reason.STOPPING, 0.0)
+            raise exc
         arrived_at = self._loop.time()
         deadline_ms = _read_number(
             req, DEADLINE_HEADER, Reason.MISSING_DEADLINE, MAX_DEADLINE_MS
