--- /dev/null
+++ b/src/guavawing/node/call_headers.py
@@ -0,0 +1,77 @@
+"""Names of the HTTP headers of calls, and those that a target gets."""
+
+from collections.abc import Iterable
+
+from guavawing.node.messages import CallAttempt, Headers
+
+__all__ = [
+    "BUDGET_HEADER",
+    "CALL_ID_HEADER",
+    "DEADLINE_HEADER",
+    "DEPTH_HEADER",
+    "KEY_HEADER",
+    "REASON_HEADER",
+    "SERVICE_HEADER",
+    "VERDICT_HEADER",
+    "build_target_headers",
+    "strip_answer_headers",
+    "strip_call_headers",
+]
+
+SERVICE_HEADER = "Guavawing-Service"
+DEADLINE_HEADER = "Guavawing-Deadline-Ms"
+DEPTH_HEADER = "Guavawing-Depth"
+CALL_ID_HEADER = "Guavawing-Call-Id"
+KEY_HEADER = "Idempotency-Key"
+VERDICT_HEADER = "Guavawing-Verdict"
+REASON_HEADER = "Guavawing-Reason"
+BUDGET_HEADER = "Guavawing-Budget-Spent"
+MILLISECONDS = 1_000
+
+_REPLACED_IN_CALLS = frozenset(
+    {
+        DEADLINE_HEADER.lower(),
+        DEPTH_HEADER.lower(),
+        CALL_ID_HEADER.lower(),
+    }
+)
+# A target that makes calls itself may pass their verdicts on by mistake.
+_REPLACED_IN_ANSWERS = frozenset(
+    {
+        VERDICT_HEADER.lower(),
+        REASON_HEADER.lower(),
+        CALL_ID_HEADER.lower(),
+    }
+)
+
+
+def strip_call_headers(headers: Headers) -> Headers:
+    """Returns a call's headers without those that are set for a target."""
+    return _strip(headers, _REPLACED_IN_CALLS)
+
+
+def strip_answer_headers(headers: Headers) -> Headers:
+    """Returns a target's headers without those that a node sets."""
+    return _strip(headers, _REPLACED_IN_ANSWERS)
+
+
+def build_target_headers(attempt: CallAttempt, *, now: float) -> Headers:
+    """Returns the headers of a request to a target.
+
+    A service that makes calls on behalf of this one passes the depth and
+    the time left on, so that deadlines shrink on the way and the depth is
+    bounded.
+    """
+    time_left_ms = int((attempt.deadline - now) * MILLISECONDS)
+    return (
+        *attempt.headers,
+        (DEADLINE_HEADER, str(max(time_left_ms, 1))),
+        (DEPTH_HEADER, str(attempt.depth)),
+        (CALL_ID_HEADER, attempt.call_id),
+    )
+
+
+def _strip(
+    headers: Iterable[tuple[str, str]], names: frozenset[str]
+) -> Headers:
+    return tuple(pair for pair in headers if pair[0].lower() not in names)
--- a/src/guavawing/node/caller_server.py
+++ b/src/guavawing/node/caller_server.py
@@ -2,64 +2,67 @@
 
 import asyncio
 import contextlib
-import math
 import secrets
 from collections.abc import AsyncIterator, Callable
 
-import orjson
+import eliot
 from aiohttp import web
 
 from guavawing.config import EffectivePolicy, PolicyTable
+from guavawing.errors import InvalidArgumentError
 from guavawing.model import Address
+from guavawing.node.call_headers import (
+    CALL_ID_HEADER,
+    DEADLINE_HEADER,
+    DEPTH_HEADER,
+    KEY_HEADER,
+    SERVICE_HEADER,
+    strip_call_headers,
+)
+from guavawing.node.caller_response import (
+    build_keys_response,
+    build_response,
+)
 from guavawing.node.entry import Call, Entry, compute_fingerprint
 from guavawing.node.messages import Answer, CallAttempt
 from guavawing.node.metrics import Metrics
 from guavawing.node.target_client import strip_hop_headers
-from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason, verdict_name
+from guavawing.policy.bound_key import is_bound_key, parse_bound_key
+from guavawing.verdict import MayHaveRun, NotRun, Reason
 
 __all__ = ["CallerServer", "open_caller_server"]
 
-SERVICE_HEADER = "Guavawing-Service"
-DEADLINE_HEADER = "Guavawing-Deadline-Ms"
-DEPTH_HEADER = "Guavawing-Depth"
-CALL_ID_HEADER = "Guavawing-Call-Id"
-KEY_HEADER = "Idempotency-Key"
-VERDICT_HEADER = "Guavawing-Verdict"
-REASON_HEADER = "Guavawing-Reason"
-BUDGET_HEADER = "Guavawing-Budget-Spent"
-
+KEYS_PATH = "/guavawing/keys"
+MAX_KEYS = 1_000
+KEYS_TIMEOUT_S = 3.0
 MAX_DEPTH = 32
 MAX_DEADLINE_MS = 600_000
 MAX_KEY_LENGTH = 256
+MAX_HEADERS = 100
+MAX_HEADER_BYTES = 32 * 1024
+MAX_CALLS = 4_096
+RETRY_AFTER_TOO_MANY_S = 1.0
+RETRY_AFTER_NO_CONFIG_S = 1.0
 MAX_CALL_ID_LENGTH = 64
 CALL_ID_BYTES = 8
 MILLISECONDS = 1_000
 SHUTDOWN_TIMEOUT_S = 1.0
 
-_STATUS_OF_REASON = {
-    Reason.UNKNOWN_SERVICE: 404,
-    Reason.UNKNOWN_ROUTE: 404,
-    Reason.MISSING_DEADLINE: 400,
-    Reason.MALFORMED_HEADER: 400,
-    Reason.TOO_DEEP: 400,
-    Reason.BODY_TOO_LARGE: 413,
-    Reason.KEY_REUSED: 422,
-    Reason.DEADLINE_PASSED: 504,
-    Reason.TARGET_TIMEOUT: 504,
-    Reason.QUEUE_FULL: 429,
-}
-_STATUS_NOT_RUN = 503
-_STATUS_MAY_HAVE_RUN = 502
-
 PolicySource = Callable[[], PolicyTable | None]
 
 
 class _RefusedError(Exception):
     """Raised when a request can't be taken; carries the verdict."""
 
-    def __init__(self, reason: Reason, message: str) -> None:
+    def __init__(
+        self,
+        reason: Reason,
+        message: str,
+        *,
+        retry_after_s: float | None = None,
+    ) -> None:
         super().__init__(message)
-        self.verdict = NotRun(reason)
+        self.verdict = NotRun(reason, retry_after_s)
         self.message = message
 
 
@@ -91,7 +94,12 @@
         self._in_flight += 1
         self._idle.clear()
         try:
+            if req.path == KEYS_PATH and req.method == "POST":
+                return await self._answer_keys(req)
             return await self._answer(req)
+        except asyncio.CancelledError:
+            self._metrics.refusals.inc({"reason": str(Reason.CANCELLED)})
+            raise
         finally:
             self._in_flight -= 1
             if not self._in_flight:
@@ -102,19 +110,65 @@
         message = ""
         try:
             call = await self._read_call(req, call_id)
-            answer = await self._entry.call(call)
+            answer = await self._call(call)
         except _RefusedError as exc:
             answer = Answer(exc.verdict)
             message = exc.message
         self._metrics.count_call(answer.verdict)
-        resp = _build_response(answer, call_id, message)
+        resp = build_response(answer, call_id, message)
         if self._stopping:
             resp.force_close()
         return resp
 
-    async def _read_call(self, req: web.BaseRequest, call_id: str) -> Call:
+    async def _call(self, call: Call) -> Answer:
+        try:
+            return await self._entry.call(call)
+        except Exception as exc:
+            # A fault of this node must not leave a caller without verdict.
+            eliot.log_message("call-failed", error=repr(exc))
+            return Answer(MayHaveRun(Reason.INTERNAL))
+
+    async def _answer_keys(self, req: web.BaseRequest) -> web.StreamResponse:
+        try:
+            self._check_capacity()
+            service, count = self._read_key_request(req)
+            async with asyncio.timeout(KEYS_TIMEOUT_S):
+                keys = await self._entry.mint_keys(service, count)
+        except _RefusedError as exc:
+            return build_response(Answer(exc.verdict), "", exc.message)
+        except TimeoutError:
+            keys = []
+        if not keys:
+            verdict = NotRun(Reason.NO_TARGET, RETRY_AFTER_TOO_MANY_S)
+            return build_response(Answer(verdict), "", "")
+        return build_keys_response(keys)
+
+    def _read_key_request(self, req: web.BaseRequest) -> tuple[str, int]:
+        service = req.query.get("service", "")
+        self._check_service(service)
+        text = req.query.get("count", "1")
+        if not text.isdecimal() or not 0 < int(text[:9]) <= MAX_KEYS:
+            raise _RefusedError(
+                Reason.MALFORMED_HEADER,
+                f"got count {text[:32]!r}, expected 1 to {MAX_KEYS}",
+            )
+        return service, int(text)
+
+    def _check_capacity(self) -> None:
         if self._stopping:
-            raise _RefusedError(Reason.STOPPING, "this node is stopping")
+            raise _RefusedError(
+                Reason.STOPPING, "this node is stopping", retry_after_s=0.0
+            )
+        if self._in_flight > MAX_CALLS:
+            raise _RefusedError(
+                Reason.TOO_MANY_CALLS,
+                f"this node has {MAX_CALLS} calls in flight",
+                retry_after_s=RETRY_AFTER_TOO_MANY_S,
+            )
+
+    async def _read_call(self, req: web.BaseRequest, call_id: str) -> Call:
+        self._check_capacity()
+        _check_headers(req)
         arrived_at = self._loop.time()
         deadline_ms = _read_number(
             req, DEADLINE_HEADER, Reason.MISSING_DEADLINE, MAX_DEADLINE_MS
@@ -125,8 +179,8 @@
                 f"got {DEADLINE_HEADER} {deadline_ms}, expected time left",
             )
         depth = _read_depth(req)
-        caller_key = _read_key(req)
         policy = self._find_policy(req)
+        caller_key = "" if policy.idempotent else _read_key(req)
         settings = policy.settings
         time_left_s = min(deadline_ms, settings.deadline_ms) / MILLISECONDS
         deadline = arrived_at + time_left_s
@@ -136,29 +190,33 @@
             policy=policy,
             method=req.method,
             path=req.path_qs,
-            headers=strip_hop_headers(req.headers.items()),
+            headers=strip_call_headers(strip_hop_headers(req.headers.items())),
             body=body,
             deadline=deadline,
             depth=depth + 1,
             fingerprint=_fingerprint(policy, req, body),
         )
-        return Call(attempt, "" if policy.idempotent else caller_key)
+        return _build_call(attempt, caller_key)
 
-    def _find_policy(self, req: web.BaseRequest) -> EffectivePolicy:
+    def _check_service(self, service: str) -> PolicyTable:
         table = self._policies()
         if table is None:
-            exc = _RefusedError(
-                Reason.NO_CONFIG, "this node has no configuration yet"
+            raise _RefusedError(
+                Reason.NO_CONFIG,
+                "this node has no configuration yet",
+                retry_after_s=RETRY_AFTER_NO_CONFIG_S,
             )
-            exc.verdict = NotRun(Reason.NO_CONFIG, 1.0)
-            raise exc
-        service = req.headers.get(SERVICE_HEADER, "")
         if not table.has_service(service):
             raise _RefusedError(
                 Reason.UNKNOWN_SERVICE,
                 f"got {SERVICE_HEADER} {service!r}, expected a service of the"
                 " configuration",
             )
+        return table
+
+    def _find_policy(self, req: web.BaseRequest) -> EffectivePolicy:
+        service = req.headers.get(SERVICE_HEADER, "")
+        table = self._check_service(service)
         policy = table.find(service, req.method, req.path)
         if policy is None:
             raise _RefusedError(
@@ -176,6 +234,26 @@
     return compute_fingerprint(req.method, req.path_qs, body)
 
 
+def _build_call(attempt: CallAttempt, caller_key: str) -> Call:
+    if not is_bound_key(caller_key):
+        return Call(attempt, caller_key)
+    try:
+        return Call(attempt, bound_key=parse_bound_key(caller_key))
+    except InvalidArgumentError as exc:
+        raise _RefusedError(Reason.MALFORMED_HEADER, str(exc)) from exc
+
+
+def _check_headers(req: web.BaseRequest) -> None:
+    size = sum(len(name) + len(value) for name, value in req.raw_headers)
+    count = len(req.raw_headers)
+    if count > MAX_HEADERS or size > MAX_HEADER_BYTES:
+        raise _RefusedError(
+            Reason.HEADERS_TOO_LARGE,
+            f"got {count} headers of {size} bytes, expected at most"
+            f" {MAX_HEADERS} headers of {MAX_HEADER_BYTES} bytes",
+        )
+
+
 def _read_number(
     req: web.BaseRequest, name: str, reason: Reason, highest: int
 ) -> int:
@@ -255,46 +333,6 @@
     return bytes(body)
 
 
-def _build_response(answer: Answer, call_id: str, message: str) -> web.Response:
-    verdict = answer.verdict
-    headers = [
-        (VERDICT_HEADER, verdict_name(verdict)),
-        (REASON_HEADER, str(verdict.reason)),
-        (CALL_ID_HEADER, call_id),
-    ]
-    if getattr(verdict, "budget_spent", False):
-        headers.append((BUDGET_HEADER, "1"))
-    if isinstance(verdict, Ran):
-        return web.Response(
-            status=answer.status,
-            headers=[*answer.headers, *headers],
-            body=answer.body,
-        )
-    retry_after_s = getattr(verdict, "retry_after_s", None)
-    if retry_after_s is not None:
-        headers.append(("Retry-After", str(math.ceil(retry_after_s))))
-    tree = {
-        "verdict": verdict_name(verdict),
-        "reason": str(verdict.reason),
-        "message": message,
-        "retry_after_s": retry_after_s,
-        "call_id": call_id,
-    }
-    return web.Response(
-        status=_status_of(verdict),
-        headers=headers,
-        body=orjson.dumps(tree),
-        content_type="application/json",
-    )
-
-
-def _status_of(verdict: NotRun | MayHaveRun) -> int:
-    default = _STATUS_NOT_RUN
-    if isinstance(verdict, MayHaveRun):
-        default = _STATUS_MAY_HAVE_RUN
-    return _STATUS_OF_REASON.get(verdict.reason, default)
-
-
 @contextlib.asynccontextmanager
 async def open_caller_server(
     server: CallerServer, address: Address
--- a/src/guavawing/node/entry.py
+++ b/src/guavawing/node/entry.py
@@ -6,28 +6,30 @@
 
 import attrs
 
-from guavawing.errors import InvalidArgumentError, PlatformError
-from guavawing.membership import Member, MemberState, MemberTable
+from guavawing.membership import Member, MemberTable
 from guavawing.model import MemberId
-from guavawing.node.claims import Claim, Claims
-from guavawing.node.mesh_client import MeshConnection, MeshPool
+from guavawing.node.claims import Claims
+from guavawing.node.keyed_router import KeyedRouter
+from guavawing.node.mesh_client import MeshPool
 from guavawing.node.messages import Answer, CallAttempt
 from guavawing.node.metrics import Metrics
 from guavawing.node.owner import Owner
 from guavawing.node.submission import Submission
-from guavawing.policy.bound_key import (
-    BoundKey,
-    is_bound_key,
-    parse_bound_key,
-)
+from guavawing.policy.bound_key import BoundKey
 from guavawing.policy.choice import Candidate, Chooser, LoadReport
-from guavawing.policy.retry import Retry, RetryBudget, decide_retry
-from guavawing.verdict import MayHaveRun, NotRun, Reason
+from guavawing.policy.keyed_call import KeyedCall, KeySource
+from guavawing.policy.retry import (
+    GiveUp,
+    Retry,
+    RetryBudget,
+    decide_retry,
+)
+from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
 
 __all__ = ["Call", "Entry", "compute_fingerprint"]
 
 RETRY_AFTER_NO_TARGET_S = 1.0
-RETRY_AFTER_PLATFORM_S = 1.0
+KEYS_PER_OWNER = 32
 
 
 @attrs.frozen
@@ -36,11 +38,21 @@
 
     Attributes:
         attempt: The attempt to make, without a bound key.
-        caller_key: Key that the caller sent; empty for none.
+        caller_key: Key of the caller's own choice; empty for none.
+        bound_key: Bound key that the caller sent; None for none.
     """
 
     attempt: CallAttempt
-    caller_key: str
+    caller_key: str = ""
+    bound_key: BoundKey | None = None
+
+    def start_keyed(self) -> KeyedCall:
+        """Returns the decisions of a non-idempotent call."""
+        if self.bound_key is not None:
+            return KeyedCall(KeySource.BOUND, self.bound_key)
+        if self.caller_key:
+            return KeyedCall(KeySource.CLAIMED)
+        return KeyedCall(KeySource.MINTED)
 
 
 class Entry:
@@ -94,11 +106,13 @@
         return None if chosen is None else self._table.get(chosen.id)
 
     def find_owner(self, key: BoundKey) -> Member | None:
-        """Returns the live member that a key is bound to, or None."""
+        """Returns the member that a key is bound to; None if replaced.
+
+        A member that is thought dead is still asked: the view may be wrong,
+        and only the owner knows what has become of the key.
+        """
         member = self._table.get(key.owner)
-        if member is None or member.incarnation != key.incarnation:
-            return None
-        if member.state in (MemberState.DEAD, MemberState.LEFT):
+        if member is None or member.incarnation > key.incarnation:
             return None
         return member
 
@@ -107,7 +121,26 @@
         if member.id == self._me.id:
             return self._owner.mint_key()
         conn = await self._pool.connect(member)
-        return None if conn is None else conn.mint_key()
+        if conn is None or not await conn.refresh_epoch():
+            return None
+        return conn.mint_key()
+
+    async def mint_keys(self, service: str, count: int) -> list[BoundKey]:
+        """Returns up to `count` new keys, spread over the owners."""
+        keys: list[BoundKey] = []
+        excluded: set[MemberId] = set()
+        while len(keys) < count:
+            member = self.choose(service, excluded, spill=True)
+            if member is None:
+                break
+            excluded.add(member.id)
+            share = min(count - len(keys), KEYS_PER_OWNER)
+            for _ in range(share):
+                key = await self.mint_key(member)
+                if key is None:
+                    break
+                keys.append(key)
+        return keys
 
     async def submit(
         self, member: Member, attempt: CallAttempt
@@ -115,8 +148,10 @@
         """Sends an attempt to a member; None if it was not sent."""
         if member.id == self._me.id:
             return self._owner.submit(attempt)
-        conn: MeshConnection | None = await self._pool.connect(member)
-        return None if conn is None else conn.submit(attempt)
+        conn = await self._pool.connect(member)
+        if conn is None or not conn.open:
+            return None
+        return conn.submit(attempt)
 
     def start(self, member: Member) -> None:
         """Counts an attempt as outstanding at a member."""
@@ -166,13 +201,23 @@
         self._call = call
         self._policy = call.attempt.policy
         self._excluded: set[MemberId] = set()
-        self._attempts = 0
         # The end of the last attempt that may have run, if any.
         self._uncertain: MayHaveRun | None = None
         self._in_flight = False
+        self._keyed: KeyedRouter | None = None
+        if not self._policy.idempotent:
+            self._keyed = KeyedRouter(
+                call.start_keyed(),
+                call.attempt,
+                caller_key=call.caller_key,
+                access=self,
+                claims=entry.claims,
+            )
 
     def verdict_at_deadline(self) -> NotRun | MayHaveRun:
         """Returns what is known when the deadline passes."""
+        if self._keyed is not None:
+            return self._keyed.call.conclude_at_deadline()
         if self._in_flight or self._uncertain is not None:
             return MayHaveRun(Reason.DEADLINE_PASSED)
         return NotRun(Reason.DEADLINE_PASSED)
@@ -182,134 +227,100 @@
         settings = self._policy.settings
         budget = self._entry.budget(self._policy.service)
         budget.earn(settings.retry_ratio)
+        attempts = redirects = 0
         while True:
-            self._attempts += 1
-            try:
-                answer = await self._attempt_once()
-            except PlatformError:
-                verdict = NotRun(
-                    Reason.KEY_STORE_UNAVAILABLE, RETRY_AFTER_PLATFORM_S
-                )
-                return self._conclude(Answer(verdict))
+            attempts += 1
+            answer = await self._attempt_once()
             decision = decide_retry(
                 answer.verdict,
                 idempotent=self._policy.idempotent,
-                attempts=self._attempts,
+                attempts=attempts,
                 max_attempts=settings.max_attempts,
                 budget=budget,
+                redirects=redirects,
             )
-            if not isinstance(decision, Retry):
-                return self._conclude(answer)
-            reason = str(answer.verdict.reason)
-            self._entry.metrics.retries.inc({"reason": reason})
+            match decision:
+                case GiveUp(budget_spent=budget_spent):
+                    return self._conclude(answer, budget_spent)
+                case Retry() if not self._can_retry():
+                    return self._conclude(answer, budget_spent=True)
+                case Retry(redirect=True):
+                    attempts -= 1
+                    redirects += 1
+            self.count_repeat(answer.verdict.reason)
+
+    def choose_owner(self) -> Member | None:
+        """Returns the member for the next attempt, or None."""
+        return self._entry.choose(
+            self._policy.service,
+            self._excluded,
+            spill=self._policy.settings.spill,
+        )
+
+    def exclude_owner(self, member: Member) -> None:
+        """Keeps a member from being chosen again for this call."""
+        self._excluded.add(member.id)
+
+    def find_owner(self, key: BoundKey) -> Member | None:
+        """Returns the member that a key is bound to; None if replaced."""
+        return self._entry.find_owner(key)
+
+    async def mint_key(self, member: Member) -> BoundKey | None:
+        """Returns a new key bound to a member, or None if unreachable."""
+        return await self._entry.mint_key(member)
 
-    def _conclude(self, answer: Answer) -> Answer:
+    async def send_copy(
+        self, member: Member, attempt: CallAttempt, call: KeyedCall
+    ) -> Answer | None:
+        """Sends a copy and returns the answer; None if it was not sent."""
+        submission = await self._entry.submit(member, attempt)
+        if submission is None:
+            return None
+        call.take_sent()
+        return await self._wait(member, submission)
+
+    def count_repeat(self, reason: Reason) -> None:
+        """Counts a further attempt or copy."""
+        self._entry.metrics.retries.inc({"reason": str(reason)})
+
+    def _can_retry(self) -> bool:
+        return self._keyed is None or self._keyed.call.can_retry
+
+    def _conclude(self, answer: Answer, budget_spent: bool) -> Answer:
         """Returns the answer with a verdict that covers every attempt."""
-        match answer.verdict:
-            case NotRun() if self._uncertain is not None:
-                return Answer(self._uncertain)
-        return answer
+        verdict = answer.verdict
+        if isinstance(verdict, NotRun) and self._uncertain is not None:
+            return Answer(attrs.evolve(self._uncertain, budget_spent=True))
+        if isinstance(verdict, Ran) or verdict.budget_spent == budget_spent:
+            return answer
+        return Answer(attrs.evolve(verdict, budget_spent=budget_spent))
 
     async def _attempt_once(self) -> Answer:
-        if self._policy.idempotent:
-            member = self._choose()
-            if member is None:
-                return self._answer_no_target()
-            return await self._send(member, self._call.attempt)
-        if not self._call.caller_key:
-            return await self._attempt_minted()
-        if is_bound_key(self._call.caller_key):
-            return await self._attempt_bound()
-        return await self._attempt_claimed()
-
-    async def _attempt_minted(self) -> Answer:
-        member = self._choose()
+        if self._keyed is not None:
+            return await self._keyed.attempt()
+        member = self.choose_owner()
         if member is None:
-            return self._answer_no_target()
-        key = await self._entry.mint_key(member)
-        if key is None:
-            return self._exclude(member)
-        attempt = attrs.evolve(self._call.attempt, key=key)
-        return await self._send(member, attempt)
-
-    async def _attempt_bound(self) -> Answer:
-        try:
-            key = parse_bound_key(self._call.caller_key)
-        except InvalidArgumentError:
-            return Answer(NotRun(Reason.MALFORMED_HEADER))
-        return await self._send_keyed(key)
-
-    async def _attempt_claimed(self) -> Answer:
-        service = self._policy.service
-        caller_key = self._call.caller_key
-        found = await self._entry.claims.find(service, caller_key)
-        claim = found or await self._bind(None)
-        if isinstance(claim, Answer):
-            return claim
-        answer = await self._send_keyed(claim.key)
-        match answer.verdict:
-            case NotRun(reason=Reason.KEY_RELEASED):
-                # The owner will never execute this key: bind it elsewhere.
-                rebound = await self._bind(claim)
-                if isinstance(rebound, Answer):
-                    return rebound
-                return await self._send_keyed(rebound.key)
+            return Answer(NotRun(Reason.NO_TARGET, RETRY_AFTER_NO_TARGET_S))
+        submission = await self._entry.submit(member, self._call.attempt)
+        self.exclude_owner(member)
+        if submission is None:
+            return Answer(NotRun(Reason.OWNER_UNREACHABLE, 0.0))
+        self._in_flight = True
+        answer = await self._wait(member, submission)
+        self._in_flight = False
+        if isinstance(answer.verdict, MayHaveRun):
+            self._uncertain = answer.verdict
         return answer
 
-    async def _bind(self, released: Claim | None) -> Claim | Answer:
-        member = self._choose()
-        if member is None:
-            return self._answer_no_target()
-        key = await self._entry.mint_key(member)
-        if key is None:
-            return self._exclude(member)
-        return await self._entry.claims.bind(
-            self._policy.service,
-            self._call.caller_key,
-            key,
-            released=released,
-        )
-
-    async def _send_keyed(self, key: BoundKey) -> Answer:
-        member = self._entry.find_owner(key)
-        if member is None:
-            self._uncertain = MayHaveRun(Reason.OWNER_REPLACED)
-            return Answer(self._uncertain)
-        attempt = attrs.evolve(self._call.attempt, key=key)
-        return await self._send(member, attempt)
-
-    async def _send(self, member: Member, attempt: CallAttempt) -> Answer:
-        submission = await self._entry.submit(member, attempt)
-        if submission is None:
-            return self._exclude(member)
+    async def _wait(self, member: Member, submission: Submission) -> Answer:
         self._entry.start(member)
-        self._in_flight = True
         try:
-            answer = await asyncio.shield(submission.fut)
+            return await asyncio.shield(submission.fut)
         except asyncio.CancelledError:
             submission.cancel()
             raise
         finally:
             self._entry.finish(member)
-        self._in_flight = False
-        self._excluded.add(member.id)
-        if isinstance(answer.verdict, MayHaveRun):
-            self._uncertain = answer.verdict
-        return answer
-
-    def _choose(self) -> Member | None:
-        return self._entry.choose(
-            self._policy.service,
-            self._excluded,
-            spill=self._policy.settings.spill,
-        )
-
-    def _exclude(self, member: Member) -> Answer:
-        self._excluded.add(member.id)
-        return Answer(NotRun(Reason.OWNER_UNREACHABLE, 0.0))
-
-    def _answer_no_target(self) -> Answer:
-        return Answer(NotRun(Reason.NO_TARGET, RETRY_AFTER_NO_TARGET_S))
 
 
 def compute_fingerprint(method: str, path: str, body: bytes) -> bytes:
--- /dev/null
+++ b/src/guavawing/node/frame_queue.py
@@ -0,0 +1,90 @@
+"""Outgoing frames of one connection, small ones not held back by large ones.
+
+An answer of one frame is sent in turn. An answer of several frames is a
+*stream*: streams take turns, one frame each, and after every frame of a
+stream come the single frames that have arrived meanwhile. Frames of streams
+are built when they are sent, so a waiting answer is held once.
+"""
+
+import asyncio
+from collections import OrderedDict, deque
+from collections.abc import Iterator
+
+import attrs
+
+__all__ = ["FrameQueue"]
+
+
+@attrs.frozen
+class _Stream:
+    frames: Iterator[bytes]
+    size: int
+
+
+class FrameQueue:
+    """Frames that wait to be written to one connection."""
+
+    __slots__ = ("_bytes", "_filled", "_single", "_streams")
+
+    def __init__(self) -> None:
+        self._single: deque[bytes] = deque()
+        self._streams: OrderedDict[int, _Stream] = OrderedDict()
+        self._bytes = 0
+        self._filled = asyncio.Event()
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Bytes of the frames and answers that wait."""
+        return self._bytes
+
+    def put(self, payload: bytes) -> None:
+        """Adds a single frame."""
+        self._single.append(payload)
+        self._bytes += len(payload)
+        self._filled.set()
+
+    def put_stream(
+        self, frame_id: int, frames: Iterator[bytes], size: int
+    ) -> None:
+        """Adds the frames of an answer.
+
+        Args:
+            frame_id: Id of the call.
+            frames: Encoded frames in order.
+            size: Bytes that the answer holds until it is sent.
+        """
+        self._streams[frame_id] = _Stream(frames, size)
+        self._bytes += size
+        self._filled.set()
+
+    def drop_stream(self, frame_id: int) -> None:
+        """Forgets the rest of an answer that nobody waits for."""
+        stream = self._streams.pop(frame_id, None)
+        if stream is not None:
+            self._bytes -= stream.size
+
+    async def get(self) -> bytes:
+        """Waits for the next frame to write."""
+        while True:
+            payload = self._take_single() or self._take_of_stream()
+            if payload is not None:
+                return payload
+            self._filled.clear()
+            await self._filled.wait()
+
+    def _take_single(self) -> bytes | None:
+        if not self._single:
+            return None
+        payload = self._single.popleft()
+        self._bytes -= len(payload)
+        return payload
+
+    def _take_of_stream(self) -> bytes | None:
+        while self._streams:
+            frame_id, stream = self._streams.popitem(last=False)
+            payload = next(stream.frames, None)
+            if payload is not None:
+                self._streams[frame_id] = stream
+                return payload
+            self._bytes -= stream.size
+        return None
--- a/src/guavawing/node/frames.py
+++ b/src/guavawing/node/frames.py
@@ -19,6 +19,8 @@
 )
 
 __all__ = [
+    "CHUNK_BYTES",
+    "MAX_ANSWER_BYTES",
     "build_answer_frames",
     "build_hello",
     "build_request",
@@ -31,19 +33,34 @@
 
 CHUNK_BYTES = 64 * 1024
 MAX_FRAME_BYTES = 65 * 1024 * 1024
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 MICROSECONDS = 1_000_000
 MILLISECONDS = 1_000
 
 
 def build_hello(
-    member_id: str, incarnation: int, load: LoadReport, *, now: float
+    member_id: str,
+    incarnation: int,
+    load: LoadReport,
+    *,
+    now: float,
+    echo_us: int = 0,
 ) -> pb.MeshFrame:
-    """Returns the first frame of a connection."""
+    """Returns the first frame of a connection.
+
+    Args:
+        member_id: Id of this node.
+        incarnation: Incarnation of this process.
+        load: Load of this node's target.
+        now: Event loop's time, in seconds.
+        echo_us: Clock in the frame that this one answers, if any.
+    """
     hello = pb.Hello(
         member_id=member_id,
         incarnation=incarnation,
         sent_at_us=int(now * MICROSECONDS),
         load=encode_load(load),
+        echo_us=echo_us,
     )
     return pb.MeshFrame(hello=hello)
 
--- /dev/null
+++ b/src/guavawing/node/keyed_router.py
@@ -0,0 +1,159 @@
+"""Carries out the steps of non-idempotent calls at the entry node."""
+
+import asyncio
+from typing import Protocol
+
+import attrs
+
+from guavawing.errors import PlatformError
+from guavawing.membership import Member
+from guavawing.node.claims import Claim, Claims
+from guavawing.node.messages import Answer, CallAttempt
+from guavawing.policy.bound_key import BoundKey
+from guavawing.policy.keyed_call import (
+    Ask,
+    Bind,
+    Conclude,
+    KeyedCall,
+    LookUp,
+    Mint,
+    Step,
+)
+from guavawing.verdict import MayHaveRun, Reason
+
+__all__ = ["KeyedRouter", "OwnerAccess"]
+
+
+class OwnerAccess(Protocol):
+    """What a keyed call needs of its entry node."""
+
+    def choose_owner(self) -> Member | None:
+        """Returns the member for a new key, or None."""
+
+    def exclude_owner(self, member: Member) -> None:
+        """Keeps a member from being chosen again."""
+
+    def find_owner(self, key: BoundKey) -> Member | None:
+        """Returns the member that a key is bound to; None if replaced."""
+
+    async def mint_key(self, member: Member) -> BoundKey | None:
+        """Returns a new key bound to a member, or None if unreachable."""
+
+    async def send_copy(
+        self, member: Member, attempt: CallAttempt, call: KeyedCall
+    ) -> Answer | None:
+        """Sends a copy and returns the answer; None if it was not sent."""
+
+    def count_repeat(self, reason: Reason) -> None:
+        """Counts a further copy after one that ended with `reason`."""
+
+
+class KeyedRouter:
+    """Attempts of one non-idempotent call."""
+
+    __slots__ = (
+        "_access",
+        "_answer",
+        "_attempt",
+        "_call",
+        "_caller_key",
+        "_claim",
+        "_claims",
+        "_started",
+    )
+
+    def __init__(
+        self,
+        call: KeyedCall,
+        attempt: CallAttempt,
+        *,
+        caller_key: str,
+        access: OwnerAccess,
+        claims: Claims,
+    ) -> None:
+        self._call = call
+        self._attempt = attempt
+        self._caller_key = caller_key
+        self._access = access
+        self._claims = claims
+        self._claim: Claim | None = None
+        self._answer: Answer | None = None
+        self._started = False
+
+    @property
+    def call(self) -> KeyedCall:
+        """The decisions of the call."""
+        return self._call
+
+    async def attempt(self) -> Answer:
+        """Makes one attempt, all copies of its request included."""
+        step = self._call.retry() if self._started else self._call.start()
+        self._started = True
+        while not isinstance(step, Conclude):
+            step = await self._carry_out(step)
+        answer = self._answer
+        if answer is not None and answer.verdict == step.verdict:
+            return answer
+        return Answer(step.verdict)
+
+    async def _carry_out(self, step: Step) -> Step:
+        match step:
+            case LookUp():
+                return await self._look_up()
+            case Mint():
+                return await self._mint()
+            case Bind(key=key, released=released):
+                return await self._bind(key, released)
+            case Ask(key=key, pause_s=pause_s):
+                if pause_s:
+                    await asyncio.sleep(pause_s)
+                return await self._ask(key)
+        raise AssertionError(f"unexpected step {step!r}")
+
+    async def _look_up(self) -> Step:
+        service = self._attempt.policy.service
+        try:
+            self._claim = await self._claims.find(service, self._caller_key)
+        except PlatformError:
+            return self._call.take_store_failure()
+        claim = self._claim
+        return self._call.take_found(None if claim is None else claim.key)
+
+    async def _mint(self) -> Step:
+        member = self._access.choose_owner()
+        if member is None:
+            return self._call.take_no_owner(Reason.NO_TARGET)
+        key = await self._access.mint_key(member)
+        if key is None:
+            self._access.exclude_owner(member)
+            return self._call.take_no_owner(Reason.OWNER_UNREACHABLE)
+        return self._call.take_minted(key)
+
+    async def _bind(self, key: BoundKey, released: bool) -> Step:
+        try:
+            self._claim = await self._claims.bind(
+                self._attempt.policy.service,
+                self._caller_key,
+                key,
+                released=self._claim if released else None,
+            )
+        except PlatformError:
+            return self._call.take_store_failure()
+        bound = self._claim.key
+        return self._call.take_bound(bound, mine=bound == key)
+
+    async def _ask(self, key: BoundKey) -> Step:
+        member = self._access.find_owner(key)
+        if member is None:
+            return self._call.take_replaced()
+        attempt = attrs.evolve(self._attempt, key=key)
+        answer = await self._access.send_copy(member, attempt, self._call)
+        if answer is None:
+            self._access.count_repeat(Reason.OWNER_UNREACHABLE)
+            return self._call.take_unsent()
+        if answer.verdict == MayHaveRun(Reason.OWNER_LOST):
+            self._access.count_repeat(Reason.OWNER_LOST)
+            return self._call.take_lost()
+        self._answer = answer
+        self._access.exclude_owner(member)
+        return self._call.take_answer(answer.verdict)
--- a/src/guavawing/node/mesh_client.py
+++ b/src/guavawing/node/mesh_client.py
@@ -13,6 +13,7 @@
 from guavawing.membership import Member
 from guavawing.model import MemberId
 from guavawing.node.frames import (
+    MAX_ANSWER_BYTES,
     MAX_FRAME_BYTES,
     build_hello,
     build_request,
@@ -26,12 +27,16 @@
 from guavawing.policy.bound_key import NONCE_BYTES, BoundKey
 from guavawing.policy.choice import LoadReport
 from guavawing.proto import calls_pb2 as pb
-from guavawing.verdict import MayHaveRun, NotRun, Reason, Verdict
+from guavawing.verdict import MayHaveRun, Ran, Reason, Verdict
 
 __all__ = ["MeshConnection", "MeshPool", "open_mesh_pool"]
 
 CONNECT_TIMEOUT_S = 1.0
 PING_PERIOD_S = 2.0
+# Age at which the owner is asked for its key epoch before a key is made.
+MAX_EPOCH_AGE_S = 30.0
+# Bytes of answers that one connection may have under way.
+MAX_EXPECTED_BYTES = 256 * 1024 * 1024
 
 LoadListener = Callable[[MemberId, int, LoadReport], None]
 
@@ -63,20 +68,29 @@
         self._outgoing: asyncio.Queue[pb.MeshFrame] = asyncio.Queue()
         self._tasks: list[asyncio.Task[None]] = []
         self._key_epoch = 0
+        self._load_at = 0.0
+        # Cleared while the owner is asked for its load.
+        self._fresh = asyncio.Event()
+        self._fresh.set()
+        self._hello = pb.MeshFrame()
+        self._expected_bytes = 0
         self.owner: MemberId = ""
         self.incarnation = 0
         self.open = True
 
     async def start(self, member_id: MemberId, incarnation: int) -> None:
         """Exchanges first frames and starts the tasks of the connection."""
-        no_load = LoadReport(0, 0, 0, draining=False, key_epoch=0)
-        hello = build_hello(
-            member_id, incarnation, no_load, now=self._loop.time()
+        frame = await self._receive_hello()
+        self._hello = build_hello(
+            member_id,
+            incarnation,
+            LoadReport(0, 0, 0, draining=False, key_epoch=0),
+            now=self._loop.time(),
+            echo_us=frame.hello.sent_at_us,
         )
-        await self._ws.send_bytes(hello.SerializeToString())
-        frame = decode_frame(await self._ws.receive_bytes())
-        if frame.WhichOneof("kind") != "hello":
-            raise MessageInvalidError("the first frame is not a hello")
+        await self._ws.send_bytes(self._hello.SerializeToString())
+        # The owner's second frame says that it takes calls.
+        frame = await self._receive_hello()
         self.owner = frame.hello.member_id
         self.incarnation = frame.hello.incarnation
         self._take_load(frame.hello.load)
@@ -85,17 +99,40 @@
             self._loop.create_task(self._write()),
         ]
 
+    async def _receive_hello(self) -> pb.MeshFrame:
+        frame = decode_frame(await self._ws.receive_bytes())
+        if frame.WhichOneof("kind") != "hello":
+            raise MessageInvalidError("the first frame is not a hello")
+        return frame
+
+    async def refresh_epoch(self) -> bool:
+        """Makes sure that new keys are not bound to an epoch long past.
+
+        Returns:
+            Whether the owner has told its epoch a short time ago.
+        """
+        if self._loop.time() - self._load_at <= MAX_EPOCH_AGE_S:
+            return True
+        if not self.open:
+            return False
+        if self._fresh.is_set():
+            self._fresh.clear()
+            self._outgoing.put_nowait(self._hello)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await self._fresh.wait()
+        self._fresh.set()
+        return self._loop.time() - self._load_at <= MAX_EPOCH_AGE_S
+
     def mint_key(self) -> BoundKey:
         """Returns a new key bound to the owner at the other end."""
         nonce = secrets.token_urlsafe(NONCE_BYTES)
         return BoundKey(self.owner, self.incarnation, self._key_epoch, nonce)
 
     def submit(self, attempt: CallAttempt) -> Submission:
-        """Sends an attempt to the owner."""
+        """Sends an attempt to the owner; the connection must be open."""
+        assert self.open
         fut: asyncio.Future[Answer] = self._loop.create_future()
-        if not self.open:
-            fut.set_result(Answer(NotRun(Reason.OWNER_UNREACHABLE, 0.0)))
-            return Submission(fut)
         frame_id = next(self._ids)
         self._pending[frame_id] = _Pending(fut)
         frame = build_request(attempt, frame_id, now=self._loop.time())
@@ -110,7 +147,7 @@
         await self._ws.close()
 
     def _cancel(self, frame_id: int) -> None:
-        if self._pending.pop(frame_id, None) is not None:
+        if self._drop(frame_id) is not None:
             cancel = pb.CallCancel(id=frame_id)
             self._outgoing.put_nowait(pb.MeshFrame(cancel=cancel))
 
@@ -142,6 +179,9 @@
                 self._take_answer(frame.answer)
             case "body":
                 self._take_body(frame.body)
+            case "hello":
+                self._take_load(frame.hello.load)
+                self._fresh.set()
             case kind:
                 raise MessageInvalidError(f"got an unexpected frame {kind!r}")
 
@@ -150,7 +190,20 @@
         pending = self._pending.get(answer.id)
         if pending is None:
             return
+        if pending.answer is not None:
+            raise MessageInvalidError("an answer came twice")
+        if answer.body_length > MAX_ANSWER_BYTES:
+            raise MessageInvalidError(
+                f"got an answer of {answer.body_length} bytes, expected at"
+                f" most {MAX_ANSWER_BYTES}"
+            )
         pending.verdict = read_verdict(answer)
+        if self._expected_bytes + answer.body_length > MAX_EXPECTED_BYTES:
+            # Too much is on its way already: the rest is passed over.
+            del self._pending[answer.id]
+            self._resolve(pending, _describe_dropped(pending.verdict))
+            return
+        self._expected_bytes += answer.body_length
         pending.answer = answer
         pending.body += answer.body
         self._finish_if_whole(answer.id, pending)
@@ -171,28 +224,41 @@
             return
         if len(pending.body) > answer.body_length:
             raise MessageInvalidError("an answer is longer than it said")
-        del self._pending[frame_id]
+        self._drop(frame_id)
+        headers = decode_headers(answer.headers)
+        body = bytes(pending.body)
+        self._resolve(
+            pending, Answer(pending.verdict, answer.status, headers, body)
+        )
+
+    def _drop(self, frame_id: int) -> _Pending | None:
+        pending = self._pending.pop(frame_id, None)
+        if pending is not None and pending.answer is not None:
+            self._expected_bytes -= pending.answer.body_length
+        return pending
+
+    def _resolve(self, pending: _Pending, answer: Answer) -> None:
         if not pending.fut.done():
-            pending.fut.set_result(
-                Answer(
-                    pending.verdict,
-                    answer.status,
-                    decode_headers(answer.headers),
-                    bytes(pending.body),
-                )
-            )
+            pending.fut.set_result(answer)
 
     def _take_load(self, load: pb.Load) -> None:
         self._key_epoch = load.key_epoch
+        self._load_at = self._loop.time()
         self._on_load(self.owner, self.incarnation, decode_load(load))
 
     def _lose_pending(self) -> None:
         self.open = False
         lost = Answer(MayHaveRun(Reason.OWNER_LOST))
         for pending in self._pending.values():
-            if not pending.fut.done():
-                pending.fut.set_result(lost)
+            self._resolve(pending, lost)
         self._pending.clear()
+        self._expected_bytes = 0
+
+
+def _describe_dropped(verdict: Verdict) -> Answer:
+    if isinstance(verdict, Ran):
+        return Answer(Ran(Reason.ANSWER_NOT_KEPT))
+    return Answer(verdict)
 
 
 class MeshPool:
@@ -211,19 +277,27 @@
         self._incarnation = incarnation
         self._on_load = on_load
         self._connections: dict[MemberId, MeshConnection] = {}
-        self._locks: dict[MemberId, asyncio.Lock] = {}
+        self._opening: dict[MemberId, asyncio.Task[MeshConnection | None]] = {}
 
     async def connect(self, member: Member) -> MeshConnection | None:
         """Returns an open connection to a member, or None if it has none."""
         conn = self._find(member)
         if conn is not None:
             return conn
-        lock = self._locks.setdefault(member.id, asyncio.Lock())
-        async with lock:
-            return self._find(member) or await self._open(member)
+        # Whoever asks meanwhile waits for the same attempt, so that callers
+        # of a member that can't be reached don't wait one after the other.
+        opening = self._opening.get(member.id)
+        if opening is None:
+            loop = asyncio.get_running_loop()
+            opening = loop.create_task(self._open(member))
+            self._opening[member.id] = opening
+            opening.add_done_callback(lambda _: self._opening.pop(member.id))
+        return await asyncio.shield(opening)
 
     async def close(self) -> None:
         """Closes every connection."""
+        for opening in tuple(self._opening.values()):
+            opening.cancel()
         for conn in self._connections.values():
             await conn.close()
 
@@ -248,7 +322,11 @@
                     compress=0,
                 )
                 conn = MeshConnection(ws, self._on_load)
-                await conn.start(self._member_id, self._incarnation)
+                try:
+                    await conn.start(self._member_id, self._incarnation)
+                except BaseException:
+                    await ws.close()
+                    raise
         except (
             aiohttp.ClientError,
             MessageInvalidError,
@@ -257,6 +335,10 @@
             TypeError,
         ):
             return None
+        if conn.owner != member.id:
+            # Another node has taken over the address.
+            await conn.close()
+            return None
         self._connections[member.id] = conn
         return conn
 
--- a/src/guavawing/node/mesh_server.py
+++ b/src/guavawing/node/mesh_server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 
 import aiohttp
 from aiohttp import web
@@ -10,7 +10,9 @@
 from guavawing.config import PolicyTable
 from guavawing.errors import MessageInvalidError
 from guavawing.model import Address
+from guavawing.node.frame_queue import FrameQueue
 from guavawing.node.frames import (
+    CHUNK_BYTES,
     MAX_FRAME_BYTES,
     MICROSECONDS,
     build_answer_frames,
@@ -24,12 +26,23 @@
 from guavawing.node.submission import Submission
 from guavawing.policy.transit import TransitMeter
 from guavawing.proto import calls_pb2 as pb
-from guavawing.verdict import NotRun, Reason
+from guavawing.verdict import NotRun, Ran, Reason
 
 __all__ = ["MeshServer", "open_mesh_server"]
 
 PING_PERIOD_S = 10.0
 CLOSE_TIMEOUT_S = 1.0
+HANDSHAKE_TIMEOUT_S = 0.5
+# A frame that waited this long was held up by a pause or a cut.
+PAUSE_S = 0.25
+DEFERRAL_S = 0.02
+# Calls that one entry node may have at this owner.
+MAX_IN_FLIGHT = 1_024
+# Bytes of waiting answers above which an entry node gets no more calls.
+MAX_WAITING_BYTES = 128 * 1024 * 1024
+# Bytes of waiting answers above which answers lose their bodies.
+MAX_HELD_BYTES = 256 * 1024 * 1024
+RETRY_AFTER_OVERLOAD_S = 1.0
 
 PolicySource = Callable[[], PolicyTable | None]
 
@@ -73,20 +86,26 @@
             now=self._loop.time(),
         )
 
-    def submit(self, request: pb.CallRequest, delay_s: float) -> Submission:
+    def submit(
+        self, request: pb.CallRequest, delay_s: float, *, overloaded: bool
+    ) -> Submission:
         """Hands a request to the owner side.
 
         Args:
             request: The request frame.
             delay_s: Time that the frame waited on its way, in seconds.
+            overloaded: Whether the connection holds too much already.
         """
+        key = read_key(request)
+        if overloaded:
+            verdict = NotRun(Reason.OVERLOADED_PEER, RETRY_AFTER_OVERLOAD_S)
+            return self._owner.refuse(key, request.fingerprint, verdict)
         table = self._policies()
         policy = None if table is None else table.get(request.route)
         if policy is None:
             # This node has not applied the version of the entry node yet.
-            fut: asyncio.Future[Answer] = self._loop.create_future()
-            fut.set_result(Answer(NotRun(Reason.UNKNOWN_ROUTE, 0.0)))
-            return Submission(fut)
+            verdict = NotRun(Reason.UNKNOWN_ROUTE, 0.0)
+            return self._owner.refuse(key, request.fingerprint, verdict)
         time_left_s = request.time_left_us / MICROSECONDS - delay_s
         attempt = CallAttempt(
             call_id=request.call_id,
@@ -97,15 +116,15 @@
             body=request.body,
             deadline=self._loop.time() + time_left_s,
             depth=request.depth,
-            key=read_key(request),
+            key=key,
             fingerprint=request.fingerprint,
         )
         return self._owner.submit(attempt)
 
-    def encode_answer(self, answer: Answer, frame_id: int) -> list[bytes]:
-        """Returns the encoded frames of an answer."""
+    def encode_answer(self, answer: Answer, frame_id: int) -> Iterator[bytes]:
+        """Yields the encoded frames of an answer."""
         frames = build_answer_frames(answer, frame_id, self._owner.load())
-        return [frame.SerializeToString() for frame in frames]
+        return (frame.SerializeToString() for frame in frames)
 
 
 class _Connection:
@@ -115,13 +134,20 @@
         self._server = server
         self._ws = ws
         self._loop = asyncio.get_running_loop()
-        self._outgoing: asyncio.Queue[bytes] = asyncio.Queue()
+        self._outgoing = FrameQueue()
         self._submissions: dict[int, Submission] = {}
+        # Requests that waited long on their way, until what has arrived
+        # with them is read: their cancellations may be among it.
+        self._deferred: dict[int, tuple[pb.CallRequest, float]] = {}
         self._transit = TransitMeter()
+        self._greeted = False
+        self._hello_sent_at_us = 0
 
     async def serve(self) -> None:
         writer = self._loop.create_task(self._write())
-        self._outgoing.put_nowait(self._server.hello().SerializeToString())
+        hello = self._server.hello()
+        self._hello_sent_at_us = hello.hello.sent_at_us
+        self._outgoing.put(hello.SerializeToString())
         try:
             async for msg in self._ws:
                 if msg.type is not aiohttp.WSMsgType.BINARY:
@@ -132,39 +158,95 @@
             pass
         finally:
             writer.cancel()
+            self._deferred.clear()
             for submission in tuple(self._submissions.values()):
                 submission.cancel()
 
     def _take(self, frame: pb.MeshFrame) -> None:
         match frame.WhichOneof("kind"):
             case "hello":
-                self._measure_delay(frame.hello.sent_at_us)
-            case "request":
+                self._take_hello(frame.hello)
+            case "request" if self._greeted:
                 self._take_request(frame.request)
             case "cancel":
-                submission = self._submissions.get(frame.cancel.id)
-                if submission is not None:
-                    submission.cancel()
+                self._take_cancel(frame.cancel.id)
             case kind:
                 raise MessageInvalidError(f"got an unexpected frame {kind!r}")
 
+    def _take_hello(self, hello: pb.Hello) -> None:
+        if self._greeted:
+            self._outgoing.put(self._server.hello().SerializeToString())
+            return
+        now = self._loop.time()
+        hello_sent_at = self._hello_sent_at_us / MICROSECONDS
+        if now - hello_sent_at > HANDSHAKE_TIMEOUT_S:
+            # This process or the other was paused: what has arrived since
+            # can't be told from what is fresh.
+            raise MessageInvalidError("the first frame came too late")
+        if hello.echo_us != self._hello_sent_at_us:
+            raise MessageInvalidError("the first frame answers no other")
+        self._transit.set_bound(
+            sent_at=hello.sent_at_us / MICROSECONDS,
+            not_before=hello_sent_at,
+            now=now,
+        )
+        self._greeted = True
+        # The entry node sends calls only after this second frame.
+        self._outgoing.put(self._server.hello().SerializeToString())
+
     def _take_request(self, request: pb.CallRequest) -> None:
+        delay_s = self._transit.measure_delay(
+            sent_at=request.sent_at_us / MICROSECONDS, now=self._loop.time()
+        )
+        if delay_s < PAUSE_S:
+            self._submit(request, delay_s)
+            return
+        read_key(request)
+        if not self._deferred:
+            self._loop.call_later(DEFERRAL_S, self._submit_deferred)
+        self._deferred[request.id] = (request, delay_s + DEFERRAL_S)
+
+    def _submit_deferred(self) -> None:
+        deferred = tuple(self._deferred.values())
+        self._deferred.clear()
+        for request, delay_s in deferred:
+            self._submit(request, delay_s)
+
+    def _submit(self, request: pb.CallRequest, delay_s: float) -> None:
         frame_id = request.id
-        delay_s = self._measure_delay(request.sent_at_us)
-        submission = self._server.submit(request, delay_s)
+        overloaded = (
+            len(self._submissions) >= MAX_IN_FLIGHT
+            or self._outgoing.waiting_bytes > MAX_WAITING_BYTES
+        )
+        submission = self._server.submit(
+            request, delay_s, overloaded=overloaded
+        )
         self._submissions[frame_id] = submission
+        submission.fut.add_done_callback(
+            lambda done: self._send_answer(frame_id, done.result())
+        )
 
-        def send_answer(done: asyncio.Future[Answer]) -> None:
-            self._submissions.pop(frame_id, None)
-            for payload in self._server.encode_answer(done.result(), frame_id):
-                self._outgoing.put_nowait(payload)
-
-        submission.fut.add_done_callback(send_answer)
+    def _send_answer(self, frame_id: int, answer: Answer) -> None:
+        if self._submissions.pop(frame_id, None) is None:
+            # It was cancelled.
+            return
+        size = len(answer.body)
+        if self._outgoing.waiting_bytes + size > MAX_HELD_BYTES:
+            answer = _drop_body(answer)
+            size = 0
+        frames = self._server.encode_answer(answer, frame_id)
+        if size <= CHUNK_BYTES:
+            self._outgoing.put(next(frames))
+        else:
+            self._outgoing.put_stream(frame_id, frames, size)
 
-    def _measure_delay(self, sent_at_us: int) -> float:
-        return self._transit.measure_delay(
-            sent_at=sent_at_us / MICROSECONDS, now=self._loop.time()
-        )
+    def _take_cancel(self, frame_id: int) -> None:
+        self._outgoing.drop_stream(frame_id)
+        if self._deferred.pop(frame_id, None) is not None:
+            return
+        submission = self._submissions.pop(frame_id, None)
+        if submission is not None:
+            submission.cancel()
 
     async def _write(self) -> None:
         while True:
@@ -175,6 +257,12 @@
                 return
 
 
+def _drop_body(answer: Answer) -> Answer:
+    if isinstance(answer.verdict, Ran):
+        return Answer(Ran(Reason.ANSWER_NOT_KEPT))
+    return Answer(answer.verdict)
+
+
 @contextlib.asynccontextmanager
 async def open_mesh_server(
     server: MeshServer, address: Address
--- a/src/guavawing/node/owner.py
+++ b/src/guavawing/node/owner.py
@@ -22,17 +22,19 @@
 from guavawing.policy.bound_key import NONCE_BYTES, BoundKey
 from guavawing.policy.choice import LoadReport
 from guavawing.policy.key_table import Begin, Join, KeyTable, Reject, Replay
-from guavawing.verdict import NotRun, Reason, Verdict
+from guavawing.verdict import MayHaveRun, NotRun, Reason, Verdict
 
 __all__ = ["Owner", "open_owner"]
 
 EXPIRY_PERIOD_S = 0.05
 
 
-@attrs.frozen
+@attrs.define
 class _Call:
     attempt: CallAttempt
     fut: asyncio.Future[Answer]
+    # Copies of the request that somebody waits for.
+    waiters: int = 1
 
 
 class Owner:
@@ -55,7 +57,7 @@
         self._keys = KeyTable(incarnation=incarnation, now=self._loop.time())
         self._ids = itertools.count(1)
         self._calls: dict[int, _Call] = {}
-        self._running_keys: dict[BoundKey, asyncio.Future[Answer]] = {}
+        self._running_keys: dict[BoundKey, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._idle = asyncio.Event()
         self._idle.set()
@@ -104,16 +106,14 @@
         if attempt.key is None:
             return self._offer(attempt)
         if attempt.key.owner != self._member_id:
-            return self._refuse(NotRun(Reason.WRONG_OWNER, 0.0))
+            # Copies may be on their way to the true owner.
+            return self._refuse(MayHaveRun(Reason.WRONG_OWNER))
         decision = self._keys.begin(
             attempt.key, attempt.fingerprint, now=self._loop.time()
         )
         match decision:
             case Begin():
-                submission = self._offer(attempt)
-                if not submission.fut.done():
-                    self._running_keys[attempt.key] = submission.fut
-                return submission
+                return self._offer(attempt)
             case Join():
                 return self._join(self._running_keys[attempt.key])
             case Replay(answer=Answer() as answer):
@@ -122,6 +122,27 @@
                 return self._refuse(verdict)
         raise AssertionError(f"unexpected decision {decision!r}")
 
+    def refuse(
+        self, key: BoundKey | None, fingerprint: bytes, verdict: NotRun
+    ) -> Submission:
+        """Refuses a request for good, unless its key is known already."""
+        if key is None:
+            return self._refuse(verdict)
+        if key.owner != self._member_id:
+            return self._refuse(MayHaveRun(Reason.WRONG_OWNER))
+        decision = self._keys.begin(key, fingerprint, now=self._loop.time())
+        match decision:
+            case Begin():
+                self._keys.release(key)
+                return self._refuse(verdict)
+            case Join():
+                return self._join(self._running_keys[key])
+            case Replay(answer=Answer() as answer):
+                return self._resolve(answer)
+            case Reject(verdict=known):
+                return self._refuse(known)
+        raise AssertionError(f"unexpected decision {decision!r}")
+
     def expire(self) -> None:
         """Refuses the queued calls whose deadline has passed."""
         if self._admission.queued:
@@ -132,6 +153,8 @@
         call_id = next(self._ids)
         fut: asyncio.Future[Answer] = self._loop.create_future()
         self._calls[call_id] = _Call(attempt, fut)
+        if attempt.key is not None:
+            self._running_keys[attempt.key] = call_id
         self._idle.clear()
         call = QueuedCall(
             call_id, attempt.policy.settings.call_class, attempt.deadline
@@ -140,17 +163,24 @@
         return Submission(fut, lambda: self._cancel(call_id))
 
     def _cancel(self, call_id: int) -> None:
-        self._carry_out(self._admission.cancel(call_id))
-
-    def _join(self, running: asyncio.Future[Answer]) -> Submission:
+        call = self._calls.get(call_id)
+        if call is None:
+            return
+        call.waiters -= 1
+        if not call.waiters:
+            self._carry_out(self._admission.cancel(call_id))
+
+    def _join(self, call_id: int) -> Submission:
+        call = self._calls[call_id]
+        call.waiters += 1
         fut: asyncio.Future[Answer] = self._loop.create_future()
 
         def copy_answer(done: asyncio.Future[Answer]) -> None:
             if not fut.done():
                 fut.set_result(done.result())
 
-        running.add_done_callback(copy_answer)
-        return Submission(fut)
+        call.fut.add_done_callback(copy_answer)
+        return Submission(fut, lambda: self._cancel(call_id))
 
     def _refuse(self, verdict: Verdict) -> Submission:
         self._metrics.owner_refusals.inc({"reason": str(verdict.reason)})
@@ -174,9 +204,13 @@
                     self._complete(call_id, Answer(verdict))
 
     async def _run(self, call_id: int) -> None:
-        attempt = self._calls[call_id].attempt
+        call = self._calls[call_id]
+        attempt = call.attempt
         now = self._loop.time()
-        if attempt.deadline <= now:
+        if not call.waiters:
+            # Cancelled between the grant of the slot and now.
+            answer = Answer(NotRun(Reason.CANCELLED))
+        elif attempt.deadline <= now:
             answer = Answer(NotRun(Reason.DEADLINE_PASSED))
         else:
             answer = await self._target.execute(attempt, now=now)
@@ -192,7 +226,7 @@
             if isinstance(answer.verdict, NotRun):
                 self._keys.release(key)
             else:
-                self._keys.finish(key, answer)
+                self._keys.finish(key, answer, size=len(answer.body))
         call.fut.set_result(answer)
         if not self._calls:
             self._idle.set()
--- a/src/guavawing/node/target_client.py
+++ b/src/guavawing/node/target_client.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from guavawing.model import Address
+from guavawing.node.call_headers import build_target_headers
 from guavawing.node.messages import Answer, CallAttempt, Headers
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
 
@@ -72,7 +73,7 @@
             async with self._session.request(
                 attempt.method,
                 self._base + attempt.path,
-                headers=attempt.headers,
+                headers=build_target_headers(attempt, now=now),
                 data=attempt.body or None,
                 timeout=timeout,
                 allow_redirects=False,
@@ -105,12 +106,27 @@
     length = resp.content_length
     if length is not None and length > MAX_ANSWER_BYTES:
         return Answer(MayHaveRun(Reason.ANSWER_TOO_LARGE))
-    body = await resp.read()
+    body = await _read_body(resp)
+    if body is None:
+        return Answer(MayHaveRun(Reason.ANSWER_TOO_LARGE))
     return Answer(
         Ran(), resp.status, strip_hop_headers(resp.headers.items()), body
     )
 
 
+async def _read_body(resp: aiohttp.ClientResponse) -> bytes | None:
+    """Returns the whole body, or None if it is too large."""
+    if resp.content_length is not None:
+        return await resp.read()
+    body = bytearray()
+    async for chunk in resp.content.iter_any():
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            resp.close()
+            return None
+    return bytes(body)
+
+
 def strip_hop_headers(headers: Iterable[tuple[str, str]]) -> Headers:
     """Returns the headers that are meant for the other end."""
     return tuple(
--- a/src/guavawing/policy/key_table.py
+++ b/src/guavawing/policy/key_table.py
@@ -6,11 +6,22 @@
                        -> released
 
 A released key was refused before the target got the request; it is never
-executed afterwards, so the entry node may bind the call elsewhere.
-
-Epochs bound the table. The owner counts epochs on its own clock and starts
-only keys of the current epoch and the one before. Entries older than that
-are dropped, and a repeat of such a key is told that it may have run.
+executed afterwards, so the entry node may bind the call elsewhere. Every
+`NotRun` that the table or the owner gives for a key is final in this sense,
+save `KEY_REUSED`, which speaks of another request.
+
+Epochs bound the table. The owner counts epochs on its own clock; keys of the
+current epoch and the one before are *open*: an unknown one may begin. An
+epoch that is closed keeps its entries for `KEPT_S`, so an unknown key of it
+is known never to have begun, and a repeat of a known one gets its answer.
+Then the epoch is dropped, and its keys are told that they may have run.
+
+A full table closes every open epoch at once. Otherwise a refusal for want of
+room would not be final: a second copy of the request, still in a socket,
+could find room later and begin.
+
+Answers are kept up to a size each and a size in all. An answer that is not
+kept leaves its entry behind, which still says that the key has run.
 """
 
 from collections import OrderedDict
@@ -18,7 +29,7 @@
 import attrs
 
 from guavawing.policy.bound_key import BoundKey
-from guavawing.verdict import MayHaveRun, NotRun, Reason
+from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
 
 __all__ = [
     "Begin",
@@ -30,8 +41,10 @@
 ]
 
 EPOCH_LENGTH_S = 300.0
-EPOCHS_KEPT = 2
+KEPT_S = 300.0
 MAX_ENTRIES = 20_000
+MAX_ANSWER_BYTES = 64 * 1024
+MAX_KEPT_BYTES = 8 * 1024 * 1024
 
 
 @attrs.frozen
@@ -57,9 +70,9 @@
 
 @attrs.frozen
 class Reject:
-    """The key must not be executed."""
+    """The key is not executed now; the verdict says what is known of it."""
 
-    verdict: NotRun | MayHaveRun
+    verdict: NotRun | MayHaveRun | Ran
 
 
 KeyDecision = Begin | Join | Replay | Reject
@@ -73,7 +86,8 @@
 @attrs.frozen
 class _Finished:
     fingerprint: bytes
-    answer: object
+    # None if the answer was not kept.
+    answer: object | None
 
 
 @attrs.frozen
@@ -82,12 +96,42 @@
 
 
 _Entry = _Running | _Finished | _Released
+_RELEASED = _Released()
+
+
+@attrs.define
+class _Epoch:
+    """Entries of one epoch by nonce.
+
+    Attributes:
+        number: Number of the epoch.
+        entries: Entries by the nonce of their keys.
+        running: How many entries are running.
+        closed_at: When the epoch was closed; None while it is open.
+    """
+
+    number: int
+    entries: dict[str, _Entry] = attrs.field(factory=dict)
+    running: int = 0
+    closed_at: float | None = None
 
 
 class KeyTable:
     """Outcomes of the bound keys of one owner incarnation."""
 
-    __slots__ = ("_entries", "_incarnation", "_max_entries", "_started_at")
+    __slots__ = (
+        "_epochs",
+        "_first_kept",
+        "_first_open",
+        "_incarnation",
+        "_kept_bytes",
+        "_kept_sizes",
+        "_max_entries",
+        "_max_kept_bytes",
+        "_number",
+        "_size",
+        "_started_at",
+    )
 
     def __init__(
         self,
@@ -95,18 +139,39 @@
         incarnation: int,
         now: float,
         max_entries: int = MAX_ENTRIES,
+        max_kept_bytes: int = MAX_KEPT_BYTES,
     ) -> None:
         self._incarnation = incarnation
-        self._started_at = now
         self._max_entries = max_entries
-        self._entries: OrderedDict[BoundKey, _Entry] = OrderedDict()
+        self._max_kept_bytes = max_kept_bytes
+        self._number = 0
+        self._started_at = now
+        self._first_open = 0
+        self._first_kept = 0
+        # Only epochs with entries, oldest first.
+        self._epochs: OrderedDict[int, _Epoch] = OrderedDict()
+        self._size = 0
+        # Sizes of the kept answers by epoch and nonce, oldest first.
+        self._kept_sizes: OrderedDict[tuple[int, str], int] = OrderedDict()
+        self._kept_bytes = 0
 
     def __len__(self) -> int:
-        return len(self._entries)
+        return self._size
+
+    @property
+    def kept_bytes(self) -> int:
+        """Bytes of the answers that are kept."""
+        return self._kept_bytes
 
     def epoch(self, *, now: float) -> int:
         """Returns the epoch that new keys carry."""
-        return int((now - self._started_at) // EPOCH_LENGTH_S)
+        passed = int((now - self._started_at) // EPOCH_LENGTH_S)
+        if passed > 0:
+            self._number += passed
+            self._started_at += passed * EPOCH_LENGTH_S
+            # The epoch before the current one stays open.
+            self._close_before(self._number - 1, now)
+        return self._number
 
     def begin(
         self, key: BoundKey, fingerprint: bytes, *, now: float
@@ -121,49 +186,110 @@
         """
         if key.incarnation != self._incarnation:
             return Reject(MayHaveRun(Reason.OWNER_REPLACED))
-        entry = self._entries.get(key)
-        match entry:
-            case _Running() | _Finished():
-                if entry.fingerprint != fingerprint:
-                    return Reject(NotRun(Reason.KEY_REUSED))
-                if isinstance(entry, _Finished):
-                    return Replay(entry.answer)
-                return Join()
+        self.epoch(now=now)
+        self._drop_epochs(now)
+        match self._find(key):
+            case _Running() | _Finished() as entry:
+                return _decide_known(entry, fingerprint)
             case _Released():
                 return Reject(NotRun(Reason.KEY_RELEASED, 0.0))
             case None:
                 return self._begin_unknown(key, fingerprint, now)
 
-    def finish(self, key: BoundKey, answer: object) -> None:
-        """Records the answer, or the uncertain end, of a running key."""
-        entry = self._entries[key]
+    def finish(self, key: BoundKey, answer: object, *, size: int = 0) -> None:
+        """Records the answer, or the uncertain end, of a running key.
+
+        Args:
+            key: A key for which `begin` returned `Begin`.
+            answer: What repeats of the request are answered.
+            size: Bytes that keeping the answer takes.
+        """
+        epoch = self._epochs[key.epoch]
+        entry = epoch.entries[key.nonce]
         assert isinstance(entry, _Running)
-        self._entries[key] = _Finished(entry.fingerprint, answer)
+        epoch.running -= 1
+        kept = size <= min(MAX_ANSWER_BYTES, self._max_kept_bytes)
+        epoch.entries[key.nonce] = _Finished(
+            entry.fingerprint, answer if kept else None
+        )
+        if kept and size:
+            self._kept_sizes[key.epoch, key.nonce] = size
+            self._kept_bytes += size
+            self._drop_answers()
 
     def release(self, key: BoundKey) -> None:
         """Records that a running key was refused before the target got it."""
-        assert isinstance(self._entries[key], _Running)
-        self._entries[key] = _Released()
+        epoch = self._epochs[key.epoch]
+        assert isinstance(epoch.entries[key.nonce], _Running)
+        epoch.running -= 1
+        epoch.entries[key.nonce] = _RELEASED
+
+    def _find(self, key: BoundKey) -> _Entry | None:
+        epoch = self._epochs.get(key.epoch)
+        return None if epoch is None else epoch.entries.get(key.nonce)
 
     def _begin_unknown(
         self, key: BoundKey, fingerprint: bytes, now: float
     ) -> KeyDecision:
-        epoch = self.epoch(now=now)
-        if not epoch - EPOCHS_KEPT < key.epoch <= epoch:
+        if not self._first_kept <= key.epoch <= self._number:
+            # Its entry may have been dropped; or the epoch is to come, and
+            # a refusal now would not be final.
             return Reject(MayHaveRun(Reason.KEY_EXPIRED))
-        if len(self._entries) >= self._max_entries:
-            self._drop_old_entries(epoch)
-        if len(self._entries) >= self._max_entries:
-            return Reject(NotRun(Reason.KEY_TABLE_FULL, EPOCH_LENGTH_S))
-        self._entries[key] = _Running(fingerprint)
+        if key.epoch < self._first_open:
+            return Reject(NotRun(Reason.KEY_RELEASED, 0.0))
+        if self._size >= self._max_entries:
+            self._close_all(now)
+            return Reject(NotRun(Reason.KEY_TABLE_FULL, KEPT_S))
+        epoch = self._epochs.get(key.epoch)
+        if epoch is None:
+            epoch = self._epochs[key.epoch] = _Epoch(key.epoch)
+        epoch.entries[key.nonce] = _Running(fingerprint)
+        epoch.running += 1
+        self._size += 1
         return Begin()
 
-    def _drop_old_entries(self, epoch: int) -> None:
-        oldest_kept = epoch - EPOCHS_KEPT + 1
-        dropped = [
-            key
-            for key, entry in self._entries.items()
-            if key.epoch < oldest_kept and not isinstance(entry, _Running)
-        ]
-        for key in dropped:
-            del self._entries[key]
+    def _close_all(self, now: float) -> None:
+        self._number += 1
+        self._started_at = now
+        self._close_before(self._number, now)
+
+    def _close_before(self, number: int, now: float) -> None:
+        self._first_open = max(self._first_open, number)
+        for epoch in self._epochs.values():
+            if epoch.number < self._first_open and epoch.closed_at is None:
+                epoch.closed_at = now
+
+    def _drop_epochs(self, now: float) -> None:
+        while self._epochs:
+            oldest = min(self._epochs)
+            epoch = self._epochs[oldest]
+            closed_at = epoch.closed_at
+            if closed_at is None or epoch.running or now < closed_at + KEPT_S:
+                return
+            del self._epochs[oldest]
+            self._first_kept = oldest + 1
+            self._size -= len(epoch.entries)
+            for nonce in epoch.entries:
+                size = self._kept_sizes.pop((oldest, nonce), 0)
+                self._kept_bytes -= size
+
+    def _drop_answers(self) -> None:
+        while self._kept_bytes > self._max_kept_bytes:
+            (number, nonce), size = self._kept_sizes.popitem(last=False)
+            self._kept_bytes -= size
+            entries = self._epochs[number].entries
+            entry = entries[nonce]
+            assert isinstance(entry, _Finished)
+            entries[nonce] = _Finished(entry.fingerprint, None)
+
+
+def _decide_known(
+    entry: _Running | _Finished, fingerprint: bytes
+) -> KeyDecision:
+    if entry.fingerprint != fingerprint:
+        return Reject(NotRun(Reason.KEY_REUSED))
+    if isinstance(entry, _Running):
+        return Join()
+    if entry.answer is None:
+        return Reject(Ran(Reason.ANSWER_NOT_KEPT))
+    return Replay(entry.answer)
--- /dev/null
+++ b/src/guavawing/policy/keyed_call.py
@@ -0,0 +1,265 @@
+"""One non-idempotent call at its entry node: whom to ask, what to conclude.
+
+The machine takes one event at a time and returns the next step. A call is
+executed only under a bound key, which comes from one of three places:
+
+- minted: the caller sent no key, so this node makes one for this call alone;
+- bound: the caller sent a bound key that it was given earlier;
+- claimed: the caller sent a key of its own, which a claim in the platform's
+  table binds to an owner.
+
+A copy whose answer is lost is followed by another copy under the same key to
+the same owner, which executes the key once and gives the answer again. That
+is never a second execution, so it needs no retry budget; it is bounded by
+`MAX_TRIES`.
+
+What may be concluded when nothing was heard of the owner depends on who else
+can have sent the key. A minted key is known to this call alone: if no copy
+was sent, the call has not run. A bound key and a claim that was found may
+have been sent before by somebody else: the call may have run.
+"""
+
+import enum
+
+import attrs
+
+from guavawing.policy.bound_key import BoundKey
+from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason, Verdict
+
+__all__ = [
+    "Ask",
+    "Bind",
+    "Conclude",
+    "KeySource",
+    "KeyedCall",
+    "LookUp",
+    "Mint",
+    "Step",
+]
+
+MAX_TRIES = 6
+FIRST_PAUSE_S = 0.05
+MAX_PAUSE_S = 1.0
+MAX_REBINDS = 3
+RETRY_AFTER_S = 1.0
+
+
+class KeySource(enum.Enum):
+    """Where the bound key of a call comes from."""
+
+    MINTED = enum.auto()
+    BOUND = enum.auto()
+    CLAIMED = enum.auto()
+
+
+@attrs.frozen
+class LookUp:
+    """Read the claim of the caller's key."""
+
+
+@attrs.frozen
+class Mint:
+    """Choose an owner and make a key that is bound to it."""
+
+
+@attrs.frozen
+class Bind:
+    """Write the claim of the caller's key.
+
+    Attributes:
+        key: Bound key to write.
+        released: Whether the claim that was read last is to be replaced;
+            False if there must be none.
+    """
+
+    key: BoundKey
+    released: bool
+
+
+@attrs.frozen
+class Ask:
+    """Send a copy of the request to the owner of a key.
+
+    Attributes:
+        key: The key.
+        pause_s: Time to wait before, in seconds.
+    """
+
+    key: BoundKey
+    pause_s: float = 0.0
+
+
+@attrs.frozen
+class Conclude:
+    """The attempt has ended."""
+
+    verdict: Verdict
+
+
+Step = LookUp | Mint | Bind | Ask | Conclude
+
+
+class KeyedCall:
+    """Decisions of one non-idempotent call."""
+
+    __slots__ = (
+        "_asking",
+        "_copies",
+        "_key",
+        "_rebinds",
+        "_released",
+        "_shared",
+        "_source",
+        "_tries",
+        "_unanswered",
+    )
+
+    def __init__(self, source: KeySource, key: BoundKey | None = None) -> None:
+        self._source = source
+        self._key = key
+        # Whether somebody else may have sent the key.
+        self._shared = source is KeySource.BOUND
+        # Whether the owner has said that it will never execute the key.
+        self._released = False
+        self._asking = False
+        self._copies = 0
+        self._unanswered = 0
+        self._tries = 0
+        self._rebinds = 0
+
+    @property
+    def can_retry(self) -> bool:
+        """Whether the call can go on under another key."""
+        return self._source is not KeySource.BOUND
+
+    def start(self) -> Step:
+        """Returns the first step of the first attempt."""
+        match self._source:
+            case KeySource.MINTED:
+                return Mint()
+            case KeySource.CLAIMED:
+                return LookUp()
+            case KeySource.BOUND:
+                return self._ask()
+
+    def retry(self) -> Step:
+        """Returns the first step of a further attempt."""
+        assert self.can_retry
+        if self._source is KeySource.CLAIMED and not self._released:
+            return LookUp()
+        return Mint()
+
+    def take_found(self, key: BoundKey | None) -> Step:
+        """Takes the claim that was read; None if there is none."""
+        if key is None:
+            return Mint()
+        if self._released and key == self._key:
+            # Nobody has bound the call elsewhere, and no owner is left.
+            return Conclude(NotRun(Reason.NO_TARGET, RETRY_AFTER_S))
+        return self._adopt(key, shared=True)
+
+    def take_minted(self, key: BoundKey) -> Step:
+        """Takes a new key."""
+        if self._source is KeySource.CLAIMED:
+            return Bind(key, self._released)
+        return self._adopt(key, shared=False)
+
+    def take_no_owner(self, reason: Reason) -> Step:
+        """Takes that no owner could be chosen or reached for a new key."""
+        if self._source is KeySource.CLAIMED and self._released:
+            # Somebody else may have bound the call elsewhere meanwhile.
+            return LookUp()
+        retry_after_s = RETRY_AFTER_S if reason is Reason.NO_TARGET else 0.0
+        return Conclude(NotRun(reason, retry_after_s))
+
+    def take_bound(self, key: BoundKey, *, mine: bool) -> Step:
+        """Takes the claim in force after a write."""
+        return self._adopt(key, shared=not mine)
+
+    def take_store_failure(self) -> Step:
+        """Takes that the claim could not be read or written."""
+        reason = Reason.KEY_STORE_UNAVAILABLE
+        if self._released and self._shared:
+            return Conclude(MayHaveRun(reason))
+        return Conclude(NotRun(reason, RETRY_AFTER_S))
+
+    def take_sent(self) -> None:
+        """Takes that a copy was sent."""
+        self._asking = True
+        self._copies += 1
+
+    def take_unsent(self) -> Step:
+        """Takes that the owner could not be reached; no copy was sent."""
+        return self._try_again(Reason.OWNER_UNREACHABLE)
+
+    def take_lost(self) -> Step:
+        """Takes that the connection broke before the answer of a copy."""
+        self._asking = False
+        self._unanswered += 1
+        return self._try_again(Reason.OWNER_LOST)
+
+    def take_replaced(self) -> Step:
+        """Takes that the owner's process is known to be gone."""
+        return Conclude(self._give_up(Reason.OWNER_REPLACED))
+
+    def take_answer(self, verdict: Verdict) -> Step:
+        """Takes the owner's answer to a copy."""
+        self._asking = False
+        match verdict:
+            case Ran() | NotRun(reason=Reason.KEY_REUSED):
+                # A key that another request uses must not be bound anew.
+                return Conclude(verdict)
+            case NotRun():
+                return self._take_final_refusal(verdict)
+            case MayHaveRun(reason=Reason.KEY_EXPIRED) if self._is_only_copy():
+                return Conclude(NotRun(Reason.KEY_EXPIRED, 0.0))
+        return Conclude(verdict)
+
+    def conclude_at_deadline(self) -> NotRun | MayHaveRun:
+        """Returns what is known when the deadline passes."""
+        if self._asking:
+            return MayHaveRun(Reason.DEADLINE_PASSED)
+        return self._give_up(Reason.DEADLINE_PASSED)
+
+    def _take_final_refusal(self, verdict: NotRun) -> Step:
+        # The owner has recorded that it will never execute the key, so this
+        # holds for every copy, wherever it still is.
+        self._released = True
+        self._unanswered = 0
+        is_claimed = self._source is KeySource.CLAIMED
+        if is_claimed and verdict.reason is Reason.KEY_RELEASED:
+            self._rebinds += 1
+            if self._rebinds <= MAX_REBINDS:
+                return Mint()
+        return Conclude(verdict)
+
+    def _adopt(self, key: BoundKey, *, shared: bool) -> Step:
+        self._key = key
+        self._shared = shared
+        self._released = False
+        self._copies = 0
+        self._unanswered = 0
+        self._tries = 0
+        return self._ask()
+
+    def _ask(self, pause_s: float = 0.0) -> Ask:
+        assert self._key is not None
+        return Ask(self._key, pause_s)
+
+    def _try_again(self, reason: Reason) -> Step:
+        self._tries += 1
+        certain = not self._shared and not self._unanswered
+        if certain or self._tries >= MAX_TRIES:
+            return Conclude(self._give_up(reason))
+        pause_s = FIRST_PAUSE_S * 2 ** (self._tries - 1)
+        return self._ask(min(pause_s, MAX_PAUSE_S))
+
+    def _give_up(self, reason: Reason) -> NotRun | MayHaveRun:
+        if self._unanswered or self._shared:
+            return MayHaveRun(reason)
+        retry_after_s = None if reason is Reason.DEADLINE_PASSED else 0.0
+        return NotRun(reason, retry_after_s)
+
+    def _is_only_copy(self) -> bool:
+        is_minted = self._source is KeySource.MINTED
+        return is_minted and self._copies == 1
--- a/src/guavawing/policy/transit.py
+++ b/src/guavawing/policy/transit.py
@@ -8,6 +8,11 @@
 The two clocks drift apart slowly. The smallest difference is therefore let
 rise by the largest drift that two clocks can have, so an old smallest
 difference does not turn into a growing delay.
+
+The first messages of a connection have no earlier ones to compare with: if
+the receiver was paused when they came, their wait would pass for transit.
+The handshake therefore gives a lower bound: the sender's first message
+answers one of the receiver's, so it was not sent before that one.
 """
 
 __all__ = ["TransitMeter"]
@@ -25,6 +30,20 @@
         self._smallest_difference_s: float | None = None
         self._seen_at = 0.0
 
+    def set_bound(
+        self, *, sent_at: float, not_before: float, now: float
+    ) -> None:
+        """Takes when the message with `sent_at` can have been sent at first.
+
+        Args:
+            sent_at: Sender's clock when the message was sent, in seconds.
+            not_before: Receiver's clock when it sent the message that this
+                one answers, in seconds.
+            now: Receiver's clock, in seconds.
+        """
+        self._smallest_difference_s = not_before - sent_at
+        self._seen_at = now
+
     def measure_delay(self, *, sent_at: float, now: float) -> float:
         """Returns how long a message waited beyond the fastest transit.
 
--- a/src/guavawing/verdict.py
+++ b/src/guavawing/verdict.py
@@ -20,6 +20,7 @@
     UNKNOWN_ROUTE = "unknown-route"
     MISSING_DEADLINE = "missing-deadline"
     MALFORMED_HEADER = "malformed-header"
+    HEADERS_TOO_LARGE = "headers-too-large"
     BODY_TOO_LARGE = "body-too-large"
     DEADLINE_PASSED = "deadline-passed"
     TOO_DEEP = "too-deep"
@@ -48,6 +49,7 @@
     ANSWER_LOST = "answer-lost"
     ANSWER_TRUNCATED = "answer-truncated"
     ANSWER_TOO_LARGE = "answer-too-large"
+    ANSWER_NOT_KEPT = "answer-not-kept"
     TARGET_TIMEOUT = "target-timeout"
     TARGET_BROKE = "target-broke"
 
@@ -71,7 +73,10 @@
 
 @attrs.frozen
 class Ran:
-    """The target has executed the request and its whole answer is here."""
+    """The target has executed the request.
+
+    Its whole answer is here, unless the reason is `ANSWER_NOT_KEPT`.
+    """
 
     reason: Reason = Reason.SERVED
 
--- /dev/null
+++ b/tests/processes/at_most_once.feature
@@ -0,0 +1,90 @@
+@shared_fleet @data_centres.2 @copies.1
+Feature: A non-idempotent call is executed at most once
+
+  Scenario: One key at the same time through two entry nodes
+    When 8 copies of each of 10 publishes are sent at once through "feed-bergen-1" and "feed-voss-1"
+    Then every copy of a publish has the same answer and verdict "ran"
+    And every publish was executed 1 time
+
+  Scenario: The target loses the answer
+    Given the targets of "desk" lose 1 answer each
+    When a caller publishes to "desk" through "feed-bergen-1" with key "lost"
+    Then the verdict is "may-have-run" with reason "target-broke"
+    When a caller publishes to "desk" through "feed-voss-1" with key "lost"
+    Then the verdict is "may-have-run" with reason "target-broke"
+    And key "lost" was executed 1 time
+
+  Scenario: A DELETE whose connection is dropped isn't sent again
+    Given the targets of "desk" lose 1 answer each
+    When a caller withdraws from "desk" through "feed-bergen-1" with key "dropped"
+    Then the verdict is "may-have-run" with reason "target-broke"
+    And key "dropped" was executed 1 time
+
+  Scenario: An answer that is too large to keep
+    When a caller publishes to "desk" through "feed-bergen-1" with key "large" for 100000 bytes
+    Then the verdict is "ran" with reason "served"
+    When a caller publishes to "desk" through "feed-voss-1" with key "large" for 100000 bytes
+    Then the verdict is "ran" with reason "answer-not-kept"
+    And the status is 502
+    And key "large" was executed 1 time
+
+  Scenario: Another request under the same key
+    When a caller publishes to "desk" through "feed-bergen-1" with key "reused"
+    And a caller withdraws from "desk" through "feed-voss-1" with key "reused"
+    Then the verdict is "not-run" with reason "key-reused"
+    And the status is 422
+    And key "reused" was executed 1 time
+
+  Scenario: Without the platform, with keys that were asked for before
+    When a caller asks "feed-voss-1" for 40 keys of "desk"
+    Then it gets 40 keys
+    Given the platform is down
+    When a caller publishes to "desk" through "feed-voss-1" with its next key
+    Then the verdict is "ran" with reason "served"
+    When a caller publishes to "desk" through "feed-bergen-1" with the same key
+    Then the verdict is "ran" with reason "served"
+    And its key was executed 1 time
+    When a caller publishes to "desk" through "feed-voss-1" with key "claimed"
+    Then the verdict is "not-run" with reason "key-store-unavailable"
+    And the header "Retry-After" is "1"
+    And key "claimed" was executed 0 times
+    When the platform is up again
+    And a caller publishes to "desk" through "feed-voss-1" with key "claimed"
+    Then the verdict is "ran" with reason "served"
+
+  Scenario: The reply to the write of a claim is lost
+    Given the platform loses 1 reply
+    When a caller publishes to "desk" through "feed-bergen-1" with key "reply"
+    Then the verdict is "ran" with reason "served"
+    And key "reply" was executed 1 time
+
+  Scenario: The owner is frozen past the deadline
+    Given "desk-bergen-1" is frozen
+    When 4 publishes of 1500 ms are sent at once through "feed-bergen-1"
+    Then every verdict is "may-have-run" with reason "deadline-passed"
+    When "desk-bergen-1" goes on
+    And 1 s pass
+    Then every publish was executed 0 times
+    When the publishes are sent again through "feed-voss-1"
+    Then every verdict is "ran" with reason "served"
+    And every publish was executed 1 time
+
+  Scenario: The owner is frozen until its connections are given up
+    Given "desk-bergen-1" is frozen
+    When 4 publishes of 15000 ms are started through "feed-bergen-1"
+    And 4.5 s pass
+    And "desk-bergen-1" goes on
+    Then every verdict is "ran" with reason "served"
+    And every publish was executed 1 time
+
+  Scenario: The owner is killed with calls at the target, and replaced
+    When 4 publishes of 8000 ms that work 1500 ms are started through "feed-bergen-1"
+    And 0.5 s pass
+    And "desk-bergen-1" is killed
+    Then each publish has the verdict "may-have-run"
+    When the publishes are sent again through "feed-voss-1"
+    Then each publish has the verdict "may-have-run"
+    When "desk-bergen-1" is started again
+    And the publishes are sent again through "feed-voss-1"
+    Then every verdict is "may-have-run" with reason "owner-replaced"
+    And every publish was executed 1 time
--- a/tests/steps/call_steps.py
+++ b/tests/steps/call_steps.py
@@ -40,6 +40,39 @@
     )
 
 
+@when(
+    'a caller publishes to "{service}" through "{node}" with key "{key}" for'
+    " {length:d} bytes"
+)
+def step_publish_bytes(context, service, node, key, length):
+    send(
+        context,
+        node,
+        service=service,
+        method="POST",
+        path="/bulletins",
+        key=key,
+        headers={"X-Answer-Bytes": str(length)},
+    )
+
+
+@when('a caller withdraws from "{service}" through "{node}" with key "{key}"')
+def step_withdraw(context, service, node, key):
+    send(
+        context,
+        node,
+        service=service,
+        method="DELETE",
+        path="/bulletins/1",
+        key=key,
+    )
+
+
+@then('the header "{name}" is "{value}"')
+def step_header(context, name, value):
+    assert context.outcome.headers.get(name) == value, context.outcome
+
+
 @when('a caller sends "{service}" a request with {fault} through "{node}"')
 def step_bad_request(context, service, fault, node):
     options = {"service": service, "path": "/packages/1"}
