Give every error a verdict; split the caller and mesh modules

A bound key of another service was sent to that service's target: verdict "ran" for a call of `desk` executed by `feed`. On the thin path `Guavawing-Budget-Spent` was never sent: the decision of decide_retry was dropped in entry.py.

Ruled out: a middleware (it never sees a request that can't be parsed).

Change: the protocol class of the caller's server answers such bytes; bounds on calls in flight, header count and header bytes; a fault of the node ends in may-have-run `internal`; the headers of a target can't pass for the node's; targets get depth, time left and call id. caller_server.py and mesh_client.py were split by job.

--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -25,7 +25,7 @@
 from guavawing.node.distributor import Distributor, open_distributor
 from guavawing.node.entry import Entry
 from guavawing.node.gossip_task import GossipTask, open_gossip
-from guavawing.node.mesh_client import open_mesh_pool
+from guavawing.node.mesh_pool import open_mesh_pool
 from guavawing.node.mesh_server import MeshServer, open_mesh_server
 from guavawing.node.metrics import Metrics
 from guavawing.node.owner import open_owner
--- a/src/guavawing/node/entry.py
+++ b/src/guavawing/node/entry.py
@@ -10,7 +10,7 @@
 from guavawing.model import MemberId
 from guavawing.node.claims import Claims
 from guavawing.node.keyed_router import KeyedRouter
-from guavawing.node.mesh_client import MeshPool
+from guavawing.node.mesh_pool import MeshPool
 from guavawing.node.messages import Answer, CallAttempt
 from guavawing.node.metrics import Metrics
 from guavawing.node.owner import Owner
--- a/src/guavawing/node/keyed_router.py
+++ b/src/guavawing/node/keyed_router.py
@@ -19,7 +19,7 @@
     Mint,
     Step,
 )
-from guavawing.verdict import MayHaveRun, Reason
+from guavawing.verdict import MayHaveRun, NotRun, Reason
 
 __all__ = ["KeyedRouter", "OwnerAccess"]
 
@@ -146,6 +146,9 @@
         member = self._access.find_owner(key)
         if member is None:
             return self._call.take_replaced()
+        if member.service != self._attempt.policy.service:
+            # A key of another service; its target must not get the call.
+            return Conclude(NotRun(Reason.WRONG_OWNER))
         attempt = attrs.evolve(self._attempt, key=key)
         answer = await self._access.send_copy(member, attempt, self._call)
         if answer is None:
--- a/src/guavawing/node/mesh_client.py
+++ b/src/guavawing/node/mesh_client.py
@@ -1,20 +1,18 @@
-"""Client side of the connections between nodes: one for each owner."""
+"""Client side of a connection between two nodes."""
 
 import asyncio
 import contextlib
 import itertools
 import secrets
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 
 import aiohttp
 import attrs
 
 from guavawing.errors import MessageInvalidError
-from guavawing.membership import Member
 from guavawing.model import MemberId
 from guavawing.node.frames import (
     MAX_ANSWER_BYTES,
-    MAX_FRAME_BYTES,
     build_hello,
     build_request,
     decode_frame,
@@ -29,10 +27,9 @@
 from guavawing.proto import calls_pb2 as pb
 from guavawing.verdict import MayHaveRun, Ran, Reason, Verdict
 
-__all__ = ["MeshConnection", "MeshPool", "open_mesh_pool"]
+__all__ = ["MeshConnection"]
 
 CONNECT_TIMEOUT_S = 1.0
-PING_PERIOD_S = 2.0
 # Age at which the owner is asked for its key epoch before a key is made.
 MAX_EPOCH_AGE_S = 30.0
 # Bytes of answers that one connection may have under way.
@@ -259,115 +256,3 @@
     if isinstance(verdict, Ran):
         return Answer(Ran(Reason.ANSWER_NOT_KEPT))
     return Answer(verdict)
-
-
-class MeshPool:
-    """Connections to owners, opened when first needed."""
-
-    def __init__(
-        self,
-        session: aiohttp.ClientSession,
-        *,
-        member_id: MemberId,
-        incarnation: int,
-        on_load: LoadListener,
-    ) -> None:
-        self._session = session
-        self._member_id = member_id
-        self._incarnation = incarnation
-        self._on_load = on_load
-        self._connections: dict[MemberId, MeshConnection] = {}
-        self._opening: dict[MemberId, asyncio.Task[MeshConnection | None]] = {}
-
-    async def connect(self, member: Member) -> MeshConnection | None:
-        """Returns an open connection to a member, or None if it has none."""
-        conn = self._find(member)
-        if conn is not None:
-            return conn
-        # Whoever asks meanwhile waits for the same attempt, so that callers
-        # of a member that can't be reached don't wait one after the other.
-        opening = self._opening.get(member.id)
-        if opening is None:
-            loop = asyncio.get_running_loop()
-            opening = loop.create_task(self._open(member))
-            self._opening[member.id] = opening
-            opening.add_done_callback(lambda _: self._opening.pop(member.id))
-        return await asyncio.shield(opening)
-
-    async def close(self) -> None:
-        """Closes every connection."""
-        for opening in tuple(self._opening.values()):
-            opening.cancel()
-        for conn in self._connections.values():
-            await conn.close()
-
-    def _find(self, member: Member) -> MeshConnection | None:
-        conn = self._connections.get(member.id)
-        if conn is None or not conn.open:
-            return None
-        if conn.incarnation < member.incarnation:
-            return None
-        return conn
-
-    async def _open(self, member: Member) -> MeshConnection | None:
-        old = self._connections.pop(member.id, None)
-        if old is not None:
-            await old.close()
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                ws = await self._session.ws_connect(
-                    f"http://{member.mesh}/",
-                    heartbeat=PING_PERIOD_S,
-                    max_msg_size=MAX_FRAME_BYTES,
-                    compress=0,
-                )
-                conn = MeshConnection(ws, self._on_load)
-                try:
-                    await conn.start(self._member_id, self._incarnation)
-                except BaseException:
-                    await ws.close()
-                    raise
-        except (
-            aiohttp.ClientError,
-            MessageInvalidError,
-            OSError,
-            TimeoutError,
-            TypeError,
-        ):
-            return None
-        if conn.owner != member.id:
-            # Another node has taken over the address.
-            await conn.close()
-            return None
-        self._connections[member.id] = conn
-        return conn
-
-
-@contextlib.asynccontextmanager
-async def open_mesh_pool(
-    *,
-    member_id: MemberId,
-    incarnation: int,
-    source: str,
-    on_load: LoadListener,
-) -> AsyncIterator[MeshPool]:
-    """Opens an empty pool and closes its connections after use.
-
-    Args:
-        member_id: Id of this node.
-        incarnation: Incarnation of this process.
-        source: IP address of this node, from which it connects.
-        on_load: Is told of the loads that owners report.
-    """
-    connector = aiohttp.TCPConnector(limit=0, local_addr=(source, 0))
-    async with aiohttp.ClientSession(connector=connector) as session:
-        pool = MeshPool(
-            session,
-            member_id=member_id,
-            incarnation=incarnation,
-            on_load=on_load,
-        )
-        try:
-            yield pool
-        finally:
-            await pool.close()
--- a/tests/processes/at_most_once.feature
+++ b/tests/processes/at_most_once.feature
@@ -52,6 +52,12 @@
     And a caller publishes to "desk" through "feed-voss-1" with key "claimed"
     Then the verdict is "ran" with reason "served"
 
+  Scenario: A key of another service
+    When a caller asks "feed-voss-1" for 1 keys of "feed"
+    And a caller publishes to "desk" through "feed-voss-1" with its next key
+    Then the verdict is "not-run" with reason "wrong-owner"
+    And its key was executed 0 times
+
   Scenario: The reply to the write of a claim is lost
     Given the platform loses 1 reply
     When a caller publishes to "desk" through "feed-bergen-1" with key "reply"
--- /dev/null
+++ b/tests/processes/verdicts.feature
@@ -0,0 +1,31 @@
+@shared_fleet @data_centres.1 @copies.1
+Feature: Errors carry verdicts and are counted
+
+  Scenario Outline: Bytes that are no request
+    When a caller sends "feed-bergen-1" <fault> that is no request it can read
+    Then the raw answer has verdict "not-run" and reason "malformed-header"
+    And the counter "guavawing_refusals_total" of "feed-bergen-1" with reason "malformed-header" is above 0
+
+    Examples:
+      | fault         |
+      | a line        |
+      | a header      |
+      | a long header |
+
+  Scenario: Too many headers
+    When a caller sends "desk" 120 headers through "feed-bergen-1"
+    Then the verdict is "not-run" with reason "headers-too-large"
+    And the status is 431
+    And the counter "guavawing_refusals_total" of "feed-bergen-1" with reason "headers-too-large" is above 0
+
+  Scenario: A call given up on is answered at once
+    Given the target of "desk-bergen-1" is frozen
+    When a caller reads "desk" through "feed-bergen-1" with 700 ms left
+    Then the answer comes within 3 s
+    And the verdict is "may-have-run", because of "deadline-passed" or "target-timeout"
+
+  Scenario: The layer that has retried says so
+    Given the targets of "desk" lose 20 answers each
+    When a caller reads "desk" through "feed-bergen-1"
+    Then the verdict is "may-have-run" with reason "target-broke"
+    And the header "Guavawing-Budget-Spent" is "1"
--- a/tests/steps/at_most_once_steps.py
+++ b/tests/steps/at_most_once_steps.py
@@ -59,6 +59,7 @@
     context.run(context.fleet.post(address, "/faults", faults))
 
 
+@given('the targets of "{service}" lose {count:d} answers each')
 @given('the targets of "{service}" lose {count:d} answer each')
 def step_lose_answers(context, service, count):
     set_target_faults(context, service, drop_answers=count)
@@ -214,5 +215,6 @@
 
 
 @then("its key was executed {times:d} time")
+@then("its key was executed {times:d} times")
 def step_its_key(context, times):
     assert count_executions(context, context.key) == times
--- /dev/null
+++ b/tests/steps/verdict_steps.py
@@ -0,0 +1,220 @@
+"""Steps about verdicts on their way to callers."""
+
+import signal
+import socket
+import urllib.request
+
+from behave import given, then, when
+from hypothesis import given as given_example
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from guavawing.config import Defaults, EffectivePolicy, LimitClass
+from guavawing.node.call_headers import (
+    BUDGET_HEADER,
+    DEADLINE_HEADER,
+    DEPTH_HEADER,
+    REASON_HEADER,
+    VERDICT_HEADER,
+    build_target_headers,
+)
+from guavawing.node.caller_response import build_response
+from guavawing.node.frames import build_answer_frames, read_verdict
+from guavawing.node.messages import Answer, CallAttempt
+from guavawing.policy.choice import LoadReport
+from guavawing.policy.retry import GiveUp, Retry, RetryBudget, decide_retry
+from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason, verdict_name
+from standins.caller import send_call
+
+POLICY = EffectivePolicy("desk", "read", True, Defaults(), LimitClass(1, 1))
+LOAD = LoadReport(1, 0, 0, draining=False, key_epoch=0)
+FIRST_ERROR = 400
+
+
+@then("the response for each verdict and reason names both")
+def step_all_responses(context):
+    for reason in Reason:
+        for kind in (NotRun, Ran, MayHaveRun):
+            verdict = kind(reason)
+            answer = Answer(verdict, 200 if reason is Reason.SERVED else 0)
+            resp = build_response(answer, "id", "")
+            assert resp.headers[VERDICT_HEADER] == verdict_name(verdict)
+            assert resp.headers[REASON_HEADER] == str(reason)
+            is_error = resp.status >= FIRST_ERROR
+            assert is_error == (reason is not Reason.SERVED), verdict
+        spent = build_response(Answer(MayHaveRun(reason, True)), "id", "")
+        assert reason is Reason.SERVED or spent.headers[BUDGET_HEADER] == "1"
+
+
+@then("{count:d} random verdicts are the same after a frame")
+def step_frames(context, count):
+    reasons = st.sampled_from(Reason)
+    waits = st.none() | st.integers(0, 10**6).map(lambda ms: ms / 1000)
+    verdicts = st.one_of(
+        st.builds(NotRun, reasons, waits, st.booleans()),
+        st.builds(Ran, reasons),
+        st.builds(MayHaveRun, reasons, st.booleans()),
+    )
+
+    @settings(
+        max_examples=count, derandomize=True, database=None, deadline=None
+    )
+    @given_example(verdicts)
+    def check(verdict):
+        (frame,) = build_answer_frames(Answer(verdict), 1, LOAD)
+        assert read_verdict(frame.answer) == verdict
+
+    check()
+
+
+@when("a target answers with the headers of another call's verdict")
+def step_target_headers(context):
+    headers = (
+        (VERDICT_HEADER, "not-run"),
+        (REASON_HEADER.lower(), "queue-full"),
+        (BUDGET_HEADER, "1"),
+    )
+    answer = Answer(Ran(), 503, headers)
+    context.resp = build_response(answer, "id", "")
+
+
+@then('the response has one verdict, "{verdict}" with reason "{reason}"')
+def step_one_verdict(context, verdict, reason):
+    headers = context.resp.headers
+    assert headers.getall(VERDICT_HEADER) == [verdict]
+    assert headers.getall(REASON_HEADER) == [reason]
+    # The one flag that outer layers need from layers below is passed up.
+    assert headers.getall(BUDGET_HEADER) == ["1"]
+
+
+@given("a call at depth {depth:d} with a deadline at {deadline:g} s")
+def step_attempt(context, depth, deadline):
+    context.attempt = CallAttempt(
+        "id", POLICY, "GET", "/", (("X-A", "b"),), b"", deadline, depth
+    )
+
+
+@then(
+    'a target that gets it at {now:g} s is told "{ms}" ms and depth "{depth}"'
+)
+def step_told(context, now, ms, depth):
+    headers = dict(build_target_headers(context.attempt, now=now))
+    told = headers[DEADLINE_HEADER], headers[DEPTH_HEADER], headers["X-A"]
+    assert told == (ms, depth, "b"), told
+
+
+@given("a retry budget with {tokens:d} tokens")
+def step_budget(context, tokens):
+    context.budget = RetryBudget()
+    context.budget.earn(tokens)
+
+
+@when('an attempt of {kind} call ends with "{verdict}"')
+def step_attempt_ends(context, kind, verdict):
+    match verdict.split():
+        case ["ran", _]:
+            ended = Ran()
+        case ["not-run", "for", "good"]:
+            ended = NotRun(Reason.UNKNOWN_SERVICE)
+        case ["not-run", reason]:
+            ended = NotRun(Reason(reason), 0.0)
+        case ["may-have-run", "spent"]:
+            ended = MayHaveRun(Reason.TARGET_BROKE, budget_spent=True)
+        case ["may-have-run", reason]:
+            ended = MayHaveRun(Reason(reason))
+    context.decision = decide_retry(
+        ended,
+        idempotent=kind == "an idempotent",
+        attempts=1,
+        max_attempts=3,
+        budget=context.budget,
+    )
+
+
+@then('what follows is "{decision}"')
+def step_follows(context, decision):
+    names = {
+        "give up": GiveUp(budget_spent=False),
+        "give up, budget spent": GiveUp(budget_spent=True),
+        "retry": Retry(),
+        "redirect": Retry(redirect=True),
+    }
+    assert context.decision == names[decision], context.decision
+
+
+@when('a caller sends "{entry}" {fault} that is no request it can read')
+def step_send_raw(context, entry, fault):
+    texts = {
+        "a line": b"HELLO\r\n\r\n",
+        "a header": b"GET / HTTP/1.1\r\nHost: a\r\nbad header\r\n\r\n",
+        "a long header": b"GET / HTTP/1.1\r\nA: " + b"b" * 20_000 + b"\r\n\r\n",
+    }
+    host, _, port = context.fleet.nodes[entry].caller.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=10.0) as sock:
+        sock.sendall(texts[fault])
+        parts = iter(lambda: sock.recv(65_536), b"")
+        context.raw_answer = b"".join(parts).decode()
+
+
+@then('the raw answer has verdict "{verdict}" and reason "{reason}"')
+def step_raw_answer(context, verdict, reason):
+    lines = context.raw_answer.split("\r\n")
+    assert f"{VERDICT_HEADER}: {verdict}" in lines, context.raw_answer
+    assert f"{REASON_HEADER}: {reason}" in lines, context.raw_answer
+
+
+@when('a caller sends "{service}" {count:d} headers through "{entry}"')
+def step_many_headers(context, service, count, entry):
+    context.outcome = context.run(
+        send_call(
+            context.fleet.session,
+            context.fleet.nodes[entry].caller,
+            service=service,
+            headers={f"X-{number}": "a" for number in range(count)},
+        )
+    )
+
+
+@then('the counter "{name}" of "{node}" with {label} "{value}" is above 0')
+def step_counter(context, name, node, label, value):
+    url = f"http://{context.fleet.nodes[node].admin}/metrics"
+    with urllib.request.urlopen(url, timeout=10.0) as resp:
+        text = resp.read().decode()
+    start = f'{name}{{{label}="{value}"}} '
+    values = [
+        float(line.removeprefix(start))
+        for line in text.splitlines()
+        if line.startswith(start)
+    ]
+    assert values and values[0] > 0, text
+
+
+@given('the target of "{name}" is frozen')
+def step_freeze_target(context, name):
+    process = context.fleet.nodes[name].target_process
+    process.send(signal.SIGSTOP)
+    context.add_cleanup(process.send, signal.SIGCONT)
+
+
+@when('a caller reads "{service}" through "{entry}" with {ms:d} ms left')
+def step_read_in_time(context, service, entry, ms):
+    context.outcome = context.run(
+        send_call(
+            context.fleet.session,
+            context.fleet.nodes[entry].caller,
+            service=service,
+            deadline_ms=ms,
+        )
+    )
+
+
+@then("the answer comes within {seconds:g} s")
+def step_within(context, seconds):
+    assert context.outcome.elapsed_s <= seconds, context.outcome
+
+
+@then('the verdict is "{verdict}", because of "{one}" or "{other}"')
+def step_verdict_or(context, verdict, one, other):
+    outcome = context.outcome
+    assert outcome.verdict == verdict, outcome
+    assert outcome.reason in (one, other), outcome
