Check whole answers through processes; bound chunked answers

The thin TransitMeter said that a frame that had waited 0.3 s during the handshake had waited 0.0 s. The thin mesh server queued every frame of an answer at once, so a small answer waited for a 64 MB one.

Ruled out: a second connection for large answers (a second order of answers, twice the sockets).

Change: FrameQueue writes streams in turns, one chunk each, and single frames first; bytes that wait on a connection are counted, beyond 128 MB new calls are refused, beyond 256 MB an answer loses its body and says so. The body of an answer without a length is read up to the limit.

--- /dev/null
+++ b/tests/steps/answer_steps.py
@@ -0,0 +1,283 @@
+"""Steps about whole answers and the frames that carry them."""
+
+import asyncio
+import contextlib
+import itertools
+import random
+
+from behave import given, then, when
+
+from guavawing.node.frame_queue import FrameQueue
+from guavawing.policy.transit import TransitMeter
+from standins.caller import send_call
+from standins.target import make_answer
+
+SENDER_CLOCK_AHEAD_S = 1_000.0
+FRAMES = 50
+
+
+def pick_length(rng):
+    match rng.random():
+        case share if share < 0.95:
+            return rng.randint(0, 8_000)
+        case share if share < 0.99:
+            return 300_000
+    return 3_000_000
+
+
+async def send_read(context, number, entry, *, length, headers, **options):
+    seed = f"seed-{number}"
+    outcome = await send_call(
+        context.fleet.session,
+        context.fleet.nodes[entry].caller,
+        headers={"X-Seed": seed, "X-Answer-Bytes": str(length), **headers},
+        **options,
+    )
+    body = options.get("body", b"")
+    return outcome, make_answer(seed.encode() + body, length)
+
+
+@when(
+    "{count:d} reads of mixed sizes are sent, {together:d} at a time, through"
+    " every node"
+)
+def step_send_reads(context, count, together):
+    rng = random.Random(4)
+    entries = itertools.cycle(context.fleet.nodes)
+
+    async def run():
+        limit = asyncio.Semaphore(together)
+
+        async def send(number, entry):
+            headers = {"X-Work-Ms": str(rng.randint(0, 30))}
+            if rng.random() < 0.5:
+                headers["X-Chunked"] = "1"
+            service, path = rng.choice((("desk", "/a"), ("feed", "/packages")))
+            async with limit:
+                return await send_read(
+                    context,
+                    number,
+                    entry,
+                    length=pick_length(rng),
+                    headers=headers,
+                    service=service,
+                    path=path,
+                    deadline_ms=10_000,
+                )
+
+        return await asyncio.gather(
+            *(send(number, next(entries)) for number in range(count))
+        )
+
+    context.answers = context.run(run())
+
+
+@then("every read got the whole of its own answer")
+def step_whole(context):
+    wrong = [
+        (outcome.status, outcome.verdict, outcome.reason, len(outcome.body))
+        for outcome, expected in context.answers
+        if outcome.verdict != "ran" or outcome.body != expected
+    ]
+    assert not wrong, wrong
+
+
+@given('the targets of "{service}" cut off {count:d} answers each')
+def step_cut_off(context, service, count):
+    def set_faults(**faults):
+        for node in context.fleet.nodes.values():
+            if node.service == service:
+                context.run(context.fleet.post(node.target, "/faults", faults))
+
+    set_faults(truncate_answers=count)
+    context.add_cleanup(set_faults)
+
+
+@when("{count:d} publishes with answers of {length:d} bytes are sent in turn")
+def step_publishes(context, count, length):
+    async def run():
+        return [
+            await send_read(
+                context,
+                number,
+                "feed-bergen-1",
+                length=length,
+                headers={},
+                service="desk",
+                method="POST",
+                path="/bulletins",
+                body=b"{}",
+            )
+            for number in range(count)
+        ]
+
+    context.answers = context.run(run())
+
+
+@then('{count:d} of them got "{verdict}" with reason "{reason}"')
+def step_some_got(context, count, verdict, reason):
+    found = [
+        (outcome.verdict, outcome.reason) for outcome, _ in context.answers
+    ]
+    assert found.count((verdict, reason)) == count, found
+
+
+@then("the others got the whole of their own answer")
+def step_others(context):
+    for outcome, expected in context.answers:
+        assert outcome.verdict != "ran" or outcome.body == expected
+        assert outcome.verdict == "ran" or outcome.body != expected
+
+
+@when("{count:d} reads of {deadline_ms:d} ms are sent that work {work_ms:d} ms")
+def step_late(context, count, deadline_ms, work_ms):
+    async def run():
+        return await asyncio.gather(
+            *(
+                send_read(
+                    context,
+                    number,
+                    "feed-bergen-1",
+                    length=100,
+                    headers={"X-Work-Ms": str(work_ms)},
+                    service="desk",
+                    deadline_ms=deadline_ms,
+                )
+                for number in range(count)
+            )
+        )
+
+    for outcome, _ in context.run(run()):
+        assert outcome.verdict == "may-have-run", outcome
+
+
+@when(
+    'a caller reads "{service}" for {length:d} {form} bytes through "{entry}"'
+)
+def step_large(context, service, length, form, entry):
+    headers = {"X-Chunked": "1"} if form == "chunked" else {}
+    context.outcome, expected = context.run(
+        send_read(
+            context,
+            0,
+            entry,
+            length=length,
+            headers=headers,
+            service=service,
+            deadline_ms=10_000,
+        )
+    )
+    is_whole = context.outcome.body == expected
+    assert is_whole == (context.outcome.verdict == "ran")
+
+
+@given("a connection whose first frames crossed at {first:g} s to {second:g} s")
+def step_connection(context, first, second):
+    context.meter = TransitMeter()
+    # The sender answers at once; its frame lies unread until `second`.
+    context.meter.set_bound(
+        sent_at=first + SENDER_CLOCK_AHEAD_S, not_before=first, now=second
+    )
+
+
+@when("a frame that was sent at {sent:g} s is read at {read:g} s")
+def step_frame(context, sent, read):
+    context.delay_s = context.meter.measure_delay(
+        sent_at=sent + SENDER_CLOCK_AHEAD_S, now=read
+    )
+
+
+@then("its wait counts at least {least:g} s and at most {most:g} s")
+def step_wait(context, least, most):
+    assert least <= context.delay_s <= most, context.delay_s
+
+
+@when(
+    "the sender's clock falls behind by {drift:d} ms a {period:d} s for"
+    " {total:d} s"
+)
+def step_drift(context, drift, period, total):
+    rate = drift / 1_000 / period
+    context.delays = [
+        context.meter.measure_delay(
+            sent_at=now + SENDER_CLOCK_AHEAD_S - now * rate, now=now + 0.001
+        )
+        for now in range(10, total, 10)
+    ]
+
+
+@then("no frame is thought to have waited {seconds:g} s")
+def step_no_wait(context, seconds):
+    assert max(context.delays) < seconds, max(context.delays)
+
+
+@given("two answers of {count:d} frames each wait to be written")
+def step_two_answers(context, count):
+    context.queue = FrameQueue()
+    for name in (1, 2):
+        context.queue.put_stream(name, make_frames(name, count), size=1_000)
+
+
+def make_frames(name, count):
+    for number in range(count):
+        yield f"{name}:{number}".encode()
+
+
+async def write_frames(queue, count, *, every=0):
+    """Returns the next frames in the order in which they are written."""
+    written = []
+    while len(written) < count:
+        async with asyncio.timeout(10.0):
+            written.append(await queue.get())
+        if every and len(written) % every == 0:
+            queue.put(b"small")
+    return written
+
+
+@when("a small answer comes after every third frame")
+def step_small_answers(context):
+    context.written = asyncio.run(write_frames(context.queue, 120, every=3))
+
+
+@then("each small answer is the next frame that is written")
+def step_small_next(context):
+    for index in range(3, len(context.written), 3):
+        assert context.written[index] == b"small", context.written
+
+
+@then("the frames of the two answers take turns in their own order")
+def step_turns(context):
+    large = [frame for frame in context.written if frame != b"small"]
+    expected = [
+        f"{name}:{number}".encode()
+        for number in range(FRAMES)
+        for name in (1, 2)
+    ]
+    assert large == expected[: len(large)], large
+
+
+@when("the rest of the first is dropped after {count:d} frames")
+def step_drop(context, count):
+    async def run():
+        await write_frames(context.queue, count)
+        context.queue.drop_stream(1)
+        return await write_frames(context.queue, FRAMES - count // 2)
+
+    context.written = asyncio.run(run())
+
+
+@then("the frames that follow are all of the second")
+def step_second_only(context):
+    expected = [f"2:{number}".encode() for number in range(5, FRAMES)]
+    assert context.written == expected, context.written
+
+
+@then("nothing waits at the end")
+def step_nothing_waits(context):
+    async def run():
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.05):
+                return await context.queue.get()
+
+    assert asyncio.run(run()) is None
+    assert context.queue.waiting_bytes == 0
