--- a/tests/processes/at_most_once.feature
+++ b/tests/processes/at_most_once.feature
@@ -69,7 +69,7 @@
     When 4 publishes of 1500 ms are sent at once through "feed-bergen-1"
     Then every verdict is "may-have-run" with reason "deadline-passed"
     When "desk-bergen-1" goes on
-    And 1 s pass
+    And 1 s go by
     Then every publish was executed 0 times
     When the publishes are sent again through "feed-voss-1"
     Then every verdict is "ran" with reason "served"
@@ -78,14 +78,14 @@
   Scenario: The owner is frozen until its connections are given up
     Given "desk-bergen-1" is frozen
     When 4 publishes of 15000 ms are started through "feed-bergen-1"
-    And 4.5 s pass
+    And 4.5 s go by
     And "desk-bergen-1" goes on
     Then every verdict is "ran" with reason "served"
     And every publish was executed 1 time
 
   Scenario: The owner is killed with calls at the target, and replaced
     When 4 publishes of 8000 ms that work 1500 ms are started through "feed-bergen-1"
-    And 0.5 s pass
+    And 0.5 s go by
     And "desk-bergen-1" is killed
     Then each publish has the verdict "may-have-run"
     When the publishes are sent again through "feed-voss-1"
--- a/tests/steps/at_most_once_steps.py
+++ b/tests/steps/at_most_once_steps.py
@@ -109,7 +109,7 @@
     assert context.run(fleet.wait_for_serving(len(fleet.nodes)))
 
 
-@when("{seconds:g} s pass")
+@when("{seconds:g} s go by")
 def step_pass(context, seconds):
     context.run(asyncio.sleep(seconds))
 
