--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -100,7 +100,7 @@
 
     Attributes:
         name: What it is called in messages.
-        argv: Its command line.
+        argv: Its command line; empty for a process that is another's.
         proc: The running process, if any.
     """
 
@@ -203,7 +203,8 @@
         await self.platform_process.start(log=self.folder / "platform.err")
         await self.wait_for_http(self.platform, "/counters")
         for each in self.nodes.values():
-            await each.target_process.start(log=self.log_of(each, "target"))
+            if each.target_process.argv:
+                await each.target_process.start(log=self.log_of(each, "target"))
         for each in self.nodes.values():
             await each.node.start(log=self.log_of(each, "node"))
         for each in self.nodes.values():
@@ -340,6 +341,7 @@
     membership_extra: str = "",
     seeds: int = 3,
     relayed: bool = False,
+    shared_target: bool = False,
 ) -> Fleet:
     """Returns a fleet that has not been started yet.
 
@@ -353,6 +355,8 @@
         relayed: Whether a relay stands between nodes, and between the data
             centres and the platform, so that data centres can be cut off.
             The platform is the zone "platform" of the relay.
+        shared_target: Whether all nodes stand beside one target, so that
+            measurements of many nodes need half of the processes.
     """
     ports = PortBlock()
     platform = ports.take()
@@ -377,6 +381,9 @@
     seed_list = ", ".join(entry[2] for entry in addresses[:seeds])
     for plan, entry in zip(plans, addresses, strict=True):
         caller, mesh, control, admin, target = entry
+        owns_target = not shared_target or plan is plans[0]
+        if shared_target:
+            target = addresses[0][4]
         node_extra = ""
         if relayed:
             host = hosts[plan.data_centre]
@@ -422,7 +429,8 @@
                 _python("guavawing", "node", "--config", str(settings)),
             ),
             target_process=Process(
-                f"{plan.name} target", _python("standins.target", target)
+                f"{plan.name} target",
+                _python("standins.target", target) if owns_target else [],
             ),
         )
     return fleet
--- a/standins/learners.py
+++ b/standins/learners.py
@@ -118,6 +118,8 @@
         in_force_at: When each node put its version in force.
     """
 
+    # `far_share` is the share of notices that go to other data centres.
+
     def __init__(
         self,
         zones: dict[str, str],
@@ -128,6 +130,7 @@
         poll_period_s: float = 1.0,
         delay_s: float = 0.0005,
         far_delay_s: float = 0.005,
+        far_share: float = 0.5,
     ) -> None:
         self.now = 0.0
         self.faults = Faults()
@@ -142,7 +145,13 @@
         self._objects: dict[bytes, bytes] = {}
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
-        self._names = list(zones)
+        self._far_share = far_share
+        self._near_names: dict[str, list[str]] = {}
+        self._far_names: dict[str, list[str]] = {}
+        for zone in set(zones.values()):
+            near = [name for name, place in zones.items() if place == zone]
+            far = [name for name, place in zones.items() if place != zone]
+            self._near_names[zone], self._far_names[zone] = near, far
         self._zone_sizes = Counter(zones.values())
         self.nodes = {
             name: self._make_node(name, zone) for name, zone in zones.items()
@@ -274,7 +283,10 @@
 
     def _notify_some(self, node: SimulatedNode, *, reply_wanted: bool) -> None:
         for _ in range(FANOUT):
-            name = self.rng.choice(self._names)
+            far_names = self._far_names[node.zone]
+            far = far_names and self.rng.random() < self._far_share
+            names = far_names if far else self._near_names[node.zone]
+            name = self.rng.choice(names)
             if name != node.name:
                 self._notify(node, name, reply_wanted=reply_wanted)
 
