--- a/bench/measure_convergence.py
+++ b/bench/measure_convergence.py
@@ -120,13 +120,18 @@
     """Returns when each version came in force, from the nodes' logs."""
     times: dict[int, list[float]] = {}
     for name in fleet.nodes:
-        log = fleet.folder / f"{name}.log"
-        for line in log.read_bytes().splitlines():
-            if b'"version-in-force"' in line:
-                entry = orjson.loads(line)
-                times.setdefault(entry["version"], []).append(
-                    entry["timestamp"]
-                )
+        log = (fleet.folder / f"{name}.log").read_bytes()
+        entries = [orjson.loads(line) for line in log.splitlines()]
+        applies = [e for e in entries if e.get("action_type") == "apply"]
+        numbers = {
+            entry["task_uuid"]: entry["version"]
+            for entry in applies
+            if entry["action_status"] == "started"
+        }
+        for entry in applies:
+            if entry.get("applied"):
+                number = numbers[entry["task_uuid"]]
+                times.setdefault(number, []).append(entry["timestamp"])
     return times
 
 
--- a/src/guavawing/node/caller_server.py
+++ b/src/guavawing/node/caller_server.py
@@ -12,6 +12,8 @@
 from guavawing.config import EffectivePolicy, PolicyTable
 from guavawing.model import Address
 from guavawing.node.entry import Call, Entry, compute_fingerprint
+from guavawing.node.http_server import BoundedServer, open_http_server
+from guavawing.node.logs import is_logged, log
 from guavawing.node.messages import Answer, CallAttempt
 from guavawing.node.metrics import Metrics
 from guavawing.node.target_client import strip_hop_headers
@@ -34,7 +36,7 @@
 MAX_CALL_ID_LENGTH = 64
 CALL_ID_BYTES = 8
 MILLISECONDS = 1_000
-SHUTDOWN_TIMEOUT_S = 1.0
+MAX_CONNECTIONS = 1_024
 
 _STATUS_OF_REASON = {
     Reason.UNKNOWN_SERVICE: 404,
@@ -47,6 +49,7 @@
     Reason.DEADLINE_PASSED: 504,
     Reason.TARGET_TIMEOUT: 504,
     Reason.QUEUE_FULL: 429,
+    Reason.EVICTED: 429,
 }
 _STATUS_NOT_RUN = 503
 _STATUS_MAY_HAVE_RUN = 502
@@ -91,13 +94,17 @@
         self._in_flight += 1
         self._idle.clear()
         try:
-            return await self._answer(req)
+            resp = await self._answer(req)
+            # A call is in flight until the caller has taken its answer.
+            await resp.prepare(req)
+            await resp.write_eof()
+            return resp
         finally:
             self._in_flight -= 1
             if not self._in_flight:
                 self._idle.set()
 
-    async def _answer(self, req: web.BaseRequest) -> web.StreamResponse:
+    async def _answer(self, req: web.BaseRequest) -> web.Response:
         call_id = _read_call_id(req)
         message = ""
         try:
@@ -107,6 +114,15 @@
             answer = Answer(exc.verdict)
             message = exc.message
         self._metrics.count_call(answer.verdict)
+        if is_logged("debug"):
+            log(
+                "debug",
+                "call",
+                call_id=call_id,
+                service=req.headers.get(SERVICE_HEADER, ""),
+                verdict=verdict_name(answer.verdict),
+                reason=str(answer.verdict.reason),
+            )
         resp = _build_response(answer, call_id, message)
         if self._stopping:
             resp.force_close()
@@ -114,7 +130,9 @@
 
     async def _read_call(self, req: web.BaseRequest, call_id: str) -> Call:
         if self._stopping:
-            raise _RefusedError(Reason.STOPPING, "this node is stopping")
+            exc = _RefusedError(Reason.STOPPING, "this node is stopping")
+            exc.verdict = NotRun(Reason.STOPPING, 0.0)
+            raise exc
         arrived_at = self._loop.time()
         deadline_ms = _read_number(
             req, DEADLINE_HEADER, Reason.MISSING_DEADLINE, MAX_DEADLINE_MS
@@ -297,17 +315,15 @@
 
 @contextlib.asynccontextmanager
 async def open_caller_server(
-    server: CallerServer, address: Address
+    server: CallerServer, address: Address, metrics: Metrics
 ) -> AsyncIterator[CallerServer]:
     """Listens for callers until closed."""
-    runner = web.ServerRunner(
-        web.Server(server.handle, access_log=None, handler_cancellation=True),
-        shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+    http = BoundedServer(
+        server.handle,
+        name="caller",
+        max_connections=MAX_CONNECTIONS,
+        metrics=metrics,
+        handler_cancellation=True,
     )
-    await runner.setup()
-    site = web.TCPSite(runner, address.host, address.port)
-    await site.start()
-    try:
+    async with open_http_server(http, address):
         yield server
-    finally:
-        await runner.cleanup()
--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -2,21 +2,19 @@
 
 import asyncio
 import contextlib
+import gc
 import random
-import sys
 import time
-from collections.abc import Iterator
-from typing import Any, TextIO
+from typing import Any
 
 import aiomisc
 import attrs
-import eliot
 
 from guavawing.distribution import Version
 from guavawing.membership import Gossip, Member, MemberState, Notice
 from guavawing.node.admin_server import (
     AdminActions,
-    build_admin_app,
+    AdminServer,
     open_admin_server,
 )
 from guavawing.node.caller_server import CallerServer, open_caller_server
@@ -25,12 +23,15 @@
 from guavawing.node.distributor import Distributor, open_distributor
 from guavawing.node.entry import Entry
 from guavawing.node.gossip_task import GossipTask, open_gossip
+from guavawing.node.joiner import Joiner, open_joiner
+from guavawing.node.logs import log, log_action, open_logs
 from guavawing.node.mesh_client import open_mesh_pool
 from guavawing.node.mesh_server import MeshServer, open_mesh_server
 from guavawing.node.metrics import Metrics
 from guavawing.node.owner import open_owner
 from guavawing.node.settings import Settings
 from guavawing.node.target_client import open_target_client
+from guavawing.platform import Platform
 from guavawing.platform.client import open_platform
 from guavawing.policy.choice import Chooser
 
@@ -40,8 +41,14 @@
 FAILURES_UNTIL_DOWN = 3
 # Time that other nodes are given to hear that a target takes no new calls.
 DRAIN_NOTICE_S = 1.0
+# Time that callers with kept connections are told to go elsewhere.
+STOP_NOTICE_S = 0.5
+# Longest time to hand the last answers to entry nodes.
+FLUSH_TIMEOUT_S = 2.0
 # Time to close sockets after the last call has ended.
 STOP_MARGIN_S = 10.0
+# Allocations between two collections of the youngest objects.
+GC_ALLOCATIONS = 10_000
 NANOSECONDS_PER_MS = 1_000_000
 
 
@@ -59,13 +66,13 @@
     async def start(self) -> None:
         """Opens every part; the caller side comes last."""
         settings = self._settings
-        self._incarnation = time.time_ns() // NANOSECONDS_PER_MS
-        me = _describe_node(settings, self._incarnation)
         enter = self._stack.enter_async_context
-        self._gossip = Gossip(me, settings.seeds, random.Random())
         platform = await enter(
             open_platform(settings.platform, source=settings.mesh.host)
         )
+        await self._join(platform)
+        me = self._gossip.me
+        self._incarnation = me.incarnation
         self._target = await enter(
             open_target_client(settings.target, connections=0)
         )
@@ -87,6 +94,35 @@
         )
         await self._open_servers(me, Claims(platform))
 
+    async def _join(self, platform: Platform) -> None:
+        """Finds the other members before any key is bound to this process.
+
+        The data centre may remember a higher incarnation of this node, if
+        the wall clock ran backwards; the node then takes a higher one.
+        """
+        settings = self._settings
+        incarnation = time.time_ns() // NANOSECONDS_PER_MS
+        self._gossip = Gossip(
+            _describe_node(settings, incarnation),
+            settings.seeds,
+            random.Random(),
+            period_s=settings.gossip_period_s,
+        )
+        self._gossip_task = GossipTask(
+            self._gossip,
+            period_s=settings.gossip_period_s,
+            metrics=self._metrics,
+        )
+        enter = self._stack.enter_async_context
+        await enter(
+            open_gossip(
+                self._gossip_task, settings.listen_control or settings.control
+            )
+        )
+        joiner = Joiner(platform, self._gossip, random.Random())
+        await enter(open_joiner(joiner))
+        await joiner.wait_joined()
+
     async def _open_servers(self, me: Member, claims: Claims) -> None:
         settings = self._settings
         enter = self._stack.enter_async_context
@@ -108,26 +144,19 @@
             claims=claims,
             metrics=self._metrics,
         )
-        mesh = MeshServer(
+        self._mesh = MeshServer(
             owner=self._owner,
             policies=self._distributor.policies,
             member_id=me.id,
             incarnation=self._incarnation,
         )
-        await enter(
-            open_mesh_server(mesh, settings.listen_mesh or settings.mesh)
-        )
+        mesh_address = settings.listen_mesh or settings.mesh
+        await enter(open_mesh_server(self._mesh, mesh_address, self._metrics))
         control = ControlServer(self._distributor, self._metrics)
         control_address = settings.listen_control or settings.control
         await enter(open_control_server(control, control_address))
-        self._gossip_task = GossipTask(
-            self._gossip,
-            period_s=settings.gossip_period_s,
-            metrics=self._metrics,
-        )
         self._gossip_task.listen(self._distributor.hear)
         self._distributor.listen(self._apply_version)
-        await enter(open_gossip(self._gossip_task, control_address))
         await enter(
             open_distributor(
                 self._distributor, poll_period_s=settings.poll_period_s
@@ -138,30 +167,37 @@
             policies=self._distributor.policies,
             metrics=self._metrics,
         )
-        await enter(open_caller_server(self._caller_server, settings.caller))
+        await enter(
+            open_caller_server(
+                self._caller_server, settings.caller, self._metrics
+            )
+        )
         actions = AdminActions(
             read_status=self._read_status,
             is_ready=self._is_ready,
             set_draining=self._set_draining,
         )
-        app = build_admin_app(actions, self._metrics)
-        await enter(open_admin_server(app, settings.admin))
+        admin = AdminServer(actions, self._metrics)
+        await enter(open_admin_server(admin, settings.admin))
         health = asyncio.get_running_loop().create_task(self._watch_target())
         self._stack.callback(health.cancel)
-        eliot.log_message(
-            "node-started", node=me.id, incarnation=self._incarnation
-        )
+        _settle_garbage_collector()
+        log("info", "start", node=me.id, incarnation=self._incarnation)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Drains the target, finishes the calls in flight and leaves."""
-        with eliot.start_action(action_type="stop", node=self._gossip.me.id):
+        with log_action("stop", node=self._gossip.me.id):
             self._set_draining(True)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self._settings.drain_timeout_s):
                     await asyncio.sleep(DRAIN_NOTICE_S)
                     self._caller_server.start_stopping()
+                    await asyncio.sleep(STOP_NOTICE_S)
                     await self._caller_server.wait_idle()
                     await self._owner.wait_idle()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(FLUSH_TIMEOUT_S):
+                    await self._mesh.wait_flushed()
             self._gossip_task.leave()
             await self._stack.aclose()
 
@@ -178,11 +214,14 @@
 
     def _set_draining(self, draining: bool) -> None:
         self._draining = draining
-        eliot.log_message("drain", draining=draining)
+        log("info", "drain", node=self._gossip.me.id, draining=draining)
         if draining:
             self._owner.start_draining()
         else:
             self._owner.stop_draining()
+        me = self._gossip.me
+        self._entry.take_load(me.id, me.incarnation, self._owner.load())
+        self._mesh.announce_load()
         self._update_serving()
 
     def _update_serving(self) -> None:
@@ -254,23 +293,26 @@
     )
 
 
-@contextlib.contextmanager
-def _open_log(settings: Settings) -> Iterator[TextIO]:
-    if not settings.log_file:
-        yield sys.stdout
-        return
-    with open(settings.log_file, "a", encoding="utf-8") as stream:
-        yield stream
+def _settle_garbage_collector() -> None:
+    """Spares the collector the objects that live as long as the process.
+
+    Modules and long-lived parts make up nearly all objects of a node. A full
+    collection that visits them all holds up the calls in flight.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_ALLOCATIONS)
 
 
 def run_node(settings: Settings) -> None:
     """Runs a node until it gets SIGTERM or SIGINT."""
-    with _open_log(settings) as stream:
-        eliot.to_file(stream)
-        with aiomisc.entrypoint(
+    with (
+        open_logs(file=settings.log_file, level=settings.log_level),
+        aiomisc.entrypoint(
             Node(settings),
             log_config=False,
             pool_size=1,
             shutdown_timeout=settings.drain_timeout_s + STOP_MARGIN_S,
-        ) as loop:
-            loop.run_forever()
+        ) as loop,
+    ):
+        loop.run_forever()
--- a/src/guavawing/node/distributor.py
+++ b/src/guavawing/node/distributor.py
@@ -7,7 +7,6 @@
 import random
 from collections.abc import AsyncIterator, Callable, Coroutine
 
-import eliot
 import grpclib
 
 from guavawing.config import PolicyTable
@@ -42,6 +41,7 @@
 from guavawing.errors import MessageInvalidError, PlatformError
 from guavawing.membership import Member, MemberState, MemberTable, Notice
 from guavawing.node.channel import ByteListener, open_channel
+from guavawing.node.logs import log, log_action
 from guavawing.node.metrics import Metrics
 from guavawing.platform import Platform, fetch_head
 from guavawing.proto.control_grpc import ControlStub
@@ -130,9 +130,10 @@
             events = [*self._events] or [Tick()]
             self._events.clear()
             for event in events:
-                actions = self._learner.handle(event, now=loop.time())
-                for action in actions:
-                    self._carry_out(action)
+                if isinstance(event, PayloadArrived):
+                    self._apply(event, now=loop.time())
+                else:
+                    self._handle(event, now=loop.time())
 
     async def poll(self, period_s: float) -> None:
         """Reads the head of the configuration until cancelled.
@@ -161,6 +162,19 @@
         for task in self._fetches:
             task.cancel()
 
+    def _handle(self, event: Event, *, now: float) -> list[Action]:
+        actions = self._learner.handle(event, now=now)
+        for action in actions:
+            self._carry_out(action)
+        return actions
+
+    def _apply(self, event: PayloadArrived, *, now: float) -> None:
+        number = event.version.number
+        with log_action("apply", version=number) as record:
+            actions = self._handle(event, now=now)
+            applied = any(isinstance(each, PutInForce) for each in actions)
+            record.add_success_fields(applied=applied)
+
     def _post(self, event: Event) -> None:
         self._events.append(event)
         self._woken.set()
@@ -187,14 +201,15 @@
                 self._put_in_force(version)
             case ReportRejection(version=version, message=message):
                 self._metrics.rejections.inc({})
-                eliot.log_message(
-                    "version-rejected", version=version.number, why=message
+                log(
+                    "warning",
+                    "version-rejected",
+                    version=version.number,
+                    why=message,
                 )
             case ReportFault(source=source, fault=fault):
                 self._metrics.fetch_faults.inc({"reason": str(fault)})
-                eliot.log_message(
-                    "fetch-failed", source=source, reason=str(fault)
-                )
+                log("debug", "fetch-failed", source=source, reason=str(fault))
 
     def _start(
         self, fetch_id: int, fetch: Coroutine[None, None, Event]
@@ -284,7 +299,6 @@
         return count
 
     def _put_in_force(self, version: Version) -> None:
-        eliot.log_message("version-in-force", version=version.number)
         self._policies = PolicyTable(
             version.document,
             data_centre=self._data_centre,
--- a/src/guavawing/node/mesh_server.py
+++ b/src/guavawing/node/mesh_server.py
@@ -19,7 +19,9 @@
     decode_headers,
     read_key,
 )
+from guavawing.node.http_server import BoundedServer, open_http_server
 from guavawing.node.messages import Answer, CallAttempt
+from guavawing.node.metrics import Metrics
 from guavawing.node.owner import Owner
 from guavawing.node.submission import Submission
 from guavawing.policy.transit import TransitMeter
@@ -30,6 +32,7 @@
 
 PING_PERIOD_S = 10.0
 CLOSE_TIMEOUT_S = 1.0
+MAX_CONNECTIONS = 1_024
 
 PolicySource = Callable[[], PolicyTable | None]
 
@@ -50,6 +53,21 @@
         self._policies = policies
         self._member_id = member_id
         self._incarnation = incarnation
+        self._connections: set[_Connection] = set()
+
+    def announce_load(self) -> None:
+        """Tells every connected entry node of the load here at once.
+
+        An entry node with an idle connection would otherwise hear of a drain
+        only by gossip, and of its end, as it sends nothing here, never.
+        """
+        for conn in self._connections:
+            conn.send_hello()
+
+    async def wait_flushed(self) -> None:
+        """Waits until every answer has been handed to the network."""
+        for conn in tuple(self._connections):
+            await conn.wait_flushed()
 
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Serves one connection until the entry node closes it."""
@@ -61,11 +79,15 @@
         )
         await ws.prepare(req)
         conn = _Connection(self, ws)
-        await conn.serve()
+        self._connections.add(conn)
+        try:
+            await conn.serve()
+        finally:
+            self._connections.discard(conn)
         return ws
 
     def hello(self) -> pb.MeshFrame:
-        """Returns the first frame of a connection."""
+        """Returns the first frame of a connection, or a later one."""
         return build_hello(
             self._member_id,
             self._incarnation,
@@ -119,9 +141,15 @@
         self._submissions: dict[int, Submission] = {}
         self._transit = TransitMeter()
 
+    def send_hello(self) -> None:
+        self._outgoing.put_nowait(self._server.hello().SerializeToString())
+
+    async def wait_flushed(self) -> None:
+        await self._outgoing.join()
+
     async def serve(self) -> None:
         writer = self._loop.create_task(self._write())
-        self._outgoing.put_nowait(self._server.hello().SerializeToString())
+        self.send_hello()
         try:
             async for msg in self._ws:
                 if msg.type is not aiohttp.WSMsgType.BINARY:
@@ -173,20 +201,20 @@
                 await self._ws.send_bytes(payload)
             except (ConnectionError, RuntimeError):
                 return
+            finally:
+                self._outgoing.task_done()
 
 
 @contextlib.asynccontextmanager
 async def open_mesh_server(
-    server: MeshServer, address: Address
+    server: MeshServer, address: Address, metrics: Metrics
 ) -> AsyncIterator[MeshServer]:
     """Listens for entry nodes until closed."""
-    runner = web.ServerRunner(
-        web.Server(server.handle), shutdown_timeout=CLOSE_TIMEOUT_S
+    http = BoundedServer(
+        server.handle,
+        name="mesh",
+        max_connections=MAX_CONNECTIONS,
+        metrics=metrics,
     )
-    await runner.setup()
-    site = web.TCPSite(runner, address.host, address.port)
-    await site.start()
-    try:
+    async with open_http_server(http, address):
         yield server
-    finally:
-        await runner.cleanup()
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -52,6 +52,7 @@
 {membership_extra}
 [logs]
 file = {log}
+level = {log_level}
 """
 
 
@@ -342,6 +343,7 @@
     seeds: int = 3,
     relayed: bool = False,
     shared_target: bool = False,
+    log_level: str = "info",
 ) -> Fleet:
     """Returns a fleet that has not been started yet.
 
@@ -357,6 +359,7 @@
             The platform is the zone "platform" of the relay.
         shared_target: Whether all nodes stand beside one target, so that
             measurements of many nodes need half of the processes.
+        log_level: Least level that the nodes log.
     """
     ports = PortBlock()
     platform = ports.take()
@@ -411,6 +414,7 @@
                 seeds=seed_list,
                 membership_extra=membership_extra,
                 log=folder / f"{plan.name}.log",
+                log_level=log_level,
             )
         )
         fleet.nodes[plan.name] = FleetNode(
--- a/tests/steps/cut_steps.py
+++ b/tests/steps/cut_steps.py
@@ -8,7 +8,7 @@
 import aiohttp
 from behave import given, then, when
 
-from guavawing.membership import Datagram, Member, MemberState, Notice
+from guavawing.membership import Datagram, Member, MemberState, Notice, Push
 from guavawing.model import parse_address
 from guavawing.node.datagrams import encode_datagram
 from standins.caller import send_call
@@ -188,7 +188,7 @@
         serving=False,
     )
     notice = Notice(100 + turn, turn.to_bytes(32))
-    return encode_datagram(Datagram("liar", (liar,), notice))
+    return encode_datagram(Datagram("liar", Push(), notice, (liar,)))
 
 
 def take_status(context, status):
--- a/tests/steps/distribution_steps.py
+++ b/tests/steps/distribution_steps.py
@@ -35,10 +35,10 @@
     )
     # Each version adds an entry, takes one away and changes one.
     routes = {
-        f"extra-{(number + index) % 5}": Route(
-            "desk", "GET", f"/extra/{number % 3}", idempotent=True
+        f"extra-{index}": Route(
+            "desk", "GET", f"/extra/{index}/{number % 3}", idempotent=True
         )
-        for index in range(3)
+        for index in ((number + step) % 5 for step in range(3))
     }
     document = attrs.evolve(
         document, defaults=defaults, routes=routes | document.routes
