Add default set, history, diff, validate, wait; one-line errors; exit 130

Cause: the thin command line had only publish, exception and show; usage errors took three lines, an interrupt ended with code 1, a publish without a base overwrote whatever was newest without a word, and no command waited for a version. Ruled out: catching errors in each command (one forgotten call prints a traceback); repeating a publish inside the library (only the command knows whether the operator chose the change id); the change id as a line on standard error always (it is in the result and in each error instead).

--- a/src/guavawing/cli/commands/drain.py
+++ b/src/guavawing/cli/commands/drain.py
@@ -4,14 +4,15 @@
 
 import click
 
-from guavawing.cli.exits import run_safely
+from guavawing.cli.examples import format_examples
 from guavawing.cli.node_client import send_drain
-from guavawing.cli.options import AddressType
+from guavawing.cli.options import AddressType, output_option
+from guavawing.cli.printing import print_json
 from guavawing.model import Address
 
 __all__ = ["drain", "undrain"]
 
-_node_option = click.option(
+_target_node_option = click.option(
     "--node",
     type=AddressType(),
     required=True,
@@ -19,23 +20,25 @@
 )
 
 
-@click.command()
-@_node_option
-def drain(node: Address) -> None:
-    """Give a target no new work; what runs goes on.
+@click.command(epilog=format_examples("guavawing drain --node 10.0.0.7:7403"))
+@_target_node_option
+@output_option()
+def drain(node: Address, output: str) -> None:
+    """Give a target no new work; what runs goes on."""
+    _set_draining(node, output, draining=True)
 
-    Example: guavawing drain --node 10.0.0.7:7403
-    """
-    run_safely(lambda: asyncio.run(send_drain(node, draining=True)))
-    click.echo(f"{node} is draining")
 
+@click.command(epilog=format_examples("guavawing undrain --node 10.0.0.7:7403"))
+@_target_node_option
+@output_option()
+def undrain(node: Address, output: str) -> None:
+    """Give a drained target work again."""
+    _set_draining(node, output, draining=False)
 
-@click.command()
-@_node_option
-def undrain(node: Address) -> None:
-    """Give a drained target work again.
 
-    Example: guavawing undrain --node 10.0.0.7:7403
-    """
-    run_safely(lambda: asyncio.run(send_drain(node, draining=False)))
-    click.echo(f"{node} takes work")
+def _set_draining(node: Address, output: str, *, draining: bool) -> None:
+    asyncio.run(send_drain(node, draining=draining))
+    if output == "json":
+        print_json({"node": str(node), "draining": draining})
+        return
+    click.echo(f"{node} is draining" if draining else f"{node} takes work")
--- a/src/guavawing/cli/commands/exceptions.py
+++ b/src/guavawing/cli/commands/exceptions.py
@@ -1,38 +1,44 @@
 """`guavawing exception add|retire`: edits the list of exceptions."""
 
-import asyncio
 import datetime
-import getpass
-import uuid
-from collections.abc import Callable
 
 import attrs
 import click
-import orjson
 
-from guavawing.cli.exits import run_safely
-from guavawing.cli.options import platform_option
-from guavawing.config import Document, ExceptionEntry
+from guavawing.cli.examples import format_examples
+from guavawing.cli.options import PublishOptions, publish_options
+from guavawing.cli.submission import submit
+from guavawing.cli.values import parse_value
+from guavawing.config import Document, ExceptionEntry, describe_names
 from guavawing.errors import InvalidArgumentError
-from guavawing.model import Address
-from guavawing.platform import Head, fetch_document, publish_document
-from guavawing.platform.client import open_platform
+from guavawing.platform import Head, Platform, publish_edit
+from guavawing.platform.publisher import Edit
 
 __all__ = ["exception"]
 
-Edit = Callable[[Document], Document]
-
 
 @click.group()
 def exception() -> None:
     """Add or retire exceptions from the defaults."""
 
 
-@exception.command()
+@exception.command(
+    epilog=format_examples(
+        "guavawing exception add slow-archive --service desk"
+        " --setting deadline_ms --value 20000 --ends 2027-05-31"
+        ' --reason "the archive moves in May" --owner "desk team"',
+        "guavawing config exception add cold-disks --service feed"
+        ' --setting slots --value 4 --reason "cold disks" --owner bo',
+    )
+)
 @click.argument("name")
 @click.option("--service", required=True, help="Service it applies to.")
-@click.option("--setting", required=True, help="Default it replaces.")
-@click.option("--value", required=True, help="Value in place of the default.")
+@click.option(
+    "--setting",
+    required=True,
+    help="Default it replaces, or 'slots' or 'connections'.",
+)
+@click.option("--value", required=True, help="Value in its place.")
 @click.option("--reason", required=True, help="Why it is needed.")
 @click.option("--owner", required=True, help="Who answers for it.")
 @click.option("--route", default=None, help="Route; all if left out.")
@@ -41,10 +47,9 @@
     "--ends",
     type=click.DateTime(["%Y-%m-%d"]),
     default=None,
-    help="Last day.",
+    help="Last day (UTC) on which it applies.",
 )
-@click.option("--change-id", default=None, help="Id for a safe repeat.")
-@platform_option
+@publish_options
 def add(
     name: str,
     service: str,
@@ -55,18 +60,13 @@
     route: str | None,
     data_centre: str | None,
     ends: datetime.datetime | None,
-    change_id: str | None,
-    platform_address: Address,
+    options: PublishOptions,
 ) -> None:
-    """Add an exception to the newest version and publish it.
-
-    Example: guavawing exception add slow-archive --service desk --setting
-    deadline_ms --value 20000 --reason "archive moves in May" --owner ana
-    """
+    """Add an exception to the newest version and publish it."""
     entry = ExceptionEntry(
         service=service,
         setting=setting,
-        value=_parse_value(value),
+        value=parse_value(value),
         reason=reason,
         owner=owner,
         route=route,
@@ -82,57 +82,42 @@
         exceptions = {**document.exceptions, name: entry}
         return attrs.evolve(document, exceptions=exceptions)
 
-    _publish_edit(platform_address, edit, change_id)
+    _publish_edit(options, edit, f"exception add {name}")
 
 
-@exception.command()
+@exception.command(
+    epilog=format_examples(
+        "guavawing exception retire slow-archive",
+        "guavawing config exception retire slow-archive",
+    )
+)
 @click.argument("name")
-@click.option("--change-id", default=None, help="Id for a safe repeat.")
-@platform_option
-def retire(name: str, change_id: str | None, platform_address: Address) -> None:
-    """Remove an exception from the newest version and publish it.
-
-    Example: guavawing exception retire slow-archive
-    """
+@publish_options
+def retire(name: str, options: PublishOptions) -> None:
+    """Remove an exception from the newest version and publish it."""
 
     def edit(document: Document) -> Document:
         if name not in document.exceptions:
+            known = describe_names(document.exceptions) or "none"
             raise InvalidArgumentError(
-                f"got {name!r}, expected one of {sorted(document.exceptions)}"
+                f"got {name!r}, expected an exception in force: {known}"
             )
         exceptions = dict(document.exceptions)
         del exceptions[name]
         return attrs.evolve(document, exceptions=exceptions)
 
-    _publish_edit(platform_address, edit, change_id)
-
+    _publish_edit(options, edit, f"exception retire {name}")
 
-def _parse_value(text: str) -> bool | int | float | str:
-    try:
-        value = orjson.loads(text)
-    except orjson.JSONDecodeError:
-        return text
-    return value if isinstance(value, bool | int | float) else text
 
-
-def _publish_edit(address: Address, edit: Edit, change_id: str | None) -> None:
-    chosen_id = change_id or uuid.uuid4().hex
-    click.echo(f"change id {chosen_id}", err=True)
-    head = run_safely(
-        lambda: asyncio.run(_edit_and_publish(address, edit, chosen_id))
-    )
-    click.echo(f"version {head.version} accepted")
-
-
-async def _edit_and_publish(
-    address: Address, edit: Edit, change_id: str
-) -> Head:
-    async with open_platform(address) as platform:
-        head, document = await fetch_document(platform)
-        return await publish_document(
+def _publish_edit(options: PublishOptions, edit: Edit, summary: str) -> None:
+    async def attempt(platform: Platform, change_id: str) -> Head:
+        return await publish_edit(
             platform,
-            edit(document),
+            edit,
             change_id=change_id,
-            base_version=head.version,
-            author=getpass.getuser(),
+            author=options.author,
+            base_version=options.base,
+            summary=summary,
         )
+
+    submit(options, attempt)
--- a/src/guavawing/cli/commands/node.py
+++ b/src/guavawing/cli/commands/node.py
@@ -4,13 +4,13 @@
 
 import click
 
-from guavawing.cli.exits import run_safely
+from guavawing.cli.examples import format_examples
 from guavawing.node.settings import read_settings
 
 __all__ = ["node"]
 
 
-@click.command()
+@click.command(epilog=format_examples("guavawing node --config node.ini"))
 @click.option(
     "--config",
     "path",
@@ -20,11 +20,8 @@
 )
 @click.option("--check", is_flag=True, help="Check the settings and stop.")
 def node(path: pathlib.Path, check: bool) -> None:
-    """Run the node beside a target.
-
-    Example: guavawing node --config node.ini
-    """
-    settings = run_safely(lambda: read_settings(path))
+    """Run the node beside a target."""
+    settings = read_settings(path)
     if check:
         click.echo(f"{path}: ok")
         return
--- a/src/guavawing/cli/commands/publish.py
+++ b/src/guavawing/cli/commands/publish.py
@@ -1,74 +1,68 @@
 """`guavawing config publish`: publishes a whole document."""
 
-import asyncio
-import getpass
 import pathlib
-import uuid
 
 import click
 
-from guavawing.cli.exits import run_safely
-from guavawing.cli.options import platform_option
-from guavawing.config import Document, decode_document
-from guavawing.model import Address
-from guavawing.platform import Head, fetch_head, publish_document
-from guavawing.platform.client import open_platform
+from guavawing.cli.examples import format_examples
+from guavawing.cli.options import PublishOptions, publish_options
+from guavawing.cli.submission import submit
+from guavawing.config import check_document, decode_document
+from guavawing.errors import InvalidArgumentError
+from guavawing.platform import (
+    Head,
+    Platform,
+    fetch_change,
+    fetch_head,
+    publish_document,
+)
 
 __all__ = ["publish"]
 
 
-@click.command()
-@click.argument("path", type=click.Path(exists=True, path_type=pathlib.Path))
-@click.option(
-    "--base",
-    type=int,
-    default=None,
-    help="Version the change starts from; the newest one if left out.",
+@click.command(
+    epilog=format_examples("guavawing config publish fleet.json --base 7")
+)
+@click.argument(
+    "path",
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
 )
-@click.option("--change-id", default=None, help="Id for a safe repeat.")
-@click.option("--author", default=getpass.getuser, help="Who changes.")
-@platform_option
-def publish(
-    path: pathlib.Path,
-    base: int | None,
-    change_id: str | None,
-    author: str,
-    platform_address: Address,
-) -> None:
+@publish_options
+def publish(path: pathlib.Path, options: PublishOptions) -> None:
     """Publish a configuration document (JSON).
 
-    Example: guavawing config publish fleet.json --platform 10.0.0.2:7000
+    --base names the version that the document was made from, so that another
+    operator's change is noticed and not overwritten. Only the first version
+    needs none.
     """
-    chosen_id = change_id or uuid.uuid4().hex
-    click.echo(f"change id {chosen_id}", err=True)
-    head = run_safely(
-        lambda: asyncio.run(
-            _publish(
-                platform_address,
-                decode_document(path.read_bytes()),
-                chosen_id,
-                base,
-                author,
-            )
-        )
-    )
-    click.echo(f"version {head.version} accepted")
-
+    document = decode_document(path.read_bytes())
+    check_document(document)
 
-async def _publish(
-    address: Address,
-    document: Document,
-    change_id: str,
-    base: int | None,
-    author: str,
-) -> Head:
-    async with open_platform(address) as platform:
-        if base is None:
-            base = (await fetch_head(platform)).version
+    async def attempt(platform: Platform, change_id: str) -> Head:
         return await publish_document(
             platform,
             document,
             change_id=change_id,
-            base_version=base,
-            author=author,
+            base_version=await _choose_base(platform, options, change_id),
+            author=options.author,
+            summary=f"publish {path.name}",
+        )
+
+    submit(options, attempt)
+
+
+async def _choose_base(
+    platform: Platform, options: PublishOptions, change_id: str
+) -> int:
+    if options.base is not None:
+        return options.base
+    head = await fetch_head(platform)
+    change = await fetch_change(platform, change_id)
+    if change is not None:
+        return change.version - 1
+    if head.version > 0:
+        raise InvalidArgumentError(
+            "got no --base, expected the version that the document was made"
+            f" from; the newest one is {head.version}"
         )
+    return 0
--- a/src/guavawing/cli/main.py
+++ b/src/guavawing/cli/main.py
@@ -2,32 +2,48 @@
 
 import click
 
+from guavawing.cli.commands.defaults import default
 from guavawing.cli.commands.drain import drain, undrain
 from guavawing.cli.commands.exceptions import exception
 from guavawing.cli.commands.node import node
 from guavawing.cli.commands.publish import publish
+from guavawing.cli.program import Program
+from guavawing.cli.queries.diff import diff
+from guavawing.cli.queries.history import history
 from guavawing.cli.queries.show import show
 from guavawing.cli.queries.status import status
+from guavawing.cli.queries.validate import validate
+from guavawing.cli.queries.wait import wait
 
 __all__ = ["main"]
 
 
-@click.group()
+@click.group(cls=Program)
 @click.version_option(package_name="guavawing")
 def main() -> None:
-    """Distribute configuration to a service mesh and route its calls."""
+    """Distribute configuration to a service mesh and route its calls.
+
+    Exit codes: 0 done, 1 other failure, 2 bad usage, 3 conflict, 4 no answer
+    and nothing done, 5 outcome unknown, 6 invalid configuration, 7 nodes
+    behind, 130 interrupted.
+    """
 
 
 @main.group()
 def config() -> None:
-    """Publish and read the configuration."""
-
-
-config.add_command(publish)
-config.add_command(show)
-main.add_command(config)
-main.add_command(drain)
-main.add_command(exception)
-main.add_command(node)
-main.add_command(status)
-main.add_command(undrain)
+    """Publish, change and read the configuration."""
+
+
+for _command in (
+    default,
+    diff,
+    exception,
+    history,
+    publish,
+    show,
+    validate,
+    wait,
+):
+    config.add_command(_command)
+for _command in (drain, exception, node, status, undrain):
+    main.add_command(_command)
--- a/src/guavawing/cli/node_client.py
+++ b/src/guavawing/cli/node_client.py
@@ -26,10 +26,9 @@
     try:
         async with session.get(f"http://{node}/status") as resp:
             resp.raise_for_status()
-            status: Status = orjson.loads(await resp.read())
-            return status
+            return _check_status(orjson.loads(await resp.read()))
     except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
-        raise ControlError(f"node {node} did not answer: {exc!r}") from exc
+        raise ControlError(_describe(node, exc)) from exc
 
 
 async def collect_statuses(node: Address) -> dict[str, Status | None]:
@@ -72,7 +71,27 @@
         ):
             resp.raise_for_status()
     except (aiohttp.ClientError, TimeoutError) as exc:
-        raise ControlError(f"node {node} did not answer: {exc!r}") from exc
+        raise ControlError(_describe(node, exc)) from exc
+
+
+def _check_status(tree: Any) -> Status:
+    """Returns a status that has what this client reads.
+
+    Raises:
+        ValueError: If a part is missing.
+    """
+    expected = {"version": int, "members": list}
+    for name, kind in expected.items():
+        value = tree.get(name) if isinstance(tree, dict) else None
+        if not isinstance(value, kind):
+            raise ValueError(f"its status has no {name!r}")
+    status: Status = tree
+    return status
+
+
+def _describe(node: Address, exc: Exception) -> str:
+    text = " ".join(str(exc).split()) or type(exc).__name__
+    return f"node {node} did not answer: {text}"
 
 
 def _open_session() -> aiohttp.ClientSession:
--- a/src/guavawing/cli/options.py
+++ b/src/guavawing/cli/options.py
@@ -1,14 +1,27 @@
 """Options that several commands share."""
 
+import getpass
 from collections.abc import Callable
 from typing import Any
 
+import attrs
 import click
 
 from guavawing.errors import InvalidArgumentError
 from guavawing.model import Address, parse_address
 
-__all__ = ["AddressType", "output_option", "platform_option"]
+__all__ = [
+    "AddressType",
+    "PublishOptions",
+    "node_option",
+    "output_option",
+    "platform_option",
+    "publish_options",
+]
+
+RETRY_TIME_S = 10.0
+
+Command = Callable[..., Any]
 
 
 class AddressType(click.ParamType[Address]):
@@ -31,7 +44,28 @@
             self.fail(str(exc), param, ctx)
 
 
-def platform_option(command: Callable[..., Any]) -> Callable[..., Any]:
+@attrs.frozen
+class PublishOptions:
+    """Options of every command that publishes.
+
+    Attributes:
+        platform: Address of the platform.
+        base: Version that must be the newest; None for any.
+        change_id: Id that the operator chose; None for a new one.
+        author: Who makes the change.
+        retry_s: How long an attempt that failed is repeated, in seconds.
+        output: How the result is printed, `table` or `json`.
+    """
+
+    platform: Address
+    base: int | None
+    change_id: str | None
+    author: str
+    retry_s: float
+    output: str
+
+
+def platform_option(command: Command) -> Command:
     """Adds `--platform`."""
     return click.option(
         "--platform",
@@ -44,12 +78,86 @@
     )(command)
 
 
-def output_option(command: Callable[..., Any]) -> Callable[..., Any]:
+def node_option(command: Command) -> Command:
+    """Adds `--node`."""
+    return click.option(
+        "--node",
+        type=AddressType(),
+        required=True,
+        envvar="GUAVAWING_NODE",
+        show_envvar=True,
+        help="Admin address of any node.",
+    )(command)
+
+
+def output_option(
+    default: str = "table",
+) -> Callable[[Command], Command]:
     """Adds `--output`."""
     return click.option(
         "--output",
         type=click.Choice(["table", "json"]),
-        default="table",
+        default=default,
         show_default=True,
         help="How the result is printed.",
-    )(command)
+    )
+
+
+def publish_options(command: Command) -> Command:
+    """Adds the options of `PublishOptions`, passed on as `options`."""
+
+    def run(
+        platform_address: Address,
+        base: int | None,
+        change_id: str | None,
+        author: str,
+        retry_for: float,
+        output: str,
+        **arguments: Any,
+    ) -> Any:
+        options = PublishOptions(
+            platform=platform_address,
+            base=base,
+            change_id=change_id,
+            author=author,
+            retry_s=retry_for,
+            output=output,
+        )
+        return command(options=options, **arguments)
+
+    run.__doc__ = command.__doc__
+    run.__name__ = command.__name__
+    # click keeps the parameters that were declared before on the function.
+    vars(run).update(vars(command))
+    decorators: tuple[Callable[[Command], Command], ...] = (
+        output_option(),
+        click.option(
+            "--retry-for",
+            type=click.FloatRange(min=0),
+            default=RETRY_TIME_S,
+            show_default=True,
+            help="Seconds for which a failed attempt is repeated.",
+        ),
+        click.option(
+            "--author",
+            default=getpass.getuser,
+            show_default="your user name",
+            help="Who makes the change.",
+        ),
+        click.option(
+            "--change-id",
+            default=None,
+            help="Id of the change; a repeat under the same id is harmless.",
+        ),
+        click.option(
+            "--base",
+            type=click.IntRange(min=0),
+            default=None,
+            help="Version that must still be the newest.",
+        ),
+        platform_option,
+    )
+    decorated: Command = run
+    for decorate in decorators:
+        decorated = decorate(decorated)
+    return decorated
--- /dev/null
+++ b/src/guavawing/cli/queries/diff.py
@@ -0,0 +1,87 @@
+"""`guavawing config diff`: prints where two documents differ."""
+
+import asyncio
+import pathlib
+
+import attrs
+import click
+import orjson
+
+from guavawing.cli.examples import format_examples
+from guavawing.cli.options import output_option, platform_option
+from guavawing.cli.printing import print_json, print_table
+from guavawing.config import (
+    Difference,
+    Document,
+    compare_documents,
+    decode_document,
+)
+from guavawing.errors import InvalidArgumentError
+from guavawing.model import Address
+from guavawing.platform import Platform, fetch_head, fetch_version
+from guavawing.platform.client import open_platform
+
+__all__ = ["diff"]
+
+
+@click.command(
+    epilog=format_examples(
+        "guavawing config diff 3 7", "guavawing config diff 7 fleet.json"
+    )
+)
+@click.argument("old", required=False)
+@click.argument("new", required=False)
+@platform_option
+@output_option()
+def diff(
+    old: str | None,
+    new: str | None,
+    platform_address: Address,
+    output: str,
+) -> None:
+    """Print the places at which OLD and NEW differ.
+
+    Each is the number of a version or the path of a file. Left out, NEW is
+    the newest version and OLD the one before it.
+    """
+    differences = asyncio.run(_compare(platform_address, old, new))
+    if output == "json":
+        print_json([attrs.asdict(each) for each in differences])
+        return
+    print_table(
+        ("place", "old", "new"),
+        [
+            (each.place, _format(each.old), _format(each.new))
+            for each in differences
+        ],
+        colours=(None, "red", "green"),
+    )
+
+
+async def _compare(
+    address: Address, old: str | None, new: str | None
+) -> list[Difference]:
+    async with open_platform(address) as platform:
+        newest = (await fetch_head(platform)).version
+        new_name = str(newest) if new is None else new
+        old_name = str(max(newest - 1, 0)) if old is None else old
+        return compare_documents(
+            await _read(platform, old_name), await _read(platform, new_name)
+        )
+
+
+async def _read(platform: Platform, name: str) -> Document:
+    if name.isdecimal() and name.isascii():
+        _, document = await fetch_version(platform, int(name))
+        return document
+    path = pathlib.Path(name)
+    if not path.is_file():
+        raise InvalidArgumentError(
+            f"got {name!r}, expected the number of a version or the path of a"
+            " file"
+        )
+    return decode_document(path.read_bytes())
+
+
+def _format(value: object) -> str:
+    return "-" if value is None else orjson.dumps(value).decode()
--- a/src/guavawing/cli/queries/show.py
+++ b/src/guavawing/cli/queries/show.py
@@ -1,33 +1,77 @@
-"""`guavawing config show`: prints the newest accepted document."""
+"""`guavawing config show`: prints an accepted document."""
 
 import asyncio
 
+import attrs
 import click
 import orjson
 
-from guavawing.cli.exits import run_safely
-from guavawing.cli.options import platform_option
+from guavawing.cli.examples import format_examples
+from guavawing.cli.options import output_option, platform_option
+from guavawing.cli.printing import print_table
 from guavawing.config import Document, encode_document
 from guavawing.model import Address
-from guavawing.platform import Head, fetch_document
+from guavawing.platform import fetch_document, fetch_version
 from guavawing.platform.client import open_platform
 
 __all__ = ["show"]
 
 
-@click.command()
+@click.command(epilog=format_examples("guavawing config show > fleet.json"))
+@click.option(
+    "--version",
+    "number",
+    type=click.IntRange(min=0),
+    default=None,
+    help="The newest one if left out.",
+)
 @platform_option
-def show(platform_address: Address) -> None:
-    """Print the newest accepted document as JSON.
+@output_option("json")
+def show(number: int | None, platform_address: Address, output: str) -> None:
+    """Print the newest accepted document, or that of another version.
 
-    Example: guavawing config show --platform 10.0.0.2:7000
+    The JSON can be edited and published again.
     """
-    head, document = run_safely(lambda: asyncio.run(_read(platform_address)))
-    click.echo(f"version {head.version}", err=True)
-    tree = orjson.loads(encode_document(document))
-    click.echo(orjson.dumps(tree, option=orjson.OPT_INDENT_2).decode())
+    version, document = asyncio.run(_read(platform_address, number))
+    if output == "json":
+        tree = orjson.loads(encode_document(document))
+        click.echo(orjson.dumps(tree, option=orjson.OPT_INDENT_2).decode())
+        return
+    _print_document(version, document)
 
 
-async def _read(address: Address) -> tuple[Head, Document]:
+async def _read(address: Address, number: int | None) -> tuple[int, Document]:
     async with open_platform(address) as platform:
-        return await fetch_document(platform)
+        if number is None:
+            head, document = await fetch_document(platform)
+            return head.version, document
+        _, document = await fetch_version(platform, number)
+        return number, document
+
+
+def _print_document(version: int, document: Document) -> None:
+    click.echo(
+        f"version {version}: {len(document.services)} services,"
+        f" {len(document.routes)} routes,"
+        f" {len(document.exceptions)} exceptions"
+    )
+    click.echo()
+    defaults = attrs.asdict(document.defaults)
+    print_table(("default", "value"), list(defaults.items()))
+    if not document.exceptions:
+        return
+    click.echo()
+    print_table(
+        (
+            "exception", "service", "route", "data centre", "setting",
+            "value", "ends", "owner", "reason",
+        ),
+        [
+            (
+                name, entry.service, entry.route or "all",
+                entry.data_centre or "all", entry.setting, entry.value,
+                entry.ends or "never", entry.owner, entry.reason,
+            )
+            for name, entry in sorted(document.exceptions.items())
+        ],
+    )  # fmt: skip
--- a/src/guavawing/config/__init__.py
+++ b/src/guavawing/config/__init__.py
@@ -14,10 +14,11 @@
     LimitClass,
     Overrides,
     Route,
+    Scalar,
     ServiceEntry,
 )
 from guavawing.config.effective import EffectivePolicy, PolicyTable
-from guavawing.config.fault import Fault
+from guavawing.config.fault import Fault, describe_names
 from guavawing.config.validation import (
     check_document,
     find_ended,
@@ -36,11 +37,13 @@
     "Overrides",
     "PolicyTable",
     "Route",
+    "Scalar",
     "ServiceEntry",
     "check_document",
     "compare_documents",
     "compute_digest",
     "decode_document",
+    "describe_names",
     "encode_document",
     "find_ended",
     "find_faults",
--- a/src/guavawing/config/document.py
+++ b/src/guavawing/config/document.py
@@ -14,6 +14,7 @@
     "LimitClass",
     "Overrides",
     "Route",
+    "Scalar",
     "ServiceEntry",
 ]
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import sys
+import threading
 from typing import Any
 
 import attrs
@@ -66,8 +67,13 @@
         self._tables: dict[str, dict[str, tuple[Any, int]]] = {}
         self._objects: dict[str, bytes] = {}
         self.faults = Faults()
+        self._requested = threading.Event()
         self._counters = {"reads": 0, "writes": 0, "bytes": 0}
 
+    def wait_for_request(self, timeout_s: float) -> bool:
+        """Waits in another thread until a request has come."""
+        return self._requested.wait(timeout_s)
+
     def build_app(self) -> web.Application:
         """Returns the HTTP application."""
         app = web.Application(
@@ -88,6 +94,7 @@
     ) -> web.StreamResponse:
         if req.path in ("/faults", "/counters"):
             return await handler(req)
+        self._requested.set()
         if self.faults.delay_s:
             await asyncio.sleep(self.faults.delay_s)
         if self.faults.refuses():
--- /dev/null
+++ b/tests/processes/cli.feature
@@ -0,0 +1,141 @@
+Feature: The command line for the configuration
+
+  Background:
+    Given a platform
+    And the files of an operator
+
+  Scenario: Defaults and exceptions are changed and read
+    When the operator runs "config publish fleet.json --change-id first"
+    Then the exit code is 0 and the output says "version 1 accepted"
+    When the operator runs "config default set deadline_ms 9000"
+    Then the exit code is 0 and the output says "version 2 accepted"
+    When the operator runs "config exception add slow --service desk --setting deadline_ms --value 20000 --reason 'archive moves' --owner ana"
+    Then the exit code is 0 and the output says "version 3 accepted"
+    When the operator runs "exception add few --service feed --setting slots --value 4 --reason 'cold disks' --owner bo --output json"
+    Then the exit code is 0 and the output says ""version":4"
+    When the operator runs "config diff 1 4"
+    Then the exit code is 0 and the output says "defaults.deadline_ms"
+    And the output says "10000"
+    And the output says "exceptions.slow"
+    When the operator runs "config publish fleet.json --change-id first"
+    Then the exit code is 0 and the output says "version 1 accepted"
+    When the operator runs "config diff --output json"
+    Then the exit code is 0 and the output says ""place":"exceptions.few""
+    When the operator runs "config diff 4 fleet.json"
+    Then the exit code is 0 and the output says "exceptions.few"
+    When the operator runs "exception retire slow"
+    Then the exit code is 0 and the output says "version 5 accepted"
+    When the operator runs "config history"
+    Then the exit code is 0 and the output says "exception add slow"
+    And the output says "first"
+    When the operator runs "config history --output json --limit 1"
+    Then the exit code is 0 and the output says ""summary":"exception retire slow""
+    When the operator runs "config show"
+    Then the exit code is 0 and the output says ""deadline_ms": 9000"
+    When the operator runs "config show --version 1"
+    Then the exit code is 0 and the output says ""deadline_ms": 10000"
+    When the operator runs "config show --output table"
+    Then the exit code is 0 and the output says "cold disks"
+
+  Scenario Outline: An error is one line with a next step
+    Given the operator has run "config publish fleet.json --change-id first"
+    When the operator runs "<command>"
+    Then the exit code is <code>
+    And standard error is one line that says "<text>" and "<next step>"
+
+    Examples:
+      | command                                              | code | text                    | next step         |
+      | config publish fleet.json --base 0                   | 3    | change first            | config show       |
+      | config publish other.json                            | 2    | --base                  | newest one is 1   |
+      | config publish fleet.json --base 9                   | 2    | base version 9          |                   |
+      | config publish broken.json                           | 6    | exceptions.e1.reason    | config validate   |
+      | config publish other.json --change-id first --base 1 | 3    | change id first         | another change id |
+      | config publish fleet.json --change-id a/b            | 2    | 'a/b'                   |                   |
+      | config publish missing.json                          | 2    | missing.json            | --help            |
+      | config default set colour blue                       | 2    | 'colour'                | deadline_ms       |
+      | config default set max_attempts 0                    | 6    | defaults.max_attempts   | config validate   |
+      | config default set call_class slow                   | 6    | defaults.call_class     | config validate   |
+      | config default set spill 1                           | 6    | defaults.spill          | config validate   |
+      | exception retire nowhere                             | 2    | 'nowhere'               |                   |
+      | exception add x --service desk --setting slots --value 11 --reason r --owner o | 6 | from 2 to 10 | config validate |
+      | exception add x --service desk --setting spill --value false --reason r --owner o --ends 2020-01-01 | 6 | exceptions.x.ends | config validate |
+      | config show --version 7                              | 2    | version 7               | history           |
+      | config diff 1 7                                      | 2    | version 7               | history           |
+      | config diff 1 nowhere                                | 2    | 'nowhere'               |                   |
+      | config colour                                        | 2    | 'colour'                | --help            |
+      | status --node localhost                              | 2    | 'localhost'             | --help            |
+      | status --node 127.0.0.1:1                            | 4    | 127.0.0.1:1             |                   |
+
+  Scenario: Every fault of a file is told with its place
+    When the operator runs "config validate broken.json"
+    Then the exit code is 6 and the output says "exceptions.e1.reason"
+    And the output says "defaults.max_attempts"
+    And standard error is one line that says "2 faults" and "broken.json"
+    When the operator runs "config validate broken.json --output json"
+    Then the exit code is 6 and the output says ""place":"defaults.max_attempts""
+    When the operator runs "config validate fleet.json"
+    Then the exit code is 0 and the output says "ok"
+
+  Scenario Outline: An outage is told as what it is
+    Given the platform has the faults <faults>
+    When the operator runs "config publish fleet.json --retry-for 0 <option>"
+    Then the exit code is <code>
+    And standard error is one line that says "<text>" and "--change-id"
+    When the platform has no faults
+    And the operator runs "config publish fleet.json --change-id c1"
+    Then the exit code is 0 and the output says "version 1 accepted"
+
+    Examples:
+      | faults                                                 | option         | code | text                  |
+      | {"down": true}                                         |                | 4    | nothing was published |
+      | {"down": true}                                         | --change-id c1 | 4    | this attempt          |
+      | {"lose_after": 1, "lose_replies": 1, "serve_first": 6} | --change-id c1 | 5    | may have been         |
+
+  Scenario: A short outage is waited out under the same change id
+    Given the platform has the faults {"lose_after": 1, "lose_replies": 1, "serve_first": 6}
+    And the platform recovers after 1.5 s
+    When the operator runs "config publish fleet.json --retry-for 10"
+    Then the exit code is 0 and the output says "version 1 accepted"
+    When the operator runs "config history --output json"
+    Then the output says ""version":1"
+    And the output does not say ""version":2"
+
+  Scenario: An edit is repeated safely
+    Given the operator has run "config publish fleet.json"
+    And the operator has run "config default set deadline_ms 9000 --change-id c2"
+    And the operator has run "config default set deadline_ms 8000"
+    When the operator runs "config default set deadline_ms 9000 --change-id c2"
+    Then the exit code is 0 and the output says "version 2 accepted"
+    When the operator runs "config default set deadline_ms 7000 --base 2"
+    Then the exit code is 3
+
+  Scenario: Ctrl-C ends a command cleanly
+    Given the platform has the faults {"delay_s": 30}
+    When the operator interrupts "config publish fleet.json --change-id c1"
+    Then the exit code is 130
+    And standard error is one line that says "interrupted" and "--change-id c1"
+
+  Scenario: Every command has help with an example
+    Then the help of every command holds an example that starts with its name
+
+  Scenario: Words are completed through click
+    When the shell asks to complete "guavawing config ex"
+    Then the exit code is 0 and the output says "exception"
+
+  Scenario: Colour is only for terminals
+    Given the operator has run "config publish fleet.json"
+    And the operator has run "config default set deadline_ms 9000"
+    When the operator runs "config diff"
+    Then the output has no colour
+    When the operator runs "config diff" on a terminal
+    Then the output has colour
+
+  Scenario: Progress is shown on a terminal only
+    Given the platform has the faults {"down": true}
+    When the operator runs "config publish fleet.json --retry-for 0.5" on a terminal
+    Then the exit code is 4 and the output says "trying again"
+    When the operator runs "config publish fleet.json --retry-for 0.5"
+    Then standard error is one line that says "nothing was published" and "--change-id"
+
+  Scenario: The exit codes are documented
+    Then the page of exit codes lists every exit code
