--- a/src/guavawing/config/codec.py
+++ b/src/guavawing/config/codec.py
@@ -1,5 +1,6 @@
 """Encoding of documents: canonical JSON and its digest."""
 
+import collections
 import datetime
 import hashlib
 import json
@@ -31,7 +32,7 @@
 
 __all__ = ["compute_digest", "decode_document", "encode_document"]
 
-MAX_DOCUMENT_BYTES = 2 * 1024 * 1024
+MAX_DOCUMENT_BYTES = 1024 * 1024
 MAX_FAULTS = 200
 MAX_PLACE_LENGTH = 200
 
@@ -181,34 +182,35 @@
     """Refuses an object with a key twice, of which orjson keeps the last.
 
     An operator who pastes a second "routes" would otherwise lose the first
-    without a word.
+    without a word. The first pass keeps nothing of what it reads; only a
+    document that has such keys is read again to find their places.
     """
     found = False
 
-    def build(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    def note(pairs: list[tuple[str, Any]]) -> None:
         nonlocal found
-        tree = dict(pairs)
-        if len(tree) == len(pairs):
-            return tree
-        found = True
-        repeated = _Repeated(tree)
-        seen: set[str] = set()
-        repeated.names = []
-        for name, _ in pairs:
-            if name in seen:
-                repeated.names.append(name)
-            seen.add(name)
-        return repeated
+        found = found or len(dict(pairs)) < len(pairs)
 
     try:
-        tree = json.loads(payload, object_pairs_hook=build)
+        json.loads(payload, object_pairs_hook=note)
+        if not found:
+            return
+        tree = json.loads(payload, object_pairs_hook=_build_object)
     except RecursionError:
         raise _fail("got too many levels of nesting") from None
     except ValueError as exc:
         raise _fail(f"not JSON: {exc}") from None
-    if found:
-        faults = tuple(_find_repeated(tree, ()))
-        raise ConfigInvalidError(faults[:MAX_FAULTS])
+    raise ConfigInvalidError(tuple(_find_repeated(tree, ()))[:MAX_FAULTS])
+
+
+def _build_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    tree = dict(pairs)
+    if len(tree) == len(pairs):
+        return tree
+    repeated = _Repeated(tree)
+    counts = collections.Counter(name for name, _ in pairs)
+    repeated.names = [name for name, count in counts.items() if count > 1]
+    return repeated
 
 
 def _find_repeated(tree: Any, place: Place) -> Iterator[Fault]:
--- a/standins/documents.py
+++ b/standins/documents.py
@@ -1,9 +1,12 @@
 """Configuration documents for demos, tests and benchmarks."""
 
+import datetime
+
 from guavawing.config import (
     Capacity,
     Defaults,
     Document,
+    ExceptionEntry,
     LimitClass,
     Route,
     ServiceEntry,
@@ -49,3 +52,45 @@
             ),
         },
     )
+
+
+def make_fleet_document(
+    *, services: int, routes_each: int = 3, exceptions: int = 100
+) -> Document:
+    """Returns a document of the size of a whole fleet.
+
+    Args:
+        services: Number of services.
+        routes_each: Routes of each service, one of them not idempotent.
+        exceptions: Number of exceptions, each of a service of its own.
+    """
+    names = [f"service-{number:04d}" for number in range(services)]
+    routes = {}
+    for name in names:
+        for number in range(routes_each):
+            is_write = number == 0
+            routes[f"{name}-route-{number}"] = Route(
+                name,
+                "POST" if is_write else "GET",
+                f"/v1/collection-{number}/items",
+                idempotent=not is_write,
+                call_class=CallClass.NORMAL if is_write else CallClass.URGENT,
+                deadline_ms=2_000 + number,
+            )
+    return Document(
+        limit_classes={"small": LimitClass(slots=10, connections=110)},
+        capacity={"small": Capacity(2, 10, 110)},
+        services=dict.fromkeys(names, ServiceEntry("small")),
+        routes=routes,
+        exceptions={
+            f"exception-{number:03d}": ExceptionEntry(
+                service=names[number % services],
+                setting="queue_limit",
+                value=20 + number,
+                reason="the disks of these machines are slower until May",
+                owner="platform team",
+                ends=datetime.date(2027, 5, 31),
+            )
+            for number in range(exceptions)
+        },
+    )
