Ask each node only until it enforces the version; bound the search for keys

Cause: config wait asked every node twice a second, also those that had the version; the search for repeated keys ran outside the guard against too many levels. Ruled out: passing over members marked dead (a false death would be told as no answer). Change: collect_statuses skips names; the search is inside the guard. Conclusion: a wait costs each node one request once it is there.

--- a/src/guavawing/cli/node_client.py
+++ b/src/guavawing/cli/node_client.py
@@ -1,6 +1,7 @@
 """Client of the nodes' admin servers."""
 
 import asyncio
+from collections.abc import Collection
 from typing import Any
 
 import aiohttp
@@ -31,11 +32,17 @@
         raise ControlError(_describe(node, exc)) from exc
 
 
-async def collect_statuses(node: Address) -> dict[str, Status | None]:
+async def collect_statuses(
+    node: Address, *, skip: Collection[str] = ()
+) -> dict[str, Status | None]:
     """Returns the status of every node that `node` knows, by name.
 
     A node that does not answer has None.
 
+    Args:
+        node: Admin address of any node.
+        skip: Names of nodes that are not asked and not returned.
+
     Raises:
         ControlError: If `node` itself gives no usable answer.
     """
@@ -51,7 +58,11 @@
                 except ControlError:
                     return None
 
-        members = [m for m in first["members"] if m["state"] != "left"]
+        members = [
+            member
+            for member in first["members"]
+            if member["state"] != "left" and member["node"] not in skip
+        ]
         statuses = await asyncio.gather(*map(read_member, members))
     names = [member["node"] for member in members]
     return dict(sorted(zip(names, statuses, strict=True)))
--- a/src/guavawing/cli/queries/wait.py
+++ b/src/guavawing/cli/queries/wait.py
@@ -1,6 +1,7 @@
 """`guavawing config wait`: waits until a version is in force."""
 
 import asyncio
+from collections.abc import Collection
 
 import attrs
 import click
@@ -89,9 +90,13 @@
     loop = asyncio.get_running_loop()
     deadline = loop.time() + timeout_s
     progress = Progress()
+    # A node never goes back, so each is asked only until it is there.
+    in_force: set[str] = set()
     try:
         while True:
-            spread = _measure_spread(await collect_statuses(node), version)
+            statuses = await collect_statuses(node, skip=in_force)
+            spread = _measure_spread(statuses, version, in_force)
+            in_force.update(spread.in_force)
             if not spread.behind or loop.time() >= deadline:
                 return spread
             progress.show(spread.describe(version))
@@ -101,8 +106,10 @@
         progress.clear()
 
 
-def _measure_spread(statuses: dict[str, Status | None], version: int) -> Spread:
-    spread = Spread([], [], [])
+def _measure_spread(
+    statuses: dict[str, Status | None], version: int, in_force: Collection[str]
+) -> Spread:
+    spread = Spread(list(in_force), [], [])
     for name, status in statuses.items():
         if status is None:
             spread.unreachable.append(name)
@@ -110,6 +117,7 @@
             spread.in_force.append(name)
         else:
             spread.behind.append(name)
+    spread.in_force.sort()
     return spread
 
 
--- a/src/guavawing/config/codec.py
+++ b/src/guavawing/config/codec.py
@@ -196,11 +196,12 @@
         if not found:
             return
         tree = json.loads(payload, object_pairs_hook=_build_object)
+        faults = tuple(_find_repeated(tree, ()))
     except RecursionError:
         raise _fail("got too many levels of nesting") from None
     except ValueError as exc:
         raise _fail(f"not JSON: {exc}") from None
-    raise ConfigInvalidError(tuple(_find_repeated(tree, ()))[:MAX_FAULTS])
+    raise ConfigInvalidError(faults[:MAX_FAULTS])
 
 
 def _build_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
