--- a/bench/measure_convergence.py
+++ b/bench/measure_convergence.py
@@ -31,13 +31,15 @@
 from guavawing.proto.control_grpc import ControlBase, ControlStub
 from guavawing.proto.control_pb2 import PullReply, PullRequest
 from standins.cluster import Fleet, open_fleet, plan_fleet
-from standins.documents import make_large_document, make_newsroom_document
+from standins.documents import make_fleet_document, make_newsroom_document
 from standins.learners import LearnerNetwork
 
 SLOPES = pathlib.Path(__file__).parent / "slopes" / "distribution.json"
 COMMAND = "python -m bench convergence"
 COUNTS = (6, 12, 24, 48)
 LARGE_COUNTS = (12, 24)
+# Services of the fleet that the product is designed for.
+SERVICES = 820
 # Data centres, nodes in each, share of notices between data centres.
 MACHINES = (
     (1, 150, 0.0),
@@ -319,7 +321,10 @@
 
 async def run() -> list[Figure]:
     """Runs every measurement and writes the slopes."""
-    small, large = make_newsroom_document(), make_large_document()
+    small, large = (
+        make_newsroom_document(),
+        make_fleet_document(services=SERVICES),
+    )
     figures = [each async for each in measure_pulls()]
     figures += measure_snapshot(large)
     for zones, nodes, far_share in MACHINES:
