Keep retries within their share from the first call on; measure a chain

A node notes the ids of calls that were given up on behalf of its target's calls and sets the flag itself when that target breaks its answer off.

--- a/src/guavawing/node/entry.py
+++ b/src/guavawing/node/entry.py
@@ -84,9 +84,12 @@
         router = _CallRouter(self, call)
         try:
             async with asyncio.timeout_at(call.attempt.deadline):
-                return await router.route()
+                answer = await router.route()
         except TimeoutError:
-            return Answer(router.verdict_at_deadline())
+            answer = Answer(router.verdict_at_deadline())
+        if getattr(answer.verdict, "budget_spent", False):
+            self._owner.spent_calls.add(call.attempt.call_id)
+        return answer
 
     def budget(self, service: str) -> RetryBudget:
         """Returns the retry budget of a service."""
@@ -228,9 +231,10 @@
         budget = self._entry.budget(self._policy.service)
         budget.earn(settings.retry_ratio)
         attempts = redirects = 0
+        answer = Answer(NotRun(Reason.NO_TARGET, RETRY_AFTER_NO_TARGET_S))
         while True:
             attempts += 1
-            answer = await self._attempt_once()
+            answer = _prefer(answer, await self._attempt_once())
             decision = decide_retry(
                 answer.verdict,
                 idempotent=self._policy.idempotent,
@@ -323,6 +327,15 @@
             self._entry.finish(member)
 
 
+def _prefer(before: Answer, answer: Answer) -> Answer:
+    """Returns the refusal that says more if no other owner was left."""
+    verdict = before.verdict
+    none_left = answer.verdict.reason is Reason.NO_TARGET
+    if none_left and isinstance(verdict, NotRun):
+        return Answer(attrs.evolve(verdict, budget_spent=True))
+    return answer
+
+
 def compute_fingerprint(method: str, path: str, body: bytes) -> bytes:
     """Returns a digest that tells two requests under one key apart."""
     digest = hashlib.blake2b(digest_size=16)
--- a/src/guavawing/node/mesh_server.py
+++ b/src/guavawing/node/mesh_server.py
@@ -33,9 +33,6 @@
 PING_PERIOD_S = 10.0
 CLOSE_TIMEOUT_S = 1.0
 HANDSHAKE_TIMEOUT_S = 0.5
-# A frame that waited this long was held up by a pause or a cut.
-PAUSE_S = 0.25
-DEFERRAL_S = 0.02
 # Calls that one entry node may have at this owner.
 MAX_IN_FLIGHT = 1_024
 # Bytes of waiting answers above which an entry node gets no more calls.
@@ -136,9 +133,6 @@
         self._loop = asyncio.get_running_loop()
         self._outgoing = FrameQueue()
         self._submissions: dict[int, Submission] = {}
-        # Requests that waited long on their way, until what has arrived
-        # with them is read: their cancellations may be among it.
-        self._deferred: dict[int, tuple[pb.CallRequest, float]] = {}
         self._transit = TransitMeter()
         self._greeted = False
         self._hello_sent_at_us = 0
@@ -158,7 +152,6 @@
             pass
         finally:
             writer.cancel()
-            self._deferred.clear()
             for submission in tuple(self._submissions.values()):
                 submission.cancel()
 
@@ -198,21 +191,6 @@
         delay_s = self._transit.measure_delay(
             sent_at=request.sent_at_us / MICROSECONDS, now=self._loop.time()
         )
-        if delay_s < PAUSE_S:
-            self._submit(request, delay_s)
-            return
-        read_key(request)
-        if not self._deferred:
-            self._loop.call_later(DEFERRAL_S, self._submit_deferred)
-        self._deferred[request.id] = (request, delay_s + DEFERRAL_S)
-
-    def _submit_deferred(self) -> None:
-        deferred = tuple(self._deferred.values())
-        self._deferred.clear()
-        for request, delay_s in deferred:
-            self._submit(request, delay_s)
-
-    def _submit(self, request: pb.CallRequest, delay_s: float) -> None:
         frame_id = request.id
         overloaded = (
             len(self._submissions) >= MAX_IN_FLIGHT
@@ -242,8 +220,6 @@
 
     def _take_cancel(self, frame_id: int) -> None:
         self._outgoing.drop_stream(frame_id)
-        if self._deferred.pop(frame_id, None) is not None:
-            return
         submission = self._submissions.pop(frame_id, None)
         if submission is not None:
             submission.cancel()
--- a/src/guavawing/node/owner.py
+++ b/src/guavawing/node/owner.py
@@ -22,6 +22,7 @@
 from guavawing.policy.bound_key import NONCE_BYTES, BoundKey
 from guavawing.policy.choice import LoadReport
 from guavawing.policy.key_table import Begin, Join, KeyTable, Reject, Replay
+from guavawing.policy.spent_calls import SpentCalls
 from guavawing.verdict import MayHaveRun, NotRun, Reason, Verdict
 
 __all__ = ["Owner", "open_owner"]
@@ -38,7 +39,12 @@
 
 
 class Owner:
-    """Admits calls to the target and suppresses duplicates."""
+    """Admits calls to the target and suppresses duplicates.
+
+    Attributes:
+        spent_calls: Calls of this target for which a layer below has used
+            up its retries.
+    """
 
     def __init__(
         self,
@@ -55,6 +61,7 @@
         self._metrics = metrics
         self._admission = Admission(slots=0, queue_limit=0)
         self._keys = KeyTable(incarnation=incarnation, now=self._loop.time())
+        self.spent_calls = SpentCalls()
         self._ids = itertools.count(1)
         self._calls: dict[int, _Call] = {}
         self._running_keys: dict[BoundKey, int] = {}
@@ -220,6 +227,10 @@
 
     def _complete(self, call_id: int, answer: Answer) -> None:
         call = self._calls.pop(call_id)
+        verdict = answer.verdict
+        is_spent = call.attempt.call_id in self.spent_calls
+        if is_spent and isinstance(verdict, MayHaveRun):
+            answer = Answer(attrs.evolve(verdict, budget_spent=True))
         key = call.attempt.key
         if key is not None:
             self._running_keys.pop(key, None)
--- a/src/guavawing/policy/retry.py
+++ b/src/guavawing/policy/retry.py
@@ -38,6 +38,8 @@
         Reason.UNKNOWN_ROUTE,
     }
 )
+# What an attempt right after would meet again.
+_HOPELESS = frozenset({Reason.NO_TARGET, Reason.KEY_STORE_UNAVAILABLE})
 
 
 class RetryBudget:
@@ -120,6 +122,8 @@
             return GiveUp(budget_spent=True)
         case NotRun(retry_after_s=None):
             return GiveUp(budget_spent=True)
+        case NotRun(reason=reason) if reason in _HOPELESS:
+            return GiveUp(budget_spent=True)
     if is_redirect(verdict) and redirects < MAX_REDIRECTS:
         return Retry(redirect=True)
     if attempts >= max_attempts or not budget.spend():
--- /dev/null
+++ b/tests/cover/retries.feature
@@ -0,0 +1,27 @@
+Feature: Retries stay within a share of the live traffic
+
+  Scenario Outline: A failing leaf at the end of a chain
+    Given a chain of <depth> services with a leaf that fails <failing> % of its calls
+    When <calls> calls are offered
+    Then the leaf got at most 1.2 attempts for each call
+
+    Examples:
+      | depth | failing | calls |
+      | 18    | 100     | 1     |
+      | 18    | 100     | 9     |
+      | 18    | 100     | 50    |
+      | 18    | 100     | 2000  |
+      | 18    | 30      | 2000  |
+      | 1     | 100     | 5     |
+
+  Scenario: What the flag is worth
+    Given a chain of 18 services that hide the flag from each other
+    When 2000 calls are offered
+    Then the leaf got more than 4 attempts for each call
+
+  Scenario: The budget's share holds from the first call on
+    Then 300 random sequences of calls spend at most their share
+
+  Scenario: Redirects are bounded for each call
+    When every owner refuses a call as "draining"
+    Then the call is redirected 8 times and then ends with the budget spent
--- a/tests/processes/at_most_once.feature
+++ b/tests/processes/at_most_once.feature
@@ -75,6 +75,16 @@
     Then every verdict is "ran" with reason "served"
     And every publish was executed 1 time
 
+  Scenario: Callers go away while the owner is frozen
+    Given "desk-bergen-1" is frozen
+    When 4 publishes of 15000 ms are started through "feed-bergen-1"
+    And 0.5 s pass
+    And their callers go away
+    And 0.5 s pass
+    And "desk-bergen-1" goes on
+    And 1 s pass
+    Then every publish was executed 0 times
+
   Scenario: The owner is frozen until its connections are given up
     Given "desk-bergen-1" is frozen
     When 4 publishes of 15000 ms are started through "feed-bergen-1"
--- a/tests/steps/at_most_once_steps.py
+++ b/tests/steps/at_most_once_steps.py
@@ -147,6 +147,12 @@
     )
 
 
+@when("their callers go away")
+def step_go_away(context):
+    for fut in context.started:
+        fut.cancel()
+
+
 @when('the publishes are sent again through "{entry}"')
 def step_send_again(context, entry):
     context.started = [
--- /dev/null
+++ b/tests/steps/retry_steps.py
@@ -0,0 +1,85 @@
+"""Steps about retry budgets."""
+
+from behave import given, then, when
+from hypothesis import given as given_example
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from bench.retry_chain import ChainPlan, run_chain
+from guavawing.policy.retry import GiveUp, Retry, RetryBudget, decide_retry
+from guavawing.verdict import NotRun, Reason
+
+
+@given(
+    "a chain of {depth:d} services with a leaf that fails {percent:d} % of its"
+    " calls"
+)
+def step_chain(context, depth, percent):
+    context.plan = {"depth": depth, "failing": percent / 100}
+
+
+@given("a chain of {depth:d} services that hide the flag from each other")
+def step_hiding_chain(context, depth):
+    context.plan = {"depth": depth, "hides_flag": True}
+
+
+@when("{calls:d} calls are offered")
+def step_offer(context, calls):
+    context.attempts = run_chain(ChainPlan(calls=calls, **context.plan))
+
+
+@then("the leaf got at most {bound:g} attempts for each call")
+def step_at_most(context, bound):
+    assert context.attempts <= bound, context.attempts
+
+
+@then("the leaf got more than {bound:g} attempts for each call")
+def step_more_than(context, bound):
+    assert context.attempts > bound, context.attempts
+
+
+@then("{count:d} random sequences of calls spend at most their share")
+def step_share(context, count):
+    ratios = st.sampled_from((0.0, 0.05, 0.1, 0.5))
+
+    @settings(
+        max_examples=count, derandomize=True, database=None, deadline=None
+    )
+    @given_example(ratios, st.lists(st.integers(0, 3), max_size=200))
+    def check(ratio, tries):
+        budget = RetryBudget()
+        spent = 0
+        for calls, wanted in enumerate(tries, 1):
+            budget.earn(ratio)
+            spent += sum(budget.spend() for _ in range(wanted))
+            assert spent <= calls * ratio + 1e-9, (spent, calls, ratio)
+
+    check()
+
+
+@when('every owner refuses a call as "{reason}"')
+def step_refuse(context, reason):
+    context.redirects = 0
+    budget = RetryBudget()
+    while True:
+        decision = decide_retry(
+            NotRun(Reason(reason), 0.0),
+            idempotent=True,
+            attempts=1,
+            max_attempts=3,
+            budget=budget,
+            redirects=context.redirects,
+        )
+        if not isinstance(decision, Retry):
+            break
+        assert decision.redirect
+        context.redirects += 1
+    context.decision = decision
+
+
+@then(
+    "the call is redirected {times:d} times and then ends with the budget spent"
+)
+def step_redirected(context, times):
+    assert context.redirects == times, context.redirects
+    assert context.decision == GiveUp(budget_spent=True)
