Test the bounds on callers and peers, and retries through processes

Cause: bounds without a test. With the bounds taken out, 3 of 7 scenarios of tests/processes/answers_bounds.feature fail (calls in flight at a node, calls of one entry node at an owner, a first frame that is late).

Ruled out: measuring the bounds through a fleet (a queue limit refuses first).

Change: tests; `max_calls` is an option of CallerServer.

--- a/src/guavawing/node/caller_server.py
+++ b/src/guavawing/node/caller_server.py
@@ -56,12 +56,18 @@
     """Takes requests of callers."""
 
     def __init__(
-        self, *, entry: Entry, policies: PolicySource, metrics: Metrics
+        self,
+        *,
+        entry: Entry,
+        policies: PolicySource,
+        metrics: Metrics,
+        max_calls: int = MAX_CALLS,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._entry = entry
         self._policies = policies
         self._metrics = metrics
+        self._max_calls = max_calls
         self._stopping = False
         self._in_flight = 0
         self._idle = asyncio.Event()
@@ -153,10 +159,10 @@
             raise RequestRefusedError(
                 Reason.STOPPING, "this node is stopping", retry_after_s=0.0
             )
-        if self._in_flight > MAX_CALLS:
+        if self._in_flight > self._max_calls:
             raise RequestRefusedError(
                 Reason.TOO_MANY_CALLS,
-                f"this node has {MAX_CALLS} calls in flight",
+                f"this node has {self._max_calls} calls in flight",
                 retry_after_s=RETRY_AFTER_TOO_MANY_S,
             )
 
--- /dev/null
+++ b/tests/processes/answers_bounds.feature
@@ -0,0 +1,25 @@
+Feature: What a caller or another node can cost a node is bounded
+
+  Scenario: Calls in flight at one node
+    Given a node that takes 3 calls at a time and whose owners don't answer
+    When 5 calls are sent to it at once
+    Then 2 of them are refused with "too-many-calls" and status 429
+
+  Scenario: Calls of one entry node in flight at an owner
+    Given an owner whose target doesn't answer
+    When an entry node sends it 1027 calls on one connection
+    Then 3 of them are refused with "overloaded-peer"
+    And each refusal is recorded for its key
+
+  Scenario Outline: An entry node that breaks the protocol
+    Given an owner whose target doesn't answer
+    When an entry node sends it <fault>
+    Then the owner closes the connection
+
+    Examples:
+      | fault                          |
+      | bytes that are no frame        |
+      | a call before the first frame  |
+      | an answer                      |
+      | a first frame of another owner |
+      | a first frame that is late     |
--- /dev/null
+++ b/tests/steps/bound_steps.py
@@ -0,0 +1,222 @@
+"""Steps about bounds: one side is real, the other a few lines."""
+
+import asyncio
+import contextlib
+import datetime
+import types
+
+import aiohttp
+from behave import given, then, when
+
+from guavawing.config import PolicyTable
+from guavawing.model import parse_address
+from guavawing.node.caller_server import CallerServer, open_caller_server
+from guavawing.node.entry import Call
+from guavawing.node.frames import (
+    build_answer_frames,
+    build_hello,
+    build_request,
+)
+from guavawing.node.mesh_client import MeshConnection
+from guavawing.node.mesh_server import MeshServer, open_mesh_server
+from guavawing.node.messages import Answer, CallAttempt
+from guavawing.node.metrics import Metrics
+from guavawing.node.submission import Submission
+from guavawing.policy.bound_key import BoundKey
+from guavawing.policy.choice import LoadReport
+from guavawing.proto import calls_pb2 as pb
+from guavawing.verdict import NotRun, Reason
+from standins.caller import send_call
+from standins.cluster import PortBlock
+from standins.documents import make_newsroom_document
+
+LOAD = LoadReport(1, 0, 0, draining=False, key_epoch=0)
+POLICIES = PolicyTable(
+    make_newsroom_document(),
+    data_centre="bergen",
+    today=datetime.date(2026, 12, 3),
+)
+
+
+class SilentOwner:
+    """Takes every call and answers none; records what it refused."""
+
+    def __init__(self):
+        self.refused = []
+
+    def load(self):
+        return LOAD
+
+    def submit(self, attempt):
+        return Submission(asyncio.get_running_loop().create_future())
+
+    def refuse(self, key, fingerprint, verdict):
+        self.refused.append(key)
+        fut = asyncio.get_running_loop().create_future()
+        fut.set_result(Answer(verdict))
+        return Submission(fut)
+
+
+class SilentEntry:
+    """Takes every call and answers none before its deadline."""
+
+    async def call(self, call):
+        assert isinstance(call, Call)
+        await asyncio.sleep(1.0)
+        return Answer(NotRun(Reason.DEADLINE_PASSED))
+
+
+def take_address(context):
+    ports = PortBlock()
+    context.add_cleanup(ports.close)
+    return ports.take()
+
+
+@given(
+    "a node that takes {count:d} calls at a time and whose owners don't answer"
+)
+def step_node(context, count):
+    context.max_calls = count
+
+
+@when("{count:d} calls are sent to it at once")
+def step_send_calls(context, count):
+    address = take_address(context)
+
+    async def run():
+        server = CallerServer(
+            entry=SilentEntry(),
+            policies=lambda: POLICIES,
+            metrics=Metrics(),
+            max_calls=context.max_calls,
+        )
+        async with (
+            open_caller_server(server, parse_address(address)),
+            aiohttp.ClientSession() as session,
+        ):
+            calls = (
+                send_call(session, address, service="desk")
+                for _ in range(count)
+            )
+            return await asyncio.gather(*calls)
+
+    context.outcomes = context.run(run())
+
+
+@then('{count:d} of them are refused with "{reason}" and status {status:d}')
+def step_refused_calls(context, count, reason, status):
+    found = [(each.reason, each.status) for each in context.outcomes]
+    assert found.count((reason, status)) == count, found
+
+
+@given("an owner whose target doesn't answer")
+def step_owner(context):
+    context.owner = SilentOwner()
+
+
+@contextlib.asynccontextmanager
+async def open_connection(context, address):
+    """Opens the owner's server and a bare connection to it."""
+    server = MeshServer(
+        owner=context.owner,
+        policies=lambda: POLICIES,
+        member_id="owner",
+        incarnation=1,
+    )
+    async with (
+        open_mesh_server(server, parse_address(address)),
+        aiohttp.ClientSession() as session,
+        session.ws_connect(f"http://{address}/") as ws,
+    ):
+        yield ws
+
+
+def make_attempt(key):
+    return CallAttempt(
+        call_id="id",
+        policy=POLICIES.get("desk-publish"),
+        method="POST",
+        path="/bulletins",
+        headers=(),
+        body=b"",
+        deadline=asyncio.get_running_loop().time() + 30.0,
+        depth=1,
+        key=key,
+    )
+
+
+@when("an entry node sends it {count:d} calls on one connection")
+def step_send_frames(context, count):
+    address = take_address(context)
+
+    async def run():
+        async with open_connection(context, address) as ws:
+            conn = MeshConnection(ws, lambda *_: None)
+            await conn.start("entry", 1)
+            keys = [BoundKey("owner", 1, 0, str(i)) for i in range(count)]
+            futs = [conn.submit(make_attempt(key)).fut for key in keys]
+            done, _ = await asyncio.wait(futs, timeout=2.0)
+            context.refused_keys = [
+                key for key, fut in zip(keys, futs, strict=True) if fut in done
+            ]
+            context.verdicts = [fut.result().verdict for fut in done]
+            await conn.close()
+
+    context.run(run())
+
+
+@then('{count:d} of them are refused with "{reason}"')
+def step_refused_frames(context, count, reason):
+    reasons = [str(verdict.reason) for verdict in context.verdicts]
+    assert reasons == [reason] * count, reasons
+
+
+@then("each refusal is recorded for its key")
+def step_recorded(context):
+    assert context.owner.refused == context.refused_keys
+
+
+@when("an entry node sends it {fault}")
+def step_break_protocol(context, fault):
+    address = take_address(context)
+
+    async def run():
+        async with open_connection(context, address) as ws:
+            hello = pb.MeshFrame.FromString(await ws.receive_bytes()).hello
+            for payload in await make_fault(fault, hello.sent_at_us):
+                await ws.send_bytes(payload)
+            async with asyncio.timeout(3.0):
+                kinds = [msg.type async for msg in ws]
+            return types.SimpleNamespace(closed=ws.closed, kinds=kinds)
+
+    context.ending = context.run(run())
+
+
+async def make_fault(fault, echo_us):
+    now = asyncio.get_running_loop().time()
+    key = BoundKey("owner", 1, 0, "nonce")
+    match fault:
+        case "bytes that are no frame":
+            return [b"\xff\xff\xff"]
+        case "a call before the first frame":
+            frames = [build_request(make_attempt(key), 1, now=now)]
+        case "an answer":
+            answer = Answer(NotRun(Reason.INTERNAL))
+            frames = list(build_answer_frames(answer, 1, LOAD))
+        case "a first frame of another owner":
+            frames = [
+                build_hello("entry", 1, LOAD, now=now, echo_us=echo_us + 1)
+            ]
+        case "a first frame that is late":
+            await asyncio.sleep(0.7)
+            frames = [build_hello("entry", 1, LOAD, now=now, echo_us=echo_us)]
+        case _:
+            raise AssertionError(fault)
+    return [frame.SerializeToString() for frame in frames]
+
+
+@then("the owner closes the connection")
+def step_closed(context):
+    assert context.ending.closed, context.ending
+    # Nothing was taken: the owner sent no frame after its first one.
+    assert aiohttp.WSMsgType.BINARY not in context.ending.kinds
--- a/tests/steps/retry_steps.py
+++ b/tests/steps/retry_steps.py
@@ -1,5 +1,7 @@
 """Steps about retry budgets."""
 
+import asyncio
+
 from behave import given, then, when
 from hypothesis import given as given_example
 from hypothesis import settings
@@ -8,6 +10,7 @@
 from bench.retry_chain import ChainPlan, run_chain
 from guavawing.policy.retry import GiveUp, Retry, RetryBudget, decide_retry
 from guavawing.verdict import NotRun, Reason
+from standins.caller import send_call
 
 
 @given(
@@ -83,3 +86,71 @@
 def step_redirected(context, times):
     assert context.redirects == times, context.redirects
     assert context.decision == GiveUp(budget_spent=True)
+
+
+def count_requests(context, service):
+    records = [
+        context.run(context.fleet.get(node.target, "/record"))
+        for node in context.fleet.nodes.values()
+        if node.service == service
+    ]
+    return sum(record["requests"] for record in records)
+
+
+async def read(context, service, entry, **options):
+    return await send_call(
+        context.fleet.session,
+        context.fleet.nodes[entry].caller,
+        service=service,
+        path="/packages/1",
+        **options,
+    )
+
+
+@when('a caller reads "{service}" {count:d} times through "{entry}"')
+def step_read_often(context, service, count, entry):
+    for _ in range(count):
+        outcome = context.run(read(context, service, entry))
+        assert outcome.verdict == "ran", outcome
+    context.requests = count_requests(context, service)
+
+
+@given('the target of "{name}" loses {count:d} answer')
+def step_target_loses(context, name, count):
+    target = context.fleet.nodes[name].target
+    faults = {"drop_answers": count}
+    context.run(context.fleet.post(target, "/faults", faults))
+
+
+@when(
+    'a target of "{service}" that was called through "{entry}" calls'
+    ' "{other}" through "{own}"'
+)
+def step_nested(context, service, entry, other, own):
+    async def run():
+        call_id = {"Guavawing-Call-Id": "nested"}
+        outer = asyncio.ensure_future(
+            read(
+                context,
+                service,
+                entry,
+                headers={**call_id, "X-Work-Ms": "500"},
+            )
+        )
+        await asyncio.sleep(0.1)
+        inner = await read(
+            context,
+            other,
+            own,
+            headers={**call_id, "Guavawing-Depth": "1"},
+        )
+        assert inner.verdict == "may-have-run", inner
+        return await outer
+
+    context.outcome = context.run(run())
+
+
+@then('the targets of "{service}" got {count:d} requests for it')
+def step_requests(context, service, count):
+    found = count_requests(context, service) - context.requests
+    assert found == count, found
