Refuse an unkeyed request whose route is not idempotent here

Cause: an entry node on an older version may hold a route for idempotent that the owner's version does not. It sent the request without a key, retried it after a lost answer, and the owner executed each copy.

Ruled out: making the entry node wait for the newest version (it can't know that there is one).

Change: the owner refuses such a request as not run (key-missing); the entry node may try again as soon as it has the version.

Figures: the new scenario failed before (no refusal, the call was taken), now passes; 8 scenarios of answers_bounds pass.

--- a/src/guavawing/node/mesh_server.py
+++ b/src/guavawing/node/mesh_server.py
@@ -125,6 +125,10 @@
             # This node has not applied the version of the entry node yet.
             verdict = NotRun(Reason.UNKNOWN_ROUTE, 0.0)
             return self._owner.refuse(key, request.fingerprint, verdict)
+        if key is None and not policy.idempotent:
+            # The entry node's version holds the request for idempotent.
+            verdict = NotRun(Reason.KEY_MISSING, 0.0)
+            return self._owner.refuse(None, request.fingerprint, verdict)
         time_left_s = request.time_left_us / MICROSECONDS - delay_s
         attempt = CallAttempt(
             call_id=request.call_id,
--- a/src/guavawing/verdict.py
+++ b/src/guavawing/verdict.py
@@ -39,6 +39,7 @@
     KEY_TABLE_FULL = "key-table-full"
     TARGET_UNREACHABLE = "target-unreachable"
     KEY_STORE_UNAVAILABLE = "key-store-unavailable"
+    KEY_MISSING = "key-missing"
     KEY_REUSED = "key-reused"
     KEY_RELEASED = "key-released"
     OVERLOADED_PEER = "overloaded-peer"
--- a/tests/processes/answers_bounds.feature
+++ b/tests/processes/answers_bounds.feature
@@ -11,6 +11,11 @@
     Then 3 of them are refused with "overloaded-peer"
     And each refusal is recorded for its key
 
+  Scenario: An entry node on an older version that takes a publish for harmless
+    Given an owner whose target doesn't answer
+    When an entry node sends it a publish without a key
+    Then 1 of them are refused with "key-missing"
+
   Scenario Outline: An entry node that breaks the protocol
     Given an owner whose target doesn't answer
     When an entry node sends it <fault>
--- a/tests/steps/bound_steps.py
+++ b/tests/steps/bound_steps.py
@@ -147,13 +147,23 @@
 
 @when("an entry node sends it {count:d} calls on one connection")
 def step_send_frames(context, count):
+    send_frames(
+        context, [BoundKey("owner", 1, 0, str(i)) for i in range(count)]
+    )
+
+
+@when("an entry node sends it a publish without a key")
+def step_send_unkeyed(context):
+    send_frames(context, [None])
+
+
+def send_frames(context, keys):
     address = take_address(context)
 
     async def run():
         async with open_connection(context, address) as ws:
             conn = MeshConnection(ws, lambda *_: None)
             await conn.start("entry", 1)
-            keys = [BoundKey("owner", 1, 0, str(i)) for i in range(count)]
             futs = [conn.submit(make_attempt(key)).fut for key in keys]
             done, _ = await asyncio.wait(futs, timeout=2.0)
             context.refused_keys = [
