--- a/src/guavawing/cli/options.py
+++ b/src/guavawing/cli/options.py
@@ -1,5 +1,6 @@
 """Options that several commands share."""
 
+import functools
 import getpass
 from collections.abc import Callable
 from typing import Any
@@ -106,6 +107,9 @@
 def publish_options(command: Command) -> Command:
     """Adds the options of `PublishOptions`, passed on as `options`."""
 
+    # The wrapper also takes over the parameters that click has noted on the
+    # function so far.
+    @functools.wraps(command)
     def run(
         platform_address: Address,
         base: int | None,
@@ -125,10 +129,6 @@
         )
         return command(options=options, **arguments)
 
-    run.__doc__ = command.__doc__
-    run.__name__ = command.__name__
-    # click keeps the parameters that were declared before on the function.
-    vars(run).update(vars(command))
     decorators: tuple[Callable[[Command], Command], ...] = (
         output_option(),
         click.option(
--- a/src/guavawing/config/codec.py
+++ b/src/guavawing/config/codec.py
@@ -1,9 +1,7 @@
 """Encoding of documents: canonical JSON and its digest."""
 
-import collections
 import datetime
 import hashlib
-import json
 import typing
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -26,18 +24,16 @@
     Scalar,
     ServiceEntry,
 )
-from guavawing.config.fault import Fault, quote
+from guavawing.config.fault import MAX_FAULTS, Fault, Place, join_place, quote
+from guavawing.config.repeated_keys import find_repeated_keys
 from guavawing.errors import ConfigInvalidError
 from guavawing.model import CallClass
 
 __all__ = ["compute_digest", "decode_document", "encode_document"]
 
 MAX_DOCUMENT_BYTES = 1024 * 1024
-MAX_FAULTS = 200
-MAX_PLACE_LENGTH = 200
 
 Hook = Callable[[Any, Any], Any]
-Place = tuple[str, ...]
 
 
 def _structure_scalar(value: Any, _: Any) -> Scalar:
@@ -152,9 +148,14 @@
         )
     try:
         tree = orjson.loads(payload)
-    except orjson.JSONDecodeError as exc:
+        # orjson keeps the last one of two equal keys without a word.
+        repeated = find_repeated_keys(payload)
+    except RecursionError:
+        raise _fail("got too many levels of nesting") from None
+    except ValueError as exc:
         raise _fail(f"not JSON: {exc}") from None
-    _refuse_repeated_keys(payload)
+    if repeated:
+        raise ConfigInvalidError(tuple(repeated[:MAX_FAULTS]))
     try:
         return _converter.structure(tree, Document)
     except (cattrs.BaseValidationError, ValueError) as exc:
@@ -171,64 +172,6 @@
     return ConfigInvalidError((Fault("document", message),))
 
 
-class _Repeated(dict[str, Any]):
-    """An object of which some keys were given twice."""
-
-    __slots__ = ("names",)
-    names: list[str]
-
-
-def _refuse_repeated_keys(payload: bytes) -> None:
-    """Refuses an object with a key twice, of which orjson keeps the last.
-
-    An operator who pastes a second "routes" would otherwise lose the first
-    without a word. The first pass keeps nothing of what it reads; only a
-    document that has such keys is read again to find their places.
-    """
-    found = False
-
-    def note(pairs: list[tuple[str, Any]]) -> None:
-        nonlocal found
-        found = found or len(dict(pairs)) < len(pairs)
-
-    try:
-        json.loads(payload, object_pairs_hook=note)
-        if not found:
-            return
-        tree = json.loads(payload, object_pairs_hook=_build_object)
-        faults = tuple(_find_repeated(tree, ()))
-    except RecursionError:
-        raise _fail("got too many levels of nesting") from None
-    except ValueError as exc:
-        raise _fail(f"not JSON: {exc}") from None
-    raise ConfigInvalidError(faults[:MAX_FAULTS])
-
-
-def _build_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
-    tree = dict(pairs)
-    if len(tree) == len(pairs):
-        return tree
-    repeated = _Repeated(tree)
-    counts = collections.Counter(name for name, _ in pairs)
-    repeated.names = [name for name, count in counts.items() if count > 1]
-    return repeated
-
-
-def _find_repeated(tree: Any, place: Place) -> Iterator[Fault]:
-    if isinstance(tree, list):
-        for index, child in enumerate(tree):
-            yield from _find_repeated(child, (*place, str(index)))
-    if not isinstance(tree, dict):
-        return
-    if isinstance(tree, _Repeated):
-        for name in tree.names:
-            yield Fault(
-                _join((*place, name)), "got this key twice, expected it once"
-            )
-    for name, child in tree.items():
-        yield from _find_repeated(child, (*place, name))
-
-
 def _collect_faults(exc: BaseException, place: Place) -> Iterator[Fault]:
     if isinstance(exc, cattrs.ClassValidationError):
         noted, others = exc.group_exceptions()
@@ -249,17 +192,10 @@
         known = ", ".join(field.name for field in attrs.fields(exc.cl))
         for name in sorted(exc.extra_fields):
             yield Fault(
-                _join((*place, name)),
+                join_place((*place, name)),
                 f"got an unknown key, expected one of {known}",
             )
     elif isinstance(exc, KeyError):
-        yield Fault(_join(place), "got nothing, expected a value")
+        yield Fault(join_place(place), "got nothing, expected a value")
     else:
-        yield Fault(_join(place), str(exc))
-
-
-def _join(place: Place) -> str:
-    shown = (
-        name if name.isprintable() and name else quote(name) for name in place
-    )
-    return ".".join(shown)[:MAX_PLACE_LENGTH] or "document"
+        yield Fault(join_place(place), str(exc))
--- a/src/guavawing/config/fault.py
+++ b/src/guavawing/config/fault.py
@@ -5,10 +5,21 @@
 
 import attrs
 
-__all__ = ["Fault", "describe_names", "quote"]
-
+__all__ = [
+    "MAX_FAULTS",
+    "Fault",
+    "Place",
+    "describe_names",
+    "join_place",
+    "quote",
+]
+
+MAX_FAULTS = 200
 MAX_QUOTED_LENGTH = 80
 MAX_LISTED_NAMES = 8
+MAX_PLACE_LENGTH = 200
+
+Place = tuple[str, ...]
 
 
 @attrs.frozen
@@ -48,3 +59,11 @@
     listed = ", ".join(sorted(names)[:MAX_LISTED_NAMES])
     left = len(names) - MAX_LISTED_NAMES
     return f"{listed} or {left} more" if left > 0 else listed
+
+
+def join_place(place: Place) -> str:
+    """Returns a place in one line of bounded length."""
+    shown = (
+        name if name.isprintable() and name else quote(name) for name in place
+    )
+    return ".".join(shown)[:MAX_PLACE_LENGTH] or "document"
--- a/src/guavawing/config/validation.py
+++ b/src/guavawing/config/validation.py
@@ -4,66 +4,38 @@
 import itertools
 import re
 from collections.abc import Iterator, Mapping
-from typing import Any
-
-import attrs
 
+from guavawing.config.bounds import (
+    MAX_CONNECTIONS,
+    MAX_SLOTS,
+    RANGES,
+    check_name,
+    check_range,
+)
 from guavawing.config.document import (
     Capacity,
     Defaults,
     Document,
-    ExceptionEntry,
     LimitClass,
     Overrides,
     Route,
 )
-from guavawing.config.fault import Fault, describe_names, quote
+from guavawing.config.exception_rules import check_exceptions
+from guavawing.config.fault import MAX_FAULTS, Fault, describe_names, quote
 from guavawing.errors import ConfigInvalidError
-from guavawing.model import CallClass
 
 __all__ = ["check_document", "find_ended", "find_faults"]
 
-MAX_SLOTS = 10_000
-MAX_CONNECTIONS = 10_000
-MAX_QUEUE = 100_000
-MAX_BODY_BYTES = 64 * 1024 * 1024
-MAX_ATTEMPTS = 10
-MAX_DEADLINE_MS = 600_000
-MAX_RETRY_RATIO = 1.0
-
-MAX_FAULTS = 200
 MAX_LIMIT_CLASSES = 100
 MAX_SERVICES = 2_000
 MAX_ROUTES = 5_000
 MAX_ROUTES_PER_METHOD = 100
 MAX_EXCEPTIONS = 200
-MAX_REASON_LENGTH = 500
-MAX_OWNER_LENGTH = 100
 MAX_PREFIX_LENGTH = 256
 
 HTTP_METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
 
-_NAME = re.compile(r"[A-Za-z0-9_.-]{1,64}")
 _PATH_PREFIX = re.compile(r"/[!-~]*")
-_RANGES: dict[str, tuple[float, float]] = {
-    "deadline_ms": (1, MAX_DEADLINE_MS),
-    "queue_limit": (0, MAX_QUEUE),
-    "body_limit": (0, MAX_BODY_BYTES),
-    "max_attempts": (1, MAX_ATTEMPTS),
-    "retry_ratio": (0.0, MAX_RETRY_RATIO),
-}
-_SETTING_TYPES: dict[str, type] = {
-    "call_class": str,
-    "deadline_ms": int,
-    "queue_limit": int,
-    "body_limit": int,
-    "max_attempts": int,
-    "retry_ratio": float,
-    "spill": bool,
-    "slots": int,
-    "connections": int,
-}
-_LIMITS = ("slots", "connections")
 
 
 def check_document(document: Document) -> None:
@@ -95,7 +67,7 @@
             )
         yield from _check_settings(service, place)
     yield from _check_routes(document)
-    yield from _check_exceptions(document)
+    yield from check_exceptions(document)
 
 
 def find_ended(
@@ -121,13 +93,6 @@
             )
 
 
-def _check_range(
-    place: str, value: float, low: float, high: float
-) -> Iterator[Fault]:
-    if not low <= value <= high:
-        yield Fault(place, f"got {value}, expected from {low} to {high}")
-
-
 def _check_counts(document: Document) -> Iterator[Fault]:
     for place, entries, most in (
         ("limit_classes", document.limit_classes, MAX_LIMIT_CLASSES),
@@ -150,25 +115,16 @@
     }
     for part, entries in parts.items():
         for name in entries:
-            yield from _check_name(f"{part}.{name}", name)
-
-
-def _check_name(place: str, name: str) -> Iterator[Fault]:
-    if _NAME.fullmatch(name) is None:
-        yield Fault(
-            place,
-            f"got {quote(name)}, expected a name of 1 to 64 letters, digits,"
-            " '-', '_' or '.'",
-        )
+            yield from check_name(f"{part}.{name}", name)
 
 
 def _check_settings(
     values: Defaults | Overrides, place: str
 ) -> Iterator[Fault]:
-    for name, (low, high) in _RANGES.items():
+    for name, (low, high) in RANGES.items():
         value = getattr(values, name)
         if value is not None:
-            yield from _check_range(f"{place}.{name}", value, low, high)
+            yield from check_range(f"{place}.{name}", value, low, high)
 
 
 def _check_capacities(document: Document) -> Iterator[Fault]:
@@ -181,13 +137,13 @@
 
 
 def _check_capacity(bought: Capacity, place: str) -> Iterator[Fault]:
-    yield from _check_range(
+    yield from check_range(
         f"{place}.slots_floor", bought.slots_floor, 1, bought.slots_ceiling
     )
-    yield from _check_range(
+    yield from check_range(
         f"{place}.slots_ceiling", bought.slots_ceiling, 1, MAX_SLOTS
     )
-    yield from _check_range(
+    yield from check_range(
         f"{place}.connections_ceiling",
         bought.connections_ceiling,
         bought.slots_ceiling,
@@ -206,10 +162,10 @@
         )
         return
     place = f"limit_classes.{name}"
-    yield from _check_range(
+    yield from check_range(
         f"{place}.slots", limits.slots, bought.slots_floor, bought.slots_ceiling
     )
-    yield from _check_range(
+    yield from check_range(
         f"{place}.connections",
         limits.connections,
         limits.slots,
@@ -266,115 +222,3 @@
             f" no blank, ? or #, of at most {MAX_PREFIX_LENGTH} characters",
         )
     yield from _check_settings(route, place)
-
-
-def _check_exceptions(document: Document) -> Iterator[Fault]:
-    owners: dict[tuple[object, ...], str] = {}
-    for name, entry in document.exceptions.items():
-        place = f"exceptions.{name}"
-        yield from _check_scope(document, entry, place)
-        yield from _check_text(
-            f"{place}.reason", entry.reason, MAX_REASON_LENGTH
-        )
-        yield from _check_text(f"{place}.owner", entry.owner, MAX_OWNER_LENGTH)
-        yield from _check_value(document, entry, place)
-        scope = (entry.service, entry.route, entry.data_centre, entry.setting)
-        first = owners.setdefault(scope, name)
-        if first != name:
-            yield Fault(
-                place,
-                "got the same service, route, data centre and setting as"
-                f" exception {first!r}, expected one exception for them",
-            )
-
-
-def _check_scope(
-    document: Document, entry: ExceptionEntry, place: str
-) -> Iterator[Fault]:
-    if entry.service not in document.services:
-        yield Fault(
-            f"{place}.service",
-            f"got {quote(entry.service)}, expected one of"
-            f" {describe_names(document.services)}",
-        )
-    if entry.data_centre is not None:
-        yield from _check_name(f"{place}.data_centre", entry.data_centre)
-    if entry.route is None:
-        return
-    route = document.routes.get(entry.route)
-    if route is None or route.service != entry.service:
-        yield Fault(
-            f"{place}.route",
-            f"got {quote(entry.route)}, expected a route of"
-            f" {quote(entry.service)}",
-        )
-    elif entry.setting in _LIMITS:
-        yield Fault(
-            f"{place}.route",
-            f"got {quote(entry.route)}, expected none: {entry.setting!r}"
-            " holds for the whole service",
-        )
-
-
-def _check_text(place: str, text: str, most: int) -> Iterator[Fault]:
-    if not text.strip() or not text.isprintable() or len(text) > most:
-        yield Fault(
-            place,
-            f"got {quote(text)}, expected one line of 1 to {most} characters",
-        )
-
-
-def _check_value(
-    document: Document, entry: ExceptionEntry, place: str
-) -> Iterator[Fault]:
-    kind = _SETTING_TYPES.get(entry.setting)
-    if kind is None:
-        yield Fault(
-            f"{place}.setting",
-            f"got {quote(entry.setting)}, expected one of"
-            f" {', '.join(sorted(_SETTING_TYPES))}",
-        )
-        return
-    place = f"{place}.value"
-    value: Any = entry.value
-    # JSON writes a whole number of a float without its point.
-    accepted = (float, int) if kind is float else (kind,)
-    if type(value) not in accepted:
-        yield Fault(place, f"got {quote(value)}, expected {kind.__name__}")
-    elif entry.setting == "call_class" and value not in list(CallClass):
-        yield Fault(
-            place, f"got {quote(value)}, expected {', '.join(CallClass)}"
-        )
-    elif entry.setting in _LIMITS:
-        yield from _check_limit(document, entry, value, place)
-    elif entry.setting in _RANGES:
-        yield from _check_range(place, value, *_RANGES[entry.setting])
-
-
-def _check_limit(
-    document: Document, entry: ExceptionEntry, value: int, place: str
-) -> Iterator[Fault]:
-    """Keeps an exception within what was bought.
-
-    The bounds are chosen so that a target has a connection for each slot
-    whichever of the exceptions of its service are in force.
-    """
-    service = document.services.get(entry.service)
-    if service is None:
-        return
-    limits = document.limit_classes.get(service.limit_class)
-    bought = document.capacity.get(service.limit_class)
-    if limits is None or bought is None:
-        return
-    if entry.setting == "slots":
-        low = bought.slots_floor
-        high = min(bought.slots_ceiling, limits.connections)
-    else:
-        low, high = bought.slots_ceiling, bought.connections_ceiling
-    yield from _check_range(place, value, low, high)
-
-
-assert set(_SETTING_TYPES) == {
-    *(field.name for field in attrs.fields(Overrides)),
-    *_LIMITS,
-}
