--- a/tests/processes/cli.feature
+++ b/tests/processes/cli.feature
@@ -5,37 +5,25 @@
     And the files of an operator
 
   Scenario: Defaults and exceptions are changed and read
-    When the operator runs "config publish fleet.json --change-id first"
-    Then the exit code is 0 and the output says "version 1 accepted"
-    When the operator runs "config default set deadline_ms 9000"
-    Then the exit code is 0 and the output says "version 2 accepted"
-    When the operator runs "config exception add slow --service desk --setting deadline_ms --value 20000 --reason 'archive moves' --owner ana"
-    Then the exit code is 0 and the output says "version 3 accepted"
-    When the operator runs "exception add few --service feed --setting slots --value 4 --reason 'cold disks' --owner bo --output json"
-    Then the exit code is 0 and the output says ""version":4"
-    When the operator runs "config diff 1 4"
-    Then the exit code is 0 and the output says "defaults.deadline_ms"
-    And the output says "10000"
-    And the output says "exceptions.slow"
-    When the operator runs "config publish fleet.json --change-id first"
-    Then the exit code is 0 and the output says "version 1 accepted"
-    When the operator runs "config diff --output json"
-    Then the exit code is 0 and the output says ""place":"exceptions.few""
-    When the operator runs "config diff 4 fleet.json"
-    Then the exit code is 0 and the output says "exceptions.few"
-    When the operator runs "exception retire slow"
-    Then the exit code is 0 and the output says "version 5 accepted"
-    When the operator runs "config history"
-    Then the exit code is 0 and the output says "exception add slow"
-    And the output says "first"
-    When the operator runs "config history --output json --limit 1"
-    Then the exit code is 0 and the output says ""summary":"exception retire slow""
-    When the operator runs "config show"
-    Then the exit code is 0 and the output says ""deadline_ms": 9000"
-    When the operator runs "config show --version 1"
-    Then the exit code is 0 and the output says ""deadline_ms": 10000"
-    When the operator runs "config show --output table"
-    Then the exit code is 0 and the output says "cold disks"
+    Then these commands succeed, one after another
+      | command                                        | output says                     |
+      | config publish fleet.json --change-id first    | version 1 accepted              |
+      | config default set deadline_ms 9000            | version 2 accepted              |
+      | config exception add slow --service desk --setting deadline_ms --value 20000 --reason 'archive moves' --owner ana | version 3 accepted |
+      | exception add few --service feed --setting slots --value 4 --reason 'cold disks' --owner bo --output json | "version":4 |
+      | config diff 1 4                                | defaults.deadline_ms            |
+      | config diff 1 4                                | 10000                           |
+      | config diff 1 4                                | exceptions.slow                 |
+      | config publish fleet.json --change-id first    | version 1 accepted              |
+      | config diff --output json                      | "place":"exceptions.few"        |
+      | config diff 4 fleet.json                       | exceptions.few                  |
+      | exception retire slow                          | version 5 accepted              |
+      | config history                                 | exception add slow              |
+      | config history                                 | first                           |
+      | config history --output json --limit 1         | "summary":"exception retire slow" |
+      | config show                                    | "deadline_ms": 9000             |
+      | config show --version 1                        | "deadline_ms": 10000            |
+      | config show --output table                     | cold disks                      |
 
   Scenario Outline: An error is one line with a next step
     Given the operator has run "config publish fleet.json --change-id first"
@@ -101,11 +89,12 @@
     And the output does not say ""version":2"
 
   Scenario: An edit is repeated safely
-    Given the operator has run "config publish fleet.json"
-    And the operator has run "config default set deadline_ms 9000 --change-id c2"
-    And the operator has run "config default set deadline_ms 8000"
-    When the operator runs "config default set deadline_ms 9000 --change-id c2"
-    Then the exit code is 0 and the output says "version 2 accepted"
+    Then these commands succeed, one after another
+      | command                                             | output says        |
+      | config publish fleet.json                           | version 1 accepted |
+      | config default set deadline_ms 9000 --change-id c2  | version 2 accepted |
+      | config default set deadline_ms 8000                 | version 3 accepted |
+      | config default set deadline_ms 9000 --change-id c2  | version 2 accepted |
     When the operator runs "config default set deadline_ms 7000 --base 2"
     Then the exit code is 3
 
--- a/tests/steps/cli_steps.py
+++ b/tests/steps/cli_steps.py
@@ -93,6 +93,13 @@
     step_code(context, 0)
 
 
+@then("these commands succeed, one after another")
+def step_run_all(context):
+    for row in context.table:
+        step_run(context, row["command"])
+        step_code_and_output(context, 0, row["output says"])
+
+
 @when('the operator runs on the fleet "{command}"')
 def step_run_on_fleet(context, command):
     result = context.run(context.fleet.run_cli(*shlex.split(command)))
