Tests for what mutants of the code showed unchecked

Cause: of 16 single changes of the code (trials) two passed the tests: the bound of an exception's slots by the connections, and an attempt that published nothing after one in doubt. Ruled out: nothing. Change: a scenario and a row for these; queries during an outage; drain by command line with JSON. Conclusion: no defect was found in the code by this.

--- a/tests/cover/document.feature
+++ b/tests/cover/document.feature
@@ -63,6 +63,12 @@
       | exceptions.e1.value          | [1]                    | exceptions.e1.value          | got [1]                |
       | services.-b@d                | {"limit_class":"small"} | services.-b@d               | got '-b@d'             |
 
+  Scenario: A target keeps a connection for each slot
+    Given a document in which "limit_classes.small" is {"slots":5,"connections":6}
+    And a document in which "exceptions.e2" is {"service":"desk","setting":"slots","value":8,"reason":"r","owner":"o"}
+    When the document is read and checked
+    Then one fault is at "exceptions.e2.value" and says "from 2 to 6"
+
   Scenario: Every fault is told at once
     Given a document in which "exceptions.e1.reason" is ""
     And a document in which "exceptions.e1.setting" is "colour"
--- a/tests/processes/cli.feature
+++ b/tests/processes/cli.feature
@@ -78,6 +78,19 @@
       | {"down": true}                                         |                | 4    | nothing was published |
       | {"down": true}                                         | --change-id c1 | 4    | this attempt          |
       | {"lose_after": 1, "lose_replies": 1, "serve_first": 6} | --change-id c1 | 5    | may have been         |
+      | {"lose_after": 1, "lose_replies": 1, "serve_first": 6} | --change-id c1 --retry-for 1 | 5    | may have been         |
+
+  Scenario Outline: A query during an outage ends with one line
+    Given the platform has the faults <faults>
+    When the operator runs "<command>"
+    Then the exit code is 4
+    And standard error is one line that says "no usable answer" and "try again"
+
+    Examples:
+      | faults            | command        |
+      | {"down": true}    | config show    |
+      | {"down": true}    | config diff    |
+      | {"garbage": true} | config history |
 
   Scenario: A short outage is waited out under the same change id
     Given the platform has the faults {"lose_after": 1, "lose_replies": 1, "serve_first": 6}
--- a/tests/processes/cli_fleet.feature
+++ b/tests/processes/cli_fleet.feature
@@ -13,3 +13,7 @@
     And the output says "does not answer"
     When the operator runs on the fleet "status --output json"
     Then the exit code is 0 and the output says ""feed-bergen-1":null"
+    When the operator runs on the fleet "drain --node ADMIN --output json"
+    Then the exit code is 0 and the output says ""draining":true"
+    When the operator runs on the fleet "undrain --node ADMIN"
+    Then the exit code is 0 and the output says "takes work"
--- a/tests/steps/cli_steps.py
+++ b/tests/steps/cli_steps.py
@@ -102,7 +102,9 @@
 
 @when('the operator runs on the fleet "{command}"')
 def step_run_on_fleet(context, command):
-    result = context.run(context.fleet.run_cli(*shlex.split(command)))
+    admin = next(iter(context.fleet.nodes.values())).admin
+    words = shlex.split(command.replace("ADMIN", admin))
+    result = context.run(context.fleet.run_cli(*words))
     context.result = Result(*result)
 
 
