--- a/bench/measure_convergence.py
+++ b/bench/measure_convergence.py
@@ -140,7 +140,11 @@
 ) -> AsyncIterator[Figure]:
     """Measures one fleet: idle, then with a change each 5.08 s."""
     copies = count // len(CENTRES)
-    plans = plan_fleet(data_centres=CENTRES, services=["desk"], copies=copies)
+    plans = plan_fleet(
+        data_centres=CENTRES,
+        services=sorted(document.services)[:1],
+        copies=copies,
+    )
     async with open_fleet(plans, shared_target=True) as fleet:
         await publish(fleet, document, 0)
         behind = await fleet.wait_for_version(1)
--- a/standins/documents.py
+++ b/standins/documents.py
@@ -74,6 +74,7 @@
     return Document(
         defaults=Defaults(deadline_ms=10_000),
         limit_classes={"small": LimitClass(slots=10, connections=110)},
+        capacity={"small": Capacity(2, 10, 110)},
         services={name: ServiceEntry("small") for name in names},
         routes=table,
     )
