--- a/src/guavawing/distribution/delta.py
+++ b/src/guavawing/distribution/delta.py
@@ -6,28 +6,29 @@
 can be wrong only by failing that check.
 """
 
-import zlib
 from typing import Any
 
 import attrs
 import orjson
 
+from guavawing.distribution.compression import (
+    compress_payload,
+    decompress_payload,
+)
 from guavawing.errors import MessageInvalidError
 
 __all__ = [
     "Delta",
     "apply_delta",
     "compose_deltas",
-    "compress_payload",
     "compute_delta",
     "decode_delta",
-    "decompress_payload",
+    "derive_delta",
     "encode_delta",
     "encode_tree",
 ]
 
 MAX_DELTA_BYTES = 1024 * 1024
-_COMPRESSION_LEVEL = 6
 
 Tree = dict[str, Any]
 
@@ -78,6 +79,21 @@
     return delta
 
 
+def derive_delta(old: bytes, new: bytes) -> Delta | None:
+    """Returns the delta between two payloads.
+
+    None stands for a new payload that is not canonical, so that no delta
+    could restore its bytes.
+    """
+    try:
+        tree = orjson.loads(new)
+    except orjson.JSONDecodeError:
+        return None
+    if not isinstance(tree, dict) or encode_tree(tree) != new:
+        return None
+    return compute_delta(orjson.loads(old), tree)
+
+
 def apply_delta(payload: bytes, delta: Delta) -> Tree:
     """Returns the tree that `delta` makes of that of `payload`.
 
@@ -136,9 +152,7 @@
 
 def encode_delta(delta: Delta) -> bytes:
     """Returns the bytes of a delta."""
-    return zlib.compress(
-        encode_tree(attrs.asdict(delta, recurse=False)), _COMPRESSION_LEVEL
-    )
+    return compress_payload(encode_tree(attrs.asdict(delta, recurse=False)))
 
 
 def decode_delta(data: bytes) -> Delta:
@@ -176,28 +190,3 @@
     return isinstance(value, list) and all(
         isinstance(each, str) for each in value
     )
-
-
-def compress_payload(payload: bytes) -> bytes:
-    """Returns a payload as it crosses the network."""
-    return zlib.compress(payload, _COMPRESSION_LEVEL)
-
-
-def decompress_payload(data: bytes, *, limit: int) -> bytes:
-    """Returns the payload of `data`, which holds at most `limit` bytes.
-
-    Raises:
-        MessageInvalidError: If the bytes are damaged, cut short or too many.
-    """
-    inflater = zlib.decompressobj()
-    try:
-        payload = inflater.decompress(data, limit + 1)
-    except zlib.error as exc:
-        raise MessageInvalidError(f"damaged bytes: {exc}") from exc
-    if len(payload) > limit:
-        raise MessageInvalidError(
-            f"got more than {limit} bytes, expected at most {limit}"
-        )
-    if not inflater.eof or inflater.unused_data:
-        raise MessageInvalidError("got bytes that end early or too late")
-    return payload
--- a/src/guavawing/distribution/keeper.py
+++ b/src/guavawing/distribution/keeper.py
@@ -97,11 +97,31 @@
             return False
         return (number, digest) not in self._rejected
 
-    def apply(self, number: int, digest: bytes, payload: bytes) -> ApplyResult:
-        """Checks a version and puts it in force."""
-        return self._apply(
-            number, digest, payload, lambda: decode_document(payload)
-        )
+    def apply(
+        self,
+        number: int,
+        digest: bytes,
+        payload: bytes,
+        *,
+        delta: Delta | None = None,
+    ) -> ApplyResult:
+        """Checks a version and puts it in force.
+
+        Args:
+            number: Number of the version.
+            digest: Digest that the payload must have.
+            payload: The whole payload.
+            delta: What turns the version in force into this one, if that is
+                known and the payload is canonical; it makes the check short.
+        """
+        current = self._current
+
+        def decode() -> Document:
+            if delta is None:
+                return decode_document(payload)
+            return patch_document(current.document, delta, payload)
+
+        return self._apply(number, digest, payload, decode)
 
     def apply_delta(
         self, number: int, digest: bytes, delta: Delta
@@ -112,14 +132,8 @@
             MessageInvalidError: If the delta does not fit the version in
                 force.
         """
-        current = self._current
-        tree = apply_delta(current.payload, delta)
-        return self._apply(
-            number,
-            digest,
-            encode_tree(tree),
-            lambda: patch_document(current.document, delta, tree),
-        )
+        payload = encode_tree(apply_delta(self._current.payload, delta))
+        return self.apply(number, digest, payload, delta=delta)
 
     def _apply(
         self,
--- a/src/guavawing/distribution/learner.py
+++ b/src/guavawing/distribution/learner.py
@@ -23,12 +23,11 @@
 from collections.abc import Callable, Iterator
 
 import attrs
-import orjson
 
 from guavawing.distribution.delta import (
-    compute_delta,
+    Delta,
     decode_delta,
-    encode_tree,
+    derive_delta,
 )
 from guavawing.distribution.events import (
     PLATFORM,
@@ -444,14 +443,22 @@
 
     def _apply_content(
         self, version: VersionId, content: Content
-    ) -> ApplyResult:
+    ) -> tuple[ApplyResult, Delta | None]:
+        """Returns the result, and the delta from the version before."""
         number, digest = version.number, version.digest
         match content:
             case SnapshotContent(payload=payload):
-                return self._keeper.apply(number, digest, payload)
+                delta = None
+                if self.current.number:
+                    delta = derive_delta(self.current.payload, payload)
+                result = self._keeper.apply(
+                    number, digest, payload, delta=delta
+                )
+                return result, delta
             case DeltaContent(delta=data):
                 delta = decode_delta(data)
-                return self._keeper.apply_delta(number, digest, delta)
+                result = self._keeper.apply_delta(number, digest, delta)
+                return result, delta
             case NoContent():
                 raise MessageInvalidError("got a name without content")
 
@@ -472,12 +479,12 @@
     ) -> list[Action]:
         before = self.current
         try:
-            result = self._apply_content(version, content)
+            result, delta = self._apply_content(version, content)
         except MessageInvalidError:
             return self._refuse_piece(fetch, content, now)
         match result:
             case Applied(version=applied):
-                self._record_step(before, applied, content)
+                self._record_step(before, delta)
                 source = self._sources.get(fetch.source)
                 if source is not None:
                     source.failures = 0
@@ -489,22 +496,13 @@
             case Rejected():
                 return self._refuse_piece(fetch, content, now)
 
-    def _record_step(
-        self, before: Version, after: Version, content: Content
-    ) -> None:
-        base = VersionId(before.number, before.digest)
+    def _record_step(self, before: Version, delta: Delta | None) -> None:
         if before.number == 0:
             return
-        if isinstance(content, DeltaContent):
-            self.history.record(base, decode_delta(content.delta))
-            return
-        tree = orjson.loads(after.payload)
-        if encode_tree(tree) != after.payload:
-            # A delta could not restore these bytes.
+        if delta is None:
             self.history.clear()
             return
-        delta = compute_delta(orjson.loads(before.payload), tree)
-        self.history.record(base, delta)
+        self.history.record(VersionId(before.number, before.digest), delta)
 
     def _forget(self, keep: Callable[[VersionId], bool]) -> None:
         """Drops candidates and offers of versions that are done with.
--- a/src/guavawing/distribution/patch.py
+++ b/src/guavawing/distribution/patch.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import attrs
+import orjson
 
 from guavawing.config import Document, decode_document
 from guavawing.distribution.delta import Delta, Tree, encode_tree
@@ -18,27 +19,29 @@
 _FIELDS = frozenset(field.name for field in attrs.fields(Document))
 
 
-def patch_document(document: Document, delta: Delta, tree: Tree) -> Document:
-    """Returns the document that `tree` encodes.
+def patch_document(
+    document: Document, delta: Delta, payload: bytes
+) -> Document:
+    """Returns the document that `payload` encodes.
 
     Args:
         document: The document before.
         delta: What has changed since.
-        tree: The whole payload after the change.
+        payload: The whole canonical payload after the change.
 
     Raises:
         ConfigInvalidError: If a changed entry is not shaped as it must be.
     """
     names = delta.set_entries.keys() | delta.removed_entries.keys()
     if delta.set_sections or delta.removed_sections or not names <= _FIELDS:
-        return decode_document(encode_tree(tree))
+        return decode_document(payload)
     changed: Tree = {}
     for name in names:
         if isinstance(getattr(document, name), dict):
             changed[name] = delta.set_entries.get(name, {})
         else:
             # Entries of this section are fields of one object.
-            changed[name] = tree[name]
+            changed[name] = orjson.loads(payload)[name]
     decoded = decode_document(encode_tree(changed))
     sections = {
         name: _merge_section(document, decoded, delta, name) for name in names
--- a/src/guavawing/distribution/responder.py
+++ b/src/guavawing/distribution/responder.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from guavawing.distribution.delta import compress_payload
+from guavawing.distribution.compression import compress_payload
 from guavawing.distribution.history import VersionHistory, VersionId
 from guavawing.distribution.keeper import Version
 from guavawing.model import MemberId
--- a/src/guavawing/node/distributor.py
+++ b/src/guavawing/node/distributor.py
@@ -18,7 +18,7 @@
     VersionHistory,
     VersionId,
 )
-from guavawing.distribution.delta import decompress_payload
+from guavawing.distribution.compression import decompress_payload
 from guavawing.distribution.events import (
     PLATFORM,
     Action,
@@ -38,7 +38,11 @@
     SnapshotContent,
     Tick,
 )
-from guavawing.errors import MessageInvalidError, PlatformError
+from guavawing.errors import (
+    MessageInvalidError,
+    PlatformDataInvalidError,
+    PlatformError,
+)
 from guavawing.membership import Member, MemberState, MemberTable, Notice
 from guavawing.node.channel import ByteListener, open_channel
 from guavawing.node.logs import log, log_action
@@ -78,6 +82,7 @@
         self._data_centre = data_centre
         self._source = source
         self._metrics = metrics
+        self._platform_bytes = 0
         self._learner = Learner(random.Random())
         self._policies: PolicyTable | None = None
         self._events: collections.deque[Event] = collections.deque()
@@ -153,9 +158,17 @@
             )
             if not due:
                 continue
-            with contextlib.suppress(PlatformError):
-                head = await fetch_head(self._platform)
-                self.hear(PLATFORM, Notice(head.version, head.digest))
+            succeeded = await self._read_head()
+            schedule.record_read(succeeded=succeeded)
+            self._count_platform_bytes()
+
+    async def _read_head(self) -> bool:
+        try:
+            head = await fetch_head(self._platform)
+        except PlatformError:
+            return False
+        self.hear(PLATFORM, Notice(head.version, head.digest))
+        return True
 
     def close(self) -> None:
         """Cancels every fetch."""
@@ -231,13 +244,14 @@
         try:
             async with asyncio.timeout(OBJECT_TIMEOUT_S):
                 payload = await self._platform.get_object(name)
+        except PlatformDataInvalidError:
+            return FetchFailed(action.fetch_id, FetchFault.DAMAGED)
         except (PlatformError, TimeoutError):
             return FetchFailed(action.fetch_id, FetchFault.UNREACHABLE)
+        finally:
+            self._count_platform_bytes()
         if payload is None:
             return FetchFailed(action.fetch_id, FetchFault.WITHHELD)
-        self._count_bytes("object", crossed="platform")(
-            "received", len(payload)
-        )
         return PayloadArrived(
             action.fetch_id, action.version, SnapshotContent(payload)
         )
@@ -287,6 +301,12 @@
                 reply: PullReply = await ControlStub(channel).Pull(request)
                 return reply
 
+    def _count_platform_bytes(self) -> None:
+        received = self._platform.received_bytes
+        count = self._count_bytes("platform", crossed="unknown")
+        count("received", received - self._platform_bytes)
+        self._platform_bytes = received
+
     def _count_bytes(self, kind: str, *, crossed: str) -> ByteListener:
         def count(direction: str, size: int) -> None:
             labels = {
--- a/src/guavawing/platform/client.py
+++ b/src/guavawing/platform/client.py
@@ -3,6 +3,7 @@
 This is the only module that knows the platform's wire format: JSON over
 HTTP. A row has a revision that rises with every write; a transaction names
 the revision that it expects of each row, 0 for a row that must not exist.
+Objects are stored compressed with zlib.
 """
 
 import contextlib
@@ -13,7 +14,13 @@
 import attrs
 import orjson
 
+from guavawing.distribution.compression import (
+    compress_payload,
+    decompress_payload,
+)
 from guavawing.errors import (
+    MessageInvalidError,
+    PlatformDataInvalidError,
     PlatformError,
     PlatformUnavailableError,
     PlatformWriteUnknownError,
@@ -29,6 +36,7 @@
 ]
 
 REQUEST_TIMEOUT_S = 5.0
+MAX_OBJECT_BYTES = 8 * 1024 * 1024
 MAX_SCAN_ROWS = 1_000
 _NOT_FOUND = 404
 _CONFLICT = 409
@@ -76,13 +84,19 @@
 class Platform:
     """Table service and object store at one address."""
 
-    __slots__ = ("_base", "_session")
+    __slots__ = ("_base", "_received", "_session")
 
     def __init__(
         self, session: aiohttp.ClientSession, address: Address
     ) -> None:
         self._session = session
         self._base = f"http://{address}"
+        self._received = 0
+
+    @property
+    def received_bytes(self) -> int:
+        """Bytes of all answers so far, without their headers."""
+        return self._received
 
     async def read_row(self, table: str, key: str) -> Row | None:
         """Returns a row, or None if it does not exist.
@@ -129,13 +143,15 @@
             PlatformUnavailableError: If nothing was written.
             PlatformWriteUnknownError: If the object may have been stored.
         """
-        await self._write("PUT", f"/objects/{name}", payload)
+        data = compress_payload(payload)
+        await self._write("PUT", f"/objects/{name}", data)
 
     async def get_object(self, name: str) -> bytes | None:
         """Returns an object's bytes, or None if there is none.
 
         Raises:
             PlatformUnavailableError: If the platform gives no usable answer.
+            PlatformDataInvalidError: If the object is damaged.
         """
         try:
             async with self._session.get(
@@ -144,9 +160,16 @@
                 if resp.status == _NOT_FOUND:
                     return None
                 resp.raise_for_status()
-                return await resp.read()
+                data = await resp.read()
+                self._received += len(data)
         except (aiohttp.ClientError, TimeoutError) as exc:
             raise _unavailable(exc) from exc
+        try:
+            return decompress_payload(data, limit=MAX_OBJECT_BYTES)
+        except MessageInvalidError as exc:
+            raise PlatformDataInvalidError(
+                f"the object {name} is damaged: {exc}"
+            ) from exc
 
     async def _read(
         self, path: str, params: dict[str, str] | None = None
--- a/standins/learners.py
+++ b/standins/learners.py
@@ -21,7 +21,7 @@
     Version,
     VersionId,
 )
-from guavawing.distribution.delta import decompress_payload
+from guavawing.distribution.compression import decompress_payload
 from guavawing.distribution.events import (
     PLATFORM,
     Action,
--- a/tests/cover/distribution.feature
+++ b/tests/cover/distribution.feature
@@ -144,3 +144,6 @@
       | live | before |
       | 1250 | 1250   |
       | 3    | 1250   |
+
+  Scenario: Failed reads make the pauses longer
+    Then a node that fails to read waits 2 to 6 s
--- a/tests/steps/distribution_steps.py
+++ b/tests/steps/distribution_steps.py
@@ -485,6 +485,17 @@
     assert least <= reads / seconds <= most, reads / seconds
 
 
+@then("a node that fails to read waits {least:g} to {most:g} s")
+def step_backoff(context, least, most):
+    schedule = PollSchedule(random.Random(2), period_s=1.0, now=0.0)
+    for _ in range(5):
+        schedule.record_read(succeeded=False)
+    pauses = [schedule.draw_pause() for _ in range(100)]
+    assert least <= min(pauses) and max(pauses) <= most, pauses
+    schedule.record_read(succeeded=True)
+    assert schedule.draw_pause() <= 1.5
+
+
 # Golden sessions.
 
 
