Tell a caller under which key to ask what has become of its call

Cause: the new scenario "A caller without a key asks what has become of its call": no key in the answer; with one, the second answer was may-have-run target-timeout, since the owner stopped reading the target's answer at the caller's deadline.

Ruled out: holding the caller's answer back until the target has answered (a call given up on gets its answer at once).

Change: `Guavawing-Key` on may-have-run answers of non-idempotent calls; the owner reads the answer of a keyed call up to 5 s past the deadline, which also keeps its slot as long as the target may still be at work. An owner that is known to be dead is asked once, not six times.

--- a/src/guavawing/node/call_headers.py
+++ b/src/guavawing/node/call_headers.py
@@ -5,6 +5,7 @@
 from guavawing.node.messages import CallAttempt, Headers
 
 __all__ = [
+    "BOUND_KEY_HEADER",
     "BUDGET_HEADER",
     "CALL_ID_HEADER",
     "DEADLINE_HEADER",
@@ -26,6 +27,8 @@
 VERDICT_HEADER = "Guavawing-Verdict"
 REASON_HEADER = "Guavawing-Reason"
 BUDGET_HEADER = "Guavawing-Budget-Spent"
+# Key under which a caller may ask what has become of its call.
+BOUND_KEY_HEADER = "Guavawing-Key"
 MILLISECONDS = 1_000
 
 _REPLACED_IN_CALLS = frozenset(
@@ -40,6 +43,7 @@
     {
         VERDICT_HEADER.lower(),
         REASON_HEADER.lower(),
+        BOUND_KEY_HEADER.lower(),
         CALL_ID_HEADER.lower(),
     }
 )
--- a/src/guavawing/node/caller_response.py
+++ b/src/guavawing/node/caller_response.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from guavawing.node.call_headers import (
+    BOUND_KEY_HEADER,
     BUDGET_HEADER,
     CALL_ID_HEADER,
     REASON_HEADER,
@@ -55,6 +56,8 @@
     ]
     if getattr(verdict, "budget_spent", False):
         headers.append((BUDGET_HEADER, "1"))
+    if answer.key:
+        headers.append((BOUND_KEY_HEADER, answer.key))
     if verdict.reason is Reason.SERVED:
         return web.Response(
             status=answer.status,
--- a/src/guavawing/node/entry.py
+++ b/src/guavawing/node/entry.py
@@ -86,7 +86,7 @@
             async with asyncio.timeout_at(call.attempt.deadline):
                 answer = await router.route()
         except TimeoutError:
-            answer = Answer(router.verdict_at_deadline())
+            answer = router.answer_at_deadline()
         if getattr(answer.verdict, "budget_spent", False):
             self._owner.spent_calls.add(call.attempt.call_id)
         return answer
@@ -217,13 +217,14 @@
                 claims=entry.claims,
             )
 
-    def verdict_at_deadline(self) -> NotRun | MayHaveRun:
+    def answer_at_deadline(self) -> Answer:
         """Returns what is known when the deadline passes."""
         if self._keyed is not None:
-            return self._keyed.call.conclude_at_deadline()
+            verdict = self._keyed.call.conclude_at_deadline()
+            return self._keyed.add_key(Answer(verdict))
         if self._in_flight or self._uncertain is not None:
-            return MayHaveRun(Reason.DEADLINE_PASSED)
-        return NotRun(Reason.DEADLINE_PASSED)
+            return Answer(MayHaveRun(Reason.DEADLINE_PASSED))
+        return Answer(NotRun(Reason.DEADLINE_PASSED))
 
     async def route(self) -> Answer:
         """Makes attempts until one decides the call."""
@@ -297,7 +298,8 @@
             return Answer(attrs.evolve(self._uncertain, budget_spent=True))
         if isinstance(verdict, Ran) or verdict.budget_spent == budget_spent:
             return answer
-        return Answer(attrs.evolve(verdict, budget_spent=budget_spent))
+        verdict = attrs.evolve(verdict, budget_spent=budget_spent)
+        return attrs.evolve(answer, verdict=verdict)
 
     async def _attempt_once(self) -> Answer:
         if self._keyed is not None:
--- a/src/guavawing/node/keyed_router.py
+++ b/src/guavawing/node/keyed_router.py
@@ -6,7 +6,7 @@
 import attrs
 
 from guavawing.errors import PlatformError
-from guavawing.membership import Member
+from guavawing.membership import Member, MemberState
 from guavawing.node.claims import Claim, Claims
 from guavawing.node.messages import Answer, CallAttempt
 from guavawing.policy.bound_key import BoundKey
@@ -92,9 +92,16 @@
         while not isinstance(step, Conclude):
             step = await self._carry_out(step)
         answer = self._answer
-        if answer is not None and answer.verdict == step.verdict:
+        if answer is None or answer.verdict != step.verdict:
+            answer = Answer(step.verdict)
+        return self.add_key(answer)
+
+    def add_key(self, answer: Answer) -> Answer:
+        """Returns the answer with the key under which to ask again."""
+        key = self._call.key
+        if key is None or not isinstance(answer.verdict, MayHaveRun):
             return answer
-        return Answer(step.verdict)
+        return attrs.evolve(answer, key=str(key))
 
     async def _carry_out(self, step: Step) -> Step:
         match step:
@@ -145,12 +152,17 @@
     async def _ask(self, key: BoundKey) -> Step:
         member = self._access.find_owner(key)
         if member is None:
-            return self._call.take_replaced()
+            return self._call.take_gone(Reason.OWNER_REPLACED)
         if member.service != self._attempt.policy.service:
             # A key of another service; its target must not get the call.
             return Conclude(NotRun(Reason.WRONG_OWNER))
         attempt = attrs.evolve(self._attempt, key=key)
         answer = await self._access.send_copy(member, attempt, self._call)
+        if answer is None and member.state in (
+            MemberState.DEAD,
+            MemberState.LEFT,
+        ):
+            return self._call.take_gone(Reason.OWNER_UNREACHABLE)
         if answer is None:
             self._access.count_repeat(Reason.OWNER_UNREACHABLE)
             return self._call.take_unsent()
--- a/src/guavawing/node/messages.py
+++ b/src/guavawing/node/messages.py
@@ -49,12 +49,15 @@
         status: HTTP status of the target's answer; 0 without one.
         headers: End-to-end headers of the target's answer.
         body: Whole body of the target's answer.
+        key: Bound key under which the caller may ask what has become of a
+            call that may have run; empty for none.
     """
 
     verdict: Verdict
     status: int = 0
     headers: Headers = ()
     body: bytes = b""
+    key: str = ""
 
 
 def refuse(verdict: NotRun | MayHaveRun | Ran) -> Answer:
--- a/src/guavawing/node/target_client.py
+++ b/src/guavawing/node/target_client.py
@@ -17,6 +17,9 @@
 # Idle connections are closed before a usual server closes them, so that a
 # request is rarely sent on a connection that is being closed.
 IDLE_CONNECTION_S = 3.0
+# Time after the deadline for which the answer of a keyed call is still read,
+# so that a repeat under its key gets it. The caller has its verdict by then.
+KEYED_EXTRA_S = 5.0
 _HTTP_OK = 200
 _HOP_HEADERS = frozenset(
     {
@@ -68,7 +71,10 @@
 
     async def execute(self, attempt: CallAttempt, *, now: float) -> Answer:
         """Sends an attempt to the target, once, and reads the whole answer."""
-        timeout = aiohttp.ClientTimeout(total=attempt.deadline - now)
+        time_left_s = attempt.deadline - now
+        if attempt.key is not None:
+            time_left_s += KEYED_EXTRA_S
+        timeout = aiohttp.ClientTimeout(total=time_left_s)
         try:
             async with self._session.request(
                 attempt.method,
--- a/src/guavawing/policy/keyed_call.py
+++ b/src/guavawing/policy/keyed_call.py
@@ -127,6 +127,11 @@
         self._tries = 0
         self._rebinds = 0
 
+    @property
+    def key(self) -> BoundKey | None:
+        """The key in use, if any."""
+        return self._key
+
     @property
     def can_retry(self) -> bool:
         """Whether the call can go on under another key."""
@@ -198,9 +203,9 @@
         self._unanswered += 1
         return self._try_again(Reason.OWNER_LOST)
 
-    def take_replaced(self) -> Step:
-        """Takes that the owner's process is known to be gone."""
-        return Conclude(self._give_up(Reason.OWNER_REPLACED))
+    def take_gone(self, reason: Reason) -> Step:
+        """Takes that asking the owner again would be of no use."""
+        return Conclude(self._give_up(reason))
 
     def take_answer(self, verdict: Verdict) -> Step:
         """Takes the owner's answer to a copy."""
--- a/tests/processes/at_most_once.feature
+++ b/tests/processes/at_most_once.feature
@@ -52,6 +52,13 @@
     And a caller publishes to "desk" through "feed-voss-1" with key "claimed"
     Then the verdict is "ran" with reason "served"
 
+  Scenario: A caller without a key asks what has become of its call
+    When a caller publishes to "desk" through "feed-bergen-1" without a key, to work 1500 ms in 500 ms
+    Then the verdict is "may-have-run" with reason "deadline-passed"
+    When the caller asks "feed-voss-1" again under the key that it was given
+    Then the verdict is "ran" with reason "served"
+    And its call was executed 1 time
+
   Scenario: A key of another service
     When a caller asks "feed-voss-1" for 1 keys of "feed"
     And a caller publishes to "desk" through "feed-voss-1" with its next key
--- a/tests/steps/at_most_once_steps.py
+++ b/tests/steps/at_most_once_steps.py
@@ -220,6 +220,43 @@
     context.outcome = start_publish(context, context.key, entry).result()
 
 
+@when(
+    'a caller publishes to "desk" through "{entry}" without a key, to work'
+    " {work_ms:d} ms in {deadline_ms:d} ms"
+)
+def step_publish_without_key(context, entry, work_ms, deadline_ms):
+    context.key = uuid.uuid4().hex
+    context.options = {
+        "service": "desk",
+        "method": "POST",
+        "path": "/bulletins",
+        "body": b"{}",
+        # The target counts executions by this header.
+        "headers": {"X-Key": context.key, "X-Work-Ms": str(work_ms)},
+    }
+    context.outcome = context.run(
+        send_call(
+            context.fleet.session,
+            context.fleet.nodes[entry].caller,
+            deadline_ms=deadline_ms,
+            **context.options,
+        )
+    )
+
+
+@when('the caller asks "{entry}" again under the key that it was given')
+def step_ask_again(context, entry):
+    context.outcome = context.run(
+        send_call(
+            context.fleet.session,
+            context.fleet.nodes[entry].caller,
+            key=context.outcome.headers["Guavawing-Key"],
+            **context.options,
+        )
+    )
+
+
+@then("its call was executed {times:d} time")
 @then("its key was executed {times:d} time")
 @then("its key was executed {times:d} times")
 def step_its_key(context, times):
--- a/tests/steps/key_steps.py
+++ b/tests/steps/key_steps.py
@@ -137,7 +137,7 @@
             assert isinstance(step, Ask), step
             return call.take_unsent()
         case ["replaced"]:
-            return call.take_replaced()
+            return call.take_gone(Reason.OWNER_REPLACED)
         case ["sent"]:
             assert isinstance(step, Ask), step
             call.take_sent()
@@ -341,7 +341,7 @@
     def ask(self, call, key):
         owner = self.owners[key.owner]
         if owner.incarnation != key.incarnation and self.rng.random() < 0.5:
-            call.step = call.machine.take_replaced()
+            call.step = call.machine.take_gone(Reason.OWNER_REPLACED)
         elif self.rng.random() < 0.2:
             call.step = call.machine.take_unsent()
         else:
