Treat every claim as shared; measure random histories

Ruled out: a revision in the pure machine (the claim's key says the same).

Change: `Bind` names the released key that the claim must hold, and the router checks it. A claim counts as shared also for the node that wrote it, so one row of the table of outcomes became stricter: claimed, bound by this call, unsent: may-have-run, not not-run. The check looks at what had run when a sending ended.

--- a/bench/measure_keys.py
+++ b/bench/measure_keys.py
@@ -1,26 +1,30 @@
 """What duplicate suppression costs: memory at the owner, platform requests."""
 
+import collections
 import tracemalloc
 
 from bench.figure import Figure
+from bench.key_history import History
 from guavawing.model import parse_address
 from guavawing.platform import publish_document
 from guavawing.platform.client import open_platform
 from guavawing.policy.bound_key import BoundKey
 from guavawing.policy.key_table import MAX_ENTRIES, KeyTable
-from guavawing.verdict import Ran
+from guavawing.verdict import Ran, verdict_name
 from standins.caller import send_call
 from standins.cluster import Fleet, open_fleet, plan_fleet
 from standins.documents import make_newsroom_document
 
 CALLS = 100
+HISTORIES = 2_000
+EVENTS = 200
 NONCE_LENGTH = 12
 FINGERPRINT_BYTES = 16
 
 
 async def run() -> list[Figure]:
     """Measures the table's entries, then the ways to get a key."""
-    figures = [_measure_entry()]
+    figures = [_measure_entry(), *_measure_histories()]
     plans = plan_fleet(
         data_centres=["bergen"], services=["desk", "feed"], copies=1
     )
@@ -47,6 +51,28 @@
     return Figure("key_entry", (after - before) / MAX_ENTRIES, "bytes")
 
 
+def _measure_histories() -> list[Figure]:
+    """Measures how sendings end under faults, single execution included."""
+    endings: collections.Counter[str] = collections.Counter()
+    most = 0
+    for seed in range(HISTORIES):
+        history = History(seed)
+        history.run(events=EVENTS)
+        runs = collections.Counter(number for number, _ in history.executions)
+        most = max(most, *runs.values(), 0)
+        for sending in history.sendings:
+            assert sending.verdict is not None
+            endings[verdict_name(sending.verdict)] += 1
+    total = endings.total()
+    return [
+        Figure("histories_most_executions", most, "executions", 1),
+        *(
+            Figure(f"histories_{name}", endings[name] / total, "share")
+            for name in sorted(endings)
+        ),
+    ]
+
+
 async def _publish(fleet: Fleet) -> None:
     async with open_platform(parse_address(fleet.platform)) as platform:
         await publish_document(
--- a/src/guavawing/node/keyed_router.py
+++ b/src/guavawing/node/keyed_router.py
@@ -136,18 +136,20 @@
             return self._call.take_no_owner(Reason.OWNER_UNREACHABLE)
         return self._call.take_minted(key)
 
-    async def _bind(self, key: BoundKey, released: bool) -> Step:
+    async def _bind(self, key: BoundKey, released: BoundKey | None) -> Step:
+        claim = None if released is None else self._claim
+        # The row that is replaced is the one whose key was released.
+        assert claim is None or claim.key == released
         try:
             self._claim = await self._claims.bind(
                 self._attempt.policy.service,
                 self._caller_key,
                 key,
-                released=self._claim if released else None,
+                released=claim,
             )
         except PlatformError:
             return self._call.take_store_failure()
-        bound = self._claim.key
-        return self._call.take_bound(bound, mine=bound == key)
+        return self._call.take_bound(self._claim.key)
 
     async def _ask(self, key: BoundKey) -> Step:
         member = self._access.find_owner(key)
--- a/src/guavawing/policy/keyed_call.py
+++ b/src/guavawing/policy/keyed_call.py
@@ -15,8 +15,8 @@
 
 What may be concluded when nothing was heard of the owner depends on who else
 can have sent the key. A minted key is known to this call alone: if no copy
-was sent, the call has not run. A bound key and a claim that was found may
-have been sent before by somebody else: the call may have run.
+was sent, the call has not run. A bound key or a claim may have been sent by
+somebody else: the call may have run.
 """
 
 import enum
@@ -68,12 +68,12 @@
 
     Attributes:
         key: Bound key to write.
-        released: Whether the claim that was read last is to be replaced;
-            False if there must be none.
+        released: Released key that the claim must name to be replaced; None
+            if there must be no claim.
     """
 
     key: BoundKey
-    released: bool
+    released: BoundKey | None = None
 
 
 @attrs.frozen
@@ -161,13 +161,13 @@
         if self._released and key == self._key:
             # Nobody has bound the call elsewhere, and no owner is left.
             return Conclude(NotRun(Reason.NO_TARGET, RETRY_AFTER_S))
-        return self._adopt(key, shared=True)
+        return self._adopt(key)
 
     def take_minted(self, key: BoundKey) -> Step:
         """Takes a new key."""
         if self._source is KeySource.CLAIMED:
-            return Bind(key, self._released)
-        return self._adopt(key, shared=False)
+            return Bind(key, self._key if self._released else None)
+        return self._adopt(key)
 
     def take_no_owner(self, reason: Reason) -> Step:
         """Takes that no owner could be chosen or reached for a new key."""
@@ -177,9 +177,9 @@
         retry_after_s = RETRY_AFTER_S if reason is Reason.NO_TARGET else 0.0
         return Conclude(NotRun(reason, retry_after_s))
 
-    def take_bound(self, key: BoundKey, *, mine: bool) -> Step:
-        """Takes the claim in force after a write."""
-        return self._adopt(key, shared=not mine)
+    def take_bound(self, key: BoundKey) -> Step:
+        """Takes the claim in force after a write, whoever wrote it."""
+        return self._adopt(key)
 
     def take_store_failure(self) -> Step:
         """Takes that the claim could not be read or written."""
@@ -238,9 +238,10 @@
                 return Mint()
         return Conclude(verdict)
 
-    def _adopt(self, key: BoundKey, *, shared: bool) -> Step:
+    def _adopt(self, key: BoundKey) -> Step:
         self._key = key
-        self._shared = shared
+        # A claim is read by other entry nodes as soon as it is written.
+        self._shared = self._source is not KeySource.MINTED
         self._released = False
         self._copies = 0
         self._unanswered = 0
