--- a/src/guavawing/node/caller_response.py
+++ b/src/guavawing/node/caller_response.py
@@ -7,12 +7,14 @@
 from aiohttp import web
 
 from guavawing.node.call_headers import (
+    BOUND_KEY_HEADER,
     BUDGET_HEADER,
     CALL_ID_HEADER,
     REASON_HEADER,
     VERDICT_HEADER,
     strip_answer_headers,
 )
+from guavawing.node.mesh_client import MAX_EPOCH_AGE_S
 from guavawing.node.messages import Answer
 from guavawing.policy.bound_key import BoundKey
 from guavawing.policy.key_table import EPOCH_LENGTH_S
@@ -55,6 +57,8 @@
     ]
     if getattr(verdict, "budget_spent", False):
         headers.append((BUDGET_HEADER, "1"))
+    if answer.key:
+        headers.append((BOUND_KEY_HEADER, answer.key))
     if verdict.reason is Reason.SERVED:
         return web.Response(
             status=answer.status,
@@ -83,7 +87,7 @@
     """Returns the response that carries new keys."""
     tree = {
         "keys": [str(key) for key in keys],
-        "usable_s": EPOCH_LENGTH_S,
+        "usable_s": EPOCH_LENGTH_S - MAX_EPOCH_AGE_S,
     }
     return web.Response(
         headers={VERDICT_HEADER: "ran", REASON_HEADER: str(Reason.SERVED)},
--- a/src/guavawing/node/entry.py
+++ b/src/guavawing/node/entry.py
@@ -86,7 +86,7 @@
             async with asyncio.timeout_at(call.attempt.deadline):
                 answer = await router.route()
         except TimeoutError:
-            answer = Answer(router.verdict_at_deadline())
+            answer = router.answer_at_deadline()
         if getattr(answer.verdict, "budget_spent", False):
             self._owner.spent_calls.add(call.attempt.call_id)
         return answer
@@ -132,15 +132,23 @@
         """Returns up to `count` new keys, spread over the owners."""
         keys: list[BoundKey] = []
         excluded: set[MemberId] = set()
+        unreachable: set[MemberId] = set()
+        # Owners elsewhere may be cut off: they are asked for keys only if
+        # there is none here.
+        spill = self.choose(service, excluded, spill=False) is None
         while len(keys) < count:
-            member = self.choose(service, excluded, spill=True)
-            if member is None:
+            member = self.choose(service, excluded | unreachable, spill=spill)
+            if member is None and not excluded:
                 break
+            if member is None:
+                # Every owner has had its share; another round begins.
+                excluded.clear()
+                continue
             excluded.add(member.id)
-            share = min(count - len(keys), KEYS_PER_OWNER)
-            for _ in range(share):
+            for _ in range(min(count - len(keys), KEYS_PER_OWNER)):
                 key = await self.mint_key(member)
                 if key is None:
+                    unreachable.add(member.id)
                     break
                 keys.append(key)
         return keys
@@ -217,13 +225,14 @@
                 claims=entry.claims,
             )
 
-    def verdict_at_deadline(self) -> NotRun | MayHaveRun:
+    def answer_at_deadline(self) -> Answer:
         """Returns what is known when the deadline passes."""
         if self._keyed is not None:
-            return self._keyed.call.conclude_at_deadline()
+            verdict = self._keyed.call.conclude_at_deadline()
+            return self._keyed.add_key(Answer(verdict))
         if self._in_flight or self._uncertain is not None:
-            return MayHaveRun(Reason.DEADLINE_PASSED)
-        return NotRun(Reason.DEADLINE_PASSED)
+            return Answer(MayHaveRun(Reason.DEADLINE_PASSED))
+        return Answer(NotRun(Reason.DEADLINE_PASSED))
 
     async def route(self) -> Answer:
         """Makes attempts until one decides the call."""
@@ -297,7 +306,8 @@
             return Answer(attrs.evolve(self._uncertain, budget_spent=True))
         if isinstance(verdict, Ran) or verdict.budget_spent == budget_spent:
             return answer
-        return Answer(attrs.evolve(verdict, budget_spent=budget_spent))
+        verdict = attrs.evolve(verdict, budget_spent=budget_spent)
+        return attrs.evolve(answer, verdict=verdict)
 
     async def _attempt_once(self) -> Answer:
         if self._keyed is not None:
