Show membership under failure with driven machines and golden sessions

Change: a driver with its own clock, scenarios for death, freeze, lag, lost sends, drain, replacement, clocks that ran back, rolling restart, storm, rack, cut, lies, floods and joining; a property check of random sessions; a fuzz of the codec; three golden sessions.

--- a/bench/gossip_driver.py
+++ b/bench/gossip_driver.py
@@ -95,6 +95,7 @@
         loss: Share of the datagrams that is lost.
         duplicates: Share of the datagrams that comes twice.
         is_cut: Whether a datagram between two nodes is dropped.
+        largest: Bytes of the largest datagram, if bytes are counted.
         trace: Takes a line for each event; None for none.
     """
 
@@ -107,6 +108,7 @@
         self.duplicates = 0.0
         self.is_cut: Callable[[Node, Node], bool] = lambda _a, _b: False
         self.nodes: dict[str, Node] = {}
+        self.largest = 0
         self.trace: Callable[[str], None] | None = None
         self._period_s = period_s
         self._encoded = encoded
@@ -208,6 +210,7 @@
             datagram: bytes | Send = send
             if self._encoded:
                 datagram = encode_datagram(send.datagram)
+                self.largest = max(self.largest, len(datagram))
                 node.sent_bytes += HEADER_BYTES + len(datagram)
             node.sent += 1
             receiver = self._by_address.get(send.address)
--- a/src/guavawing/membership/detector.py
+++ b/src/guavawing/membership/detector.py
@@ -3,7 +3,7 @@
 import itertools
 import random
 
-from guavawing.membership.member import Member
+from guavawing.membership.member import Member, MemberState
 from guavawing.membership.message import Ack, Body, Nack, Ping, PingRequest
 from guavawing.membership.prober import Probe, ProbeOrder, RelayedProbe
 from guavawing.membership.roster import Roster
@@ -12,10 +12,15 @@
 __all__ = ["Detector"]
 
 HELPERS = 3
+# Suspects that a probe period tells at most of their suspicion.
+MAX_SUSPECTS_TOLD = 3
 # Shares of the probe period after which helpers are asked, and after which
 # a helper tells that it has no answer.
 INDIRECT_SHARE = 0.4
 NACK_SHARE = 0.3
+# Probe periods between two pings of members held dead.
+RETURN_PERIODS = 10.0
+JITTER = 0.25
 # Relayed probes at a time, against broken peers.
 MAX_RELAYED = 64
 MAX_FIRST_NUMBER = 2**31
@@ -38,13 +43,15 @@
         self._probe: Probe | None = None
         self._relayed: dict[int, RelayedProbe] = {}
         self._next_probe_at = 0.0
+        self._heard_at = 0.0
+        self._next_return_at = 0.0
 
     def tick(self, *, now: float) -> list[Outgoing]:
         """Takes the passing of time."""
         for member_id in self._roster.newcomers:
             self._order.insert(member_id)
         self._roster.newcomers.clear()
-        sends = self._send_nacks(now)
+        sends = self._send_nacks(now) + self._probe_stopped(now)
         probe = self._probe
         if probe is not None:
             if now >= probe.ends_at:
@@ -55,18 +62,15 @@
             sends += self._start_probe(now)
         return sends
 
+    def hear(self, *, now: float) -> None:
+        """Takes the fact that another member has sent something."""
+        self._heard_at = now
+
     def forget(self) -> None:
         """Drops every probe: this process has stalled."""
         self._probe = None
         self._relayed.clear()
 
-    def probe_stopped(self) -> list[Outgoing]:
-        """Pings a member held dead, which can then refute."""
-        stopped = self._roster.stopped()
-        if not stopped:
-            return []
-        return [self._ping(self._rng.choice(stopped), next(self._numbers))]
-
     def answer(self, ping: Ping, sender: MemberId) -> list[Outgoing]:
         """Takes a ping; one for another member is not answered."""
         if ping.subject != self._roster.me.id:
@@ -100,11 +104,26 @@
             self._roster.health.improve()
         return []
 
-    def take_nack(self, nack: Nack) -> None:
+    def take_nack(self, nack: Nack, sender: MemberId) -> None:
         """Takes a helper's word that it lives but has no answer."""
         probe = self._find_probe(nack.number, nack.subject)
         if probe is not None:
-            probe.nacks += 1
+            probe.nacks.add(sender)
+
+    def _probe_stopped(self, now: float) -> list[Outgoing]:
+        """Pings a member held dead now and then, which can then refute.
+
+        Without it the two parts of a healed cut, each of which holds the
+        other dead, would never speak again.
+        """
+        if now < self._next_return_at:
+            return []
+        share = self._rng.uniform(1 - JITTER, 1 + JITTER)
+        self._next_return_at = now + RETURN_PERIODS * share * self._period_s
+        stopped = self._roster.stopped()
+        if not stopped:
+            return []
+        return [self._ping(self._rng.choice(stopped), next(self._numbers))]
 
     def _find_probe(self, number: int, subject: MemberId) -> Probe | None:
         probe = self._probe
@@ -113,18 +132,28 @@
         return probe
 
     def _start_probe(self, now: float) -> list[Outgoing]:
-        running = (member.id for member in self._roster.running())
-        subject = self._order.pop(running)
-        member = self._roster.table.get(subject or "")
-        if member is None:
-            return []
+        """Pings the next member that is held alive.
+
+        Suspects on the way are told of the suspicion. They take no turn, so
+        that many of them at once don't keep further failures from notice.
+        """
         period_s = self._period_s * self._roster.health.factor
         self._next_probe_at = now + period_s
-        number = next(self._numbers)
-        self._probe = Probe(
-            member.id, number, now + INDIRECT_SHARE * period_s, now + period_s
-        )
-        return [self._ping(member, number)]
+        running = [member.id for member in self._roster.running()]
+        sends: list[Outgoing] = []
+        for _ in range(1 + MAX_SUSPECTS_TOLD):
+            member = self._roster.table.get(self._order.pop(running) or "")
+            if member is None:
+                break
+            number = next(self._numbers)
+            sends.append(self._ping(member, number))
+            if member.state is MemberState.ALIVE:
+                indirect_at = now + INDIRECT_SHARE * period_s
+                self._probe = Probe(
+                    member.id, number, indirect_at, now + period_s, now
+                )
+                break
+        return sends
 
     def _ping(self, member: Member, number: int) -> Outgoing:
         ping = Ping(number, member.id, self._roster.me.control)
@@ -132,9 +161,13 @@
 
     def _ask_helpers(self, probe: Probe) -> list[Outgoing]:
         subject = self._roster.table.get(probe.subject)
-        others = [m for m in self._roster.running() if m.id != probe.subject]
+        others = [
+            member
+            for member in self._roster.running()
+            if member.id != probe.subject and member.state is MemberState.ALIVE
+        ]
         helpers = self._rng.sample(others, min(HELPERS, len(others)))
-        probe.helpers = len(helpers)
+        probe.helpers = tuple(helper.id for helper in helpers)
         if subject is None:
             return []
         request = PingRequest(
@@ -148,17 +181,23 @@
     def _fail(self, probe: Probe, now: float) -> None:
         """Accuses the subject, or doubts this node.
 
-        If not even the helpers answered, the fault is more likely here. A
-        node that has doubted itself as far as it can does accuse: then it
-        may be the only one left.
+        If not even the helpers answered, though others do talk to this node,
+        what it sends is more likely lost than what the subject sends. Helpers
+        that are suspected by now owe no answer.
         """
         self._probe = None
-        health = self._roster.health
-        helpers = probe.helpers or 0
-        in_doubt = helpers > 1 and probe.nacks == 0 and not health.is_worst
-        health.worsen(max(0, helpers - probe.nacks) if helpers else 1)
-        if not in_doubt:
-            self._roster.accuse(probe.subject, now=now)
+        asked = probe.helpers or ()
+        owing = [helper for helper in asked if self._is_held_alive(helper)]
+        silent = [helper for helper in owing if helper not in probe.nacks]
+        self._roster.health.worsen(len(silent) if asked else 1)
+        unheard = len(owing) > 1 and len(silent) == len(owing)
+        if unheard and self._heard_at > probe.started_at:
+            return
+        self._roster.accuse(probe.subject, now=now)
+
+    def _is_held_alive(self, member_id: MemberId) -> bool:
+        member = self._roster.table.get(member_id)
+        return member is not None and member.state is MemberState.ALIVE
 
     def _send_nacks(self, now: float) -> list[Outgoing]:
         sends: list[Outgoing] = []
--- a/src/guavawing/membership/exchange.py
+++ b/src/guavawing/membership/exchange.py
@@ -32,6 +32,9 @@
 MAX_JOIN_RETRY_S = 8.0
 JOIN_CONTACTS = 2
 PAGE_TIMEOUT_S = 1.0
+# A member that joins hears little of others that join at the same time, so
+# its first repairs follow soon.
+FIRST_REPAIR_S = 2.0
 REPAIR_PERIOD_S = 30.0
 SUMMARY_PERIOD_S = 10.0
 # Age of a summary from which members tell each other of a fresh one.
@@ -96,6 +99,7 @@
         self._fresh_at: dict[str, float] = {}
         self._due_at: dict[str, float] = {}
         self._join_retry_s = JOIN_RETRY_S
+        self._repair_s = FIRST_REPAIR_S
         self._pages_left = PAGE_BURST
         self._refilled_at = 0.0
         self.joined = False
@@ -150,6 +154,13 @@
         self._readings.clear()
         self._due_at.clear()
 
+    def read_from(self, address: Address, *, now: float) -> list[SyncSend]:
+        """Compares states with a member that was held dead and is not."""
+        here = self._roster.me.data_centre
+        if here in self._readings:
+            return []
+        return [self._open(here, address, now, whole=False)]
+
     def answer(self, request: SyncRequest, *, now: float) -> list[SyncSend]:
         """Takes a request; it gets no answer above the bounded rate."""
         if not self._take_page_token(now):
@@ -209,7 +220,8 @@
         here = self._roster.me.data_centre
         if not self.joined:
             return self._join(now)
-        self._due_at[here] = now + self._delay(REPAIR_PERIOD_S)
+        self._due_at[here] = now + self._delay(self._repair_s)
+        self._repair_s = min(2 * self._repair_s, REPAIR_PERIOD_S)
         running = self._roster.running()
         addresses = [m.control for m in running]
         # All members together call on a seed now and then, which mends a
@@ -246,10 +258,9 @@
         return [self._open(data_centre, address, now, whole=whole)]
 
     def _read_back(self, request: SyncRequest, now: float) -> list[SyncSend]:
-        here = self._roster.me.data_centre
-        if request.data_centre != here or here in self._readings:
+        if request.data_centre != self._roster.me.data_centre:
             return []
-        return [self._open(here, request.reply_to, now, whole=False)]
+        return self.read_from(request.reply_to, now=now)
 
     def _open(
         self, data_centre: str, address: Address, now: float, *, whole: bool
@@ -278,7 +289,6 @@
         here = self._roster.me.data_centre
         if data_centre == here:
             self.joined = True
-            self._due_at[here] = now + self._delay(REPAIR_PERIOD_S)
             return
         age = self.find_age(data_centre, now=now)
         self._fresh_at[data_centre] = now
--- a/src/guavawing/membership/gossip.py
+++ b/src/guavawing/membership/gossip.py
@@ -125,10 +125,7 @@
             return self._push_to_some(FANOUT) if self._has_news() else []
         self._roster.expire(now=now)
         sends = self._pack(self._detector.tick(now=now))
-        reads = self._exchange.tick(now=now)
-        if any(read.body.data_centre == self.me.data_centre for read in reads):
-            sends += self._pack(self._detector.probe_stopped())
-        sends += self._pack_reads(reads)
+        sends += self._pack_reads(self._exchange.tick(now=now))
         if self._has_news():
             sends += self._push_to_some(FANOUT)
         return sends + self._report()
@@ -138,12 +135,42 @@
         self._observe(now)
         if datagram.sender == self.me.id:
             return []
+        self._detector.hear(now=now)
+        stopped = self._is_held_dead(datagram.sender)
         self._take_updates(datagram, now)
         if self.me.state is MemberState.LEFT:
             return []
         sends = self._take_body(datagram, now)
+        if stopped and not self._is_held_dead(datagram.sender):
+            sends += self._meet_again(datagram.sender, now)
         return sends
 
+    def _is_held_dead(self, member_id: MemberId) -> bool:
+        member = self.table.get(member_id)
+        return member is not None and member.state is MemberState.DEAD
+
+    def _meet_again(self, member_id: MemberId, now: float) -> list[Send]:
+        """Takes the return of a member, maybe with all on its side."""
+        member = self.table.get(member_id)
+        if member is None or member.data_centre != self.me.data_centre:
+            return []
+        reads = self._exchange.read_from(member.control, now=now)
+        return self._pack_reads(reads)
+
+    def _tell_accused(self, records: Iterable[Member]) -> list[Send]:
+        """Tells members that the sender holds alive what is held here.
+
+        Only they can refute it, and nobody on their side of a cut may know.
+        """
+        accused = []
+        for record in records:
+            known = self.table.get(record.id)
+            if known is None or known.version() != record.version():
+                continue
+            if known.state is MemberState.DEAD:
+                accused.append((known.control, known.id, Push()))
+        return self._pack(accused)
+
     def _take_updates(self, datagram: Datagram, now: float) -> None:
         # A joiner reads what the others know already.
         joining = not self.joined and isinstance(datagram.body, SyncPage)
@@ -166,7 +193,7 @@
             case Ack() as ack:
                 return self._pack(self._detector.take_ack(ack))
             case Nack() as nack:
-                self._detector.take_nack(nack)
+                self._detector.take_nack(nack, sender)
                 return []
             case SyncRequest() as request:
                 answers = self._exchange.answer(request, now=now)
@@ -185,7 +212,7 @@
         seen = [record.id for record in datagram.records]
         seen += [claim.subject for claim in datagram.claims]
         reads = self._exchange.take_page(page, member, seen, now=now)
-        return self._pack_reads(reads)
+        return self._pack_reads(reads) + self._tell_accused(datagram.records)
 
     def _observe(self, now: float) -> None:
         """Compares the time with the last event to find a late process."""
@@ -208,8 +235,14 @@
         return [name for name in self.table.data_centres() if name != here]
 
     def _push_to_some(self, count: int) -> list[Send]:
-        running = self._roster.running()
-        chosen = self._rng.sample(running, min(count, len(running)))
+        # Suspects hear of their suspicion with pings. Copies for them would
+        # be lost to the others if many have stopped at once.
+        trusted = [
+            member
+            for member in self._roster.running()
+            if member.state is MemberState.ALIVE
+        ]
+        chosen = self._rng.sample(trusted, min(count, len(trusted)))
         return self._pack(
             [(member.control, member.id, Push()) for member in chosen]
         )
@@ -259,7 +292,8 @@
             updates.append(claim)
             room -= estimate_bytes(claim)
         members = len(self._roster.running()) + 1
-        updates += self._roster.rumours.take(max_bytes=room, members=members)
+        news = self._roster.rumours.take(max_bytes=room, members=members)
+        updates += [update for update in news if update != claim]
         return self._make_datagram(body, updates)
 
     def _pack_reads(self, reads: Iterable[SyncSend]) -> list[Send]:
--- a/src/guavawing/membership/health.py
+++ b/src/guavawing/membership/health.py
@@ -29,11 +29,6 @@
         """What the probe period and its timeouts are multiplied by."""
         return self._score + 1
 
-    @property
-    def is_worst(self) -> bool:
-        """Whether the score is at its highest."""
-        return self._score == MAX_SCORE
-
     def worsen(self, points: int) -> None:
         """Takes signs that this member is slow."""
         self._score = min(MAX_SCORE, self._score + points)
--- a/src/guavawing/membership/prober.py
+++ b/src/guavawing/membership/prober.py
@@ -19,6 +19,7 @@
         number: Number of the probe.
         indirect_at: When helpers are asked.
         ends_at: When the probe has failed.
+        started_at: When it started.
         helpers: Helpers that were asked; None before.
         nacks: Helpers that answered without the subject's answer.
     """
@@ -27,8 +28,9 @@
     number: int
     indirect_at: float
     ends_at: float
-    helpers: int | None = None
-    nacks: int = 0
+    started_at: float
+    helpers: tuple[MemberId, ...] | None = None
+    nacks: set[MemberId] = attrs.field(factory=set)
 
 
 @attrs.define
--- a/src/guavawing/membership/rumours.py
+++ b/src/guavawing/membership/rumours.py
@@ -10,7 +10,7 @@
 
 __all__ = ["RumourQueue", "Update"]
 
-RETRANSMIT_MULTIPLIER = 4
+RETRANSMIT_MULTIPLIER = 6
 
 Update = Member | Claim | SummaryAge
 
--- a/src/guavawing/node/settings.py
+++ b/src/guavawing/node/settings.py
@@ -85,7 +85,7 @@
     ):
         raise InvalidArgumentError(
             f"got {text!r}, expected 1 to {MAX_NAME_LENGTH} ASCII letters,"
-            " '-', '_' or '.'"
+            " digits, '-', '_' or '.'"
         )
     return text
 
--- /dev/null
+++ b/tests/cover/membership.feature
@@ -0,0 +1,133 @@
+Feature: Members agree on who lives, whatever stops, stalls or is cut
+
+  The machines run with a clock of their own; times are on that clock.
+
+  Scenario Outline: A killed member is avoided by all, and nobody else is
+    Given <count> members of one data centre
+    When "desk-bergen-1" is killed
+    Then within <seconds> s all avoid "desk-bergen-1"
+    And within 60 s all hold "desk-bergen-1" dead
+    And nobody else is held suspect or dead
+
+    Examples:
+      | count | seconds |
+      | 3     | 6       |
+      | 12    | 6       |
+      | 60    | 8       |
+
+  Scenario Outline: A member that was frozen accuses nobody when it wakes
+    Given <count> members of one data centre
+    When "desk-bergen-1" is frozen for <seconds> s
+    And 1 s pass
+    Then "desk-bergen-1" holds nobody suspect or dead
+    And within 5 s everybody is held alive again by all
+
+    Examples:
+      | count | seconds |
+      | 12    | 3       |
+      | 12    | 40      |
+      | 12    | 400     |
+
+  Scenario Outline: Slow members doubt themselves before they accuse others
+    Given 24 members of one data centre
+    When <slow> members handle every event <lag> s late
+    And 60 s pass
+    Then no member that is on time was held dead
+
+    Examples:
+      | slow | lag |
+      | 4    | 0.8 |
+      | 8    | 3   |
+
+  Scenario: A member whose sends alone are lost is no judge of the others
+    Given 24 members of one data centre
+    When datagrams from "desk-bergen-1" are lost
+    And 60 s pass
+    Then no other member than "desk-bergen-1" was held dead
+
+  Scenario Outline: A draining target gets no new work after 3 s
+    Given <count> members in each of <centres> data centres
+    When the target of "desk-bergen-1" starts to drain
+    Then within 3 s nobody offers "desk-bergen-1" to callers
+
+    Examples:
+      | count | centres |
+      | 3     | 1       |
+      | 60    | 1       |
+      | 3     | 3       |
+      | 24    | 4       |
+
+  Scenario: A replacement under the same address and id is taken at once
+    Given 12 members of one data centre
+    When "desk-bergen-1" is killed
+    And "desk-bergen-1" starts again with incarnation 5
+    Then within 5 s all know "desk-bergen-1" alive with incarnation 5
+
+  Scenario: A wall clock that ran backwards does not keep a member out
+    Given 12 members of one data centre
+    When "desk-bergen-1" starts again with incarnation 900
+    And 5 s pass
+    And "desk-bergen-1" is killed
+    And 60 s pass
+    And "desk-bergen-1" starts again with incarnation 7
+    Then within 5 s all know "desk-bergen-1" alive with incarnation 901
+
+  Scenario: A rolling restart of all ends with all
+    Given 12 members of one data centre
+    When all members restart one after the other, 3 s apart
+    Then within 5 s everybody is held alive again by all
+
+  Scenario: Half of the members are killed at once and come back in a storm
+    Given 48 members of one data centre
+    When half of the members are killed
+    Then within 19 s all avoid the killed ones
+    When the killed ones start again
+    Then within 9 s everybody is held alive again by all
+
+  Scenario: A rack that is cut off comes back without an operator
+    Given 24 members of one data centre
+    When 6 members are cut off from the others for 120 s
+    Then within 19 s everybody is held alive again by all
+
+  Scenario: A cut between data centres leaves summaries with their age
+    Given 6 members in each of 3 data centres
+    When "bergen" is cut from the other data centres for 400 s
+    Then the members of "bergen" still offer targets of "voss"
+    And their summary of "voss" is 400 s old
+    When the target of "desk-voss-1" has left during the cut
+    Then within 19 s nobody offers "desk-voss-1" to callers
+    And within 19 s the summary of "voss" is fresh in "bergen"
+
+  Scenario: Lies about a member are refuted
+    Given 12 members of one data centre
+    When a broken peer says of "desk-bergen-1" what is not true
+    Then within 5 s everybody is held alive again by all
+    And "desk-bergen-1" is known to all as it is
+
+  Scenario: A peer can't fill the table
+    Given 3 members of one data centre
+    When a broken peer tells of 25000 members to "desk-bergen-1"
+    Then "desk-bergen-1" knows at most 20000 members
+
+  Scenario: A peer can't flood the socket
+    When a peer sends 10000 datagrams in a second
+    Then at most 300 are read, and those of another peer still are
+
+  Scenario: A large data centre is told whole in bounded datagrams
+    Given 400 members of one data centre that know each other
+    When "desk-bergen-9999" joins
+    Then within 10 s "desk-bergen-9999" knows 401 members
+    And no datagram was larger than 1400 bytes
+
+  Scenario: Views never fall back and agree in the end, whatever is delivered
+    Then 60 random sessions with losses, duplicates, cuts and restarts hold
+
+  @golden
+  Scenario Outline: A whole session reads as its golden file
+    Then the session "<session>" equals its golden file
+
+    Examples:
+      | session                  |
+      | membership-join          |
+      | membership-refutation    |
+      | membership-freeze-return |
--- /dev/null
+++ b/tests/steps/datagram_steps.py
@@ -0,0 +1,180 @@
+"""Steps that check the codec of membership datagrams."""
+
+import attrs
+from behave import then
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from bench.gossip_driver import make_member
+from guavawing.errors import MessageInvalidError
+from guavawing.membership import (
+    MAX_DATAGRAM_BYTES,
+    MAX_INCARNATION,
+    MAX_SEQUENCE,
+    Ack,
+    Claim,
+    Datagram,
+    MemberState,
+    Nack,
+    Notice,
+    Ping,
+    PingRequest,
+    Push,
+    SummaryAge,
+    SyncPage,
+    SyncRequest,
+)
+from guavawing.model import Address
+from guavawing.node.datagrams import decode_datagram, encode_datagram
+from guavawing.proto import gossip_pb2 as pb
+
+FIXED = settings(derandomize=True, database=None, deadline=None)
+
+names = st.text("abz09-_.", min_size=1, max_size=64)
+numbers = st.integers(0, 2**32 - 1)
+addresses = st.builds(
+    Address,
+    st.ip_addresses().map(str),
+    st.integers(1, 65_535),
+)
+digests = st.lists(numbers, min_size=64, max_size=64).map(tuple)
+versions = {
+    "incarnation": st.integers(0, MAX_INCARNATION),
+    "sequence": st.integers(0, MAX_SEQUENCE),
+}
+records = st.builds(
+    lambda member, **changes: attrs.evolve(member, **changes),
+    st.just(make_member("desk-bergen-1", 1)),
+    id=names,
+    state=st.sampled_from((MemberState.ALIVE, MemberState.LEFT)),
+    service=names,
+    mesh=addresses,
+    serving=st.booleans(),
+    **versions,
+)
+claims = st.builds(
+    Claim,
+    subject=names,
+    state=st.sampled_from(list(MemberState)[1:]),
+    accuser=names,
+    **versions,
+)
+bodies = st.one_of(
+    st.builds(Ping, numbers, names, addresses),
+    st.builds(PingRequest, numbers, names, addresses, addresses),
+    st.builds(Ack, numbers, names),
+    st.builds(Nack, numbers, names),
+    st.just(Push()),
+    st.builds(SyncRequest, names, numbers, st.just(()) | digests, addresses),
+    st.builds(SyncPage, names, numbers),
+)
+datagrams = st.builds(
+    Datagram,
+    names,
+    bodies,
+    st.builds(
+        Notice, st.integers(1, 2**53), st.binary(min_size=32, max_size=32)
+    ),
+    st.lists(records, max_size=2).map(tuple),
+    st.lists(claims, max_size=2).map(tuple),
+    st.lists(
+        st.builds(SummaryAge, names, st.integers(0, 2**40)), max_size=2
+    ).map(tuple),
+)
+
+
+@then("{count:d} random datagrams read as they were written")
+def step_round_trip(context, count):
+    @settings(FIXED, max_examples=count)
+    @for_all(datagrams)
+    def check(datagram):
+        payload = encode_datagram(datagram)
+        assert len(payload) <= MAX_DATAGRAM_BYTES, len(payload)
+        assert decode_datagram(payload) == datagram
+
+    check()
+
+
+@then("{count:d} random payloads raise nothing but MessageInvalidError")
+def step_fuzz(context, count):
+    damaged = st.builds(
+        damage,
+        datagrams.map(encode_datagram),
+        st.lists(st.tuples(st.integers(0, 2**16), st.integers(0, 255))),
+        st.integers(0, 2**16),
+    )
+
+    @settings(FIXED, max_examples=count)
+    @for_all(st.one_of(st.binary(max_size=1_500), damaged))
+    def check(payload):
+        try:
+            decode_datagram(payload)
+        except MessageInvalidError:
+            return
+
+    check()
+
+
+def damage(payload, changes, cut):
+    damaged = bytearray(payload)
+    for place, value in changes:
+        damaged[place % len(damaged)] = value
+    return bytes(damaged[: cut % (len(damaged) + 1) or None])
+
+
+def make_message():
+    member = make_member("desk-bergen-1", 1)
+    claim = Claim("desk-bergen-2", 1, 1, MemberState.DEAD, "desk-bergen-3")
+    notice = Notice(1, bytes(32))
+    datagram = Datagram("desk-bergen-1", Push(), notice, (member,), (claim,))
+    return pb.GossipDatagram.FromString(encode_datagram(datagram))
+
+
+@then("a datagram with {fault} is refused")
+def step_refused(context, fault):
+    message = make_message()
+    record, claim = message.records[0], message.claims[0]
+    decode_datagram(message.SerializeToString())
+    match fault:
+        case "a record held suspect":
+            record.state = MemberState.SUSPECT
+        case "a claim of life":
+            claim.state = MemberState.ALIVE
+        case "an unknown state":
+            claim.state = 77
+        case "too high an incarnation":
+            record.incarnation = MAX_INCARNATION + 1
+        case "too high a sequence":
+            claim.sequence = MAX_SEQUENCE + 1
+        case "a name with blanks":
+            record.service = "two words"
+        case "an empty sender":
+            message.sender = ""
+        case "too long a name":
+            claim.accuser = "x" * 65
+        case "a short address":
+            record.mesh = b"\x0a\x00"
+        case "port 0":
+            record.control = bytes(6)
+        case "a short digest":
+            message.version.digest = bytes(31)
+        case "three bucket digests":
+            message.sync_request.data_centre = "bergen"
+            message.sync_request.digests.extend((1, 2, 3))
+            message.sync_request.reply_to = record.mesh
+        case "no body":
+            message.ClearField("body")
+        case "too many updates":
+            message.ages.extend(
+                pb.SummaryAge(data_centre="x") for _ in range(129)
+            )
+        case "too many bytes":
+            message.claims.extend([claim] * 40)
+        case _:
+            raise AssertionError(fault)
+    try:
+        decode_datagram(message.SerializeToString())
+    except MessageInvalidError:
+        return
+    raise AssertionError("the datagram was read")
--- /dev/null
+++ b/tests/steps/membership_steps.py
@@ -0,0 +1,522 @@
+"""Steps that drive membership machines with a clock of their own."""
+
+import attrs
+from behave import given, then, when
+from hypothesis import Phase, settings
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+
+from bench.gossip_driver import GossipDriver, make_member
+from guavawing.membership import (
+    Claim,
+    Datagram,
+    MemberState,
+    Notice,
+    PeerLimiter,
+    Push,
+)
+from guavawing.model import Address
+from tests.golden_files import check_golden
+
+CENTRES = ("bergen", "voss", "floro", "odda")
+STEP_S = 0.25
+SETTLE_S = 15.0
+NO_NOTICE = Notice(0, b"")
+FIXED = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    phases=(Phase.generate,),
+)
+
+
+class Drive:
+    """A driver that records every death and every step backwards."""
+
+    def __init__(self, counts, seed=7, encoded=False):
+        self.driver = GossipDriver(seed, encoded=encoded)
+        self.deaths = set()
+        self.fallen = []
+        self.killed = []
+        self._versions = {}
+        number = 0
+        for centre, count in counts.items():
+            for copy in range(1, count + 1):
+                number += 1
+                member = make_member(
+                    f"desk-{centre}-{copy}", number, data_centre=centre
+                )
+                self.driver.add(member, self.seeds())
+
+    def seeds(self):
+        members = [n.gossip.me for n in self.driver.nodes.values()]
+        return [member.control for member in members[:3]]
+
+    def node(self, name):
+        return self.driver.nodes[name]
+
+    def live(self, centre=""):
+        return [
+            node
+            for node in self.driver.nodes.values()
+            if node.up
+            and not node.paused
+            and centre in node.gossip.me.data_centre
+        ]
+
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            self.driver.run(STEP_S)
+            self.observe()
+
+    def observe(self):
+        for node in self.live():
+            for member in node.gossip.table:
+                key = (node, member.id)
+                last = self._versions.get(key, member.precedence())
+                if member.precedence() < last:
+                    self.fallen.append((node.id, member, last))
+                self._versions[key] = member.precedence()
+                if member.state is MemberState.DEAD:
+                    self.deaths.add(member.id)
+
+    def within(self, seconds, holds):
+        for _ in range(round(seconds / STEP_S)):
+            if holds():
+                return
+            self.run(STEP_S)
+        assert holds(), self.describe()
+
+    def describe(self):
+        lines = [
+            f"{node.id}: {member.id} {member.state.name} {member.version()}"
+            for node in self.live()
+            for member in node.gossip.table
+            if member.state is not MemberState.ALIVE
+        ] + [f"{n.id} knows {len(n.gossip.table)}" for n in self.live()]
+        return lines[:20]
+
+    def restart(self, name, incarnation=None):
+        me = self.node(name).gossip.me
+        member = attrs.evolve(
+            me,
+            incarnation=incarnation or me.incarnation + 1,
+            sequence=0,
+            state=MemberState.ALIVE,
+        )
+        seeds = [n.gossip.me.control for n in self.live() if n.id != name]
+        self.driver.add(member, seeds[:3])
+
+    def freeze(self, name, seconds):
+        node = self.node(name)
+        node.paused = True
+        self.run(seconds)
+        self.driver.resume(node)
+
+    def knows_alive(self, member):
+        """Whether all of its data centre hold a member's own record."""
+        here = self.live(member.data_centre)
+        return all(n.gossip.table.get(member.id) == member for n in here)
+
+    def all_alive(self):
+        return all(self.knows_alive(node.gossip.me) for node in self.live())
+
+    def offers(self, name, centre=""):
+        return [
+            node.id
+            for node in self.live(centre)
+            if node.id != name
+            and name in {m.id for m in node.gossip.table.serving("desk")}
+        ]
+
+
+@given("{count:d} members of one data centre")
+def step_members(context, count):
+    context.drive = Drive({"bergen": count})
+    context.drive.run(SETTLE_S)
+
+
+@given("{count:d} members of one data centre that know each other")
+def step_acquainted(context, count):
+    context.drive = Drive({"bergen": count}, encoded=True)
+    context.drive.driver.connect_all()
+
+
+@given("{count:d} members in each of {centres:d} data centres")
+def step_centres(context, count, centres):
+    context.drive = Drive(dict.fromkeys(CENTRES[:centres], count))
+    context.drive.run(2 * SETTLE_S)
+
+
+@when('"{name}" is killed')
+def step_kill(context, name):
+    context.drive.driver.kill(context.drive.node(name))
+
+
+@when("half of the members are killed")
+def step_kill_half(context):
+    drive = context.drive
+    drive.killed = list(drive.driver.nodes)[1::2]
+    for name in drive.killed:
+        drive.driver.kill(drive.node(name))
+
+
+@when("the killed ones start again")
+def step_storm(context):
+    for name in context.drive.killed:
+        context.drive.restart(name)
+
+
+@when('"{name}" is frozen for {seconds:g} s')
+def step_freeze(context, name, seconds):
+    context.drive.freeze(name, seconds)
+
+
+@when("{seconds:g} s pass")
+def step_pass(context, seconds):
+    context.drive.run(seconds)
+
+
+@when("{count:d} members handle every event {lag:g} s late")
+def step_lag(context, count, lag):
+    context.slow = list(context.drive.driver.nodes)[:count]
+    for name in context.slow:
+        context.drive.node(name).lag_s = lag
+
+
+@when('datagrams from "{name}" are lost')
+def step_mute(context, name):
+    context.drive.driver.is_cut = lambda sender, _: sender.id == name
+
+
+@when("{count:d} members are cut off from the others for {seconds:g} s")
+def step_cut_rack(context, count, seconds):
+    driver = context.drive.driver
+    rack = set(list(driver.nodes)[:count])
+    driver.is_cut = lambda a, b: (a.id in rack) != (b.id in rack)
+    context.drive.run(seconds)
+    driver.is_cut = lambda a, b: False
+
+
+@when('"{centre}" is cut from the other data centres for {seconds:g} s')
+def step_cut_centre(context, centre, seconds):
+    drive = context.drive
+    names = {node.id for node in drive.live(centre)}
+    drive.driver.is_cut = lambda a, b: (a.id in names) != (b.id in names)
+    drive.run(seconds)
+
+
+@when('the target of "{name}" has left during the cut')
+def step_left(context, name):
+    drive = context.drive
+    node = drive.node(name)
+    drive.driver.call(node, node.gossip.leave())
+    drive.run(2)
+    drive.driver.kill(node)
+    drive.run(320)
+    drive.driver.is_cut = lambda a, b: False
+
+
+@when('the target of "{name}" starts to drain')
+def step_drain(context, name):
+    node = context.drive.node(name)
+    node.gossip.set_target(serving=False, slots=10)
+    context.drive.driver.call(node, node.gossip.announce())
+
+
+@when('"{name}" starts again with incarnation {incarnation:d}')
+def step_restart(context, name, incarnation):
+    context.drive.restart(name, incarnation)
+
+
+@when("all members restart one after the other, {seconds:g} s apart")
+def step_roll(context, seconds):
+    for name in list(context.drive.driver.nodes):
+        node = context.drive.node(name)
+        context.drive.driver.call(node, node.gossip.leave())
+        context.drive.restart(name)
+        context.drive.run(seconds)
+
+
+@when('"{name}" joins')
+def step_join(context, name):
+    member = make_member(name, 9_999)
+    context.drive.driver.add(member, context.drive.seeds())
+
+
+@when('a broken peer says of "{name}" what is not true')
+def step_lie(context, name):
+    drive = context.drive
+    me = drive.node(name).gossip.me
+    moved = attrs.evolve(
+        me, incarnation=me.incarnation + 9, mesh=Address("10.9.9.9", 1)
+    )
+    lies = [Push()] * 2
+    records = (moved, attrs.evolve(me, sequence=me.sequence + 5, slots=0))
+    claims = tuple(
+        Claim(name, me.incarnation, me.sequence + extra, state, "liar")
+        for extra, state in enumerate(
+            (MemberState.SUSPECT, MemberState.DEAD, MemberState.LEFT)
+        )
+    )
+    for node in drive.live()[3:6]:
+        for body in lies:
+            datagram = Datagram("liar", body, NO_NOTICE, records, claims)
+            sends = node.gossip.receive(datagram, now=drive.driver.now)
+            drive.driver.call(node, sends)
+    drive.run(1)
+
+
+@when('a broken peer tells of {count:d} members to "{name}"')
+def step_fill(context, count, name):
+    gossip = context.drive.node(name).gossip
+    for number in range(count):
+        record = make_member(f"x{number}", number)
+        datagram = Datagram("liar", Push(), NO_NOTICE, (record,))
+        gossip.receive(datagram, now=context.drive.driver.now)
+
+
+@when("a peer sends {count:d} datagrams in a second")
+def step_flood(context, count):
+    limiter = PeerLimiter(now=0.0)
+    flood, other = Address("10.0.0.1", 1), Address("10.0.0.2", 1)
+    context.read = sum(
+        limiter.admit(flood, now=number / count) for number in range(count)
+    )
+    context.other_read = limiter.admit(other, now=1.0)
+
+
+@then("at most {count:d} are read, and those of another peer still are")
+def step_flood_bounded(context, count):
+    assert context.read <= count, context.read
+    assert context.other_read
+
+
+@then('within {seconds:g} s all avoid "{name}"')
+def step_avoid(context, seconds, name):
+    context.drive.within(seconds, lambda: not context.drive.offers(name))
+
+
+@then("within {seconds:g} s all avoid the killed ones")
+def step_avoid_killed(context, seconds):
+    drive = context.drive
+    drive.within(seconds, lambda: not any(map(drive.offers, drive.killed)))
+
+
+@then('within {seconds:g} s nobody offers "{name}" to callers')
+def step_no_offer(context, seconds, name):
+    context.drive.within(seconds, lambda: not context.drive.offers(name))
+
+
+@then('within {seconds:g} s all hold "{name}" dead')
+def step_dead(context, seconds, name):
+    drive = context.drive
+    drive.within(
+        seconds,
+        lambda: all(
+            n.gossip.table.get(name).state is MemberState.DEAD
+            for n in drive.live()
+        ),
+    )
+
+
+@then("nobody else is held suspect or dead")
+def step_nobody_else(context):
+    for node in context.drive.live():
+        assert context.drive.knows_alive(node.gossip.me), node.id
+
+
+@then('"{name}" holds nobody suspect or dead')
+def step_holds_nobody(context, name):
+    states = {m.state for m in context.drive.node(name).gossip.table}
+    assert states == {MemberState.ALIVE}, context.drive.describe()
+
+
+@then("within {seconds:g} s everybody is held alive again by all")
+def step_all_alive(context, seconds):
+    context.drive.within(seconds, context.drive.all_alive)
+
+
+@then("no member that is on time was held dead")
+def step_on_time(context):
+    wrong = context.drive.deaths - set(context.slow)
+    assert not wrong, wrong
+
+
+@then('no other member than "{name}" was held dead')
+def step_only_mute(context, name):
+    assert context.drive.deaths <= {name}, context.drive.deaths
+
+
+@then('within {seconds:g} s all know "{name}" alive with incarnation {n:d}')
+def step_incarnation(context, seconds, name, n):
+    drive = context.drive
+    drive.within(
+        seconds,
+        lambda: (
+            drive.node(name).gossip.me.incarnation == n
+            and drive.knows_alive(drive.node(name).gossip.me)
+        ),
+    )
+
+
+@then('"{name}" is known to all as it is')
+def step_as_it_is(context, name):
+    me = context.drive.node(name).gossip.me
+    assert me.slots == 10 and me.state is MemberState.ALIVE
+    assert me.mesh != Address("10.9.9.9", 1)
+    assert context.drive.knows_alive(me)
+
+
+@then('"{name}" knows at most {count:d} members')
+def step_at_most(context, name, count):
+    assert len(context.drive.node(name).gossip.table) <= count
+
+
+@then('within {seconds:g} s "{name}" knows {count:d} members')
+def step_knows(context, seconds, name, count):
+    table = context.drive.node(name).gossip.table
+    driver = context.drive.driver
+    took = driver.run_until(
+        lambda: len(table) == count, timeout_s=seconds, step_s=STEP_S
+    )
+    assert took is not None, len(table)
+
+
+@then("no datagram was larger than {size:d} bytes")
+def step_bounded(context, size):
+    assert context.drive.driver.largest <= size
+
+
+@then('the members of "{centre}" still offer targets of "{other}"')
+def step_still_offer(context, centre, other):
+    for node in context.drive.live(centre):
+        offered = node.gossip.table.serving("desk")
+        assert sum(m.data_centre == other for m in offered) == 6, node.id
+
+
+def find_ages(context, centre, other):
+    now = context.drive.driver.now
+    return [
+        node.gossip.summary_age(other, now=now)
+        for node in context.drive.live(centre)
+    ]
+
+
+@then('their summary of "{other}" is {seconds:d} s old')
+def step_old(context, other, seconds):
+    ages = find_ages(context, "bergen", other)
+    # Members other than the reporters hear of a fresh summary each minute.
+    for age in ages:
+        assert age is not None and seconds - 15 <= age <= seconds + 75, ages
+
+
+@then('within {seconds:g} s the summary of "{other}" is fresh in "{centre}"')
+def step_fresh(context, seconds, other, centre):
+    context.drive.within(
+        seconds,
+        lambda: max(find_ages(context, centre, other)) <= seconds,
+    )
+
+
+ACTIONS = st.sampled_from(
+    ("kill", "restart", "freeze", "wake", "cut", "heal", "drain", "wait")
+)
+SESSIONS = st.lists(
+    st.tuples(ACTIONS, st.integers(0, 4), st.integers(1, 12)), max_size=14
+)
+
+
+def play(drive, action, name):
+    driver, node = drive.driver, drive.node(name)
+    match action:
+        case "kill":
+            driver.kill(node)
+        case "restart":
+            drive.restart(name)
+        case "freeze":
+            node.paused = True
+        case "wake" if node.paused and node.up:
+            driver.resume(node)
+        case "cut":
+            driver.is_cut = lambda a, b: (a.id == name) != (b.id == name)
+        case "heal":
+            driver.is_cut = lambda a, b: False
+        case "drain" if node.up and not node.paused:
+            node.gossip.set_target(serving=False, slots=1)
+
+
+@then(
+    "{count:d} random sessions with losses, duplicates, cuts and restarts hold"
+)
+def step_random(context, count):
+    @settings(FIXED, max_examples=count)
+    @for_all(SESSIONS, st.integers(0, 2**32), st.sampled_from((0.0, 0.1, 0.3)))
+    def check(session, seed, loss):
+        drive = Drive({"bergen": 3, "voss": 2}, seed)
+        drive.driver.loss, drive.driver.duplicates = loss, loss
+        drive.run(5)
+        names = list(drive.driver.nodes)
+        for action, number, seconds in session:
+            play(drive, action, names[number])
+            drive.run(seconds)
+        for name in names:
+            play(drive, "wake", name)
+            if not drive.node(name).up:
+                drive.restart(name)
+        play(drive, "heal", names[0])
+        drive.driver.loss = 0.0
+        drive.within(60, drive.all_alive)
+        assert not drive.fallen, drive.fallen
+
+    check()
+
+
+def play_join(drive):
+    drive.driver.add(make_member("desk-bergen-4", 4), drive.seeds())
+    drive.run(1.5)
+
+
+def play_refutation(drive):
+    alone = "desk-bergen-2"
+    drive.driver.is_cut = lambda a, b: (a.id == alone) != (b.id == alone)
+    drive.run(20)
+    drive.driver.is_cut = lambda a, b: False
+    drive.run(10)
+
+
+def play_freeze_return(drive):
+    drive.freeze("desk-bergen-2", 20)
+    drive.run(10)
+
+
+SESSION_PLAYS = {
+    "membership-join": play_join,
+    "membership-refutation": play_refutation,
+    "membership-freeze-return": play_freeze_return,
+}
+
+
+@then('the session "{name}" equals its golden file')
+def step_golden(context, name):
+    drive = Drive({"bergen": 3}, seed=1)
+    drive.run(10)
+    lines = []
+    drive.driver.trace = lines.append
+    SESSION_PLAYS[name](drive)
+    check_golden(name, "".join(f"{line}\n" for line in select_news(lines)))
+
+
+def select_news(lines):
+    """Leaves out events and actions that carry no news."""
+    event = ""
+    for line in lines:
+        if not line.startswith(" " * 4):
+            event = line
+            if "[" in line:
+                yield line
+        elif "[" in line:
+            if "[" not in event:
+                yield event
+                event = "["
+            yield line
