Choose owners by what is seen here; slow start, ejection, bounded subset

Change: new modules load, ejection, slow_start, subset and candidate; the chooser takes `now`, verdicts and elapsed times from the entry node, which also drops what it knows of departed members.

--- a/bench/event_model.py
+++ b/bench/event_model.py
@@ -18,11 +18,13 @@
 from guavawing.policy.admission import Abandon, Admission, Refuse, Start
 from guavawing.policy.choice import Candidate, LoadReport
 from guavawing.policy.class_queue import QueuedCall
+from guavawing.policy.retry import RetryBudget
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason, Verdict
 
 DELAY_S = 0.0002
 EXPIRY_PERIOD_S = 0.05
 MAX_ATTEMPTS = 3
+RETRY_RATIO = 0.1
 
 WorkTime = Callable[[float, random.Random], float]
 
@@ -68,6 +70,7 @@
 
     chooser: Any
     candidates: list[Candidate]
+    budget: RetryBudget = attrs.field(factory=RetryBudget)
 
 
 @attrs.define(eq=False)
@@ -81,6 +84,7 @@
         ends_at_deadline: Whether it ends its work at the call's deadline.
         delay_s: Time between an entry node and it, one way.
         lies: Whether its load reports say that it is idle.
+        broken: Whether it breaks every call at once.
     """
 
     id: str
@@ -89,6 +93,7 @@
     ends_at_deadline: bool = False
     delay_s: float = DELAY_S
     lies: bool = False
+    broken: bool = False
     running: int = 0
     max_running: int = 0
     work_done_s: float = 0.0
@@ -150,6 +155,7 @@
                 self._rng.choice(self._entries),
             )
             self.calls.append(call)
+            call.entry.budget.earn(RETRY_RATIO)
             self._attempt(call)
             self._plan_arrival(stream, duration_s)
 
@@ -180,6 +186,10 @@
         queued = QueuedCall(attempt_id, call.call_class, call.deadline)
 
         def offer() -> None:
+            if target.broken:
+                verdict = MayHaveRun(Reason.TARGET_BROKE)
+                self._answer(target, attempt_id, verdict)
+                return
             actions = target.admission.offer(queued, now=self.now)
             self._carry_out(target, actions)
 
@@ -229,6 +239,7 @@
                 now=self.now,
                 verdict=verdict,
                 elapsed_s=self.now - started_at,
+                list_peers=lambda: call.entry.candidates,
             )
             self._decide(call, chosen, verdict)
 
@@ -242,6 +253,7 @@
             and verdict.retry_after_s is not None
             and call.attempts < MAX_ATTEMPTS
             and self.now < call.deadline
+            and call.entry.budget.spend()
         )
         if not again:
             self._end(call, verdict)
--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -93,7 +93,7 @@
     async def _open_servers(self, me: Member, claims: Claims) -> None:
         settings = self._settings
         enter = self._stack.enter_async_context
-        chooser = Chooser(random.Random())
+        chooser = Chooser(random.Random(), viewer=me.id)
         pool = await enter(
             open_mesh_pool(
                 member_id=me.id,
@@ -213,6 +213,7 @@
                 failures += 1
                 self._healthy &= failures < FAILURES_UNTIL_DOWN
             self._update_serving()
+            self._entry.forget_departed()
             await asyncio.sleep(HEALTH_PERIOD_S)
 
     def _read_status(self) -> dict[str, Any]:
--- a/src/guavawing/node/entry.py
+++ b/src/guavawing/node/entry.py
@@ -22,7 +22,7 @@
 )
 from guavawing.policy.choice import Candidate, Chooser, LoadReport
 from guavawing.policy.retry import Retry, RetryBudget, decide_retry
-from guavawing.verdict import MayHaveRun, NotRun, Reason
+from guavawing.verdict import MayHaveRun, NotRun, Reason, Verdict
 
 __all__ = ["Call", "Entry", "compute_fingerprint"]
 
@@ -89,7 +89,10 @@
         """Returns the member for the next attempt, or None."""
         members = self._table.serving(service)
         chosen = self._chooser.choose(
-            self._list_candidates(members), excluded=excluded, spill=spill
+            self._list_candidates(members),
+            excluded=excluded,
+            spill=spill,
+            now=self._loop.time(),
         )
         return None if chosen is None else self._table.get(chosen.id)
 
@@ -122,19 +125,45 @@
         """Counts an attempt as outstanding at a member."""
         self._chooser.start(self._make_candidate(member))
 
-    def finish(self, member: Member) -> None:
-        """Ends an outstanding attempt at a member."""
+    def finish(
+        self,
+        member: Member,
+        *,
+        verdict: Verdict | None = None,
+        elapsed_s: float | None = None,
+    ) -> None:
+        """Ends an outstanding attempt at a member.
+
+        Args:
+            member: The member that had it.
+            verdict: How it ended; None if the caller left.
+            elapsed_s: Time from its start, in seconds.
+        """
         candidate = self._make_candidate(member)
-        self._chooser.finish(candidate)
+        now = self._loop.time()
+        self._chooser.finish(
+            candidate,
+            now=now,
+            verdict=verdict,
+            elapsed_s=elapsed_s,
+            list_peers=lambda: self._list_candidates(
+                self._table.serving(member.service)
+            ),
+        )
         if member.id == self._me.id:
-            self._chooser.report(candidate, self._owner.load())
+            self._chooser.report(candidate, self._owner.load(), now=now)
+
+    def forget_departed(self) -> None:
+        """Drops the loads of members that are gone."""
+        known = {(member.id, member.incarnation) for member in self._table}
+        self._chooser.forget(known)
 
     def take_load(
         self, member_id: MemberId, incarnation: int, load: LoadReport
     ) -> None:
         """Takes the load that an owner reported with an answer."""
         candidate = Candidate(member_id, incarnation, local=False, slots=0)
-        self._chooser.report(candidate, load)
+        self._chooser.report(candidate, load, now=self._loop.time())
 
     @property
     def claims(self) -> Claims:
@@ -284,13 +313,24 @@
             return self._exclude(member)
         self._entry.start(member)
         self._in_flight = True
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         try:
             answer = await asyncio.shield(submission.fut)
         except asyncio.CancelledError:
             submission.cancel()
+            now = loop.time()
+            late = now >= attempt.deadline
+            verdict = MayHaveRun(Reason.TARGET_TIMEOUT) if late else None
+            self._entry.finish(
+                member, verdict=verdict, elapsed_s=now - started_at
+            )
             raise
-        finally:
-            self._entry.finish(member)
+        self._entry.finish(
+            member,
+            verdict=answer.verdict,
+            elapsed_s=loop.time() - started_at,
+        )
         self._in_flight = False
         self._excluded.add(member.id)
         if isinstance(answer.verdict, MayHaveRun):
--- a/src/guavawing/policy/choice.py
+++ b/src/guavawing/policy/choice.py
@@ -1,70 +1,56 @@
 """Choice of the owner node for one attempt of a call.
 
-Power of two choices (Mitzenmacher, 2001) on the load that owners report with
-their answers, plus what this node has outstanding at each of them.
+Power of two choices (Mitzenmacher, 2001) among a bounded subset of the
+owners: of two random ones the call goes to the one with the smaller cost,
+which is this node's outstanding calls at it times the time that its calls
+lately took. Both are seen here, so no report can mislead the choice. Owners
+of this data centre come first; others are used when all of these are full,
+by their reports and refusals.
 """
 
 import random
-from collections.abc import Collection, Sequence
-
-import attrs
+from collections.abc import Callable, Collection, Sequence
 
 from guavawing.model import MemberId
+from guavawing.policy.candidate import Candidate
+from guavawing.policy.ejection import Ejector
+from guavawing.policy.load import LoadReport, OwnerLoad, is_failure
+from guavawing.policy.slow_start import SlowStart
+from guavawing.policy.subset import Subset
+from guavawing.verdict import Ran, Reason, Verdict
 
 __all__ = ["Candidate", "Chooser", "LoadReport"]
 
-
-@attrs.frozen
-class Candidate:
-    """A member that may own the call.
-
-    Attributes:
-        id: Id of the member.
-        incarnation: Incarnation of its process.
-        local: Whether it is in this node's data centre.
-        slots: Slots that it announced.
-    """
-
-    id: MemberId
-    incarnation: int
-    local: bool
-    slots: int
-
-
-@attrs.frozen
-class LoadReport:
-    """What an owner said of its load with an answer.
-
-    Attributes:
-        slots: Calls that its target executes at a time.
-        running: Calls that hold a slot.
-        queued: Calls that wait for a slot.
-        draining: Whether it refuses new calls.
-        key_epoch: Epoch that new keys bound to it carry.
-    """
-
-    slots: int
-    running: int
-    queued: int
-    draining: bool
-    key_epoch: int
-
-
-@attrs.define
-class _Tracked:
-    outstanding: int = 0
-    report: LoadReport | None = None
-    outstanding_at_report: int = 0
+# Owners of one service that one entry node uses, in its own data centre and
+# in the others together.
+SUBSET_SIZE = 16
 
 
 class Chooser:
     """Loads of the owners as one entry node sees them."""
 
-    __slots__ = ("_rng", "_tracked")
+    __slots__ = ("_ejector", "_loads", "_rng", "_slow_start", "_subset")
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        *,
+        viewer: MemberId = "",
+        subset_size: int = SUBSET_SIZE,
+    ) -> None:
+        """Creates a chooser that knows of no owner.
+
+        Args:
+            rng: Source of the random choices.
+            viewer: Id of this node, which decides on its subsets.
+            subset_size: Owners of one service that are used, in this data
+                centre and in the others.
+        """
         self._rng = rng
-        self._tracked: dict[tuple[MemberId, int], _Tracked] = {}
+        self._loads: dict[tuple[MemberId, int], OwnerLoad] = {}
+        self._ejector = Ejector()
+        self._slow_start = SlowStart()
+        self._subset = Subset(viewer, size=subset_size)
 
     def choose(
         self,
@@ -72,6 +58,7 @@
         *,
         excluded: Collection[MemberId] = (),
         spill: bool = True,
+        now: float = 0.0,
     ) -> Candidate | None:
         """Returns the owner for the next attempt, or None if there is none.
 
@@ -79,67 +66,194 @@
             candidates: Live members whose targets serve the call.
             excluded: Members that have refused this call.
             spill: Whether owners of other data centres may be chosen.
+            now: Event loop's time, in seconds.
         """
-        usable = [
-            candidate
-            for candidate in candidates
-            if candidate.id not in excluded and not self._drains(candidate)
-        ]
-        local = [candidate for candidate in usable if candidate.local]
+        local: list[Candidate] = []
+        remote: list[Candidate] = []
+        self._see(candidates, now)
+        for each in candidates:
+            drains = self._loads[each.key].drains(now=now)
+            if not drains and each.id not in excluded:
+                (local if each.local else remote).append(each)
+        local = self._select(local, now)
         if not spill:
-            return self._choose_of_two(local)
-        if local and not all(self._is_full(each) for each in local):
-            return self._choose_of_two(local)
-        return self._choose_of_two(usable)
+            remote = []
+        chosen = self._choose_free(local, now)
+        if chosen is None and remote:
+            remote = self._select(remote, now)
+            chosen = self._choose_free(remote, now)
+        return chosen or self._choose_of_two(local or remote, now)
 
     def start(self, candidate: Candidate) -> None:
         """Counts an attempt as outstanding."""
-        self._track(candidate).outstanding += 1
+        self._load(candidate).start()
+
+    def finish(
+        self,
+        candidate: Candidate,
+        *,
+        now: float = 0.0,
+        verdict: Verdict | None = None,
+        elapsed_s: float | None = None,
+        list_peers: Callable[[], Sequence[Candidate]] = tuple,
+    ) -> None:
+        """Ends an outstanding attempt.
 
-    def finish(self, candidate: Candidate) -> None:
-        """Ends an outstanding attempt."""
-        self._track(candidate).outstanding -= 1
+        Args:
+            candidate: The owner that had it.
+            now: Event loop's time, in seconds.
+            verdict: How it ended; None if the caller left.
+            elapsed_s: Time from its start, in seconds.
+            list_peers: Lists the candidates of the service, when the owner
+                is to be compared with them. Without it none is ejected.
+        """
+        load = self._load(candidate)
+        usual_s = load.recent_elapsed_s(now=now)
+        load.finish(now=now, verdict=verdict, elapsed_s=elapsed_s)
+        if verdict is None:
+            return
+        if is_failure(verdict) and not _was_hasty(verdict, elapsed_s, usual_s):
+            self._ejector.take_failure(candidate.key)
+        elif isinstance(verdict, Ran):
+            self._ejector.take_success(candidate.key)
+        if self._ejector.is_due(candidate.key):
+            self._judge(candidate, list_peers(), now)
 
-    def report(self, candidate: Candidate, load: LoadReport) -> None:
+    def report(
+        self, candidate: Candidate, load: LoadReport, *, now: float = 0.0
+    ) -> None:
         """Takes the load that an owner reported."""
-        self._track(candidate).report = load
+        self._load(candidate).take_report(load, now=now)
 
     def forget(self, known: Collection[tuple[MemberId, int]]) -> None:
         """Drops idle owners that are not among the `known` incarnations."""
-        for key, tracked in tuple(self._tracked.items()):
-            if key not in known and tracked.outstanding == 0:
-                del self._tracked[key]
+        for key, load in tuple(self._loads.items()):
+            if key not in known and load.outstanding == 0:
+                del self._loads[key]
+                self._ejector.forget(key)
+                self._slow_start.forget(key)
+                self._subset.forget(key[0])
 
     def key_epoch(self, candidate: Candidate) -> int | None:
         """Returns the key epoch that the owner last reported."""
-        report = self._track(candidate).report
+        report = self._load(candidate).report
         return None if report is None else report.key_epoch
 
-    def _track(self, candidate: Candidate) -> _Tracked:
-        key = (candidate.id, candidate.incarnation)
-        return self._tracked.setdefault(key, _Tracked())
+    def is_ejected(self, candidate: Candidate, *, now: float) -> bool:
+        """Returns whether an owner is left out now."""
+        return self._ejector.is_out(candidate.key, now=now)
+
+    def _load(self, candidate: Candidate) -> OwnerLoad:
+        load = self._loads.get(candidate.key)
+        if load is None:
+            load = self._loads[candidate.key] = OwnerLoad()
+        return load
+
+    def _see(self, candidates: Sequence[Candidate], now: float) -> None:
+        """Takes the sight of candidates, which starts new ones slowly."""
+        new = [each for each in candidates if each.key not in self._loads]
+        if not new:
+            return
+        warm = len(new) == len(candidates)
+        for each in new:
+            self._load(each)
+            if not warm:
+                self._slow_start.start(each.key, now=now)
+
+    def _judge(
+        self, candidate: Candidate, peers: Sequence[Candidate], now: float
+    ) -> None:
+        others = [
+            (each.key, self._load(each).recent_elapsed_s(now=now))
+            for each in peers
+            if each.key != candidate.key
+        ]
+        if not others:
+            return
+        elapsed_s = self._load(candidate).recent_elapsed_s(now=now)
+        if self._ejector.judge(candidate.key, elapsed_s, others, now=now):
+            until = self._ejector.out_until(candidate.key)
+            self._slow_start.start(candidate.key, now=until)
+
+    def _is_full(self, candidate: Candidate, now: float) -> bool:
+        return self._load(candidate).is_full(slots=candidate.slots, now=now)
+
+    def _select(
+        self, candidates: Sequence[Candidate], now: float
+    ) -> list[Candidate]:
+        """Returns the subset to use, without those left out for now.
 
-    def _drains(self, candidate: Candidate) -> bool:
-        report = self._track(candidate).report
-        return report is not None and report.draining
+        If every owner is left out, all are used: a bad one may still answer.
+        """
+        selected = list(candidates)
+        if self._ejector.any_out(now=now):
+            good = [c for c in selected if not self.is_ejected(c, now=now)]
+            selected = good or selected
+        selected = self._subset.pick(selected)
+        if self._slow_start.any_started(now=now):
+            ready = [c for c in selected if self._is_ready(c, now)]
+            selected = ready or selected
+        return selected
 
-    def _is_full(self, candidate: Candidate) -> bool:
-        return self._load(candidate) >= 1.0
+    def _is_ready(self, candidate: Candidate, now: float) -> bool:
+        """Draws whether a new owner takes part in this choice."""
+        share = self._slow_start.share(candidate.key, now=now)
+        return share >= 1.0 or self._rng.random() < share
 
-    def _load(self, candidate: Candidate) -> float:
-        tracked = self._track(candidate)
-        busy = tracked.outstanding
-        if tracked.report is not None:
-            reported = tracked.report.running + tracked.report.queued
-            busy = max(busy, reported)
-        return busy / max(candidate.slots, 1)
+    def _choose_free(
+        self, candidates: Sequence[Candidate], now: float
+    ) -> Candidate | None:
+        """Returns an owner that is not full, or None if all are.
+
+        All are looked at only when one that was drawn is full. To take the
+        other one then would send it calls that nobody compared.
+        """
+        drawn = self._draw_two(candidates)
+        if any(self._is_full(each, now) for each in drawn):
+            free = [c for c in candidates if not self._is_full(c, now)]
+            drawn = self._draw_two(free)
+        return self._take_cheaper(drawn, now) if drawn else None
 
     def _choose_of_two(
-        self, candidates: Sequence[Candidate]
+        self, candidates: Sequence[Candidate], now: float
     ) -> Candidate | None:
         if not candidates:
             return None
-        if len(candidates) == 1:
-            return candidates[0]
-        pair = self._rng.sample(candidates, 2)
-        return min(pair, key=self._load)
+        return self._take_cheaper(self._draw_two(candidates), now)
+
+    def _draw_two(self, candidates: Sequence[Candidate]) -> list[Candidate]:
+        """Returns two different candidates, or all if they are fewer."""
+        count = len(candidates)
+        if count <= 2:
+            return list(candidates)
+        first = int(self._rng.random() * count)
+        second = int(self._rng.random() * (count - 1))
+        second += second >= first
+        return [candidates[first], candidates[second]]
+
+    def _take_cheaper(self, pair: list[Candidate], now: float) -> Candidate:
+        if len(pair) == 1:
+            return pair[0]
+        loads = [self._load(each) for each in pair]
+        elapsed = [load.recent_elapsed_s(now=now) for load in loads]
+        costs = [
+            (load.outstanding + 1) / max(each.slots, 1)
+            for load, each in zip(loads, pair, strict=True)
+        ]
+        if None not in elapsed:
+            costs = [
+                cost * (elapsed_s or 0.0)
+                for cost, elapsed_s in zip(costs, elapsed, strict=True)
+            ]
+        if costs[0] == costs[1]:
+            return pair[self._rng.random() < 0.5]
+        return pair[costs[1] < costs[0]]
+
+
+def _was_hasty(
+    verdict: Verdict, elapsed_s: float | None, usual_s: float | None
+) -> bool:
+    """Returns whether a caller gave less time than calls lately took."""
+    if verdict.reason is not Reason.TARGET_TIMEOUT:
+        return False
+    return usual_s is not None and (elapsed_s or 0.0) < usual_s
--- /dev/null
+++ b/src/guavawing/policy/ejection.py
@@ -0,0 +1,143 @@
+"""Ejection: owners that fail or lag are left out for a while.
+
+An owner is ejected after failures in a row, or when its calls take far longer
+than those of the other owners. At most a share of a service's owners is out
+at a time: if many look bad, the fault is rather on this side or common to
+all, and the rest could not carry the load.
+"""
+
+import statistics
+from collections.abc import Iterable
+
+import attrs
+
+__all__ = ["Ejector"]
+
+FAILURES_UNTIL_OUT = 3
+# An owner is an outlier when its calls take this many times the median.
+OUTLIER_RATIO = 4.0
+MIN_OUTLIER_CALLS = 10
+# At least this many others give a median.
+MIN_PEERS = 2
+MAX_EJECTED_SHARE = 1 / 3
+FIRST_EJECTION_S = 2.0
+MAX_EJECTION_S = 30.0
+# An owner that behaved this long after its return starts afresh.
+FORGIVE_AFTER_S = 60.0
+
+
+@attrs.define
+class _Record:
+    failures: int = 0
+    calls: int = 0
+    ejections: int = 0
+    out_until: float = 0.0
+
+
+class Ejector:
+    """Which owners are left out."""
+
+    __slots__ = ("_last_until", "_records")
+
+    def __init__(self) -> None:
+        self._records: dict[object, _Record] = {}
+        self._last_until = 0.0
+
+    def take_failure(self, owner: object) -> None:
+        """Takes a failed call."""
+        self._record(owner).failures += 1
+
+    def take_success(self, owner: object) -> None:
+        """Takes a call that was served."""
+        record = self._record(owner)
+        record.failures = 0
+        record.calls += 1
+
+    def is_due(self, owner: object) -> bool:
+        """Returns whether an owner is to be judged after its last call."""
+        record = self._record(owner)
+        if record.failures >= FAILURES_UNTIL_OUT:
+            return True
+        return record.calls > 0 and record.calls % MIN_OUTLIER_CALLS == 0
+
+    def any_out(self, *, now: float) -> bool:
+        """Returns whether any owner is left out now."""
+        return now < self._last_until
+
+    def is_out(self, owner: object, *, now: float) -> bool:
+        """Returns whether an owner is left out now."""
+        record = self._records.get(owner)
+        return record is not None and now < record.out_until
+
+    def out_until(self, owner: object) -> float:
+        """Returns the end of an owner's last ejection."""
+        record = self._records.get(owner)
+        return 0.0 if record is None else record.out_until
+
+    def judge(
+        self,
+        owner: object,
+        elapsed_s: float | None,
+        peers: Iterable[tuple[object, float | None]],
+        *,
+        now: float,
+    ) -> bool:
+        """Ejects an owner if it is bad and the share allows it.
+
+        Args:
+            owner: The owner whose call has ended.
+            elapsed_s: Mean time of its late calls, if known.
+            peers: The other owners of the service with theirs.
+            now: Event loop's time, in seconds.
+
+        Returns:
+            Whether the owner was ejected.
+        """
+        record = self._record(owner)
+        if now < record.out_until:
+            return False
+        peers = tuple(peers)
+        failed = record.failures >= FAILURES_UNTIL_OUT
+        slow = record.calls >= MIN_OUTLIER_CALLS and _is_outlier(
+            elapsed_s, [known for _, known in peers if known is not None]
+        )
+        if not (failed or slow):
+            return False
+        out = sum(self.is_out(peer, now=now) for peer, _ in peers)
+        if out + 1 > _count_allowed(len(peers) + 1):
+            return False
+        self._eject(record, now)
+        return True
+
+    def forget(self, owner: object) -> None:
+        """Drops what is known of an owner."""
+        self._records.pop(owner, None)
+
+    def _eject(self, record: _Record, now: float) -> None:
+        if now - record.out_until > FORGIVE_AFTER_S:
+            record.ejections = 0
+        length_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**record.ejections)
+        record.ejections += 1
+        record.out_until = now + length_s
+        self._last_until = max(self._last_until, record.out_until)
+        # One more failure after its return is enough.
+        record.failures = FAILURES_UNTIL_OUT - 1
+        record.calls = 0
+
+    def _record(self, owner: object) -> _Record:
+        record = self._records.get(owner)
+        if record is None:
+            record = self._records[owner] = _Record()
+        return record
+
+
+def _is_outlier(elapsed_s: float | None, others: list[float]) -> bool:
+    if elapsed_s is None or len(others) < MIN_PEERS:
+        return False
+    return elapsed_s > OUTLIER_RATIO * statistics.median(others)
+
+
+def _count_allowed(owners: int) -> int:
+    if owners == 1:
+        return 0
+    return max(1, int(owners * MAX_EJECTED_SHARE))
--- /dev/null
+++ b/src/guavawing/policy/slow_start.py
@@ -0,0 +1,37 @@
+"""Slow start: a target that is new gets a growing share of its calls."""
+
+__all__ = ["SlowStart"]
+
+SLOW_START_S = 5.0
+FIRST_SHARE = 0.1
+
+
+class SlowStart:
+    """The owners that were started lately, and when."""
+
+    __slots__ = ("_last", "_since")
+
+    def __init__(self) -> None:
+        self._since: dict[object, float] = {}
+        self._last = -SLOW_START_S
+
+    def start(self, owner: object, *, now: float) -> None:
+        """Starts an owner slowly, from `now` on."""
+        self._since[owner] = now
+        self._last = max(self._last, now)
+
+    def any_started(self, *, now: float) -> bool:
+        """Returns whether any owner gets less than its usual calls."""
+        return now < self._last + SLOW_START_S
+
+    def share(self, owner: object, *, now: float) -> float:
+        """Returns the share of its usual calls that an owner gets."""
+        since = self._since.get(owner)
+        if since is None:
+            return 1.0
+        grown = max(0.0, now - since) / SLOW_START_S
+        return min(1.0, FIRST_SHARE + (1 - FIRST_SHARE) * grown)
+
+    def forget(self, owner: object) -> None:
+        """Drops an owner."""
+        self._since.pop(owner, None)
--- /dev/null
+++ b/tests/steps/choice_steps.py
@@ -0,0 +1,300 @@
+"""Steps that drive the chooser."""
+
+import collections
+import random
+
+from behave import given, then, when
+from hypothesis import given as given_data
+from hypothesis import settings, strategies
+
+from bench import measure_choice
+from guavawing.policy.choice import Candidate, Chooser, LoadReport
+from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
+
+FAILED = MayHaveRun(Reason.TARGET_BROKE)
+SHORT_RUN_S = 8.0
+
+
+def make_report(running=0, *, draining=False):
+    return LoadReport(10, running, 0, draining=draining, key_epoch=0)
+
+
+def make_owner(number, *, local=True, slots=10):
+    return Candidate(f"owner-{number}", 1, local=local, slots=slots)
+
+
+def choose_many(context, count, now, **options):
+    """Returns the owners of calls that end only after the last choice."""
+    chosen = []
+    for _ in range(count):
+        owner = context.chooser.choose(context.owners, now=now, **options)
+        context.chooser.start(owner)
+        chosen.append(owner)
+    for owner in chosen:
+        context.chooser.finish(owner, now=now)
+    return chosen
+
+
+def end_calls(context, number, count, now, verdict, elapsed_s=None):
+    owner = context.owners[number - 1]
+    for _ in range(count):
+        context.chooser.start(owner)
+        context.chooser.finish(
+            owner,
+            now=now,
+            verdict=verdict,
+            elapsed_s=elapsed_s,
+            list_peers=lambda: context.owners,
+        )
+
+
+@given("{local:d} local and {remote:d} remote owners of {slots:d} slots")
+def step_owners(context, local, remote, slots):
+    context.chooser = Chooser(random.Random(4))
+    context.owners = [
+        make_owner(number, local=number <= local, slots=slots)
+        for number in range(1, local + remote + 1)
+    ]
+    context.chooser.choose(context.owners, now=0.0)
+
+
+@when("at {now:g} s owner {number:d} reports that it drains")
+def step_report_drain(context, now, number):
+    report = make_report(draining=True)
+    context.chooser.report(context.owners[number - 1], report, now=now)
+
+
+@when(
+    "at {now:g} s owners {first:d} and {last:d} report {running:d} running"
+    " calls"
+)
+def step_report_running(context, now, first, last, running):
+    for number in (first, last):
+        report = make_report(running)
+        context.chooser.report(context.owners[number - 1], report, now=now)
+
+
+@when(
+    "at {now:g} s owner {number:d} refuses a call as full and reports"
+    " {running:d} running calls"
+)
+def step_refuse(context, now, number, running):
+    end_calls(context, number, 1, now, NotRun(Reason.QUEUE_FULL, 0.5))
+    report = make_report(running)
+    context.chooser.report(context.owners[number - 1], report, now=now)
+
+
+@when("at {now:g} s owner {number:d} fails {count:d} calls")
+def step_fail(context, now, number, count):
+    end_calls(context, number, count, now, FAILED, 0.01)
+
+
+@when(
+    "at {now:g} s owner {number:d} times out {count:d} calls after"
+    " {elapsed:g} s"
+)
+def step_time_out(context, now, number, count, elapsed):
+    verdict = MayHaveRun(Reason.TARGET_TIMEOUT)
+    end_calls(context, number, count, now, verdict, elapsed)
+
+
+@when("at {now:g} s owners {first:d} to {last:d} fail {count:d} calls each")
+def step_fail_many(context, now, first, last, count):
+    for number in range(first, last + 1):
+        end_calls(context, number, count, now, FAILED, 0.01)
+
+
+@when("at {now:g} s owner {number:d} serves {count:d} calls of {elapsed:g} s")
+def step_serve(context, now, number, count, elapsed):
+    end_calls(context, number, count, now, Ran(), elapsed)
+
+
+@when(
+    "at {now:g} s owners {first:d} to {last:d} serve {count:d} calls of"
+    " {elapsed:g} s each"
+)
+def step_serve_many(context, now, first, last, count, elapsed):
+    for number in range(first, last + 1):
+        end_calls(context, number, count, now, Ran(), elapsed)
+
+
+@when("a local owner {number:d} appears at {now:g} s")
+def step_appear(context, number, now):
+    context.owners.append(make_owner(number))
+    context.chooser.choose(context.owners, now=now)
+
+
+def count_calls(context, number, count, now):
+    chosen = choose_many(context, count, now)
+    return chosen.count(context.owners[number - 1])
+
+
+@then("at {now:g} s owner {number:d} gets no call of {count:d}")
+def step_no_call(context, now, number, count):
+    assert count_calls(context, number, count, now) == 0
+
+
+@then("at {now:g} s owner {number:d} gets some calls of {count:d}")
+def step_some_calls(context, now, number, count):
+    assert count_calls(context, number, count, now) > 0
+
+
+@then(
+    "at {now:g} s owner {number:d} gets {low:d} to {high:d} calls of {count:d}"
+)
+def step_calls_between(context, now, number, low, high, count):
+    got = count_calls(context, number, count, now)
+    assert low <= got <= high, got
+
+
+@then("at {now:g} s only {where:w} owners get calls of {count:d}")
+def step_only(context, now, where, count):
+    chosen = choose_many(context, count, now)
+    local = where == "local"
+    assert all(owner.local is local for owner in chosen), chosen
+
+
+@then("at {now:g} s without spill only local owners get calls of {count:d}")
+def step_only_local(context, now, count):
+    chosen = choose_many(context, count, now, spill=False)
+    assert all(owner.local for owner in chosen), chosen
+
+
+@then("at {now:g} s exactly {count:d} owners are left out")
+def step_left_out(context, now, count):
+    out = [o for o in context.owners if context.chooser.is_ejected(o, now=now)]
+    assert len(out) == count, out
+
+
+def find_subset(viewer, owners):
+    chooser = Chooser(random.Random(4), viewer=viewer)
+    return {chooser.choose(owners, now=0.0).id for _ in range(400)}
+
+
+@then(
+    "each of {entries:d} entry nodes uses {size:d} of {count:d} owners, evenly"
+)
+def step_subsets(context, entries, size, count):
+    owners = [make_owner(number) for number in range(count)]
+    uses = collections.Counter()
+    for number in range(entries):
+        subset = find_subset(f"entry-{number}", owners)
+        assert len(subset) == size, len(subset)
+        uses.update(subset)
+    mean = entries * size / count
+    assert max(uses.values()) <= 3 * mean, uses
+    assert len(uses) == count, len(uses)
+
+
+@then("when an owner leaves, a subset changes by one owner at most")
+def step_subset_stays(context):
+    owners = [make_owner(number) for number in range(100)]
+    before = find_subset("entry-1", owners)
+    for leaving in owners[:20]:
+        rest = [owner for owner in owners if owner != leaving]
+        after = find_subset("entry-1", rest)
+        assert len(after - before) <= 1, after - before
+
+
+@then(
+    "at {load:g} of the capacity more is served and sooner than by the"
+    " baselines"
+)
+def step_baselines(context, load):
+    trials = {
+        name: measure_choice.run_trial(make, load, duration_s=SHORT_RUN_S)
+        for name, make in measure_choice.CHOOSERS.items()
+    }
+    mesh = trials.pop("mesh")
+    for name, trial in trials.items():
+        assert mesh.served_share() > trial.served_share(), name
+        assert mesh.p99_ms() < trial.p99_ms(), name
+
+
+@then("a slow target that says it is idle gets less than half of a fair share")
+def step_liar(context):
+    trial = measure_choice.run_trial(
+        measure_choice.CHOOSERS["mesh"],
+        0.7,
+        slow_lies=True,
+        duration_s=SHORT_RUN_S,
+    )
+    done = {
+        target.id: target.work_done_s / measure_choice.SLOW_FACTOR
+        if target.id == "slow"
+        else target.work_done_s
+        for target in trial.targets
+    }
+    fair = sum(done.values()) / len(done)
+    assert done["slow"] < fair / 2, done
+
+
+@then("a target that breaks calls at once costs less than 1 in {count:d} calls")
+def step_broken(context, count):
+    trial = measure_choice.run_trial(
+        measure_choice.CHOOSERS["mesh"],
+        0.7,
+        with_broken=True,
+        duration_s=SHORT_RUN_S,
+    )
+    calls = trial.model.calls
+    broken = [c for c in calls if c.verdict == FAILED]
+    assert len(broken) * count < len(calls), (len(broken), len(calls))
+
+
+EVENTS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["choose", "choose", "end", "report"]),
+        strategies.integers(0, 7),
+        strategies.floats(0.0, 1.0),
+    ),
+    max_size=100,
+)
+VERDICTS = (Ran(), FAILED, NotRun(Reason.QUEUE_FULL, 0.5), None)
+
+
+@then("random events never break a rule of the choice")
+def step_property(context):
+    @settings(derandomize=True, database=None, deadline=None, max_examples=300)
+    @given_data(EVENTS, strategies.integers(1, 8))
+    def check(events, count):
+        chooser = Chooser(random.Random(4))
+        owners = [make_owner(n, local=n % 3 > 0) for n in range(count)]
+        draining_until = dict.fromkeys(owners, -1.0)
+        running, now = [], 0.0
+        for kind, number, step_s in events:
+            now += step_s
+            owner = owners[number % count]
+            match kind:
+                case "choose":
+                    excluded = {owner.id} if number % 2 else set()
+                    chosen = chooser.choose(owners, excluded=excluded, now=now)
+                    usable = [
+                        each
+                        for each in owners
+                        if each.id not in excluded
+                        and draining_until[each] < now
+                    ]
+                    assert (chosen is None) == (not usable)
+                    if chosen is not None:
+                        assert chosen in usable
+                        chooser.start(chosen)
+                        running.append(chosen)
+                case "end" if running:
+                    ended = running.pop(number % len(running))
+                    chooser.finish(
+                        ended,
+                        now=now,
+                        verdict=VERDICTS[number % 4],
+                        elapsed_s=step_s,
+                        list_peers=lambda: owners,
+                    )
+                case "report":
+                    draining = number == 7
+                    report = make_report(number, draining=draining)
+                    chooser.report(owner, report, now=now)
+                    draining_until[owner] = now + 3.0 if draining else -1.0
+            out = sum(chooser.is_ejected(o, now=now) for o in owners)
+            assert out <= (max(1, count // 3) if count > 1 else 0)
+
+    check()
