--- a/src/guavawing/node/owner.py
+++ b/src/guavawing/node/owner.py
@@ -4,7 +4,7 @@
 import contextlib
 import itertools
 import secrets
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 
 import attrs
 
@@ -141,6 +141,11 @@
                 return self._refuse(verdict)
         raise AssertionError(f"unexpected decision {decision!r}")
 
+    def abort(self) -> None:
+        """Ends the calls that still run; their connections are closed."""
+        for task in self._tasks:
+            task.cancel()
+
     def expire(self) -> None:
         """Answers the calls whose deadline has passed."""
         if self._calls:
@@ -159,7 +164,19 @@
             call_id, attempt.policy.settings.call_class, attempt.deadline
         )
         self._carry_out(self._admission.offer(call, now=self._loop.time()))
-        return Submission(fut, lambda: self._leave(call_id))
+        return Submission(fut, self._make_leave(call_id))
+
+    def _make_leave(self, call_id: int) -> Callable[[], None]:
+        """Returns what a caller's cancellation does, however often it comes."""
+        left = False
+
+        def leave() -> None:
+            nonlocal left
+            if not left:
+                left = True
+                self._leave(call_id)
+
+        return leave
 
     def _leave(self, call_id: int) -> None:
         """Takes the cancellation of one of the callers of a call."""
@@ -180,7 +197,7 @@
                 fut.set_result(done.result())
 
         call.end.add_done_callback(copy_answer)
-        return Submission(fut, lambda: self._leave(call_id))
+        return Submission(fut, self._make_leave(call_id))
 
     def _refuse(self, verdict: Verdict) -> Submission:
         self._metrics.owner_refusals.inc({"reason": str(verdict.reason)})
@@ -277,3 +294,4 @@
         yield owner
     finally:
         task.cancel()
+        owner.abort()
--- a/tests/processes/admission.feature
+++ b/tests/processes/admission.feature
@@ -14,3 +14,19 @@
     And at least 300 bulk calls are refused as not run with a time to come back
     And the target of "feed-bergen-1" has run at most 10 calls at a time
     And the target of "feed-bergen-1" has had at most 11 connections at a time
+
+  Scenario Outline: Work that nobody waits for never reaches the target
+    When 10 calls of 800 ms run and 10 more wait at "desk-bergen-1", and then <event>
+    Then no call but the first 10 reached the target of "desk-bergen-1"
+
+    Examples:
+      | event                                                   |
+      | the waiting callers leave                               |
+      | the node is paused until the callers' deadlines are over |
+
+  Scenario: A repeat after a timeout gets the answer that came too late
+    When a caller publishes with key "late" and 300 ms left what takes 900 ms
+    Then the verdict is "may-have-run" with reason "deadline-passed"
+    When 1 s later the caller publishes with key "late" and 4000 ms left
+    Then the verdict is "ran" with reason "served"
+    And key "late" was executed 1 time
--- a/tests/steps/admission_load_steps.py
+++ b/tests/steps/admission_load_steps.py
@@ -1,6 +1,7 @@
 """Steps that load real targets and read their own counts."""
 
 import asyncio
+import signal
 
 from behave import then, when
 
@@ -116,3 +117,87 @@
     record = read_record(context, name)
     # The connection that reads the record is one more.
     assert record["max_connections"] <= count + 1, record
+
+
+@when(
+    '{count:d} calls of {work:d} ms run and {more:d} more wait at "{name}",'
+    " and then {event}"
+)
+def step_fill(context, count, work, more, name, event):
+    fleet = context.fleet
+    other = next(node for node in fleet.nodes.values() if node.name != name)
+    options = {
+        "service": fleet.nodes[name].service,
+        "path": "/read",
+        "headers": {"X-Work-Ms": str(work)},
+    }
+
+    async def send(number, deadline_ms):
+        loop = asyncio.get_running_loop()
+        calls = [
+            send_call(
+                fleet.session, other.caller, deadline_ms=deadline_ms, **options
+            )
+            for _ in range(number)
+        ]
+        tasks = [loop.create_task(call) for call in calls]
+        await asyncio.sleep(0.3)
+        return tasks
+
+    async def fill():
+        target = fleet.nodes[name].target
+        before = (await fleet.get(target, "/record"))["requests"]
+        running = await send(count, 4_000)
+        waiting = await send(more, 1_500)
+        if "leave" in event:
+            for task in waiting:
+                task.cancel()
+        else:
+            fleet.nodes[name].node.send(signal.SIGSTOP)
+            await asyncio.sleep(1.6)
+            fleet.nodes[name].node.send(signal.SIGCONT)
+        await asyncio.gather(*running, *waiting, return_exceptions=True)
+        await asyncio.sleep(0.5)
+        record = await fleet.get(target, "/record")
+        return record["requests"] - before
+
+    context.reached = context.run(fill())
+
+
+@then('no call but the first {count:d} reached the target of "{name}"')
+def step_reached(context, count, name):
+    assert context.reached == count, context.reached
+
+
+def publish_late(context, key, left_ms, work_ms):
+    node = next(iter(context.fleet.nodes.values()))
+    context.outcome = context.run(
+        send_call(
+            context.fleet.session,
+            node.caller,
+            service="desk",
+            method="POST",
+            path="/bulletins",
+            key=key,
+            body=b"{}",
+            deadline_ms=left_ms,
+            headers={"X-Work-Ms": str(work_ms)},
+        )
+    )
+
+
+@when(
+    'a caller publishes with key "{key}" and {left:d} ms left what takes'
+    " {work:d} ms"
+)
+def step_publish_late(context, key, left, work):
+    publish_late(context, key, left, work)
+
+
+@when(
+    '{wait:g} s later the caller publishes with key "{key}" and {left:d} ms'
+    " left"
+)
+def step_publish_again(context, wait, key, left):
+    context.run(asyncio.sleep(wait))
+    publish_late(context, key, left, 0)
