Bound the answers that wait on all connections of a node

Cause: bounds held for each connection only. While counting them together, a new scenario failed: answers that came after an entry node had gone were counted for ever (5 answers of 100,000 bytes left), so a node would have refused every call in the end.

Ruled out: counting answers at the target client (a body that a caller of the same node waits for would be counted as well).

Change: ByteCount is shared by the queues of a node; a closed connection forgets its calls and frames. Scenarios for owners that break the protocol.

--- a/src/guavawing/node/frame_queue.py
+++ b/src/guavawing/node/frame_queue.py
@@ -12,7 +12,18 @@
 
 import attrs
 
-__all__ = ["FrameQueue"]
+__all__ = ["ByteCount", "FrameQueue"]
+
+
+@attrs.define
+class ByteCount:
+    """Bytes that wait on all connections of a node.
+
+    Attributes:
+        waiting: The bytes.
+    """
+
+    waiting: int = 0
 
 
 @attrs.frozen
@@ -24,9 +35,10 @@
 class FrameQueue:
     """Frames that wait to be written to one connection."""
 
-    __slots__ = ("_bytes", "_filled", "_single", "_streams")
+    __slots__ = ("_bytes", "_filled", "_single", "_streams", "_total")
 
-    def __init__(self) -> None:
+    def __init__(self, total: ByteCount) -> None:
+        self._total = total
         self._single: deque[bytes] = deque()
         self._streams: OrderedDict[int, _Stream] = OrderedDict()
         self._bytes = 0
@@ -40,7 +52,7 @@
     def put(self, payload: bytes) -> None:
         """Adds a single frame."""
         self._single.append(payload)
-        self._bytes += len(payload)
+        self._count(len(payload))
         self._filled.set()
 
     def put_stream(
@@ -54,14 +66,20 @@
             size: Bytes that the answer holds until it is sent.
         """
         self._streams[frame_id] = _Stream(frames, size)
-        self._bytes += size
+        self._count(size)
         self._filled.set()
 
     def drop_stream(self, frame_id: int) -> None:
         """Forgets the rest of an answer that nobody waits for."""
         stream = self._streams.pop(frame_id, None)
         if stream is not None:
-            self._bytes -= stream.size
+            self._count(-stream.size)
+
+    def clear(self) -> None:
+        """Forgets every frame."""
+        self._single.clear()
+        self._streams.clear()
+        self._count(-self._bytes)
 
     async def get(self) -> bytes:
         """Waits for the next frame to write."""
@@ -76,7 +94,7 @@
         if not self._single:
             return None
         payload = self._single.popleft()
-        self._bytes -= len(payload)
+        self._count(-len(payload))
         return payload
 
     def _take_of_stream(self) -> bytes | None:
@@ -86,5 +104,9 @@
             if payload is not None:
                 self._streams[frame_id] = stream
                 return payload
-            self._bytes -= stream.size
+            self._count(-stream.size)
         return None
+
+    def _count(self, size: int) -> None:
+        self._bytes += size
+        self._total.waiting += size
--- a/src/guavawing/node/mesh_server.py
+++ b/src/guavawing/node/mesh_server.py
@@ -10,7 +10,7 @@
 from guavawing.config import PolicyTable
 from guavawing.errors import MessageInvalidError
 from guavawing.model import Address
-from guavawing.node.frame_queue import FrameQueue
+from guavawing.node.frame_queue import ByteCount, FrameQueue
 from guavawing.node.frames import (
     CHUNK_BYTES,
     MAX_FRAME_BYTES,
@@ -37,7 +37,9 @@
 MAX_IN_FLIGHT = 1_024
 # Bytes of waiting answers above which an entry node gets no more calls.
 MAX_WAITING_BYTES = 128 * 1024 * 1024
-# Bytes of waiting answers above which answers lose their bodies.
+# The same for all entry nodes together.
+MAX_TOTAL_BYTES = 192 * 1024 * 1024
+# Bytes of waiting answers of the node above which answers lose their bodies.
 MAX_HELD_BYTES = 256 * 1024 * 1024
 RETRY_AFTER_OVERLOAD_S = 1.0
 
@@ -60,6 +62,8 @@
         self._policies = policies
         self._member_id = member_id
         self._incarnation = incarnation
+        # Bytes of answers that wait on all connections.
+        self.total = ByteCount()
 
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Serves one connection until the entry node closes it."""
@@ -131,7 +135,7 @@
         self._server = server
         self._ws = ws
         self._loop = asyncio.get_running_loop()
-        self._outgoing = FrameQueue()
+        self._outgoing = FrameQueue(server.total)
         self._submissions: dict[int, Submission] = {}
         self._transit = TransitMeter()
         self._greeted = False
@@ -154,6 +158,9 @@
             writer.cancel()
             for submission in tuple(self._submissions.values()):
                 submission.cancel()
+            # Answers that come from now on have nowhere to go.
+            self._submissions.clear()
+            self._outgoing.clear()
 
     def _take(self, frame: pb.MeshFrame) -> None:
         match frame.WhichOneof("kind"):
@@ -195,6 +202,7 @@
         overloaded = (
             len(self._submissions) >= MAX_IN_FLIGHT
             or self._outgoing.waiting_bytes > MAX_WAITING_BYTES
+            or self._server.total.waiting > MAX_TOTAL_BYTES
         )
         submission = self._server.submit(
             request, delay_s, overloaded=overloaded
@@ -209,7 +217,7 @@
             # It was cancelled.
             return
         size = len(answer.body)
-        if self._outgoing.waiting_bytes + size > MAX_HELD_BYTES:
+        if self._server.total.waiting + size > MAX_HELD_BYTES:
             answer = _drop_body(answer)
             size = 0
         frames = self._server.encode_answer(answer, frame_id)
--- a/tests/processes/answers_bounds.feature
+++ b/tests/processes/answers_bounds.feature
@@ -23,3 +23,21 @@
       | an answer                      |
       | a first frame of another owner |
       | a first frame that is late     |
+
+  Scenario Outline: An owner that breaks the protocol
+    When an owner answers a call with <fault>
+    Then the call ends with "may-have-run" and "owner-lost"
+
+    Examples:
+      | fault                            |
+      | half of an answer                |
+      | more than it said                |
+      | an answer twice                  |
+      | a chunk before its answer        |
+      | an answer of more than the limit |
+      | an unknown reason                |
+
+  Scenario: Answers for an entry node that has gone
+    Given an owner whose target doesn't answer
+    When an entry node sends it 5 calls and goes away before their answers
+    Then nothing waits at the owner
--- a/tests/steps/answer_steps.py
+++ b/tests/steps/answer_steps.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 
-from guavawing.node.frame_queue import FrameQueue
+from guavawing.node.frame_queue import ByteCount, FrameQueue
 from guavawing.policy.transit import TransitMeter
 from standins.caller import send_call
 from standins.target import make_answer
@@ -213,7 +213,8 @@
 
 @given("two answers of {count:d} frames each wait to be written")
 def step_two_answers(context, count):
-    context.queue = FrameQueue()
+    context.total = ByteCount()
+    context.queue = FrameQueue(context.total)
     for name in (1, 2):
         context.queue.put_stream(name, make_frames(name, count), size=1_000)
 
@@ -280,4 +281,8 @@
                 return await context.queue.get()
 
     assert asyncio.run(run()) is None
-    assert context.queue.waiting_bytes == 0
+    assert context.queue.waiting_bytes == context.total.waiting == 0
+    context.queue.put(b"frame")
+    assert context.total.waiting == len(b"frame")
+    context.queue.clear()
+    assert context.queue.waiting_bytes == context.total.waiting == 0
--- a/tests/steps/bound_steps.py
+++ b/tests/steps/bound_steps.py
@@ -6,6 +6,7 @@
 import types
 
 import aiohttp
+from aiohttp import web
 from behave import given, then, when
 
 from guavawing.config import PolicyTable
@@ -13,6 +14,7 @@
 from guavawing.node.caller_server import CallerServer, open_caller_server
 from guavawing.node.entry import Call
 from guavawing.node.frames import (
+    MAX_ANSWER_BYTES,
     build_answer_frames,
     build_hello,
     build_request,
@@ -25,7 +27,7 @@
 from guavawing.policy.bound_key import BoundKey
 from guavawing.policy.choice import LoadReport
 from guavawing.proto import calls_pb2 as pb
-from guavawing.verdict import NotRun, Reason
+from guavawing.verdict import NotRun, Ran, Reason, verdict_name
 from standins.caller import send_call
 from standins.cluster import PortBlock
 from standins.documents import make_newsroom_document
@@ -43,12 +45,14 @@
 
     def __init__(self):
         self.refused = []
+        self.futs = []
 
     def load(self):
         return LOAD
 
     def submit(self, attempt):
-        return Submission(asyncio.get_running_loop().create_future())
+        self.futs.append(asyncio.get_running_loop().create_future())
+        return Submission(self.futs[-1])
 
     def refuse(self, key, fingerprint, verdict):
         self.refused.append(key)
@@ -123,6 +127,7 @@
         member_id="owner",
         incarnation=1,
     )
+    context.mesh_server = server
     async with (
         open_mesh_server(server, parse_address(address)),
         aiohttp.ClientSession() as session,
@@ -165,6 +170,35 @@
     context.run(run())
 
 
+@when(
+    "an entry node sends it {count:d} calls and goes away before their answers"
+)
+def step_go_away(context, count):
+    address = take_address(context)
+
+    async def run():
+        async with open_connection(context, address) as ws:
+            conn = MeshConnection(ws, lambda *_: None)
+            await conn.start("entry", 1)
+            for number in range(count):
+                key = BoundKey("owner", 1, 0, str(number))
+                conn.submit(make_attempt(key))
+            futs = context.owner.futs
+            while len(futs) < count:
+                await asyncio.sleep(0.01)
+            await conn.close()
+        for fut in futs:
+            fut.set_result(Answer(Ran(), 200, (), b"x" * 100_000))
+        await asyncio.sleep(0.05)
+
+    context.run(run())
+
+
+@then("nothing waits at the owner")
+def step_nothing_waits_at_owner(context):
+    assert context.mesh_server.total.waiting == 0
+
+
 @then('{count:d} of them are refused with "{reason}"')
 def step_refused_frames(context, count, reason):
     reasons = [str(verdict.reason) for verdict in context.verdicts]
@@ -220,3 +254,69 @@
     assert context.ending.closed, context.ending
     # Nothing was taken: the owner sent no frame after its first one.
     assert aiohttp.WSMsgType.BINARY not in context.ending.kinds
+
+
+def make_broken_answer(fault):
+    whole = Answer(Ran(), 200, (), b"x" * 100_000)
+    head, chunk = build_answer_frames(whole, 1, LOAD)
+    match fault:
+        case "half of an answer":
+            return [head]
+        case "more than it said":
+            head.answer.body_length = 70_000
+            return [head, chunk]
+        case "an answer twice":
+            return [head, head]
+        case "a chunk before its answer":
+            return [chunk, head]
+        case "an answer of more than the limit":
+            head.answer.body_length = MAX_ANSWER_BYTES + 1
+            return [head]
+        case "an unknown reason":
+            head.answer.reason = "because"
+            return [head, chunk]
+    raise AssertionError(fault)
+
+
+@when("an owner answers a call with {fault}")
+def step_broken_owner(context, fault):
+    address = parse_address(take_address(context))
+    hello = build_hello("owner", 1, LOAD, now=0.0)
+
+    async def answer(req):
+        ws = web.WebSocketResponse()
+        await ws.prepare(req)
+        await ws.send_bytes(hello.SerializeToString())
+        await ws.receive()
+        await ws.send_bytes(hello.SerializeToString())
+        await ws.receive()
+        for frame in make_broken_answer(fault):
+            await ws.send_bytes(frame.SerializeToString())
+        await ws.close()
+        return ws
+
+    async def run():
+        runner = web.ServerRunner(web.Server(answer))
+        await runner.setup()
+        await web.TCPSite(runner, address.host, address.port).start()
+        async with (
+            aiohttp.ClientSession() as session,
+            session.ws_connect(f"http://{address}/") as ws,
+        ):
+            conn = MeshConnection(ws, lambda *_: None)
+            await conn.start("entry", 1)
+            key = BoundKey("owner", 1, 0, "nonce")
+            async with asyncio.timeout(5.0):
+                ending = await conn.submit(make_attempt(key)).fut
+            await conn.close()
+        await runner.cleanup()
+        return ending
+
+    context.ending = context.run(run())
+
+
+@then('the call ends with "{verdict}" and "{reason}"')
+def step_call_ends(context, verdict, reason):
+    found = context.ending.verdict
+    assert (verdict_name(found), str(found.reason)) == (verdict, reason), found
+    assert not context.ending.body
