Split the entry side by job

Ruled out: a protocol class in place of the import for types (it would repeat ten methods).

Change: call.py (the checked request), call_router.py (attempts of one call), entry.py (owners, connections, budgets). No behaviour.

--- /dev/null
+++ b/src/guavawing/node/call.py
@@ -0,0 +1,43 @@
+"""Calls: the requests of callers, checked."""
+
+import hashlib
+
+import attrs
+
+from guavawing.node.messages import CallAttempt
+from guavawing.policy.bound_key import BoundKey
+from guavawing.policy.keyed_call import KeyedCall, KeySource
+
+__all__ = ["Call", "compute_fingerprint"]
+
+
+@attrs.frozen
+class Call:
+    """A caller's request, checked.
+
+    Attributes:
+        attempt: The attempt to make, without a bound key.
+        caller_key: Key of the caller's own choice; empty for none.
+        bound_key: Bound key that the caller sent; None for none.
+    """
+
+    attempt: CallAttempt
+    caller_key: str = ""
+    bound_key: BoundKey | None = None
+
+    def start_keyed(self) -> KeyedCall:
+        """Returns the decisions of a non-idempotent call."""
+        if self.bound_key is not None:
+            return KeyedCall(KeySource.BOUND, self.bound_key)
+        if self.caller_key:
+            return KeyedCall(KeySource.CLAIMED)
+        return KeyedCall(KeySource.MINTED)
+
+
+def compute_fingerprint(method: str, path: str, body: bytes) -> bytes:
+    """Returns a digest that tells two requests under one key apart."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (method.encode(), path.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
--- a/src/guavawing/node/call_reader.py
+++ b/src/guavawing/node/call_reader.py
@@ -7,12 +7,12 @@
 
 from guavawing.config import EffectivePolicy
 from guavawing.errors import GuavawingError, InvalidArgumentError
+from guavawing.node.call import Call, compute_fingerprint
 from guavawing.node.call_headers import (
     CALL_ID_HEADER,
     DEPTH_HEADER,
     KEY_HEADER,
 )
-from guavawing.node.entry import Call, compute_fingerprint
 from guavawing.node.messages import CallAttempt
 from guavawing.policy.bound_key import is_bound_key, parse_bound_key
 from guavawing.verdict import NotRun, Reason
--- a/src/guavawing/node/caller_server.py
+++ b/src/guavawing/node/caller_server.py
@@ -10,6 +10,7 @@
 
 from guavawing.config import EffectivePolicy, PolicyTable
 from guavawing.model import Address
+from guavawing.node.call import Call
 from guavawing.node.call_headers import (
     DEADLINE_HEADER,
     SERVICE_HEADER,
@@ -30,7 +31,7 @@
     build_keys_response,
     build_response,
 )
-from guavawing.node.entry import Call, Entry
+from guavawing.node.entry import Entry
 from guavawing.node.messages import Answer, CallAttempt
 from guavawing.node.metrics import Metrics
 from guavawing.node.target_client import strip_hop_headers
--- a/src/guavawing/node/entry.py
+++ b/src/guavawing/node/entry.py
@@ -1,15 +1,13 @@
-"""The caller side: chooses an owner, keeps the deadline, decides retries."""
+"""The entry side of a node: owners, connections and budgets of its calls."""
 
 import asyncio
-import hashlib
 from collections.abc import Sequence
 
-import attrs
-
 from guavawing.membership import Member, MemberTable
 from guavawing.model import MemberId
+from guavawing.node.call import Call
+from guavawing.node.call_router import CallRouter
 from guavawing.node.claims import Claims
-from guavawing.node.keyed_router import KeyedRouter
 from guavawing.node.mesh_pool import MeshPool
 from guavawing.node.messages import Answer, CallAttempt
 from guavawing.node.metrics import Metrics
@@ -17,44 +15,13 @@
 from guavawing.node.submission import Submission
 from guavawing.policy.bound_key import BoundKey
 from guavawing.policy.choice import Candidate, Chooser, LoadReport
-from guavawing.policy.keyed_call import KeyedCall, KeySource
-from guavawing.policy.retry import (
-    GiveUp,
-    Retry,
-    RetryBudget,
-    decide_retry,
-)
-from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
+from guavawing.policy.retry import RetryBudget
 
-__all__ = ["Call", "Entry", "compute_fingerprint"]
+__all__ = ["Entry"]
 
-RETRY_AFTER_NO_TARGET_S = 1.0
 KEYS_PER_OWNER = 32
 
 
-@attrs.frozen
-class Call:
-    """A caller's request, checked.
-
-    Attributes:
-        attempt: The attempt to make, without a bound key.
-        caller_key: Key of the caller's own choice; empty for none.
-        bound_key: Bound key that the caller sent; None for none.
-    """
-
-    attempt: CallAttempt
-    caller_key: str = ""
-    bound_key: BoundKey | None = None
-
-    def start_keyed(self) -> KeyedCall:
-        """Returns the decisions of a non-idempotent call."""
-        if self.bound_key is not None:
-            return KeyedCall(KeySource.BOUND, self.bound_key)
-        if self.caller_key:
-            return KeyedCall(KeySource.CLAIMED)
-        return KeyedCall(KeySource.MINTED)
-
-
 class Entry:
     """Routes calls to owners, this node's own one included."""
 
@@ -69,7 +36,6 @@
         claims: Claims,
         metrics: Metrics,
     ) -> None:
-        self._loop = asyncio.get_running_loop()
         self._me = me
         self._table = table
         self._owner = owner
@@ -81,7 +47,7 @@
 
     async def call(self, call: Call) -> Answer:
         """Returns the final answer of a call, at its deadline at latest."""
-        router = _CallRouter(self, call)
+        router = CallRouter(self, call)
         try:
             async with asyncio.timeout_at(call.attempt.deadline):
                 answer = await router.route()
@@ -202,154 +168,3 @@
             local=member.data_centre == self._me.data_centre,
             slots=member.slots,
         )
-
-
-class _CallRouter:
-    """The attempts of one call."""
-
-    def __init__(self, entry: Entry, call: Call) -> None:
-        self._entry = entry
-        self._call = call
-        self._policy = call.attempt.policy
-        self._excluded: set[MemberId] = set()
-        # The end of the last attempt that may have run, if any.
-        self._uncertain: MayHaveRun | None = None
-        self._in_flight = False
-        self._keyed: KeyedRouter | None = None
-        if not self._policy.idempotent:
-            self._keyed = KeyedRouter(
-                call.start_keyed(),
-                call.attempt,
-                caller_key=call.caller_key,
-                access=self,
-                claims=entry.claims,
-            )
-
-    def answer_at_deadline(self) -> Answer:
-        """Returns what is known when the deadline passes."""
-        if self._keyed is not None:
-            verdict = self._keyed.call.conclude_at_deadline()
-            return self._keyed.add_key(Answer(verdict))
-        if self._in_flight or self._uncertain is not None:
-            return Answer(MayHaveRun(Reason.DEADLINE_PASSED))
-        return Answer(NotRun(Reason.DEADLINE_PASSED))
-
-    async def route(self) -> Answer:
-        """Makes attempts until one decides the call."""
-        settings = self._policy.settings
-        budget = self._entry.budget(self._policy.service)
-        budget.earn(settings.retry_ratio)
-        attempts = redirects = 0
-        answer = Answer(NotRun(Reason.NO_TARGET, RETRY_AFTER_NO_TARGET_S))
-        while True:
-            attempts += 1
-            answer = _prefer(answer, await self._attempt_once())
-            decision = decide_retry(
-                answer.verdict,
-                idempotent=self._policy.idempotent,
-                attempts=attempts,
-                max_attempts=settings.max_attempts,
-                budget=budget,
-                redirects=redirects,
-            )
-            match decision:
-                case GiveUp(budget_spent=budget_spent):
-                    return self._conclude(answer, budget_spent)
-                case Retry() if not self._can_retry():
-                    return self._conclude(answer, budget_spent=True)
-                case Retry(redirect=True):
-                    attempts -= 1
-                    redirects += 1
-            self.count_repeat(answer.verdict.reason)
-
-    def choose_owner(self) -> Member | None:
-        """Returns the member for the next attempt, or None."""
-        return self._entry.choose(
-            self._policy.service,
-            self._excluded,
-            spill=self._policy.settings.spill,
-        )
-
-    def exclude_owner(self, member: Member) -> None:
-        """Keeps a member from being chosen again for this call."""
-        self._excluded.add(member.id)
-
-    def find_owner(self, key: BoundKey) -> Member | None:
-        """Returns the member that a key is bound to; None if replaced."""
-        return self._entry.find_owner(key)
-
-    async def mint_key(self, member: Member) -> BoundKey | None:
-        """Returns a new key bound to a member, or None if unreachable."""
-        return await self._entry.mint_key(member)
-
-    async def send_copy(
-        self, member: Member, attempt: CallAttempt, call: KeyedCall
-    ) -> Answer | None:
-        """Sends a copy and returns the answer; None if it was not sent."""
-        submission = await self._entry.submit(member, attempt)
-        if submission is None:
-            return None
-        call.take_sent()
-        return await self._wait(member, submission)
-
-    def count_repeat(self, reason: Reason) -> None:
-        """Counts a further attempt or copy."""
-        self._entry.metrics.retries.inc({"reason": str(reason)})
-
-    def _can_retry(self) -> bool:
-        return self._keyed is None or self._keyed.call.can_retry
-
-    def _conclude(self, answer: Answer, budget_spent: bool) -> Answer:
-        """Returns the answer with a verdict that covers every attempt."""
-        verdict = answer.verdict
-        if isinstance(verdict, NotRun) and self._uncertain is not None:
-            return Answer(attrs.evolve(self._uncertain, budget_spent=True))
-        if isinstance(verdict, Ran) or verdict.budget_spent == budget_spent:
-            return answer
-        verdict = attrs.evolve(verdict, budget_spent=budget_spent)
-        return attrs.evolve(answer, verdict=verdict)
-
-    async def _attempt_once(self) -> Answer:
-        if self._keyed is not None:
-            return await self._keyed.attempt()
-        member = self.choose_owner()
-        if member is None:
-            return Answer(NotRun(Reason.NO_TARGET, RETRY_AFTER_NO_TARGET_S))
-        submission = await self._entry.submit(member, self._call.attempt)
-        self.exclude_owner(member)
-        if submission is None:
-            return Answer(NotRun(Reason.OWNER_UNREACHABLE, 0.0))
-        self._in_flight = True
-        answer = await self._wait(member, submission)
-        self._in_flight = False
-        if isinstance(answer.verdict, MayHaveRun):
-            self._uncertain = answer.verdict
-        return answer
-
-    async def _wait(self, member: Member, submission: Submission) -> Answer:
-        self._entry.start(member)
-        try:
-            return await asyncio.shield(submission.fut)
-        except asyncio.CancelledError:
-            submission.cancel()
-            raise
-        finally:
-            self._entry.finish(member)
-
-
-def _prefer(before: Answer, answer: Answer) -> Answer:
-    """Returns the refusal that says more if no other owner was left."""
-    verdict = before.verdict
-    none_left = answer.verdict.reason is Reason.NO_TARGET
-    if none_left and isinstance(verdict, NotRun):
-        return Answer(attrs.evolve(verdict, budget_spent=True))
-    return answer
-
-
-def compute_fingerprint(method: str, path: str, body: bytes) -> bytes:
-    """Returns a digest that tells two requests under one key apart."""
-    digest = hashlib.blake2b(digest_size=16)
-    for part in (method.encode(), path.encode(), body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.digest()
--- a/tests/steps/bound_steps.py
+++ b/tests/steps/bound_steps.py
@@ -11,8 +11,8 @@
 
 from guavawing.config import PolicyTable
 from guavawing.model import parse_address
+from guavawing.node.call import Call
 from guavawing.node.caller_server import CallerServer, open_caller_server
-from guavawing.node.entry import Call
 from guavawing.node.frames import (
     MAX_ANSWER_BYTES,
     build_answer_frames,
