--- a/src/guavawing/config/codec.py
+++ b/src/guavawing/config/codec.py
@@ -2,7 +2,6 @@
 
 import datetime
 import hashlib
-import json
 import typing
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -25,18 +24,16 @@
     Scalar,
     ServiceEntry,
 )
-from guavawing.config.fault import Fault, quote
+from guavawing.config.fault import MAX_FAULTS, Fault, Place, join_place, quote
+from guavawing.config.repeated_keys import find_repeated_keys
 from guavawing.errors import ConfigInvalidError
 from guavawing.model import CallClass
 
 __all__ = ["compute_digest", "decode_document", "encode_document"]
 
-MAX_DOCUMENT_BYTES = 2 * 1024 * 1024
-MAX_FAULTS = 200
-MAX_PLACE_LENGTH = 200
+MAX_DOCUMENT_BYTES = 1024 * 1024
 
 Hook = Callable[[Any, Any], Any]
-Place = tuple[str, ...]
 
 
 def _structure_scalar(value: Any, _: Any) -> Scalar:
@@ -151,9 +148,14 @@
         )
     try:
         orjson.loads(payload)
-    except orjson.JSONDecodeError as exc:
+        # orjson keeps the last one of two equal keys without a word.
+        repeated = find_repeated_keys(payload)
+    except RecursionError:
+        raise _fail("got too many levels of nesting") from None
+    except ValueError as exc:
         raise _fail(f"not JSON: {exc}") from None
-    _refuse_repeated_keys(payload)
+    if repeated:
+        raise ConfigInvalidError(tuple(repeated[:MAX_FAULTS]))
     try:
         # Read again, so that one tree at a time takes memory.
         return _converter.structure(orjson.loads(payload), Document)
@@ -171,62 +173,6 @@
     return ConfigInvalidError((Fault("document", message),))
 
 
-class _Repeated(dict[str, Any]):
-    """An object of which some keys were given twice."""
-
-    __slots__ = ("names",)
-    names: list[str]
-
-
-def _refuse_repeated_keys(payload: bytes) -> None:
-    """Refuses an object with a key twice, of which orjson keeps the last.
-
-    An operator who pastes a second "routes" would otherwise lose the first
-    without a word.
-    """
-    found = False
-
-    def build(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
-        nonlocal found
-        tree = dict(pairs)
-        if len(tree) == len(pairs):
-            return tree
-        found = True
-        repeated = _Repeated(tree)
-        seen: set[str] = set()
-        repeated.names = []
-        for name, _ in pairs:
-            if name in seen:
-                repeated.names.append(name)
-            seen.add(name)
-        return repeated
-
-    try:
-        tree = json.loads(payload, object_pairs_hook=build)
-    except RecursionError:
-        raise _fail("got too many levels of nesting") from None
-    except ValueError as exc:
-        raise _fail(f"not JSON: {exc}") from None
-    if found:
-        faults = tuple(_find_repeated(tree, ()))
-        raise ConfigInvalidError(faults[:MAX_FAULTS])
-
-
-def _find_repeated(tree: Any, place: Place) -> Iterator[Fault]:
-    if isinstance(tree, list):
-        for index, child in enumerate(tree):
-            yield from _find_repeated(child, (*place, str(index)))
-    if not isinstance(tree, dict):
-        return
-    if isinstance(tree, _Repeated):
-        for name in tree.names:
-            yield Fault(
-                _join((*place, name)), "got this key twice, expected it once"
-            )
-    for name, child in tree.items():
-        yield from _find_repeated(child, (*place, name))
-
-
 def _collect_faults(exc: BaseException, place: Place) -> Iterator[Fault]:
     if isinstance(exc, cattrs.ClassValidationError):
         noted, others = exc.group_exceptions()
@@ -247,17 +193,10 @@
         known = ", ".join(field.name for field in attrs.fields(exc.cl))
         for name in sorted(exc.extra_fields):
             yield Fault(
-                _join((*place, name)),
+                join_place((*place, name)),
                 f"got an unknown key, expected one of {known}",
             )
     elif isinstance(exc, KeyError):
-        yield Fault(_join(place), "got nothing, expected a value")
+        yield Fault(join_place(place), "got nothing, expected a value")
     else:
-        yield Fault(_join(place), str(exc))
-
-
-def _join(place: Place) -> str:
-    shown = (
-        name if name.isprintable() and name else quote(name) for name in place
-    )
-    return ".".join(shown)[:MAX_PLACE_LENGTH] or "document"
+        yield Fault(join_place(place), str(exc))
--- a/src/guavawing/node/http_server.py
+++ b/src/guavawing/node/http_server.py
@@ -19,6 +19,29 @@
 SHUTDOWN_TIMEOUT_S = 1.0
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+ErrorHandler = Callable[[int, str], web.Response]
+
+
+class _Protocol(web.RequestHandler):
+    """One connection; errors of the HTTP library are answered by a hook."""
+
+    __slots__ = ("answer_error",)
+
+    answer_error: ErrorHandler | None
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answers bytes that the HTTP library can't read, and own faults."""
+        if self.answer_error is None:
+            return super().handle_error(request, status, exc, message)
+        resp = self.answer_error(status, message or "")
+        resp.force_close()
+        return resp
 
 
 class BoundedServer(web.Server):
@@ -31,22 +54,35 @@
         name: str,
         max_connections: int,
         metrics: Metrics,
-        **options: Any,
+        answer_error: ErrorHandler | None = None,
+        handler_cancellation: bool = False,
     ) -> None:
         super().__init__(
             handler,
             request_factory=self._note_request,
-            access_log=None,
-            # Bodies are passed on as they came, compressed or not.
-            auto_decompress=False,
-            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-            **options,
+            handler_cancellation=handler_cancellation,
         )
+        self._answer_error = answer_error
         self._name = name
         self._max_connections = max_connections
         self._metrics = metrics
         self._silent: set[RequestHandler] = set()
 
+    def __call__(self) -> web.RequestHandler:
+        """Returns the protocol of a new connection."""
+        # The library's type for a missing log is too narrow.
+        options: dict[str, Any] = {"access_log": None}
+        protocol = _Protocol(
+            self,
+            loop=asyncio.get_running_loop(),
+            # Bodies are passed on as they came, compressed or not.
+            auto_decompress=False,
+            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+            **options,
+        )
+        protocol.answer_error = self._answer_error
+        return protocol
+
     def connection_made(
         self, handler: Any, transport: asyncio.Transport
     ) -> None:
--- a/src/guavawing/node/owner.py
+++ b/src/guavawing/node/owner.py
@@ -24,7 +24,8 @@
 from guavawing.policy.bound_key import NONCE_BYTES, BoundKey
 from guavawing.policy.choice import LoadReport
 from guavawing.policy.key_table import Begin, Join, KeyTable, Reject, Replay
-from guavawing.verdict import NotRun, Reason, Verdict
+from guavawing.policy.spent_calls import SpentCalls
+from guavawing.verdict import MayHaveRun, NotRun, Reason, Verdict
 
 __all__ = ["Owner", "open_owner"]
 
@@ -59,7 +60,12 @@
 
 
 class Owner:
-    """Admits calls to the target and suppresses duplicates."""
+    """Admits calls to the target and suppresses duplicates.
+
+    Attributes:
+        spent_calls: Calls of this target for which a layer below has used
+            up its retries.
+    """
 
     def __init__(
         self,
@@ -76,6 +82,7 @@
         self._metrics = metrics
         self._admission = Admission(slots=0, queue_limit=0)
         self._keys = KeyTable(incarnation=incarnation, now=self._loop.time())
+        self.spent_calls = SpentCalls()
         self._ids = itertools.count(1)
         self._calls: dict[int, _Call] = {}
         self._running_keys: dict[BoundKey, int] = {}
@@ -129,7 +136,8 @@
         if attempt.key is None:
             return self._offer(attempt)
         if attempt.key.owner != self._member_id:
-            return self._refuse(NotRun(Reason.WRONG_OWNER, 0.0))
+            # Copies may be on their way to the true owner.
+            return self._refuse(MayHaveRun(Reason.WRONG_OWNER))
         decision = self._keys.begin(
             attempt.key, attempt.fingerprint, now=self._loop.time()
         )
@@ -144,6 +152,27 @@
                 return self._refuse(verdict)
         raise AssertionError(f"unexpected decision {decision!r}")
 
+    def refuse(
+        self, key: BoundKey | None, fingerprint: bytes, verdict: NotRun
+    ) -> Submission:
+        """Refuses a request for good, unless its key is known already."""
+        if key is None:
+            return self._refuse(verdict)
+        if key.owner != self._member_id:
+            return self._refuse(MayHaveRun(Reason.WRONG_OWNER))
+        decision = self._keys.begin(key, fingerprint, now=self._loop.time())
+        match decision:
+            case Begin():
+                self._keys.release(key)
+                return self._refuse(verdict)
+            case Join():
+                return self._join(self._running_keys[key])
+            case Replay(answer=Answer() as answer):
+                return self._resolve(answer)
+            case Reject(verdict=known):
+                return self._refuse(known)
+        raise AssertionError(f"unexpected decision {decision!r}")
+
     def expire(self) -> None:
         """Answers the calls whose deadline has passed."""
         if self._calls:
@@ -229,13 +258,17 @@
     def _complete(self, call_id: int, answer: Answer) -> None:
         """Answers every caller of a call and records how it ended."""
         call = self._calls[call_id]
+        verdict = answer.verdict
+        is_spent = call.attempt.call_id in self.spent_calls
+        if is_spent and isinstance(verdict, MayHaveRun):
+            answer = Answer(attrs.evolve(verdict, budget_spent=True))
         key = call.attempt.key
         if key is not None:
             del self._running_keys[key]
             if isinstance(answer.verdict, NotRun):
                 self._keys.release(key)
             else:
-                self._keys.finish(key, answer)
+                self._keys.finish(key, answer, size=len(answer.body))
         _resolve_once(call.fut, answer)
         call.end.set_result(answer)
 
--- a/src/guavawing/node/target_client.py
+++ b/src/guavawing/node/target_client.py
@@ -7,15 +7,12 @@
 import attrs
 
 from guavawing.model import Address
+from guavawing.node.call_headers import build_target_headers
 from guavawing.node.messages import Answer, CallAttempt, Headers
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
 
 __all__ = ["Execution", "TargetClient", "open_target_client"]
 
-# Time left of a call, in milliseconds, so that the target can end its work
-# when nobody waits for it any more.
-TIME_LEFT_HEADER = "Guavawing-Deadline-Ms"
-MILLISECONDS = 1_000
 CONNECT_RETRY_AFTER_S = 1.0
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
@@ -96,7 +93,7 @@
         """
         time_left_s = attempt.deadline - now
         timeout = aiohttp.ClientTimeout(total=None, connect=time_left_s)
-        headers = _replace_time_left(attempt.headers, time_left_s)
+        headers = build_target_headers(attempt, now=now)
         try:
             async with self._session.request(
                 attempt.method,
@@ -152,17 +149,11 @@
     async for chunk in resp.content.iter_any():
         body += chunk
         if len(body) > MAX_ANSWER_BYTES:
+            resp.close()
             return None
     return bytes(body)
 
 
-def _replace_time_left(headers: Headers, time_left_s: float) -> Headers:
-    time_left_ms = str(max(1, int(time_left_s * MILLISECONDS)))
-    name = TIME_LEFT_HEADER.lower()
-    kept = (each for each in headers if each[0].lower() != name)
-    return (*kept, (TIME_LEFT_HEADER, time_left_ms))
-
-
 def _lose(reason: Reason) -> Execution:
     return Execution(Answer(MayHaveRun(reason)), ended=False)
 
