--- a/src/guavawing/config/codec.py
+++ b/src/guavawing/config/codec.py
@@ -147,7 +147,7 @@
             f"got {len(payload)} bytes, expected at most {MAX_DOCUMENT_BYTES}"
         )
     try:
-        tree = orjson.loads(payload)
+        orjson.loads(payload)
         # orjson keeps the last one of two equal keys without a word.
         repeated = find_repeated_keys(payload)
     except RecursionError:
@@ -157,7 +157,8 @@
     if repeated:
         raise ConfigInvalidError(tuple(repeated[:MAX_FAULTS]))
     try:
-        return _converter.structure(tree, Document)
+        # Read again, so that one tree at a time takes memory.
+        return _converter.structure(orjson.loads(payload), Document)
     except (cattrs.BaseValidationError, ValueError) as exc:
         faults = tuple(_collect_faults(exc, ()))
         raise ConfigInvalidError(faults[:MAX_FAULTS]) from None
