--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -205,10 +205,12 @@
         """Applies the limits of a new version to the target."""
         policies = self._distributor.policies()
         assert policies is not None
-        limits = policies.limits_of(self._settings.service)
-        defaults = version.document.defaults
+        service = self._settings.service
+        limits = policies.limits_of(service)
         slots = 0 if limits is None else limits.slots
-        self._owner.set_limits(slots=slots, queue_limit=defaults.queue_limit)
+        self._owner.set_limits(
+            slots=slots, queue_limit=policies.queue_limit_of(service)
+        )
         self._gossip_task.set_notice(Notice(version.number, version.digest))
         self._update_serving()
 
--- a/src/guavawing/node/distributor.py
+++ b/src/guavawing/node/distributor.py
@@ -60,9 +60,17 @@
 MAX_REPLY_BYTES = MAX_DOCUMENT_BYTES + 65_536
 MILLISECONDS_PER_S = 1_000
 
+# Time between two looks at the calendar.
+DAY_CHECK_PERIOD_S = 30.0
+
 VersionListener = Callable[[Version], None]
 
 
+def read_utc_day() -> datetime.date:
+    """Returns the present day, by which exceptions end."""
+    return datetime.datetime.now(datetime.UTC).date()
+
+
 class Distributor:
     """Owns the learner, its clock and its fetches."""
 
@@ -75,7 +83,9 @@
         data_centre: str,
         source: str,
         metrics: Metrics,
+        read_today: Callable[[], datetime.date] = read_utc_day,
     ) -> None:
+        self._read_today = read_today
         self._platform = platform
         self._table = table
         self._node_id = node_id
@@ -140,6 +150,22 @@
                 else:
                     self._handle(event, now=loop.time())
 
+    async def watch_days(self) -> None:
+        """Ends exceptions after their last day until cancelled."""
+        while True:
+            await asyncio.sleep(DAY_CHECK_PERIOD_S)
+            self.apply_day()
+
+    def apply_day(self) -> None:
+        """Puts the policies of the present day in force."""
+        if self._policies is None:
+            return
+        policies = self._policies.on_day(self._read_today())
+        if policies is not self._policies:
+            self._policies = policies
+            log("info", "exceptions-ended", version=self.current.number)
+            self._tell_listeners()
+
     async def poll(self, period_s: float) -> None:
         """Reads the head of the configuration until cancelled.
 
@@ -322,11 +348,14 @@
         self._policies = PolicyTable(
             version.document,
             data_centre=self._data_centre,
-            today=datetime.datetime.now(datetime.UTC).date(),
+            today=self._read_today(),
         )
         self._metrics.version.set({}, version.number)
+        self._tell_listeners()
+
+    def _tell_listeners(self) -> None:
         for listener in self._listeners:
-            listener(version)
+            listener(self.current)
 
 
 def _read_content(reply: PullReply, base: VersionId) -> Content:
@@ -348,6 +377,7 @@
     tasks = (
         loop.create_task(distributor.run()),
         loop.create_task(distributor.poll(poll_period_s)),
+        loop.create_task(distributor.watch_days()),
     )
     try:
         yield distributor
--- a/src/guavawing/node/joiner.py
+++ b/src/guavawing/node/joiner.py
@@ -5,10 +5,9 @@
 import random
 from collections.abc import AsyncIterator, Iterable, Sequence
 
-import eliot
-
 from guavawing.errors import PlatformError
 from guavawing.membership import Gossip
+from guavawing.node.logs import log
 from guavawing.platform import Platform
 from guavawing.platform.seeds import (
     SEEDS_PER_DATA_CENTRE,
@@ -51,7 +50,7 @@
             async with asyncio.timeout(JOIN_WAIT_S):
                 while not self._gossip.joined:
                     await asyncio.sleep(JOIN_POLL_S)
-        eliot.log_message("join", joined=self._gossip.joined)
+        log("info", "join", joined=self._gossip.joined)
         return self._gossip.joined
 
     async def run(self) -> None:
--- /dev/null
+++ b/tests/processes/exception_days.feature
@@ -0,0 +1,8 @@
+Feature: An exception ends on its day at every node, without a new version
+
+  Scenario: The day after the last one
+    Given a node that enforces an exception with the last day 2027-01-31
+    Then on 2027-01-31 the exception applies at the node
+    And on 2027-02-01 the default applies at the node
+    And on 2027-01-30 the default applies at the node
+    And the limits of the target were set again once
--- /dev/null
+++ b/tests/steps/exception_day_steps.py
@@ -0,0 +1,89 @@
+"""Steps that let days pass at a node's distributor."""
+
+import asyncio
+import datetime
+
+import attrs
+from behave import given, then
+
+from guavawing.config import ExceptionEntry
+from guavawing.membership import MemberTable
+from guavawing.node.distributor import Distributor, open_distributor
+from guavawing.node.metrics import Metrics
+from guavawing.platform import publish_document
+from standins.documents import make_newsroom_document
+from standins.memory_platform import MemoryPlatform, MemoryStore
+
+POLL_PERIOD_S = 0.05
+START_TIMEOUT_S = 10.0
+EXCEPTION_VALUE = 7
+DEFAULT_VALUE = make_newsroom_document().defaults.queue_limit
+
+
+class NodePlatform(MemoryPlatform):
+    received_bytes = 0
+
+
+@given("a node that enforces an exception with the last day {day}")
+def step_node(context, day):
+    context.today = datetime.date.fromisoformat(day)
+    entry = ExceptionEntry(
+        service="desk",
+        setting="queue_limit",
+        value=EXCEPTION_VALUE,
+        reason="the archive moves in January",
+        owner="desk team",
+        ends=context.today,
+    )
+    document = attrs.evolve(
+        make_newsroom_document(), exceptions={"archive": entry}
+    )
+    context.told = []
+    context.distributor = context.run(start(context, document))
+
+
+async def start(context, document):
+    platform = NodePlatform(MemoryStore())
+    await publish_document(
+        platform, document, change_id="first", base_version=0, author="tests"
+    )
+    distributor = Distributor(
+        platform=platform,
+        table=MemberTable(),
+        node_id="desk-1",
+        data_centre="bergen",
+        source="127.0.0.1",
+        metrics=Metrics(),
+        read_today=lambda: context.today,
+    )
+    distributor.listen(context.told.append)
+    opened = open_distributor(distributor, poll_period_s=POLL_PERIOD_S)
+    await opened.__aenter__()
+    context.add_cleanup(lambda: context.run(opened.__aexit__(None, None, None)))
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while distributor.current.number == 0:
+            await asyncio.sleep(POLL_PERIOD_S)
+    return distributor
+
+
+def check(context, day, expected):
+    context.today = datetime.date.fromisoformat(day)
+    context.loop.call_soon_threadsafe(context.distributor.apply_day)
+    context.run(asyncio.sleep(0))
+    found = context.distributor.policies().queue_limit_of("desk")
+    assert found == expected, found
+
+
+@then("on {day} the exception applies at the node")
+def step_exception_applies(context, day):
+    check(context, day, EXCEPTION_VALUE)
+
+
+@then("on {day} the default applies at the node")
+def step_default_applies(context, day):
+    check(context, day, DEFAULT_VALUE)
+
+
+@then("the limits of the target were set again once")
+def step_told(context):
+    assert [version.number for version in context.told] == [1, 1]
