Carry changes and summaries across data centres; prove it with processes

Cause: a restarted node that is no reporter never heard of members of other data centres beside the seeds, and a death reported once to contacts that had died as well was lost until the next comparison. Ruled out: making every node a reporter (traffic between data centres grows with the nodes). Change: members compare what they know of elsewhere with a neighbour once a minute; reporters repeat each change in three ticks. Features that kill, freeze, drain, replace nodes, also with the platform down, and that join by seed rows alone; tag @seeds.N for fleets.

--- a/bench/gossip_driver.py
+++ b/bench/gossip_driver.py
@@ -249,7 +249,8 @@
         else:
             message = datagram.datagram
         sends = node.gossip.receive(message, now=self.now)
-        self._note(node, f"receives {describe(message)}", sends)
+        if self.trace is not None:
+            self._note(node, f"receives {describe(message)}", sends)
         self._carry_out(node, sends)
 
     def _note(self, node: Node, event: str, sends: Sequence[Send]) -> None:
--- a/src/guavawing/membership/exchange.py
+++ b/src/guavawing/membership/exchange.py
@@ -12,6 +12,7 @@
 
 from guavawing.membership.member import Member, MemberState
 from guavawing.membership.message import (
+    ELSEWHERE,
     MAX_DATAGRAM_BYTES,
     SyncPage,
     SyncRequest,
@@ -143,6 +144,8 @@
             if now >= reading.times_out_at:
                 del self._readings[data_centre]
         sends = self._read_own(now) if self._is_due(here, now) else []
+        if self.joined and self._is_due(ELSEWHERE, now):
+            sends += self._read_elsewhere(now)
         known = {*self._roster.table.data_centres(), *self._contacts}
         for data_centre in sorted(known):
             if data_centre != here and self._is_due(data_centre, now):
@@ -262,6 +265,27 @@
             return []
         return self.read_from(request.reply_to, now=now)
 
+    def _read_elsewhere(self, now: float) -> list[SyncSend]:
+        """Compares what is known of other data centres with a neighbour.
+
+        Only reporters read from the other data centres themselves.
+        """
+        self._due_at[ELSEWHERE] = now + self._delay(2 * self._repair_s)
+        neighbours = [member.control for member in self._roster.running()]
+        if not neighbours:
+            return []
+        address = self._rng.choice(neighbours)
+        return [self._open(ELSEWHERE, address, now, whole=False)]
+
+    def _list_elsewhere(self) -> list[Member]:
+        here = self._roster.me.data_centre
+        return [m for m in self._roster.table if m.data_centre != here]
+
+    def _list_known(self, data_centre: str) -> list[Member]:
+        if data_centre == ELSEWHERE:
+            return self._list_elsewhere()
+        return self._roster.table.members_in(data_centre)
+
     def _open(
         self, data_centre: str, address: Address, now: float, *, whole: bool
     ) -> SyncSend:
@@ -271,7 +295,7 @@
     def _ask(self, data_centre: str, cursor: int, now: float) -> SyncSend:
         reading = self._readings[data_centre]
         reading.times_out_at = now + PAGE_TIMEOUT_S
-        members = self._roster.table.members_in(data_centre)
+        members = self._list_known(data_centre)
         digests = () if reading.whole else compute_digests(members)
         body = SyncRequest(
             data_centre, cursor, digests, self._roster.me.control
@@ -279,8 +303,12 @@
         return SyncSend(reading.address, body)
 
     def _list_for(self, request: SyncRequest) -> list[Member]:
-        members = self._roster.table.members_in(request.data_centre)
+        members = self._list_known(request.data_centre)
         asker = self._roster.table.find(request.reply_to)
+        if request.data_centre == ELSEWHERE:
+            here = self._roster.me.data_centre
+            near = asker is not None and asker.data_centre == here
+            return members if near else []
         if asker is None or asker.data_centre == request.data_centre:
             return members
         return sample_contacts(members, data_centre=asker.data_centre)
--- a/src/guavawing/membership/gossip.py
+++ b/src/guavawing/membership/gossip.py
@@ -7,6 +7,7 @@
 from guavawing.membership.exchange import Exchange, SyncSend
 from guavawing.membership.member import Member, MemberState
 from guavawing.membership.message import (
+    ELSEWHERE,
     MAX_DATAGRAM_BYTES,
     Ack,
     Body,
@@ -37,6 +38,8 @@
 LEAVE_FANOUT = 8
 # Members of another data centre that a reporter tells of a change.
 REMOTE_FANOUT = 2
+# Ticks in which it does so, since the contacts may have stopped as well.
+REMOTE_REPEATS = 3
 REMOTE_DATAGRAMS_PER_TICK = 4
 # Ticks without the event loop's turn after which the loop is late, and
 # probe periods after which this process has stalled.
@@ -70,6 +73,8 @@
         self._exchange = Exchange(self._roster, others, rng)
         self._notice = Notice(0, b"")
         self._seen_at: float | None = None
+        self._reports: dict[MemberId, Member | Claim] = {}
+        self._reports_left: dict[MemberId, int] = {}
         self.table = self._roster.table
 
     @property
@@ -172,10 +177,15 @@
         return self._pack(accused)
 
     def _take_updates(self, datagram: Datagram, now: float) -> None:
-        # A joiner reads what the others know already.
-        joining = not self.joined and isinstance(datagram.body, SyncPage)
+        # A joiner, or a reader of a neighbour's state, reads what others
+        # know already.
+        match datagram.body:
+            case SyncPage(data_centre=name):
+                spread = self.joined and name != ELSEWHERE
+            case _:
+                spread = True
         for record in datagram.records:
-            self._roster.take_record(record, now=now, spread=not joining)
+            self._roster.take_record(record, now=now, spread=spread)
         for claim in datagram.claims:
             self._roster.take_claim(claim, now=now)
         for age in datagram.ages:
@@ -250,11 +260,15 @@
     def _report(self) -> list[Send]:
         """Tells other data centres of changes in this one."""
         outbound = self._roster.outbound
-        if not outbound:
+        for key in outbound:
+            self._reports_left[key] = REMOTE_REPEATS
+        self._reports |= outbound
+        outbound.clear()
+        if not self._reports:
             return []
         sends: list[Send] = []
-        changes = tuple(outbound.values())
-        outbound.clear()
+        changes = tuple(self._reports.values())
+        self._count_reports()
         members = self.table.members_in(self.me.data_centre)
         for data_centre in self._other_centres():
             if not self._exchange.is_reporter_for(data_centre):
@@ -265,6 +279,12 @@
                 sends += self._push(data_centre, REMOTE_FANOUT, part)
         return sends
 
+    def _count_reports(self) -> None:
+        for key in tuple(self._reports):
+            self._reports_left[key] -= 1
+            if self._reports_left[key] == 0:
+                del self._reports[key], self._reports_left[key]
+
     def _push(
         self, data_centre: str, count: int, updates: Sequence[Update]
     ) -> list[Send]:
--- a/src/guavawing/membership/message.py
+++ b/src/guavawing/membership/message.py
@@ -6,6 +6,7 @@
 from guavawing.model import Address, MemberId
 
 __all__ = [
+    "ELSEWHERE",
     "MAX_DATAGRAM_BYTES",
     "Ack",
     "Body",
@@ -25,6 +26,8 @@
 
 # Fits one packet of usual links, so that a lost fragment costs nothing.
 MAX_DATAGRAM_BYTES = 1_400
+# Stands for all data centres but the asker's own in a `SyncRequest`.
+ELSEWHERE = "."
 # Upper bounds of what the codec needs beside the text of a message.
 MEMBER_OVERHEAD_BYTES = 42
 ADDRESS_BYTES = 8
@@ -122,7 +125,7 @@
     """Asks for the records of a data centre from a position on.
 
     Attributes:
-        data_centre: Data centre whose records are wanted.
+        data_centre: Data centre whose records are wanted, or `ELSEWHERE`.
         cursor: Position of the first record wanted.
         digests: Digests of the asker's records by bucket; empty if the asker
             wants every record.
--- a/tests/cover/membership.feature
+++ b/tests/cover/membership.feature
@@ -84,6 +84,13 @@
     When the killed ones start again
     Then within 9 s everybody is held alive again by all
 
+  Scenario: Half of two data centres is killed at once
+    Given 4 members in each of 2 data centres
+    When half of the members are killed
+    Then within 19 s all avoid the killed ones
+    When the killed ones start again
+    Then within 9 s everybody is held alive again by all
+
   Scenario: A rack that is cut off comes back without an operator
     Given 24 members of one data centre
     When 6 members are cut off from the others for 120 s
@@ -98,6 +105,11 @@
     Then within 19 s nobody offers "desk-voss-1" to callers
     And within 19 s the summary of "voss" is fresh in "bergen"
 
+  Scenario: A joiner hears of the other data centres from its neighbours
+    Given 6 members in each of 3 data centres
+    When each member of "voss" restarts, 8 s apart
+    Then the members of "voss" still offer targets of "bergen"
+
   Scenario: Lies about a member are refuted
     Given 12 members of one data centre
     When a broken peer says of "desk-bergen-1" what is not true
@@ -120,7 +132,7 @@
     And no datagram was larger than 1400 bytes
 
   Scenario: Views never fall back and agree in the end, whatever is delivered
-    Then 60 random sessions with losses, duplicates, cuts and restarts hold
+    Then 100 random sessions with losses, duplicates, cuts and restarts hold
 
   @golden
   Scenario Outline: A whole session reads as its golden file
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -39,12 +39,14 @@
     """A fleet, by default with a first version in force.
 
     Tags: `@data_centres.N`, `@copies.N` (nodes a service and data centre),
-    `@relayed` (a relay between data centres), `@unpublished`.
+    `@relayed` (a relay between data centres), `@unpublished`, `@seeds.N`
+    (nodes named as seeds in the settings).
     """
     centres = DATA_CENTRES[: read_number(tags, "data_centres", 2)]
     copies = read_number(tags, "copies", 1)
     plans = plan_fleet(data_centres=centres, services=SERVICES, copies=copies)
-    manager = open_fleet(plans, relayed="relayed" in tags)
+    seeds = read_number(tags, "seeds", 3)
+    manager = open_fleet(plans, relayed="relayed" in tags, seeds=seeds)
     run = context.run
     context.fleet = run(manager.__aenter__())
     context.version = 0
--- /dev/null
+++ b/tests/processes/membership.feature
@@ -0,0 +1,29 @@
+@shared_fleet @data_centres.2 @copies.2
+Feature: Nodes as processes are killed, frozen, replaced and come back
+
+  Scenario: A killed node is avoided, and its replacement is taken at once
+    When node "desk-voss-1" is killed
+    Then within 19 s no node offers "desk-voss-1"
+    When node "desk-voss-1" starts again
+    Then within 19 s every node offers all 8 targets
+
+  Scenario: A frozen node is avoided, and accuses nobody when it wakes
+    When node "feed-bergen-1" is frozen
+    Then within 19 s no node offers "feed-bergen-1"
+    When node "feed-bergen-1" wakes
+    Then within 19 s every node offers all 8 targets
+    And for 3 s no node but "feed-bergen-1" is suspected
+
+  Scenario: A drained target is offered to nobody after 3 s
+    When node "desk-bergen-2" is drained
+    Then within 3 s no node offers "desk-bergen-2"
+    When node "desk-bergen-2" is undrained
+    Then within 3 s every node offers all 8 targets
+
+  Scenario: Half of the nodes are killed while the platform is down
+    When the platform is down
+    And half of the nodes are killed
+    Then within 19 s no node offers the killed ones
+    When the killed nodes start again
+    Then within 19 s every node offers all 8 targets
+    When the platform is up
--- /dev/null
+++ b/tests/processes/membership_seeds.feature
@@ -0,0 +1,12 @@
+@shared_fleet @data_centres.2 @copies.1 @seeds.0
+Feature: Nodes without seeds in their settings find each other by seed rows
+
+  Scenario: Every node has found every other, and rows name live members
+    Then every node offers all 4 targets
+    And the seed rows of each data centre name 2 of its nodes
+
+  Scenario: A row whose member stopped for good is taken over or left unused
+    When node "desk-voss-1" is killed
+    And node "feed-voss-1" is killed
+    And node "feed-voss-1" starts again
+    Then within 40 s every node offers all 3 targets
--- /dev/null
+++ b/tests/steps/membership_process_steps.py
@@ -0,0 +1,199 @@
+"""Steps that kill, freeze and start nodes as processes."""
+
+import signal
+import time
+
+from behave import then, when
+
+from guavawing.model import parse_address
+from guavawing.platform.client import open_platform
+from guavawing.platform.seeds import fetch_seeds
+
+POLL_S = 0.1
+
+
+def pick(context, name):
+    return context.fleet.nodes[name]
+
+
+def start(context, name):
+    node = pick(context, name)
+    fleet = context.fleet
+    context.run(node.node.start(log=fleet.log_of(node, "node")))
+    context.down.discard(name)
+
+
+def kill(context, name):
+    context.run(pick(context, name).node.kill())
+    down(context).add(name)
+
+
+def down(context):
+    if "down" not in context:
+        context.feature.down = getattr(context.feature, "down", set())
+        context.down = context.feature.down
+    return context.down
+
+
+def read_members(context):
+    """Returns what each running node says of all members, by name."""
+    views = {}
+    for name, node in context.fleet.nodes.items():
+        if name in down(context):
+            continue
+        status = context.run(context.fleet.get(node.admin, "/status"))
+        views[name] = {m["node"]: m for m in status["members"]}
+    return views
+
+
+def is_offered(view, name):
+    member = view.get(name, {"serving": False, "state": ""})
+    return member["serving"] and member["state"] == "alive"
+
+
+def wait(context, seconds, holds):
+    deadline = time.monotonic() + seconds
+    while not holds():
+        assert time.monotonic() < deadline, describe(context)
+        time.sleep(POLL_S)
+
+
+def describe(context):
+    """Returns whom each running node offers."""
+    return {
+        viewer: sorted(name for name in view if is_offered(view, name))
+        for viewer, view in read_members(context).items()
+    }
+
+
+def wait_not_offered(context, seconds, names):
+    def holds():
+        views = read_members(context)
+        return not any(
+            is_offered(view, name)
+            for viewer, view in views.items()
+            for name in names
+            if viewer != name
+        )
+
+    wait(context, seconds, holds)
+
+
+def count_offered(context):
+    return {
+        sum(is_offered(view, name) for name in view)
+        for view in read_members(context).values()
+    }
+
+
+@when('node "{name}" is killed')
+def step_kill(context, name):
+    kill(context, name)
+
+
+@when('node "{name}" starts again')
+def step_start(context, name):
+    start(context, name)
+    context.run(
+        context.fleet.wait_for_http(pick(context, name).admin, "/healthz")
+    )
+
+
+@when('node "{name}" is frozen')
+def step_freeze(context, name):
+    pick(context, name).node.send(signal.SIGSTOP)
+    down(context).add(name)
+
+
+@when('node "{name}" wakes')
+def step_wake(context, name):
+    pick(context, name).node.send(signal.SIGCONT)
+    down(context).discard(name)
+
+
+@when('node "{name}" is drained')
+def step_drain(context, name):
+    context.run(context.fleet.post(pick(context, name).admin, "/drain"))
+
+
+@when('node "{name}" is undrained')
+def step_undrain(context, name):
+    url = f"http://{pick(context, name).admin}/drain"
+
+    async def delete():
+        async with context.fleet.session.delete(url) as resp:
+            resp.raise_for_status()
+
+    context.run(delete())
+
+
+@when("the platform is {state}")
+def step_platform(context, state):
+    faults = {"down": state == "down"}
+    context.run(context.fleet.post(context.fleet.platform, "/faults", faults))
+
+
+@when("half of the nodes are killed")
+def step_kill_half(context):
+    context.killed = list(context.fleet.nodes)[1::2]
+    for name in context.killed:
+        kill(context, name)
+
+
+@when("the killed nodes start again")
+def step_start_killed(context):
+    for name in context.killed:
+        start(context, name)
+    for name in context.killed:
+        node = pick(context, name)
+        context.run(context.fleet.wait_for_http(node.admin, "/healthz"))
+
+
+@then('within {seconds:g} s no node offers "{name}"')
+def step_not_offered(context, seconds, name):
+    wait_not_offered(context, seconds, [name])
+
+
+@then("within {seconds:g} s no node offers the killed ones")
+def step_killed_not_offered(context, seconds):
+    wait_not_offered(context, seconds, context.killed)
+
+
+@then("within {seconds:g} s every node offers all {count:d} targets")
+def step_offered(context, seconds, count):
+    wait(context, seconds, lambda: count_offered(context) == {count})
+
+
+@then("every node offers all {count:d} targets")
+def step_offered_now(context, count):
+    assert count_offered(context) == {count}
+
+
+@then('for {seconds:g} s no node but "{name}" is suspected')
+def step_no_suspects(context, seconds, name):
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        for view in read_members(context).values():
+            for member in view.values():
+                if member["node"] != name:
+                    assert member["state"] == "alive", view
+        time.sleep(POLL_S)
+
+
+@then("the seed rows of each data centre name {count:d} of its nodes")
+def step_rows(context, count):
+    async def read():
+        address = parse_address(context.fleet.platform)
+        async with open_platform(address) as platform:
+            return await fetch_seeds(platform)
+
+    nodes = context.fleet.nodes
+
+    def holds():
+        rows = context.run(read())
+        names = {(row.data_centre, row.member_id) for row in rows}
+        wrong = [n for d, n in names if nodes[n].data_centre != d]
+        assert not wrong, rows
+        return len(names) == count * 2
+
+    wait(context, 60, holds)
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -229,6 +229,13 @@
     context.drive.restart(name, incarnation)
 
 
+@when('each member of "{centre}" restarts, {seconds:g} s apart')
+def step_restart_each(context, centre, seconds):
+    for node in context.drive.live(centre):
+        context.drive.restart(node.id)
+        context.drive.run(seconds)
+
+
 @when("all members restart one after the other, {seconds:g} s apart")
 def step_roll(context, seconds):
     for name in list(context.drive.driver.nodes):
