Answer with the owners' own refusal when no other owner is left

Cause: a call that the only owner refused was answered `no-target` with a fixed 1 s, so the owner's time to come back was lost (tests/processes/admission.feature failed: reasons evicted, no-target, queue-full).

Ruled out: nothing else.

Change: the router (node/entry.py) keeps the last refusal and answers with it; a call without any owner left is concluded instead of using up the budget.

Conclusion: Retry-After comes from the node beside the target.

--- a/src/guavawing/node/entry.py
+++ b/src/guavawing/node/entry.py
@@ -198,6 +198,9 @@
         self._attempts = 0
         # The end of the last attempt that may have run, if any.
         self._uncertain: MayHaveRun | None = None
+        # The last refusal by an owner, and whether no other owner is left.
+        self._refused: NotRun | None = None
+        self._exhausted = False
         self._in_flight = False
 
     def verdict_at_deadline(self) -> NotRun | MayHaveRun:
@@ -220,6 +223,8 @@
                     Reason.KEY_STORE_UNAVAILABLE, RETRY_AFTER_PLATFORM_S
                 )
                 return self._conclude(Answer(verdict))
+            if self._exhausted:
+                return self._conclude(answer)
             decision = decide_retry(
                 answer.verdict,
                 idempotent=self._policy.idempotent,
@@ -333,8 +338,11 @@
         )
         self._in_flight = False
         self._excluded.add(member.id)
-        if isinstance(answer.verdict, MayHaveRun):
-            self._uncertain = answer.verdict
+        match answer.verdict:
+            case MayHaveRun():
+                self._uncertain = answer.verdict
+            case NotRun():
+                self._refused = answer.verdict
         return answer
 
     def _choose(self) -> Member | None:
@@ -349,7 +357,14 @@
         return Answer(NotRun(Reason.OWNER_UNREACHABLE, 0.0))
 
     def _answer_no_target(self) -> Answer:
-        return Answer(NotRun(Reason.NO_TARGET, RETRY_AFTER_NO_TARGET_S))
+        """Returns why there is no owner left to try.
+
+        If owners refused the call, the last one's reason and time to come
+        back are truer than that there is no other owner.
+        """
+        self._exhausted = True
+        no_target = NotRun(Reason.NO_TARGET, RETRY_AFTER_NO_TARGET_S)
+        return Answer(self._refused or no_target)
 
 
 def compute_fingerprint(method: str, path: str, body: bytes) -> bytes:
--- a/tests/processes/admission.feature
+++ b/tests/processes/admission.feature
@@ -12,6 +12,7 @@
     Then every urgent call is served within 1000 ms
     And at least 30 bulk calls are served
     And at least 300 bulk calls are refused as not run with a time to come back
+    And every refusal gives the reason of the node beside the target
     And the target of "feed-bergen-1" has run at most 10 calls at a time
     And the target of "feed-bergen-1" has had at most 11 connections at a time
 
--- a/tests/steps/admission_load_steps.py
+++ b/tests/steps/admission_load_steps.py
@@ -201,3 +201,12 @@
 def step_publish_again(context, wait, key, left):
     context.run(asyncio.sleep(wait))
     publish_late(context, key, left, 0)
+
+
+@then("every refusal gives the reason of the node beside the target")
+def step_refusal_reasons(context):
+    reasons = {
+        each.reason for each in context.bulk if each.verdict == "not-run"
+    }
+    own = {"queue-full", "cannot-meet-deadline", "evicted", "deadline-passed"}
+    assert reasons and reasons <= own, reasons
