Show calls that hold a slot for nobody; check targets that keep deadlines

Cause: an operator could not see slots that are held for calls whose callers were answered, and no test had a target that ends its work at the deadline it is told.

Ruled out: closing idle connections when a version lowers the slots (the library closes them only together with busy ones).

Change: `abandoned` in /status; the target stand-in can end at the deadline; two scenarios.

--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -230,6 +230,7 @@
             "serving": me.serving,
             "draining": self._draining,
             "load": attrs.asdict(self._owner.load()),
+            "abandoned": self._owner.abandoned,
             "rejections": {
                 str(number): why
                 for number, why in self._distributor.rejections.items()
--- a/src/guavawing/node/owner.py
+++ b/src/guavawing/node/owner.py
@@ -92,6 +92,11 @@
             key_epoch=self._keys.epoch(now=self._loop.time()),
         )
 
+    @property
+    def abandoned(self) -> int:
+        """Calls that hold a slot and that nobody waits for."""
+        return self._admission.abandoned
+
     def set_limits(self, *, slots: int, queue_limit: int) -> None:
         """Applies the limits of a new configuration version."""
         self._carry_out(
--- a/standins/target.py
+++ b/standins/target.py
@@ -30,6 +30,8 @@
         truncate_answers: Number of answers to cut off half-way.
         unhealthy: Whether the health endpoint answers with status 503.
         errors: Number of requests to answer with status 500.
+        end_at_deadline: Whether work ends when the time left that the request
+            carries is over.
     """
 
     work_ms: float = 0.0
@@ -37,6 +39,7 @@
     truncate_answers: int = 0
     unhealthy: bool = False
     errors: int = 0
+    end_at_deadline: bool = False
 
 
 @attrs.define
@@ -102,6 +105,9 @@
         try:
             work_ms = float(req.headers.get("X-Work-Ms", "0"))
             work_ms += self._faults.work_ms
+            if self._faults.end_at_deadline:
+                time_left = req.headers.get("Guavawing-Deadline-Ms", "inf")
+                work_ms = min(work_ms, float(time_left))
             if work_ms:
                 await asyncio.sleep(work_ms / 1000)
         finally:
--- a/tests/steps/admission_load_steps.py
+++ b/tests/steps/admission_load_steps.py
@@ -3,10 +3,12 @@
 import asyncio
 import signal
 
-from behave import then, when
+from behave import given, then, when
 
 from standins.caller import send_call
 
+POLL_S = 0.05
+
 
 async def send_wave(fleet, count, **options):
     calls = [
@@ -210,3 +212,40 @@
     }
     own = {"queue-full", "cannot-meet-deadline", "evicted", "deadline-passed"}
     assert reasons and reasons <= own, reasons
+
+
+def set_end_at_deadline(context, name, value):
+    target = context.fleet.nodes[name].target
+    faults = {"end_at_deadline": value}
+    context.run(context.fleet.post(target, "/faults", faults))
+
+
+@given('the target of "{name}" ends its work at the deadline')
+def step_end_at_deadline(context, name):
+    set_end_at_deadline(context, name, True)
+
+
+@given('the target of "{name}" works to the end')
+def step_work_to_the_end(context, name):
+    set_end_at_deadline(context, name, False)
+
+
+def read_status(context, name):
+    node = context.fleet.nodes[name]
+    return context.run(context.fleet.get(node.admin, "/status"))
+
+
+@then('the status of "{name}" shows {count:d} abandoned calls')
+def step_abandoned(context, name, count):
+    status = read_status(context, name)
+    assert status["abandoned"] == count, status["abandoned"]
+
+
+@then('within {limit:g} s no call holds a slot at "{name}"')
+def step_slots_free(context, limit, name):
+    for _ in range(int(limit / POLL_S)):
+        running = read_status(context, name)["load"]["running"]
+        if running == 0:
+            return
+        context.run(asyncio.sleep(POLL_S))
+    raise AssertionError(running)
