Let operators remove claims that no caller will use again

Ruled out: removal by the nodes after a fixed time: a key that is sent again later would count as new and run a second time, and only the operators know how long their callers repeat.

Change: a write without a value removes a row; claims carry the time at which they were bound; guavawing keys prune. Claims moved beside the rest of what is kept in the platform.

--- a/src/guavawing/cli/main.py
+++ b/src/guavawing/cli/main.py
@@ -5,6 +5,7 @@
 from guavawing.cli.commands.defaults import default
 from guavawing.cli.commands.drain import drain, undrain
 from guavawing.cli.commands.exceptions import exception
+from guavawing.cli.commands.keys import keys
 from guavawing.cli.commands.node import node
 from guavawing.cli.commands.publish import publish
 from guavawing.cli.program import Program
@@ -45,5 +46,5 @@
     wait,
 ):
     config.add_command(_command)
-for _command in (drain, exception, node, status, undrain):
+for _command in (drain, exception, keys, node, status, undrain):
     main.add_command(_command)
--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -18,7 +18,6 @@
     open_admin_server,
 )
 from guavawing.node.caller_server import CallerServer, open_caller_server
-from guavawing.node.claims import Claims
 from guavawing.node.control_server import ControlServer, open_control_server
 from guavawing.node.distributor import Distributor, open_distributor
 from guavawing.node.entry import Entry
@@ -32,6 +31,7 @@
 from guavawing.node.settings import Settings
 from guavawing.node.target_client import open_target_client
 from guavawing.platform import Platform
+from guavawing.platform.claims import Claims
 from guavawing.platform.client import open_platform
 from guavawing.policy.choice import Chooser
 
--- a/src/guavawing/node/entry.py
+++ b/src/guavawing/node/entry.py
@@ -7,12 +7,12 @@
 from guavawing.model import MemberId
 from guavawing.node.call import Call
 from guavawing.node.call_router import CallRouter
-from guavawing.node.claims import Claims
 from guavawing.node.mesh_pool import MeshPool
 from guavawing.node.messages import Answer, CallAttempt
 from guavawing.node.metrics import Metrics
 from guavawing.node.owner import Owner
 from guavawing.node.submission import Submission
+from guavawing.platform.claims import Claims
 from guavawing.policy.bound_key import BoundKey
 from guavawing.policy.choice import Candidate, Chooser, LoadReport
 from guavawing.policy.retry import RetryBudget
--- a/src/guavawing/node/keyed_router.py
+++ b/src/guavawing/node/keyed_router.py
@@ -7,8 +7,8 @@
 
 from guavawing.errors import PlatformError
 from guavawing.membership import Member, MemberState
-from guavawing.node.claims import Claim, Claims
 from guavawing.node.messages import Answer, CallAttempt
+from guavawing.platform.claims import Claim, Claims
 from guavawing.policy.bound_key import BoundKey
 from guavawing.policy.keyed_call import (
     Ask,
--- a/src/guavawing/node/claims.py
+++ b/src/guavawing/platform/claims.py
@@ -4,9 +4,14 @@
 owner by inserting a row; whoever comes later, or loses the race, reads the
 row and goes to the same owner. The row says only where the key belongs, not
 whether it has run, so a reply lost after the write does no harm.
+
+Rows stay until an operator removes those that are too old for a caller to
+send their keys again: without its row, a key would be taken for a new one.
 """
 
 import hashlib
+import time
+from collections.abc import AsyncIterator
 
 import attrs
 
@@ -17,14 +22,19 @@
 )
 from guavawing.platform.client import (
     Platform,
+    Row,
     TransactionRefusedError,
     Write,
 )
 from guavawing.policy.bound_key import BoundKey, parse_bound_key
 
-__all__ = ["Claim", "Claims"]
+__all__ = ["Claim", "Claims", "remove_claims"]
 
 TABLE = "key-claims"
+BOUND_AT = "bound_at_s"
+ROWS_PER_READ = 1_000
+# Rows removed by one transaction, which the platform counts as one write.
+ROWS_PER_TRANSACTION = 200
 
 
 @attrs.frozen
@@ -83,7 +93,8 @@
         """
         name = _name_row(service, caller_key)
         revision = 0 if released is None else released.revision
-        write = Write(TABLE, name, {"key": str(key)}, revision)
+        value = {"key": str(key), BOUND_AT: int(time.time())}
+        write = Write(TABLE, name, value, revision)
         try:
             await self._platform.transact((write,))
             return Claim(name, key, revision + 1)
@@ -103,5 +114,55 @@
             raise PlatformError(f"row {TABLE}/{name} is damaged") from exc
 
 
+async def remove_claims(
+    platform: Platform, *, bound_before_s: float
+) -> AsyncIterator[int]:
+    """Removes the claims that were bound before a time, page by page.
+
+    A claim that is bound anew meanwhile stays.
+
+    Args:
+        platform: Table service and object store.
+        bound_before_s: Unix time, in seconds.
+
+    Yields:
+        The number of rows removed so far, after each page.
+
+    Raises:
+        PlatformError: If the platform gives no usable answer; what has been
+            removed before stays removed.
+    """
+    removed = 0
+    after = ""
+    while True:
+        rows = await platform.scan_rows(TABLE, after=after, limit=ROWS_PER_READ)
+        old = [
+            Write(TABLE, row.key, None, row.revision)
+            for row in rows
+            if _is_bound_before(row, bound_before_s)
+        ]
+        for start in range(0, len(old), ROWS_PER_TRANSACTION):
+            batch = old[start : start + ROWS_PER_TRANSACTION]
+            removed += await _remove_batch(platform, batch)
+        yield removed
+        if len(rows) < ROWS_PER_READ:
+            return
+        after = rows[-1].key
+
+
+async def _remove_batch(platform: Platform, batch: list[Write]) -> int:
+    try:
+        await platform.transact(batch)
+    except TransactionRefusedError:
+        # One of the rows was written meanwhile; it is met again next time.
+        return 0
+    return len(batch)
+
+
+def _is_bound_before(row: Row, time_s: float) -> bool:
+    bound_at = row.value.get(BOUND_AT)
+    return isinstance(bound_at, int) and bound_at < time_s
+
+
 def _name_row(service: str, caller_key: str) -> str:
     return hashlib.sha256(f"{service}\0{caller_key}".encode()).hexdigest()
--- a/src/guavawing/platform/client.py
+++ b/src/guavawing/platform/client.py
@@ -70,14 +70,14 @@
     Attributes:
         table: Name of the table.
         key: Key within the table.
-        value: New value.
+        value: New value; None removes the row.
         expected_revision: Revision that the row must have; 0 if it must not
             exist, None if any will do.
     """
 
     table: str
     key: str
-    value: dict[str, Any]
+    value: dict[str, Any] | None
     expected_revision: int | None
 
 
--- a/standins/memory_platform.py
+++ b/standins/memory_platform.py
@@ -67,7 +67,10 @@
         for write in writes:
             _, revision = self.get_row(write.table, write.key)
             rows = self.tables.setdefault(write.table, {})
-            rows[write.key] = (write.value, revision + 1)
+            if write.value is None:
+                rows.pop(write.key, None)
+            else:
+                rows[write.key] = (write.value, revision + 1)
         return True
 
     def get_row(self, table: str, key: str) -> tuple[Any, int]:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -138,7 +138,10 @@
         for write in writes:
             rows = self._tables.setdefault(write["table"], {})
             _, revision = rows.get(write["key"], (None, 0))
-            rows[write["key"]] = (write["value"], revision + 1)
+            if write["value"] is None:
+                rows.pop(write["key"], None)
+            else:
+                rows[write["key"]] = (write["value"], revision + 1)
         return _respond({})
 
     async def _put_object(self, req: web.Request) -> web.Response:
