Bound what a reader asks of a peer; measure the storm of joiners

Change: pages that don't advance are passed over, a reading has at most 2,000; a node that met nobody reads each 20 s. bench/seed_storm.py runs the real joiner on a jumping clock.

--- a/bench/measure_membership.py
+++ b/bench/measure_membership.py
@@ -2,10 +2,11 @@
 
 The real machines run under the driver with its clock; processor time is that
 of the whole drive, codec and driver included, and is thus an upper bound.
-Platform figures come from the joiner's stated rates. Results go to
-bench/slopes/membership.json.
+The platform's load comes from the real joiner, and its figure for the fleet
+from the slope between two counts. Results go to bench/slopes/membership.json.
 """
 
+import asyncio
 import gc
 import pathlib
 import random
@@ -18,8 +19,8 @@
 
 from bench.figure import Figure
 from bench.gossip_driver import GossipDriver, Node, make_member
+from bench.seed_storm import StormLoad, measure_storm
 from guavawing.membership import MemberState, MemberTable
-from guavawing.node.joiner import CHECK_PERIOD_S, FIRST_READ_SPREAD_S
 
 __all__ = ["run"]
 
@@ -31,6 +32,7 @@
 CENTRES = 12
 NODES_PER_CENTRE = 12
 FLEET = 15_000
+STORMS = (1_500, 3_000)
 IDLE_S = 60.0
 LARGE_IDLE_S = 4.0
 DEATHS = 8
@@ -49,10 +51,11 @@
     for count in COUNTS:
         figures += _measure_group(count)
     figures += _measure_large()
+    figures += _measure_herd()
     figures += _measure_centres()
     figures += _measure_doubt()
     figures += _measure_memory()
-    figures += _derive_platform_load()
+    figures += await asyncio.to_thread(_measure_storms)
     _write_slopes(figures)
     return figures
 
@@ -152,6 +155,45 @@
     ]
 
 
+def _measure_herd() -> list[Figure]:
+    """Measures half of a group that is killed at once and comes back."""
+    count = COUNTS[-1]
+    driver = _build(count, encoded=True)
+    driver.run(2.0)
+    killed = list(driver.nodes.values())[1::2]
+    seeds = [node.gossip.me.control for node in driver.nodes.values()][:5:2]
+    for node in killed:
+        driver.kill(node)
+    for node in killed:
+        _wait(driver, node.id, MemberState.SUSPECT)
+    avoided_at = driver.now - 2.0
+    before = sum(node.sent_bytes for node in driver.nodes.values())
+    for node in killed:
+        before -= node.sent_bytes
+        me = attrs.evolve(node.gossip.me, incarnation=2, sequence=0)
+        driver.add(me, seeds)
+
+    def holds() -> bool:
+        mine = [node.gossip.me for node in driver.nodes.values()]
+        return all(
+            node.gossip.table.get(me.id) == me
+            for node in driver.nodes.values()
+            for me in mine
+        )
+
+    back = driver.run_until(holds, timeout_s=300.0, step_s=0.5)
+    sent = sum(node.sent_bytes for node in driver.nodes.values()) - before
+    return [
+        Figure(f"half_killed_avoided_{count}", avoided_at, "s"),
+        Figure(
+            f"half_back_known_{count}",
+            float("inf") if back is None else back,
+            "s",
+        ),
+        Figure(f"half_back_sent_{count}", sent / count, "bytes"),
+    ]
+
+
 def _measure_centres() -> list[Figure]:
     """Measures data centres that hold summaries of each other."""
     driver = GossipDriver(SEED, encoded=True)
@@ -230,35 +272,44 @@
     ]
 
 
-def _derive_platform_load() -> list[Figure]:
-    """Computes the load of seed rows while all nodes start at once.
+def _measure_storms() -> list[Figure]:
+    """Measures seed rows while nodes start that meet others, or nobody."""
+    figures = []
+    for name, answered in (("answered", True), ("lonely", False)):
+        loads = [
+            measure_storm(count, centres=CENTRES, answered=answered, seed=SEED)
+            for count in STORMS
+        ]
+        figures += _extrapolate(name, loads)
+    return figures
+
 
-    Every starting node reads once within the spread; one that stays alone
-    reads and may write as if it were a data centre of one.
-    """
-    first = 1 / FIRST_READ_SPREAD_S
-    steady = CENTRES / CHECK_PERIOD_S
+def _extrapolate(name: str, loads: list[StormLoad]) -> list[Figure]:
+    reads = _find_slope([load.reads for load in loads])
+    writes = _find_slope([load.writes for load in loads])
+    rest = FLEET - STORMS[-1]
     return [
-        Figure("seed_reads_per_starting_node", first, "reads/s"),
+        Figure(f"storm_{name}_reads_slope", reads, "reads/s per node"),
+        Figure(f"storm_{name}_writes_slope", writes, "writes/s per node"),
         Figure(
-            f"seed_reads_storm_{FLEET}",
-            first * FLEET + steady,
+            f"storm_{name}_reads_{FLEET}",
+            loads[-1].reads + reads * rest,
             "reads/s",
             MAX_READS_PER_S,
         ),
         Figure(
-            f"seed_reads_lonely_{FLEET}",
-            FLEET / CHECK_PERIOD_S,
-            "reads/s",
-            MAX_READS_PER_S,
-        ),
-        Figure(f"seed_reads_steady_{FLEET}", steady, "reads/s"),
-        Figure(
-            f"seed_writes_joined_{FLEET}", steady, "writes/s", MAX_WRITES_PER_S
+            f"storm_{name}_writes_{FLEET}",
+            loads[-1].writes + writes * rest,
+            "writes/s",
+            MAX_WRITES_PER_S,
         ),
     ]
 
 
+def _find_slope(values: list[int]) -> float:
+    return (values[-1] - values[0]) / (STORMS[-1] - STORMS[0])
+
+
 def _write_slopes(figures: list[Figure]) -> None:
     entries = [
         {
--- a/src/guavawing/membership/exchange.py
+++ b/src/guavawing/membership/exchange.py
@@ -46,6 +46,8 @@
 MAX_AGE_S = 30 * 86_400.0
 PAGES_PER_S = 20.0
 PAGE_BURST = 40.0
+# Pages of one reading; a whole fleet takes fewer.
+MAX_PAGES = 2_000
 # Room that a page keeps for its head, beside the sender's own record.
 PAGE_HEAD_BYTES = 300
 JITTER = 0.25
@@ -77,12 +79,16 @@
         address: Where requests go.
         whole: Whether every record is read.
         times_out_at: When the page asked for is given up, in seconds.
+        cursor: Position of the page asked for.
+        pages: Pages read so far.
         seen: Members read so far.
     """
 
     address: Address
     whole: bool
     times_out_at: float
+    cursor: int = 0
+    pages: int = 0
     seen: set[MemberId] = attrs.field(factory=set)
 
 
@@ -198,8 +204,14 @@
         if reading is None:
             return []
         reading.seen.update(seen)
-        reading.address = sender.control
+        reading.pages += 1
         if page.next_cursor:
+            # A joiner asks two members and goes on with the first. Pages
+            # that don't advance otherwise, or don't end, are a broken peer's.
+            advances = page.next_cursor > reading.cursor
+            if not advances or reading.pages > MAX_PAGES:
+                return []
+            reading.address = sender.control
             return [self._ask(page.data_centre, page.next_cursor, now)]
         del self._readings[page.data_centre]
         if sender.data_centre == page.data_centre:
@@ -294,6 +306,7 @@
 
     def _ask(self, data_centre: str, cursor: int, now: float) -> SyncSend:
         reading = self._readings[data_centre]
+        reading.cursor = cursor
         reading.times_out_at = now + PAGE_TIMEOUT_S
         members = self._list_known(data_centre)
         digests = () if reading.whole else compute_digests(members)
--- a/src/guavawing/node/joiner.py
+++ b/src/guavawing/node/joiner.py
@@ -28,6 +28,8 @@
 # Mean time between two reads of the rows by all members of a data centre
 # together.
 CHECK_PERIOD_S = 10.0
+# The same for a node that has met nobody.
+LONELY_CHECK_PERIOD_S = 20.0
 # How long a node without any contact leaves the rows of others alone.
 LONELY_S = 20.0
 
@@ -63,6 +65,8 @@
             await asyncio.sleep(self._rng.uniform(0, 2 * self._mean_s()))
 
     def _mean_s(self) -> float:
+        if not self._gossip.joined:
+            return LONELY_CHECK_PERIOD_S
         here = self._gossip.me.data_centre
         members = self._gossip.table.members_in(here)
         return CHECK_PERIOD_S * sum(1 for m in members if m.running)
--- a/tests/cover/membership.feature
+++ b/tests/cover/membership.feature
@@ -121,6 +121,11 @@
     When a broken peer tells of 25000 members to "desk-bergen-1"
     Then "desk-bergen-1" knows at most 20000 members
 
+  Scenario: A peer that tells pages without end is not asked for ever
+    Given 3 members of one data centre
+    When a broken peer answers "desk-bergen-1" with the same page 10000 times
+    Then it was asked for another page at most 3 times
+
   Scenario: A peer can't flood the socket
     When a peer sends 10000 datagrams in a second
     Then at most 300 are read, and those of another peer still are
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -14,6 +14,7 @@
     Notice,
     PeerLimiter,
     Push,
+    SyncPage,
 )
 from guavawing.model import Address
 from tests.golden_files import check_golden
@@ -283,6 +284,27 @@
         gossip.receive(datagram, now=context.drive.driver.now)
 
 
+@when('a broken peer answers "{name}" with the same page {count:d} times')
+def step_endless(context, name, count):
+    drive = context.drive
+    gossip = drive.node(name).gossip
+    page = SyncPage("bergen", 1)
+    liar = make_member("liar", 999)
+    datagram = Datagram("liar", page, NO_NOTICE, (liar,))
+    context.asked = 0
+    drive.run(60)
+    gossip._exchange.hasten()
+    gossip.tick(now=drive.driver.now)
+    for _ in range(count):
+        sends = gossip.receive(datagram, now=drive.driver.now)
+        context.asked += len(sends)
+
+
+@then("it was asked for another page at most {count:d} times")
+def step_asked(context, count):
+    assert 1 <= context.asked <= count, context.asked
+
+
 @when("a peer sends {count:d} datagrams in a second")
 def step_flood(context, count):
     limiter = PeerLimiter(now=0.0)
