--- a/src/guavawing/membership/exchange.py
+++ b/src/guavawing/membership/exchange.py
@@ -12,6 +12,7 @@
 
 from guavawing.membership.member import Member, MemberState
 from guavawing.membership.message import (
+    ELSEWHERE,
     MAX_DATAGRAM_BYTES,
     SyncPage,
     SyncRequest,
@@ -32,6 +33,9 @@
 MAX_JOIN_RETRY_S = 8.0
 JOIN_CONTACTS = 2
 PAGE_TIMEOUT_S = 1.0
+# A member that joins hears little of others that join at the same time, so
+# its first repairs follow soon.
+FIRST_REPAIR_S = 2.0
 REPAIR_PERIOD_S = 30.0
 SUMMARY_PERIOD_S = 10.0
 # Age of a summary from which members tell each other of a fresh one.
@@ -96,6 +100,7 @@
         self._fresh_at: dict[str, float] = {}
         self._due_at: dict[str, float] = {}
         self._join_retry_s = JOIN_RETRY_S
+        self._repair_s = FIRST_REPAIR_S
         self._pages_left = PAGE_BURST
         self._refilled_at = 0.0
         self.joined = False
@@ -139,6 +144,8 @@
             if now >= reading.times_out_at:
                 del self._readings[data_centre]
         sends = self._read_own(now) if self._is_due(here, now) else []
+        if self.joined and self._is_due(ELSEWHERE, now):
+            sends += self._read_elsewhere(now)
         known = {*self._roster.table.data_centres(), *self._contacts}
         for data_centre in sorted(known):
             if data_centre != here and self._is_due(data_centre, now):
@@ -150,6 +157,13 @@
         self._readings.clear()
         self._due_at.clear()
 
+    def read_from(self, address: Address, *, now: float) -> list[SyncSend]:
+        """Compares states with a member that was held dead and is not."""
+        here = self._roster.me.data_centre
+        if here in self._readings:
+            return []
+        return [self._open(here, address, now, whole=False)]
+
     def answer(self, request: SyncRequest, *, now: float) -> list[SyncSend]:
         """Takes a request; it gets no answer above the bounded rate."""
         if not self._take_page_token(now):
@@ -209,7 +223,8 @@
         here = self._roster.me.data_centre
         if not self.joined:
             return self._join(now)
-        self._due_at[here] = now + self._delay(REPAIR_PERIOD_S)
+        self._due_at[here] = now + self._delay(self._repair_s)
+        self._repair_s = min(2 * self._repair_s, REPAIR_PERIOD_S)
         running = self._roster.running()
         addresses = [m.control for m in running]
         # All members together call on a seed now and then, which mends a
@@ -246,10 +261,30 @@
         return [self._open(data_centre, address, now, whole=whole)]
 
     def _read_back(self, request: SyncRequest, now: float) -> list[SyncSend]:
-        here = self._roster.me.data_centre
-        if request.data_centre != here or here in self._readings:
+        if request.data_centre != self._roster.me.data_centre:
             return []
-        return [self._open(here, request.reply_to, now, whole=False)]
+        return self.read_from(request.reply_to, now=now)
+
+    def _read_elsewhere(self, now: float) -> list[SyncSend]:
+        """Compares what is known of other data centres with a neighbour.
+
+        Only reporters read from the other data centres themselves.
+        """
+        self._due_at[ELSEWHERE] = now + self._delay(2 * self._repair_s)
+        neighbours = [member.control for member in self._roster.running()]
+        if not neighbours:
+            return []
+        address = self._rng.choice(neighbours)
+        return [self._open(ELSEWHERE, address, now, whole=False)]
+
+    def _list_elsewhere(self) -> list[Member]:
+        here = self._roster.me.data_centre
+        return [m for m in self._roster.table if m.data_centre != here]
+
+    def _list_known(self, data_centre: str) -> list[Member]:
+        if data_centre == ELSEWHERE:
+            return self._list_elsewhere()
+        return self._roster.table.members_in(data_centre)
 
     def _open(
         self, data_centre: str, address: Address, now: float, *, whole: bool
@@ -260,7 +295,7 @@
     def _ask(self, data_centre: str, cursor: int, now: float) -> SyncSend:
         reading = self._readings[data_centre]
         reading.times_out_at = now + PAGE_TIMEOUT_S
-        members = self._roster.table.members_in(data_centre)
+        members = self._list_known(data_centre)
         digests = () if reading.whole else compute_digests(members)
         body = SyncRequest(
             data_centre, cursor, digests, self._roster.me.control
@@ -268,8 +303,12 @@
         return SyncSend(reading.address, body)
 
     def _list_for(self, request: SyncRequest) -> list[Member]:
-        members = self._roster.table.members_in(request.data_centre)
+        members = self._list_known(request.data_centre)
         asker = self._roster.table.find(request.reply_to)
+        if request.data_centre == ELSEWHERE:
+            here = self._roster.me.data_centre
+            near = asker is not None and asker.data_centre == here
+            return members if near else []
         if asker is None or asker.data_centre == request.data_centre:
             return members
         return sample_contacts(members, data_centre=asker.data_centre)
@@ -278,7 +317,6 @@
         here = self._roster.me.data_centre
         if data_centre == here:
             self.joined = True
-            self._due_at[here] = now + self._delay(REPAIR_PERIOD_S)
             return
         age = self.find_age(data_centre, now=now)
         self._fresh_at[data_centre] = now
--- a/src/guavawing/node/caller_server.py
+++ b/src/guavawing/node/caller_server.py
@@ -8,6 +8,7 @@
 
 from guavawing.config import EffectivePolicy, PolicyTable
 from guavawing.model import Address
+from guavawing.node.call import Call
 from guavawing.node.call_headers import (
     DEADLINE_HEADER,
     SERVICE_HEADER,
@@ -28,7 +29,7 @@
     build_keys_response,
     build_response,
 )
-from guavawing.node.entry import Call, Entry
+from guavawing.node.entry import Entry
 from guavawing.node.http_server import BoundedServer, open_http_server
 from guavawing.node.logs import is_logged, log
 from guavawing.node.messages import Answer, CallAttempt
--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -18,7 +18,6 @@
     open_admin_server,
 )
 from guavawing.node.caller_server import CallerServer, open_caller_server
-from guavawing.node.claims import Claims
 from guavawing.node.control_server import ControlServer, open_control_server
 from guavawing.node.distributor import Distributor, open_distributor
 from guavawing.node.entry import Entry
@@ -32,6 +31,7 @@
 from guavawing.node.settings import Settings
 from guavawing.node.target_client import open_target_client
 from guavawing.platform import Platform
+from guavawing.platform.claims import Claims
 from guavawing.platform.client import open_platform
 from guavawing.policy.choice import Chooser
 
@@ -126,7 +126,7 @@
     async def _open_servers(self, me: Member, claims: Claims) -> None:
         settings = self._settings
         enter = self._stack.enter_async_context
-        chooser = Chooser(random.Random())
+        chooser = Chooser(random.Random(), viewer=me.id)
         pool = await enter(
             open_mesh_pool(
                 member_id=me.id,
@@ -205,10 +205,12 @@
         """Applies the limits of a new version to the target."""
         policies = self._distributor.policies()
         assert policies is not None
-        limits = policies.limits_of(self._settings.service)
-        defaults = version.document.defaults
+        service = self._settings.service
+        limits = policies.limits_of(service)
         slots = 0 if limits is None else limits.slots
-        self._owner.set_limits(slots=slots, queue_limit=defaults.queue_limit)
+        self._owner.set_limits(
+            slots=slots, queue_limit=policies.queue_limit_of(service)
+        )
         self._gossip_task.set_notice(Notice(version.number, version.digest))
         self._update_serving()
 
@@ -242,6 +244,7 @@
                 failures += 1
                 self._healthy &= failures < FAILURES_UNTIL_DOWN
             self._update_serving()
+            self._entry.forget_departed()
             await asyncio.sleep(HEALTH_PERIOD_S)
 
     def _read_status(self) -> dict[str, Any]:
@@ -258,6 +261,7 @@
             "serving": me.serving,
             "draining": self._draining,
             "load": attrs.asdict(self._owner.load()),
+            "abandoned": self._owner.abandoned,
             "rejections": {
                 str(number): why
                 for number, why in self._distributor.rejections.items()
--- a/src/guavawing/node/frame_queue.py
+++ b/src/guavawing/node/frame_queue.py
@@ -12,7 +12,18 @@
 
 import attrs
 
-__all__ = ["FrameQueue"]
+__all__ = ["ByteCount", "FrameQueue"]
+
+
+@attrs.define
+class ByteCount:
+    """Bytes that wait on all connections of a node.
+
+    Attributes:
+        waiting: The bytes.
+    """
+
+    waiting: int = 0
 
 
 @attrs.frozen
@@ -24,9 +35,17 @@
 class FrameQueue:
     """Frames that wait to be written to one connection."""
 
-    __slots__ = ("_bytes", "_filled", "_flushed", "_single", "_streams")
-
-    def __init__(self) -> None:
+    __slots__ = (
+        "_bytes",
+        "_filled",
+        "_flushed",
+        "_single",
+        "_streams",
+        "_total",
+    )
+
+    def __init__(self, total: ByteCount) -> None:
+        self._total = total
         self._single: deque[bytes] = deque()
         self._streams: OrderedDict[int, _Stream] = OrderedDict()
         self._bytes = 0
@@ -42,7 +61,7 @@
     def put(self, payload: bytes) -> None:
         """Adds a single frame."""
         self._single.append(payload)
-        self._bytes += len(payload)
+        self._count(len(payload))
         self._filled.set()
         self._flushed.clear()
 
@@ -57,7 +76,7 @@
             size: Bytes that the answer holds until it is sent.
         """
         self._streams[frame_id] = _Stream(frames, size)
-        self._bytes += size
+        self._count(size)
         self._filled.set()
         self._flushed.clear()
 
@@ -65,7 +84,14 @@
         """Forgets the rest of an answer that nobody waits for."""
         stream = self._streams.pop(frame_id, None)
         if stream is not None:
-            self._bytes -= stream.size
+            self._count(-stream.size)
+
+    def clear(self) -> None:
+        """Forgets every frame; nobody waits for them any more."""
+        self._single.clear()
+        self._streams.clear()
+        self._count(-self._bytes)
+        self._flushed.set()
 
     async def get(self) -> bytes:
         """Waits for the next frame to write."""
@@ -78,10 +104,6 @@
             self._filled.clear()
             await self._filled.wait()
 
-    def close(self) -> None:
-        """Ends the wait for frames that will not be written any more."""
-        self._flushed.set()
-
     async def wait_flushed(self) -> None:
         """Waits until every frame has been written."""
         await self._flushed.wait()
@@ -90,7 +112,7 @@
         if not self._single:
             return None
         payload = self._single.popleft()
-        self._bytes -= len(payload)
+        self._count(-len(payload))
         return payload
 
     def _take_of_stream(self) -> bytes | None:
@@ -100,5 +122,9 @@
             if payload is not None:
                 self._streams[frame_id] = stream
                 return payload
-            self._bytes -= stream.size
+            self._count(-stream.size)
         return None
+
+    def _count(self, size: int) -> None:
+        self._bytes += size
+        self._total.waiting += size
--- a/src/guavawing/node/owner.py
+++ b/src/guavawing/node/owner.py
@@ -4,7 +4,7 @@
 import contextlib
 import itertools
 import secrets
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 
 import attrs
 
@@ -100,6 +100,11 @@
             key_epoch=self._keys.epoch(now=self._loop.time()),
         )
 
+    @property
+    def abandoned(self) -> int:
+        """Calls that hold a slot and that nobody waits for."""
+        return self._admission.abandoned
+
     def set_limits(self, *, slots: int, queue_limit: int) -> None:
         """Applies the limits of a new configuration version."""
         self._carry_out(
@@ -173,6 +178,11 @@
                 return self._refuse(known)
         raise AssertionError(f"unexpected decision {decision!r}")
 
+    def abort(self) -> None:
+        """Ends the calls that still run; their connections are closed."""
+        for task in self._tasks:
+            task.cancel()
+
     def expire(self) -> None:
         """Answers the calls whose deadline has passed."""
         if self._calls:
@@ -191,7 +201,19 @@
             call_id, attempt.policy.settings.call_class, attempt.deadline
         )
         self._carry_out(self._admission.offer(call, now=self._loop.time()))
-        return Submission(fut, lambda: self._leave(call_id))
+        return Submission(fut, self._make_leave(call_id))
+
+    def _make_leave(self, call_id: int) -> Callable[[], None]:
+        """Returns what a caller's cancellation does, however often it comes."""
+        left = False
+
+        def leave() -> None:
+            nonlocal left
+            if not left:
+                left = True
+                self._leave(call_id)
+
+        return leave
 
     def _leave(self, call_id: int) -> None:
         """Takes the cancellation of one of the callers of a call."""
@@ -212,7 +234,7 @@
                 fut.set_result(done.result())
 
         call.end.add_done_callback(copy_answer)
-        return Submission(fut, lambda: self._leave(call_id))
+        return Submission(fut, self._make_leave(call_id))
 
     def _refuse(self, verdict: Verdict) -> Submission:
         self._metrics.owner_refusals.inc({"reason": str(verdict.reason)})
@@ -313,3 +335,4 @@
         yield owner
     finally:
         task.cancel()
+        owner.abort()
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -40,7 +40,7 @@
 
     Tags: `@data_centres.N`, `@copies.N` (nodes a service and data centre),
     `@relayed` (a relay between data centres), `@unpublished`,
-    `@log_level.NAME`.
+    `@log_level.NAME`, `@seeds.N` (nodes named as seeds in the settings).
     """
     centres = DATA_CENTRES[: read_number(tags, "data_centres", 2)]
     copies = read_number(tags, "copies", 1)
@@ -49,6 +49,7 @@
         plans,
         relayed="relayed" in tags,
         log_level=read_word(tags, "log_level", "info"),
+        seeds=read_number(tags, "seeds", 3),
     )
     run = context.run
     context.fleet = run(manager.__aenter__())
--- a/tests/steps/admission_load_steps.py
+++ b/tests/steps/admission_load_steps.py
@@ -1,11 +1,14 @@
 """Steps that load real targets and read their own counts."""
 
 import asyncio
+import signal
 
-from behave import then, when
+from behave import given, then, when
 
 from standins.caller import send_call
 
+POLL_S = 0.05
+
 
 async def send_wave(fleet, count, **options):
     calls = [
@@ -116,3 +119,90 @@
     record = read_record(context, name)
     # The connection that reads the record is one more.
     assert record["max_connections"] <= count + 1, record
+
+
+@when(
+    '{count:d} calls of {work:d} ms run and {more:d} more wait at "{name}",'
+    " and then {event}"
+)
+def step_fill(context, count, work, more, name, event):
+    fleet = context.fleet
+    other = next(node for node in fleet.nodes.values() if node.name != name)
+    options = {
+        "service": fleet.nodes[name].service,
+        "path": "/read",
+        "headers": {"X-Work-Ms": str(work)},
+    }
+
+    async def send(number, deadline_ms):
+        loop = asyncio.get_running_loop()
+        calls = [
+            send_call(
+                fleet.session, other.caller, deadline_ms=deadline_ms, **options
+            )
+            for _ in range(number)
+        ]
+        tasks = [loop.create_task(call) for call in calls]
+        await asyncio.sleep(0.3)
+        return tasks
+
+    async def fill():
+        target = fleet.nodes[name].target
+        before = (await fleet.get(target, "/record"))["requests"]
+        running = await send(count, 4_000)
+        waiting = await send(more, 1_500)
+        if "leave" in event:
+            for task in waiting:
+                task.cancel()
+        else:
+            fleet.nodes[name].node.send(signal.SIGSTOP)
+            await asyncio.sleep(1.6)
+            fleet.nodes[name].node.send(signal.SIGCONT)
+        await asyncio.gather(*running, *waiting, return_exceptions=True)
+        await asyncio.sleep(0.5)
+        record = await fleet.get(target, "/record")
+        return record["requests"] - before
+
+    context.reached = context.run(fill())
+
+
+@then('no call but the first {count:d} reached the target of "{name}"')
+def step_reached(context, count, name):
+    assert context.reached == count, context.reached
+
+
+@then("every refusal gives the reason of the node beside the target")
+def step_refusal_reasons(context):
+    reasons = {
+        each.reason for each in context.bulk if each.verdict == "not-run"
+    }
+    own = {"queue-full", "cannot-meet-deadline", "evicted", "deadline-passed"}
+    assert reasons and reasons <= own, reasons
+
+
+@given('the target of "{name}" {how} at the deadline')
+def step_end_at_deadline(context, name, how):
+    target = context.fleet.nodes[name].target
+    faults = {"end_at_deadline": how == "ends its work"}
+    context.run(context.fleet.post(target, "/faults", faults))
+
+
+def read_status(context, name):
+    node = context.fleet.nodes[name]
+    return context.run(context.fleet.get(node.admin, "/status"))
+
+
+@then('the status of "{name}" shows {count:d} abandoned calls')
+def step_abandoned(context, name, count):
+    status = read_status(context, name)
+    assert status["abandoned"] == count, status["abandoned"]
+
+
+@then('within {limit:g} s no call holds a slot at "{name}"')
+def step_slots_free(context, limit, name):
+    for _ in range(int(limit / POLL_S)):
+        running = read_status(context, name)["load"]["running"]
+        if running == 0:
+            return
+        context.run(asyncio.sleep(POLL_S))
+    raise AssertionError(running)
--- a/tests/steps/call_steps.py
+++ b/tests/steps/call_steps.py
@@ -107,6 +107,15 @@
     assert (outcome.verdict, outcome.reason) == (verdict, reason), outcome
 
 
+@then('the verdict is "{verdict}" because the time is up')
+def step_time_is_up(context, verdict):
+    # The owner's answer at the deadline and the entry node's own timer race;
+    # each reason is true.
+    outcome = context.outcome
+    assert outcome.verdict == verdict, outcome
+    assert outcome.reason in ("deadline-passed", "target-timeout"), outcome
+
+
 @then("the status is {status:d}")
 def step_status(context, status):
     assert context.outcome.status == status, context.outcome
