--- /dev/null
+++ b/bench/gossip_session.py
@@ -0,0 +1,134 @@
+"""Sessions of driven machines that watch every view for a step backwards."""
+
+from collections.abc import Callable, Mapping
+
+import attrs
+
+from bench.gossip_driver import GossipDriver, Node, make_member
+from guavawing.membership import Member, MemberState
+from guavawing.model import Address
+
+__all__ = ["STEP_S", "Session"]
+
+STEP_S = 0.25
+MAX_DESCRIBED = 20
+
+
+class Session:
+    """A driver with members of some data centres, each named by number.
+
+    Attributes:
+        driver: The driver.
+        deaths: Members that any running node has held dead.
+        fallen: Views that went back: viewer, record, precedence before.
+        killed: Names of members that a test has killed together.
+    """
+
+    def __init__(
+        self, counts: Mapping[str, int], seed: int = 7, encoded: bool = False
+    ) -> None:
+        self.driver = GossipDriver(seed, encoded=encoded)
+        self.deaths: set[str] = set()
+        self.fallen: list[tuple[str, Member, tuple[int, int, int]]] = []
+        self.killed: list[str] = []
+        self._versions: dict[tuple[Node, str], tuple[int, int, int]] = {}
+        number = 0
+        for centre, count in counts.items():
+            for copy in range(1, count + 1):
+                number += 1
+                member = make_member(
+                    f"desk-{centre}-{copy}", number, data_centre=centre
+                )
+                self.driver.add(member, self.seeds())
+
+    def seeds(self) -> list[Address]:
+        """Returns the control addresses of the first members."""
+        members = [n.gossip.me for n in self.driver.nodes.values()]
+        return [member.control for member in members[:3]]
+
+    def node(self, name: str) -> Node:
+        """Returns the newest process of a member."""
+        return self.driver.nodes[name]
+
+    def live(self, centre: str = "") -> list[Node]:
+        """Returns the running nodes, of one data centre if it is named."""
+        return [
+            node
+            for node in self.driver.nodes.values()
+            if node.up
+            and not node.paused
+            and centre in node.gossip.me.data_centre
+        ]
+
+    def run(self, seconds: float) -> None:
+        """Runs for a time and looks at every view in each step."""
+        for _ in range(round(seconds / STEP_S)):
+            self.driver.run(STEP_S)
+            self._observe()
+
+    def within(self, seconds: float, holds: Callable[[], bool]) -> None:
+        """Runs until a condition holds; fails if it does not in time."""
+        for _ in range(round(seconds / STEP_S)):
+            if holds():
+                return
+            self.run(STEP_S)
+        assert holds(), self.describe()
+
+    def describe(self) -> list[str]:
+        """Returns whom the nodes don't hold alive, and how many they know."""
+        lines = [
+            f"{node.id}: {member.id} {member.state.name} {member.version()}"
+            for node in self.live()
+            for member in node.gossip.table
+            if member.state is not MemberState.ALIVE
+        ]
+        lines += [f"{n.id} knows {len(n.gossip.table)}" for n in self.live()]
+        return lines[:MAX_DESCRIBED]
+
+    def restart(self, name: str, incarnation: int | None = None) -> None:
+        """Starts a new process of a member under the same address."""
+        me = self.node(name).gossip.me
+        member = attrs.evolve(
+            me,
+            incarnation=incarnation or me.incarnation + 1,
+            sequence=0,
+            state=MemberState.ALIVE,
+        )
+        seeds = [n.gossip.me.control for n in self.live() if n.id != name]
+        self.driver.add(member, seeds[:3])
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """Stops a process for a time; its datagrams wait."""
+        node = self.node(name)
+        node.paused = True
+        self.run(seconds)
+        self.driver.resume(node)
+
+    def knows_alive(self, member: Member) -> bool:
+        """Returns whether all of its data centre hold its own record."""
+        here = self.live(member.data_centre)
+        return all(n.gossip.table.get(member.id) == member for n in here)
+
+    def all_alive(self) -> bool:
+        """Returns whether every running member is held alive as it is."""
+        return all(self.knows_alive(node.gossip.me) for node in self.live())
+
+    def offers(self, name: str, centre: str = "") -> list[str]:
+        """Returns the nodes that offer a member to callers."""
+        return [
+            node.id
+            for node in self.live(centre)
+            if node.id != name
+            and name in {m.id for m in node.gossip.table.serving("desk")}
+        ]
+
+    def _observe(self) -> None:
+        for node in self.live():
+            for member in node.gossip.table:
+                key = (node, member.id)
+                last = self._versions.get(key, member.precedence())
+                if member.precedence() < last:
+                    self.fallen.append((node.id, member, last))
+                self._versions[key] = member.precedence()
+                if member.state is MemberState.DEAD:
+                    self.deaths.add(member.id)
