Give the gauges of the target their values

Cause: reading the page of counters against a fleet, /metrics had guavawing_target_running and guavawing_target_queued without any value: no code set them. The new scenario "Every gauge has a value" failed with {'guavawing_target_queued', 'guavawing_target_running'}. Ruled out: setting them with every call, which costs each call; taking them off, since operators need the load beside the target. Change: the node sets both from the owner's load when they are scraped.

--- a/src/guavawing/node/admin_server.py
+++ b/src/guavawing/node/admin_server.py
@@ -26,11 +26,13 @@
         read_status: Returns the state of the node as a JSON tree.
         is_ready: Returns whether the node takes calls.
         set_draining: Starts or ends a drain of the target.
+        update_gauges: Brings gauges up to date before they are scraped.
     """
 
     read_status: Callable[[], Tree]
     is_ready: Callable[[], bool]
     set_draining: Callable[[bool], None]
+    update_gauges: Callable[[], None]
 
 
 class AdminServer:
@@ -70,6 +72,7 @@
         return _respond({"ready": ready}, 200 if ready else 503)
 
     def _answer_metrics(self) -> web.Response:
+        self._actions.update_gauges()
         payload, headers = self.metrics.render()
         return web.Response(body=payload, headers=headers)
 
--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -176,6 +176,7 @@
             read_status=self._read_status,
             is_ready=self._is_ready,
             set_draining=self._set_draining,
+            update_gauges=self._update_gauges,
         )
         admin = AdminServer(actions, self._metrics)
         await enter(open_admin_server(admin, settings.admin))
@@ -247,6 +248,11 @@
             self._entry.forget_departed()
             await asyncio.sleep(HEALTH_PERIOD_S)
 
+    def _update_gauges(self) -> None:
+        load = self._owner.load()
+        self._metrics.running.set({}, load.running)
+        self._metrics.queued.set({}, load.queued)
+
     def _read_status(self) -> dict[str, Any]:
         me = self._gossip.me
         current = self._distributor.current
--- a/tests/processes/logs.feature
+++ b/tests/processes/logs.feature
@@ -22,3 +22,6 @@
 
   Scenario: Every series has a help text that gives its unit
     Then every series of "desk-bergen-1" has a help text and a type
+
+  Scenario: Every gauge has a value
+    Then every gauge of "desk-bergen-1" has a value
--- a/tests/steps/log_steps.py
+++ b/tests/steps/log_steps.py
@@ -89,14 +89,35 @@
     assert found == status, found
 
 
-@then('every series of "{node}" has a help text and a type')
-def step_metrics(context, node):
+def read_metrics(context, node):
     async def read():
         url = f"http://{context.fleet.nodes[node].admin}/metrics"
         async with context.fleet.session.get(url) as resp:
             return await resp.text()
 
-    lines = context.run(read()).splitlines()
+    return context.run(read()).splitlines()
+
+
+@then('every gauge of "{node}" has a value')
+def step_gauges(context, node):
+    lines = read_metrics(context, node)
+    gauges = {
+        line.split(" ")[2]
+        for line in lines
+        if line.startswith("# TYPE ") and line.endswith(" gauge")
+    }
+    assert "guavawing_target_running" in gauges, gauges
+    valued = {
+        line.partition("{")[0].partition(" ")[0]
+        for line in lines
+        if not line.startswith("#")
+    }
+    assert gauges <= valued, gauges - valued
+
+
+@then('every series of "{node}" has a help text and a type')
+def step_metrics(context, node):
+    lines = read_metrics(context, node)
     told = {"HELP": set(), "TYPE": set()}
     series = set()
     for line in lines:
