Tell in one line why a node could not start

The new scenarios (settings.feature, "What can't be opened is told in one line") both failed with "Traceback (most recent call last)". Change: an OSError that ends the start becomes one line with the next step; the exit code stays 1. Conclusion: mended.

--- a/src/guavawing/cli/commands/node.py
+++ b/src/guavawing/cli/commands/node.py
@@ -5,6 +5,7 @@
 import click
 
 from guavawing.cli.examples import format_examples
+from guavawing.cli.exits import ExitCode, exit_with
 from guavawing.node.settings import read_settings
 
 __all__ = ["node"]
@@ -29,4 +30,12 @@
     # and so that the other commands start quickly.
     from guavawing.node.daemon import run_node
 
-    run_node(settings)
+    try:
+        run_node(settings)
+    except OSError as exc:
+        exit_with(
+            ExitCode.FAILURE,
+            f"{path}: the node could not start: {exc}",
+            "look at the addresses and the log file of the settings;"
+            " '--check' does not open them",
+        )
--- a/tests/processes/settings.feature
+++ b/tests/processes/settings.feature
@@ -30,3 +30,14 @@
     When the node is started
     Then it ends with exit code 2
     And one line on standard error names "[mesh]", "expected" and "[node]"
+
+  Scenario Outline: What can't be opened is told in one line
+    Given settings in which [<section>] "<key>" is "<value>"
+    When the node is started
+    Then it ends with exit code 1
+    And one line on standard error names "could not start", "<told>" and "--check"
+
+    Examples:
+      | section | key     | value               | told        |
+      | logs    | file    | /nowhere/node.log   | /nowhere/   |
+      | node    | control | 192.0.2.1:7402      | 192.0.2.1   |
