Give every group of commands an example; list every fetch fault

The new step failed with ['main', 'config', 'exception']. Ruled out: examples of single commands only, which the existing scenario of cli.feature checks; a newcomer reads the group first. Change: examples; a row; both checked in tests/cover/pages.feature.

--- a/src/guavawing/cli/commands/defaults.py
+++ b/src/guavawing/cli/commands/defaults.py
@@ -22,7 +22,9 @@
 NAMES = tuple(field.name for field in attrs.fields(Defaults))
 
 
-@click.group()
+@click.group(
+    epilog=format_examples("guavawing config default set deadline_ms 8000")
+)
 def default() -> None:
     """Change the fleet-wide defaults."""
 
--- a/src/guavawing/cli/commands/exceptions.py
+++ b/src/guavawing/cli/commands/exceptions.py
@@ -17,7 +17,7 @@
 __all__ = ["exception"]
 
 
-@click.group()
+@click.group(epilog=format_examples("guavawing exception retire slow-archive"))
 def exception() -> None:
     """Add or retire exceptions from the defaults."""
 
--- a/src/guavawing/cli/main.py
+++ b/src/guavawing/cli/main.py
@@ -7,6 +7,7 @@
 from guavawing.cli.commands.exceptions import exception
 from guavawing.cli.commands.node import node
 from guavawing.cli.commands.publish import publish
+from guavawing.cli.examples import format_examples
 from guavawing.cli.program import Program
 from guavawing.cli.queries.diff import diff
 from guavawing.cli.queries.history import history
@@ -18,7 +19,13 @@
 __all__ = ["main"]
 
 
-@click.group(cls=Program)
+@click.group(
+    cls=Program,
+    epilog=format_examples(
+        "guavawing config show --platform 10.0.9.1:7000",
+        "guavawing status --node 10.0.0.7:7403",
+    ),
+)
 @click.version_option(package_name="guavawing")
 def main() -> None:
     """Distribute configuration to a service mesh and route its calls.
@@ -29,7 +36,12 @@
     """
 
 
-@main.group()
+@main.group(
+    epilog=format_examples(
+        "guavawing config validate fleet.json",
+        "guavawing config publish fleet.json --base 7",
+    )
+)
 def config() -> None:
     """Publish, change and read the configuration."""
 
--- a/tests/cover/pages.feature
+++ b/tests/cover/pages.feature
@@ -5,12 +5,13 @@
     And a page without any one of the <names> would fail
 
     Examples:
-      | names      | page                         | heading  |
-      | settings   | docs/operators/settings.md   | Keys     |
-      | series     | docs/operators/counters.md   | Series   |
-      | reasons    | docs/operators/counters.md   | Reasons  |
-      | exit codes | docs/operators/exit-codes.md | Codes    |
-      | commands   | docs/operators/commands.md   | Commands |
+      | names        | page                              | heading       |
+      | fetch faults | docs/operators/cut-data-centre.md | How to see it |
+      | settings     | docs/operators/settings.md        | Keys          |
+      | series       | docs/operators/counters.md        | Series        |
+      | reasons      | docs/operators/counters.md        | Reasons       |
+      | exit codes   | docs/operators/exit-codes.md      | Codes         |
+      | commands     | docs/operators/commands.md        | Commands      |
 
   Scenario: The page of settings gives the defaults of the code
     Then each row of the settings gives the default, or says "required"
@@ -19,5 +20,6 @@
   Scenario: The page of reasons gives the HTTP status of each verdict
     Then each row of the reasons gives the statuses of its verdicts
 
-  Scenario: Every option has a help text of its own
-    Then no option of any command lacks a help text
+  Scenario: Every group and command has an example, every option a help text
+    Then no group or command lacks an example
+    And no option of any command lacks a help text
--- a/tests/steps/page_steps.py
+++ b/tests/steps/page_steps.py
@@ -11,6 +11,7 @@
 
 from guavawing.cli.exits import ExitCode
 from guavawing.cli.main import main
+from guavawing.distribution.events import FetchFault
 from guavawing.node import settings
 from guavawing.node.caller_response import build_response
 from guavawing.node.messages import Answer
@@ -75,6 +76,8 @@
             return {str(reason) for reason in Reason}
         case "exit codes":
             return {str(int(code)) for code in ExitCode}
+        case "fetch faults":
+            return {str(fault) for fault in FetchFault}
         case "commands":
             return set(list_commands())
     raise AssertionError(kind)
@@ -143,6 +146,21 @@
         assert statuses == unique, (reason, statuses, unique)
 
 
+@then("no group or command lacks an example")
+def step_examples(context):
+    groups = [main]
+    for group in groups:
+        lacking = [
+            c.name
+            for c in (group, *group.commands.values())
+            if "Example" not in (c.epilog or "")
+        ]
+        assert not lacking, lacking
+        groups += [
+            c for c in group.commands.values() if isinstance(c, click.Group)
+        ]
+
+
 @then("no option of any command lacks a help text")
 def step_option_help(context):
     lacking = [
