Check that every relative link leads somewhere

Cause: README.md linked pages that did not exist, and nothing told. Change: a scenario that follows each relative link of each *.md in git.

--- a/tests/cover/pages.feature
+++ b/tests/cover/pages.feature
@@ -23,3 +23,6 @@
   Scenario: Every group and command has an example, every option a help text
     Then no group or command lacks an example
     And no option of any command lacks a help text
+
+  Scenario: Every relative link points at a file
+    Then every relative link of every page leads to a file or a folder
