--- a/bench/measure_keys.py
+++ b/bench/measure_keys.py
@@ -4,6 +4,7 @@
 import tracemalloc
 
 from bench.figure import Figure
+from bench.slope import Slope, write_slopes
 from bench.key_history import History
 from guavawing.model import parse_address
 from guavawing.platform import publish_document
@@ -15,6 +16,7 @@
 from standins.cluster import Fleet, open_fleet, plan_fleet
 from standins.documents import make_newsroom_document
 
+COMMAND = "python -m bench keys"
 CALLS = 100
 HISTORIES = 2_000
 EVENTS = 200
@@ -48,7 +50,9 @@
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     assert len(table) == MAX_ENTRIES
-    return Figure("key_entry", (after - before) / MAX_ENTRIES, "bytes")
+    size = (after - before) / MAX_ENTRIES
+    write_slopes("keys", [Slope("key_entry", size, "bytes", COMMAND)])
+    return Figure("key_entry", size, "bytes")
 
 
 def _measure_histories() -> list[Figure]:
--- a/bench/measure_latency.py
+++ b/bench/measure_latency.py
@@ -12,11 +12,13 @@
 from hdrh.histogram import HdrHistogram
 
 from bench.figure import Figure
+from bench.slope import Slope, write_slopes
 from guavawing.config import encode_document
 from standins.caller import send_call
 from standins.cluster import Fleet, FleetNode, open_fleet, plan_fleet
 from standins.documents import make_newsroom_document
 
+COMMAND = "python -m bench latency"
 CALLS = 3_000
 WARM_UP_CALLS = 200
 BODY_BYTES = 512
@@ -59,18 +61,22 @@
         before = read_processor_time(entry), read_processor_time(owner)
         await send_in_turn(fleet, paths, CALLS)
         after = read_processor_time(entry), read_processor_time(owner)
+        resident_mb = read_resident_mb(owner)
+    entry_us = (after[0] - before[0]) / CALLS * 1e6
+    owner_us = (after[1] - before[1]) / (2 * CALLS) * 1e6
+    write_slopes(
+        "calls",
+        (
+            Slope("entry_processor", entry_us, "us/call", COMMAND),
+            Slope("owner_processor", owner_us, "us/call", COMMAND),
+            Slope("resident", resident_mb, "MB/node", COMMAND),
+        ),
+    )
     return [
         *report_latency(paths),
-        Figure(
-            "latency.entry_processor_per_two_hop_call",
-            (after[0] - before[0]) / CALLS * 1e6,
-            "us",
-        ),
-        Figure(
-            "latency.owner_processor_per_call",
-            (after[1] - before[1]) / (2 * CALLS) * 1e6,
-            "us",
-        ),
+        Figure("latency.entry_processor", entry_us, "us/call"),
+        Figure("latency.owner_processor", owner_us, "us/call"),
+        Figure("latency.resident", resident_mb, "MB"),
     ]
 
 
@@ -123,6 +129,14 @@
     return figures
 
 
+def read_resident_mb(node: FleetNode) -> float:
+    """Returns the resident memory of a node's process, in MB."""
+    assert node.node.proc is not None
+    path = pathlib.Path(f"/proc/{node.node.proc.pid}/statm")
+    pages = int(path.read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
 def read_processor_time(node: FleetNode) -> float:
     """Returns the processor time of a node's process, in seconds."""
     assert node.node.proc is not None
--- a/src/guavawing/cli/commands/keys.py
+++ b/src/guavawing/cli/commands/keys.py
@@ -17,7 +17,7 @@
 SECONDS_PER_DAY = 86_400
 
 
-@click.group()
+@click.group(epilog=format_examples("guavawing keys prune --older-than-days 7"))
 def keys() -> None:
     """Look after the idempotency keys that callers have chosen."""
 
--- a/src/guavawing/policy/load.py
+++ b/src/guavawing/policy/load.py
@@ -31,7 +31,6 @@
         Reason.TARGET_UNREACHABLE,
         Reason.TARGET_TIMEOUT,
         Reason.TARGET_BROKE,
-        Reason.ANSWER_LOST,
         Reason.ANSWER_TRUNCATED,
     }
 )
--- a/src/guavawing/verdict.py
+++ b/src/guavawing/verdict.py
@@ -48,7 +48,6 @@
     OWNER_LOST = "owner-lost"
     OWNER_REPLACED = "owner-replaced"
     KEY_EXPIRED = "key-expired"
-    ANSWER_LOST = "answer-lost"
     ANSWER_TRUNCATED = "answer-truncated"
     ANSWER_TOO_LARGE = "answer-too-large"
     ANSWER_NOT_KEPT = "answer-not-kept"
