--- a/bench/gossip_driver.py
+++ b/bench/gossip_driver.py
@@ -17,6 +17,7 @@
     Gossip,
     Member,
     MemberState,
+    Notice,
     Send,
 )
 from guavawing.model import Address
@@ -29,6 +30,8 @@
 LOCAL_DELAY_S = 0.001
 REMOTE_DELAY_S = 0.005
 TICK_JITTER = 0.1
+# Every datagram tells of a version, so bytes are counted with one.
+NOTICE = Notice(17_000, bytes(range(32)))
 
 
 def make_member(
@@ -124,6 +127,7 @@
             random.Random(self.rng.random()),
             period_s=self._period_s,
         )
+        gossip.set_notice(NOTICE)
         old = self.nodes.get(member.id)
         if old is not None:
             old.up = False
