--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,8 +15,8 @@
 from bench.slope import Slope, read_slopes
 from guavawing.membership.summary import CONTACTS_PER_SERVICE
 from guavawing.platform.seeds import SEEDS_PER_DATA_CENTRE
-from guavawing.policy.key_table import MAX_ENTRIES, MAX_KEPT_BYTES
 from guavawing.policy.choice import SUBSET_SIZE
+from guavawing.policy.key_table import MAX_ENTRIES, MAX_KEPT_BYTES
 
 PAGE = pathlib.Path(__file__).parent.parent / "docs" / "CAPACITY.md"
 BEGIN = "<!-- begin: python -m bench.capacity --write -->"
@@ -265,7 +265,7 @@
         ),
         Line(
             "joining",
-            "reads while half of the fleet starts",
+            "reads of seed rows while the whole fleet starts",
             slopes["storm_lonely_reads_15000"],
             "reads/s",
             "`storm_lonely_reads_15000`",
@@ -274,7 +274,7 @@
         ),
         Line(
             "joining",
-            "writes while half of the fleet starts",
+            "writes of seed rows while the whole fleet starts",
             slopes["storm_answered_writes_15000"],
             "writes/s",
             "`storm_answered_writes_15000`",
--- a/bench/measure_keys.py
+++ b/bench/measure_keys.py
@@ -4,8 +4,8 @@
 import tracemalloc
 
 from bench.figure import Figure
-from bench.slope import Slope, write_slopes
 from bench.key_history import History
+from bench.slope import Slope, write_slopes
 from guavawing.model import parse_address
 from guavawing.platform import publish_document
 from guavawing.platform.client import open_platform
--- a/tests/steps/proof_steps.py
+++ b/tests/steps/proof_steps.py
@@ -1,10 +1,12 @@
-"""Steps that read docs/PROOFS.md."""
+"""Steps that read the pages of proofs and capacity."""
 
 import pathlib
 import re
 
 from behave import then
 
+from bench import capacity
+
 ROOT = pathlib.Path(__file__).parent.parent.parent
 PAGE = ROOT / "docs" / "PROOFS.md"
 
@@ -23,6 +25,12 @@
     assert not missing, missing
 
 
+@then("the page of capacity is the same when it is made anew")
+def step_capacity(context):
+    page = capacity.PAGE.read_text()
+    assert capacity.replace_table(page) == page
+
+
 def read_scenarios(path):
     lines = path.read_text().splitlines()
     return {
