Keep one copy of the names and hosts that records of members share

Cause: the table of members is the largest part of a node's memory that grows with the fleet, and the benchmark measured made records, which share their strings, where records from the socket share none.

Change: data centre, region, service and host are interned; the benchmark takes records through the codec.

--- a/bench/measure_membership.py
+++ b/bench/measure_membership.py
@@ -21,12 +21,15 @@
 from bench.gossip_driver import GossipDriver, Node, make_member
 from bench.seed_storm import StormLoad, measure_storm
 from guavawing.membership import MemberState, MemberTable
+from guavawing.membership.message import Datagram, Notice, Push
+from guavawing.node.datagrams import decode_datagram, encode_datagram
 
 __all__ = ["run"]
 
 SLOPES = pathlib.Path(__file__).parent / "slopes" / "membership.json"
 COMMAND = "python -m bench membership"
 SEED = 20
+SERVICES = 820
 COUNTS = (12, 48, 200)
 LARGE_COUNT = 1_250
 CENTRES = 12
@@ -252,18 +255,13 @@
 
 def _measure_memory() -> list[Figure]:
     """Measures the table with records as a decoder makes them."""
+    datagrams = [encode_datagram(_tell_member(n)) for n in range(FLEET)]
     gc.collect()
     tracemalloc.start()
     table = MemberTable()
-    for number in range(FLEET):
-        centre = number // LARGE_COUNT
-        member = make_member(
-            f"desk-c{centre}-{number}",
-            number,
-            data_centre=f"c{centre}",
-            service=f"service-{number % 820}",
-        )
-        table.merge(attrs.evolve(member, sequence=1))
+    for payload in datagrams:
+        # Records as they come from the socket share less than made ones.
+        table.merge(*decode_datagram(payload).records)
     size, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     return [
@@ -272,6 +270,18 @@
     ]
 
 
+def _tell_member(number: int) -> Datagram:
+    centre = number // LARGE_COUNT
+    member = make_member(
+        f"desk-c{centre}-{number}",
+        number,
+        data_centre=f"c{centre}",
+        service=f"service-{number % SERVICES}",
+    )
+    record = attrs.evolve(member, sequence=1)
+    return Datagram(member.id, Push(), Notice(0, b""), records=(record,))
+
+
 def _measure_storms() -> list[Figure]:
     """Measures seed rows while nodes start that meet others, or nobody."""
     figures = []
--- a/src/guavawing/membership/member.py
+++ b/src/guavawing/membership/member.py
@@ -1,6 +1,7 @@
 """Members: one node and the target beside it."""
 
 import enum
+import sys
 
 import attrs
 
@@ -47,9 +48,10 @@
     incarnation: int
     sequence: int
     state: MemberState
-    data_centre: str
-    region: str
-    service: str
+    # Thousands of records name the same few of these: one copy is kept.
+    data_centre: str = attrs.field(converter=sys.intern)
+    region: str = attrs.field(converter=sys.intern)
+    service: str = attrs.field(converter=sys.intern)
     mesh: Address
     control: Address
     admin: Address
--- a/src/guavawing/model.py
+++ b/src/guavawing/model.py
@@ -2,6 +2,7 @@
 
 import enum
 import ipaddress
+import sys
 
 import attrs
 
@@ -26,7 +27,8 @@
 class Address:
     """An IP address and a port."""
 
-    host: str
+    # A member announces several addresses of one host: one copy is kept.
+    host: str = attrs.field(converter=sys.intern)
     port: int
 
     def __str__(self) -> str:
