Keep the time to come back whole between two nodes

Cause: the random check of verdicts failed on examples that it had not drawn before: NotRun(retry_after_s=1.001) was read back as 1.0 s. Callers could be told to come back up to a second early, as Retry-After is rounded up to whole seconds. Change: the frame rounds to the nearest millisecond. New check, which failed first: each whole number of milliseconds below 5000 is kept by a frame; the 300 random verdicts stay.

--- a/src/guavawing/node/frames.py
+++ b/src/guavawing/node/frames.py
@@ -96,7 +96,7 @@
     retry_after_ms = 0
     if isinstance(verdict, NotRun) and verdict.retry_after_s is not None:
         # One is added so that 0 stands for no time at all.
-        retry_after_ms = int(verdict.retry_after_s * MILLISECONDS) + 1
+        retry_after_ms = round(verdict.retry_after_s * MILLISECONDS) + 1
     head = pb.CallAnswer(
         id=frame_id,
         verdict=verdict_name(verdict),
--- a/tests/cover/verdicts.feature
+++ b/tests/cover/verdicts.feature
@@ -5,6 +5,7 @@
 
   Scenario: Every verdict passes between nodes unchanged
     Then 300 random verdicts are the same after a frame
+    And a wait of each whole number of milliseconds below 5000 is kept
 
   Scenario: A target can't speak for the node
     When a target answers with the headers of another call's verdict
--- a/tests/steps/verdict_steps.py
+++ b/tests/steps/verdict_steps.py
@@ -62,11 +62,20 @@
     @given_example(verdicts)
     def check(verdict):
         (frame,) = build_answer_frames(Answer(verdict), 1, LOAD)
-        assert read_verdict(frame.answer) == verdict
+        found = read_verdict(frame.answer)
+        assert found == verdict, (found, verdict)
 
     check()
 
 
+@then("a wait of each whole number of milliseconds below {end:d} is kept")
+def step_waits(context, end):
+    for ms in range(end):
+        verdict = NotRun(Reason.QUEUE_FULL, ms / 1000)
+        (frame,) = build_answer_frames(Answer(verdict), 1, LOAD)
+        assert read_verdict(frame.answer) == verdict, verdict
+
+
 @when("a target answers with the headers of another call's verdict")
 def step_target_headers(context):
     headers = (
