--- a/bench/measure_retries.py
+++ b/bench/measure_retries.py
@@ -27,6 +27,7 @@
     Process,
     build_fleet,
 )
+from standins.records import read_records
 
 BOUND = 1.2
 SHARES_FAILING = (0.3, 1.0)
@@ -127,9 +128,5 @@
             )
 
     await asyncio.gather(*(offer() for _ in range(PROCESS_CALLS)))
-    attempts = 0
-    for node in fleet.nodes.values():
-        if node.service == services[-1]:
-            record = await fleet.get(node.target, "/record")
-            attempts += record["attempts"]
-    return attempts / PROCESS_CALLS
+    records = await read_records(fleet, services[-1])
+    return sum(record["attempts"] for record in records) / PROCESS_CALLS
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -16,6 +16,7 @@
 from standins.caller import Outcome, send_call
 from standins.cluster import Fleet, open_fleet, plan_fleet
 from standins.documents import make_newsroom_document
+from standins.records import count_executions
 
 DATA_CENTRES = ("bergen", "voss", "floro")
 SERVICES = ("desk", "feed")
@@ -116,12 +117,9 @@
         report.problems.append(f"{kind} failed: {outcome}")
 
 
-async def count_executions(fleet: Fleet, report: Report) -> None:
+async def check_executions(fleet: Fleet, report: Report) -> None:
     """Reads from the targets how often each key was executed."""
-    counts: collections.Counter[str] = collections.Counter()
-    for node in fleet.nodes.values():
-        record = await fleet.get(node.target, "/record")
-        counts.update(record["executions"])
+    counts = await count_executions(fleet)
     report.executions.update(str(count) for count in counts.values())
     if any(count != 1 for count in counts.values()):
         report.problems.append("a key did not run exactly once")
@@ -171,7 +169,7 @@
         await publish(fleet, report)
         if not report.problems:
             await send_calls(fleet, report)
-            await count_executions(fleet, report)
+            await check_executions(fleet, report)
             await measure_latency(fleet, report)
         if report.problems:
             show_errors(fleet.folder)
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -17,6 +17,7 @@
 import attrs
 import orjson
 
+from standins.caller import Outcome, send_call
 from standins.relay import Relay
 
 START_TIMEOUT_S = 20.0
@@ -239,6 +240,12 @@
         ) as resp:
             resp.raise_for_status()
 
+    async def call(self, entry: str, **options: Any) -> Outcome:
+        """Sends a call through a node; options are those of `send_call`."""
+        return await send_call(
+            self.session, self.nodes[entry].caller, **options
+        )
+
     async def wait_for_http(self, address: str, path: str) -> None:
         """Waits until a process answers."""
         deadline = time.monotonic() + START_TIMEOUT_S
--- a/standins/documents.py
+++ b/standins/documents.py
@@ -1,6 +1,7 @@
 """Configuration documents for demos, tests and benchmarks."""
 
 import datetime
+from typing import Any
 
 from guavawing.config import (
     Capacity,
@@ -94,3 +95,15 @@
             for number in range(exceptions)
         },
     )
+
+
+def make_exception(**fields: Any) -> ExceptionEntry:
+    """Makes an exception for desk's queue, but for the fields given."""
+    fields = {
+        "service": "desk",
+        "setting": "queue_limit",
+        "value": 9,
+        "reason": "r",
+        "owner": "o",
+    } | fields
+    return ExceptionEntry(**fields)
--- a/standins/load.py
+++ b/standins/load.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import itertools
+from collections.abc import Awaitable, Callable
 from typing import Any
 
-from standins.caller import Outcome, send_call
+from standins.caller import Outcome
 from standins.cluster import Fleet
 
 CALLER_ATTEMPTS = 8
@@ -50,9 +51,8 @@
             key = f"load-{id(self)}-{number}"
             options |= {"method": "POST", "key": key, "body": b"{}"}
         for _ in range(CALLER_ATTEMPTS):
-            outcome = await send_call(
-                self._fleet.session,
-                next(self._turn).caller,
+            outcome = await self._fleet.call(
+                next(self._turn).name,
                 service=self._service,
                 deadline_ms=DEADLINE_MS,
                 headers={"X-Work-Ms": str(self._work_ms)},
@@ -63,3 +63,25 @@
                 break
             await asyncio.sleep(RESEND_PAUSE_S)
         return outcome, key
+
+
+async def send_paced(
+    call: Callable[[], Awaitable[Outcome]], *, per_second: float, seconds: float
+) -> list[Outcome]:
+    """Starts calls at a steady rate, however long they take.
+
+    Args:
+        call: Sends one call.
+        per_second: Calls to start each second.
+        seconds: Time over which to start them.
+
+    Returns:
+        The outcomes, in the order of the starts.
+    """
+    loop = asyncio.get_running_loop()
+    start = loop.time()
+    tasks = []
+    for number in range(int(per_second * seconds)):
+        await asyncio.sleep(start + number / per_second - loop.time())
+        tasks.append(asyncio.ensure_future(call()))
+    return await asyncio.gather(*tasks)
--- a/tests/processes/at_most_once.feature
+++ b/tests/processes/at_most_once.feature
@@ -73,7 +73,7 @@
 
   Scenario: The owner is frozen past the deadline
     Given "desk-bergen-1" is frozen
-    When 4 publishes of 1500 ms are sent at once through "feed-bergen-1"
+    When 4 publishes of 1500 ms are started through "feed-bergen-1"
     Then every verdict is "may-have-run" with reason "deadline-passed"
     When "desk-bergen-1" goes on
     And 1 s go by
--- a/tests/processes/logs.feature
+++ b/tests/processes/logs.feature
@@ -14,10 +14,10 @@
     Then the log of "desk-bergen-1" has an action "apply" that succeeded
 
   Scenario: A drained node is alive but not ready
-    When "desk-bergen-1" is drained by the command line
+    When an operator drains "desk-bergen-1"
     Then "desk-bergen-1" answers "/healthz" with status 200
     And "desk-bergen-1" answers "/readyz" with status 503
-    When "desk-bergen-1" is given work again by the command line
+    When an operator ends the drain of "desk-bergen-1"
     Then "desk-bergen-1" answers "/readyz" with status 200
 
   Scenario: Every series has a help text that gives its unit
--- a/tests/processes/verdicts.feature
+++ b/tests/processes/verdicts.feature
@@ -22,7 +22,7 @@
     Given the target of "desk-bergen-1" is frozen
     When a caller reads "desk" through "feed-bergen-1" with 700 ms left
     Then the answer comes within 3 s
-    And the verdict is "may-have-run", because of "deadline-passed" or "target-timeout"
+    And the verdict is "may-have-run" because the time is up
 
   Scenario: The layer that has retried says so
     Given the targets of "desk" lose 20 answers each
--- a/tests/steps/admission_load_steps.py
+++ b/tests/steps/admission_load_steps.py
@@ -1,21 +1,27 @@
 """Steps that load real targets and read their own counts."""
 
 import asyncio
+import functools
 import signal
 
 from behave import given, then, when
 
-from standins.caller import send_call
+from standins.load import send_paced
+from standins.records import read_record
+from tests.support import set_target_faults
 
 POLL_S = 0.05
 
 
-async def send_wave(fleet, count, **options):
-    calls = [
-        send_call(fleet.session, node.caller, **options)
-        for node in list(fleet.nodes.values())[:1] * count
-    ]
-    return await asyncio.gather(*calls)
+def make_sender(context, service, work, **options):
+    """Returns a function that sends one call through the first node."""
+    return functools.partial(
+        context.fleet.call,
+        next(iter(context.fleet.nodes)),
+        service=service,
+        headers={"X-Work-Ms": str(work)},
+        **options,
+    )
 
 
 @when(
@@ -23,17 +29,14 @@
     ' {deadline:d} ms are sent to "{service}"'
 )
 def step_waves(context, waves, count, work, deadline, service):
+    read = make_sender(
+        context, service, work, path="/read", deadline_ms=deadline
+    )
+
     async def send():
         outcomes = []
         for _ in range(waves):
-            outcomes += await send_wave(
-                context.fleet,
-                count,
-                service=service,
-                path="/read",
-                deadline_ms=deadline,
-                headers={"X-Work-Ms": str(work)},
-            )
+            outcomes += await asyncio.gather(*(read() for _ in range(count)))
         return outcomes
 
     context.outcomes = context.run(send())
@@ -44,23 +47,10 @@
     ' of {work:d} ms are sent to "{service}"'
 )
 def step_overload(context, seconds, urgent, bulk, work, service):
-    async def send(path, deadline_ms, per_second):
-        node = next(iter(context.fleet.nodes.values()))
-        loop = asyncio.get_running_loop()
-        start = loop.time()
-        tasks = []
-        for number in range(per_second * seconds):
-            await asyncio.sleep(start + number / per_second - loop.time())
-            call = send_call(
-                context.fleet.session,
-                node.caller,
-                service=service,
-                path=path,
-                deadline_ms=deadline_ms,
-                headers={"X-Work-Ms": str(work)},
-            )
-            tasks.append(loop.create_task(call))
-        return await asyncio.gather(*tasks)
+    def send(path, deadline_ms, per_second):
+        options = {"path": path, "deadline_ms": deadline_ms}
+        call = make_sender(context, service, work, **options)
+        return send_paced(call, per_second=per_second, seconds=seconds)
 
     async def send_both():
         return await asyncio.gather(
@@ -103,20 +93,15 @@
     assert len(refused) >= count, len(refused)
 
 
-def read_record(context, name):
-    node = context.fleet.nodes[name]
-    return context.run(context.fleet.get(node.target, "/record"))
-
-
 @then('the target of "{name}" has run at most {count:d} calls at a time')
 def step_max_running(context, name, count):
-    record = read_record(context, name)
+    record = context.run(read_record(context.fleet, name))
     assert 0 < record["max_running"] <= count, record
 
 
 @then('the target of "{name}" has had at most {count:d} connections at a time')
 def step_max_connections(context, name, count):
-    record = read_record(context, name)
+    record = context.run(read_record(context.fleet, name))
     # The connection that reads the record is one more.
     assert record["max_connections"] <= count + 1, record
 
@@ -137,9 +122,7 @@
     async def send(number, deadline_ms):
         loop = asyncio.get_running_loop()
         calls = [
-            send_call(
-                fleet.session, other.caller, deadline_ms=deadline_ms, **options
-            )
+            fleet.call(other.name, deadline_ms=deadline_ms, **options)
             for _ in range(number)
         ]
         tasks = [loop.create_task(call) for call in calls]
@@ -147,8 +130,7 @@
         return tasks
 
     async def fill():
-        target = fleet.nodes[name].target
-        before = (await fleet.get(target, "/record"))["requests"]
+        before = await read_record(fleet, name)
         running = await send(count, 4_000)
         waiting = await send(more, 1_500)
         if "leave" in event:
@@ -160,8 +142,8 @@
             fleet.nodes[name].node.send(signal.SIGCONT)
         await asyncio.gather(*running, *waiting, return_exceptions=True)
         await asyncio.sleep(0.5)
-        record = await fleet.get(target, "/record")
-        return record["requests"] - before
+        after = await read_record(fleet, name)
+        return after["requests"] - before["requests"]
 
     context.reached = context.run(fill())
 
@@ -182,9 +164,8 @@
 
 @given('the target of "{name}" {how} at the deadline')
 def step_end_at_deadline(context, name, how):
-    target = context.fleet.nodes[name].target
-    faults = {"end_at_deadline": how == "ends its work"}
-    context.run(context.fleet.post(target, "/faults", faults))
+    ends = how == "ends its work"
+    set_target_faults(context, name, end_at_deadline=ends)
 
 
 def read_status(context, name):
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -3,8 +3,7 @@
 import random
 
 from behave import given, then, when
-from hypothesis import given as given_data
-from hypothesis import settings, strategies
+from hypothesis import strategies
 
 from bench.event_model import (
     Stream,
@@ -15,6 +14,7 @@
 from guavawing.model import CallClass
 from guavawing.policy.admission import Admission, QueuedCall
 from tests.golden_files import check_golden
+from tests.support import check_examples
 
 MAX_STARTS_BEFORE_ANY_CLASS = 18
 
@@ -219,8 +219,9 @@
 
 @then("random events never break a rule of admission")
 def step_property(context):
-    @settings(derandomize=True, database=None, deadline=None, max_examples=400)
-    @given_data(EVENTS, strategies.integers(1, 4), strategies.integers(0, 12))
+    @check_examples(
+        400, EVENTS, strategies.integers(1, 4), strategies.integers(0, 12)
+    )
     def check(events, slots, queue_limit):
         driver = Driver(slots, queue_limit)
         for _ in play(driver, events):
@@ -230,8 +231,6 @@
         assert not driver.waiting and not driver.running
         assert set(driver.answered) == set(driver.calls)
 
-    check()
-
 
 @when(
     "{urgent:g} urgent, {normal:g} normal and {bulk:g} bulk of the capacity"
--- a/tests/steps/answer_steps.py
+++ b/tests/steps/answer_steps.py
@@ -9,8 +9,8 @@
 
 from guavawing.node.frame_queue import ByteCount, FrameQueue
 from guavawing.policy.transit import TransitMeter
-from standins.caller import send_call
 from standins.target import make_answer
+from tests.support import PUBLISH, set_target_faults
 
 SENDER_CLOCK_AHEAD_S = 1_000.0
 FRAMES = 50
@@ -25,12 +25,11 @@
     return 3_000_000
 
 
-async def send_read(context, number, entry, *, length, headers, **options):
+async def send_read(context, number, entry, *, length, headers=(), **options):
     seed = f"seed-{number}"
-    outcome = await send_call(
-        context.fleet.session,
-        context.fleet.nodes[entry].caller,
-        headers={"X-Seed": seed, "X-Answer-Bytes": str(length), **headers},
+    outcome = await context.fleet.call(
+        entry,
+        headers={"X-Seed": seed, "X-Answer-Bytes": str(length)} | dict(headers),
         **options,
     )
     body = options.get("body", b"")
@@ -84,13 +83,8 @@
 
 @given('the targets of "{service}" cut off {count:d} answers each')
 def step_cut_off(context, service, count):
-    def set_faults(**faults):
-        for node in context.fleet.nodes.values():
-            if node.service == service:
-                context.run(context.fleet.post(node.target, "/faults", faults))
-
-    set_faults(truncate_answers=count)
-    context.add_cleanup(set_faults)
+    set_target_faults(context, service, truncate_answers=count)
+    context.add_cleanup(set_target_faults, context, service)
 
 
 @when("{count:d} publishes with answers of {length:d} bytes are sent in turn")
@@ -98,15 +92,7 @@
     async def run():
         return [
             await send_read(
-                context,
-                number,
-                "feed-bergen-1",
-                length=length,
-                headers={},
-                service="desk",
-                method="POST",
-                path="/bulletins",
-                body=b"{}",
+                context, number, "feed-bergen-1", length=length, **PUBLISH
             )
             for number in range(count)
         ]
--- a/tests/steps/at_most_once_steps.py
+++ b/tests/steps/at_most_once_steps.py
@@ -7,7 +7,8 @@
 
 from behave import given, then, when
 
-from standins.caller import send_call
+from standins.records import count_executions
+from tests.support import PUBLISH, send, set_target_faults, start_call
 
 ENTRY_KEYS_PATH = "/guavawing/keys"
 
@@ -16,42 +17,12 @@
     return [(each.status, each.verdict, each.reason) for each in outcomes]
 
 
-def start_publish(context, key, entry, *, deadline_ms=5_000, work_ms=0):
+def start_publish(context, key, entry, *, work_ms=0, **options):
     """Starts a publish on the loop of the fleet; returns its future."""
-    call = send_call(
-        context.fleet.session,
-        context.fleet.nodes[entry].caller,
-        service="desk",
-        method="POST",
-        path="/bulletins",
-        key=key,
-        body=b"{}",
-        deadline_ms=deadline_ms,
-        headers={"X-Work-Ms": str(work_ms)},
+    headers = {"X-Work-Ms": str(work_ms)}
+    return start_call(
+        context, entry, **PUBLISH, key=key, headers=headers, **options
     )
-    return asyncio.run_coroutine_threadsafe(call, context.loop)
-
-
-def start_publishes(context, count, entry, **options):
-    context.keys = [uuid.uuid4().hex for _ in range(count)]
-    context.options = options
-    context.started = [
-        start_publish(context, key, entry, **options) for key in context.keys
-    ]
-
-
-def count_executions(context, key):
-    records = [
-        context.run(context.fleet.get(node.target, "/record"))
-        for node in context.fleet.nodes.values()
-    ]
-    return sum(record["executions"].get(key, 0) for record in records)
-
-
-def set_target_faults(context, service, **faults):
-    for node in context.fleet.nodes.values():
-        if node.service == service:
-            context.run(context.fleet.post(node.target, "/faults", faults))
 
 
 def set_platform_faults(context, **faults):
@@ -100,15 +71,6 @@
     context.run(context.fleet.nodes[name].node.kill())
 
 
-@when('"{name}" is started again')
-def step_start_again(context, name):
-    fleet = context.fleet
-    node = fleet.nodes[name]
-    context.run(node.node.start(log=fleet.log_of(node, "node")))
-    context.run(fleet.wait_for_http(node.admin, "/healthz"))
-    assert context.run(fleet.wait_for_serving(len(fleet.nodes)))
-
-
 @when("{seconds:g} s go by")
 def step_pass(context, seconds):
     context.run(asyncio.sleep(seconds))
@@ -128,23 +90,15 @@
     ]
 
 
-@when('{count:d} publishes of {deadline_ms:d} ms are started through "{entry}"')
-@when(
-    "{count:d} publishes of {deadline_ms:d} ms are sent at once through"
-    ' "{entry}"'
-)
-def step_start_publishes(context, count, deadline_ms, entry):
-    start_publishes(context, count, entry, deadline_ms=deadline_ms)
-
-
 @when(
     "{count:d} publishes of {deadline_ms:d} ms that work {work_ms:d} ms are"
     ' started through "{entry}"'
 )
-def step_start_working(context, count, deadline_ms, work_ms, entry):
-    start_publishes(
-        context, count, entry, deadline_ms=deadline_ms, work_ms=work_ms
-    )
+@when('{count:d} publishes of {deadline_ms:d} ms are started through "{entry}"')
+def step_start_publishes(context, count, entry, **options):
+    context.keys = [uuid.uuid4().hex for _ in range(count)]
+    context.options = options
+    step_send_again(context, entry)
 
 
 @when("their callers go away")
@@ -176,8 +130,8 @@
 
 @then('every copy of a publish has the same answer and verdict "{verdict}"')
 def step_same_answers(context, verdict):
+    step_every_verdict(context, verdict)
     outcomes = [fut.result() for fut in context.started]
-    assert all(each.verdict == verdict for each in outcomes), describe(outcomes)
     copies = len(outcomes) // len(context.keys)
     for start in range(0, len(outcomes), copies):
         group = outcomes[start : start + copies]
@@ -187,7 +141,8 @@
 @then("every publish was executed {times:d} time")
 @then("every publish was executed {times:d} times")
 def step_every_executed(context, times):
-    counts = [count_executions(context, key) for key in context.keys]
+    executions = context.run(count_executions(context.fleet))
+    counts = [executions[key] for key in context.keys]
     assert set(counts) == {times}, counts
 
 
@@ -211,8 +166,7 @@
 @when('a caller publishes to "desk" through "{entry}" with its next key')
 def step_publish_next_key(context, entry):
     context.key = context.keys.pop()
-    fut = start_publish(context, context.key, entry)
-    context.outcome = fut.result()
+    step_publish_same_key(context, entry)
 
 
 @when('a caller publishes to "desk" through "{entry}" with the same key')
@@ -226,38 +180,21 @@
 )
 def step_publish_without_key(context, entry, work_ms, deadline_ms):
     context.key = uuid.uuid4().hex
-    context.options = {
-        "service": "desk",
-        "method": "POST",
-        "path": "/bulletins",
-        "body": b"{}",
-        # The target counts executions by this header.
-        "headers": {"X-Key": context.key, "X-Work-Ms": str(work_ms)},
-    }
-    context.outcome = context.run(
-        send_call(
-            context.fleet.session,
-            context.fleet.nodes[entry].caller,
-            deadline_ms=deadline_ms,
-            **context.options,
-        )
-    )
+    # The target counts executions by this header.
+    headers = {"X-Key": context.key, "X-Work-Ms": str(work_ms)}
+    context.options = {**PUBLISH, "headers": headers}
+    send(context, entry, deadline_ms=deadline_ms, **context.options)
 
 
 @when('the caller asks "{entry}" again under the key that it was given')
 def step_ask_again(context, entry):
-    context.outcome = context.run(
-        send_call(
-            context.fleet.session,
-            context.fleet.nodes[entry].caller,
-            key=context.outcome.headers["Guavawing-Key"],
-            **context.options,
-        )
-    )
+    key = context.outcome.headers["Guavawing-Key"]
+    send(context, entry, key=key, **context.options)
 
 
 @then("its call was executed {times:d} time")
 @then("its key was executed {times:d} time")
 @then("its key was executed {times:d} times")
 def step_its_key(context, times):
-    assert count_executions(context, context.key) == times
+    executions = context.run(count_executions(context.fleet))
+    assert executions[context.key] == times, executions
--- a/tests/steps/bound_steps.py
+++ b/tests/steps/bound_steps.py
@@ -2,16 +2,12 @@
 
 import asyncio
 import contextlib
-import datetime
 import types
 
 import aiohttp
-from aiohttp import web
 from behave import given, then, when
 
-from guavawing.config import PolicyTable
 from guavawing.model import parse_address
-from guavawing.node.call import Call
 from guavawing.node.caller_server import CallerServer, open_caller_server
 from guavawing.node.frames import (
     MAX_ANSWER_BYTES,
@@ -21,53 +17,16 @@
 )
 from guavawing.node.mesh_client import MeshConnection
 from guavawing.node.mesh_server import MeshServer, open_mesh_server
-from guavawing.node.messages import Answer, CallAttempt
+from guavawing.node.messages import Answer
 from guavawing.node.metrics import Metrics
-from guavawing.node.submission import Submission
 from guavawing.policy.bound_key import BoundKey
-from guavawing.policy.choice import LoadReport
 from guavawing.proto import calls_pb2 as pb
 from guavawing.verdict import NotRun, Ran, Reason, verdict_name
 from standins.caller import send_call
 from standins.cluster import PortBlock
-from standins.documents import make_newsroom_document
-
-LOAD = LoadReport(1, 0, 0, draining=False, key_epoch=0)
-POLICIES = PolicyTable(
-    make_newsroom_document(),
-    data_centre="bergen",
-    today=datetime.date(2026, 12, 3),
-)
-
-
-class SilentOwner:
-    """Takes every call and answers none; records what it refused."""
-
-    def __init__(self):
-        self.refused = []
-        self.futs = []
-
-    def load(self):
-        return LOAD
-
-    def submit(self, attempt):
-        self.futs.append(asyncio.get_running_loop().create_future())
-        return Submission(self.futs[-1])
-
-    def refuse(self, key, fingerprint, verdict):
-        self.refused.append(key)
-        fut = asyncio.get_running_loop().create_future()
-        fut.set_result(Answer(verdict))
-        return Submission(fut)
-
-
-class SilentEntry:
-    """Takes every call and answers none before its deadline."""
-
-    async def call(self, call):
-        assert isinstance(call, Call)
-        await asyncio.sleep(1.0)
-        return Answer(NotRun(Reason.DEADLINE_PASSED))
+from standins.scripted_owner import open_scripted_owner
+from standins.silent_peers import LOAD, SilentEntry, SilentOwner
+from tests.support import POLICIES, make_publish
 
 
 def take_address(context):
@@ -119,8 +78,9 @@
 
 
 @contextlib.asynccontextmanager
-async def open_connection(context, address):
+async def open_socket(context):
     """Opens the owner's server and a bare connection to it."""
+    address = take_address(context)
     server = MeshServer(
         owner=context.owner,
         policies=lambda: POLICIES,
@@ -136,25 +96,22 @@
         yield ws
 
 
-def make_attempt(key):
-    return CallAttempt(
-        call_id="id",
-        policy=POLICIES.get("desk-publish"),
-        method="POST",
-        path="/bulletins",
-        headers=(),
-        body=b"",
-        deadline=asyncio.get_running_loop().time() + 30.0,
-        depth=1,
-        key=key,
-    )
+@contextlib.asynccontextmanager
+async def open_connection(ws):
+    """Opens an entry node's side of a connection to an owner."""
+    conn = MeshConnection(ws, lambda *_: None)
+    await conn.start("entry", 1)
+    yield conn
+    await conn.close()
+
+
+def make_key(number):
+    return BoundKey("owner", 1, 0, str(number))
 
 
 @when("an entry node sends it {count:d} calls on one connection")
 def step_send_frames(context, count):
-    send_frames(
-        context, [BoundKey("owner", 1, 0, str(i)) for i in range(count)]
-    )
+    send_frames(context, [make_key(number) for number in range(count)])
 
 
 @when("an entry node sends it a publish without a key")
@@ -163,19 +120,14 @@
 
 
 def send_frames(context, keys):
-    address = take_address(context)
-
     async def run():
-        async with open_connection(context, address) as ws:
-            conn = MeshConnection(ws, lambda *_: None)
-            await conn.start("entry", 1)
-            futs = [conn.submit(make_attempt(key)).fut for key in keys]
+        async with open_socket(context) as ws, open_connection(ws) as conn:
+            futs = [conn.submit(make_publish(key)).fut for key in keys]
             done, _ = await asyncio.wait(futs, timeout=2.0)
             context.refused_keys = [
                 key for key, fut in zip(keys, futs, strict=True) if fut in done
             ]
             context.verdicts = [fut.result().verdict for fut in done]
-            await conn.close()
 
     context.run(run())
 
@@ -184,19 +136,13 @@
     "an entry node sends it {count:d} calls and goes away before their answers"
 )
 def step_go_away(context, count):
-    address = take_address(context)
-
     async def run():
-        async with open_connection(context, address) as ws:
-            conn = MeshConnection(ws, lambda *_: None)
-            await conn.start("entry", 1)
+        async with open_socket(context) as ws, open_connection(ws) as conn:
             for number in range(count):
-                key = BoundKey("owner", 1, 0, str(number))
-                conn.submit(make_attempt(key))
+                conn.submit(make_publish(make_key(number)))
             futs = context.owner.futs
             while len(futs) < count:
                 await asyncio.sleep(0.01)
-            await conn.close()
         for fut in futs:
             fut.set_result(Answer(Ran(), 200, (), b"x" * 100_000))
         await asyncio.sleep(0.05)
@@ -222,10 +168,8 @@
 
 @when("an entry node sends it {fault}")
 def step_break_protocol(context, fault):
-    address = take_address(context)
-
     async def run():
-        async with open_connection(context, address) as ws:
+        async with open_socket(context) as ws:
             hello = pb.MeshFrame.FromString(await ws.receive_bytes()).hello
             for payload in await make_fault(fault, hello.sent_at_us):
                 await ws.send_bytes(payload)
@@ -238,12 +182,11 @@
 
 async def make_fault(fault, echo_us):
     now = asyncio.get_running_loop().time()
-    key = BoundKey("owner", 1, 0, "nonce")
     match fault:
         case "bytes that are no frame":
             return [b"\xff\xff\xff"]
         case "a call before the first frame":
-            frames = [build_request(make_attempt(key), 1, now=now)]
+            frames = [build_request(make_publish(make_key(0)), 1, now=now)]
         case "an answer":
             answer = Answer(NotRun(Reason.INTERNAL))
             frames = list(build_answer_frames(answer, 1, LOAD))
@@ -291,36 +234,16 @@
 @when("an owner answers a call with {fault}")
 def step_broken_owner(context, fault):
     address = parse_address(take_address(context))
-    hello = build_hello("owner", 1, LOAD, now=0.0)
-
-    async def answer(req):
-        ws = web.WebSocketResponse()
-        await ws.prepare(req)
-        await ws.send_bytes(hello.SerializeToString())
-        await ws.receive()
-        await ws.send_bytes(hello.SerializeToString())
-        await ws.receive()
-        for frame in make_broken_answer(fault):
-            await ws.send_bytes(frame.SerializeToString())
-        await ws.close()
-        return ws
 
     async def run():
-        runner = web.ServerRunner(web.Server(answer))
-        await runner.setup()
-        await web.TCPSite(runner, address.host, address.port).start()
         async with (
+            open_scripted_owner(address, make_broken_answer(fault)),
             aiohttp.ClientSession() as session,
             session.ws_connect(f"http://{address}/") as ws,
+            open_connection(ws) as conn,
+            asyncio.timeout(5.0),
         ):
-            conn = MeshConnection(ws, lambda *_: None)
-            await conn.start("entry", 1)
-            key = BoundKey("owner", 1, 0, "nonce")
-            async with asyncio.timeout(5.0):
-                ending = await conn.submit(make_attempt(key)).fut
-            await conn.close()
-        await runner.cleanup()
-        return ending
+            return await conn.submit(make_publish(make_key(0))).fut
 
     context.ending = context.run(run())
 
--- a/tests/steps/call_steps.py
+++ b/tests/steps/call_steps.py
@@ -2,19 +2,8 @@
 
 from behave import given, then, when
 
-from standins.caller import send_call
-
-
-def pick_node(context, name):
-    return context.fleet.nodes[name]
-
-
-def send(context, node, **options):
-    context.outcome = context.run(
-        send_call(
-            context.fleet.session, pick_node(context, node).caller, **options
-        )
-    )
+from standins.records import count_executions
+from tests.support import PUBLISH, send
 
 
 @given("a fleet that enforces version {number:d}")
@@ -29,15 +18,7 @@
 
 @when('a caller publishes to "{service}" through "{node}" with key "{key}"')
 def step_publish(context, service, node, key):
-    send(
-        context,
-        node,
-        service=service,
-        method="POST",
-        path="/bulletins",
-        key=key,
-        body=b"{}",
-    )
+    send(context, node, **PUBLISH | {"service": service}, key=key)
 
 
 @when(
@@ -45,27 +26,15 @@
     " {length:d} bytes"
 )
 def step_publish_bytes(context, service, node, key, length):
-    send(
-        context,
-        node,
-        service=service,
-        method="POST",
-        path="/bulletins",
-        key=key,
-        headers={"X-Answer-Bytes": str(length)},
-    )
+    headers = {"X-Answer-Bytes": str(length)}
+    options = PUBLISH | {"service": service, "body": b""}
+    send(context, node, **options, key=key, headers=headers)
 
 
 @when('a caller withdraws from "{service}" through "{node}" with key "{key}"')
 def step_withdraw(context, service, node, key):
-    send(
-        context,
-        node,
-        service=service,
-        method="DELETE",
-        path="/bulletins/1",
-        key=key,
-    )
+    path = "/bulletins/1"
+    send(context, node, service=service, method="DELETE", path=path, key=key)
 
 
 @then('the header "{name}" is "{value}"')
@@ -107,13 +76,16 @@
     assert (outcome.verdict, outcome.reason) == (verdict, reason), outcome
 
 
+@then('the verdict is "{verdict}", because of "{one}" or "{other}"')
 @then('the verdict is "{verdict}" because the time is up')
-def step_time_is_up(context, verdict):
+def step_verdict_or(
+    context, verdict, one="deadline-passed", other="target-timeout"
+):
     # The owner's answer at the deadline and the entry node's own timer race;
     # each reason is true.
     outcome = context.outcome
     assert outcome.verdict == verdict, outcome
-    assert outcome.reason in ("deadline-passed", "target-timeout"), outcome
+    assert outcome.reason in (one, other), outcome
 
 
 @then("the status is {status:d}")
@@ -124,8 +96,5 @@
 @then('key "{key}" was executed {times:d} time')
 @then('key "{key}" was executed {times:d} times')
 def step_executions(context, key, times):
-    executions = 0
-    for node in context.fleet.nodes.values():
-        record = context.run(context.fleet.get(node.target, "/record"))
-        executions += record["executions"].get(key, 0)
+    executions = context.run(count_executions(context.fleet))[key]
     assert executions == times, executions
--- a/tests/steps/choice_steps.py
+++ b/tests/steps/choice_steps.py
@@ -4,12 +4,12 @@
 import random
 
 from behave import given, then, when
-from hypothesis import given as given_data
-from hypothesis import settings, strategies
+from hypothesis import strategies
 
 from bench import measure_choice
 from guavawing.policy.choice import Candidate, Chooser, LoadReport
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
+from tests.support import check_examples
 
 FAILED = MayHaveRun(Reason.TARGET_BROKE)
 SHORT_RUN_S = 8.0
@@ -19,6 +19,11 @@
     return LoadReport(10, running, 0, draining=draining, key_epoch=0)
 
 
+def report(context, number, now, running=0, **options):
+    owner = context.owners[number - 1]
+    context.chooser.report(owner, make_report(running, **options), now=now)
+
+
 def make_owner(number, *, local=True, slots=10):
     return Candidate(f"owner-{number}", 1, local=local, slots=slots)
 
@@ -60,8 +65,7 @@
 
 @when("at {now:g} s owner {number:d} reports that it drains")
 def step_report_drain(context, now, number):
-    report = make_report(draining=True)
-    context.chooser.report(context.owners[number - 1], report, now=now)
+    report(context, number, now, draining=True)
 
 
 @when(
@@ -70,8 +74,7 @@
 )
 def step_report_running(context, now, first, last, running):
     for number in (first, last):
-        report = make_report(running)
-        context.chooser.report(context.owners[number - 1], report, now=now)
+        report(context, number, now, running)
 
 
 @when(
@@ -80,8 +83,7 @@
 )
 def step_refuse(context, now, number, running):
     end_calls(context, number, 1, now, NotRun(Reason.QUEUE_FULL, 0.5))
-    report = make_report(running)
-    context.chooser.report(context.owners[number - 1], report, now=now)
+    report(context, number, now, running)
 
 
 @when(
@@ -114,16 +116,12 @@
     context.chooser.choose(context.owners, now=now)
 
 
-def count_calls(context, number, count, now):
-    chosen = choose_many(context, count, now)
-    return chosen.count(context.owners[number - 1])
-
-
 @then(
     "at {now:g} s owner {number:d} gets {low:d} to {high:d} calls of {count:d}"
 )
 def step_calls_between(context, now, number, low, high, count):
-    got = count_calls(context, number, count, now)
+    chosen = choose_many(context, count, now)
+    got = chosen.count(context.owners[number - 1])
     assert low <= got <= high, got
 
 
@@ -186,14 +184,16 @@
         assert mesh.p99_ms() < trial.p99_ms(), name
 
 
+def run_mesh_trial(**options):
+    make = measure_choice.CHOOSERS["mesh"]
+    return measure_choice.run_trial(
+        make, 0.7, duration_s=SHORT_RUN_S, **options
+    )
+
+
 @then("a slow target that says it is idle gets less than half of a fair share")
 def step_liar(context):
-    trial = measure_choice.run_trial(
-        measure_choice.CHOOSERS["mesh"],
-        0.7,
-        slow_lies=True,
-        duration_s=SHORT_RUN_S,
-    )
+    trial = run_mesh_trial(slow_lies=True)
     done = {
         target.id: target.work_done_s / measure_choice.SLOW_FACTOR
         if target.id == "slow"
@@ -206,12 +206,7 @@
 
 @then("a target that breaks calls at once costs less than 1 in {count:d} calls")
 def step_broken(context, count):
-    trial = measure_choice.run_trial(
-        measure_choice.CHOOSERS["mesh"],
-        0.7,
-        with_broken=True,
-        duration_s=SHORT_RUN_S,
-    )
+    trial = run_mesh_trial(with_broken=True)
     calls = trial.model.calls
     broken = [c for c in calls if c.verdict == FAILED]
     assert len(broken) * count < len(calls), (len(broken), len(calls))
@@ -230,8 +225,7 @@
 
 @then("random events never break a rule of the choice")
 def step_property(context):
-    @settings(derandomize=True, database=None, deadline=None, max_examples=300)
-    @given_data(EVENTS, strategies.integers(1, 8))
+    @check_examples(300, EVENTS, strategies.integers(1, 8))
     def check(events, count):
         chooser = Chooser(random.Random(4))
         owners = [make_owner(n, local=n % 3 > 0) for n in range(count)]
@@ -266,10 +260,8 @@
                     )
                 case "report":
                     draining = number == 7
-                    report = make_report(number, draining=draining)
-                    chooser.report(owner, report, now=now)
+                    load = make_report(number, draining=draining)
+                    chooser.report(owner, load, now=now)
                     draining_until[owner] = now + 3.0 if draining else -1.0
             out = sum(chooser.is_ejected(o, now=now) for o in owners)
             assert out <= (max(1, count // 3) if count > 1 else 0)
-
-    check()
--- a/tests/steps/document_steps.py
+++ b/tests/steps/document_steps.py
@@ -7,8 +7,6 @@
 
 import orjson
 from behave import given, register_type, then, when
-from hypothesis import given as given_any
-from hypothesis import settings
 from hypothesis import strategies as st
 
 from guavawing.config import (
@@ -20,6 +18,7 @@
 )
 from guavawing.errors import ConfigInvalidError
 from standins.documents import make_newsroom_document
+from tests.support import check_examples
 
 register_type(Day=datetime.date.fromisoformat)
 register_type(Json=json.loads)
@@ -233,18 +232,13 @@
 
 @then("{count:d} random inputs give a document or a fault")
 def step_fuzz(context, count):
-    @settings(
-        derandomize=True, database=None, deadline=None, max_examples=count
-    )
-    @given_any(damaged_payloads() | st.binary(max_size=40))
+    @check_examples(count, damaged_payloads() | st.binary(max_size=40))
     def check(payload):
         document = read_any(payload)
         if document is not None:
             encoded = encode_document(document)
             assert encode_document(decode_document(encoded)) == encoded
 
-    check()
-
 
 def make_documents():
     """Returns a strategy of documents, most of them with faults."""
@@ -260,13 +254,8 @@
 
 @then("{count:d} random documents keep their bytes through encode and decode")
 def step_round_trip(context, count):
-    @settings(
-        derandomize=True, database=None, deadline=None, max_examples=count
-    )
-    @given_any(make_documents())
+    @check_examples(count, make_documents())
     def check(document):
         payload = encode_document(document)
         assert decode_document(payload) == document
         assert encode_document(decode_document(payload)) == payload
-
-    check()
--- a/tests/steps/drain_steps.py
+++ b/tests/steps/drain_steps.py
@@ -1,31 +1,24 @@
 """Steps that drain and stop nodes under load."""
 
 import asyncio
-import collections
 import signal
 
 from behave import given, then, when
 
-from standins.caller import send_call
 from standins.load import Load
+from standins.records import count_executions, read_record
 from standins.target import make_answer
 
 STOP_LIMIT_S = 20.0
-POLL_S = 0.05
 SLOW_READER_S = 3.0
 
 
-async def read_requests(fleet, name):
-    record = await fleet.get(fleet.nodes[name].target, "/record")
-    return record["requests"]
-
-
-async def count_executions(fleet):
-    counts = collections.Counter()
-    for node in fleet.nodes.values():
-        record = await fleet.get(node.target, "/record")
-        counts.update(record["executions"])
-    return counts
+async def count_requests(fleet, name, seconds):
+    """Returns a target's requests before and after some seconds."""
+    before = await read_record(fleet, name)
+    await asyncio.sleep(seconds)
+    after = await read_record(fleet, name)
+    return before["requests"], after["requests"]
 
 
 async def restart(fleet, node):
@@ -41,24 +34,18 @@
     assert await fleet.wait_for_serving(len(fleet.nodes))
 
 
+# The last one is tried first; the first one matches its texts too.
+@given('callers send {rate:d} calls of {work:d} ms a second to "{service}"')
 @given(
     'callers send {rate:d} calls of {work:d} ms a second to "{service}" through'
     ' "{through}"'
 )
-def step_load_through(context, rate, work, service, through):
-    start_load(context, rate, work, service, through)
-
-
-@given('callers send {rate:d} calls of {work:d} ms a second to "{service}"')
-def step_load(context, rate, work, service):
-    start_load(context, rate, work, service, "")
-
-
-def start_load(context, rate, work, service, through):
-    context.load = load = Load(context.fleet, service, rate, work, through)
+def step_load(context, rate, work, service, through=""):
+    load = Load(context.fleet, service, rate, work, through)
+    context.load = load
     context.add_cleanup(lambda: setattr(load, "stopped", True))
     context.load_result = asyncio.run_coroutine_threadsafe(
-        context.load.run(), context.loop
+        load.run(), context.loop
     )
     context.run(asyncio.sleep(1.0))
 
@@ -85,24 +72,14 @@
     'after {wait:g} s the target of "{name}" gets no new work for {quiet:g} s'
 )
 def step_no_work(context, wait, name, quiet):
-    async def count():
-        await asyncio.sleep(wait)
-        before = await read_requests(context.fleet, name)
-        await asyncio.sleep(quiet)
-        return before, await read_requests(context.fleet, name)
-
-    before, after = context.run(count())
+    context.run(asyncio.sleep(wait))
+    before, after = context.run(count_requests(context.fleet, name, quiet))
     assert 0 < before == after, (before, after)
 
 
 @then('within {limit:g} s the target of "{name}" gets new work')
 def step_new_work(context, limit, name):
-    async def count():
-        before = await read_requests(context.fleet, name)
-        await asyncio.sleep(limit)
-        return before, await read_requests(context.fleet, name)
-
-    before, after = context.run(count())
+    before, after = context.run(count_requests(context.fleet, name, limit))
     assert after > before, (before, after)
 
 
@@ -126,13 +103,12 @@
 def step_stop_under_calls(context, count, work, service, name):
     fleet = context.fleet
     others = [node for node in fleet.nodes.values() if node.name != name]
-    entries = [*others[:2], fleet.nodes[name]]
+    entries = [*(node.name for node in others[:2]), name]
 
     async def send():
         calls = [
-            send_call(
-                fleet.session,
-                entries[number % len(entries)].caller,
+            fleet.call(
+                entries[number % len(entries)],
                 service=service,
                 path="/read",
                 headers={"X-Work-Ms": str(work)},
@@ -184,6 +160,7 @@
     assert context.run(node.wait(STOP_LIMIT_S)) == code
 
 
+@when('"{name}" is started again')
 @then('"{name}" is started again')
 def step_started_again(context, name):
     fleet = context.fleet
--- a/tests/steps/exception_day_steps.py
+++ b/tests/steps/exception_day_steps.py
@@ -6,13 +6,13 @@
 import attrs
 from behave import given, then
 
-from guavawing.config import ExceptionEntry
 from guavawing.membership import MemberTable
 from guavawing.node.distributor import Distributor, open_distributor
 from guavawing.node.metrics import Metrics
 from guavawing.platform import publish_document
-from standins.documents import make_newsroom_document
+from standins.documents import make_exception, make_newsroom_document
 from standins.memory_platform import MemoryPlatform, MemoryStore
+from tests.support import open_in_scenario
 
 POLL_PERIOD_S = 0.05
 START_TIMEOUT_S = 10.0
@@ -27,22 +27,20 @@
 @given("a node that enforces an exception with the last day {day}")
 def step_node(context, day):
     context.today = datetime.date.fromisoformat(day)
-    entry = ExceptionEntry(
-        service="desk",
-        setting="queue_limit",
-        value=EXCEPTION_VALUE,
-        reason="the archive moves in January",
-        owner="desk team",
-        ends=context.today,
-    )
+    entry = make_exception(value=EXCEPTION_VALUE, ends=context.today)
     document = attrs.evolve(
         make_newsroom_document(), exceptions={"archive": entry}
     )
     context.told = []
-    context.distributor = context.run(start(context, document))
+    distributor = context.run(make_distributor(context, document))
+    context.distributor = distributor
+    open_in_scenario(
+        context, open_distributor(distributor, poll_period_s=POLL_PERIOD_S)
+    )
+    context.run(wait_for_version(distributor))
 
 
-async def start(context, document):
+async def make_distributor(context, document):
     platform = NodePlatform(MemoryStore())
     await publish_document(
         platform, document, change_id="first", base_version=0, author="tests"
@@ -57,13 +55,13 @@
         read_today=lambda: context.today,
     )
     distributor.listen(context.told.append)
-    opened = open_distributor(distributor, poll_period_s=POLL_PERIOD_S)
-    await opened.__aenter__()
-    context.add_cleanup(lambda: context.run(opened.__aexit__(None, None, None)))
+    return distributor
+
+
+async def wait_for_version(distributor):
     async with asyncio.timeout(START_TIMEOUT_S):
         while distributor.current.number == 0:
             await asyncio.sleep(POLL_PERIOD_S)
-    return distributor
 
 
 def check(context, day, expected):
--- a/tests/steps/key_steps.py
+++ b/tests/steps/key_steps.py
@@ -1,8 +1,6 @@
 """Steps about the key table of an owner and the keyed calls of an entry."""
 
 from behave import given, then, when
-from hypothesis import given as given_example
-from hypothesis import settings
 from hypothesis import strategies as st
 
 from bench.key_history import History
@@ -23,6 +21,7 @@
     verdict_name,
 )
 from tests.golden_files import check_golden
+from tests.support import check_examples
 
 INCARNATION = 1
 
@@ -192,10 +191,7 @@
 def step_histories(context, count):
     seen = {"executions": 0, "not-run": 0, "may-have-run": 0, "ran": 0}
 
-    @settings(
-        max_examples=count, derandomize=True, database=None, deadline=None
-    )
-    @given_example(st.integers(0, 2**32))
+    @check_examples(count, st.integers(0, 2**32))
     def check(seed):
         history = History(seed)
         history.run(events=200)
@@ -204,6 +200,5 @@
         for sending in history.sendings:
             seen[verdict_name(sending.verdict)] += 1
 
-    check()
     # A check over histories in which nothing happens would prove nothing.
     assert all(number >= count // 4 for number in seen.values()), seen
--- a/tests/steps/listener_steps.py
+++ b/tests/steps/listener_steps.py
@@ -6,8 +6,8 @@
 
 from behave import then, when
 
-from standins.caller import send_call
 from standins.target import make_answer
+from tests.support import PUBLISH, send
 
 SETTLE_S = 0.5
 TCP_LISTEN = "0A"
@@ -16,16 +16,11 @@
 @when('a caller sends "{service}" a compressed body through "{node}"')
 def step_compressed(context, service, node):
     context.body = b"running order " * 200
-    context.outcome = context.run(
-        send_call(
-            context.fleet.session,
-            context.fleet.nodes[node].caller,
-            service=service,
-            method="POST",
-            path="/bulletins",
-            body=gzip.compress(context.body),
-            headers={"Content-Encoding": "gzip"},
-        )
+    send(
+        context,
+        node,
+        **PUBLISH | {"service": service, "body": gzip.compress(context.body)},
+        headers={"Content-Encoding": "gzip"},
     )
 
 
--- a/tests/steps/log_steps.py
+++ b/tests/steps/log_steps.py
@@ -5,53 +5,42 @@
 import orjson
 from behave import then, when
 
-from standins.caller import send_call
+from tests.support import send
 
 LOG_WAIT_S = 5.0
 
 
-def read_records(context, node):
+def wait_for_record(context, node, **fields):
+    """Waits until a log holds a record with these fields."""
     path = context.fleet.folder / f"{node}.log"
-    return [orjson.loads(line) for line in path.read_bytes().splitlines()]
-
-
-def wait_for_record(context, node, matches):
     deadline = time.monotonic() + LOG_WAIT_S
     while time.monotonic() < deadline:
-        if any(matches(record) for record in read_records(context, node)):
+        records = [
+            orjson.loads(line) for line in path.read_bytes().splitlines()
+        ]
+        if any(fields.items() <= record.items() for record in records):
             return
         time.sleep(0.05)
-    raise AssertionError(read_records(context, node)[-20:])
+    raise AssertionError(records[-20:])
 
 
 @when('call "{call_id}" reads "{service}" through "{node}"')
 def step_read_as(context, call_id, service, node):
     headers = {"Guavawing-Call-Id": call_id}
-    fleet = context.fleet
-    address = fleet.nodes[node].caller
-    outcome = context.run(
-        send_call(fleet.session, address, service=service, headers=headers)
-    )
+    send(context, node, service=service, headers=headers)
+    outcome = context.outcome
     assert outcome.verdict == "ran", outcome
     assert outcome.headers["Guavawing-Call-Id"] == call_id
 
 
 @then('the log of "{node}" has a record "{kind}" of call "{call_id}"')
 def step_record(context, node, kind, call_id):
-    def matches(record):
-        found = (record.get("message_type"), record.get("call_id"))
-        return found == (kind, call_id)
-
-    wait_for_record(context, node, matches)
+    wait_for_record(context, node, message_type=kind, call_id=call_id)
 
 
 @then('the log of "{node}" has an action "{kind}" that succeeded')
 def step_action(context, node, kind):
-    def matches(record):
-        found = (record.get("action_type"), record.get("action_status"))
-        return found == (kind, "succeeded")
-
-    wait_for_record(context, node, matches)
+    wait_for_record(context, node, action_type=kind, action_status="succeeded")
 
 
 @then('no log holds "{text}"')
@@ -62,41 +51,23 @@
         assert text not in path.read_text(), path
 
 
-@when('"{node}" is drained by the command line')
-def step_drain(context, node):
-    run_drain(context, "drain", node)
-
-
-@when('"{node}" is given work again by the command line')
-def step_undrain(context, node):
-    run_drain(context, "undrain", node)
-
-
-def run_drain(context, command, node):
-    admin = context.fleet.nodes[node].admin
-    code, _, err = context.run(context.fleet.run_cli(command, "--node", admin))
-    assert code == 0, err
+async def fetch(context, url):
+    async with context.fleet.session.get(url) as resp:
+        return resp.status, await resp.text()
 
 
 @then('"{node}" answers "{path}" with status {status:d}')
 def step_probe(context, node, path, status):
-    async def probe():
-        url = f"http://{context.fleet.nodes[node].admin}{path}"
-        async with context.fleet.session.get(url) as resp:
-            return resp.status
-
-    found = context.run(probe())
+    url = f"http://{context.fleet.nodes[node].admin}{path}"
+    found, _ = context.run(fetch(context, url))
     assert found == status, found
 
 
 @then('every series of "{node}" has a help text and a type')
 def step_metrics(context, node):
-    async def read():
-        url = f"http://{context.fleet.nodes[node].admin}/metrics"
-        async with context.fleet.session.get(url) as resp:
-            return await resp.text()
-
-    lines = context.run(read()).splitlines()
+    url = f"http://{context.fleet.nodes[node].admin}/metrics"
+    _, text = context.run(fetch(context, url))
+    lines = text.splitlines()
     told = {"HELP": set(), "TYPE": set()}
     series = set()
     for line in lines:
--- a/tests/steps/owner_steps.py
+++ b/tests/steps/owner_steps.py
@@ -2,38 +2,20 @@
 
 import asyncio
 
-import attrs
 from behave import given, then, when
 
-from guavawing.config import PolicyTable
 from guavawing.node import owner as owner_module
-from guavawing.node.messages import Answer, CallAttempt
+from guavawing.node.messages import Answer
 from guavawing.node.metrics import Metrics
 from guavawing.node.owner import open_owner
 from guavawing.node.target_client import Execution
 from guavawing.verdict import MayHaveRun, Ran, Reason
-from standins.documents import make_newsroom_document
+from standins.silent_peers import SilentTarget
+from tests.support import make_publish, open_in_scenario
 
 TURNS = 5
 
 
-class MemoryTarget:
-    """Ends a call when it is told to."""
-
-    def __init__(self):
-        self.given = []
-
-    async def execute(self, attempt, *, now):
-        end = asyncio.get_running_loop().create_future()
-        self.given.append(end)
-        return await end
-
-    def end(self, execution):
-        for end in self.given:
-            if not end.done():
-                end.set_result(execution)
-
-
 async def let_run():
     for _ in range(TURNS):
         await asyncio.sleep(0)
@@ -41,45 +23,27 @@
 
 @given("an owner with {slots:d} slot whose target works until told to end")
 def step_owner(context, slots):
-    context.target = MemoryTarget()
-
-    async def open_one():
-        manager = open_owner(
-            member_id="desk-1",
-            incarnation=1,
-            target=context.target,
-            metrics=Metrics(),
-        )
-        owner = await manager.__aenter__()
-        owner.set_limits(slots=slots, queue_limit=10)
-        return manager, owner
-
-    manager, context.owner = context.run(open_one())
-    context.add_cleanup(
-        lambda: context.run(manager.__aexit__(None, None, None))
+    context.target = SilentTarget()
+
+    manager = open_owner(
+        member_id="desk-1",
+        incarnation=1,
+        target=context.target,
+        metrics=Metrics(),
+    )
+    context.owner = open_in_scenario(context, manager)
+    context.loop.call_soon_threadsafe(
+        lambda: context.owner.set_limits(slots=slots, queue_limit=10)
     )
     context.key = None
     context.submissions = []
 
 
 async def submit(context, *, keyed, left_s=30.0):
-    loop = asyncio.get_running_loop()
-    table = PolicyTable(
-        make_newsroom_document(), data_centre="bergen", today=None
-    )
-    attempt = CallAttempt(
-        call_id="1",
-        policy=table.get("desk-publish"),
-        method="POST",
-        path="/bulletins",
-        headers=(),
-        body=b"",
-        deadline=loop.time() + left_s,
-        depth=1,
-    )
+    key = None
     if keyed:
-        context.key = context.key or context.owner.mint_key()
-        attempt = attrs.evolve(attempt, key=context.key)
+        key = context.key = context.key or context.owner.mint_key()
+    attempt = make_publish(key, left_s=left_s)
     context.submissions.append(context.owner.submit(attempt))
     await let_run()
 
--- a/tests/steps/publishing_steps.py
+++ b/tests/steps/publishing_steps.py
@@ -5,11 +5,9 @@
 
 import attrs
 from behave import given, then, when
-from hypothesis import given as given_any
-from hypothesis import settings
 from hypothesis import strategies as st
 
-from guavawing.config import ExceptionEntry, compute_digest, encode_document
+from guavawing.config import compute_digest, encode_document
 from guavawing.errors import PlatformDataInvalidError
 from guavawing.platform import (
     fetch_document,
@@ -19,7 +17,7 @@
 )
 from guavawing.platform.client import open_platform
 from guavawing.platform.versions import HISTORY_TABLE
-from standins.documents import make_newsroom_document
+from standins.documents import make_exception, make_newsroom_document
 from standins.memory_platform import Fault, MemoryPlatform, MemoryStore
 from standins.operators import (
     NOW,
@@ -32,6 +30,7 @@
 )
 from standins.platform import Faults, PlatformStandIn, open_stand_in
 from tests.golden_files import check_golden
+from tests.support import check_examples, open_in_scenario
 
 LAST_YEAR = NOW.date().replace(year=2026)
 TIMEOUT_S = 1.0
@@ -44,11 +43,6 @@
 }
 
 
-def make_exception(**fields):
-    fields = {"setting": "queue_limit", "value": 9} | fields
-    return ExceptionEntry(service="desk", reason="r", owner="o", **fields)
-
-
 def add_exception(document, name, **fields):
     entries = {**document.exceptions, name: make_exception(**fields)}
     return attrs.evolve(document, exceptions=entries)
@@ -92,10 +86,7 @@
 def step_platform(context):
     context.standin = PlatformStandIn()
     manager = open_stand_in(context.standin)
-    context.platform = context.run(manager.__aenter__())
-    context.add_cleanup(
-        lambda: context.run(manager.__aexit__(None, None, None))
-    )
+    context.platform = open_in_scenario(context, manager)
 
 
 @given("the platform has the faults {faults:Json}")
@@ -318,10 +309,7 @@
         max_size=40,
     )
 
-    @settings(
-        derandomize=True, database=None, deadline=None, max_examples=count
-    )
-    @given_any(st.lists(faults, min_size=2, max_size=5), st.data())
+    @check_examples(count, st.lists(faults, min_size=2, max_size=5), st.data())
     def check(plans, data):
         store = MemoryStore()
         operators = [
@@ -345,8 +333,6 @@
                 del running[chosen]
         check_session(store, operators)
 
-    check()
-
 
 @then("the session of publishing matches its golden file")
 def step_golden(context):
--- a/tests/steps/retry_steps.py
+++ b/tests/steps/retry_steps.py
@@ -3,14 +3,13 @@
 import asyncio
 
 from behave import given, then, when
-from hypothesis import given as given_example
-from hypothesis import settings
 from hypothesis import strategies as st
 
 from bench.retry_chain import ChainPlan, run_chain
 from guavawing.policy.retry import GiveUp, Retry, RetryBudget, decide_retry
 from guavawing.verdict import NotRun, Reason
-from standins.caller import send_call
+from standins.records import read_records
+from tests.support import check_examples, set_target_faults
 
 
 @given(
@@ -45,10 +44,7 @@
 def step_share(context, count):
     ratios = st.sampled_from((0.0, 0.05, 0.1, 0.5))
 
-    @settings(
-        max_examples=count, derandomize=True, database=None, deadline=None
-    )
-    @given_example(ratios, st.lists(st.integers(0, 3), max_size=200))
+    @check_examples(count, ratios, st.lists(st.integers(0, 3), max_size=200))
     def check(ratio, tries):
         budget = RetryBudget()
         spent = 0
@@ -57,8 +53,6 @@
             spent += sum(budget.spend() for _ in range(wanted))
             assert spent <= calls * ratio + 1e-9, (spent, calls, ratio)
 
-    check()
-
 
 @when('every owner refuses a call as "{reason}"')
 def step_refuse(context, reason):
@@ -89,22 +83,13 @@
 
 
 def count_requests(context, service):
-    records = [
-        context.run(context.fleet.get(node.target, "/record"))
-        for node in context.fleet.nodes.values()
-        if node.service == service
-    ]
+    records = context.run(read_records(context.fleet, service))
     return sum(record["requests"] for record in records)
 
 
-async def read(context, service, entry, **options):
-    return await send_call(
-        context.fleet.session,
-        context.fleet.nodes[entry].caller,
-        service=service,
-        path="/packages/1",
-        **options,
-    )
+def read(context, service, entry, **options):
+    path = "/packages/1"
+    return context.fleet.call(entry, service=service, path=path, **options)
 
 
 @when('a caller reads "{service}" {count:d} times through "{entry}"')
@@ -117,9 +102,7 @@
 
 @given('the target of "{name}" loses {count:d} answer')
 def step_target_loses(context, name, count):
-    target = context.fleet.nodes[name].target
-    faults = {"drop_answers": count}
-    context.run(context.fleet.post(target, "/faults", faults))
+    set_target_faults(context, name, drop_answers=count)
 
 
 @when(
@@ -129,21 +112,13 @@
 def step_nested(context, service, entry, other, own):
     async def run():
         call_id = {"Guavawing-Call-Id": "nested"}
+        working = {**call_id, "X-Work-Ms": "500"}
         outer = asyncio.ensure_future(
-            read(
-                context,
-                service,
-                entry,
-                headers={**call_id, "X-Work-Ms": "500"},
-            )
+            read(context, service, entry, headers=working)
         )
         await asyncio.sleep(0.1)
-        inner = await read(
-            context,
-            other,
-            own,
-            headers={**call_id, "Guavawing-Depth": "1"},
-        )
+        nested = {**call_id, "Guavawing-Depth": "1"}
+        inner = await read(context, other, own, headers=nested)
         assert inner.verdict == "may-have-run", inner
         return await outer
 
--- a/tests/steps/settings_steps.py
+++ b/tests/steps/settings_steps.py
@@ -1,5 +1,6 @@
 """Steps that check the settings of a node."""
 
+import configparser
 import pathlib
 import subprocess
 import sys
@@ -23,28 +24,19 @@
 
 
 @given('settings in which [{section}] "{key}" is "{value}"')
-def step_settings(context, section, key, value):
-    settings = {name: dict(keys) for name, keys in GOOD_SETTINGS.items()}
-    settings.setdefault(section, {})[key] = value
-    write_settings(context, settings)
-
-
 @given('settings without [{section}] "{key}"')
-def step_settings_without(context, section, key):
-    settings = {name: dict(keys) for name, keys in GOOD_SETTINGS.items()}
-    del settings[section][key]
-    write_settings(context, settings)
-
-
-def write_settings(context, settings):
+def step_settings(context, section, key, value=None):
+    cfg = configparser.RawConfigParser()
+    cfg.read_dict(GOOD_SETTINGS)
+    if value is None:
+        cfg.remove_option(section, key)
+    else:
+        cfg.read_dict({section: {key: value}})
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.path = pathlib.Path(folder.name) / "node.ini"
-    lines = []
-    for section, keys in settings.items():
-        lines.append(f"[{section}]")
-        lines += [f"{key} = {value}" for key, value in keys.items()]
-    context.path.write_text("\n".join(lines))
+    with context.path.open("w") as file:
+        cfg.write(file)
 
 
 @when("the node is started")
--- a/tests/steps/verdict_steps.py
+++ b/tests/steps/verdict_steps.py
@@ -5,8 +5,6 @@
 import urllib.request
 
 from behave import given, then, when
-from hypothesis import given as given_example
-from hypothesis import settings
 from hypothesis import strategies as st
 
 from guavawing.config import Defaults, EffectivePolicy, LimitClass
@@ -24,7 +22,7 @@
 from guavawing.policy.choice import LoadReport
 from guavawing.policy.retry import GiveUp, Retry, RetryBudget, decide_retry
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason, verdict_name
-from standins.caller import send_call
+from tests.support import check_examples, send
 
 POLICY = EffectivePolicy("desk", "read", True, Defaults(), LimitClass(1, 1))
 LOAD = LoadReport(1, 0, 0, draining=False, key_epoch=0)
@@ -56,17 +54,12 @@
         st.builds(MayHaveRun, reasons, st.booleans()),
     )
 
-    @settings(
-        max_examples=count, derandomize=True, database=None, deadline=None
-    )
-    @given_example(verdicts)
+    @check_examples(count, verdicts)
     def check(verdict):
         (frame,) = build_answer_frames(Answer(verdict), 1, LOAD)
         found = read_verdict(frame.answer)
         assert found == verdict, (found, verdict)
 
-    check()
-
 
 @then("a wait of each whole number of milliseconds below {end:d} is kept")
 def step_waits(context, end):
@@ -174,14 +167,8 @@
 
 @when('a caller sends "{service}" {count:d} headers through "{entry}"')
 def step_many_headers(context, service, count, entry):
-    context.outcome = context.run(
-        send_call(
-            context.fleet.session,
-            context.fleet.nodes[entry].caller,
-            service=service,
-            headers={f"X-{number}": "a" for number in range(count)},
-        )
-    )
+    headers = {f"X-{number}": "a" for number in range(count)}
+    send(context, entry, service=service, headers=headers)
 
 
 @then('the counter "{name}" of "{node}" with {label} "{value}" is above 0')
@@ -207,23 +194,9 @@
 
 @when('a caller reads "{service}" through "{entry}" with {ms:d} ms left')
 def step_read_in_time(context, service, entry, ms):
-    context.outcome = context.run(
-        send_call(
-            context.fleet.session,
-            context.fleet.nodes[entry].caller,
-            service=service,
-            deadline_ms=ms,
-        )
-    )
+    send(context, entry, service=service, deadline_ms=ms)
 
 
 @then("the answer comes within {seconds:g} s")
 def step_within(context, seconds):
     assert context.outcome.elapsed_s <= seconds, context.outcome
-
-
-@then('the verdict is "{verdict}", because of "{one}" or "{other}"')
-def step_verdict_or(context, verdict, one, other):
-    outcome = context.outcome
-    assert outcome.verdict == verdict, outcome
-    assert outcome.reason in (one, other), outcome
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,12 +1,30 @@
 """Helpers that several step files share."""
 
+import asyncio
+import datetime
 import uuid
 
-from guavawing.config import Document
+from hypothesis import given, settings
+
+from guavawing.config import Document, PolicyTable
 from guavawing.model import parse_address
+from guavawing.node.messages import CallAttempt
 from guavawing.platform import Head, fetch_head, publish_document
 from guavawing.platform.client import open_platform
 from standins.cluster import Fleet
+from standins.documents import make_newsroom_document
+
+PUBLISH = {
+    "service": "desk",
+    "method": "POST",
+    "path": "/bulletins",
+    "body": b"{}",
+}
+POLICIES = PolicyTable(
+    make_newsroom_document(),
+    data_centre="bergen",
+    today=datetime.date(2026, 12, 3),
+)
 
 
 async def publish(
@@ -27,3 +45,57 @@
     """Returns the number of the newest version on a fleet's platform."""
     async with open_platform(parse_address(fleet.platform)) as platform:
         return (await fetch_head(platform)).version
+
+
+def check_examples(count, *strategies):
+    """Checks random examples, the same ones in every run."""
+
+    def run_check(check):
+        fixed = settings(
+            max_examples=count, derandomize=True, database=None, deadline=None
+        )
+        fixed(given(*strategies)(check))()
+
+    return run_check
+
+
+def open_in_scenario(context, manager):
+    """Opens an asynchronous context that is closed after the scenario."""
+    opened = context.run(manager.__aenter__())
+    context.add_cleanup(
+        lambda: context.run(manager.__aexit__(None, None, None))
+    )
+    return opened
+
+
+def start_call(context, entry, **options):
+    """Starts a call on the loop of the fleet; returns its future."""
+    call = context.fleet.call(entry, **options)
+    return asyncio.run_coroutine_threadsafe(call, context.loop)
+
+
+def send(context, entry, **options):
+    """Sends a call and keeps its outcome for the steps that follow."""
+    context.outcome = start_call(context, entry, **options).result()
+
+
+def set_target_faults(context, name, **faults):
+    """Sets the faults of the targets of a service, or of a node's one."""
+    for node in context.fleet.nodes.values():
+        if name in (node.name, node.service):
+            context.run(context.fleet.post(node.target, "/faults", faults))
+
+
+def make_publish(key, *, left_s=30.0):
+    """Makes a publish that an entry node hands to an owner."""
+    return CallAttempt(
+        call_id="id",
+        policy=POLICIES.get("desk-publish"),
+        method="POST",
+        path="/bulletins",
+        headers=(),
+        body=b"",
+        deadline=asyncio.get_running_loop().time() + left_s,
+        depth=1,
+        key=key,
+    )
