Log the death of a member

The new scenario "The death of a member is logged" failed: no such record within 19 s of the kill. A publish is still logged by no node: it does not cross one.

--- a/src/guavawing/node/gossip_task.py
+++ b/src/guavawing/node/gossip_task.py
@@ -24,14 +24,15 @@
     decode_datagram,
     encode_datagram,
 )
+from guavawing.node.logs import log
 from guavawing.node.metrics import Metrics
 
 __all__ = ["GossipTask", "open_gossip"]
 
 # Share of the time between ticks by which they are spread.
 TICK_JITTER = 0.1
-# Ticks between two updates of the gauge of members.
-GAUGE_TICKS = 25
+# Ticks between two reports of members to the gauge and the logs.
+REPORT_TICKS = 25
 
 NoticeListener = Callable[[str, Notice], None]
 
@@ -49,6 +50,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._on_notice: NoticeListener | None = None
         self._limiter = PeerLimiter(now=self._loop.time())
+        self._dead: set[str] = set()
 
     def listen(self, on_notice: NoticeListener) -> None:
         """Sets who is told of the versions that other members enforce."""
@@ -97,16 +99,24 @@
         """Passes time to the machine until cancelled."""
         for number in itertools.count():
             self._send(self._gossip.tick(now=self._loop.time()))
-            if number % GAUGE_TICKS == 0:
-                self._update_gauge()
+            if number % REPORT_TICKS == 0:
+                self._report_members()
             jitter = random.uniform(-TICK_JITTER, TICK_JITTER)
             await asyncio.sleep(self._tick_s * (1 + jitter))
 
-    def _update_gauge(self) -> None:
+    def _report_members(self) -> None:
         counts = collections.Counter(m.state for m in self._gossip.table)
         for state in MemberState:
             labels = {"state": state.name.lower()}
             self._metrics.members.set(labels, counts[state])
+        dead = {
+            member.id
+            for member in self._gossip.table
+            if member.state is MemberState.DEAD
+        }
+        for member_id in sorted(dead - self._dead):
+            log("info", "death", node=member_id)
+        self._dead = dead
 
     def _notify(self, datagram: Datagram) -> None:
         if self._on_notice is not None and datagram.notice.version:
--- a/tests/steps/log_steps.py
+++ b/tests/steps/log_steps.py
@@ -15,8 +15,8 @@
     return [orjson.loads(line) for line in path.read_bytes().splitlines()]
 
 
-def wait_for_record(context, node, matches):
-    deadline = time.monotonic() + LOG_WAIT_S
+def wait_for_record(context, node, matches, timeout_s=LOG_WAIT_S):
+    deadline = time.monotonic() + timeout_s
     while time.monotonic() < deadline:
         if any(matches(record) for record in read_records(context, node)):
             return
@@ -98,6 +98,18 @@
     return context.run(read()).splitlines()
 
 
+@then('within {seconds:d} s the log of "{node}" tells the death of "{name}"')
+def step_death(context, seconds, node, name):
+    wait_for_record(
+        context,
+        node,
+        lambda record: (
+            record.get("message_type") == "death" and record["node"] == name
+        ),
+        seconds,
+    )
+
+
 @then('every gauge of "{node}" has a value')
 def step_gauges(context, node):
     lines = read_metrics(context, node)
