--- a/tests/steps/cli_steps.py
+++ b/tests/steps/cli_steps.py
@@ -74,10 +74,16 @@
         | {"GUAVAWING_PLATFORM": str(context.platform), "TERM": "xterm"}
         | dict(env),
         text=True,
+        preexec_fn=heed_interrupts,
         **{"stdout": subprocess.PIPE, "stderr": subprocess.PIPE} | streams,
     )
 
 
+def heed_interrupts():
+    # A shell's background job ignores SIGINT, and its children inherit that.
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+
+
 @when('the operator runs "{command}"')
 def step_run(context, command):
     runner = CliRunner(env={"GUAVAWING_PLATFORM": str(context.platform)})
--- a/tests/steps/log_steps.py
+++ b/tests/steps/log_steps.py
@@ -10,10 +10,10 @@
 LOG_WAIT_S = 5.0
 
 
-def wait_for_record(context, node, **fields):
+def wait_for_record(context, name, timeout_s=LOG_WAIT_S, /, **fields):
     """Waits until a log holds a record with these fields."""
-    path = context.fleet.folder / f"{node}.log"
-    deadline = time.monotonic() + LOG_WAIT_S
+    path = context.fleet.folder / f"{name}.log"
+    deadline = time.monotonic() + timeout_s
     while time.monotonic() < deadline:
         records = [
             orjson.loads(line) for line in path.read_bytes().splitlines()
@@ -69,6 +69,11 @@
     return text.splitlines()
 
 
+@then('within {seconds:d} s the log of "{node}" tells the death of "{name}"')
+def step_death(context, seconds, node, name):
+    wait_for_record(context, node, seconds, message_type="death", node=name)
+
+
 @then('every gauge of "{node}" has a value')
 def step_gauges(context, node):
     lines = read_metrics(context, node)
