--- a/bench/measure_transports.py
+++ b/bench/measure_transports.py
@@ -15,7 +15,7 @@
 
 from bench.figure import Figure
 from guavawing.proto import calls_pb2 as pb
-from standins.cluster import HOST, PortBlock
+from standins.ports import HOST, PortBlock
 
 CALLS = 2_000
 WARM_UP_CALLS = 200
--- a/tests/steps/bound_steps.py
+++ b/tests/steps/bound_steps.py
@@ -23,7 +23,7 @@
 from guavawing.proto import calls_pb2 as pb
 from guavawing.verdict import NotRun, Ran, Reason, verdict_name
 from standins.caller import send_call
-from standins.cluster import PortBlock
+from standins.ports import PortBlock
 from standins.scripted_owner import open_scripted_owner
 from standins.silent_peers import LOAD, SilentEntry, SilentOwner
 from tests.support import POLICIES, make_publish
