--- a/src/guavawing/node/frame_queue.py
+++ b/src/guavawing/node/frame_queue.py
@@ -58,11 +58,6 @@
         """Bytes of the frames and answers that wait."""
         return self._bytes
 
-    @property
-    def flushed(self) -> bool:
-        """Whether every frame has been written."""
-        return self._flushed.is_set()
-
     def put(self, payload: bytes) -> None:
         """Adds a single frame."""
         self._single.append(payload)
--- a/src/guavawing/node/mesh_client.py
+++ b/src/guavawing/node/mesh_client.py
@@ -11,8 +11,6 @@
 
 from guavawing.errors import MessageInvalidError
 from guavawing.model import MemberId
-from guavawing.node.frame_queue import ByteCount
-from guavawing.node.frame_writer import FrameWriter
 from guavawing.node.frames import (
     MAX_ANSWER_BYTES,
     build_hello,
@@ -64,10 +62,7 @@
         self._on_load = on_load
         self._ids = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
-        # What waits here is bounded by the calls that the entry takes.
-        self._outgoing = FrameWriter(
-            ws, ByteCount(), on_lost=self._lose_pending
-        )
+        self._outgoing: asyncio.Queue[pb.MeshFrame] = asyncio.Queue()
         self._tasks: list[asyncio.Task[None]] = []
         self._key_epoch = 0
         self._load_at = 0.0
@@ -98,7 +93,7 @@
         self._take_load(frame.hello.load)
         self._tasks = [
             self._loop.create_task(self._read()),
-            self._loop.create_task(self._outgoing.run()),
+            self._loop.create_task(self._write()),
         ]
 
     async def _receive_hello(self) -> pb.MeshFrame:
@@ -119,7 +114,7 @@
             return False
         if self._fresh.is_set():
             self._fresh.clear()
-            self._send(self._hello)
+            self._outgoing.put_nowait(self._hello)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await self._fresh.wait()
@@ -138,7 +133,7 @@
         frame_id = next(self._ids)
         self._pending[frame_id] = _Pending(fut)
         frame = build_request(attempt, frame_id, now=self._loop.time())
-        self._send(frame)
+        self._outgoing.put_nowait(frame)
         return Submission(fut, lambda: self._cancel(frame_id))
 
     async def close(self) -> None:
@@ -151,7 +146,7 @@
     def _cancel(self, frame_id: int) -> None:
         if self._drop(frame_id) is not None:
             cancel = pb.CallCancel(id=frame_id)
-            self._send(pb.MeshFrame(cancel=cancel))
+            self._outgoing.put_nowait(pb.MeshFrame(cancel=cancel))
 
     async def _read(self) -> None:
         try:
@@ -166,8 +161,14 @@
             self._lose_pending()
             await self._ws.close()
 
-    def _send(self, frame: pb.MeshFrame) -> None:
-        self._outgoing.send(frame.SerializeToString())
+    async def _write(self) -> None:
+        while True:
+            frame = await self._outgoing.get()
+            try:
+                await self._ws.send_bytes(frame.SerializeToString())
+            except (ConnectionError, RuntimeError):
+                self._lose_pending()
+                return
 
     def _take(self, frame: pb.MeshFrame) -> None:
         match frame.WhichOneof("kind"):
--- a/src/guavawing/node/mesh_server.py
+++ b/src/guavawing/node/mesh_server.py
@@ -10,8 +10,7 @@
 from guavawing.config import PolicyTable
 from guavawing.errors import MessageInvalidError
 from guavawing.model import Address
-from guavawing.node.frame_queue import ByteCount
-from guavawing.node.frame_writer import FrameWriter
+from guavawing.node.frame_queue import ByteCount, FrameQueue
 from guavawing.node.frames import (
     CHUNK_BYTES,
     MAX_FRAME_BYTES,
@@ -162,7 +161,7 @@
         self._server = server
         self._ws = ws
         self._loop = asyncio.get_running_loop()
-        self._outgoing = FrameWriter(ws, server.total, on_lost=self._note_lost)
+        self._outgoing = FrameQueue(server.total)
         self._submissions: dict[int, Submission] = {}
         self._transit = TransitMeter()
         self._greeted = False
@@ -172,16 +171,16 @@
         # Before the entry node has answered the first frame, a further one
         # would be taken for leave to send calls.
         if self._greeted:
-            self._outgoing.send(self._server.hello().SerializeToString())
+            self._outgoing.put(self._server.hello().SerializeToString())
 
     async def wait_flushed(self) -> None:
         await self._outgoing.wait_flushed()
 
     async def serve(self) -> None:
-        writer = self._loop.create_task(self._outgoing.run())
+        writer = self._loop.create_task(self._write())
         hello = self._server.hello()
         self._hello_sent_at_us = hello.hello.sent_at_us
-        self._outgoing.send(hello.SerializeToString())
+        self._outgoing.put(hello.SerializeToString())
         try:
             async for msg in self._ws:
                 if msg.type is not aiohttp.WSMsgType.BINARY:
@@ -258,9 +257,9 @@
             size = 0
         frames = self._server.encode_answer(answer, frame_id)
         if size <= CHUNK_BYTES:
-            self._outgoing.send(next(frames))
+            self._outgoing.put(next(frames))
         else:
-            self._outgoing.send_stream(frame_id, frames, size)
+            self._outgoing.put_stream(frame_id, frames, size)
 
     def _take_cancel(self, frame_id: int) -> None:
         self._outgoing.drop_stream(frame_id)
@@ -268,8 +267,13 @@
         if submission is not None:
             submission.cancel()
 
-    def _note_lost(self) -> None:
-        """Leaves the rest to the reading side, which sees the end as well."""
+    async def _write(self) -> None:
+        while True:
+            payload = await self._outgoing.get()
+            try:
+                await self._ws.send_bytes(payload)
+            except (ConnectionError, RuntimeError):
+                return
 
 
 def _drop_body(answer: Answer) -> Answer:
