Make the candidate of a member once, not for each choice

Cause: for each attempt a candidate was made anew for every owner of the service, three times over, and their keys at each use. Change: the entry side keeps the candidate of each member's record and drops it with the member; a candidate holds its key. Ruled out: less work within the choice itself; its steps stay as they are.

--- a/src/guavawing/node/entry.py
+++ b/src/guavawing/node/entry.py
@@ -46,6 +46,7 @@
         self._claims = claims
         self._metrics = metrics
         self._budgets: dict[str, RetryBudget] = {}
+        self._candidates: dict[MemberId, tuple[Member, Candidate]] = {}
 
     async def call(self, call: Call) -> Answer:
         """Returns the final answer of a call, at its deadline at latest."""
@@ -171,6 +172,8 @@
         """Drops the loads of members that are gone."""
         known = {(member.id, member.incarnation) for member in self._table}
         self._chooser.forget(known)
+        for gone in self._candidates.keys() - {key[0] for key in known}:
+            del self._candidates[gone]
 
     def take_load(
         self, member_id: MemberId, incarnation: int, load: LoadReport
@@ -193,9 +196,15 @@
         return [self._make_candidate(member) for member in members]
 
     def _make_candidate(self, member: Member) -> Candidate:
-        return Candidate(
+        """Returns the candidate of a member, made once for each record."""
+        made = self._candidates.get(member.id)
+        if made is not None and made[0] is member:
+            return made[1]
+        candidate = Candidate(
             member.id,
             member.incarnation,
             local=member.data_centre == self._me.data_centre,
             slots=member.slots,
         )
+        self._candidates[member.id] = (member, candidate)
+        return candidate
--- a/src/guavawing/policy/candidate.py
+++ b/src/guavawing/policy/candidate.py
@@ -16,14 +16,15 @@
         incarnation: Incarnation of its process.
         local: Whether it is in this node's data centre.
         slots: Slots that it announced.
+        key: What tells two processes apart, also of one member.
     """
 
     id: MemberId
     incarnation: int
     local: bool
     slots: int
+    key: tuple[MemberId, int] = attrs.field(init=False)
 
-    @property
-    def key(self) -> tuple[MemberId, int]:
-        """What tells two processes apart, also of one member."""
+    @key.default
+    def _make_key(self) -> tuple[MemberId, int]:
         return (self.id, self.incarnation)
