Send a target the path and headers that the caller sent

Cause: the HTTP library quotes a URL given as text anew (%2F in a query became /, %e4 became %E4) and adds Accept, Accept-Encoding, Content-Type and User-Agent to a request that lacks them. A signed path then no longer fits its signature, and a caller that asked for no compression got a compressed answer. Ruled out: the caller's side; its path arrives as it was quoted, and the library refuses bytes outside ASCII there (tried through both nodes: not-run, malformed-header).

--- a/src/guavawing/node/target_client.py
+++ b/src/guavawing/node/target_client.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 import attrs
+import yarl
 
 from guavawing.model import Address
 from guavawing.node.call_headers import (
@@ -25,6 +26,10 @@
 IDLE_CONNECTION_S = 3.0
 _HTTP_OK = 200
 
+# The HTTP library adds these when a caller didn't send them. A caller that
+# asked for no compression must not get a compressed answer.
+_UNASKED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+
 
 @attrs.frozen
 class Execution:
@@ -86,7 +91,7 @@
         try:
             async with self._session.request(
                 attempt.method,
-                self._base + attempt.path,
+                self._make_url(attempt.path),
                 headers=headers,
                 data=attempt.body or None,
                 timeout=timeout,
@@ -106,6 +111,13 @@
         except (aiohttp.ClientError, _BrokenConnectionError, TimeoutError):
             return _lose(Reason.TARGET_BROKE)
 
+    def _make_url(self, path: str) -> yarl.URL:
+        """Returns the URL of a path, which the target gets as it was sent.
+
+        A path may be signed, so how it is quoted must not change.
+        """
+        return yarl.URL(self._base + path, encoded=True)
+
     async def is_healthy(self) -> bool:
         """Returns whether the target's health endpoint answers well."""
         timeout = aiohttp.ClientTimeout(total=HEALTH_TIMEOUT_S)
@@ -159,6 +171,7 @@
         connector=connector,
         middlewares=(_forbid_resending,),
         auto_decompress=False,
+        skip_auto_headers=_UNASKED_HEADERS,
         cookie_jar=aiohttp.DummyCookieJar(),
     ) as session:
         yield TargetClient(session, address)
--- a/tests/cover/verdicts.feature
+++ b/tests/cover/verdicts.feature
@@ -16,6 +16,11 @@
     Then a target that gets it at 12.25 s is told "250" ms and depth "7"
     And a target that gets it at 12.5 s is told "1" ms and depth "7"
 
+  Scenario: A target gets what the caller sent
+    When a call of "/a%2Fb;x?c=%7Bd%7D+e%2F&f=%e4" is sent to a target
+    Then the request line has that path
+    And the target gets no header that neither caller nor node has set
+
   Scenario Outline: What follows an attempt
     Given a retry budget with <tokens> tokens
     When an attempt of <kind> call ends with "<verdict>"
--- a/tests/steps/verdict_steps.py
+++ b/tests/steps/verdict_steps.py
@@ -1,15 +1,19 @@
 """Steps about verdicts on their way to callers."""
 
+import asyncio
 import signal
 import socket
 import urllib.request
 
+import attrs
 from behave import given, then, when
 from hypothesis import strategies as st
 
 from guavawing.config import Defaults, EffectivePolicy, LimitClass
+from guavawing.model import Address
 from guavawing.node.call_headers import (
     BUDGET_HEADER,
+    CALL_ID_HEADER,
     DEADLINE_HEADER,
     DEPTH_HEADER,
     REASON_HEADER,
@@ -19,10 +23,11 @@
 from guavawing.node.caller_response import build_response
 from guavawing.node.frames import build_answer_frames, read_verdict
 from guavawing.node.messages import Answer, CallAttempt
+from guavawing.node.target_client import open_target_client
 from guavawing.policy.choice import LoadReport
 from guavawing.policy.retry import GiveUp, Retry, RetryBudget, decide_retry
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason, verdict_name
-from tests.support import check_examples, send
+from tests.support import check_examples, make_publish, send
 
 POLICY = EffectivePolicy("desk", "read", True, Defaults(), LimitClass(1, 1))
 LOAD = LoadReport(1, 0, 0, draining=False, key_epoch=0)
@@ -105,6 +110,46 @@
     assert told == (ms, depth, "b"), told
 
 
+@when('a call of "{path}" is sent to a target')
+def step_send_to_target(context, path):
+    context.path = path
+    context.head = context.run(record_request_head(path))
+
+
+async def record_request_head(path):
+    """Returns the lines that a target gets before the body."""
+    heads = []
+
+    async def answer(reader, writer):
+        heads.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        writer.close()
+
+    target = await asyncio.start_server(answer, "127.0.0.1")
+    port = target.sockets[0].getsockname()[1]
+    attempt = attrs.evolve(make_publish(None), path=path, body=b"text")
+    async with (
+        target,
+        open_target_client(Address("127.0.0.1", port), connections=1) as client,
+    ):
+        execution = await client.execute(attempt, now=0.0)
+    assert execution.answer.verdict == Ran(), execution
+    return heads[0].decode().splitlines()
+
+
+@then("the request line has that path")
+def step_request_line(context):
+    assert context.head[0] == f"POST {context.path} HTTP/1.1", context.head
+
+
+@then("the target gets no header that neither caller nor node has set")
+def step_no_unasked(context):
+    names = {line.partition(":")[0] for line in context.head[1:] if line}
+    expected = {"Host", "Content-Length"}
+    expected |= {DEADLINE_HEADER, DEPTH_HEADER, CALL_ID_HEADER}
+    assert names == expected, names
+
+
 @given("a retry budget with {tokens:d} tokens")
 def step_budget(context, tokens):
     context.budget = RetryBudget()
