Compare added latency with processes that decide nothing

Cause: the added latency is over its target, and nothing told what part of it the libraries cost by themselves. Change: python -m bench latency sends a fourth way of calls over two processes that only read, carry, send and answer with the same libraries, and reports their latency and processor time. The processor time is read in nanoseconds, not in ticks of 10 ms. Conclusion: kept as a baseline.

--- a/bench/measure_latency.py
+++ b/bench/measure_latency.py
@@ -2,11 +2,17 @@
 
 Direct calls and calls through the mesh are sent in turn in one run at a low
 rate, so that they share whatever else the machine does. A call takes one hop
-when the entry node's own target serves it, and two hops otherwise.
+when the entry node's own target serves it, and two hops otherwise. A fourth
+way takes two hops over processes that decide nothing: what the libraries cost
+by themselves.
 """
 
+import asyncio
+import contextlib
 import os
 import pathlib
+import sys
+from collections.abc import AsyncIterator
 
 import attrs
 from hdrh.histogram import HdrHistogram
@@ -21,6 +27,7 @@
 COMMAND = "python -m bench latency"
 CALLS = 3_000
 WARM_UP_CALLS = 200
+START_TIMEOUT_S = 10.0
 BODY_BYTES = 512
 HIGHEST_US = 10_000_000
 SIGNIFICANT_DIGITS = 3
@@ -50,20 +57,28 @@
         await publish_first_version(fleet)
         owner = fleet.nodes["feed-bergen-1"]
         entry = fleet.nodes["desk-bergen-1"]
-        paths = [
-            make_path("direct", owner.target),
-            make_path("one_hop", owner.caller),
-            make_path("two_hops", entry.caller),
-        ]
-        await send_in_turn(fleet, paths, WARM_UP_CALLS)
-        for path in paths:
-            path.histogram.reset()
-        before = read_processor_time(entry), read_processor_time(owner)
-        await send_in_turn(fleet, paths, CALLS)
-        after = read_processor_time(entry), read_processor_time(owner)
-        resident_mb = read_resident_mb(owner)
-    entry_us = (after[0] - before[0]) / CALLS * 1e6
-    owner_us = (after[1] - before[1]) / (2 * CALLS) * 1e6
+        async with open_bare_relay(fleet, owner.target) as relay:
+            paths = [
+                make_path("direct", owner.target),
+                make_path("one_hop", owner.caller),
+                make_path("two_hops", entry.caller),
+                make_path("bare", relay.address),
+            ]
+            pids = (read_pid(entry), read_pid(owner), *relay.pids)
+            await send_in_turn(fleet, paths, WARM_UP_CALLS)
+            for path in paths:
+                path.histogram.reset()
+            before = [read_processor_time(pid) for pid in pids]
+            await send_in_turn(fleet, paths, CALLS)
+            after = [read_processor_time(pid) for pid in pids]
+            resident_mb = read_resident_mb(owner)
+    spent_us = [
+        (end - start) / CALLS * 1e6
+        for start, end in zip(before, after, strict=True)
+    ]
+    entry_us = spent_us[0]
+    # The owner serves the calls of two ways.
+    owner_us = spent_us[1] / 2
     write_slopes(
         "calls",
         (
@@ -76,6 +91,8 @@
         *report_latency(paths),
         Figure("latency.entry_processor", entry_us, "us/call"),
         Figure("latency.owner_processor", owner_us, "us/call"),
+        Figure("latency.bare_entry_processor", spent_us[2], "us/call"),
+        Figure("latency.bare_owner_processor", spent_us[3], "us/call"),
         Figure("latency.resident", resident_mb, "MB"),
     ]
 
@@ -92,6 +109,58 @@
         raise RuntimeError(f"the fleet is not ready: {behind}")
 
 
+@attrs.frozen
+class BareRelay:
+    """Two running processes that pass calls on.
+
+    Attributes:
+        address: Where callers send their requests.
+        pids: Process ids of the caller's side and of the target's.
+    """
+
+    address: str
+    pids: tuple[int, int]
+
+
+@contextlib.asynccontextmanager
+async def open_bare_relay(
+    fleet: Fleet, target: str
+) -> AsyncIterator[BareRelay]:
+    """Runs both processes until closed."""
+    owner, entry = fleet.ports.take(), fleet.ports.take()
+    async with (
+        run_relay("owner", owner, target) as owner_pid,
+        run_relay("entry", entry, owner) as entry_pid,
+    ):
+        yield BareRelay(entry, (entry_pid, owner_pid))
+
+
+@contextlib.asynccontextmanager
+async def run_relay(role: str, address: str, peer: str) -> AsyncIterator[int]:
+    """Runs one process until closed; gives its id once it listens."""
+    host, _, port = address.rpartition(":")
+    proc = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "bench.bare_relay", role, host, port, str(peer)
+    )
+    try:
+        async with asyncio.timeout(START_TIMEOUT_S):
+            await wait_for_listener(host, int(port))
+        yield proc.pid
+    finally:
+        proc.kill()
+        await proc.wait()
+
+
+async def wait_for_listener(host: str, port: int) -> None:
+    """Waits until a process listens at an address."""
+    while True:
+        with contextlib.suppress(OSError):
+            _, writer = await asyncio.open_connection(host, port)
+            writer.close()
+            return
+        await asyncio.sleep(0.05)
+
+
 def make_path(name: str, address: str) -> Path:
     """Returns a way to the target without samples."""
     return Path(name, address, HdrHistogram(1, HIGHEST_US, SIGNIFICANT_DIGITS))
@@ -125,22 +194,26 @@
     for path in paths[1:]:
         added = path.percentile_ms(99) - direct.percentile_ms(99)
         name = f"latency.{path.name}_added_p99"
-        figures.append(Figure(name, added, "ms", ADDED_P99_MS))
+        # The target binds the mesh, not what it is compared with.
+        bound = None if path.name == "bare" else ADDED_P99_MS
+        figures.append(Figure(name, added, "ms", bound))
     return figures
 
 
+def read_pid(node: FleetNode) -> int:
+    """Returns the process id of a node."""
+    assert node.node.proc is not None
+    return node.node.proc.pid
+
+
 def read_resident_mb(node: FleetNode) -> float:
     """Returns the resident memory of a node's process, in MB."""
-    assert node.node.proc is not None
-    path = pathlib.Path(f"/proc/{node.node.proc.pid}/statm")
+    path = pathlib.Path(f"/proc/{read_pid(node)}/statm")
     pages = int(path.read_text().split()[1])
     return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
 
 
-def read_processor_time(node: FleetNode) -> float:
-    """Returns the processor time of a node's process, in seconds."""
-    assert node.node.proc is not None
-    stat = pathlib.Path(f"/proc/{node.node.proc.pid}/stat").read_text()
-    fields = stat.rpartition(")")[2].split()
-    ticks = int(fields[11]) + int(fields[12])
-    return ticks / os.sysconf("SC_CLK_TCK")
+def read_processor_time(pid: int) -> float:
+    """Returns the processor time of a process, in seconds."""
+    text = pathlib.Path(f"/proc/{pid}/schedstat").read_text()
+    return int(text.split()[0]) / 1e9
--- a/bench/measure_transports.py
+++ b/bench/measure_transports.py
@@ -14,6 +14,7 @@
 from hdrh.histogram import HdrHistogram
 
 from bench.figure import Figure
+from bench.measure_latency import wait_for_listener
 from guavawing.proto import calls_pb2 as pb
 from standins.ports import HOST, PortBlock
 
@@ -57,7 +58,7 @@
     )  # fmt: skip
     try:
         async with asyncio.timeout(START_TIMEOUT_S):
-            await _wait_for(grpc)
+            await wait_for_listener(HOST, grpc)
         yield http, grpc
     finally:
         proc.kill()
@@ -65,15 +66,6 @@
         ports.close()
 
 
-async def _wait_for(port: int) -> None:
-    while True:
-        with contextlib.suppress(OSError):
-            _, writer = await asyncio.open_connection(HOST, port)
-            writer.close()
-            return
-        await asyncio.sleep(0.05)
-
-
 @contextlib.asynccontextmanager
 async def _open_calls(http: int, grpc: int) -> AsyncIterator[dict[str, Call]]:
     url = f"http://{HOST}:{http}/"
