Bound the answers under way to a node over all its connections

Cause: an entry node bounded the bytes of answers under way for each connection (256 MB), so that many owners with large answers at one time could take any amount of its memory. Change: all connections of a node share one count with that bound; what is beyond it is answered as run, without its body. Measurement: the scenario with two owners fails when each connection counts for itself (no call ends), and passes now. Ruled out: waiting until others have ended; the owner holds the body until it is sent, and its memory is as scarce.

--- a/src/guavawing/node/mesh_client.py
+++ b/src/guavawing/node/mesh_client.py
@@ -11,6 +11,7 @@
 
 from guavawing.errors import MessageInvalidError
 from guavawing.model import MemberId
+from guavawing.node.frame_queue import ByteCount
 from guavawing.node.frames import (
     MAX_ANSWER_BYTES,
     build_hello,
@@ -32,7 +33,7 @@
 CONNECT_TIMEOUT_S = 1.0
 # Age at which the owner is asked for its key epoch before a key is made.
 MAX_EPOCH_AGE_S = 30.0
-# Bytes of answers that one connection may have under way.
+# Bytes of answers that may be under way to one entry node.
 MAX_EXPECTED_BYTES = 256 * 1024 * 1024
 
 LoadListener = Callable[[MemberId, int, LoadReport], None]
@@ -55,8 +56,19 @@
     """
 
     def __init__(
-        self, ws: aiohttp.ClientWebSocketResponse, on_load: LoadListener
+        self,
+        ws: aiohttp.ClientWebSocketResponse,
+        on_load: LoadListener,
+        expected: ByteCount,
     ) -> None:
+        """Creates the client side of an open WebSocket.
+
+        Args:
+            ws: The WebSocket.
+            on_load: Is told of the loads that the owner reports.
+            expected: Bytes of the answers that are under way to this node,
+                on all of its connections.
+        """
         self._loop = asyncio.get_running_loop()
         self._ws = ws
         self._on_load = on_load
@@ -70,7 +82,7 @@
         self._fresh = asyncio.Event()
         self._fresh.set()
         self._hello = pb.MeshFrame()
-        self._expected_bytes = 0
+        self._expected = expected
         self.owner: MemberId = ""
         self.incarnation = 0
         self.open = True
@@ -195,12 +207,12 @@
                 f" most {MAX_ANSWER_BYTES}"
             )
         pending.verdict = read_verdict(answer)
-        if self._expected_bytes + answer.body_length > MAX_EXPECTED_BYTES:
+        if self._expected.waiting + answer.body_length > MAX_EXPECTED_BYTES:
             # Too much is on its way already: the rest is passed over.
             del self._pending[answer.id]
             self._resolve(pending, _describe_dropped(pending.verdict))
             return
-        self._expected_bytes += answer.body_length
+        self._expected.waiting += answer.body_length
         pending.answer = answer
         pending.body += answer.body
         self._finish_if_whole(answer.id, pending)
@@ -232,7 +244,7 @@
     def _drop(self, frame_id: int) -> _Pending | None:
         pending = self._pending.pop(frame_id, None)
         if pending is not None and pending.answer is not None:
-            self._expected_bytes -= pending.answer.body_length
+            self._expected.waiting -= pending.answer.body_length
         return pending
 
     def _resolve(self, pending: _Pending, answer: Answer) -> None:
@@ -247,10 +259,10 @@
     def _lose_pending(self) -> None:
         self.open = False
         lost = Answer(MayHaveRun(Reason.OWNER_LOST))
-        for pending in self._pending.values():
+        for frame_id in tuple(self._pending):
+            pending = self._drop(frame_id)
+            assert pending is not None
             self._resolve(pending, lost)
-        self._pending.clear()
-        self._expected_bytes = 0
 
 
 def _describe_dropped(verdict: Verdict) -> Answer:
--- a/src/guavawing/node/mesh_pool.py
+++ b/src/guavawing/node/mesh_pool.py
@@ -9,6 +9,7 @@
 from guavawing.errors import MessageInvalidError
 from guavawing.membership import Member
 from guavawing.model import MemberId
+from guavawing.node.frame_queue import ByteCount
 from guavawing.node.frames import MAX_FRAME_BYTES
 from guavawing.node.mesh_client import (
     CONNECT_TIMEOUT_S,
@@ -36,6 +37,7 @@
         self._member_id = member_id
         self._incarnation = incarnation
         self._on_load = on_load
+        self._expected = ByteCount()
         self._connections: dict[MemberId, MeshConnection] = {}
         self._opening: dict[MemberId, asyncio.Task[MeshConnection | None]] = {}
 
@@ -81,7 +83,7 @@
                     max_msg_size=MAX_FRAME_BYTES,
                     compress=0,
                 )
-                conn = MeshConnection(ws, self._on_load)
+                conn = MeshConnection(ws, self._on_load, self._expected)
                 try:
                     await conn.start(self._member_id, self._incarnation)
                 except BaseException:
--- a/standins/scripted_owner.py
+++ b/standins/scripted_owner.py
@@ -13,14 +13,18 @@
 
 @contextlib.asynccontextmanager
 async def open_scripted_owner(
-    address: Address, frames: Sequence[pb.MeshFrame]
+    address: Address,
+    frames: Sequence[pb.MeshFrame],
+    *,
+    closes: bool = True,
 ) -> AsyncIterator[None]:
     """Serves connections of entry nodes.
 
     Args:
         address: Where to listen.
-        frames: What to send after the first call of a connection, which
-            then is closed. No rule of the protocol is checked.
+        frames: What to send after the first call of a connection. No rule
+            of the protocol is checked.
+        closes: Whether it closes the connection then.
     """
     hello = build_hello("owner", 1, LOAD, now=0.0)
 
@@ -33,6 +37,9 @@
         await ws.receive()
         for frame in frames:
             await ws.send_bytes(frame.SerializeToString())
+        if not closes:
+            async for _ in ws:
+                pass
         await ws.close()
         return ws
 
--- a/tests/processes/answers_bounds.feature
+++ b/tests/processes/answers_bounds.feature
@@ -43,6 +43,10 @@
       | an unknown reason                |
       | a header name without a value    |
 
+  Scenario: Answers under way to one entry node
+    When two owners announce 3 answers each that are as large as may be
+    Then 2 of the calls end with "answer-not-kept" before the others
+
   Scenario: Answers for an entry node that has gone
     Given an owner whose target doesn't answer
     When an entry node sends it 5 calls and goes away before their answers
--- a/tests/steps/bound_steps.py
+++ b/tests/steps/bound_steps.py
@@ -9,6 +9,7 @@
 
 from guavawing.model import parse_address
 from guavawing.node.caller_server import CallerServer, open_caller_server
+from guavawing.node.frame_queue import ByteCount
 from guavawing.node.frames import (
     MAX_ANSWER_BYTES,
     build_answer_frames,
@@ -97,9 +98,9 @@
 
 
 @contextlib.asynccontextmanager
-async def open_connection(ws):
+async def open_connection(ws, total=None):
     """Opens an entry node's side of a connection to an owner."""
-    conn = MeshConnection(ws, lambda *_: None)
+    conn = MeshConnection(ws, lambda *_: None, total or ByteCount())
     await conn.start("entry", 1)
     yield conn
     await conn.close()
@@ -234,6 +235,45 @@
     raise AssertionError(fault)
 
 
+@when("two owners announce {count:d} answers each that are as large as may be")
+def step_large_answers(context, count):
+    heads = []
+    for number in range(1, count + 1):
+        (head,) = build_answer_frames(Answer(Ran(), 200), number, LOAD)
+        head.answer.body_length = MAX_ANSWER_BYTES
+        heads.append(head)
+    addresses = [take_address(context) for _ in range(2)]
+
+    async def run():
+        total = ByteCount()
+        futs = []
+        async with contextlib.AsyncExitStack() as stack:
+            session = await stack.enter_async_context(aiohttp.ClientSession())
+            for address in addresses:
+                await stack.enter_async_context(
+                    open_scripted_owner(
+                        parse_address(address), heads, closes=False
+                    )
+                )
+                ws = await session.ws_connect(f"http://{address}/")
+                conn = await stack.enter_async_context(
+                    open_connection(ws, total)
+                )
+                calls = [conn.submit(make_publish(None)) for _ in heads]
+                futs += [call.fut for call in calls]
+            await asyncio.wait(futs, timeout=1.0)
+            context.verdicts = [
+                fut.result().verdict for fut in futs if fut.done()
+            ]
+
+    context.run(run())
+
+
+@then('{count:d} of the calls end with "{reason}" before the others')
+def step_not_kept(context, count, reason):
+    assert context.verdicts == [Ran(Reason(reason))] * count, context.verdicts
+
+
 @when("an owner answers a call with {fault}")
 def step_broken_owner(context, fault):
     address = parse_address(take_address(context))
