--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,6 +9,8 @@
 import pathlib
 import sys
 
+import click
+
 from bench.figure import Figure
 
 FOLDER = pathlib.Path(__file__).parent
@@ -21,16 +23,24 @@
     return [path.stem.removeprefix(PREFIX) for path in paths]
 
 
-def main() -> int:
-    """Prints a line per figure; returns 1 when one is over its bound."""
+@click.command()
+@click.argument("names", nargs=-1, type=click.Choice(find_benchmarks()))
+def main(names: tuple[str, ...]) -> None:
+    """Runs benchmarks, all of them without NAMES.
+
+    Prints a line per figure and ends with exit code 1 when one is over its
+    bound.
+
+    Example: python -m bench latency
+    """
     figures: list[Figure] = []
-    for name in sys.argv[1:] or find_benchmarks():
+    for name in names or find_benchmarks():
         module = importlib.import_module(f"bench.{PREFIX}{name}")
         for figure in asyncio.run(module.run()):
             print(figure, flush=True)
             figures.append(figure)
-    return 1 if any(figure.over for figure in figures) else 0
+    sys.exit(1 if any(figure.over for figure in figures) else 0)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
