Expose the calls at a target that no caller waits for

Cause: a target that works past its deadlines keeps its slots; an operator saw that only in /status of each node. Change: the gauge guavawing_target_abandoned. Measurement: the scenario that reads 4 abandoned calls in the status reads them in /metrics too, and failed without the gauge's value.

--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -252,6 +252,7 @@
         load = self._owner.load()
         self._metrics.running.set({}, load.running)
         self._metrics.queued.set({}, load.queued)
+        self._metrics.abandoned.set({}, self._owner.abandoned)
 
     def _read_status(self) -> dict[str, Any]:
         me = self._gossip.me
--- a/src/guavawing/node/metrics.py
+++ b/src/guavawing/node/metrics.py
@@ -116,6 +116,10 @@
         self.running = self._gauge(
             "guavawing_target_running", "Calls running at the target."
         )
+        self.abandoned = self._gauge(
+            "guavawing_target_abandoned",
+            "Calls running at the target that no caller waits for.",
+        )
         self.queued = self._gauge(
             "guavawing_target_queued", "Calls waiting for the target."
         )
--- a/tests/steps/admission_load_steps.py
+++ b/tests/steps/admission_load_steps.py
@@ -8,7 +8,7 @@
 
 from standins.load import send_paced
 from standins.records import read_record
-from tests.support import set_target_faults
+from tests.support import read_metrics, set_target_faults
 
 POLL_S = 0.05
 
@@ -177,6 +177,8 @@
 def step_abandoned(context, name, count):
     status = read_status(context, name)
     assert status["abandoned"] == count, status["abandoned"]
+    lines = read_metrics(context, name)
+    assert f"guavawing_target_abandoned {count}" in lines, lines
 
 
 @then('within {limit:g} s no call holds a slot at "{name}"')
--- a/tests/steps/log_steps.py
+++ b/tests/steps/log_steps.py
@@ -5,7 +5,7 @@
 import orjson
 from behave import then, when
 
-from tests.support import send
+from tests.support import fetch, read_metrics, send
 
 LOG_WAIT_S = 5.0
 
@@ -51,11 +51,6 @@
         assert text not in path.read_text(), path
 
 
-async def fetch(context, url):
-    async with context.fleet.session.get(url) as resp:
-        return resp.status, await resp.text()
-
-
 @then('"{node}" answers "{path}" with status {status:d}')
 def step_probe(context, node, path, status):
     url = f"http://{context.fleet.nodes[node].admin}{path}"
@@ -63,12 +58,6 @@
     assert found == status, found
 
 
-def read_metrics(context, node):
-    url = f"http://{context.fleet.nodes[node].admin}/metrics"
-    _, text = context.run(fetch(context, url))
-    return text.splitlines()
-
-
 @then('within {seconds:d} s the log of "{node}" tells the death of "{name}"')
 def step_death(context, seconds, node, name):
     wait_for_record(context, node, seconds, message_type="death", node=name)
--- a/tests/support.py
+++ b/tests/support.py
@@ -79,6 +79,19 @@
     context.outcome = start_call(context, entry, **options).result()
 
 
+async def fetch(context, url):
+    """Returns the status and the text of an HTTP answer."""
+    async with context.fleet.session.get(url) as resp:
+        return resp.status, await resp.text()
+
+
+def read_metrics(context, node):
+    """Returns the lines that a node's counters are read from."""
+    url = f"http://{context.fleet.nodes[node].admin}/metrics"
+    _, text = context.run(fetch(context, url))
+    return text.splitlines()
+
+
 def set_target_faults(context, name, **faults):
     """Sets the faults of the targets of a service, or of a node's one."""
     for node in context.fleet.nodes.values():
