Wait for the answer of an attempt without a shield

Cause: each attempt wrapped the future of its answer in asyncio.shield, a second future, two callbacks and a further turn of the event loop. Ruled out: that anybody else waits on that future: joined copies have one of their own, the owner keeps another for the end of a call, and whoever resolves it looks whether it is done. Change: the future is awaited itself; a caller that leaves cancels it.

--- a/src/guavawing/node/call_router.py
+++ b/src/guavawing/node/call_router.py
@@ -152,7 +152,7 @@
         self._entry.start(member)
         verdict: Verdict | None = None
         try:
-            answer = await asyncio.shield(submission.fut)
+            answer = await submission.fut
             verdict = answer.verdict
             return answer
         except asyncio.CancelledError:
--- a/src/guavawing/node/submission.py
+++ b/src/guavawing/node/submission.py
@@ -19,7 +19,8 @@
     """An attempt that an owner has been asked to execute.
 
     Attributes:
-        fut: Resolves to the answer; never fails.
+        fut: Resolves to the answer; never fails. It is this caller's own:
+            whoever waits for it may cancel it.
         cancel: Tells the owner that nobody waits any more. A request that
             the target already has goes on.
     """
