Import a command when it is asked for

Cause: guavawing node imported the modules of every other command (submission, printing, progress, getpass).

Ruled out: a program of its own for the node: one name less to remember is worth more.

Change: the groups of the command line take a mapping that imports a command at its first use; only help and completion import all.

--- a/src/guavawing/cli/main.py
+++ b/src/guavawing/cli/main.py
@@ -2,26 +2,35 @@
 
 import click
 
-from guavawing.cli.commands.defaults import default
-from guavawing.cli.commands.drain import drain, undrain
-from guavawing.cli.commands.exceptions import exception
-from guavawing.cli.commands.keys import keys
-from guavawing.cli.commands.node import node
-from guavawing.cli.commands.publish import publish
 from guavawing.cli.examples import format_examples
+from guavawing.cli.lazy_commands import LazyCommands
 from guavawing.cli.program import Program
-from guavawing.cli.queries.diff import diff
-from guavawing.cli.queries.history import history
-from guavawing.cli.queries.show import show
-from guavawing.cli.queries.status import status
-from guavawing.cli.queries.validate import validate
-from guavawing.cli.queries.wait import wait
 
 __all__ = ["main"]
 
+_CONFIG_COMMANDS = (
+    "commands.defaults:default",
+    "queries.diff:diff",
+    "commands.exceptions:exception",
+    "queries.history:history",
+    "commands.publish:publish",
+    "queries.show:show",
+    "queries.validate:validate",
+    "queries.wait:wait",
+)
+_COMMANDS = (
+    "commands.drain:drain",
+    "commands.exceptions:exception",
+    "commands.keys:keys",
+    "commands.node:node",
+    "queries.status:status",
+    "commands.drain:undrain",
+)
+
 
 @click.group(
     cls=Program,
+    commands=LazyCommands("guavawing.cli", _COMMANDS),
     epilog=format_examples(
         "guavawing config show --platform 10.0.9.1:7000",
         "guavawing status --node 10.0.0.7:7403",
@@ -38,25 +47,11 @@
 
 
 @main.group(
+    commands=LazyCommands("guavawing.cli", _CONFIG_COMMANDS),
     epilog=format_examples(
         "guavawing config validate fleet.json",
         "guavawing config publish fleet.json --base 7",
-    )
+    ),
 )
 def config() -> None:
     """Publish, change and read the configuration."""
-
-
-for _command in (
-    default,
-    diff,
-    exception,
-    history,
-    publish,
-    show,
-    validate,
-    wait,
-):
-    config.add_command(_command)
-for _command in (drain, exception, keys, node, status, undrain):
-    main.add_command(_command)
