Load no certificates at a node, whose connections are plain

Cause: aiohttp makes a TLS context when it is imported, and loads the certificates of the machine (144 of them, 2.6 MB) into it.

Ruled out: replacing aiohttp's private contexts; leaving it to the unit file of the operator, which would be forgotten.

Change: guavawing node names an empty file in SSL_CERT_FILE, which OpenSSL documents, before it imports aiohttp. Other commands are as before.

--- a/src/guavawing/cli/commands/node.py
+++ b/src/guavawing/cli/commands/node.py
@@ -1,5 +1,6 @@
 """`guavawing node`: runs the daemon."""
 
+import os
 import pathlib
 
 import click
@@ -26,6 +27,9 @@
     if check:
         click.echo(f"{path}: ok")
         return
+    # Every connection of a node is plain, but aiohttp loads the certificates
+    # of the machine when it is imported, and they take 2 MB.
+    os.environ["SSL_CERT_FILE"] = os.devnull
     # Imported here so that bad settings are told before sockets are opened
     # and so that the other commands start quickly.
     from guavawing.node.daemon import run_node
