Keep no payload beside its entries, and one copy of what routes name

Cause: a version in force kept its payload (0.47 MB at 820 services) beside the encoded entries that make it, and each of 2,460 routes a copy of its service, method and prefix.

Ruled out: keeping the payload and making the entries at each change (their memory is needed then, and stays).

Change: Version makes its payload of the entries when asked; only one that isn't canonical is kept as it came. Route and ServiceEntry intern their names.

--- a/bench/measure_convergence.py
+++ b/bench/measure_convergence.py
@@ -23,6 +23,7 @@
 from bench.process_usage import ProcessUsage, read_usage
 from guavawing.config import Document, encode_document
 from guavawing.distribution import PullResponder, VersionHistory, VersionId
+from guavawing.distribution.delta import read_index
 from guavawing.distribution.keeper import Version
 from guavawing.model import parse_address
 from guavawing.node.channel import CountingServer, SourceChannel
@@ -258,7 +259,7 @@
 def measure_snapshot(document: Document) -> list[Figure]:
     """Measures the sizes of a snapshot and of a delta."""
     payload = encode_document(document)
-    version = Version(2, bytes(32), payload, document)
+    version = Version(2, bytes(32), read_index(payload) or payload, document)
     answer = PullResponder(random.Random(1)).begin(
         "n", VersionId(1, b""), version, VersionHistory()
     )
--- a/src/guavawing/config/document.py
+++ b/src/guavawing/config/document.py
@@ -1,6 +1,7 @@
 """The configuration document: defaults, services, routes and exceptions."""
 
 import datetime
+import sys
 
 import attrs
 
@@ -73,7 +74,7 @@
         limit_class: Name of the limit class of its targets.
     """
 
-    limit_class: str
+    limit_class: str = attrs.field(converter=sys.intern)
 
 
 @attrs.frozen
@@ -87,9 +88,10 @@
         idempotent: Whether executing a request twice is harmless.
     """
 
-    service: str
-    http_method: str
-    path_prefix: str
+    # Thousands of routes name the same few of these: one copy is kept.
+    service: str = attrs.field(converter=sys.intern)
+    http_method: str = attrs.field(converter=sys.intern)
+    path_prefix: str = attrs.field(converter=sys.intern)
     idempotent: bool
 
 
--- a/src/guavawing/distribution/keeper.py
+++ b/src/guavawing/distribution/keeper.py
@@ -41,15 +41,23 @@
     Attributes:
         number: Number of the version; 0 stands for none.
         digest: SHA-256 digest of the payload.
-        payload: Canonical JSON of the document.
+        content: Encoded entries of the payload, or the payload itself if it
+            isn't canonical and can't be made of them.
         document: The decoded document.
     """
 
     number: int
     digest: bytes
-    payload: bytes
+    content: Index | bytes
     document: Document
 
+    @property
+    def payload(self) -> bytes:
+        """JSON of the document as it was published, made when asked for."""
+        if isinstance(self.content, bytes):
+            return self.content
+        return encode_index(self.content)
+
 
 @attrs.frozen
 class Applied:
@@ -178,10 +186,8 @@
         except ConfigInvalidError as exc:
             self._remember_rejection(number, digest, str(exc))
             return Rejected(number, str(exc), permanent=True)
-        self._current = Version(number, digest, payload, document)
-        if index is None:
-            index = index_entries(orjson.loads(payload))
-        self._index = index
+        self._index = index or index_entries(orjson.loads(payload))
+        self._current = Version(number, digest, index or payload, document)
         return Applied(self._current)
 
     def _remember_rejection(
--- a/tests/steps/distribution_steps.py
+++ b/tests/steps/distribution_steps.py
@@ -588,7 +588,9 @@
         return f"{value.number}/{describe(value.digest)}"
     if attrs.has(type(value)):
         fields = attrs.asdict(value, recurse=False)
-        fields.pop("document", None)
+        if fields.pop("document", None) is not None:
+            del fields["content"]
+            fields["payload"] = value.payload
         parts = [f"{k}={describe(v)}" for k, v in fields.items()]
         return f"{type(value).__name__}({', '.join(parts)})"
     return str(value) or "platform"
