Share hosts and ports among the addresses of a member's record

Cause: a table of 15,000 members took 762 bytes a member: three copies of its ports, slots for weak references, and the table of interned hosts (128 bytes a host, for strings that occur in one record only).

Ruled out: packed addresses that are made at each use (calls use them); an attrs converter that sees the record (mypy knows none).

Change: the table keeps one host a record, ports are kept once, and Address and Member have no slot for weak references. The bench gives records start times as incarnations, as nodes do; they had 1, which takes no memory.

--- a/bench/measure_membership.py
+++ b/bench/measure_membership.py
@@ -35,6 +35,7 @@
 CENTRES = 12
 NODES_PER_CENTRE = 12
 FLEET = 15_000
+FIRST_START_MS = 1_796_000_000_000
 STORMS = (1_500, 3_000)
 IDLE_S = 60.0
 LARGE_IDLE_S = 4.0
@@ -278,7 +279,10 @@
         data_centre=f"c{centre}",
         service=f"service-{number % SERVICES}",
     )
-    record = attrs.evolve(member, sequence=1)
+    # A start time in milliseconds, as nodes take it: each is an int of its own.
+    record = attrs.evolve(
+        member, incarnation=FIRST_START_MS + number, sequence=1
+    )
     return Datagram(member.id, Push(), Notice(0, b""), records=(record,))
 
 
--- a/src/guavawing/membership/member.py
+++ b/src/guavawing/membership/member.py
@@ -7,7 +7,13 @@
 
 from guavawing.model import Address, MemberId
 
-__all__ = ["MAX_INCARNATION", "MAX_SEQUENCE", "Member", "MemberState"]
+__all__ = [
+    "MAX_INCARNATION",
+    "MAX_SEQUENCE",
+    "Member",
+    "MemberState",
+    "share_host",
+]
 
 # Incarnations are start times in milliseconds; greater ones than this lie
 # centuries ahead and come from a broken peer.
@@ -24,7 +30,7 @@
     LEFT = 4
 
 
-@attrs.frozen
+@attrs.frozen(weakref_slot=False)
 class Member:
     """What the others know of a node.
 
@@ -70,3 +76,17 @@
     def precedence(self) -> tuple[int, int, int]:
         """Returns what orders two records of the same member."""
         return (self.incarnation, self.sequence, self.state)
+
+
+def share_host(member: Member) -> Member:
+    """Returns a record whose addresses share one copy of their host."""
+    host = member.mesh.host
+    if member.control.host is host and member.admin.host is host:
+        return member
+
+    def share(address: Address) -> Address:
+        return Address(host, address.port) if address.host == host else address
+
+    return attrs.evolve(
+        member, control=share(member.control), admin=share(member.admin)
+    )
--- a/src/guavawing/membership/table.py
+++ b/src/guavawing/membership/table.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from guavawing.membership.member import Member, MemberState
+from guavawing.membership.member import Member, MemberState, share_host
 from guavawing.model import Address, MemberId
 
 __all__ = ["MAX_MEMBERS", "MemberTable"]
@@ -63,6 +63,7 @@
             if known.precedence() >= member.precedence():
                 return False
             self.remove(known.id)
+        member = share_host(member)
         self._members[member.id] = member
         self._by_centre.setdefault(member.data_centre, {})[member.id] = member
         self._by_address[member.control] = member.id
--- a/src/guavawing/model.py
+++ b/src/guavawing/model.py
@@ -2,7 +2,6 @@
 
 import enum
 import ipaddress
-import sys
 
 import attrs
 
@@ -23,13 +22,21 @@
     BULK = "bulk"
 
 
-@attrs.frozen(order=True)
+# The few ports of a fleet, each kept once for thousands of addresses.
+_ports: dict[int, int] = {}
+
+
+def _share_port(port: int) -> int:
+    return _ports.setdefault(port, port)
+
+
+# Nodes keep tens of thousands: a slot for weak references would cost 16 bytes.
+@attrs.frozen(order=True, weakref_slot=False)
 class Address:
     """An IP address and a port."""
 
-    # A member announces several addresses of one host: one copy is kept.
-    host: str = attrs.field(converter=sys.intern)
-    port: int
+    host: str
+    port: int = attrs.field(converter=_share_port)
 
     def __str__(self) -> str:
         if ":" in self.host:
