Hash and compare a payload a few entries at a time

Cause: at each change a node encoded its whole payload (0.47 MB) to hash it, and once more to see that what it had read is canonical.

Ruled out: keeping digests of the sections (the digest is of the payload).

Change: the payload of an index is made in chunks; the digest and the comparison take them one by one.

--- a/src/guavawing/distribution/delta.py
+++ b/src/guavawing/distribution/delta.py
@@ -6,7 +6,9 @@
 can be wrong only by failing that check.
 """
 
+import hashlib
 import json
+from collections.abc import Iterator
 from typing import Any, TypeVar
 
 import attrs
@@ -23,6 +25,7 @@
     "Index",
     "compose_deltas",
     "compute_delta",
+    "compute_index_digest",
     "decode_delta",
     "decode_section",
     "derive_delta",
@@ -35,6 +38,8 @@
 ]
 
 MAX_DELTA_BYTES = 1024 * 1024
+# Entries that are encoded at a time.
+CHUNK_ENTRIES = 64
 
 T = TypeVar("T")
 Tree = dict[str, Any]
@@ -90,7 +95,7 @@
         index: Index = {
             name: _read_section(part) for name, part in tree.items()
         }
-        return index if encode_index(index) == payload else None
+        return index if _encodes_to(index, payload) else None
     except (ValueError, TypeError, AttributeError, RecursionError):
         return None
 
@@ -192,7 +197,52 @@
 
 def encode_index(index: Index) -> bytes:
     """Returns the canonical payload that an index was made of."""
-    return _encode({name: _restore(section) for name, section in index.items()})
+    return b"".join(_encode_chunks(index))
+
+
+def compute_index_digest(index: Index) -> bytes:
+    """Returns the digest of the payload that an index was made of."""
+    state = hashlib.sha256()
+    for chunk in _encode_chunks(index):
+        state.update(chunk)
+    return state.digest()
+
+
+def _encodes_to(index: Index, payload: bytes) -> bool:
+    view = memoryview(payload)
+    for chunk in _encode_chunks(index):
+        if view[: len(chunk)] != chunk:
+            return False
+        view = view[len(chunk) :]
+    return not view
+
+
+def _encode_chunks(index: Index) -> Iterator[bytes]:
+    """Yields the canonical payload of an index a few entries at a time.
+
+    A node hashes a payload at each change; a whole one would raise the
+    memory that it takes for good.
+    """
+    yield b"{"
+    for place, name in enumerate(sorted(index)):
+        yield (b"," if place else b"") + _encode(name) + b":"
+        section = index[name]
+        if isinstance(section, bytes):
+            yield section
+        else:
+            yield from _encode_section(section)
+    yield b"}"
+
+
+def _encode_section(section: dict[str, bytes]) -> Iterator[bytes]:
+    names = sorted(section)
+    yield b"{"
+    for start in range(0, len(names), CHUNK_ENTRIES):
+        chunk = names[start : start + CHUNK_ENTRIES]
+        text = _encode({name: orjson.Fragment(section[name]) for name in chunk})
+        # The brackets are those of the whole section.
+        yield (b"," if start else b"") + text[1:-1]
+    yield b"}"
 
 
 def decode_section(index: Index, name: str) -> Any:
--- a/src/guavawing/distribution/keeper.py
+++ b/src/guavawing/distribution/keeper.py
@@ -5,7 +5,7 @@
 swapped. The number of the version in force never falls.
 """
 
-import contextlib
+from collections.abc import Callable
 
 import attrs
 import orjson
@@ -20,6 +20,7 @@
 from guavawing.distribution.delta import (
     Delta,
     Index,
+    compute_index_digest,
     derive_delta,
     encode_index,
     index_entries,
@@ -34,6 +35,10 @@
 MAX_REMEMBERED_REJECTIONS = 64
 
 
+Content = Index | bytes
+Decoder = Callable[[], tuple[Content, Document]]
+
+
 @attrs.frozen
 class Version:
     """A version of the configuration.
@@ -48,7 +53,7 @@
 
     number: int
     digest: bytes
-    content: Index | bytes
+    content: Content
     document: Document
 
     @property
@@ -135,10 +140,11 @@
             delta: What turns the version in force into this one, if that is
                 known and the payload is canonical; it makes the check short.
         """
-        index = None
-        if delta is not None:
-            index = patch_index(self._index, delta)
-        return self._apply(number, digest, payload, delta, index)
+        found = compute_digest(payload)
+        if delta is None:
+            return self._apply(number, digest, found, lambda: _decode(payload))
+        index = patch_index(self._index, delta)
+        return self._apply(number, digest, found, self._patch(delta, index))
 
     def apply_delta(
         self, number: int, digest: bytes, delta: Delta
@@ -150,7 +156,8 @@
                 force.
         """
         index = patch_index(self._index, delta)
-        return self._apply(number, digest, encode_index(index), delta, index)
+        found = compute_index_digest(index)
+        return self._apply(number, digest, found, self._patch(delta, index))
 
     def derive_delta(self, payload: bytes) -> Delta | None:
         """Returns the delta from the version in force to a payload.
@@ -159,13 +166,12 @@
         """
         return derive_delta(self._index, payload)
 
+    def _patch(self, delta: Delta, index: Index) -> Decoder:
+        document = self._current.document
+        return lambda: (index, patch_document(document, delta, index))
+
     def _apply(
-        self,
-        number: int,
-        digest: bytes,
-        payload: bytes,
-        delta: Delta | None,
-        index: Index | None,
+        self, number: int, digest: bytes, found: bytes, decode: Decoder
     ) -> ApplyResult:
         if number <= self._current.number:
             return Rejected(
@@ -174,20 +180,19 @@
                 f" {self._current.number}",
                 permanent=True,
             )
-        if compute_digest(payload) != digest:
+        if found != digest:
             return Rejected(number, "the digest differs", permanent=False)
         try:
-            if delta is None or index is None:
-                index = read_index(payload)
-                document = _decode(payload, index)
-            else:
-                document = patch_document(self._current.document, delta, index)
+            content, document = decode()
             check_document(document)
         except ConfigInvalidError as exc:
             self._remember_rejection(number, digest, str(exc))
             return Rejected(number, str(exc), permanent=True)
-        self._index = index or index_entries(orjson.loads(payload))
-        self._current = Version(number, digest, index or payload, document)
+        if isinstance(content, bytes):
+            self._index = index_entries(orjson.loads(content))
+        else:
+            self._index = content
+        self._current = Version(number, digest, content, document)
         return Applied(self._current)
 
     def _remember_rejection(
@@ -198,8 +203,12 @@
             del self._rejected[min(self._rejected)]
 
 
-def _decode(payload: bytes, index: Index | None) -> Document:
-    if index is not None and len(payload) <= MAX_DOCUMENT_BYTES:
-        with contextlib.suppress(ConfigInvalidError):
-            return decode_index(index)
-    return decode_document(payload)
+def _decode(payload: bytes) -> tuple[Content, Document]:
+    index = read_index(payload)
+    if index is None or len(payload) > MAX_DOCUMENT_BYTES:
+        return payload, decode_document(payload)
+    try:
+        return index, decode_index(index)
+    except ConfigInvalidError:
+        # Every fault of the document is told at once.
+        return payload, decode_document(payload)
