--- a/src/guavawing/distribution/learner.py
+++ b/src/guavawing/distribution/learner.py
@@ -20,7 +20,6 @@
 """
 
 import random
-from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -55,14 +54,13 @@
     Version,
     VersionKeeper,
 )
+from guavawing.distribution.offers import RETRY_FIRST_S, Offers, Option
 from guavawing.errors import MessageInvalidError
 from guavawing.model import MemberId
 
 __all__ = ["Learner"]
 
 MAX_FETCHES = 3
-MAX_SOURCES = 64
-MAX_CANDIDATES = 64
 # Largest rise of the number that is believed without the platform's word.
 MAX_STEP = 1_000_000
 # How long a node without a version collects offers, and how many it awaits.
@@ -70,111 +68,33 @@
 JOIN_OFFERS = 3
 # Failures of a source after which a node without a version looks lower.
 JOIN_PATIENCE = 2
-FAR_WAIT_S = 1.5
-RETRY_FIRST_S = 0.25
-RETRY_LONGEST_S = 4.0
-# Failed pulls of a version after which the object store is asked for it.
-PULLS_BEFORE_OBJECT = 2
-# Reads of an object that only members have announced; a false notice must
-# not cost the platform more.
-MAX_HEARSAY_READS = 3
-MAX_FAILURES = 16
 
 NO_VERSION_ID = VersionId(0, b"")
 
 
-@attrs.define
-class _Source:
-    """What one member offers, and how it has behaved.
-
-    Attributes:
-        offer: Version that it announced last.
-        near: Whether it is in the node's own data centre.
-        ready_at: When it may be asked.
-        failures: Fetches from it that failed in a row.
-        busy: Whether a fetch from it is in flight.
-    """
-
-    offer: VersionId
-    near: bool
-    ready_at: float
-    failures: int = 0
-    busy: bool = False
-
-
-@attrs.define
-class _Candidate:
-    """A version that was announced and is not in force.
-
-    Attributes:
-        failures: Fetches of it that failed.
-        on_platform: Whether the platform announced it.
-        object_failures: Reads of its object that failed.
-        object_ready_at: When its object may be read.
-        whole: Whether deltas are not to be asked for.
-        in_flight: Whether it is being fetched.
-    """
-
-    failures: int = 0
-    on_platform: bool = False
-    object_failures: int = 0
-    object_ready_at: float = 0.0
-    whole: bool = False
-    in_flight: bool = False
-
-    def wants_object(self) -> bool:
-        """Returns whether the object store is a source of it."""
-        if self.on_platform:
-            return True
-        if self.failures < PULLS_BEFORE_OBJECT:
-            return False
-        return self.object_failures < MAX_HEARSAY_READS
-
-
 @attrs.frozen
 class _Fetch:
     source: MemberId
     version: VersionId
 
 
-@attrs.frozen
-class _Option:
-    """A version and a source to get it from.
-
-    Attributes:
-        version: The version.
-        source: The source.
-        failures: How often the source has failed.
-        cost: How dear the way is; lower is better.
-        ready_at: When the source may be asked.
-    """
-
-    version: VersionId
-    source: MemberId
-    failures: int
-    cost: int
-    ready_at: float
-
-
 class Learner:
     """Learns of versions, gets them and keeps the one in force."""
 
     __slots__ = (
-        "_candidates",
         "_fetches",
         "_join_at",
         "_keeper",
         "_next_fetch_id",
+        "_offers",
         "_rng",
-        "_sources",
         "history",
     )
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._keeper = VersionKeeper()
-        self._sources: dict[MemberId, _Source] = {}
-        self._candidates: dict[VersionId, _Candidate] = {}
+        self._offers = Offers(rng)
         self._fetches: dict[int, _Fetch] = {}
         self._next_fetch_id = 1
         self._join_at: float | None = None
@@ -222,14 +142,12 @@
         if not self.wants(version):
             return []
         if event.source == PLATFORM:
-            candidate = self._add_candidate(version)
-            if candidate is not None:
-                candidate.on_platform = True
+            self._offers.confirm(version)
             self._join_at = now if self._join_at is None else self._join_at
             return []
         if not self._is_plausible(version):
             return [ReportFault(event.source, FetchFault.IMPLAUSIBLE)]
-        self._add_offer(event.source, version, event.near, now)
+        self._add_offer(event.source, version, near=event.near, now=now)
         self._await_more_offers(now)
         return []
 
@@ -238,86 +156,24 @@
         current = self.current.number
         if current == 0 or version.number - current <= MAX_STEP:
             return True
-        candidate = self._candidates.get(version)
-        return candidate is not None and candidate.on_platform
+        return self._offers.is_confirmed(version)
 
     def _add_offer(
-        self, member: MemberId, version: VersionId, near: bool, now: float
+        self, member: MemberId, version: VersionId, *, near: bool, now: float
     ) -> None:
-        source = self._sources.get(member)
-        if source is not None:
-            source.offer = version
-            source.near = near
-            self._add_candidate(version)
-            return
-        if len(self._sources) >= MAX_SOURCES and not self._drop_source():
-            return
-        wait_s = 0.0
-        if not near and self.current.number:
-            wait_s = self._rng.uniform(0.0, FAR_WAIT_S)
-        self._sources[member] = _Source(version, near, now + wait_s)
-        self._add_candidate(version)
-
-    def _drop_source(self) -> bool:
-        """Forgets the source that failed most; returns whether one did."""
-        name, source = max(
-            self._sources.items(), key=lambda item: item[1].failures
-        )
-        if source.failures == 0:
-            return False
-        del self._sources[name]
-        return True
-
-    def _add_candidate(self, version: VersionId) -> _Candidate | None:
-        candidate = self._candidates.get(version)
-        if candidate is None:
-            if len(self._candidates) >= MAX_CANDIDATES:
-                self._drop_candidate()
-            candidate = self._candidates[version] = _Candidate()
-        return candidate
-
-    def _drop_candidate(self) -> None:
-        def rank(item: tuple[VersionId, _Candidate]) -> tuple[bool, int]:
-            return (not item[1].on_platform, item[1].failures)
-
-        idle = [c for c in self._candidates.items() if not c[1].in_flight]
-        del self._candidates[max(idle, key=rank)[0]]
+        patient = self.current.number > 0
+        self._offers.add(member, version, near=near, patient=patient, now=now)
 
     def _await_more_offers(self, now: float) -> None:
         if self._join_at is None:
             self._join_at = now + JOIN_WAIT_S
-        if len(self._sources) >= JOIN_OFFERS:
+        if self._offers.sources >= JOIN_OFFERS:
             self._join_at = min(self._join_at, now)
 
     def _fetch_limit(self) -> int:
         return MAX_FETCHES if self.current.number else 1
 
-    def _options(self) -> Iterator[_Option]:
-        """Yields what could be fetched, whether its time has come or not."""
-        for name, source in self._sources.items():
-            candidate = self._candidates.get(source.offer)
-            if candidate is None or candidate.in_flight or source.busy:
-                continue
-            yield _Option(
-                source.offer,
-                name,
-                source.failures,
-                0 if source.near else 1,
-                source.ready_at,
-            )
-        for version, candidate in self._candidates.items():
-            if candidate.in_flight:
-                continue
-            if candidate.wants_object():
-                yield _Option(
-                    version,
-                    PLATFORM,
-                    candidate.object_failures,
-                    2,
-                    candidate.object_ready_at,
-                )
-
-    def _rank(self, option: _Option) -> tuple[int, int, int, int]:
+    def _rank(self, option: Option) -> tuple[int, int, int, int]:
         number = -option.version.number
         if self.current.number:
             return (option.failures, number, option.cost, 0)
@@ -337,29 +193,27 @@
             actions.append(self._start_fetch(min(ready, key=self._rank)))
         return actions
 
-    def _list_options(self) -> list[_Option]:
+    def _list_options(self) -> list[Option]:
         """Returns the options that may be taken up when their time comes.
 
         Without a version, a node keeps to the highest version that its
         sources may still give.
         """
-        options = list(self._options())
+        options = list(self._offers.options())
         if self.current.number:
             return options
         patient = [o for o in options if o.failures < JOIN_PATIENCE]
         highest = max((o.version.number for o in patient), default=0)
         return [o for o in options if o.version.number >= highest]
 
-    def _start_fetch(self, option: _Option) -> Action:
+    def _start_fetch(self, option: Option) -> Action:
         fetch_id = self._next_fetch_id
         self._next_fetch_id += 1
         self._fetches[fetch_id] = _Fetch(option.source, option.version)
-        candidate = self._candidates[option.version]
-        candidate.in_flight = True
+        takes_deltas = self._offers.begin(option)
         if option.source == PLATFORM:
             return FetchObject(fetch_id, option.version)
-        self._sources[option.source].busy = True
-        base = NO_VERSION_ID if candidate.whole else self._current_id()
+        base = self._current_id() if takes_deltas else NO_VERSION_ID
         return PullFromPeer(fetch_id, option.source, base)
 
     def _current_id(self) -> VersionId:
@@ -369,12 +223,7 @@
         fetch = self._fetches.pop(fetch_id, None)
         if fetch is None:
             return None
-        candidate = self._candidates.get(fetch.version)
-        if candidate is not None:
-            candidate.in_flight = False
-        source = self._sources.get(fetch.source)
-        if source is not None:
-            source.busy = False
+        self._offers.end(fetch.source, fetch.version)
         return fetch
 
     def _take_failure(self, event: FetchFailed, now: float) -> list[Action]:
@@ -383,39 +232,20 @@
             return []
         if event.fault is not FetchFault.BUSY:
             return self._punish(fetch, event.fault, now)
-        source = self._sources.get(fetch.source)
-        near = True
-        if source is not None:
-            near = source.near
-            source.ready_at = now + max(event.retry_after_s, RETRY_FIRST_S)
+        pause_s = max(event.retry_after_s, RETRY_FIRST_S)
+        near = self._offers.postpone(fetch.source, now + pause_s)
         if event.ask_instead and self.wants(fetch.version):
-            self._add_offer(event.ask_instead, fetch.version, near, now)
+            self._add_offer(
+                event.ask_instead, fetch.version, near=near, now=now
+            )
         return [ReportFault(fetch.source, event.fault)]
 
     def _punish(
         self, fetch: _Fetch, fault: FetchFault, now: float
     ) -> list[Action]:
-        """Makes a source wait after a fetch that brought nothing."""
-        candidate = self._candidates.get(fetch.version)
-        if candidate is not None:
-            candidate.failures = min(candidate.failures + 1, MAX_FAILURES)
-        if fetch.source == PLATFORM and candidate is not None:
-            candidate.object_failures += 1
-            candidate.object_failures = min(
-                candidate.object_failures, MAX_FAILURES
-            )
-            wait_s = self._backoff(candidate.object_failures)
-            candidate.object_ready_at = now + wait_s
-        source = self._sources.get(fetch.source)
-        if source is not None:
-            source.failures = min(source.failures + 1, MAX_FAILURES)
-            source.ready_at = now + self._backoff(source.failures)
+        self._offers.punish(fetch.source, fetch.version, now)
         return [ReportFault(fetch.source, fault)]
 
-    def _backoff(self, failures: int) -> float:
-        longest_s = min(RETRY_FIRST_S * 2**failures, RETRY_LONGEST_S)
-        return self._rng.uniform(longest_s / 2, longest_s)
-
     def _take_payload(self, event: PayloadArrived, now: float) -> list[Action]:
         fetch = self._end_fetch(event.fetch_id)
         if fetch is None:
@@ -464,9 +294,8 @@
     def _refuse_piece(
         self, fetch: _Fetch, content: Content, now: float
     ) -> list[Action]:
-        candidate = self._candidates.get(fetch.version)
-        if candidate is not None and isinstance(content, DeltaContent):
-            candidate.whole = True
+        if isinstance(content, DeltaContent):
+            self._offers.refuse_deltas(fetch.version)
         return self._punish(fetch, FetchFault.DAMAGED, now)
 
     def _apply(
@@ -484,13 +313,11 @@
         match result:
             case Applied(version=applied):
                 self._record_step(before, delta)
-                source = self._sources.get(fetch.source)
-                if source is not None:
-                    source.failures = 0
-                self._forget(lambda each: self.wants(each))
+                self._offers.praise(fetch.source)
+                self._offers.forget(self.wants)
                 return [PutInForce(applied)]
             case Rejected(permanent=True, message=message):
-                self._forget(lambda each: each != version)
+                self._offers.forget(lambda each: each != version)
                 return [ReportRejection(version, message)]
             case Rejected():
                 return self._refuse_piece(fetch, content, now)
@@ -502,20 +329,3 @@
             self.history.clear()
             return
         self.history.record(VersionId(before.number, before.digest), delta)
-
-    def _forget(self, keep: Callable[[VersionId], bool]) -> None:
-        """Drops candidates and offers of versions that are done with.
-
-        A source with failures keeps its record: else a source that lies
-        with every notice would come fresh each time.
-        """
-        self._candidates = {
-            version: candidate
-            for version, candidate in self._candidates.items()
-            if keep(version)
-        }
-        self._sources = {
-            name: source
-            for name, source in self._sources.items()
-            if source.busy or source.failures or keep(source.offer)
-        }
