--- a/src/guavawing/distribution/keeper.py
+++ b/src/guavawing/distribution/keeper.py
@@ -5,24 +5,29 @@
 swapped. The number of the version in force never falls.
 """
 
+from collections.abc import Callable
+
 import attrs
 import orjson
 
 from guavawing.config import (
     Document,
-    check_document,
+    check_change,
     compute_digest,
     decode_document,
 )
+from guavawing.config.codec import MAX_DOCUMENT_BYTES
 from guavawing.distribution.delta import (
     Delta,
     Index,
+    compute_index_digest,
     derive_delta,
     encode_index,
     index_entries,
     patch_index,
+    read_index,
 )
-from guavawing.distribution.patch import patch_document
+from guavawing.distribution.patch import decode_index, patch_document
 from guavawing.errors import ConfigInvalidError
 
 __all__ = ["Applied", "ApplyResult", "Rejected", "Version", "VersionKeeper"]
@@ -30,6 +35,10 @@
 MAX_REMEMBERED_REJECTIONS = 64
 
 
+Content = Index | bytes
+Decoder = Callable[[], tuple[Content, Document]]
+
+
 @attrs.frozen
 class Version:
     """A version of the configuration.
@@ -37,15 +46,23 @@
     Attributes:
         number: Number of the version; 0 stands for none.
         digest: SHA-256 digest of the payload.
-        payload: Canonical JSON of the document.
+        content: Encoded entries of the payload, or the payload itself if it
+            isn't canonical and can't be made of them.
         document: The decoded document.
     """
 
     number: int
     digest: bytes
-    payload: bytes
+    content: Content
     document: Document
 
+    @property
+    def payload(self) -> bytes:
+        """JSON of the document as it was published, made when asked for."""
+        if isinstance(self.content, bytes):
+            return self.content
+        return encode_index(self.content)
+
 
 @attrs.frozen
 class Applied:
@@ -123,10 +140,11 @@
             delta: What turns the version in force into this one, if that is
                 known and the payload is canonical; it makes the check short.
         """
-        index = None
-        if delta is not None:
-            index = patch_index(self._index, delta)
-        return self._apply(number, digest, payload, delta, index)
+        found = compute_digest(payload)
+        if delta is None:
+            return self._apply(number, digest, found, lambda: _decode(payload))
+        index = patch_index(self._index, delta)
+        return self._apply(number, digest, found, self._patch(delta, index))
 
     def apply_delta(
         self, number: int, digest: bytes, delta: Delta
@@ -138,7 +156,8 @@
                 force.
         """
         index = patch_index(self._index, delta)
-        return self._apply(number, digest, encode_index(index), delta, index)
+        found = compute_index_digest(index)
+        return self._apply(number, digest, found, self._patch(delta, index))
 
     def derive_delta(self, payload: bytes) -> Delta | None:
         """Returns the delta from the version in force to a payload.
@@ -147,13 +166,12 @@
         """
         return derive_delta(self._index, payload)
 
+    def _patch(self, delta: Delta, index: Index) -> Decoder:
+        document = self._current.document
+        return lambda: (index, patch_document(document, delta, index))
+
     def _apply(
-        self,
-        number: int,
-        digest: bytes,
-        payload: bytes,
-        delta: Delta | None,
-        index: Index | None,
+        self, number: int, digest: bytes, found: bytes, decode: Decoder
     ) -> ApplyResult:
         if number <= self._current.number:
             return Rejected(
@@ -162,19 +180,19 @@
                 f" {self._current.number}",
                 permanent=True,
             )
-        if compute_digest(payload) != digest:
+        if found != digest:
             return Rejected(number, "the digest differs", permanent=False)
         try:
-            if delta is None or index is None:
-                document = decode_document(payload)
-            else:
-                document = patch_document(self._current.document, delta, index)
-            check_document(document)
+            content, document = decode()
+            check_change(document, self._current.document)
         except ConfigInvalidError as exc:
             self._remember_rejection(number, digest, str(exc))
             return Rejected(number, str(exc), permanent=True)
-        self._current = Version(number, digest, payload, document)
-        self._index = index or index_entries(orjson.loads(payload))
+        if isinstance(content, bytes):
+            self._index = index_entries(orjson.loads(content))
+        else:
+            self._index = content
+        self._current = Version(number, digest, content, document)
         return Applied(self._current)
 
     def _remember_rejection(
@@ -183,3 +201,14 @@
         self._rejected[number, digest] = message
         while len(self._rejected) > MAX_REMEMBERED_REJECTIONS:
             del self._rejected[min(self._rejected)]
+
+
+def _decode(payload: bytes) -> tuple[Content, Document]:
+    index = read_index(payload)
+    if index is None or len(payload) > MAX_DOCUMENT_BYTES:
+        return payload, decode_document(payload)
+    try:
+        return index, decode_index(index)
+    except ConfigInvalidError:
+        # Every fault of the document is told at once.
+        return payload, decode_document(payload)
