Remove old documents and changes from the platform

Ruled out: ages of objects, an intent row before each object, a mark on each object that goes, a lease (docs/design/publishing.md). Objects were named by digest alone, so a publish of an old document could rely on an object that a prune was deleting, and a delete may arrive late; no age or mark mends that.

Change: an object belongs to one version (NUMBER-DIGEST). Objects above the head that the prune read stay; one up to the head is in use only if the history names it. config-floor/floor is raised first, so a missing object is told as pruned (exit code 2, oldest version kept) or as lost. The stand-ins list and delete objects. One line of node/distributor.py uses the new name. The property of publishing and its golden file check the new names.

After the update a document has to be published once more under the new name.

--- a/src/guavawing/cli/exits.py
+++ b/src/guavawing/cli/exits.py
@@ -16,6 +16,7 @@
     PlatformUnavailableError,
     PlatformWriteUnknownError,
     SettingsInvalidError,
+    VersionPrunedError,
 )
 
 __all__ = ["ExitCode", "Failure", "describe_error", "exit_with", "fail"]
@@ -73,6 +74,12 @@
     match exc:
         case SettingsInvalidError() | InvalidArgumentError():
             return Failure(ExitCode.USAGE, text)
+        case VersionPrunedError():
+            return Failure(
+                ExitCode.USAGE,
+                text,
+                "'guavawing config history' lists what was changed since",
+            )
         case ConflictingChangeError():
             return Failure(ExitCode.CONFLICT, text)
         case ChangeIdReusedError():
--- a/src/guavawing/cli/main.py
+++ b/src/guavawing/cli/main.py
@@ -7,6 +7,7 @@
 from guavawing.cli.commands.exceptions import exception
 from guavawing.cli.commands.keys import keys
 from guavawing.cli.commands.node import node
+from guavawing.cli.commands.prune import prune
 from guavawing.cli.commands.publish import publish
 from guavawing.cli.examples import format_examples
 from guavawing.cli.program import Program
@@ -52,6 +53,7 @@
     diff,
     exception,
     history,
+    prune,
     publish,
     show,
     validate,
--- a/src/guavawing/errors.py
+++ b/src/guavawing/errors.py
@@ -17,6 +17,7 @@
     "PlatformUnavailableError",
     "PlatformWriteUnknownError",
     "SettingsInvalidError",
+    "VersionPrunedError",
 ]
 
 
@@ -75,6 +76,23 @@
     """Raised when a row or an object that the platform holds is damaged."""
 
 
+class VersionPrunedError(PlatformError):
+    """Raised when an old version was removed from the platform.
+
+    Attributes:
+        version: The version.
+        oldest: The oldest version whose document is kept.
+    """
+
+    def __init__(self, *, version: int, oldest: int, context: str = "") -> None:
+        super().__init__(
+            f"{context}version {version} was pruned; the oldest version kept is"
+            f" {oldest}"
+        )
+        self.version = version
+        self.oldest = oldest
+
+
 class ChangeIdReusedError(PlatformError):
     """Raised when a change id stands for another document already.
 
--- a/src/guavawing/node/distributor.py
+++ b/src/guavawing/node/distributor.py
@@ -47,7 +47,7 @@
 from guavawing.node.channel import ByteListener, open_channel
 from guavawing.node.logs import log, log_action
 from guavawing.node.metrics import Metrics
-from guavawing.platform import Platform, fetch_head
+from guavawing.platform import Platform, fetch_head, name_object
 from guavawing.proto.control_grpc import ControlStub
 from guavawing.proto.control_pb2 import PullReply, PullRequest
 
@@ -266,7 +266,7 @@
         task.add_done_callback(self._fetches.discard)
 
     async def _fetch_object(self, action: FetchObject) -> Event:
-        name = action.version.digest.hex()
+        name = name_object(action.version.number, action.version.digest)
         try:
             async with asyncio.timeout(OBJECT_TIMEOUT_S):
                 payload = await self._platform.get_object(name)
--- a/src/guavawing/platform/__init__.py
+++ b/src/guavawing/platform/__init__.py
@@ -2,6 +2,11 @@
 
 from guavawing.platform.client import Platform, Row, Write
 from guavawing.platform.publisher import publish_document, publish_edit
+from guavawing.platform.retention import (
+    PruneState,
+    RetentionRule,
+    prune,
+)
 from guavawing.platform.store import PlatformStore
 from guavawing.platform.versions import (
     Change,
@@ -11,6 +16,7 @@
     fetch_head,
     fetch_history,
     fetch_version,
+    name_object,
     parse_change_id,
 )
 
@@ -19,6 +25,8 @@
     "Head",
     "Platform",
     "PlatformStore",
+    "PruneState",
+    "RetentionRule",
     "Row",
     "Write",
     "fetch_change",
@@ -26,7 +34,9 @@
     "fetch_head",
     "fetch_history",
     "fetch_version",
+    "name_object",
     "parse_change_id",
+    "prune",
     "publish_document",
     "publish_edit",
 ]
--- a/src/guavawing/platform/client.py
+++ b/src/guavawing/platform/client.py
@@ -171,6 +171,33 @@
                 f"the object {name} is damaged: {exc}"
             ) from exc
 
+    async def list_objects(
+        self, *, after: str = "", limit: int = MAX_SCAN_ROWS
+    ) -> list[str]:
+        """Returns up to `limit` names of objects in order, behind `after`.
+
+        Raises:
+            PlatformUnavailableError: If the platform gives no usable answer.
+        """
+        payload = await self._read(
+            "/objects", {"after": after, "limit": str(limit)}
+        )
+        names = payload.get("names") if isinstance(payload, dict) else None
+        if not isinstance(names, list):
+            raise _unavailable(ValueError("the answer holds no names"))
+        if not all(isinstance(name, str) for name in names):
+            raise _unavailable(ValueError("a name of an object is no text"))
+        return names
+
+    async def delete_object(self, name: str) -> None:
+        """Removes an object; harmless if there is none.
+
+        Raises:
+            PlatformUnavailableError: If nothing was removed.
+            PlatformWriteUnknownError: If the object may have been removed.
+        """
+        await self._write("DELETE", f"/objects/{name}", b"")
+
     async def _read(
         self, path: str, params: dict[str, str] | None = None
     ) -> Any:
--- /dev/null
+++ b/src/guavawing/platform/floor.py
@@ -0,0 +1,84 @@
+"""The floor: below which version documents and changes are gone.
+
+The row is written before anything is removed, and its numbers only rise. So
+what is missing below the floor was pruned, and what is missing above it was
+lost.
+"""
+
+import attrs
+
+from guavawing.errors import PlatformDataInvalidError
+from guavawing.platform.client import Row, TransactionRefusedError, Write
+from guavawing.platform.store import PlatformStore
+
+__all__ = ["Floor", "fetch_floor", "raise_floor"]
+
+FLOOR_TABLE = "config-floor"
+FLOOR_KEY = "floor"
+
+
+@attrs.frozen(kw_only=True)
+class Floor:
+    """The oldest versions that are kept.
+
+    Attributes:
+        document: The oldest version whose document is kept.
+        change: The oldest version whose change is kept; not above
+            `document`.
+    """
+
+    document: int = 1
+    change: int = 1
+
+    def raise_to(self, other: "Floor") -> "Floor":
+        """Returns the higher numbers of both."""
+        return Floor(
+            document=max(self.document, other.document),
+            change=max(self.change, other.change),
+        )
+
+
+async def fetch_floor(platform: PlatformStore) -> Floor:
+    """Returns the floor.
+
+    Raises:
+        PlatformUnavailableError: If the platform gives no usable answer.
+        PlatformDataInvalidError: If the row is damaged.
+    """
+    return _decode(await platform.read_row(FLOOR_TABLE, FLOOR_KEY))
+
+
+async def raise_floor(platform: PlatformStore, floor: Floor) -> Floor:
+    """Raises the floor and returns it; it may have been higher already.
+
+    Raises:
+        PlatformUnavailableError: If the platform gives no usable answer.
+        PlatformWriteUnknownError: If the floor may have been raised.
+        PlatformDataInvalidError: If the row is damaged.
+    """
+    while True:
+        row = await platform.read_row(FLOOR_TABLE, FLOOR_KEY)
+        before = _decode(row)
+        after = before.raise_to(floor)
+        if after == before:
+            return after
+        revision = 0 if row is None else row.revision
+        write = Write(FLOOR_TABLE, FLOOR_KEY, attrs.asdict(after), revision)
+        try:
+            await platform.transact((write,))
+        except TransactionRefusedError:
+            # Another prune has raised it meanwhile.
+            continue
+        return after
+
+
+def _decode(row: Row | None) -> Floor:
+    if row is None:
+        return Floor()
+    numbers = (row.value.get("document"), row.value.get("change"))
+    match numbers:
+        case (int(document), int(change)) if document >= change > 0:
+            return Floor(document=document, change=change)
+    raise PlatformDataInvalidError(
+        f"row {FLOOR_TABLE}/{FLOOR_KEY} is damaged: {row.value}"
+    )
--- a/src/guavawing/platform/publisher.py
+++ b/src/guavawing/platform/publisher.py
@@ -33,6 +33,7 @@
     InvalidArgumentError,
     PlatformUnavailableError,
     PlatformWriteUnknownError,
+    VersionPrunedError,
 )
 from guavawing.platform.client import TransactionRefusedError, Write
 from guavawing.platform.store import PlatformStore
@@ -50,6 +51,7 @@
     fetch_version,
     fetch_version_change,
     name_history_row,
+    name_object,
     parse_change_id,
 )
 
@@ -149,7 +151,7 @@
     head, document = await fetch_document(platform)
     change = await fetch_change(platform, change_id)
     if change is not None:
-        _, base = await fetch_version(platform, change.version - 1)
+        base = await _fetch_base(platform, change)
         try:
             same = compute_digest(encode_document(edit(base))) == change.digest
         except InvalidArgumentError:
@@ -172,6 +174,21 @@
     )
 
 
+async def _fetch_base(platform: PlatformStore, change: Change) -> Document:
+    try:
+        _, base = await fetch_version(platform, change.version - 1)
+    except VersionPrunedError as exc:
+        raise VersionPrunedError(
+            version=exc.version,
+            oldest=exc.oldest,
+            context=(
+                f"change id {change.change_id} was accepted as version"
+                f" {change.version}, perhaps for another edit: "
+            ),
+        ) from exc
+    return base
+
+
 def _prepare_payload(document: Document) -> bytes:
     """Encodes a document and checks its bytes as every node will.
 
@@ -201,7 +218,8 @@
     platform: PlatformStore, change: Change, payload: bytes
 ) -> None:
     try:
-        await platform.put_object(change.digest.hex(), payload)
+        name = name_object(change.version, change.digest)
+        await platform.put_object(name, payload)
     except PlatformWriteUnknownError as exc:
         # Nothing refers to the object yet, whether it is there or not.
         raise PlatformUnavailableError(str(exc)) from exc
--- /dev/null
+++ b/src/guavawing/platform/retention.py
@@ -0,0 +1,253 @@
+"""Retention: removes old documents and changes from the platform.
+
+No clock and no lease guards a prune against a publish. Every object belongs
+to one version. A publish under way creates a version above the head that the
+prune has read first, so objects above that head stay. An object up to that
+head is in use only if the history names it: the number is taken, and no
+publish can use it any more, however late its requests arrive.
+
+All steps can be repeated: the objects that are left are found by listing
+them, so a prune that ended in the middle leaves nothing out for the next.
+"""
+
+import datetime
+from collections.abc import AsyncIterator, Iterable
+
+import attrs
+
+from guavawing.platform.client import TransactionRefusedError, Write
+from guavawing.platform.floor import Floor, fetch_floor, raise_floor
+from guavawing.platform.store import PlatformStore
+from guavawing.platform.versions import (
+    CHANGE_TABLE,
+    HISTORY_PAGE,
+    HISTORY_TABLE,
+    Change,
+    decode_change,
+    fetch_head,
+    fetch_version_change,
+    name_history_row,
+    parse_object_name,
+)
+
+__all__ = ["PruneState", "RetentionRule", "prune"]
+
+# Two rows each; one transaction removes them.
+CHANGES_PER_TRANSACTION = 25
+ROWS_PER_CHANGE = 2
+_FUTURE = datetime.datetime.max.replace(tzinfo=datetime.UTC)
+
+
+@attrs.frozen(kw_only=True)
+class RetentionRule:
+    """What is kept.
+
+    Ages count back from the newest change, or from now if its author's clock
+    was ahead. So a clock that is wrong where the prune runs, or a long time
+    without changes, removes nothing more.
+
+    Attributes:
+        days: Documents that were in force in these last days are kept.
+        last: Number of newest documents that are kept, however old.
+        changes_days: The same as `days` for the rows of changes; changes of
+            documents that are kept stay.
+    """
+
+    days: float
+    last: int
+    changes_days: float
+
+
+@attrs.frozen(kw_only=True)
+class PruneState:
+    """How far a prune has come.
+
+    Attributes:
+        newest: The newest version when it began.
+        floor: The oldest versions that are kept.
+        objects: Number of objects removed so far.
+        changes: Number of changes removed so far.
+        writes: Rows and objects written or removed by the last step.
+    """
+
+    newest: int
+    floor: Floor
+    objects: int = 0
+    changes: int = 0
+    writes: int = 0
+
+
+async def prune(
+    platform: PlatformStore,
+    rule: RetentionRule,
+    *,
+    now: datetime.datetime,
+    dry_run: bool = False,
+) -> AsyncIterator[PruneState]:
+    """Removes what the rule doesn't keep, step by step.
+
+    Args:
+        platform: Table service and object store.
+        rule: What is kept.
+        now: The present time.
+        dry_run: Whether to count only and write nothing.
+
+    Yields:
+        The state after each write, so that the caller can pace them.
+
+    Raises:
+        PlatformUnavailableError: If the platform gives no usable answer; a
+            repeat goes on.
+        PlatformWriteUnknownError: If the last step may have been carried
+            out; a repeat goes on.
+        PlatformDataInvalidError: If a row is damaged.
+    """
+    newest = (await fetch_head(platform)).version
+    floor = await _find_floor(platform, rule, newest, now)
+    if not dry_run:
+        floor = await raise_floor(platform, floor)
+    state = PruneState(newest=newest, floor=floor, writes=1)
+    yield state
+    async for name in _find_objects(platform, newest, floor):
+        if not dry_run:
+            await platform.delete_object(name)
+        state = attrs.evolve(state, objects=state.objects + 1, writes=1)
+        yield state
+    async for batch in _find_changes(platform, floor):
+        if not dry_run and not await _remove_changes(platform, batch):
+            continue
+        state = attrs.evolve(
+            state,
+            changes=state.changes + len(batch),
+            writes=ROWS_PER_CHANGE * len(batch),
+        )
+        yield state
+
+
+async def _find_floor(
+    platform: PlatformStore,
+    rule: RetentionRule,
+    newest: int,
+    now: datetime.datetime,
+) -> Floor:
+    before = await fetch_floor(platform)
+    head = await fetch_version_change(platform, newest)
+    if head is None:
+        return before
+    end = min(now, _read_time(head))
+    last = newest - rule.last + 1
+    document = await _find_in_force(
+        platform, before.document, last, end - _days(rule.days)
+    )
+    change = await _find_in_force(
+        platform, before.change, document, end - _days(rule.changes_days)
+    )
+    return before.raise_to(Floor(document=document, change=change))
+
+
+async def _find_in_force(
+    platform: PlatformStore, first: int, last: int, at: datetime.datetime
+) -> int:
+    """Returns the version from `first` to `last` in force at a time."""
+    async for page in _scan_changes(platform, first, last):
+        for change in page:
+            if _read_time(change) >= at:
+                return max(change.version - 1, first)
+    return max(last, first)
+
+
+async def _scan_changes(
+    platform: PlatformStore, first: int, last: int
+) -> AsyncIterator[list[Change]]:
+    """Yields the changes of versions from `first` to `last` by pages."""
+    while first <= last:
+        rows = await platform.scan_rows(
+            HISTORY_TABLE,
+            after=name_history_row(first - 1),
+            limit=min(HISTORY_PAGE, last - first + 1),
+        )
+        page = [decode_change(HISTORY_TABLE, row) for row in rows]
+        if not page:
+            return
+        yield [change for change in page if change.version <= last]
+        first = page[-1].version + 1
+
+
+async def _find_objects(
+    platform: PlatformStore, newest: int, floor: Floor
+) -> AsyncIterator[str]:
+    """Yields the names of the objects that no version in use needs."""
+    after = ""
+    while names := await platform.list_objects(after=after):
+        after = names[-1]
+        parsed = {name: parse_object_name(name) for name in names}
+        # Others than those of versions are not this command's to remove.
+        found = {name: pair for name, pair in parsed.items() if pair}
+        numbers = [version for version, _ in found.values()]
+        in_use = await _fetch_digests(platform, numbers, newest, floor)
+        for name, (version, digest) in found.items():
+            # Above the head there is no row yet; below it, one that is
+            # missing is a fault to look into. Either way the object stays.
+            unused = in_use.get(version, digest) != digest
+            if version < floor.document or unused:
+                yield name
+
+
+async def _fetch_digests(
+    platform: PlatformStore, numbers: Iterable[int], newest: int, floor: Floor
+) -> dict[int, bytes]:
+    """Returns the digests of the versions up to `newest` that are kept."""
+    kept = [n for n in numbers if floor.document <= n <= newest]
+    digests: dict[int, bytes] = {}
+    if not kept:
+        return digests
+    async for page in _scan_changes(platform, min(kept), max(kept)):
+        digests |= {change.version: change.digest for change in page}
+    return digests
+
+
+async def _find_changes(
+    platform: PlatformStore, floor: Floor
+) -> AsyncIterator[list[tuple[Change, int]]]:
+    """Yields batches of changes below the floor, with the row's revision."""
+    after = ""
+    while True:
+        rows = await platform.scan_rows(
+            HISTORY_TABLE, after=after, limit=CHANGES_PER_TRANSACTION
+        )
+        changes = [(decode_change(HISTORY_TABLE, r), r.revision) for r in rows]
+        old = [each for each in changes if each[0].version < floor.change]
+        if not old:
+            return
+        yield old
+        after = rows[-1].key
+
+
+async def _remove_changes(
+    platform: PlatformStore, batch: list[tuple[Change, int]]
+) -> bool:
+    """Removes changes; returns False if another prune was there first."""
+    writes: list[Write] = []
+    for change, revision in batch:
+        key = name_history_row(change.version)
+        writes.append(Write(HISTORY_TABLE, key, None, revision))
+        # Both rows come and go together, so this is the same change's.
+        writes.append(Write(CHANGE_TABLE, change.change_id, None, None))
+    try:
+        await platform.transact(writes)
+    except TransactionRefusedError:
+        return False
+    return True
+
+
+def _days(days: float) -> datetime.timedelta:
+    return datetime.timedelta(days=days)
+
+
+def _read_time(change: Change) -> datetime.datetime:
+    """Returns when a change was made; far ahead if that can't be read."""
+    try:
+        at = datetime.datetime.fromisoformat(change.at)
+    except ValueError:
+        return _FUTURE
+    return at if at.tzinfo else at.replace(tzinfo=datetime.UTC)
--- a/src/guavawing/platform/store.py
+++ b/src/guavawing/platform/store.py
@@ -27,3 +27,11 @@
 
     async def get_object(self, name: str) -> bytes | None:
         """Returns an object's bytes, or None if there is none."""
+
+    async def list_objects(
+        self, *, after: str = "", limit: int = MAX_SCAN_ROWS
+    ) -> list[str]:
+        """Returns up to `limit` names of objects in order, behind `after`."""
+
+    async def delete_object(self, name: str) -> None:
+        """Removes an object; harmless if there is none."""
--- a/src/guavawing/platform/versions.py
+++ b/src/guavawing/platform/versions.py
@@ -21,8 +21,10 @@
     ConfigInvalidError,
     InvalidArgumentError,
     PlatformDataInvalidError,
+    VersionPrunedError,
 )
 from guavawing.platform.client import Row
+from guavawing.platform.floor import fetch_floor
 from guavawing.platform.store import PlatformStore
 
 __all__ = [
@@ -33,7 +35,9 @@
     "fetch_head",
     "fetch_history",
     "fetch_version",
+    "name_object",
     "parse_change_id",
+    "parse_object_name",
 ]
 
 HEAD_TABLE = "config-head"
@@ -43,6 +47,7 @@
 HISTORY_PAGE = 1_000
 _VERSION_DIGITS = 12
 _DIGEST_LENGTH = 32
+_OBJECT_NAME = re.compile(r"([0-9]{12,})-([0-9a-f]{64})")
 _CHANGE_ID = re.compile(r"[A-Za-z0-9_.-]{1,64}")
 
 
@@ -115,6 +120,23 @@
     return f"{version:0{_VERSION_DIGITS}d}"
 
 
+def name_object(version: int, digest: bytes) -> str:
+    """Returns the name of the object that holds a version's document.
+
+    The number in it makes the object that of one version alone, also where
+    two versions have the same document: it can be removed with the version.
+    """
+    return f"{name_history_row(version)}-{digest.hex()}"
+
+
+def parse_object_name(name: str) -> tuple[int, bytes] | None:
+    """Returns version and digest of an object; None for other objects."""
+    match = _OBJECT_NAME.fullmatch(name)
+    if match is None:
+        return None
+    return int(match[1]), bytes.fromhex(match[2])
+
+
 async def fetch_head(platform: PlatformStore) -> Head:
     """Returns the newest accepted version.
 
@@ -125,7 +147,7 @@
     row = await platform.read_row(HEAD_TABLE, HEAD_KEY)
     if row is None:
         return EMPTY_HEAD
-    change = _decode_change(HEAD_TABLE, row)
+    change = decode_change(HEAD_TABLE, row)
     return attrs.evolve(change.to_head(), revision=row.revision)
 
 
@@ -139,7 +161,7 @@
         PlatformDataInvalidError: If the row is damaged.
     """
     row = await platform.read_row(CHANGE_TABLE, change_id)
-    return None if row is None else _decode_change(CHANGE_TABLE, row)
+    return None if row is None else decode_change(CHANGE_TABLE, row)
 
 
 async def fetch_version_change(
@@ -152,7 +174,7 @@
         PlatformDataInvalidError: If the row is damaged.
     """
     row = await platform.read_row(HISTORY_TABLE, name_history_row(version))
-    return None if row is None else _decode_change(HISTORY_TABLE, row)
+    return None if row is None else decode_change(HISTORY_TABLE, row)
 
 
 async def fetch_history(
@@ -180,7 +202,7 @@
                 f"the history ends at version {last}, the head is at version"
                 f" {head.version}"
             )
-        changes += [_decode_change(HISTORY_TABLE, row) for row in rows]
+        changes += [decode_change(HISTORY_TABLE, row) for row in rows]
         last = changes[-1].version
     return changes[::-1]
 
@@ -207,6 +229,7 @@
 
     Raises:
         InvalidArgumentError: If there is no such version.
+        VersionPrunedError: If it was removed.
         PlatformUnavailableError: If the platform gives no usable answer.
         PlatformDataInvalidError: If a row or the object is damaged.
     """
@@ -214,6 +237,7 @@
         return Change(0, b"", ""), Document()
     change = await fetch_version_change(platform, version)
     if change is None:
+        await _check_kept(platform, version)
         raise InvalidArgumentError(
             f"got version {version}, expected one that 'guavawing config"
             " history' lists"
@@ -224,8 +248,9 @@
 async def _fetch_object(
     platform: PlatformStore, version: int, digest: bytes
 ) -> Document:
-    payload = await platform.get_object(digest.hex())
+    payload = await platform.get_object(name_object(version, digest))
     if payload is None:
+        await _check_kept(platform, version)
         raise PlatformDataInvalidError(
             f"the object of version {version} is missing"
         )
@@ -241,7 +266,18 @@
         ) from exc
 
 
-def _decode_change(table: str, row: Row) -> Change:
+async def _check_kept(platform: PlatformStore, version: int) -> None:
+    floor = await fetch_floor(platform)
+    if 0 < version < floor.document:
+        raise VersionPrunedError(version=version, oldest=floor.document)
+
+
+def decode_change(table: str, row: Row) -> Change:
+    """Returns the change that a row describes.
+
+    Raises:
+        PlatformDataInvalidError: If the row is damaged.
+    """
     value = row.value
     try:
         change = Change(
--- a/standins/memory_platform.py
+++ b/standins/memory_platform.py
@@ -17,6 +17,9 @@
 )
 from guavawing.platform.client import Row, TransactionRefusedError, Write
 
+# Characters of an object's name that a log shows: number and 8 of the digest.
+NAME_LENGTH = 21
+
 
 class CrashError(BaseException):
     """Ends a publisher at once, as the end of its process would."""
@@ -119,16 +122,32 @@
 
     async def get_object(self, name: str) -> bytes | None:
         """Returns an object's bytes, or None if there is none."""
-        await self._read(f"get object {name[:8]}")
+        await self._read(f"get object {name[:NAME_LENGTH]}")
         return self._store.objects.get(name)
 
     async def put_object(self, name: str, payload: bytes) -> None:
         """Stores an object."""
         await self._write(
-            f"put object {name[:8]}",
+            f"put object {name[:NAME_LENGTH]}",
             lambda: self._store.objects.update({name: payload}),
         )
 
+    async def list_objects(
+        self, *, after: str = "", limit: int = 1_000
+    ) -> list[str]:
+        """Returns up to `limit` names of objects in order, behind `after`."""
+        await self._read(f"list objects after {after[:NAME_LENGTH]!r}")
+        return sorted(name for name in self._store.objects if name > after)[
+            :limit
+        ]
+
+    async def delete_object(self, name: str) -> None:
+        """Removes an object; harmless if there is none."""
+        await self._write(
+            f"delete object {name[:NAME_LENGTH]}",
+            lambda: self._store.objects.pop(name, None),
+        )
+
     async def transact(self, writes: Sequence[Write]) -> None:
         """Carries out all writes or none."""
         done = await self._write(
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -86,6 +86,8 @@
         app.router.add_post("/transactions", self._transact)
         app.router.add_put("/objects/{name}", self._put_object)
         app.router.add_get("/objects/{name}", self._get_object)
+        app.router.add_get("/objects", self._list_objects)
+        app.router.add_delete("/objects/{name}", self._delete_object)
         app.router.add_post("/faults", self._set_faults)
         app.router.add_get("/counters", self._get_counters)
         return app
@@ -155,6 +157,16 @@
         self._counters["bytes"] += len(payload)
         return web.Response(body=payload)
 
+    async def _list_objects(self, req: web.Request) -> web.Response:
+        after = req.query.get("after", "")
+        limit = int(req.query.get("limit", "1000"))
+        names = sorted(name for name in self._objects if name > after)
+        return _respond({"names": names[:limit]})
+
+    async def _delete_object(self, req: web.Request) -> web.Response:
+        self._objects.pop(req.match_info["name"], None)
+        return _respond({})
+
     async def _set_faults(self, req: web.Request) -> web.Response:
         self.faults = Faults(**orjson.loads(await req.read()))
         return _respond({})
--- a/tests/steps/publishing_steps.py
+++ b/tests/steps/publishing_steps.py
@@ -13,6 +13,7 @@
     fetch_document,
     fetch_head,
     fetch_history,
+    name_object,
     publish_edit,
 )
 from guavawing.platform.client import open_platform
@@ -288,7 +289,9 @@
     versions = {row["change_id"]: row["version"] for row in rows}
     assert len(versions) == len(rows), rows
     assert [row["version"] for row in rows] == list(range(1, len(rows) + 1))
-    assert all(row["digest"] in store.objects for row in rows)
+    for row in rows:
+        digest = bytes.fromhex(row["digest"])
+        assert name_object(row["version"], digest) in store.objects, row
     for operator in operators:
         assert not operator.refuted, operator.refuted
         for change, version in operator.accepted.items():
