Let the digest of a version cover its number

Cause: a node believed any number above its own that came with the digest of an old document. `cover/distribution: An old document under a number that nobody published is kept out` failed: version 9 with the document of version 3 was put in force at a node on version 4.

Ruled out, for a member that computes a digest of its own, which this does not stop: a read of the platform for each announced version (2,950 reads/s, worked out, of 2,000); a key that all nodes share; a signature by the publisher, which would do and needs keys and a library (docs/design/distribution.md).

Change: compute_digest(number, payload) in place of compute_digest(payload), at the keeper, the publisher and the reader of versions; learner.py is as it was. The publisher compares a repeated change under the number that it was accepted as, so a repeat from another base is known again (a scenario added).

Conclusion: a wrong number costs one pull and is kept out.

--- a/src/guavawing/config/codec.py
+++ b/src/guavawing/config/codec.py
@@ -164,9 +164,15 @@
         raise ConfigInvalidError(faults[:MAX_FAULTS]) from None
 
 
-def compute_digest(payload: bytes) -> bytes:
-    """Returns the SHA-256 digest that names `payload` in the object store."""
-    return hashlib.sha256(payload).digest()
+def compute_digest(number: int, payload: bytes) -> bytes:
+    """Returns the SHA-256 digest of a version: of its number and payload.
+
+    With the number in it, the digest of one version is never that of another,
+    also if both have the same document.
+    """
+    digest = hashlib.sha256(b"%d\n" % number)
+    digest.update(payload)
+    return digest.digest()
 
 
 def _fail(message: str) -> ConfigInvalidError:
--- a/src/guavawing/distribution/history.py
+++ b/src/guavawing/distribution/history.py
@@ -23,7 +23,7 @@
 
     Attributes:
         number: Number of the version; 0 stands for none.
-        digest: SHA-256 digest of the payload.
+        digest: SHA-256 digest of number and payload.
     """
 
     number: int
--- a/src/guavawing/distribution/keeper.py
+++ b/src/guavawing/distribution/keeper.py
@@ -36,7 +36,7 @@
 
     Attributes:
         number: Number of the version; 0 stands for none.
-        digest: SHA-256 digest of the payload.
+        digest: SHA-256 digest of number and payload.
         payload: Canonical JSON of the document.
         document: The decoded document.
     """
@@ -162,7 +162,7 @@
                 f" {self._current.number}",
                 permanent=True,
             )
-        if compute_digest(payload) != digest:
+        if compute_digest(number, payload) != digest:
             return Rejected(number, "the digest differs", permanent=False)
         try:
             if delta is None or index is None:
--- a/src/guavawing/platform/publisher.py
+++ b/src/guavawing/platform/publisher.py
@@ -97,14 +97,14 @@
     now = now or datetime.datetime.now(datetime.UTC)
     change = Change(
         version=base_version + 1,
-        digest=compute_digest(payload),
+        digest=compute_digest(base_version + 1, payload),
         change_id=change_id,
         author=author,
         summary=summary,
         at=now.isoformat(timespec="seconds"),
     )
     head = await fetch_head(platform)
-    accepted = await _find_accepted(platform, change)
+    accepted = await _find_accepted(platform, change, payload)
     if accepted is not None:
         return accepted
     if base_version > head.version:
@@ -116,7 +116,7 @@
         raise await _find_conflict(platform, base_version)
     await _check_ends(platform, document, base_version, now.date())
     await _store_object(platform, change, payload)
-    return await _move_head(platform, head, change)
+    return await _move_head(platform, head, change, payload)
 
 
 async def publish_edit(
@@ -153,7 +153,7 @@
     if change is not None:
         base = await _fetch_base(platform, change)
         try:
-            same = compute_digest(encode_document(edit(base))) == change.digest
+            same = _is_payload_of(change, encode_document(edit(base)))
         except InvalidArgumentError:
             same = False
         if not same:
@@ -226,7 +226,7 @@
 
 
 async def _move_head(
-    platform: PlatformStore, head: Head, change: Change
+    platform: PlatformStore, head: Head, change: Change, payload: bytes
 ) -> Head:
     value = encode_change(change)
     writes = (
@@ -237,25 +237,29 @@
     try:
         await platform.transact(writes)
     except TransactionRefusedError:
-        accepted = await _find_accepted(platform, change)
+        accepted = await _find_accepted(platform, change, payload)
         if accepted is None:
             raise await _find_conflict(platform, head.version) from None
         return accepted
     except PlatformWriteUnknownError:
-        accepted = await _try_find_accepted(platform, change)
+        accepted = await _try_find_accepted(platform, change, payload)
         if accepted is None:
             raise
         return accepted
     return attrs.evolve(change.to_head(), revision=head.revision + 1)
 
 
+def _is_payload_of(change: Change, payload: bytes) -> bool:
+    return compute_digest(change.version, payload) == change.digest
+
+
 async def _find_accepted(
-    platform: PlatformStore, change: Change
+    platform: PlatformStore, change: Change, payload: bytes
 ) -> Head | None:
     accepted = await fetch_change(platform, change.change_id)
     if accepted is None:
         return None
-    if accepted.digest != change.digest:
+    if not _is_payload_of(accepted, payload):
         raise ChangeIdReusedError(
             change_id=change.change_id, version=accepted.version
         )
@@ -263,11 +267,11 @@
 
 
 async def _try_find_accepted(
-    platform: PlatformStore, change: Change
+    platform: PlatformStore, change: Change, payload: bytes
 ) -> Head | None:
     """Looks for a change whose outcome is unknown; None leaves it so."""
     try:
-        return await _find_accepted(platform, change)
+        return await _find_accepted(platform, change, payload)
     except PlatformUnavailableError:
         return None
 
--- a/src/guavawing/platform/versions.py
+++ b/src/guavawing/platform/versions.py
@@ -57,7 +57,7 @@
 
     Attributes:
         version: Number of the version; 0 before the first one.
-        digest: SHA-256 digest of the document.
+        digest: SHA-256 digest of number and document.
         change_id: Id of the change that created it.
         revision: Revision of the head row; 0 where it was not read.
     """
@@ -74,7 +74,7 @@
 
     Attributes:
         version: Number of the version that it created.
-        digest: SHA-256 digest of the document.
+        digest: SHA-256 digest of number and document.
         change_id: Id of the change.
         author: Who made it.
         summary: What it does, in one line.
@@ -254,7 +254,7 @@
         raise PlatformDataInvalidError(
             f"the object of version {version} is missing"
         )
-    if compute_digest(payload) != digest:
+    if compute_digest(version, payload) != digest:
         raise PlatformDataInvalidError(
             f"the object of version {version} is damaged: its digest differs"
         )
--- a/standins/learners.py
+++ b/standins/learners.py
@@ -162,7 +162,8 @@
 
     def publish(self, payload: bytes) -> VersionId:
         """Stores a payload as the newest version, good or bad."""
-        version = VersionId(len(self.published) + 1, compute_digest(payload))
+        number = len(self.published) + 1
+        version = VersionId(number, compute_digest(number, payload))
         self._objects[version.digest] = payload
         self.published[version.number] = version.digest
         return version
--- a/standins/operators.py
+++ b/standins/operators.py
@@ -38,7 +38,7 @@
 def make_changed_document(mark: str) -> Document:
     """Returns a document that differs by `mark`."""
     document = make_newsroom_document()
-    deadline = 1_000 + int.from_bytes(compute_digest(mark.encode())[:2])
+    deadline = 1_000 + int.from_bytes(compute_digest(0, mark.encode())[:2])
     defaults = attrs.evolve(document.defaults, deadline_ms=deadline)
     return attrs.evolve(document, defaults=defaults)
 
--- a/tests/cover/distribution.feature
+++ b/tests/cover/distribution.feature
@@ -33,6 +33,14 @@
     When the fetch of "two" brings version 3
     Then version 3 is in force
 
+  Scenario: An old document under a number that nobody published is kept out
+    Given a node that enforces version 4
+    When "one" announces the document of version 3 as version 9
+    Then "one" is asked
+    When the fetch of "one" gives the document of version 3 as version 9
+    Then the fault "damaged" is reported
+    And version 4 is in force
+
   Scenario: Versions cross; the later one arrives first
     Given a node that enforces version 1
     When "one" announces version 2
--- a/tests/cover/publishing.feature
+++ b/tests/cover/publishing.feature
@@ -48,6 +48,11 @@
     Then the publisher is told "change id used"
     And the history holds "a"
 
+  Scenario: A change is known again from another base
+    When change "a" from base 0 is published with no fault
+    And change "a" from base 1 is published with no fault
+    Then the publisher is told "accepted 1"
+
   Scenario: An edit is repeated under its change id
     When an edit "a" adds exception "x"
     And an edit "b" adds exception "y"
--- a/tests/steps/distribution_steps.py
+++ b/tests/steps/distribution_steps.py
@@ -55,7 +55,8 @@
 
 
 def make_version(number, payload=None):
-    return VersionId(number, compute_digest(payload or make_payload(number)))
+    payload = payload or make_payload(number)
+    return VersionId(number, compute_digest(number, payload))
 
 
 class Invariants:
@@ -78,7 +79,7 @@
         # In force whole: it is, byte for byte, what was published under
         # this number, and the document in force is what the bytes say.
         assert self.network.published[number] == current.digest
-        assert compute_digest(current.payload) == current.digest
+        assert compute_digest(number, current.payload) == current.digest
         expected = decode_document(current.payload)
         assert current.document == expected
         assert list(current.document.routes) == list(expected.routes)
@@ -141,6 +142,24 @@
     feed(context, ev.NoticeHeard(source, make_version(number)))
 
 
+def rename_version(old, new):
+    """Returns the name of a version with the number of another."""
+    return attrs.evolve(make_version(old), number=new)
+
+
+@when('"{peer}" announces the document of version {old:d} as version {new:d}')
+def step_rename_notice(context, peer, old, new):
+    feed(context, ev.NoticeHeard(peer, rename_version(old, new)))
+
+
+@when(
+    'the fetch of "{source}" gives the document of version {old:d} as version'
+    " {new:d}"
+)
+def step_fetch_brings_renamed(context, source, old, new):
+    answer(context, source, rename_version(old, new), make_payload(old))
+
+
 @when('"{peer}" announces bad version {number:d}')
 def step_bad_notice(context, peer, number):
     version = make_version(number, make_bad_payload(number))
--- a/tests/steps/publishing_steps.py
+++ b/tests/steps/publishing_steps.py
@@ -367,8 +367,9 @@
         lines.append(f"    version {change.version}: {change.change_id}")
     text = "\n".join(lines) + "\n"
     # Digests depend on the document's encoding, which has tests of its own.
-    for change in ("spring", "ana", "bo", "bo-again", "outage"):
+    versions = {"spring": 1, "ana": 2, "bo": 2, "bo-again": 3, "outage": 4}
+    for change, version in versions.items():
         payload = encode_document(make_changed_document(change))
-        digest = compute_digest(payload).hex()[:8]
+        digest = compute_digest(version, payload).hex()[:8]
         text = text.replace(digest, f"of {change}")
     check_golden("publishing", text)
--- a/tests/steps/retention_steps.py
+++ b/tests/steps/retention_steps.py
@@ -78,7 +78,7 @@
 
 
 def name_of(version, mark):
-    return name_object(version, compute_digest(make_payload(mark)))
+    return name_object(version, compute_digest(version, make_payload(mark)))
 
 
 @given("{count:d} changes, the last {recent:d} of them within a day")
@@ -231,7 +231,7 @@
 )
 def step_far_behind(context, old, new):
     learner = Learner(random.Random(1))
-    version = VersionId(old, compute_digest(make_payload(f"c{old}")))
+    version = VersionId(old, compute_digest(old, make_payload(f"c{old}")))
     notice = NoticeHeard(PLATFORM, version, near=False)
     (fetch,) = learner.handle(notice, now=0.0)
     assert isinstance(fetch, FetchObject)
@@ -239,7 +239,7 @@
     failed = FetchFailed(fetch.fetch_id, FetchFault.WITHHELD)
     learner.handle(failed, now=0.0)
     payload = make_payload(f"c{new}")
-    newest = VersionId(new, compute_digest(payload))
+    newest = VersionId(new, compute_digest(new, payload))
     notice = NoticeHeard(PLATFORM, newest, near=False)
     (fetch,) = learner.handle(notice, now=0.0)
     assert name_object(new, newest.digest) in context.store.objects
