Check two prunes that meet in one transaction

Cause: taking out the handling of a refused transaction, or the revision that it expects, passed all scenarios of tests/cover/retention.feature.

Ruled out: two prunes stepped in turn; they did not meet, and both mutants still passed.

Conclusion: a change is removed, and counted, by one prune only.

--- a/tests/cover/retention.feature
+++ b/tests/cover/retention.feature
@@ -39,6 +39,13 @@
     And changes are kept from version 25
     And reading version 3 says "version 3 was pruned; the oldest version kept is 25"
 
+  Scenario: Two prunes at the same time
+    Given 30 changes, the last 5 of them within a day
+    When a prune is overtaken by another one before it removes changes
+    Then changes are kept from version 25
+    And documents are kept from version 25
+    And both together tell 24 changes removed
+
   Scenario: The clock of the pruning machine is ahead
     Given 30 changes, the last 5 of them within a day
     When versions are pruned by a clock that is 90 days ahead
--- a/tests/steps/retention_steps.py
+++ b/tests/steps/retention_steps.py
@@ -48,6 +48,7 @@
 FOREVER_DAYS = 1_000.0
 # Makes every version old enough, so that only their number keeps them.
 NO_DAYS = -1.0
+RULE = RetentionRule(days=1.0, last=2, changes_days=1.0)
 
 
 async def carry_out(platform, rule, *, now=NOW, dry_run=False):
@@ -140,6 +141,29 @@
     prune_store(context, last, changes_days=1.0)
 
 
+class RacingPlatform(MemoryPlatform):
+    """Lets another prune remove the changes first."""
+
+    other = None
+
+    async def transact(self, writes):
+        if len(writes) > 1 and self.other is None:
+            self.other = await carry_out(MemoryPlatform(self._store), RULE)
+        await super().transact(writes)
+
+
+@when("a prune is overtaken by another one before it removes changes")
+def step_prune_overtaken(context):
+    platform = RacingPlatform(context.store)
+    state = run(carry_out(platform, RULE))
+    context.removed = state.changes + platform.other.changes
+
+
+@then("both together tell {count:d} changes removed")
+def step_removed(context, count):
+    assert context.removed == count, context.removed
+
+
 @when("versions are pruned by a clock that is {days:d} days ahead")
 def step_prune_ahead(context, days):
     prune_store(context, 2, now=NOW + datetime.timedelta(days=days))
