--- a/src/guavawing/cli/main.py
+++ b/src/guavawing/cli/main.py
@@ -13,6 +13,7 @@
     "queries.diff:diff",
     "commands.exceptions:exception",
     "queries.history:history",
+    "commands.prune:prune",
     "commands.publish:publish",
     "queries.show:show",
     "queries.validate:validate",
--- a/src/guavawing/distribution/delta.py
+++ b/src/guavawing/distribution/delta.py
@@ -6,7 +6,6 @@
 can be wrong only by failing that check.
 """
 
-import hashlib
 import json
 from collections.abc import Iterator
 from typing import Any, TypeVar
@@ -14,6 +13,7 @@
 import attrs
 import orjson
 
+from guavawing.config import compute_chunk_digest
 from guavawing.distribution.compression import (
     compress_payload,
     decompress_payload,
@@ -200,12 +200,9 @@
     return b"".join(_encode_chunks(index))
 
 
-def compute_index_digest(index: Index) -> bytes:
-    """Returns the digest of the payload that an index was made of."""
-    state = hashlib.sha256()
-    for chunk in _encode_chunks(index):
-        state.update(chunk)
-    return state.digest()
+def compute_index_digest(number: int, index: Index) -> bytes:
+    """Returns the digest of a version whose payload an index was made of."""
+    return compute_chunk_digest(number, _encode_chunks(index))
 
 
 def _encodes_to(index: Index, payload: bytes) -> bool:
--- a/src/guavawing/distribution/keeper.py
+++ b/src/guavawing/distribution/keeper.py
@@ -45,7 +45,7 @@
 
     Attributes:
         number: Number of the version; 0 stands for none.
-        digest: SHA-256 digest of the payload.
+        digest: SHA-256 digest of number and payload.
         content: Encoded entries of the payload, or the payload itself if it
             isn't canonical and can't be made of them.
         document: The decoded document.
@@ -140,7 +140,7 @@
             delta: What turns the version in force into this one, if that is
                 known and the payload is canonical; it makes the check short.
         """
-        found = compute_digest(payload)
+        found = compute_digest(number, payload)
         if delta is None:
             return self._apply(number, digest, found, lambda: _decode(payload))
         index = patch_index(self._index, delta)
@@ -156,7 +156,7 @@
                 force.
         """
         index = patch_index(self._index, delta)
-        found = compute_index_digest(index)
+        found = compute_index_digest(number, index)
         return self._apply(number, digest, found, self._patch(delta, index))
 
     def derive_delta(self, payload: bytes) -> Delta | None:
--- a/src/guavawing/platform/publisher.py
+++ b/src/guavawing/platform/publisher.py
@@ -33,6 +33,7 @@
     InvalidArgumentError,
     PlatformUnavailableError,
     PlatformWriteUnknownError,
+    VersionPrunedError,
 )
 from guavawing.platform.client import TransactionRefusedError, Write
 from guavawing.platform.store import PlatformStore
@@ -50,6 +51,7 @@
     fetch_version,
     fetch_version_change,
     name_history_row,
+    name_object,
     parse_change_id,
 )
 
@@ -95,14 +97,14 @@
     now = now or datetime.datetime.now(datetime.UTC)
     change = Change(
         version=base_version + 1,
-        digest=compute_digest(payload),
+        digest=compute_digest(base_version + 1, payload),
         change_id=change_id,
         author=author,
         summary=summary,
         at=now.isoformat(timespec="seconds"),
     )
     head = await fetch_head(platform)
-    accepted = await _find_accepted(platform, change)
+    accepted = await _find_accepted(platform, change, payload)
     if accepted is not None:
         return accepted
     if base_version > head.version:
@@ -114,7 +116,7 @@
         raise await _find_conflict(platform, base_version)
     await _check_ends(platform, document, base_version, now.date())
     await _store_object(platform, change, payload)
-    return await _move_head(platform, head, change)
+    return await _move_head(platform, head, change, payload)
 
 
 async def publish_edit(
@@ -149,9 +151,9 @@
     head, document = await fetch_document(platform)
     change = await fetch_change(platform, change_id)
     if change is not None:
-        _, base = await fetch_version(platform, change.version - 1)
+        base = await _fetch_base(platform, change)
         try:
-            same = compute_digest(encode_document(edit(base))) == change.digest
+            same = _is_payload_of(change, encode_document(edit(base)))
         except InvalidArgumentError:
             same = False
         if not same:
@@ -172,6 +174,21 @@
     )
 
 
+async def _fetch_base(platform: PlatformStore, change: Change) -> Document:
+    try:
+        _, base = await fetch_version(platform, change.version - 1)
+    except VersionPrunedError as exc:
+        raise VersionPrunedError(
+            version=exc.version,
+            oldest=exc.oldest,
+            context=(
+                f"change id {change.change_id} was accepted as version"
+                f" {change.version}, perhaps for another edit: "
+            ),
+        ) from exc
+    return base
+
+
 def _prepare_payload(document: Document) -> bytes:
     """Encodes a document and checks its bytes as every node will.
 
@@ -201,14 +218,15 @@
     platform: PlatformStore, change: Change, payload: bytes
 ) -> None:
     try:
-        await platform.put_object(change.digest.hex(), payload)
+        name = name_object(change.version, change.digest)
+        await platform.put_object(name, payload)
     except PlatformWriteUnknownError as exc:
         # Nothing refers to the object yet, whether it is there or not.
         raise PlatformUnavailableError(str(exc)) from exc
 
 
 async def _move_head(
-    platform: PlatformStore, head: Head, change: Change
+    platform: PlatformStore, head: Head, change: Change, payload: bytes
 ) -> Head:
     value = encode_change(change)
     writes = (
@@ -219,25 +237,29 @@
     try:
         await platform.transact(writes)
     except TransactionRefusedError:
-        accepted = await _find_accepted(platform, change)
+        accepted = await _find_accepted(platform, change, payload)
         if accepted is None:
             raise await _find_conflict(platform, head.version) from None
         return accepted
     except PlatformWriteUnknownError:
-        accepted = await _try_find_accepted(platform, change)
+        accepted = await _try_find_accepted(platform, change, payload)
         if accepted is None:
             raise
         return accepted
     return attrs.evolve(change.to_head(), revision=head.revision + 1)
 
 
+def _is_payload_of(change: Change, payload: bytes) -> bool:
+    return compute_digest(change.version, payload) == change.digest
+
+
 async def _find_accepted(
-    platform: PlatformStore, change: Change
+    platform: PlatformStore, change: Change, payload: bytes
 ) -> Head | None:
     accepted = await fetch_change(platform, change.change_id)
     if accepted is None:
         return None
-    if accepted.digest != change.digest:
+    if not _is_payload_of(accepted, payload):
         raise ChangeIdReusedError(
             change_id=change.change_id, version=accepted.version
         )
@@ -245,11 +267,11 @@
 
 
 async def _try_find_accepted(
-    platform: PlatformStore, change: Change
+    platform: PlatformStore, change: Change, payload: bytes
 ) -> Head | None:
     """Looks for a change whose outcome is unknown; None leaves it so."""
     try:
-        return await _find_accepted(platform, change)
+        return await _find_accepted(platform, change, payload)
     except PlatformUnavailableError:
         return None
 
