List members in a status only when they are wanted

Cause: each status lists all members the node knows, about 2 MB at 15,000; who asks all nodes for their version would read 30 GB. Change: GET /status?members=no leaves them out, which config wait and status ask of every node but the first. With it the client needs no second bound for nodes that list them in any case, and has lost it. All of 15,000 real nodes were not run.

--- a/src/guavawing/cli/node_client.py
+++ b/src/guavawing/cli/node_client.py
@@ -20,9 +20,6 @@
 MEMBERS = "members"
 # A node lists the whole fleet, which is needed of one node only.
 WITHOUT_MEMBERS = {MEMBERS: "no"}
-# Requests at a time to nodes that send their list in any case: it takes so
-# long to read that more of them would time out here.
-MAX_CONCURRENT_LISTS = 64
 
 Status = dict[str, Any]
 
@@ -84,7 +81,6 @@
     found: dict[str, Status | None] = {}
     async with _open_session() as session:
         first = await _read_status(session, node, members=True)
-        limit = await _choose_limit(session, node)
         members = [
             member
             for member in first[MEMBERS]
@@ -99,7 +95,7 @@
 
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(until), asyncio.TaskGroup() as group:
-                for _ in range(min(limit, len(members))):
+                for _ in range(min(MAX_CONCURRENT_REQUESTS, len(members))):
                     group.create_task(ask_members())
     names = sorted(member["node"] for member in members)
     return FleetStatus(
@@ -109,22 +105,12 @@
     )
 
 
-async def _choose_limit(session: aiohttp.ClientSession, node: Address) -> int:
-    """Returns how many nodes are asked at a time."""
-    if MEMBERS in await _read_status(session, node, members=False):
-        return MAX_CONCURRENT_LISTS
-    return MAX_CONCURRENT_REQUESTS
-
-
 async def _ask(session: aiohttp.ClientSession, member: Status) -> Status | None:
     try:
         address = parse_address(member["admin"])
-        status = await _read_status(session, address, members=False)
+        return await _read_status(session, address, members=False)
     except ControlError:
         return None
-    # Kept of each node, the lists would grow with the square of the fleet.
-    status.pop(MEMBERS, None)
-    return status
 
 
 async def send_drain(node: Address, *, draining: bool) -> None:
--- a/src/guavawing/node/admin_server.py
+++ b/src/guavawing/node/admin_server.py
@@ -16,6 +16,7 @@
 MAX_CONNECTIONS = 64
 
 Tree = dict[str, object]
+Route = Callable[[web.BaseRequest], web.Response]
 
 
 @attrs.frozen(kw_only=True)
@@ -24,12 +25,14 @@
 
     Attributes:
         read_status: Returns the state of the node as a JSON tree.
+        list_members: Returns the members that the node knows.
         is_ready: Returns whether the node takes calls.
         set_draining: Starts or ends a drain of the target.
         update_gauges: Brings gauges up to date before they are scraped.
     """
 
     read_status: Callable[[], Tree]
+    list_members: Callable[[], list[Tree]]
     is_ready: Callable[[], bool]
     set_draining: Callable[[bool], None]
     update_gauges: Callable[[], None]
@@ -48,13 +51,13 @@
     def __init__(self, actions: AdminActions, metrics: Metrics) -> None:
         self._actions = actions
         self.metrics = metrics
-        self._routes: dict[tuple[str, str], Callable[[], web.Response]] = {
-            ("GET", "/status"): lambda: _respond(actions.read_status()),
-            ("GET", "/healthz"): lambda: _respond({"alive": True}),
+        self._routes: dict[tuple[str, str], Route] = {
+            ("GET", "/status"): self._answer_status,
+            ("GET", "/healthz"): lambda _: _respond({"alive": True}),
             ("GET", "/readyz"): self._answer_readiness,
             ("GET", "/metrics"): self._answer_metrics,
-            ("POST", "/drain"): lambda: self._set_draining(True),
-            ("DELETE", "/drain"): lambda: self._set_draining(False),
+            ("POST", "/drain"): lambda _: self._set_draining(True),
+            ("DELETE", "/drain"): lambda _: self._set_draining(False),
         }
 
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
@@ -65,13 +68,24 @@
             return _respond(
                 {"error": f"got {req.path!r}, expected one of {paths}"}, 404
             )
-        return route()
+        return route(req)
 
-    def _answer_readiness(self) -> web.Response:
+    def _answer_status(self, req: web.BaseRequest) -> web.Response:
+        """Answers with the members too, unless they are not wanted.
+
+        Whoever asks every node needs the list of one only, and the lists of
+        all grow with the square of the fleet.
+        """
+        tree = self._actions.read_status()
+        if req.query.get("members") != "no":
+            tree["members"] = self._actions.list_members()
+        return _respond(tree)
+
+    def _answer_readiness(self, _: web.BaseRequest) -> web.Response:
         ready = self._actions.is_ready()
         return _respond({"ready": ready}, 200 if ready else 503)
 
-    def _answer_metrics(self) -> web.Response:
+    def _answer_metrics(self, _: web.BaseRequest) -> web.Response:
         self._actions.update_gauges()
         payload, headers = self.metrics.render()
         return web.Response(body=payload, headers=headers)
--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -174,6 +174,7 @@
         )
         actions = AdminActions(
             read_status=self._read_status,
+            list_members=self._list_members,
             is_ready=self._is_ready,
             set_draining=self._set_draining,
             update_gauges=self._update_gauges,
@@ -273,19 +274,21 @@
                 str(number): why
                 for number, why in self._distributor.rejections.items()
             },
-            "members": [
-                {
-                    "node": member.id,
-                    "state": member.state.name.lower(),
-                    "serving": member.serving,
-                    "data_centre": member.data_centre,
-                    "service": member.service,
-                    "admin": str(member.admin),
-                }
-                for member in self._gossip.table
-            ],
         }
 
+    def _list_members(self) -> list[dict[str, Any]]:
+        return [
+            {
+                "node": member.id,
+                "state": member.state.name.lower(),
+                "serving": member.serving,
+                "data_centre": member.data_centre,
+                "service": member.service,
+                "admin": str(member.admin),
+            }
+            for member in self._gossip.table
+        ]
+
 
 def _describe_node(settings: Settings, incarnation: int) -> Member:
     return Member(
--- a/tests/processes/logs.feature
+++ b/tests/processes/logs.feature
@@ -29,3 +29,7 @@
   Scenario: The death of a member is logged
     When "feed-bergen-1" is killed
     Then within 19 s the log of "desk-bergen-1" tells the death of "feed-bergen-1"
+
+  Scenario: The members are listed only when they are wanted
+    Then the status of "desk-bergen-1" at "/status" lists members
+    And the status of "desk-bergen-1" at "/status?members=no" lists no members
--- a/tests/steps/log_steps.py
+++ b/tests/steps/log_steps.py
@@ -94,3 +94,10 @@
             series.add(line.partition("{")[0].partition(" ")[0])
     assert "guavawing_config_version" in series, series
     assert series <= told["HELP"] & told["TYPE"], series
+
+
+@then('the status of "{node}" at "{path}" lists {what}')
+def step_lists_members(context, node, path, what):
+    url = f"http://{context.fleet.nodes[node].admin}{path}"
+    _, text = context.run(fetch(context, url))
+    assert ("members" in orjson.loads(text)) == (what == "members"), text
