Take a raised incarnation everywhere at once and run one process an id

Cause: owner side, key table and mesh hello kept the incarnation of the first second. A node that later heard of a higher one of itself raised only its membership record, so entry nodes held every key that it gave out for one of a replaced process. Two live processes under one id refuted each other without end; the older was not even told, as nobody sends to its address.

Ruled out: refusing the claim (members believe no lower number); stopping at the first claim (one false datagram would stop a node); a process number in every record (the key epoch tells processes apart). The incarnation alone can't: two processes that refute each other may come to the same one, and a key would begin at both.

Change: rival.py counts newer records of one's own id; the third within 60 s, after the first 5 s, is proof of a second process. That node refutes nothing more, drains and ends with exit code 8. Members tell a sender at an unknown address the record they hold of its id. Otherwise the node raises its incarnation in the key table and in hellos before a datagram tells of it; the table goes on deciding its earlier keys. Each process counts key epochs from a random number of 40 bits.

Keys asked for before a raise and calls in flight at that moment may still end as may-have-run.

--- a/bench/gossip_driver.py
+++ b/bench/gossip_driver.py
@@ -120,7 +120,11 @@
         self._numbers = itertools.count()
 
     def add(self, member: Member, seeds: Iterable[Address] = ()) -> Node:
-        """Starts a process; one of the same id and address is replaced."""
+        """Starts a process; one of the same id and address is replaced.
+
+        One of the same id at another address goes on, but `nodes` names the
+        new one.
+        """
         gossip = Gossip(
             member,
             seeds,
@@ -129,7 +133,7 @@
         )
         gossip.set_notice(NOTICE)
         old = self.nodes.get(member.id)
-        if old is not None:
+        if old is not None and old.gossip.me.control == member.control:
             old.up = False
         node = Node(gossip)
         self.nodes[member.id] = node
--- a/bench/key_history.py
+++ b/bench/key_history.py
@@ -3,7 +3,9 @@
 Callers send requests, some of them several times, through entry nodes that
 run `KeyedCall`; owners run `KeyTable`. Frames are delivered late and out of
 order, answers are lost, owners are replaced, the platform fails, time passes.
-A history is the same for the same seed.
+In a contested history owners also raise their incarnation, and a second
+process under an owner's name takes part. A history is the same for the same
+seed.
 """
 
 import itertools
@@ -43,6 +45,8 @@
 DEADLINE = 0.02
 ANSWER_LOST = 0.4
 REPLACED = 0.1
+RAISED = 0.3
+FIRST_EPOCHS = 2**40
 
 Execution = tuple[int, BoundKey]
 
@@ -83,14 +87,21 @@
     """An owner process over the real key table, and its target."""
 
     def __init__(
-        self, name: str, incarnation: int, executions: list[Execution]
+        self,
+        name: str,
+        incarnation: int,
+        executions: list[Execution],
+        first_epoch: int = 0,
     ) -> None:
         self.name = name
         self.incarnation = incarnation
         self.waiting: dict[BoundKey, list[_Copy]] = {}
         self._executions = executions
         self._table = KeyTable(
-            incarnation=incarnation, now=0.0, max_entries=MAX_ENTRIES
+            incarnation=incarnation,
+            now=0.0,
+            first_epoch=first_epoch,
+            max_entries=MAX_ENTRIES,
         )
         self._nonces = itertools.count(1)
 
@@ -99,6 +110,10 @@
         nonce = str(next(self._nonces))
         return BoundKey(self.name, self.incarnation, epoch, nonce)
 
+    def raise_incarnation(self) -> None:
+        self.incarnation += 1
+        self._table.raise_incarnation(self.incarnation)
+
     def take(self, copy: _Copy, now: float, accepts: bool) -> None:
         """Takes a copy; `accepts` is whether admission gives it a slot."""
         key = copy.key
@@ -130,7 +145,7 @@
         sendings: Every sending with its verdict.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, *, contested: bool = False) -> None:
         self.executions: list[Execution] = []
         self.sendings: list[Sending] = []
         self._rng = random.Random(seed)
@@ -138,6 +153,13 @@
         self._owners = {
             name: _Owner(name, 1, self.executions) for name in ("x", "y")
         }
+        # Second processes by name.
+        self._rivals = {
+            name: _Owner(
+                name, 1, self.executions, self._rng.randrange(FIRST_EPOCHS)
+            )
+            for name in (self._owners if contested else ())
+        }
         # Bound keys by request.
         self._claims: dict[int, BoundKey] = {}
         self._copies: list[_Copy] = []
@@ -153,6 +175,7 @@
             self._lose,
             *[self._finish] * 2,
             self._replace,
+            *[self._raise for _ in self._rivals],
         )
         for _ in range(events):
             self._now += self._rng.choice(STEPS_S)
@@ -173,7 +196,7 @@
         if source is not KeySource.MINTED:
             count = self._rng.randint(1, MAX_SENDINGS)
         if source is KeySource.BOUND:
-            key = self._owners["x"].mint(self._now)
+            key = self._locate("x").mint(self._now)
         for _ in range(count):
             machine = KeyedCall(source, key)
             self.sendings.append(Sending(request, machine, machine.start()))
@@ -229,7 +252,7 @@
             self._end(sending)
 
     def _mint(self, sending: Sending) -> None:
-        owner = self._pick(self._owners.values())
+        owner = self._pick_owner()
         if owner is None or self._happens(NO_OWNER):
             reason = Reason.NO_TARGET
             sending.step = sending.machine.take_no_owner(reason)
@@ -244,7 +267,7 @@
 
     def _ask(self, sending: Sending, key: BoundKey) -> None:
         machine = sending.machine
-        is_replaced = self._owners[key.owner].incarnation != key.incarnation
+        is_replaced = self._locate(key.owner).incarnation != key.incarnation
         if is_replaced and self._happens(0.5):
             sending.step = machine.take_gone(Reason.OWNER_REPLACED)
         elif self._happens(UNSENT):
@@ -259,7 +282,8 @@
         if copy is not None:
             self._copies.remove(copy)
             accepts = self._happens(ACCEPTED)
-            self._owners[copy.key.owner].take(copy, self._now, accepts)
+            owner = self._locate(copy.key.owner)
+            owner.take(copy, self._now, accepts)
 
     def _answer(self) -> None:
         for sending in self.sendings:
@@ -277,7 +301,7 @@
             sending.step = sending.machine.take_lost()
 
     def _finish(self) -> None:
-        owner = self._pick(self._owners.values())
+        owner = self._pick_owner()
         key = None if owner is None else self._pick(owner.waiting)
         if owner is not None and key is not None:
             broke = MayHaveRun(Reason.TARGET_BROKE)
@@ -290,6 +314,21 @@
                 old.name, old.incarnation + 1, self.executions
             )
 
+    def _raise(self) -> None:
+        owner = self._pick_owner()
+        if owner is not None and self._happens(RAISED):
+            owner.raise_incarnation()
+
+    def _pick_owner(self) -> _Owner | None:
+        owner = self._pick(self._owners.values())
+        return None if owner is None else self._locate(owner.name)
+
+    def _locate(self, name: str) -> _Owner:
+        """Returns the process that an entry node takes for an owner."""
+        if name in self._rivals and self._happens(0.5):
+            return self._rivals[name]
+        return self._owners[name]
+
     def _end(self, sending: Sending) -> None:
         step = sending.step
         if isinstance(step, Conclude):
--- a/src/guavawing/cli/exits.py
+++ b/src/guavawing/cli/exits.py
@@ -13,6 +13,7 @@
     ControlError,
     GuavawingError,
     InvalidArgumentError,
+    NodeReplacedError,
     PlatformUnavailableError,
     PlatformWriteUnknownError,
     SettingsInvalidError,
@@ -32,6 +33,7 @@
     UNKNOWN_OUTCOME = 5
     INVALID_CONFIG = 6
     BEHIND = 7
+    REPLACED = 8
     INTERRUPTED = 130
 
 
@@ -94,6 +96,12 @@
                 text,
                 "repeat it with the same --change-id",
             )
+        case NodeReplacedError():
+            return Failure(
+                ExitCode.REPLACED,
+                text,
+                "run one process an id; don't start this one again",
+            )
         case ControlError():
             return Failure(
                 ExitCode.UNAVAILABLE,
--- a/src/guavawing/cli/main.py
+++ b/src/guavawing/cli/main.py
@@ -33,7 +33,7 @@
 
     Exit codes: 0 done, 1 other failure, 2 bad usage, 3 conflict, 4 no answer
     and nothing done, 5 outcome unknown, 6 invalid configuration, 7 nodes
-    behind, 130 interrupted.
+    behind, 8 node replaced, 130 interrupted.
     """
 
 
--- a/src/guavawing/errors.py
+++ b/src/guavawing/errors.py
@@ -12,6 +12,7 @@
     "GuavawingError",
     "InvalidArgumentError",
     "MessageInvalidError",
+    "NodeReplacedError",
     "PlatformDataInvalidError",
     "PlatformError",
     "PlatformUnavailableError",
@@ -52,6 +53,21 @@
     """Raised when bytes from a peer or a caller are not a valid message."""
 
 
+class NodeReplacedError(GuavawingError):
+    """Raised when a node stopped for another process under its id.
+
+    Attributes:
+        node_id: The id.
+    """
+
+    def __init__(self, node_id: str) -> None:
+        super().__init__(
+            f"another process runs under node id {node_id}; this one, as a"
+            " rule the older, has finished its calls and stopped"
+        )
+        self.node_id = node_id
+
+
 class ControlError(GuavawingError):
     """Raised when a control request to another node fails."""
 
--- a/src/guavawing/membership/gossip.py
+++ b/src/guavawing/membership/gossip.py
@@ -87,6 +87,14 @@
         """Whether a member of the data centre has told its whole state."""
         return self._exchange.joined
 
+    @property
+    def replaced(self) -> bool:
+        """Whether another process lives under this id; never unset.
+
+        This one has to stop: it refutes nothing any more.
+        """
+        return self._roster.rival.found
+
     @property
     def health_score(self) -> int:
         """How far this node doubts its own timing; 0 if not at all."""
@@ -228,6 +236,7 @@
         """Compares the time with the last event to find a late process."""
         last, self._seen_at = self._seen_at, now
         if last is None:
+            self._roster.rival.start(now=now)
             return
         gap_s = now - last
         if gap_s > STALL_PERIODS * self._period_s:
@@ -295,15 +304,18 @@
 
     def _pack(self, outgoing: Iterable[Outgoing]) -> list[Send]:
         return [
-            Send(address, self._fill(body, receiver))
+            Send(address, self._fill(body, receiver, address))
             for address, receiver, body in outgoing
         ]
 
-    def _fill(self, body: Body, receiver: MemberId) -> Datagram:
+    def _fill(
+        self, body: Body, receiver: MemberId, address: Address
+    ) -> Datagram:
         """Returns a datagram with what its receiver should hear.
 
         A receiver that is suspected or held dead is told so first, since
-        only it can refute that.
+        only it can refute that. One that is known at another address is
+        told the record that is held of its id, maybe of a second process.
         """
         room = MAX_DATAGRAM_BYTES - HEAD_BYTES
         claim = self._roster.describe_claim(receiver)
@@ -311,10 +323,14 @@
         if claim is not None:
             updates.append(claim)
             room -= estimate_bytes(claim)
+        known = self.table.get(receiver)
+        if known is not None and known.control != address:
+            updates.append(known)
+            room -= estimate_bytes(known)
         if self._has_news():
             members = len(self._roster.running()) + 1
             news = self._roster.rumours.take(max_bytes=room, members=members)
-            updates += [update for update in news if update != claim]
+            updates += [update for update in news if update not in updates]
         return self._make_datagram(body, updates)
 
     def _pack_reads(self, reads: Iterable[SyncSend]) -> list[Send]:
--- a/src/guavawing/membership/roster.py
+++ b/src/guavawing/membership/roster.py
@@ -18,6 +18,7 @@
     MemberState,
 )
 from guavawing.membership.message import Claim, SummaryAge
+from guavawing.membership.rival import RivalDetector
 from guavawing.membership.rumours import RumourQueue
 from guavawing.membership.suspicion import Suspicion
 from guavawing.membership.table import MemberTable
@@ -40,6 +41,7 @@
         health: How far this member trusts its own timing.
         newcomers: Members of this data centre that became known or returned
             since the owner last emptied the list.
+        rival: Whether another process lives under this node's id.
     """
 
     def __init__(self, me: Member, *, period_s: float) -> None:
@@ -52,6 +54,7 @@
         self.outbound: dict[MemberId, Member | Claim] = {}
         self.health = LocalHealth()
         self.newcomers: list[MemberId] = []
+        self.rival = RivalDetector()
         self._publish_me()
 
     @property
@@ -101,7 +104,7 @@
     def take_record(self, record: Member, *, now: float, spread: bool) -> None:
         """Takes a record that a member made of itself."""
         if record.id == self._me.id:
-            self._check_own_record(record)
+            self._check_own_record(record, now)
             return
         known = self.table.get(record.id)
         if known is None and not record.running:
@@ -175,13 +178,14 @@
         self.table.merge(self._me)
         self._spread(self._me, self._me.data_centre)
 
-    def _check_own_record(self, record: Member) -> None:
+    def _check_own_record(self, record: Member, now: float) -> None:
         if record.version() < self._me.version():
             return
         state = self._me.state
-        if attrs.evolve(record, state=state) != self._me or (
-            record.state > state
-        ):
+        foreign = attrs.evolve(record, state=state) != self._me
+        if foreign:
+            self.rival.take_foreign_record(now=now)
+        if foreign or record.state > state:
             self._rise_above(record.version())
 
     def _check_own_claim(self, claim: Claim) -> None:
@@ -193,6 +197,9 @@
         self._rise_above(claim.version())
 
     def _rise_above(self, version: tuple[int, int]) -> None:
+        if self.rival.found:
+            # The id is the other process's now.
+            return
         incarnation, sequence = version
         if incarnation > self._me.incarnation:
             # Made by an earlier process of this id, when the wall clock of
--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -11,6 +11,7 @@
 import attrs
 
 from guavawing.distribution import Version
+from guavawing.errors import NodeReplacedError
 from guavawing.membership import Gossip, Member, MemberState, Notice
 from guavawing.node.admin_server import (
     AdminActions,
@@ -62,6 +63,12 @@
         self._metrics = Metrics()
         self._draining = False
         self._healthy = False
+        self._replaced = asyncio.Event()
+
+    @property
+    def replaced(self) -> bool:
+        """Whether another process has taken over this node's id."""
+        return self._replaced.is_set()
 
     async def start(self) -> None:
         """Opens every part; the caller side comes last."""
@@ -72,18 +79,18 @@
         )
         await self._join(platform)
         me = self._gossip.me
-        self._incarnation = me.incarnation
         self._target = await enter(
             open_target_client(settings.target, connections=0)
         )
         self._owner = await enter(
             open_owner(
                 member_id=me.id,
-                incarnation=self._incarnation,
+                incarnation=me.incarnation,
                 target=self._target,
                 metrics=self._metrics,
             )
         )
+        self._gossip_task.watch_identity(self._take_identity)
         self._distributor = Distributor(
             platform=platform,
             table=self._gossip.table,
@@ -130,7 +137,7 @@
         pool = await enter(
             open_mesh_pool(
                 member_id=me.id,
-                incarnation=self._incarnation,
+                incarnation=me.incarnation,
                 source=settings.mesh.host,
                 on_load=lambda *load: self._entry.take_load(*load),
             )
@@ -148,7 +155,6 @@
             owner=self._owner,
             policies=self._distributor.policies,
             member_id=me.id,
-            incarnation=self._incarnation,
         )
         mesh_address = settings.listen_mesh or settings.mesh
         await enter(open_mesh_server(self._mesh, mesh_address, self._metrics))
@@ -180,10 +186,12 @@
         )
         admin = AdminServer(actions, self._metrics)
         await enter(open_admin_server(admin, settings.admin))
-        health = asyncio.get_running_loop().create_task(self._watch_target())
-        self._stack.callback(health.cancel)
+        loop = asyncio.get_running_loop()
+        for watch in (self._watch_target(), self._stop_if_replaced()):
+            self._stack.callback(loop.create_task(watch).cancel)
         _settle_garbage_collector()
-        log("info", "start", node=me.id, incarnation=self._incarnation)
+        incarnation = self._owner.incarnation
+        log("info", "start", node=me.id, incarnation=incarnation)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Drains the target, finishes the calls in flight and leaves."""
@@ -202,6 +210,27 @@
             self._gossip_task.leave()
             await self._stack.aclose()
 
+    def _take_identity(self, incarnation: int, replaced: bool) -> None:
+        """Takes what the members hold of this node's id."""
+        if incarnation != self._owner.incarnation:
+            log(
+                "warning",
+                "incarnation-raised",
+                node=self._settings.node_id,
+                before=self._owner.incarnation,
+                incarnation=incarnation,
+            )
+            self._owner.raise_incarnation(incarnation)
+        if replaced and not self._replaced.is_set():
+            rival = self._settings.node_id
+            log("error", "replaced", node=rival, incarnation=incarnation)
+            self._owner.start_draining()
+            self._replaced.set()
+
+    async def _stop_if_replaced(self) -> None:
+        await self._replaced.wait()
+        asyncio.get_running_loop().stop()
+
     def _apply_version(self, version: Version) -> None:
         """Applies the limits of a new version to the target."""
         policies = self._distributor.policies()
@@ -216,6 +245,8 @@
         self._update_serving()
 
     def _set_draining(self, draining: bool) -> None:
+        # The id's calls are for the other process.
+        draining |= self.replaced
         self._draining = draining
         log("info", "drain", node=self._gossip.me.id, draining=draining)
         if draining:
@@ -315,14 +346,21 @@
 
 
 def run_node(settings: Settings) -> None:
-    """Runs a node until it gets SIGTERM or SIGINT."""
+    """Runs a node until it gets SIGTERM or SIGINT.
+
+    Raises:
+        NodeReplacedError: If another process has taken over the node's id.
+    """
+    node = Node(settings)
     with (
         open_logs(file=settings.log_file, level=settings.log_level),
         aiomisc.entrypoint(
-            Node(settings),
+            node,
             log_config=False,
             pool_size=1,
             shutdown_timeout=settings.drain_timeout_s + STOP_MARGIN_S,
         ) as loop,
     ):
         loop.run_forever()
+    if node.replaced:
+        raise NodeReplacedError(settings.node_id)
--- a/src/guavawing/node/gossip_task.py
+++ b/src/guavawing/node/gossip_task.py
@@ -35,6 +35,8 @@
 REPORT_TICKS = 25
 
 NoticeListener = Callable[[str, Notice], None]
+# Takes the incarnation of this process and whether it has been replaced.
+IdentityListener = Callable[[int, bool], None]
 
 
 class GossipTask(asyncio.DatagramProtocol):
@@ -49,6 +51,8 @@
         self._metrics = metrics
         self._transport: asyncio.DatagramTransport | None = None
         self._on_notice: NoticeListener | None = None
+        self._on_identity: IdentityListener | None = None
+        self._identity: tuple[int, bool] | None = None
         self._limiter = PeerLimiter(now=self._loop.time())
         self._dead: set[str] = set()
 
@@ -56,6 +60,15 @@
         """Sets who is told of the versions that other members enforce."""
         self._on_notice = on_notice
 
+    def watch_identity(self, on_identity: IdentityListener) -> None:
+        """Sets who takes the incarnation, now and before others hear of one.
+
+        So a node's keys and connections never carry an older incarnation
+        than the one that the others know.
+        """
+        self._on_identity = on_identity
+        self._tell_identity()
+
     def set_notice(self, notice: Notice) -> None:
         """Tells a few members at once of the version in force here."""
         self._gossip.set_notice(notice)
@@ -122,7 +135,14 @@
         if self._on_notice is not None and datagram.notice.version:
             self._on_notice(datagram.sender, datagram.notice)
 
+    def _tell_identity(self) -> None:
+        identity = (self._gossip.me.incarnation, self._gossip.replaced)
+        if self._on_identity is not None and identity != self._identity:
+            self._identity = identity
+            self._on_identity(*identity)
+
     def _send(self, sends: Sequence[Send]) -> None:
+        self._tell_identity()
         if self._transport is None:
             return
         for send in sends:
--- a/src/guavawing/node/mesh_server.py
+++ b/src/guavawing/node/mesh_server.py
@@ -58,13 +58,11 @@
         owner: Owner,
         policies: PolicySource,
         member_id: str,
-        incarnation: int,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._owner = owner
         self._policies = policies
         self._member_id = member_id
-        self._incarnation = incarnation
         self._connections: set[_Connection] = set()
         # Bytes of answers that wait on all connections.
         self.total = ByteCount()
@@ -104,7 +102,7 @@
         """Returns the first frame of a connection, or a later one."""
         return build_hello(
             self._member_id,
-            self._incarnation,
+            self._owner.incarnation,
             self._owner.load(),
             now=self._loop.time(),
         )
--- a/src/guavawing/node/owner.py
+++ b/src/guavawing/node/owner.py
@@ -30,6 +30,9 @@
 __all__ = ["Owner", "open_owner"]
 
 EXPIRY_PERIOD_S = 0.05
+# Processes of one node start their key epochs at random numbers this large,
+# which tells their keys apart even if they took the same incarnation.
+EPOCH_BITS = 40
 # How long a slot stays taken after a connection broke without an answer: a
 # target needs this time at most to see the break and end its work.
 BROKEN_CONNECTION_GRACE_S = 1.0
@@ -77,11 +80,14 @@
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._member_id = member_id
-        self._incarnation = incarnation
         self._target = target
         self._metrics = metrics
         self._admission = Admission(slots=0, queue_limit=0)
-        self._keys = KeyTable(incarnation=incarnation, now=self._loop.time())
+        self._keys = KeyTable(
+            incarnation=incarnation,
+            now=self._loop.time(),
+            first_epoch=secrets.randbits(EPOCH_BITS),
+        )
         self.spent_calls = SpentCalls()
         self._ids = itertools.count(1)
         self._calls: dict[int, _Call] = {}
@@ -100,6 +106,15 @@
             key_epoch=self._keys.epoch(now=self._loop.time()),
         )
 
+    @property
+    def incarnation(self) -> int:
+        """The incarnation that new keys carry."""
+        return self._keys.incarnation
+
+    def raise_incarnation(self, incarnation: int) -> None:
+        """Takes a higher incarnation of this process; its keys stay good."""
+        self._keys.raise_incarnation(incarnation)
+
     @property
     def abandoned(self) -> int:
         """Calls that hold a slot and that nobody waits for."""
@@ -129,7 +144,7 @@
         """Returns a new key bound to this owner."""
         return BoundKey(
             self._member_id,
-            self._incarnation,
+            self._keys.incarnation,
             self._keys.epoch(now=self._loop.time()),
             secrets.token_urlsafe(NONCE_BYTES),
         )
--- a/src/guavawing/policy/key_table.py
+++ b/src/guavawing/policy/key_table.py
@@ -20,6 +20,11 @@
 room would not be final: a second copy of the request, still in a socket,
 could find room later and begin.
 
+A process may have to take a higher incarnation while it runs. Its keys stay
+its own: it goes on deciding those that carry an earlier one. Which process a
+key belongs to is told by its epoch, since each process counts from a random
+number: another process that took the same incarnation knows none of them.
+
 Answers are kept up to a size each and a size in all. An answer that is not
 kept leaves its entry behind, which still says that the key has run.
 """
@@ -117,10 +122,11 @@
 
 
 class KeyTable:
-    """Outcomes of the bound keys of one owner incarnation."""
+    """Outcomes of the bound keys of one owner process."""
 
     __slots__ = (
         "_epochs",
+        "_first_incarnation",
         "_first_kept",
         "_first_open",
         "_incarnation",
@@ -138,16 +144,18 @@
         *,
         incarnation: int,
         now: float,
+        first_epoch: int = 0,
         max_entries: int = MAX_ENTRIES,
         max_kept_bytes: int = MAX_KEPT_BYTES,
     ) -> None:
+        self._first_incarnation = incarnation
         self._incarnation = incarnation
         self._max_entries = max_entries
         self._max_kept_bytes = max_kept_bytes
-        self._number = 0
+        self._number = first_epoch
         self._started_at = now
-        self._first_open = 0
-        self._first_kept = 0
+        self._first_open = first_epoch
+        self._first_kept = first_epoch
         # Only epochs with entries, oldest first.
         self._epochs: OrderedDict[int, _Epoch] = OrderedDict()
         self._size = 0
@@ -158,6 +166,15 @@
     def __len__(self) -> int:
         return self._size
 
+    @property
+    def incarnation(self) -> int:
+        """The incarnation that new keys carry."""
+        return self._incarnation
+
+    def raise_incarnation(self, incarnation: int) -> None:
+        """Takes a higher incarnation of this process."""
+        self._incarnation = max(self._incarnation, incarnation)
+
     @property
     def kept_bytes(self) -> int:
         """Bytes of the answers that are kept."""
@@ -184,7 +201,7 @@
                 for two different requests.
             now: Event loop's time, in seconds.
         """
-        if key.incarnation != self._incarnation:
+        if not self._first_incarnation <= key.incarnation <= self._incarnation:
             return Reject(MayHaveRun(Reason.OWNER_REPLACED))
         self.epoch(now=now)
         self._drop_epochs(now)
--- a/standins/silent_peers.py
+++ b/standins/silent_peers.py
@@ -18,11 +18,13 @@
     """Takes every call and answers none; records what it refused.
 
     Attributes:
+        incarnation: Incarnation of its process.
         refused: Keys of the calls that it was told to refuse.
         futs: Futures of the answers that it owes.
     """
 
     def __init__(self) -> None:
+        self.incarnation = 1
         self.refused: list[BoundKey | None] = []
         self.futs: list[asyncio.Future[Answer]] = []
 
--- a/tests/cover/keys.feature
+++ b/tests/cover/keys.feature
@@ -85,3 +85,6 @@
 
   Scenario: Random deliveries, losses, refusals and restarts
     Then 1000 random histories keep the rules
+
+  Scenario: Raised incarnations and second processes under an owner's id
+    Then 500 random histories with second processes keep the rules
--- a/tests/cover/membership.feature
+++ b/tests/cover/membership.feature
@@ -72,6 +72,19 @@
     And "desk-bergen-1" starts again with incarnation 7
     Then within 5 s all know "desk-bergen-1" alive with incarnation 901
 
+  Scenario Outline: Of two processes under one id the older one stops
+    Given <count> members of one data centre
+    When "desk-bergen-1" starts at another address with incarnation <number>
+    Then within 15 s the older process of "desk-bergen-1" has to stop
+    And "desk-bergen-1" does not take itself for replaced
+    And within 5 s everybody is held alive again by all
+
+    Examples: the newer one by a clock that is right, and one that is behind
+      | count | number |
+      | 12    | 50     |
+      | 60    | 50     |
+      | 12    | 0      |
+
   Scenario: A rolling restart of all ends with all
     Given 12 members of one data centre
     When all members restart one after the other, 3 s apart
@@ -115,6 +128,7 @@
     When a broken peer says of "desk-bergen-1" what is not true
     Then within 5 s everybody is held alive again by all
     And "desk-bergen-1" is known to all as it is
+    And "desk-bergen-1" does not take itself for replaced
 
   Scenario: A peer can't fill the table
     Given 3 members of one data centre
--- a/tests/cover/owner.feature
+++ b/tests/cover/owner.feature
@@ -17,6 +17,23 @@
     And the target was given 1 calls
     And after the grace the target was given 2 calls
 
+  Scenario: A key stays good when its owner takes a higher incarnation
+    Given an owner with 1 slot whose target works until told to end
+    When a call with a key and 30 s left runs
+    And the owner takes incarnation 7
+    And a second caller sends the same key
+    And the target ends every call
+    Then the other caller's call was run
+    And the target was given 1 calls
+    And new keys carry incarnation 7
+
+  Scenario: Two processes that took the same incarnation share no key
+    Given an owner with 1 slot whose target works until told to end
+    When a call with a key and 30 s left runs
+    And the key comes to another process of the same id and incarnation
+    Then the other caller is told that its call may have run
+    And the target was given 1 calls
+
   Scenario: A caller is answered at its deadline and a repeat gets the true end
     Given an owner with 1 slot whose target works until told to end
     When a call with a key and 0.1 s left runs
--- a/tests/processes/membership.feature
+++ b/tests/processes/membership.feature
@@ -20,6 +20,19 @@
     When node "desk-bergen-2" has its target undrained
     Then within 3 s every node offers all 8 targets
 
+  Scenario: A node that hears of a higher incarnation of itself keeps its keys
+    When a broken peer tells "desk-bergen-1" of a higher incarnation of itself
+    And 3 s go by
+    Then within 19 s every node offers all 8 targets
+    And 40 publishes through "feed-bergen-1" have run
+
+  Scenario: A second process under one id is the replacement of the first
+    When a second process "desk-voss-1" starts at other addresses
+    Then the first one ends within 19 s with exit code 8
+    And its log says at level "error" that it was replaced
+    And within 19 s every node offers all 8 targets
+    And 40 publishes through "feed-voss-1" have run
+
   Scenario: Half of the nodes are killed while the platform is down
     When the platform is down
     And half of the nodes are killed
--- a/tests/steps/bound_steps.py
+++ b/tests/steps/bound_steps.py
@@ -85,7 +85,6 @@
         owner=context.owner,
         policies=lambda: POLICIES,
         member_id="owner",
-        incarnation=1,
     )
     context.mesh_server = server
     async with (
--- a/tests/steps/key_steps.py
+++ b/tests/steps/key_steps.py
@@ -187,13 +187,18 @@
             assert not runs, (verdicts, runs)
 
 
+@then("{count:d} random histories with second processes keep the rules")
+def step_contested(context, count):
+    step_histories(context, count, contested=True)
+
+
 @then("{count:d} random histories keep the rules")
-def step_histories(context, count):
+def step_histories(context, count, *, contested=False):
     seen = {"executions": 0, "not-run": 0, "may-have-run": 0, "ran": 0}
 
     @check_examples(count, st.integers(0, 2**32))
     def check(seed):
-        history = History(seed)
+        history = History(seed, contested=contested)
         history.run(events=200)
         check_history(history)
         seen["executions"] += len(history.executions)
--- a/tests/steps/membership_process_steps.py
+++ b/tests/steps/membership_process_steps.py
@@ -1,13 +1,22 @@
 """Steps that kill, freeze and start nodes as processes."""
 
 import signal
+import socket
 import time
+import uuid
 
+import attrs
+import orjson
 from behave import then, when
 
+from guavawing.membership import Datagram, Member, MemberState, Notice, Push
 from guavawing.model import parse_address
+from guavawing.node.datagrams import encode_datagram
 from guavawing.platform.client import open_platform
 from guavawing.platform.seeds import fetch_seeds
+from standins.cluster import Process
+from standins.records import count_executions
+from tests.support import PUBLISH, start_call
 
 POLL_S = 0.1
 
@@ -20,7 +29,7 @@
     node = pick(context, name)
     fleet = context.fleet
     context.run(node.node.start(log=fleet.log_of(node, "node")))
-    context.down.discard(name)
+    down(context).discard(name)
 
 
 @when('node "{name}" is killed')
@@ -119,6 +128,76 @@
     context.run(send())
 
 
+@when('a broken peer tells "{name}" of a higher incarnation of itself')
+def step_tell_higher(context, name):
+    node = pick(context, name)
+    status = context.run(context.fleet.get(node.admin, "/status"))
+    mesh, control, admin = map(
+        parse_address, (node.mesh, node.control, node.admin)
+    )
+    record = Member(
+        id=name,
+        incarnation=status["incarnation"] + 5_000,
+        sequence=0,
+        state=MemberState.ALIVE,
+        data_centre=node.data_centre,
+        region=node.region,
+        service=node.service,
+        mesh=mesh,
+        control=control,
+        admin=admin,
+        slots=0,
+        serving=False,
+    )
+    lie = Datagram("liar", Push(), Notice(0, b""), (record,))
+    with socket.socket(type=socket.SOCK_DGRAM) as sock:
+        sock.sendto(encode_datagram(lie), (control.host, control.port))
+
+
+@when('a second process "{name}" starts at other addresses')
+def step_second_process(context, name):
+    fleet, old = context.fleet, pick(context, name)
+    kinds = ("caller", "mesh", "control", "admin")
+    taken = {kind: fleet.ports.take() for kind in kinds}
+    text = old.settings.read_text().replace(".log\n", "-second.log\n")
+    for kind, address in taken.items():
+        line = f"{kind} = {getattr(old, kind)}\n"
+        assert line in text
+        text = text.replace(line, f"{kind} = {address}\n")
+    settings = old.settings.with_name(f"{name}-second.ini")
+    settings.write_text(text)
+    argv = [*old.node.argv[:-1], str(settings)]
+    context.first = old
+    context.add_cleanup(lambda: context.run(old.node.kill()))
+    fleet.nodes[name] = attrs.evolve(
+        old, **taken, settings=settings, node=Process(name, argv)
+    )
+    step_start(context, name)
+
+
+@then("the first one ends within {seconds:g} s with exit code {code:d}")
+def step_first_ends(context, seconds, code):
+    assert context.run(context.first.node.wait(seconds)) == code
+
+
+@then('its log says at level "{level}" that it was replaced')
+def step_logged(context, level):
+    log = context.first.settings.with_suffix(".log")
+    records = map(orjson.loads, log.read_bytes().splitlines())
+    found = [r for r in records if r.get("message_type") == "replaced"]
+    assert [record["level"] for record in found] == [level], found
+
+
+@then('{count:d} publishes through "{entry}" have run')
+def step_publishes_run(context, count, entry):
+    keys = [uuid.uuid4().hex for _ in range(count)]
+    futs = [start_call(context, entry, **PUBLISH, key=key) for key in keys]
+    verdicts = [(f.result().verdict, f.result().reason) for f in futs]
+    assert {verdict for verdict, _ in verdicts} == {"ran"}, verdicts
+    executions = context.run(count_executions(context.fleet))
+    assert {executions[key] for key in keys} == {1}
+
+
 @when("the platform is {state}")
 def step_platform(context, state):
     faults = {"down": state == "down"}
--- a/tests/steps/owner_steps.py
+++ b/tests/steps/owner_steps.py
@@ -83,6 +83,31 @@
         await let_run()
 
 
+@when("the owner takes incarnation {incarnation:d}")
+def step_incarnation(context, incarnation):
+    context.owner.raise_incarnation(incarnation)
+
+
+@when("the key comes to another process of the same id and incarnation")
+def step_twin(context):
+    manager = open_owner(
+        member_id="desk-1",
+        incarnation=1,
+        target=context.target,
+        metrics=Metrics(),
+    )
+    context.owner = open_in_scenario(context, manager)
+    context.loop.call_soon_threadsafe(
+        lambda: context.owner.set_limits(slots=1, queue_limit=10)
+    )
+    context.run(submit(context, keyed=True))
+
+
+@then("new keys carry incarnation {incarnation:d}")
+def step_new_keys(context, incarnation):
+    assert context.owner.mint_key().incarnation == incarnation
+
+
 @when("the target ends every call")
 def step_end(context):
     done = Execution(Answer(Ran(), 200), ended=True)
@@ -110,6 +135,12 @@
     assert isinstance(answer.verdict, Ran), answer
 
 
+@then("the other caller is told that its call may have run")
+def step_other_may_have_run(context):
+    answer = context.run(wait_answer(context.submissions[-1]))
+    assert isinstance(answer.verdict, MayHaveRun), answer
+
+
 @then("the first caller is told that its call may have run")
 def step_may_have_run(context):
     answer = context.run(wait_answer(context.submissions[0]))
