Have nodes that have met nobody read the head late and seldom

Cause: a node reads the head with odds of one in the live nodes that it knows. One that has met nobody knows one, itself, and read about once a second after at most 8 s.

Change: while a node has met nobody and the seed rows have not been read or name others, it reads first 15 to 60 s after its start, then after 45 to 90 s in the mean, with jitter. Once it has met a member, or found that it is alone, it draws as before for good. bench/seed_storm.py runs the real schedule beside the real joiner and counts seed rows, head and objects together; bench/capacity.py has a line for the sum.

Nodes that know each other read as before. A node whose rows name only members that are gone may wait a minute for its first version.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -272,6 +272,16 @@
             "first reads spread over seconds, then by live members",
             PLATFORM_READS_PER_S,
         ),
+        Line(
+            "joining",
+            "reads of seed rows, head and objects while the whole fleet starts"
+            " without a version",
+            slopes["storm_lonely_published_all_reads_15000"],
+            "reads/s",
+            "`storm_lonely_published_all_reads_15000`",
+            "a node that has met nobody reads the head later and seldom",
+            PLATFORM_READS_PER_S,
+        ),
         Line(
             "joining",
             "writes of seed rows while the whole fleet starts",
--- a/bench/measure_membership.py
+++ b/bench/measure_membership.py
@@ -283,11 +283,21 @@
 
 
 def _measure_storms() -> list[Figure]:
-    """Measures seed rows while nodes start that meet others, or nobody."""
+    """Measures the platform while nodes start and meet others, or nobody."""
     figures = []
-    for name, answered in (("answered", True), ("lonely", False)):
+    for name, answered, published in (
+        ("answered", True, False),
+        ("lonely", False, False),
+        ("lonely_published", False, True),
+    ):
         loads = [
-            measure_storm(count, centres=CENTRES, answered=answered, seed=SEED)
+            measure_storm(
+                count,
+                centres=CENTRES,
+                answered=answered,
+                published=published,
+                seed=SEED,
+            )
             for count in STORMS
         ]
         figures += _extrapolate(name, loads)
@@ -296,6 +306,7 @@
 
 def _extrapolate(name: str, loads: list[StormLoad]) -> list[Figure]:
     reads = _find_slope([load.reads for load in loads])
+    all_reads = _find_slope([load.all_reads for load in loads])
     writes = _find_slope([load.writes for load in loads])
     rest = FLEET - STORMS[-1]
     return [
@@ -307,6 +318,12 @@
             "reads/s",
             MAX_READS_PER_S,
         ),
+        Figure(
+            f"storm_{name}_all_reads_{FLEET}",
+            loads[-1].all_reads + all_reads * rest,
+            "reads/s",
+            MAX_READS_PER_S,
+        ),
         Figure(
             f"storm_{name}_writes_{FLEET}",
             loads[-1].writes + writes * rest,
--- a/bench/seed_storm.py
+++ b/bench/seed_storm.py
@@ -1,7 +1,8 @@
 """Counts the platform's load while many nodes start at the same moment.
 
-The real joiner runs on a loop whose clock jumps to the next timer. The
-platform is a table in memory that counts requests by second.
+The real joiner and the real schedule of the head's readers run on a loop
+whose clock jumps to the next timer. The platform is a table in memory that
+counts requests by second. No node has a version; the platform may have one.
 """
 
 import asyncio
@@ -12,6 +13,7 @@
 import attrs
 
 from bench.gossip_driver import make_member
+from guavawing.distribution import PollSchedule
 from guavawing.membership import MemberTable
 from guavawing.model import Address
 from guavawing.node.joiner import Joiner
@@ -19,15 +21,24 @@
 
 __all__ = ["StormLoad", "measure_storm"]
 
-DURATION_S = 45.0
+DURATION_S = 75.0
 REPLY_S = 0.01
+POLL_PERIOD_S = 1.0
 
 
 @attrs.frozen
 class StormLoad:
-    """Most reads and writes (refused ones too) in one second."""
+    """Most requests in one second.
+
+    Attributes:
+        reads: Reads of seed rows.
+        all_reads: These and those of the head and of objects together.
+        writes: Writes, refused ones too.
+        rows: Seed rows at the end.
+    """
 
     reads: int
+    all_reads: int
     writes: int
     rows: int
 
@@ -49,8 +60,10 @@
 
 
 class _CountingPlatform:
-    def __init__(self) -> None:
+    def __init__(self, *, published: bool) -> None:
+        self.published = published
         self.reads: collections.Counter[int] = collections.Counter()
+        self.other_reads: collections.Counter[int] = collections.Counter()
         self.writes: collections.Counter[int] = collections.Counter()
         self.rows: dict[str, Row] = {}
 
@@ -60,6 +73,15 @@
         await asyncio.sleep(REPLY_S)
         return list(self.rows.values())
 
+    async def read_version(self, *, known: bool) -> bool:
+        """Reads the head, and the object of a version that is not known."""
+        self.other_reads[_second()] += 1
+        await asyncio.sleep(REPLY_S)
+        if self.published and not known:
+            self.other_reads[_second()] += 1
+            await asyncio.sleep(REPLY_S)
+        return self.published
+
     async def transact(self, writes: Sequence[Write]) -> None:
         self.writes[_second()] += 1
         await asyncio.sleep(REPLY_S)
@@ -100,34 +122,64 @@
             self.joined = True
 
 
+async def _poll(
+    platform: _CountingPlatform, joiner: Joiner, starter: _Starter, seed: float
+) -> None:
+    """Reads the head as a node's distributor does."""
+    loop = asyncio.get_running_loop()
+    schedule = PollSchedule(
+        random.Random(seed), period_s=POLL_PERIOD_S, now=loop.time()
+    )
+    has_version = False
+    while True:
+        await asyncio.sleep(schedule.draw_pause())
+        live = len(starter.table.members_in(starter.me.data_centre))
+        due = schedule.is_due(
+            now=loop.time(),
+            live_nodes=live,
+            has_version=has_version,
+            awaits_members=joiner.expects_others and live == 1,
+        )
+        if due:
+            has_version = await platform.read_version(known=has_version)
+
+
 def _second() -> int:
     return int(asyncio.get_running_loop().time())
 
 
 async def _run(
-    nodes: int, centres: int, answered: bool, seed: int
+    nodes: int, centres: int, answered: bool, published: bool, seed: int
 ) -> StormLoad:
-    platform = _CountingPlatform()
+    platform = _CountingPlatform(published=published)
     rng = random.Random(seed)
+    poll_rng = random.Random(seed + 1)
     everyone = MemberTable() if answered else None
     tasks = []
     for number in range(nodes):
         starter = _Starter(f"n{number}", f"c{number % centres}", everyone)
         joiner = Joiner(platform, starter, random.Random(rng.random()))
-        tasks.append(asyncio.ensure_future(joiner.run()))
+        poll = _poll(platform, joiner, starter, poll_rng.random())
+        tasks += map(asyncio.ensure_future, (joiner.run(), poll))
     await asyncio.sleep(DURATION_S)
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     return StormLoad(
         max(platform.reads.values()),
+        max((platform.reads + platform.other_reads).values()),
         max(platform.writes.values()),
         len(platform.rows),
     )
 
 
 def measure_storm(
-    nodes: int, *, centres: int, answered: bool, seed: int
+    nodes: int,
+    *,
+    centres: int,
+    answered: bool,
+    published: bool = False,
+    seed: int,
 ) -> StormLoad:
     """Returns the platform's load of `nodes` that start together.
 
@@ -135,10 +187,13 @@
         nodes: How many start.
         centres: Data centres that they are spread over.
         answered: Whether a node has joined once it has read a contact.
+        published: Whether the platform has a version.
         seed: Seed of the jitter.
     """
     loop = _JumpingLoop()
     try:
-        return loop.run_until_complete(_run(nodes, centres, answered, seed))
+        return loop.run_until_complete(
+            _run(nodes, centres, answered, published, seed)
+        )
     finally:
         loop.close()
--- a/src/guavawing/distribution/poll_schedule.py
+++ b/src/guavawing/distribution/poll_schedule.py
@@ -7,6 +7,10 @@
 keep it silent. A node that has just started waits at random first, so that a
 herd of restarted nodes does not read all at once; most of them learn a
 version from peers before their turn and leave the read out.
+
+A node that has met nobody yet does not know how many others read. While it
+has reason to await members, it first leaves the time of the first reads of
+seed rows alone, and then reads at growing, jittered intervals.
 """
 
 import random
@@ -14,6 +18,12 @@
 __all__ = ["PollSchedule"]
 
 START_SPREAD_S = 8.0
+# When a node that still awaits members reads first, in seconds after its start.
+# It is after the time over which first reads of seed rows are spread.
+FIRST_AWAITING_READ_S = (15.0, 60.0)
+# Means of the times between its further reads: the first and the longest.
+AWAITING_WAIT_S = 45.0
+MAX_AWAITING_WAIT_S = 90.0
 # Longest pause after failed reads, in periods.
 MAX_BACKOFF = 4
 
@@ -21,7 +31,16 @@
 class PollSchedule:
     """Decides whether to read the head now."""
 
-    __slots__ = ("_backoff", "_first_at", "_period_s", "_rng")
+    __slots__ = (
+        "_awaiting_at",
+        "_awaiting_wait_s",
+        "_backoff",
+        "_first_at",
+        "_period_s",
+        "_rng",
+        "_settled",
+        "_started_at",
+    )
 
     def __init__(
         self, rng: random.Random, *, period_s: float, now: float
@@ -30,6 +49,11 @@
         self._period_s = period_s
         self._backoff = 1
         self._first_at = now + rng.uniform(0.0, START_SPREAD_S)
+        self._started_at = now
+        self._awaiting_at: float | None = None
+        self._awaiting_wait_s = AWAITING_WAIT_S
+        # Whether the node has met members, or found that there are none.
+        self._settled = False
 
     def draw_pause(self) -> float:
         """Returns the time until the next draw, in seconds."""
@@ -40,8 +64,36 @@
         longer = min(self._backoff * 2, MAX_BACKOFF)
         self._backoff = 1 if succeeded else longer
 
-    def is_due(self, *, now: float, live_nodes: int, has_version: bool) -> bool:
-        """Returns whether this node reads the head now."""
+    def is_due(
+        self,
+        *,
+        now: float,
+        live_nodes: int,
+        has_version: bool,
+        awaits_members: bool = False,
+    ) -> bool:
+        """Returns whether this node reads the head now.
+
+        Args:
+            now: Event loop's time, in seconds.
+            live_nodes: Live nodes of the data centre, this one included.
+            has_version: Whether a version is in force here.
+            awaits_members: Whether others may run though none is known.
+        """
+        self._settled |= not awaits_members
+        if not self._settled:
+            return self._is_awaiting_due(now)
         if not has_version and now < self._first_at:
             return False
         return self._rng.random() * max(live_nodes, 1) < 1.0
+
+    def _is_awaiting_due(self, now: float) -> bool:
+        if self._awaiting_at is None:
+            first_s = self._rng.uniform(*FIRST_AWAITING_READ_S)
+            self._awaiting_at = self._started_at + first_s
+        if now < self._awaiting_at:
+            return False
+        wait_s = self._awaiting_wait_s
+        self._awaiting_at = now + self._rng.uniform(0.5, 1.5) * wait_s
+        self._awaiting_wait_s = min(2 * wait_s, MAX_AWAITING_WAIT_S)
+        return True
--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -98,6 +98,7 @@
             data_centre=settings.data_centre,
             source=settings.control.host,
             metrics=self._metrics,
+            expects_others=lambda: self._joiner.expects_others,
         )
         await self._open_servers(me, Claims(platform))
 
@@ -126,9 +127,9 @@
                 self._gossip_task, settings.listen_control or settings.control
             )
         )
-        joiner = Joiner(platform, self._gossip, random.Random())
-        await enter(open_joiner(joiner))
-        await joiner.wait_joined()
+        self._joiner = Joiner(platform, self._gossip, random.Random())
+        await enter(open_joiner(self._joiner))
+        await self._joiner.wait_joined()
 
     async def _open_servers(self, me: Member, claims: Claims) -> None:
         settings = self._settings
--- a/src/guavawing/node/distributor.py
+++ b/src/guavawing/node/distributor.py
@@ -83,9 +83,11 @@
         data_centre: str,
         source: str,
         metrics: Metrics,
+        expects_others: Callable[[], bool] = lambda: False,
         read_today: Callable[[], datetime.date] = read_utc_day,
     ) -> None:
         self._read_today = read_today
+        self._expects_others = expects_others
         self._platform = platform
         self._table = table
         self._node_id = node_id
@@ -181,6 +183,7 @@
                 now=loop.time(),
                 live_nodes=self._count_live_nodes(),
                 has_version=self.current.number > 0,
+                awaits_members=self._awaits_members(),
             )
             if not due:
                 continue
@@ -222,6 +225,9 @@
         member = self._table.get(source)
         return member is not None and member.data_centre == self._data_centre
 
+    def _awaits_members(self) -> bool:
+        return len(self._table) <= 1 and self._expects_others()
+
     def _count_live_nodes(self) -> int:
         return sum(
             1
--- a/src/guavawing/node/joiner.py
+++ b/src/guavawing/node/joiner.py
@@ -34,7 +34,12 @@
 
 
 class Joiner:
-    """Reads and writes seed rows at a rate that the fleet's size bounds."""
+    """Reads and writes seed rows at a rate that the fleet's size bounds.
+
+    Attributes:
+        expects_others: Whether other members may run: the rows have not been
+            read yet, or the last reading named some.
+    """
 
     def __init__(
         self, platform: Platform, gossip: Gossip, rng: random.Random
@@ -45,6 +50,7 @@
         self._loop = asyncio.get_running_loop()
         self._started_at = self._loop.time()
         self._seen: dict[int, int] = {}
+        self.expects_others = True
 
     async def wait_joined(self) -> bool:
         """Waits a short time for the data centre's answer."""
@@ -72,10 +78,12 @@
 
     async def _check(self) -> None:
         seeds = await fetch_seeds(self._platform)
+        me = self._gossip.me
+        self.expects_others = any(seed.member_id != me.id for seed in seeds)
         for name in {seed.data_centre for seed in seeds}:
             addresses = [s.control for s in seeds if s.data_centre == name]
             self._gossip.add_contacts(name, addresses)
-        here = self._gossip.me.data_centre
+        here = me.data_centre
         own = [seed for seed in seeds if seed.data_centre == here]
         slot = self._find_slot(own)
         self._seen = {seed.slot: seed.revision for seed in own}
--- a/tests/cover/distribution.feature
+++ b/tests/cover/distribution.feature
@@ -145,5 +145,14 @@
       | 1250 | 1250   |
       | 3    | 1250   |
 
+  Scenario: A start of the whole fleet stays under the platform's limits
+    When 1500 and 3000 nodes without a version start at once and meet nobody
+    Then 15000 would make at most 2000 reads and 300 writes in one second
+
+  Scenario: A node that awaits members reads seldom until it meets one
+    Then a node that awaits members reads first after 15 to 60 s
+    And again after 22 to 135 s
+    And every 0.5 to 1.5 s once it knows that it is alone
+
   Scenario: Failed reads make the pauses longer
     Then a node that fails to read waits 2 to 6 s
--- a/tests/steps/distribution_steps.py
+++ b/tests/steps/distribution_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from hypothesis import strategies as st
 
+from bench.seed_storm import measure_storm
 from guavawing.config import (
     compute_digest,
     decode_document,
@@ -487,6 +488,69 @@
     assert least <= reads / seconds <= most, reads / seconds
 
 
+@when(
+    "{few:d} and {many:d} nodes without a version start at once and meet nobody"
+)
+def step_start_all(context, few, many):
+    context.loads = {
+        nodes: measure_storm(
+            nodes, centres=12, answered=False, published=True, seed=20
+        )
+        for nodes in (few, many)
+    }
+
+
+@then(
+    "{nodes:d} would make at most {reads:d} reads and {writes:d} writes in"
+    " one second"
+)
+def step_start_bounded(context, nodes, reads, writes):
+    (few, less), (many, more) = context.loads.items()
+    share = (nodes - many) / (many - few)
+    for name, bound in (("all_reads", reads), ("writes", writes)):
+        count = getattr(more, name)
+        expected = count + (count - getattr(less, name)) * share
+        assert 0 < expected <= bound, (name, expected)
+
+
+def find_reads(schedule, seconds):
+    """Returns when a node that awaits members for 200 s reads."""
+    return [
+        second
+        for second in range(seconds)
+        if schedule.is_due(
+            now=float(second),
+            live_nodes=1,
+            has_version=False,
+            awaits_members=second < 200,
+        )
+    ]
+
+
+@then("a node that awaits members reads first after {least:d} to {most:d} s")
+def step_awaiting(context, least, most):
+    context.reads = [
+        find_reads(PollSchedule(random.Random(i), period_s=1.0, now=0.0), 210)
+        for i in range(100)
+    ]
+    assert all(least <= r[0] <= most for r in context.reads), context.reads
+
+
+@then("again after {least:d} to {most:d} s")
+def step_awaiting_again(context, least, most):
+    for reads in context.reads:
+        early = [second for second in reads if second < 200]
+        gaps = [b - a for a, b in itertools.pairwise(early)]
+        assert gaps and min(gaps) >= least and max(gaps) <= most, reads
+
+
+@then("every 0.5 to 1.5 s once it knows that it is alone")
+def step_alone(context):
+    # The pauses between draws are those of every node; each draw is a read.
+    for reads in context.reads:
+        assert reads[-10:] == list(range(200, 210)), reads
+
+
 @then("a node that fails to read waits {least:g} to {most:g} s")
 def step_backoff(context, least, most):
     schedule = PollSchedule(random.Random(2), period_s=1.0, now=0.0)
