Cause failures together, lose a rack and run 18 layers as processes

Cause: docs/PROOFS.md listed three things that no scenario with processes caused: a cut, a kill and an outage at once; the loss of a whole rack; a chain of 18 services.

Ruled out: killing the targets with their nodes, as the loss of a rack would: their records, which the checks read, would be lost too. Marks by idempotency key, as before: a mark for each sending also tells whether a refusal of one of two copies is true.

Change: tests/processes/together.feature loads 12 nodes in 3 data centres with more than their slots can take, each publish sent by two callers at once and once more at the end. tests/processes/chain.feature runs 18 services with two targets each. The session of a fleet has no limit of connections any more: with 100, readers of a status waited behind calls until they timed out.

Fault found: a service that answers an error because its own call failed passes Guavawing-Budget-Spent on; a service above it that drops its connection loses the flag, since Entry.call notes a call as given up only by its verdict, and that of an answered error is ran.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -8,7 +8,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import AsyncIterator, Iterator, Sequence
+from collections.abc import AsyncIterator, Callable, Iterator, Sequence
 from typing import Any
 
 import aiohttp
@@ -324,7 +324,7 @@
     """
     ports = PortBlock()
     platform = ports.take()
-    process = Process("platform", _python("standins.platform", platform))
+    process = Process("platform", make_command("standins.platform", platform))
     fleet = Fleet(folder, platform, process, {}, session, ports)
     centres = sorted({plan.data_centre for plan in plans})
     hosts = dict.fromkeys(centres, HOST)
@@ -391,17 +391,18 @@
             settings=settings,
             node=Process(
                 plan.name,
-                _python("guavawing", "node", "--config", str(settings)),
+                make_command("guavawing", "node", "--config", str(settings)),
             ),
             target_process=Process(
                 f"{plan.name} target",
-                _python("standins.target", target) if owns_target else [],
+                make_command("standins.target", target) if owns_target else [],
             ),
         )
     return fleet
 
 
-def _python(module: str, *args: str) -> list[str]:
+def make_command(module: str, *args: str) -> list[str]:
+    """Returns the command line that runs a module."""
     return [sys.executable, "-m", module, *args]
 
 
@@ -413,13 +414,30 @@
 
 @contextlib.asynccontextmanager
 async def open_fleet(
-    plans: Sequence[NodePlan], **options: Any
+    plans: Sequence[NodePlan],
+    *,
+    make_target: Callable[[FleetNode], list[str]] | None = None,
+    **options: Any,
 ) -> AsyncIterator[Fleet]:
-    """Starts a fleet and ends every process of it after use."""
+    """Starts a fleet and ends every process of it after use.
+
+    Args:
+        plans: The nodes.
+        make_target: Returns the command line of the target beside a node, if
+            not the stand-in of `standins.target`.
+        **options: Those of `build_fleet`.
+    """
     timeout = aiohttp.ClientTimeout(total=10.0)
     with _open_folder() as folder:
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        # Without a limit, so that calls which wait hold up no others.
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(
+            timeout=timeout, connector=connector
+        ) as session:
             fleet = build_fleet(folder, plans, session, **options)
+            if make_target is not None:
+                for node in fleet.nodes.values():
+                    node.target_process.argv = make_target(node)
             try:
                 await fleet.start()
                 yield fleet
--- a/standins/documents.py
+++ b/standins/documents.py
@@ -1,6 +1,7 @@
 """Configuration documents for demos, tests and benchmarks."""
 
 import datetime
+from collections.abc import Sequence
 from typing import Any
 
 from guavawing.config import (
@@ -55,6 +56,19 @@
     )
 
 
+def make_chain_document(services: Sequence[str]) -> Document:
+    """Returns a document in which each service has one idempotent route."""
+    return Document(
+        defaults=Defaults(deadline_ms=10_000),
+        limit_classes={"small": LimitClass(slots=10, connections=110)},
+        capacity={"small": Capacity(2, 10, 110)},
+        services={name: ServiceEntry("small") for name in services},
+        routes={
+            name: Route(name, "GET", "/", idempotent=True) for name in services
+        },
+    )
+
+
 def make_fleet_document(
     *, services: int, routes_each: int = 3, exceptions: int = 100
 ) -> Document:
--- a/tests/steps/drain_steps.py
+++ b/tests/steps/drain_steps.py
@@ -1,11 +1,12 @@
 """Steps that drain and stop nodes under load."""
 
 import asyncio
+import itertools
 import signal
 
 from behave import given, then, when
 
-from standins.load import Load
+from standins.load import Load, count_by_key
 from standins.records import count_executions, read_record
 from standins.target import make_answer
 
@@ -86,14 +87,13 @@
 @then("when the callers stop every call was run once")
 def step_all_run(context):
     context.load.stopped = True
-    results = context.load_result.result()
-    lost = [outcome for outcome, _ in results if outcome.verdict != "ran"]
-    assert not lost, (len(lost), len(results), lost[:3])
+    calls = context.load_result.result()
+    last = [sendings[-1].outcome for sendings in calls]
+    lost = [outcome for outcome in last if outcome.verdict != "ran"]
+    assert not lost, (len(lost), len(last), lost[:3])
     executions = context.run(count_executions(context.fleet))
-    keys = [key for _, key in results if key]
-    assert keys
-    wrong = {key: executions[key] for key in keys if executions[key] != 1}
-    assert not wrong, wrong
+    counts = count_by_key(list(itertools.chain(*calls)), executions)
+    assert counts and set(counts.values()) == {1}, counts
 
 
 @when(
--- a/tests/steps/retry_steps.py
+++ b/tests/steps/retry_steps.py
@@ -8,8 +8,15 @@
 from bench.retry_chain import ChainPlan, run_chain
 from guavawing.policy.retry import GiveUp, Retry, RetryBudget, decide_retry
 from guavawing.verdict import NotRun, Reason
+from standins.chain import count_attempts, name_layers, open_chain
+from standins.documents import make_chain_document
 from standins.records import read_records
-from tests.support import check_examples, set_target_faults
+from tests.support import (
+    check_examples,
+    open_in_scenario,
+    publish,
+    set_target_faults,
+)
 
 
 @given(
@@ -30,6 +37,28 @@
     context.attempts = run_chain(ChainPlan(calls=calls, **context.plan))
 
 
+@given(
+    "a chain of {depth:d} services as processes that {failures} when their"
+    " calls fail"
+)
+def step_chain_of_processes(context, depth, failures):
+    context.depth = depth
+    chain = open_chain(depth, failures.split(", "))
+    context.fleet = open_in_scenario(context, chain)
+    document = make_chain_document(name_layers(depth))
+    context.run(publish(context.fleet, document, base=0))
+    assert not context.run(context.fleet.wait_for_version(1))
+    count = len(context.fleet.nodes)
+    assert context.run(context.fleet.wait_for_serving(count))
+
+
+@when("{calls:d} calls are offered to these processes")
+def step_offer_to_processes(context, calls):
+    context.attempts = context.run(
+        count_attempts(context.fleet, context.depth, calls)
+    )
+
+
 @then("the leaf got at most {bound:g} attempts for each call")
 def step_at_most(context, bound):
     assert context.attempts <= bound, context.attempts
