--- a/src/guavawing/config/__init__.py
+++ b/src/guavawing/config/__init__.py
@@ -1,6 +1,7 @@
 """Configuration documents: shape, rules, encoding, effective policies."""
 
 from guavawing.config.codec import (
+    compute_chunk_digest,
     compute_digest,
     decode_document,
     encode_document,
@@ -20,6 +21,7 @@
 from guavawing.config.effective import EffectivePolicy, PolicyTable
 from guavawing.config.fault import Fault, describe_names
 from guavawing.config.validation import (
+    check_change,
     check_document,
     find_ended,
     find_faults,
@@ -39,8 +41,10 @@
     "Route",
     "Scalar",
     "ServiceEntry",
+    "check_change",
     "check_document",
     "compare_documents",
+    "compute_chunk_digest",
     "compute_digest",
     "decode_document",
     "describe_names",
--- a/src/guavawing/config/codec.py
+++ b/src/guavawing/config/codec.py
@@ -3,7 +3,7 @@
 import datetime
 import hashlib
 import typing
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import attrs
@@ -164,9 +164,21 @@
         raise ConfigInvalidError(faults[:MAX_FAULTS]) from None
 
 
-def compute_digest(payload: bytes) -> bytes:
-    """Returns the SHA-256 digest that names `payload` in the object store."""
-    return hashlib.sha256(payload).digest()
+def compute_digest(number: int, payload: bytes) -> bytes:
+    """Returns the SHA-256 digest of a version: of its number and payload."""
+    return compute_chunk_digest(number, (payload,))
+
+
+def compute_chunk_digest(number: int, chunks: Iterable[bytes]) -> bytes:
+    """Returns the digest of a version whose payload comes in pieces.
+
+    With the number in it, the digest of one version is never that of another,
+    also if both have the same document.
+    """
+    state = hashlib.sha256(b"%d\n" % number)
+    for chunk in chunks:
+        state.update(chunk)
+    return state.digest()
 
 
 def _fail(message: str) -> ConfigInvalidError:
--- a/src/guavawing/distribution/delta.py
+++ b/src/guavawing/distribution/delta.py
@@ -6,11 +6,14 @@
 can be wrong only by failing that check.
 """
 
+import json
+from collections.abc import Iterator
 from typing import Any, TypeVar
 
 import attrs
 import orjson
 
+from guavawing.config import compute_chunk_digest
 from guavawing.distribution.compression import (
     compress_payload,
     decompress_payload,
@@ -22,6 +25,7 @@
     "Index",
     "compose_deltas",
     "compute_delta",
+    "compute_index_digest",
     "decode_delta",
     "decode_section",
     "derive_delta",
@@ -30,9 +34,12 @@
     "encode_tree",
     "index_entries",
     "patch_index",
+    "read_index",
 ]
 
 MAX_DELTA_BYTES = 1024 * 1024
+# Entries that are encoded at a time.
+CHUNK_ENTRIES = 64
 
 T = TypeVar("T")
 Tree = dict[str, Any]
@@ -74,6 +81,43 @@
     }
 
 
+def read_index(payload: bytes) -> Index | None:
+    """Returns the index of a payload, or None if it isn't canonical.
+
+    A decoded tree takes ten times the memory of its payload, and the
+    allocator keeps most of it. Here no more than one entry is decoded at a
+    time. What comes out encodes to the very payload, so nothing that this
+    reader takes otherwise than orjson gets through. None also stands for
+    sections that hold more than entries.
+    """
+    try:
+        tree = json.loads(payload, object_pairs_hook=_fold_object)
+        index: Index = {
+            name: _read_section(part) for name, part in tree.items()
+        }
+        return index if _encodes_to(index, payload) else None
+    except (ValueError, TypeError, AttributeError, RecursionError):
+        return None
+
+
+def _fold_object(pairs: list[tuple[str, Any]]) -> Any:
+    """Returns the innermost objects encoded, and those around as they are."""
+    tree = dict(pairs)
+    if any(isinstance(each, bytes | dict | list) for each in tree.values()):
+        return tree
+    return _index(tree)
+
+
+def _read_section(part: Any) -> dict[str, bytes]:
+    if isinstance(part, bytes):
+        fields = orjson.loads(part)
+        return {name: _index(value) for name, value in fields.items()}
+    if not all(isinstance(each, bytes) for each in part.values()):
+        raise ValueError("got a section that holds more than entries")
+    section: dict[str, bytes] = part
+    return section
+
+
 def _index(value: Any) -> bytes:
     # orjson keeps 1 KB for each result, however short; a copy does not.
     return bytes(memoryview(_encode(value)))
@@ -85,17 +129,21 @@
 
 def compute_delta(old: Index, new: Tree) -> Delta:
     """Returns the delta from the tree that `old` indexes to `new`."""
+    return _compare_indexes(old, index_entries(new))
+
+
+def _compare_indexes(old: Index, new: Index) -> Delta:
     delta = Delta(removed_sections=sorted(old.keys() - new.keys()))
     for name, section in new.items():
         before = old.get(name)
         if not isinstance(section, dict) or not isinstance(before, dict):
-            if before != _encode(section):
-                delta.set_sections[name] = section
+            if before != section:
+                delta.set_sections[name] = decode_section(new, name)
             continue
         changed = {
-            entry: value
-            for entry, value in section.items()
-            if before.get(entry) != _encode(value)
+            entry: orjson.loads(text)
+            for entry, text in section.items()
+            if before.get(entry) != text
         }
         if changed:
             delta.set_entries[name] = changed
@@ -111,6 +159,9 @@
     None stands for a new payload that is not canonical, so that no delta
     could restore its bytes.
     """
+    index = read_index(new)
+    if index is not None:
+        return _compare_indexes(old, index)
     try:
         tree = orjson.loads(new)
     except orjson.JSONDecodeError:
@@ -146,7 +197,49 @@
 
 def encode_index(index: Index) -> bytes:
     """Returns the canonical payload that an index was made of."""
-    return _encode({name: _restore(section) for name, section in index.items()})
+    return b"".join(_encode_chunks(index))
+
+
+def compute_index_digest(number: int, index: Index) -> bytes:
+    """Returns the digest of a version whose payload an index was made of."""
+    return compute_chunk_digest(number, _encode_chunks(index))
+
+
+def _encodes_to(index: Index, payload: bytes) -> bool:
+    view = memoryview(payload)
+    for chunk in _encode_chunks(index):
+        if view[: len(chunk)] != chunk:
+            return False
+        view = view[len(chunk) :]
+    return not view
+
+
+def _encode_chunks(index: Index) -> Iterator[bytes]:
+    """Yields the canonical payload of an index a few entries at a time.
+
+    A node hashes a payload at each change; a whole one would raise the
+    memory that it takes for good.
+    """
+    yield b"{"
+    for place, name in enumerate(sorted(index)):
+        yield (b"," if place else b"") + _encode(name) + b":"
+        section = index[name]
+        if isinstance(section, bytes):
+            yield section
+        else:
+            yield from _encode_section(section)
+    yield b"}"
+
+
+def _encode_section(section: dict[str, bytes]) -> Iterator[bytes]:
+    names = sorted(section)
+    yield b"{"
+    for start in range(0, len(names), CHUNK_ENTRIES):
+        chunk = names[start : start + CHUNK_ENTRIES]
+        text = _encode({name: orjson.Fragment(section[name]) for name in chunk})
+        # The brackets are those of the whole section.
+        yield (b"," if start else b"") + text[1:-1]
+    yield b"}"
 
 
 def decode_section(index: Index, name: str) -> Any:
--- a/src/guavawing/node/target_client.py
+++ b/src/guavawing/node/target_client.py
@@ -1,14 +1,18 @@
 """HTTP client of the one target beside a node."""
 
 import contextlib
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator
 
 import aiohttp
 import attrs
+import yarl
 
 from guavawing.model import Address
-from guavawing.node.call_headers import build_target_headers
-from guavawing.node.messages import Answer, CallAttempt, Headers
+from guavawing.node.call_headers import (
+    build_target_headers,
+    strip_hop_headers,
+)
+from guavawing.node.messages import Answer, CallAttempt
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
 
 __all__ = ["Execution", "TargetClient", "open_target_client"]
@@ -21,20 +25,10 @@
 # request is rarely sent on a connection that is being closed.
 IDLE_CONNECTION_S = 3.0
 _HTTP_OK = 200
-_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+
+# The HTTP library adds these when a caller didn't send them. A caller that
+# asked for no compression must not get a compressed answer.
+_UNASKED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
 
 @attrs.frozen
@@ -97,7 +91,7 @@
         try:
             async with self._session.request(
                 attempt.method,
-                self._base + attempt.path,
+                self._make_url(attempt.path),
                 headers=headers,
                 data=attempt.body or None,
                 timeout=timeout,
@@ -117,6 +111,13 @@
         except (aiohttp.ClientError, _BrokenConnectionError, TimeoutError):
             return _lose(Reason.TARGET_BROKE)
 
+    def _make_url(self, path: str) -> yarl.URL:
+        """Returns the URL of a path, which the target gets as it was sent.
+
+        A path may be signed, so how it is quoted must not change.
+        """
+        return yarl.URL(self._base + path, encoded=True)
+
     async def is_healthy(self) -> bool:
         """Returns whether the target's health endpoint answers well."""
         timeout = aiohttp.ClientTimeout(total=HEALTH_TIMEOUT_S)
@@ -158,15 +159,6 @@
     return Execution(Answer(MayHaveRun(reason)), ended=False)
 
 
-def strip_hop_headers(headers: Iterable[tuple[str, str]]) -> Headers:
-    """Returns the headers that are meant for the other end."""
-    return tuple(
-        (name, value)
-        for name, value in headers
-        if name.lower() not in _HOP_HEADERS
-    )
-
-
 @contextlib.asynccontextmanager
 async def open_target_client(
     address: Address, *, connections: int
@@ -179,6 +171,7 @@
         connector=connector,
         middlewares=(_forbid_resending,),
         auto_decompress=False,
+        skip_auto_headers=_UNASKED_HEADERS,
         cookie_jar=aiohttp.DummyCookieJar(),
     ) as session:
         yield TargetClient(session, address)
--- a/tests/processes/answers_bounds.feature
+++ b/tests/processes/answers_bounds.feature
@@ -41,6 +41,11 @@
       | a chunk before its answer        |
       | an answer of more than the limit |
       | an unknown reason                |
+      | a header name without a value    |
+
+  Scenario: Answers under way to one entry node
+    When two owners announce 3 answers each that are as large as may be
+    Then 2 of the calls end with "answer-not-kept" before the others
 
   Scenario: Answers for an entry node that has gone
     Given an owner whose target doesn't answer
