Heed the flag of spent retries in an answered error too

An entry node noted a call as given up only by its verdict; an answered error that passes the flag of a layer below on has the verdict ran, so a service that then dropped its own connection lost the flag, and the layers above tried again. Ruled out: the budget (its share was kept at each layer: 9 to 13 retries at each of five layers). Change: the flag counts in the headers of an answer as well.

--- a/src/guavawing/node/call_headers.py
+++ b/src/guavawing/node/call_headers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from guavawing.node.messages import CallAttempt, Headers
+from guavawing.node.messages import Answer, CallAttempt, Headers
 
 __all__ = [
     "BOUND_KEY_HEADER",
@@ -15,6 +15,7 @@
     "SERVICE_HEADER",
     "VERDICT_HEADER",
     "build_target_headers",
+    "is_budget_spent",
     "strip_answer_headers",
     "strip_call_headers",
     "strip_hop_headers",
@@ -93,6 +94,18 @@
     )
 
 
+def is_budget_spent(answer: Answer) -> bool:
+    """Returns whether a layer below has used up the retries of a call.
+
+    A service that answers an error because a call of its own failed has run,
+    and tells by a header that it passes on.
+    """
+    if getattr(answer.verdict, "budget_spent", False):
+        return True
+    name = BUDGET_HEADER.lower()
+    return any(header.lower() == name for header, _ in answer.headers)
+
+
 def _strip(
     headers: Iterable[tuple[str, str]], names: frozenset[str]
 ) -> Headers:
--- a/src/guavawing/node/entry.py
+++ b/src/guavawing/node/entry.py
@@ -6,6 +6,7 @@
 from guavawing.membership import Member, MemberTable
 from guavawing.model import MemberId
 from guavawing.node.call import Call
+from guavawing.node.call_headers import is_budget_spent
 from guavawing.node.call_router import CallRouter
 from guavawing.node.mesh_pool import MeshPool
 from guavawing.node.messages import Answer, CallAttempt
@@ -56,7 +57,7 @@
                 answer = await router.route()
         except TimeoutError:
             answer = router.answer_at_deadline()
-        if getattr(answer.verdict, "budget_spent", False):
+        if is_budget_spent(answer):
             self._owner.spent_calls.add(call.attempt.call_id)
         return answer
 
