--- a/tests/steps/membership_process_steps.py
+++ b/tests/steps/membership_process_steps.py
@@ -14,9 +14,9 @@
 from guavawing.node.datagrams import encode_datagram
 from guavawing.platform.client import open_platform
 from guavawing.platform.seeds import fetch_seeds
-from standins.cluster import Process
+from standins.process import Process
 from standins.records import count_executions
-from tests.support import PUBLISH, start_call
+from tests.support import PUBLISH, set_platform_faults, start_call
 
 POLL_S = 0.1
 
@@ -26,9 +26,7 @@
 
 
 def start(context, name):
-    node = pick(context, name)
-    fleet = context.fleet
-    context.run(node.node.start(log=fleet.log_of(node, "node")))
+    context.run(context.fleet.start_node(name))
     down(context).discard(name)
 
 
@@ -200,8 +198,7 @@
 
 @when("the platform is {state}")
 def step_platform(context, state):
-    faults = {"down": state == "down"}
-    context.run(context.fleet.post(context.fleet.platform, "/faults", faults))
+    set_platform_faults(context, down=state == "down")
 
 
 @when("half of the nodes are killed")
