--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -223,8 +223,12 @@
             )
             self._owner.raise_incarnation(incarnation)
         if replaced and not self._replaced.is_set():
-            rival = self._settings.node_id
-            log("error", "replaced", node=rival, incarnation=incarnation)
+            log(
+                "error",
+                "replaced",
+                node=self._settings.node_id,
+                incarnation=incarnation,
+            )
             self._owner.start_draining()
             self._replaced.set()
 
