Run the daemon on asyncio's own runner

Ruled out: importing a part of it; its package imports all of itself. Change: asyncio.Runner with uvloop's loop and handlers of SIGTERM and SIGINT. A signal that comes while the node starts, or an error there, closes what was opened. A node that has been replaced ends by the same event.

--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -4,11 +4,13 @@
 import contextlib
 import gc
 import random
+import signal
 import time
+from collections.abc import Callable
 from typing import Any
 
-import aiomisc
 import attrs
+import uvloop
 
 from guavawing.distribution import Version
 from guavawing.errors import NodeReplacedError
@@ -53,22 +55,31 @@
 NANOSECONDS_PER_MS = 1_000_000
 
 
-class Node(aiomisc.Service):
-    """One node; the aiomisc entry point starts and stops it."""
+class Node:
+    """One node; `run_node` starts and stops it."""
 
-    def __init__(self, settings: Settings) -> None:
-        super().__init__()
+    def __init__(
+        self, settings: Settings, *, on_replaced: Callable[[], None]
+    ) -> None:
+        """Creates a node that has opened nothing.
+
+        Args:
+            settings: Checked settings.
+            on_replaced: Is told once another process has taken over the id,
+                and this one has to stop.
+        """
         self._settings = settings
         self._stack = contextlib.AsyncExitStack()
         self._metrics = Metrics()
         self._draining = False
         self._healthy = False
-        self._replaced = asyncio.Event()
+        self._on_replaced = on_replaced
+        self._replaced = False
 
     @property
     def replaced(self) -> bool:
         """Whether another process has taken over this node's id."""
-        return self._replaced.is_set()
+        return self._replaced
 
     async def start(self) -> None:
         """Opens every part; the caller side comes last."""
@@ -189,13 +200,17 @@
         admin = AdminServer(actions, self._metrics)
         await enter(open_admin_server(admin, settings.admin))
         loop = asyncio.get_running_loop()
-        for watch in (self._watch_target(), self._stop_if_replaced()):
-            self._stack.callback(loop.create_task(watch).cancel)
+        watch = loop.create_task(self._watch_target())
+        self._stack.callback(watch.cancel)
         _settle_garbage_collector()
         incarnation = self._owner.incarnation
         log("info", "start", node=me.id, incarnation=incarnation)
 
-    async def stop(self, exception: Exception | None = None) -> None:
+    async def close(self) -> None:
+        """Closes at once what has been opened."""
+        await self._stack.aclose()
+
+    async def stop(self) -> None:
         """Drains the target, finishes the calls in flight and leaves."""
         with log_action("stop", node=self._gossip.me.id):
             self._set_draining(True)
@@ -210,7 +225,7 @@
                 async with asyncio.timeout(FLUSH_TIMEOUT_S):
                     await self._mesh.wait_flushed()
             self._gossip_task.leave()
-            await self._stack.aclose()
+            await self.close()
 
     def _take_identity(self, incarnation: int, replaced: bool) -> None:
         """Takes what the members hold of this node's id."""
@@ -223,7 +238,7 @@
                 incarnation=incarnation,
             )
             self._owner.raise_incarnation(incarnation)
-        if replaced and not self._replaced.is_set():
+        if replaced and not self._replaced:
             log(
                 "error",
                 "replaced",
@@ -231,11 +246,8 @@
                 incarnation=incarnation,
             )
             self._owner.start_draining()
-            self._replaced.set()
-
-    async def _stop_if_replaced(self) -> None:
-        await self._replaced.wait()
-        asyncio.get_running_loop().stop()
+            self._replaced = True
+            self._on_replaced()
 
     def _apply_version(self, version: Version) -> None:
         """Applies the limits of a new version to the target."""
@@ -360,16 +372,38 @@
     Raises:
         NodeReplacedError: If another process has taken over the node's id.
     """
-    node = Node(settings)
     with (
         open_logs(file=settings.log_file, level=settings.log_level),
-        aiomisc.entrypoint(
-            node,
-            log_config=False,
-            pool_size=1,
-            shutdown_timeout=settings.drain_timeout_s + STOP_MARGIN_S,
-        ) as loop,
+        asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner,
     ):
-        loop.run_forever()
+        runner.run(_run(settings))
+
+
+async def _run(settings: Settings) -> None:
+    loop = asyncio.get_running_loop()
+    ended = asyncio.Event()
+    for sig in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sig, ended.set)
+    node = Node(settings, on_replaced=ended.set)
+    ending = loop.create_task(ended.wait())
+    starting = loop.create_task(node.start())
+    await asyncio.wait((starting, ending), return_when=asyncio.FIRST_COMPLETED)
+    if not starting.done() or starting.exception() is not None:
+        await _abort_start(node, starting)
+        return
+    await ending
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(settings.drain_timeout_s + STOP_MARGIN_S):
+            await node.stop()
     if node.replaced:
         raise NodeReplacedError(settings.node_id)
+
+
+async def _abort_start(node: Node, starting: asyncio.Task[None]) -> None:
+    """Closes what a start has opened; raises the error that ended it."""
+    starting.cancel()
+    try:
+        with contextlib.suppress(asyncio.CancelledError):
+            await starting
+    finally:
+        await node.close()
