Count only records of another address as a second process

Cause: three false records of a node within a minute, each above its last refutation, made it stop, whoever sent them. Ruled out: to heed no such record; then two processes under one id refute each other for ever again. Change: a record counts only if its control address is another one than this node's, as two processes can't listen at one.

--- a/src/guavawing/membership/roster.py
+++ b/src/guavawing/membership/roster.py
@@ -183,7 +183,8 @@
             return
         state = self._me.state
         foreign = attrs.evolve(record, state=state) != self._me
-        if foreign:
+        # A second process that lives can't have the same address.
+        if foreign and record.control != self._me.control:
             self.rival.take_foreign_record(now=now)
         if foreign or record.state > state:
             self._rise_above(record.version())
--- a/tests/cover/membership.feature
+++ b/tests/cover/membership.feature
@@ -149,6 +149,12 @@
     And "desk-bergen-1" is known to all as it is
     And "desk-bergen-1" does not take itself for replaced
 
+  Scenario: A peer that repeats false records of a node does not stop it
+    Given 12 members of one data centre
+    When a broken peer says 6 times, 6 s apart, that "desk-bergen-1" is newer
+    Then "desk-bergen-1" does not take itself for replaced
+    And within 5 s everybody is held alive again by all
+
   Scenario: A peer can't fill the table
     Given 3 members of one data centre
     When a broken peer tells of 25000 members to "desk-bergen-1"
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -234,6 +234,22 @@
     drive.run(1)
 
 
+@when(
+    'a broken peer says {count:d} times, {pause:g} s apart, that "{name}" is'
+    " newer"
+)
+def step_repeat_lie(context, count, pause, name):
+    drive = context.drive
+    node = drive.node(name)
+    for _ in range(count):
+        drive.run(pause)
+        me = node.gossip.me
+        record = attrs.evolve(me, incarnation=me.incarnation + 9)
+        datagram = Datagram("liar", Push(), NO_NOTICE, (record,))
+        sends = node.gossip.receive(datagram, now=drive.driver.now)
+        drive.driver.call(node, sends)
+
+
 @when('a broken peer tells of {count:d} members to "{name}"')
 def step_fill(context, count, name):
     gossip = context.drive.node(name).gossip
