--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -34,6 +34,7 @@
 CONTROL_CORE_PERCENT = 2.4
 CONTROL_BYTES_PER_S = 2_000.0
 MEMORY_MB = 64.0
+ADDED_LATENCY_MS = 1.0
 PLATFORM_READS_PER_S = 2_000.0
 PLATFORM_WRITES_PER_S = 300.0
 IN_FORCE_S = 19.0
@@ -102,7 +103,24 @@
     """Returns the lines of the two sides of a call."""
     entry = slopes["entry_processor"]
     owner = slopes["owner_processor"]
+    bare = slopes["bare_added_p99"]
+    added = [
+        Line(
+            "both sides",
+            f"added latency at p99, {way}",
+            slopes[name],
+            "ms",
+            f"`{name}`; the libraries alone add {bare:.3g} at two hops",
+            "one message each way between two nodes",
+            ADDED_LATENCY_MS,
+        )
+        for way, name in (
+            ("one hop", "one_hop_added_p99"),
+            ("two hops", "two_hops_added_p99"),
+        )
+    ]
     return [
+        *added,
         Line(
             "caller side",
             "processor for calls",
--- a/bench/measure_latency.py
+++ b/bench/measure_latency.py
@@ -79,16 +79,23 @@
     entry_us = spent_us[0]
     # The owner serves the calls of two ways.
     owner_us = spent_us[1] / 2
+    figures = report_latency(paths)
+    added = [
+        Slope(each.name.partition(".")[2], each.value, "ms", COMMAND)
+        for each in figures
+        if each.name.endswith("_added_p99")
+    ]
     write_slopes(
         "calls",
         (
+            *added,
             Slope("entry_processor", entry_us, "us/call", COMMAND),
             Slope("owner_processor", owner_us, "us/call", COMMAND),
             Slope("resident", resident_mb, "MB/node", COMMAND),
         ),
     )
     return [
-        *report_latency(paths),
+        *figures,
         Figure("latency.entry_processor", entry_us, "us/call"),
         Figure("latency.owner_processor", owner_us, "us/call"),
         Figure("latency.bare_entry_processor", spent_us[2], "us/call"),
