--- a/src/guavawing/cli/commands/node.py
+++ b/src/guavawing/cli/commands/node.py
@@ -32,7 +32,7 @@
     os.environ["SSL_CERT_FILE"] = os.devnull
     # Imported here so that bad settings are told before sockets are opened
     # and so that the other commands start quickly.
-    from guavawing.node.daemon import run_node
+    from guavawing.node.process import run_node
 
     try:
         run_node(settings)
--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -4,16 +4,13 @@
 import contextlib
 import gc
 import random
-import signal
 import time
 from collections.abc import Callable
 from typing import Any
 
 import attrs
-import uvloop
 
 from guavawing.distribution import Version
-from guavawing.errors import NodeReplacedError
 from guavawing.membership import Gossip, Member, MemberState, Notice
 from guavawing.node.admin_server import (
     AdminActions,
@@ -26,7 +23,7 @@
 from guavawing.node.entry import Entry
 from guavawing.node.gossip_task import GossipTask, open_gossip
 from guavawing.node.joiner import Joiner, open_joiner
-from guavawing.node.logs import log, log_action, open_logs
+from guavawing.node.logs import log, log_action
 from guavawing.node.mesh_pool import open_mesh_pool
 from guavawing.node.mesh_server import MeshServer, open_mesh_server
 from guavawing.node.metrics import Metrics
@@ -38,7 +35,7 @@
 from guavawing.platform.client import open_platform
 from guavawing.policy.choice import Chooser
 
-__all__ = ["run_node"]
+__all__ = ["Node"]
 
 HEALTH_PERIOD_S = 0.5
 FAILURES_UNTIL_DOWN = 3
@@ -48,15 +45,13 @@
 STOP_NOTICE_S = 0.5
 # Longest time to hand the last answers to entry nodes.
 FLUSH_TIMEOUT_S = 2.0
-# Time to close sockets after the last call has ended.
-STOP_MARGIN_S = 10.0
 # Allocations between two collections of the youngest objects.
 GC_ALLOCATIONS = 10_000
 NANOSECONDS_PER_MS = 1_000_000
 
 
 class Node:
-    """One node; `run_node` starts and stops it."""
+    """One node; its process starts and stops it."""
 
     def __init__(
         self, settings: Settings, *, on_replaced: Callable[[], None]
@@ -364,46 +359,3 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_ALLOCATIONS)
-
-
-def run_node(settings: Settings) -> None:
-    """Runs a node until it gets SIGTERM or SIGINT.
-
-    Raises:
-        NodeReplacedError: If another process has taken over the node's id.
-    """
-    with (
-        open_logs(file=settings.log_file, level=settings.log_level),
-        asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner,
-    ):
-        runner.run(_run(settings))
-
-
-async def _run(settings: Settings) -> None:
-    loop = asyncio.get_running_loop()
-    ended = asyncio.Event()
-    for sig in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(sig, ended.set)
-    node = Node(settings, on_replaced=ended.set)
-    ending = loop.create_task(ended.wait())
-    starting = loop.create_task(node.start())
-    await asyncio.wait((starting, ending), return_when=asyncio.FIRST_COMPLETED)
-    if not starting.done() or starting.exception() is not None:
-        await _abort_start(node, starting)
-        return
-    await ending
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(settings.drain_timeout_s + STOP_MARGIN_S):
-            await node.stop()
-    if node.replaced:
-        raise NodeReplacedError(settings.node_id)
-
-
-async def _abort_start(node: Node, starting: asyncio.Task[None]) -> None:
-    """Closes what a start has opened; raises the error that ended it."""
-    starting.cancel()
-    try:
-        with contextlib.suppress(asyncio.CancelledError):
-            await starting
-    finally:
-        await node.close()
