--- a/bench/measure_latency.py
+++ b/bench/measure_latency.py
@@ -7,17 +7,16 @@
 by themselves.
 """
 
-import asyncio
 import contextlib
 import os
 import pathlib
-import sys
 from collections.abc import AsyncIterator
 
 import attrs
 from hdrh.histogram import HdrHistogram
 
 from bench.figure import Figure
+from bench.peer_process import run_peer
 from bench.slope import Slope, write_slopes
 from guavawing.config import encode_document
 from standins.caller import send_call
@@ -27,7 +26,6 @@
 COMMAND = "python -m bench latency"
 CALLS = 3_000
 WARM_UP_CALLS = 200
-START_TIMEOUT_S = 10.0
 BODY_BYTES = 512
 HIGHEST_US = 10_000_000
 SIGNIFICANT_DIGITS = 3
@@ -142,30 +140,14 @@
         yield BareRelay(entry, (entry_pid, owner_pid))
 
 
-@contextlib.asynccontextmanager
-async def run_relay(role: str, address: str, peer: str) -> AsyncIterator[int]:
-    """Runs one process until closed; gives its id once it listens."""
+def run_relay(
+    role: str, address: str, peer: str
+) -> contextlib.AbstractAsyncContextManager[int]:
+    """Runs one of both processes until closed; gives its process id."""
     host, _, port = address.rpartition(":")
-    proc = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "bench.bare_relay", role, host, port, str(peer)
+    return run_peer(
+        "bench.bare_relay", role, host, port, str(peer), listens=address
     )
-    try:
-        async with asyncio.timeout(START_TIMEOUT_S):
-            await wait_for_listener(host, int(port))
-        yield proc.pid
-    finally:
-        proc.kill()
-        await proc.wait()
-
-
-async def wait_for_listener(host: str, port: int) -> None:
-    """Waits until a process listens at an address."""
-    while True:
-        with contextlib.suppress(OSError):
-            _, writer = await asyncio.open_connection(host, port)
-            writer.close()
-            return
-        await asyncio.sleep(0.05)
 
 
 def make_path(name: str, address: str) -> Path:
--- a/bench/measure_transports.py
+++ b/bench/measure_transports.py
@@ -3,9 +3,7 @@
 One request at a time, the transports in turn in one run.
 """
 
-import asyncio
 import contextlib
-import sys
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -14,14 +12,13 @@
 from hdrh.histogram import HdrHistogram
 
 from bench.figure import Figure
-from bench.measure_latency import wait_for_listener
+from bench.peer_process import run_peer
 from guavawing.proto import calls_pb2 as pb
 from standins.ports import HOST, PortBlock
 
 CALLS = 2_000
 WARM_UP_CALLS = 200
 HIGHEST_US = 10_000_000
-START_TIMEOUT_S = 10.0
 REQUEST = pb.CallRequest(id=1, service="feed", path="/", body=b"x" * 512)
 
 Call = Callable[[], Awaitable[object]]
@@ -50,20 +47,16 @@
 
 @contextlib.asynccontextmanager
 async def _open_peer() -> AsyncIterator[tuple[int, int]]:
-    ports = PortBlock()
-    http, grpc = (int(ports.take().rpartition(":")[2]) for _ in range(2))
-    proc = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "bench.transport_peer", HOST, str(http),
-        str(grpc),
-    )  # fmt: skip
-    try:
-        async with asyncio.timeout(START_TIMEOUT_S):
-            await wait_for_listener(HOST, grpc)
-        yield http, grpc
-    finally:
-        proc.kill()
-        await proc.wait()
-        ports.close()
+    with contextlib.closing(PortBlock()) as ports:
+        http, grpc = (int(ports.take().rpartition(":")[2]) for _ in range(2))
+        async with run_peer(
+            "bench.transport_peer",
+            HOST,
+            str(http),
+            str(grpc),
+            listens=f"{HOST}:{grpc}",
+        ):
+            yield http, grpc
 
 
 @contextlib.asynccontextmanager
