Pass calls between nodes as frames on a plain TCP connection

A frame on the WebSocket takes a queue and a task at each end for writing, another queue and task for reading, and masking.

Change: node/frame_stream.py cuts frames and looks for signs of life; the client and the server of the mesh take and write frames in place. Bounds stay: 65 MiB a frame, 1,024 connections, 10 s to the first frame, bytes that wait. A connection is held lost after three silent ticks of its own timer.

--- a/src/guavawing/node/frame_queue.py
+++ b/src/guavawing/node/frame_queue.py
@@ -37,7 +37,6 @@
 
     __slots__ = (
         "_bytes",
-        "_filled",
         "_flushed",
         "_single",
         "_streams",
@@ -49,7 +48,6 @@
         self._single: deque[bytes] = deque()
         self._streams: OrderedDict[int, _Stream] = OrderedDict()
         self._bytes = 0
-        self._filled = asyncio.Event()
         self._flushed = asyncio.Event()
         self._flushed.set()
 
@@ -62,7 +60,6 @@
         """Adds a single frame."""
         self._single.append(payload)
         self._count(len(payload))
-        self._filled.set()
         self._flushed.clear()
 
     def put_stream(
@@ -77,7 +74,6 @@
         """
         self._streams[frame_id] = _Stream(frames, size)
         self._count(size)
-        self._filled.set()
         self._flushed.clear()
 
     def drop_stream(self, frame_id: int) -> None:
@@ -93,16 +89,13 @@
         self._count(-self._bytes)
         self._flushed.set()
 
-    async def get(self) -> bytes:
-        """Waits for the next frame to write."""
-        while True:
-            payload = self._take_single() or self._take_of_stream()
-            if payload is not None:
-                return payload
+    def take(self) -> bytes | None:
+        """Returns the next frame to write, or None."""
+        payload = self._take_single() or self._take_of_stream()
+        if payload is None:
             # Whoever asks for the next frame has written the one before.
             self._flushed.set()
-            self._filled.clear()
-            await self._filled.wait()
+        return payload
 
     async def wait_flushed(self) -> None:
         """Waits until every frame has been written."""
--- /dev/null
+++ b/src/guavawing/node/frame_stream.py
@@ -0,0 +1,186 @@
+"""Frames on a TCP connection between two nodes.
+
+Each frame has its length in front, as four bytes, the highest first. An empty
+frame is a sign of life: the end that opened the connection sends one when it
+has heard nothing for a while, and the other end answers with one.
+"""
+
+import asyncio
+from typing import Protocol, cast
+
+import attrs
+
+from guavawing.errors import MessageInvalidError
+
+__all__ = ["MAX_FRAME_BYTES", "FrameHandler", "FrameStream", "Keepalive"]
+
+MAX_FRAME_BYTES = 65 * 1024 * 1024
+LENGTH_BYTES = 4
+# Ticks in a row without a byte from the peer after which it is held lost. A
+# process that was paused finds one tick late, not many, and so reads what
+# has arrived meanwhile before it judges.
+MAX_SILENT_TICKS = 3
+SIGN_OF_LIFE = b""
+
+
+@attrs.frozen
+class Keepalive:
+    """How an end of a connection finds out that the other is gone.
+
+    Attributes:
+        tick_s: Time from one look at the connection to the next, in seconds.
+        asks: Whether this end asks for signs of life; the other answers.
+    """
+
+    tick_s: float
+    asks: bool
+
+
+class FrameHandler(Protocol):
+    """What takes the events of a stream."""
+
+    def take_open(self, stream: "FrameStream") -> None:
+        """Takes the stream once it is connected."""
+
+    def take_frame(self, payload: bytes) -> None:
+        """Takes a frame.
+
+        Raises:
+            MessageInvalidError: If the connection has to be closed.
+        """
+
+    def take_room(self) -> None:
+        """Is told that frames may be written again after a pause."""
+
+    def take_end(self) -> None:
+        """Is told that the connection is closed, once."""
+
+
+class FrameStream(asyncio.Protocol):
+    """One end of a connection.
+
+    Attributes:
+        closed: Whether it is closed or being closed.
+        paused: Whether so much waits for the network that no more frames
+            should be written.
+    """
+
+    __slots__ = (
+        "_handler",
+        "_keepalive",
+        "_loop",
+        "_needed",
+        "_part",
+        "_silent_ticks",
+        "_timer",
+        "_transport",
+        "closed",
+        "paused",
+    )
+
+    def __init__(self, handler: FrameHandler, *, keepalive: Keepalive) -> None:
+        self._handler = handler
+        self._keepalive = keepalive
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._silent_ticks = 0
+        # The first bytes of a frame whose rest is yet to come, and the
+        # number of bytes of them from which on there is more to read.
+        self._part = bytearray()
+        self._needed = 0
+        self.closed = False
+        self.paused = False
+
+    def write(self, payload: bytes) -> None:
+        """Sends a frame; does nothing once the connection is closed."""
+        if not self.closed and self._transport is not None:
+            length = len(payload).to_bytes(LENGTH_BYTES, "big")
+            self._transport.write(length + payload)
+
+    def close(self) -> None:
+        """Closes the connection after what was written has been sent."""
+        self.closed = True
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self.closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the open connection."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._start_timer()
+        self._handler.take_open(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of the peer."""
+        self._silent_ticks = 0
+        if self._part:
+            self._part += data
+            if len(self._part) < self._needed:
+                return
+            data = bytes(self._part)
+        try:
+            self._take_frames(data)
+        except MessageInvalidError:
+            # The connection of a peer that sends garbage is closed.
+            self.abort()
+
+    def pause_writing(self) -> None:
+        """Notes that much waits for the network."""
+        self.paused = True
+
+    def resume_writing(self) -> None:
+        """Notes that little waits for the network."""
+        self.paused = False
+        self._handler.take_room()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Takes the end of the connection."""
+        self.closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._handler.take_end()
+
+    def _take_frames(self, data: bytes) -> None:
+        start = 0
+        needed = LENGTH_BYTES
+        while len(data) - start >= LENGTH_BYTES and not self.closed:
+            body = start + LENGTH_BYTES
+            length = int.from_bytes(data[start:body], "big")
+            if length > MAX_FRAME_BYTES:
+                raise MessageInvalidError(
+                    f"got a frame of {length} bytes, expected at most"
+                    f" {MAX_FRAME_BYTES}"
+                )
+            needed = LENGTH_BYTES + length
+            if len(data) - start < needed:
+                break
+            start += needed
+            self._take_frame(data[body:start])
+            needed = LENGTH_BYTES
+        self._part = bytearray(data[start:])
+        self._needed = needed
+
+    def _take_frame(self, payload: bytes) -> None:
+        if payload != SIGN_OF_LIFE:
+            self._handler.take_frame(payload)
+        elif not self._keepalive.asks and not self.paused:
+            self.write(SIGN_OF_LIFE)
+
+    def _start_timer(self) -> None:
+        tick_s = self._keepalive.tick_s
+        self._timer = self._loop.call_later(tick_s, self._tick)
+
+    def _tick(self) -> None:
+        self._silent_ticks += 1
+        if self._silent_ticks >= MAX_SILENT_TICKS:
+            self.abort()
+            return
+        if self._keepalive.asks and self._silent_ticks == MAX_SILENT_TICKS - 1:
+            self.write(SIGN_OF_LIFE)
+        self._start_timer()
--- a/src/guavawing/node/mesh_client.py
+++ b/src/guavawing/node/mesh_client.py
@@ -6,12 +6,12 @@
 import secrets
 from collections.abc import Callable
 
-import aiohttp
 import attrs
 
 from guavawing.errors import MessageInvalidError
-from guavawing.model import MemberId
+from guavawing.model import Address, MemberId
 from guavawing.node.frame_queue import ByteCount
+from guavawing.node.frame_stream import FrameStream, Keepalive
 from guavawing.node.frames import (
     MAX_ANSWER_BYTES,
     build_hello,
@@ -28,9 +28,10 @@
 from guavawing.proto import calls_pb2 as pb
 from guavawing.verdict import MayHaveRun, Ran, Reason, Verdict
 
-__all__ = ["MeshConnection"]
+__all__ = ["MeshConnection", "open_mesh_connection"]
 
 CONNECT_TIMEOUT_S = 1.0
+KEEPALIVE = Keepalive(tick_s=1.0, asks=True)
 # Age at which the owner is asked for its key epoch before a key is made.
 MAX_EPOCH_AGE_S = 30.0
 # Bytes of answers that may be under way to one entry node.
@@ -57,62 +58,76 @@
 
     def __init__(
         self,
-        ws: aiohttp.ClientWebSocketResponse,
+        member_id: MemberId,
+        incarnation: int,
+        *,
         on_load: LoadListener,
         expected: ByteCount,
     ) -> None:
-        """Creates the client side of an open WebSocket.
+        """Creates the client side of a connection.
 
         Args:
-            ws: The WebSocket.
+            member_id: Id of this node.
+            incarnation: Incarnation of this process.
             on_load: Is told of the loads that the owner reports.
             expected: Bytes of the answers that are under way to this node,
                 on all of its connections.
         """
         self._loop = asyncio.get_running_loop()
-        self._ws = ws
+        self._member_id = member_id
+        self._own_incarnation = incarnation
         self._on_load = on_load
+        self._stream: FrameStream | None = None
         self._ids = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
-        self._outgoing: asyncio.Queue[pb.MeshFrame] = asyncio.Queue()
-        self._tasks: list[asyncio.Task[None]] = []
         self._key_epoch = 0
         self._load_at = 0.0
         # Cleared while the owner is asked for its load.
         self._fresh = asyncio.Event()
         self._fresh.set()
-        self._hello = pb.MeshFrame()
+        self._hello = b""
+        self._greeted: asyncio.Future[None] = self._loop.create_future()
         self._expected = expected
         self.owner: MemberId = ""
         self.incarnation = 0
-        self.open = True
-
-    async def start(self, member_id: MemberId, incarnation: int) -> None:
-        """Exchanges first frames and starts the tasks of the connection."""
-        frame = await self._receive_hello()
-        self._hello = build_hello(
-            member_id,
-            incarnation,
-            LoadReport(0, 0, 0, draining=False, key_epoch=0),
-            now=self._loop.time(),
-            echo_us=frame.hello.sent_at_us,
-        )
-        await self._ws.send_bytes(self._hello.SerializeToString())
-        # The owner's second frame says that it takes calls.
-        frame = await self._receive_hello()
-        self.owner = frame.hello.member_id
-        self.incarnation = frame.hello.incarnation
-        self._take_load(frame.hello.load)
-        self._tasks = [
-            self._loop.create_task(self._read()),
-            self._loop.create_task(self._write()),
-        ]
-
-    async def _receive_hello(self) -> pb.MeshFrame:
-        frame = decode_frame(await self._ws.receive_bytes())
-        if frame.WhichOneof("kind") != "hello":
+        self.open = False
+
+    async def wait_open(self) -> None:
+        """Waits until the owner takes calls.
+
+        Raises:
+            ConnectionError: If the connection is closed before that.
+        """
+        await self._greeted
+
+    def take_open(self, stream: FrameStream) -> None:
+        """Takes the stream of the connection."""
+        self._stream = stream
+
+    def take_frame(self, payload: bytes) -> None:
+        """Takes a frame of the owner."""
+        frame = decode_frame(payload)
+        kind = frame.WhichOneof("kind")
+        if kind != "hello" and not self.open:
             raise MessageInvalidError("the first frame is not a hello")
-        return frame
+        match kind:
+            case "answer":
+                self._take_answer(frame.answer)
+            case "body":
+                self._take_body(frame.body)
+            case "hello":
+                self._take_hello(frame.hello)
+            case _:
+                raise MessageInvalidError(f"got an unexpected frame {kind!r}")
+
+    def take_room(self) -> None:
+        """Does nothing: calls are bounded where callers are answered."""
+
+    def take_end(self) -> None:
+        """Takes the end of the connection: what is pending may have run."""
+        self._lose_pending()
+        if not self._greeted.done():
+            self._greeted.set_exception(ConnectionError("closed"))
 
     async def refresh_epoch(self) -> bool:
         """Makes sure that new keys are not bound to an epoch long past.
@@ -126,7 +141,7 @@
             return False
         if self._fresh.is_set():
             self._fresh.clear()
-            self._outgoing.put_nowait(self._hello)
+            self._write(self._hello)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await self._fresh.wait()
@@ -145,54 +160,45 @@
         frame_id = next(self._ids)
         self._pending[frame_id] = _Pending(fut)
         frame = build_request(attempt, frame_id, now=self._loop.time())
-        self._outgoing.put_nowait(frame)
+        self._write(frame.SerializeToString())
         return Submission(fut, lambda: self._cancel(frame_id))
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Closes the connection; what is pending may have run."""
-        for task in self._tasks:
-            task.cancel()
         self._lose_pending()
-        await self._ws.close()
+        self._greeted.cancel()
+        if self._stream is not None:
+            self._stream.close()
 
     def _cancel(self, frame_id: int) -> None:
         if self._drop(frame_id) is not None:
             cancel = pb.CallCancel(id=frame_id)
-            self._outgoing.put_nowait(pb.MeshFrame(cancel=cancel))
-
-    async def _read(self) -> None:
-        try:
-            async for msg in self._ws:
-                if msg.type is not aiohttp.WSMsgType.BINARY:
-                    break
-                self._take(decode_frame(msg.data))
-        except MessageInvalidError:
-            # An owner that sends garbage is treated as lost.
-            pass
-        finally:
-            self._lose_pending()
-            await self._ws.close()
-
-    async def _write(self) -> None:
-        while True:
-            frame = await self._outgoing.get()
-            try:
-                await self._ws.send_bytes(frame.SerializeToString())
-            except (ConnectionError, RuntimeError):
-                self._lose_pending()
-                return
-
-    def _take(self, frame: pb.MeshFrame) -> None:
-        match frame.WhichOneof("kind"):
-            case "answer":
-                self._take_answer(frame.answer)
-            case "body":
-                self._take_body(frame.body)
-            case "hello":
-                self._take_load(frame.hello.load)
-                self._fresh.set()
-            case kind:
-                raise MessageInvalidError(f"got an unexpected frame {kind!r}")
+            self._write(pb.MeshFrame(cancel=cancel).SerializeToString())
+
+    def _write(self, payload: bytes) -> None:
+        assert self._stream is not None
+        self._stream.write(payload)
+
+    def _take_hello(self, hello: pb.Hello) -> None:
+        if not self._hello:
+            frame = build_hello(
+                self._member_id,
+                self._own_incarnation,
+                LoadReport(0, 0, 0, draining=False, key_epoch=0),
+                now=self._loop.time(),
+                echo_us=hello.sent_at_us,
+            )
+            self._hello = frame.SerializeToString()
+            self._write(self._hello)
+            return
+        if not self.open and not self._greeted.done():
+            # The owner's second frame says that it takes calls.
+            self.owner = hello.member_id
+            self.incarnation = hello.incarnation
+            self.open = True
+            self._greeted.set_result(None)
+        self._take_load(hello.load)
+        self._fresh.set()
 
     def _take_answer(self, answer: pb.CallAnswer) -> None:
         self._take_load(answer.load)
@@ -265,6 +271,33 @@
             self._resolve(pending, lost)
 
 
+async def open_mesh_connection(
+    address: Address, conn: MeshConnection, *, source: str = ""
+) -> None:
+    """Connects to an owner and waits until it takes calls.
+
+    Args:
+        address: Where the owner listens.
+        conn: The connection, not open yet.
+        source: IP address from which to connect; empty for any.
+
+    Raises:
+        OSError: If the owner can't be reached or closes the connection.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        await loop.create_connection(
+            lambda: FrameStream(conn, keepalive=KEEPALIVE),
+            address.host,
+            address.port,
+            local_addr=(source, 0) if source else None,
+        )
+        await conn.wait_open()
+    except BaseException:
+        conn.close()
+        raise
+
+
 def _describe_dropped(verdict: Verdict) -> Answer:
     if isinstance(verdict, Ran):
         return Answer(Ran(Reason.ANSWER_NOT_KEPT))
--- a/src/guavawing/node/mesh_pool.py
+++ b/src/guavawing/node/mesh_pool.py
@@ -4,36 +4,39 @@
 import contextlib
 from collections.abc import AsyncIterator
 
-import aiohttp
-
-from guavawing.errors import MessageInvalidError
 from guavawing.membership import Member
 from guavawing.model import MemberId
 from guavawing.node.frame_queue import ByteCount
-from guavawing.node.frames import MAX_FRAME_BYTES
 from guavawing.node.mesh_client import (
     CONNECT_TIMEOUT_S,
     LoadListener,
     MeshConnection,
+    open_mesh_connection,
 )
 
 __all__ = ["MeshPool", "open_mesh_pool"]
 
-PING_PERIOD_S = 2.0
-
 
 class MeshPool:
     """Connections to owners, opened when first needed."""
 
     def __init__(
         self,
-        session: aiohttp.ClientSession,
         *,
         member_id: MemberId,
         incarnation: int,
+        source: str,
         on_load: LoadListener,
     ) -> None:
-        self._session = session
+        """Creates an empty pool.
+
+        Args:
+            member_id: Id of this node.
+            incarnation: Incarnation of this process.
+            source: IP address of this node, from which it connects.
+            on_load: Is told of the loads that owners report.
+        """
+        self._source = source
         self._member_id = member_id
         self._incarnation = incarnation
         self._on_load = on_load
@@ -56,12 +59,12 @@
             opening.add_done_callback(lambda _: self._opening.pop(member.id))
         return await asyncio.shield(opening)
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Closes every connection."""
         for opening in tuple(self._opening.values()):
             opening.cancel()
         for conn in self._connections.values():
-            await conn.close()
+            conn.close()
 
     def _find(self, member: Member) -> MeshConnection | None:
         conn = self._connections.get(member.id)
@@ -74,32 +77,23 @@
     async def _open(self, member: Member) -> MeshConnection | None:
         old = self._connections.pop(member.id, None)
         if old is not None:
-            await old.close()
+            old.close()
+        conn = MeshConnection(
+            self._member_id,
+            self._incarnation,
+            on_load=self._on_load,
+            expected=self._expected,
+        )
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                ws = await self._session.ws_connect(
-                    f"http://{member.mesh}/",
-                    heartbeat=PING_PERIOD_S,
-                    max_msg_size=MAX_FRAME_BYTES,
-                    compress=0,
+                await open_mesh_connection(
+                    member.mesh, conn, source=self._source
                 )
-                conn = MeshConnection(ws, self._on_load, self._expected)
-                try:
-                    await conn.start(self._member_id, self._incarnation)
-                except BaseException:
-                    await ws.close()
-                    raise
-        except (
-            aiohttp.ClientError,
-            MessageInvalidError,
-            OSError,
-            TimeoutError,
-            TypeError,
-        ):
+        except (OSError, TimeoutError):
             return None
         if conn.owner != member.id:
             # Another node has taken over the address.
-            await conn.close()
+            conn.close()
             return None
         self._connections[member.id] = conn
         return conn
@@ -115,21 +109,15 @@
 ) -> AsyncIterator[MeshPool]:
     """Opens an empty pool and closes its connections after use.
 
-    Args:
-        member_id: Id of this node.
-        incarnation: Incarnation of this process.
-        source: IP address of this node, from which it connects.
-        on_load: Is told of the loads that owners report.
+    The arguments are those of `MeshPool`.
     """
-    connector = aiohttp.TCPConnector(limit=0, local_addr=(source, 0))
-    async with aiohttp.ClientSession(connector=connector) as session:
-        pool = MeshPool(
-            session,
-            member_id=member_id,
-            incarnation=incarnation,
-            on_load=on_load,
-        )
-        try:
-            yield pool
-        finally:
-            await pool.close()
+    pool = MeshPool(
+        member_id=member_id,
+        incarnation=incarnation,
+        source=source,
+        on_load=on_load,
+    )
+    try:
+        yield pool
+    finally:
+        pool.close()
--- a/src/guavawing/node/mesh_server.py
+++ b/src/guavawing/node/mesh_server.py
@@ -4,16 +4,13 @@
 import contextlib
 from collections.abc import AsyncIterator, Callable, Iterator
 
-import aiohttp
-from aiohttp import web
-
 from guavawing.config import PolicyTable
 from guavawing.errors import MessageInvalidError
 from guavawing.model import Address
 from guavawing.node.frame_queue import ByteCount, FrameQueue
+from guavawing.node.frame_stream import FrameStream, Keepalive
 from guavawing.node.frames import (
     CHUNK_BYTES,
-    MAX_FRAME_BYTES,
     MICROSECONDS,
     build_answer_frames,
     build_hello,
@@ -21,7 +18,6 @@
     decode_headers,
     read_key,
 )
-from guavawing.node.http_server import BoundedServer, open_http_server
 from guavawing.node.messages import Answer, CallAttempt
 from guavawing.node.metrics import Metrics
 from guavawing.node.owner import Owner
@@ -32,8 +28,10 @@
 
 __all__ = ["MeshServer", "open_mesh_server"]
 
-PING_PERIOD_S = 10.0
+KEEPALIVE = Keepalive(tick_s=5.0, asks=False)
 CLOSE_TIMEOUT_S = 1.0
+# Time from the connection to its first frame.
+FIRST_FRAME_TIMEOUT_S = 10.0
 MAX_CONNECTIONS = 1_024
 HANDSHAKE_TIMEOUT_S = 0.5
 # Calls that one entry node may have at this owner.
@@ -64,6 +62,8 @@
         self._policies = policies
         self._member_id = member_id
         self._connections: set[_Connection] = set()
+        self._closed = asyncio.Event()
+        self._closed.set()
         # Bytes of answers that wait on all connections.
         self.total = ByteCount()
 
@@ -81,22 +81,31 @@
         for conn in tuple(self._connections):
             await conn.wait_flushed()
 
-    async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
-        """Serves one connection until the entry node closes it."""
-        ws = web.WebSocketResponse(
-            heartbeat=PING_PERIOD_S,
-            max_msg_size=MAX_FRAME_BYTES,
-            compress=False,
-            timeout=CLOSE_TIMEOUT_S,
-        )
-        await ws.prepare(req)
-        conn = _Connection(self, ws)
+    def make_stream(self, metrics: Metrics) -> FrameStream:
+        """Returns the stream of a new connection."""
+        return FrameStream(_Connection(self, metrics), keepalive=KEEPALIVE)
+
+    def add(self, conn: "_Connection") -> bool:
+        """Takes a connection; returns whether there was room for it."""
         self._connections.add(conn)
-        try:
-            await conn.serve()
-        finally:
-            self._connections.discard(conn)
-        return ws
+        self._closed.clear()
+        return len(self._connections) <= MAX_CONNECTIONS
+
+    def discard(self, conn: "_Connection") -> None:
+        """Forgets a connection."""
+        self._connections.discard(conn)
+        if not self._connections:
+            self._closed.set()
+
+    async def close(self) -> None:
+        """Closes every connection after what was written has been sent."""
+        for conn in tuple(self._connections):
+            conn.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self._closed.wait()
+        for conn in tuple(self._connections):
+            conn.abort()
 
     def hello(self) -> pb.MeshFrame:
         """Returns the first frame of a connection, or a later one."""
@@ -155,9 +164,10 @@
 class _Connection:
     """One entry node's connection: owns its socket and outgoing queue."""
 
-    def __init__(self, server: MeshServer, ws: web.WebSocketResponse) -> None:
+    def __init__(self, server: MeshServer, metrics: Metrics) -> None:
         self._server = server
-        self._ws = ws
+        self._metrics = metrics
+        self._stream: FrameStream | None = None
         self._loop = asyncio.get_running_loop()
         self._outgoing = FrameQueue(server.total)
         self._submissions: dict[int, Submission] = {}
@@ -165,35 +175,73 @@
         self._greeted = False
         self._hello_sent_at_us = 0
 
+    def take_open(self, stream: FrameStream) -> None:
+        """Takes the stream, or closes it when there are too many."""
+        self._stream = stream
+        if not self._server.add(self):
+            self._refuse("too-many")
+            return
+        self._loop.call_later(FIRST_FRAME_TIMEOUT_S, self._close_if_silent)
+        hello = self._server.hello()
+        self._hello_sent_at_us = hello.hello.sent_at_us
+        self._put(hello.SerializeToString())
+
+    def take_frame(self, payload: bytes) -> None:
+        """Takes a frame of the entry node."""
+        self._take(decode_frame(payload))
+
+    def take_room(self) -> None:
+        """Writes what waits."""
+        self._write()
+
+    def take_end(self) -> None:
+        """Withdraws the calls of the entry node."""
+        self._server.discard(self)
+        for submission in tuple(self._submissions.values()):
+            submission.cancel()
+        # Answers that come from now on have nowhere to go.
+        self._submissions.clear()
+        self._outgoing.clear()
+
     def send_hello(self) -> None:
         # Before the entry node has answered the first frame, a further one
         # would be taken for leave to send calls.
         if self._greeted:
-            self._outgoing.put(self._server.hello().SerializeToString())
+            self._put(self._server.hello().SerializeToString())
 
     async def wait_flushed(self) -> None:
         await self._outgoing.wait_flushed()
 
-    async def serve(self) -> None:
-        writer = self._loop.create_task(self._write())
-        hello = self._server.hello()
-        self._hello_sent_at_us = hello.hello.sent_at_us
-        self._outgoing.put(hello.SerializeToString())
-        try:
-            async for msg in self._ws:
-                if msg.type is not aiohttp.WSMsgType.BINARY:
-                    break
-                self._take(decode_frame(msg.data))
-        except MessageInvalidError:
-            # The connection of a peer that sends garbage is closed.
-            pass
-        finally:
-            writer.cancel()
-            for submission in tuple(self._submissions.values()):
-                submission.cancel()
-            # Answers that come from now on have nowhere to go.
-            self._submissions.clear()
-            self._outgoing.clear()
+    def close(self) -> None:
+        if self._stream is not None:
+            self._stream.close()
+
+    def abort(self) -> None:
+        if self._stream is not None:
+            self._stream.abort()
+
+    def _close_if_silent(self) -> None:
+        if not self._greeted and self._stream and not self._stream.closed:
+            self._refuse("silent")
+
+    def _refuse(self, reason: str) -> None:
+        labels = {"listener": "mesh", "reason": reason}
+        self._metrics.refused_connections.inc(labels)
+        self.abort()
+
+    def _put(self, payload: bytes) -> None:
+        self._outgoing.put(payload)
+        self._write()
+
+    def _write(self) -> None:
+        """Writes frames until none is left or the network takes no more."""
+        stream = self._stream
+        assert stream is not None
+        while not stream.paused and not stream.closed:
+            payload = self._outgoing.take()
+            if payload is None:
+                return
+            stream.write(payload)
 
     def _take(self, frame: pb.MeshFrame) -> None:
         match frame.WhichOneof("kind"):
@@ -255,9 +303,10 @@
             size = 0
         frames = self._server.encode_answer(answer, frame_id)
         if size <= CHUNK_BYTES:
-            self._outgoing.put(next(frames))
+            self._put(next(frames))
         else:
             self._outgoing.put_stream(frame_id, frames, size)
+            self._write()
 
     def _take_cancel(self, frame_id: int) -> None:
         self._outgoing.drop_stream(frame_id)
@@ -265,14 +314,6 @@
         if submission is not None:
             submission.cancel()
 
-    async def _write(self) -> None:
-        while True:
-            payload = await self._outgoing.get()
-            try:
-                await self._ws.send_bytes(payload)
-            except (ConnectionError, RuntimeError):
-                return
-
 
 def _drop_body(answer: Answer) -> Answer:
     if isinstance(answer.verdict, Ran):
@@ -285,11 +326,11 @@
     server: MeshServer, address: Address, metrics: Metrics
 ) -> AsyncIterator[MeshServer]:
     """Listens for entry nodes until closed."""
-    http = BoundedServer(
-        server.handle,
-        name="mesh",
-        max_connections=MAX_CONNECTIONS,
-        metrics=metrics,
+    listener = await asyncio.get_running_loop().create_server(
+        lambda: server.make_stream(metrics), address.host, address.port
     )
-    async with open_http_server(http, address):
+    try:
         yield server
+    finally:
+        listener.close()
+        await server.close()
