Fill the messages of calls in place

Cause: a profile of both nodes under 6,000 calls shows build_request (39 us of 740 of own code at the entry, under the profiler) and build_answer_frames with the load (54 of 567 at the owner) as the dearest own functions: a message given to the constructor of another is copied.

Ruled out: handing mappings to the constructor (5.2 us; in place 2.6 us; before 7.8 us, in one run).

Change: frames are filled in place; headers are read pairwise without lists; the candidate of a reporting owner isn't made anew; no check is made of an id that the caller did not send.

Figures, one function alone, before and after, the machine 1.6 times slower in the second run by two functions that didn't change: request 7.9 -> 8.0 us (about 5.0 at the first speed), answer 10.1 -> 9.8 (6.1), headers 3.1 -> 3.5 (2.1). The bytes are the same.

Conclusion: kept; small.

--- a/src/guavawing/node/call_reader.py
+++ b/src/guavawing/node/call_reader.py
@@ -136,9 +136,10 @@
 
 def read_call_id(req: web.BaseRequest) -> str:
     """Returns the id that the caller chose, or a new one."""
-    call_id = req.headers.get(CALL_ID_HEADER, "")
-    is_usable = call_id.isascii() and call_id.replace("-", "").isalnum()
-    if is_usable and len(call_id) <= MAX_CALL_ID_LENGTH:
+    call_id = req.headers.get(CALL_ID_HEADER)
+    if not call_id or len(call_id) > MAX_CALL_ID_LENGTH:
+        return secrets.token_hex(CALL_ID_BYTES)
+    if call_id.isascii() and call_id.replace("-", "").isalnum():
         return call_id
     return secrets.token_hex(CALL_ID_BYTES)
 
--- a/src/guavawing/node/entry.py
+++ b/src/guavawing/node/entry.py
@@ -180,7 +180,9 @@
         self, member_id: MemberId, incarnation: int, load: LoadReport
     ) -> None:
         """Takes the load that an owner reported with an answer."""
-        candidate = Candidate(member_id, incarnation, local=False, slots=0)
+        _, candidate = self._candidates.get(member_id, (None, None))
+        if candidate is None or candidate.incarnation != incarnation:
+            candidate = Candidate(member_id, incarnation, local=False, slots=0)
         self._chooser.report(candidate, load, now=self._loop.time())
 
     @property
--- a/src/guavawing/node/frames.py
+++ b/src/guavawing/node/frames.py
@@ -55,14 +55,14 @@
         now: Event loop's time, in seconds.
         echo_us: Clock in the frame that this one answers, if any.
     """
-    hello = pb.Hello(
-        member_id=member_id,
-        incarnation=incarnation,
-        sent_at_us=int(now * MICROSECONDS),
-        load=encode_load(load),
-        echo_us=echo_us,
-    )
-    return pb.MeshFrame(hello=hello)
+    frame = pb.MeshFrame()
+    hello = frame.hello
+    hello.member_id = member_id
+    hello.incarnation = incarnation
+    hello.sent_at_us = int(now * MICROSECONDS)
+    hello.echo_us = echo_us
+    fill_load(hello.load, load)
+    return frame
 
 
 def build_request(
@@ -70,22 +70,25 @@
 ) -> pb.MeshFrame:
     """Returns the frame that asks an owner to execute an attempt."""
     time_left_s = max(attempt.deadline - now, 0.0)
-    request = pb.CallRequest(
-        id=frame_id,
-        call_id=attempt.call_id,
-        time_left_us=int(time_left_s * MICROSECONDS),
-        sent_at_us=int(now * MICROSECONDS),
-        service=attempt.policy.service,
-        route=attempt.policy.route,
-        method=attempt.method,
-        path=attempt.path,
-        headers=encode_headers(attempt.headers),
-        body=attempt.body,
-        key="" if attempt.key is None else str(attempt.key),
-        depth=attempt.depth,
-        fingerprint=attempt.fingerprint,
-    )
-    return pb.MeshFrame(request=request)
+    # Messages are filled in place: one that is handed to the constructor of
+    # another is copied.
+    frame = pb.MeshFrame()
+    request = frame.request
+    request.id = frame_id
+    request.call_id = attempt.call_id
+    request.time_left_us = int(time_left_s * MICROSECONDS)
+    request.sent_at_us = int(now * MICROSECONDS)
+    request.service = attempt.policy.service
+    request.route = attempt.policy.route
+    request.method = attempt.method
+    request.path = attempt.path
+    request.headers.extend(encode_headers(attempt.headers))
+    request.body = attempt.body
+    request.depth = attempt.depth
+    request.fingerprint = attempt.fingerprint
+    if attempt.key is not None:
+        request.key = str(attempt.key)
+    return frame
 
 
 def build_answer_frames(
@@ -97,19 +100,19 @@
     if isinstance(verdict, NotRun) and verdict.retry_after_s is not None:
         # One is added so that 0 stands for no time at all.
         retry_after_ms = round(verdict.retry_after_s * MILLISECONDS) + 1
-    head = pb.CallAnswer(
-        id=frame_id,
-        verdict=verdict_name(verdict),
-        reason=str(verdict.reason),
-        retry_after_ms=retry_after_ms,
-        budget_spent=getattr(verdict, "budget_spent", False),
-        status=answer.status,
-        headers=encode_headers(answer.headers),
-        body_length=len(answer.body),
-        body=answer.body[:CHUNK_BYTES],
-        load=encode_load(load),
-    )
-    yield pb.MeshFrame(answer=head)
+    frame = pb.MeshFrame()
+    head = frame.answer
+    head.id = frame_id
+    head.verdict = verdict_name(verdict)
+    head.reason = str(verdict.reason)
+    head.retry_after_ms = retry_after_ms
+    head.budget_spent = getattr(verdict, "budget_spent", False)
+    head.status = answer.status
+    head.headers.extend(encode_headers(answer.headers))
+    head.body_length = len(answer.body)
+    head.body = answer.body[:CHUNK_BYTES]
+    fill_load(head.load, load)
+    yield frame
     for start in range(CHUNK_BYTES, len(answer.body), CHUNK_BYTES):
         chunk = answer.body[start : start + CHUNK_BYTES]
         yield pb.MeshFrame(body=pb.CallBody(id=frame_id, chunk=chunk))
@@ -179,15 +182,15 @@
     )
 
 
-def encode_load(load: LoadReport) -> pb.Load:
-    """Returns the message that reports an owner's load."""
-    return pb.Load(
-        slots=load.slots,
-        running=load.running,
-        queued=load.queued,
-        draining=load.draining,
-        key_epoch=load.key_epoch,
-    )
+def fill_load(message: pb.Load, load: LoadReport) -> None:
+    """Writes an owner's load to a message."""
+    message.slots = load.slots
+    message.running = load.running
+    message.queued = load.queued
+    message.draining = load.draining
+    message.key_epoch = load.key_epoch
+    # A load of zeros is a load too.
+    message.SetInParent()
 
 
 def encode_headers(headers: Headers) -> Iterable[str]:
@@ -201,9 +204,8 @@
     Raises:
         MessageInvalidError: If the last name has no value.
     """
-    texts = list(headers)
-    if len(texts) % 2:
-        raise MessageInvalidError(
-            f"got {len(texts)} names and values, expected an even number"
-        )
-    return tuple(zip(texts[::2], texts[1::2], strict=True))
+    texts = iter(headers)
+    try:
+        return tuple(zip(texts, texts, strict=True))
+    except ValueError as exc:
+        raise MessageInvalidError("the last header has no value") from exc
