Report and count deltas for a version that the node has left

Cause: Learner._take_payload returned nothing for a delta whose base is not the version in force, so FetchFault.OTHER_BASE was never given and the fetch was counted nowhere. The new scenario "A delta comes for a version that is not in force any more" failed first: actions held only the next PullFromPeer, no fault. Ruled out: punishing the source as other faults do. The base is the one that this node asked with, so only its own step in the meantime makes it differ; a pause for the source would delay the version. Change: the fault is reported, and the source may be asked again at once.

--- a/src/guavawing/distribution/learner.py
+++ b/src/guavawing/distribution/learner.py
@@ -262,7 +262,8 @@
         if isinstance(content, NoContent):
             return self._punish(fetch, FetchFault.WITHHELD, now)
         if self._has_other_base(content):
-            return []
+            # The version in force moved on meanwhile; the source did no wrong.
+            return [ReportFault(fetch.source, FetchFault.OTHER_BASE)]
         return self._apply(fetch, version, content, now)
 
     def _has_other_base(self, content: Content) -> bool:
--- a/tests/cover/distribution.feature
+++ b/tests/cover/distribution.feature
@@ -53,6 +53,17 @@
     Then version 3 is in force
     And nobody is asked
 
+  Scenario: A delta comes for a version that is not in force any more
+    Given a node that enforces version 1
+    When "one" announces version 2
+    And "two" announces version 3
+    And the fetch of "one" brings version 2
+    And the fetch of "two" brings a delta of version 1 to version 3
+    Then the fault "other-base" is reported
+    And "two" is asked
+    When the fetch of "two" brings version 3
+    Then version 3 is in force
+
   Scenario: A busy source names another
     Given a node that enforces version 1
     When "one" announces version 2
--- a/tests/steps/distribution_steps.py
+++ b/tests/steps/distribution_steps.py
@@ -106,6 +106,10 @@
             version = make_version(int(number))
             event = ev.PayloadArrived(fetch_id, version, ev.NoContent())
             feed(context, event)
+        case "a delta of version 1 to version":
+            content = ev.DeltaContent(make_version(1), b"")
+            version = make_version(int(number))
+            feed(context, ev.PayloadArrived(fetch_id, version, content))
         case "no answer in":
             feed(context, ev.FetchFailed(fetch_id, ev.FetchFault.UNREACHABLE))
         case "later, ask":
