--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -14,6 +14,7 @@
 
 from bench.slope import Slope, read_slopes
 from guavawing.membership.summary import CONTACTS_PER_SERVICE
+from guavawing.node.rival_check import SPREAD_PER_MEMBER_S
 from guavawing.platform.seeds import SEEDS_PER_DATA_CENTRE
 from guavawing.policy.choice import SUBSET_SIZE
 from guavawing.policy.key_table import MAX_ENTRIES, MAX_KEPT_BYTES
@@ -319,6 +320,15 @@
             "the same",
             PLATFORM_WRITES_PER_S,
         ),
+        Line(
+            "membership",
+            "checks of a second process under the id, if peers lie to all",
+            1 / SPREAD_PER_MEMBER_S,
+            "writes/s",
+            "1 / `SPREAD_PER_MEMBER_S`; as many reads",
+            "a check is put off by a random time that grows with the fleet",
+            PLATFORM_WRITES_PER_S,
+        ),
         Line(
             "caller side",
             "room for new keys that callers chose",
