Play sessions and lies of membership from tables

Cause: tests are too large a share of new code. Each golden session of membership had a function for what its random sessions can play already; each lie built its datagram anew; lateness had two steps; NO_NOTICE was unused in membership_steps.py.

Change: tables of plays for the golden sessions; tell for lies; one step for members that are late. cover/membership is unchanged.

Figures: membership_lie_steps.py 107 -> 91 lines, membership_session_steps.py 116 -> 103, membership_steps.py 328 -> 318.

Conclusion: the same checks in 39 lines fewer.

--- a/tests/steps/membership_lie_steps.py
+++ b/tests/steps/membership_lie_steps.py
@@ -4,24 +4,15 @@
 from behave import then, when
 
 from bench.gossip_driver import make_member
-from guavawing.membership import (
-    Claim,
-    Datagram,
-    MemberState,
-    Notice,
-    PeerLimiter,
-    Push,
-    SyncPage,
-)
+from guavawing import membership as ms
 from guavawing.model import Address
 
-NO_NOTICE = Notice(0, b"")
-
 
-def hand(drive, node, datagram):
-    """Gives a datagram to a member, and what it sends to the others."""
-    sends = node.gossip.receive(datagram, now=drive.driver.now)
-    drive.driver.call(node, sends)
+def tell(drive, node, body, records, claims=()):
+    """Gives a member a datagram of a liar; returns what it sends."""
+    notice = ms.Notice(0, b"")
+    datagram = ms.Datagram("liar", body, notice, records, claims)
+    return node.gossip.receive(datagram, now=drive.driver.now)
 
 
 @when('a broken peer says of "{name}" what is not true')
@@ -31,18 +22,16 @@
     moved = attrs.evolve(
         me, incarnation=me.incarnation + 9, mesh=Address("10.9.9.9", 1)
     )
-    lies = [Push()] * 2
     records = (moved, attrs.evolve(me, sequence=me.sequence + 5, slots=0))
+    states = (ms.MemberState.SUSPECT, ms.MemberState.DEAD, ms.MemberState.LEFT)
     claims = tuple(
-        Claim(name, me.incarnation, me.sequence + extra, state, "liar")
-        for extra, state in enumerate(
-            (MemberState.SUSPECT, MemberState.DEAD, MemberState.LEFT)
-        )
+        ms.Claim(name, me.incarnation, me.sequence + extra, state, "liar")
+        for extra, state in enumerate(states)
     )
     for node in drive.live()[3:6]:
-        for body in lies:
-            datagram = Datagram("liar", body, NO_NOTICE, records, claims)
-            hand(drive, node, datagram)
+        for _ in range(2):
+            sends = tell(drive, node, ms.Push(), records, claims)
+            drive.driver.call(node, sends)
     drive.run(1)
 
 
@@ -57,33 +46,28 @@
         drive.run(pause)
         me = node.gossip.me
         record = attrs.evolve(me, incarnation=me.incarnation + 9)
-        datagram = Datagram("liar", Push(), NO_NOTICE, (record,))
-        hand(drive, node, datagram)
+        drive.driver.call(node, tell(drive, node, ms.Push(), (record,)))
 
 
 @when('a broken peer tells of {count:d} members to "{name}"')
 def step_fill(context, count, name):
-    gossip = context.drive.node(name).gossip
+    node = context.drive.node(name)
     for number in range(count):
         record = make_member(f"x{number}", number)
-        datagram = Datagram("liar", Push(), NO_NOTICE, (record,))
-        gossip.receive(datagram, now=context.drive.driver.now)
+        tell(context.drive, node, ms.Push(), (record,))
 
 
 @when('a broken peer answers "{name}" with the same page {count:d} times')
 def step_endless(context, name, count):
     drive = context.drive
-    gossip = drive.node(name).gossip
-    page = SyncPage("bergen", 1)
-    liar = make_member("liar", 999)
-    datagram = Datagram("liar", page, NO_NOTICE, (liar,))
-    context.asked = 0
+    node = drive.node(name)
     drive.run(60)
-    gossip._exchange.hasten()
-    gossip.tick(now=drive.driver.now)
-    for _ in range(count):
-        sends = gossip.receive(datagram, now=drive.driver.now)
-        context.asked += len(sends)
+    node.gossip._exchange.hasten()
+    node.gossip.tick(now=drive.driver.now)
+    page, liar = ms.SyncPage("bergen", 1), make_member("liar", 999)
+    context.asked = sum(
+        len(tell(drive, node, page, (liar,))) for _ in range(count)
+    )
 
 
 @then("it was asked for another page at most {count:d} times")
@@ -93,7 +77,7 @@
 
 @when("a peer sends {count:d} datagrams in a second")
 def step_flood(context, count):
-    limiter = PeerLimiter(now=0.0)
+    limiter = ms.PeerLimiter(now=0.0)
     flood, other = Address("10.0.0.1", 1), Address("10.0.0.2", 1)
     context.read = sum(
         limiter.admit(flood, now=number / count) for number in range(count)
--- a/tests/steps/membership_session_steps.py
+++ b/tests/steps/membership_session_steps.py
@@ -32,6 +32,8 @@
             driver.is_cut = lambda a, b: (a.id == name) != (b.id == name)
         case "heal":
             driver.is_cut = lambda a, b: False
+        case "join":
+            driver.add(make_member("desk-bergen-4", 4), drive.seeds())
         case "drain" if node.up and not node.paused:
             node.gossip.set_target(serving=False, slots=1)
 
@@ -65,29 +67,12 @@
         assert not drive.fallen, drive.fallen
 
 
-def play_join(drive):
-    drive.driver.add(make_member("desk-bergen-4", 4), drive.seeds())
-    drive.run(1.5)
-
-
-def play_refutation(drive):
-    alone = "desk-bergen-2"
-    drive.driver.is_cut = lambda a, b: (a.id == alone) != (b.id == alone)
-    drive.run(20)
-    drive.driver.is_cut = lambda a, b: False
-    drive.run(10)
-
-
-def play_freeze_return(drive):
-    drive.freeze("desk-bergen-2", 20)
-    drive.run(10)
-
-
 WATCHED = "desk-bergen-2"
+# What happens, and the seconds for which the session runs on after it.
 SESSION_PLAYS = {
-    "membership-join": play_join,
-    "membership-refutation": play_refutation,
-    "membership-freeze-return": play_freeze_return,
+    "membership-join": (("join", 1.5),),
+    "membership-refutation": (("cut", 20), ("heal", 10)),
+    "membership-freeze-return": (("freeze", 20), ("wake", 10)),
 }
 
 
@@ -97,7 +82,9 @@
     drive.run(10)
     lines = []
     drive.driver.trace = lines.append
-    SESSION_PLAYS[name](drive)
+    for action, seconds in SESSION_PLAYS[name]:
+        play(drive, action, WATCHED)
+        drive.run(seconds)
     check_golden(name, "".join(f"{line}\n" for line in select_news(lines)))
 
 
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -4,15 +4,12 @@
 
 from bench.gossip_driver import make_member
 from bench.gossip_session import STEP_S, Session
-from guavawing.membership import (
-    MemberState,
-    Notice,
-)
+from guavawing.membership import MemberState
 from guavawing.model import Address
 
 CENTRES = ("bergen", "voss", "floro", "odda")
 SETTLE_S = 15.0
-NO_NOTICE = Notice(0, b"")
+LAGS = {"handle every event": "lag_s", "read every datagram": "inbox_lag_s"}
 
 
 @given("{count:d} members of one data centre")
@@ -87,13 +84,6 @@
     context.drive.run(seconds)
 
 
-@when("{count:d} members handle every event {lag:g} s late")
-def step_lag(context, count, lag):
-    context.slow = list(context.drive.driver.nodes)[:count]
-    for name in context.slow:
-        context.drive.node(name).lag_s = lag
-
-
 def count_refutations(context):
     """Returns how often the members on time have raised their records."""
     nodes = context.drive.driver.nodes.values()
@@ -101,12 +91,12 @@
     return sum(node.gossip.me.sequence for node in on_time)
 
 
-@when("{count:d} members read every datagram {lag:g} s late")
-def step_read_late(context, count, lag):
+@when("{count:d} members {do_what} {lag:g} s late")
+def step_late(context, count, do_what, lag):
     context.slow = list(context.drive.driver.nodes)[:count]
     context.refuted = count_refutations(context)
     for name in context.slow:
-        context.drive.node(name).inbox_lag_s = lag
+        setattr(context.drive.node(name), LAGS[do_what], lag)
 
 
 @then("those that are on time had to refute at most {count:d} suspicions")
