--- a/bench/gossip_driver.py
+++ b/bench/gossip_driver.py
@@ -15,6 +15,7 @@
 from guavawing.membership import (
     TICKS_PER_PERIOD,
     Gossip,
+    Listeners,
     Member,
     MemberState,
     Notice,
@@ -53,9 +54,10 @@
         data_centre=data_centre,
         region="vestland",
         service=service,
-        mesh=Address(host, 7401),
-        control=Address(host, 7402),
-        admin=Address(host, 7403),
+        host=host,
+        listeners=Listeners.share(
+            *(Address(host, port) for port in (7401, 7402, 7403))
+        ),
         slots=10,
         serving=serving,
     )
--- a/src/guavawing/membership/__init__.py
+++ b/src/guavawing/membership/__init__.py
@@ -9,6 +9,7 @@
 from guavawing.membership.member import (
     MAX_INCARNATION,
     MAX_SEQUENCE,
+    Listeners,
     Member,
     MemberState,
 )
@@ -42,6 +43,7 @@
     "Claim",
     "Datagram",
     "Gossip",
+    "Listeners",
     "Member",
     "MemberState",
     "MemberTable",
--- a/src/guavawing/membership/exchange.py
+++ b/src/guavawing/membership/exchange.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import attrs
 
@@ -238,14 +238,14 @@
         self._due_at[here] = now + self._delay(self._repair_s)
         self._repair_s = min(2 * self._repair_s, REPAIR_PERIOD_S)
         running = self._roster.running()
-        addresses = [m.control for m in running]
+        contacts: Sequence[Address | Member] = running
         # All members together call on a seed now and then, which mends a
         # data centre that fell into parts.
         if self._rng.random() < 1 / (len(running) + 1):
-            addresses = self._seeds or addresses
-        if not addresses:
+            contacts = self._seeds or running
+        if not contacts:
             return []
-        address = self._rng.choice(addresses)
+        address = self._choose(contacts)
         return [self._open(here, address, now, whole=False)]
 
     def _join(self, now: float) -> list[SyncSend]:
@@ -262,16 +262,20 @@
 
     def _read_summary(self, data_centre: str, now: float) -> list[SyncSend]:
         self._due_at[data_centre] = now + self._delay(SUMMARY_PERIOD_S)
-        contacts = [m.control for m in self._roster.running(data_centre)]
+        contacts: Sequence[Address | Member] = self._roster.running(data_centre)
         if not contacts or self._rng.random() < CONTACT_SHARE:
             contacts = self._contacts.get(data_centre, contacts)
         if not contacts or not self.is_reporter_for(data_centre):
             return []
         age = self.find_age(data_centre, now=now)
         whole = age is None or age > FULL_READ_AGE_S
-        address = self._rng.choice(contacts)
+        address = self._choose(contacts)
         return [self._open(data_centre, address, now, whole=whole)]
 
+    def _choose(self, contacts: Sequence[Address | Member]) -> Address:
+        contact = self._rng.choice(contacts)
+        return contact.control if isinstance(contact, Member) else contact
+
     def _read_back(self, request: SyncRequest, now: float) -> list[SyncSend]:
         if request.data_centre != self._roster.me.data_centre:
             return []
@@ -283,10 +287,10 @@
         Only reporters read from the other data centres themselves.
         """
         self._due_at[ELSEWHERE] = now + self._delay(2 * self._repair_s)
-        neighbours = [member.control for member in self._roster.running()]
+        neighbours = self._roster.running()
         if not neighbours:
             return []
-        address = self._rng.choice(neighbours)
+        address = self._choose(neighbours)
         return [self._open(ELSEWHERE, address, now, whole=False)]
 
     def _list_elsewhere(self) -> list[Member]:
--- a/src/guavawing/membership/member.py
+++ b/src/guavawing/membership/member.py
@@ -10,15 +10,20 @@
 __all__ = [
     "MAX_INCARNATION",
     "MAX_SEQUENCE",
+    "Listeners",
     "Member",
     "MemberState",
-    "share_host",
 ]
 
 # Incarnations are start times in milliseconds; greater ones than this lie
 # centuries ahead and come from a broken peer.
 MAX_INCARNATION = 2**44
 MAX_SEQUENCE = 2**32
+# Different listeners that are kept for members to share. A fleet has few; a
+# broken peer may tell of any number.
+MAX_SHARED_LISTENERS = 1_000
+
+_shared_listeners: dict["Listeners", "Listeners"] = {}
 
 
 class MemberState(enum.IntEnum):
@@ -30,6 +35,39 @@
     LEFT = 4
 
 
+@attrs.frozen(weakref_slot=False)
+class Listeners:
+    """Where the parts of a node listen, seen from its host.
+
+    An empty host stands for the host of the member. Nearly all members of a
+    fleet then have equal listeners and share one copy.
+
+    Attributes:
+        mesh: Takes calls from other nodes.
+        control: Takes gossip (UDP) and pulls (TCP).
+        admin: Answers operators.
+    """
+
+    mesh: Address
+    control: Address
+    admin: Address
+
+    @classmethod
+    def share(
+        cls, mesh: Address, control: Address, admin: Address
+    ) -> "Listeners":
+        """Returns the listeners of a member whose host is that of `mesh`."""
+        made = cls(
+            *(
+                Address("", each.port) if each.host == mesh.host else each
+                for each in (mesh, control, admin)
+            )
+        )
+        if len(_shared_listeners) >= MAX_SHARED_LISTENERS:
+            _shared_listeners.clear()
+        return _shared_listeners.setdefault(made, made)
+
+
 @attrs.frozen(weakref_slot=False)
 class Member:
     """What the others know of a node.
@@ -43,9 +81,8 @@
         data_centre: Data centre of its VM.
         region: Region of its data centre.
         service: Service of its target.
-        mesh: Where it takes calls from other nodes.
-        control: Where it takes gossip (UDP) and pulls (TCP).
-        admin: Where it answers operators.
+        host: IP address of `mesh`.
+        listeners: Ports of its parts, and hosts that differ from `host`.
         slots: Calls that its target executes at a time.
         serving: Whether its target takes new calls.
     """
@@ -58,12 +95,26 @@
     data_centre: str = attrs.field(converter=sys.intern)
     region: str = attrs.field(converter=sys.intern)
     service: str = attrs.field(converter=sys.intern)
-    mesh: Address
-    control: Address
-    admin: Address
+    host: str
+    listeners: Listeners
     slots: int
     serving: bool
 
+    @property
+    def mesh(self) -> Address:
+        """Where it takes calls from other nodes."""
+        return self._locate(self.listeners.mesh)
+
+    @property
+    def control(self) -> Address:
+        """Where it takes gossip (UDP) and pulls (TCP)."""
+        return self._locate(self.listeners.control)
+
+    @property
+    def admin(self) -> Address:
+        """Where it answers operators."""
+        return self._locate(self.listeners.admin)
+
     @property
     def running(self) -> bool:
         """Whether the member is not known to have stopped."""
@@ -77,16 +128,5 @@
         """Returns what orders two records of the same member."""
         return (self.incarnation, self.sequence, self.state)
 
-
-def share_host(member: Member) -> Member:
-    """Returns a record whose addresses share one copy of their host."""
-    host = member.mesh.host
-    if member.control.host is host and member.admin.host is host:
-        return member
-
-    def share(address: Address) -> Address:
-        return Address(host, address.port) if address.host == host else address
-
-    return attrs.evolve(
-        member, control=share(member.control), admin=share(member.admin)
-    )
+    def _locate(self, listener: Address) -> Address:
+        return listener if listener.host else Address(self.host, listener.port)
--- a/src/guavawing/membership/message.py
+++ b/src/guavawing/membership/message.py
@@ -189,8 +189,9 @@
         case Member():
             text = update.id + update.data_centre + update.region
             size = MEMBER_OVERHEAD_BYTES + len(text) + len(update.service)
-            for address in (update.mesh, update.control, update.admin):
-                wide = ":" in address.host
+            places = update.listeners
+            for place in (places.mesh, places.control, places.admin):
+                wide = ":" in (place.host or update.host)
                 size += IPV6_ADDRESS_BYTES if wide else ADDRESS_BYTES
             return size
         case Claim():
--- a/src/guavawing/membership/table.py
+++ b/src/guavawing/membership/table.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterator
 
-from guavawing.membership.member import Member, MemberState, share_host
+from guavawing.membership.address_index import AddressIndex
+from guavawing.membership.member import Member, MemberState
 from guavawing.model import Address, MemberId
 
 __all__ = ["MAX_MEMBERS", "MemberTable"]
@@ -18,9 +19,10 @@
 
     def __init__(self) -> None:
         self._members: dict[MemberId, Member] = {}
-        self._by_service: dict[str, dict[MemberId, Member]] = {}
-        self._by_centre: dict[str, dict[MemberId, Member]] = {}
-        self._by_address: dict[Address, MemberId] = {}
+        # Lists take a third of the memory of dicts by id.
+        self._by_service: dict[str, list[Member]] = {}
+        self._by_centre: dict[str, list[Member]] = {}
+        self._by_address = AddressIndex()
 
     def __len__(self) -> int:
         return len(self._members)
@@ -34,7 +36,7 @@
 
     def find(self, control: Address) -> Member | None:
         """Returns the member with a control address."""
-        return self._members.get(self._by_address.get(control, ""))
+        return self._by_address.find(control)
 
     def data_centres(self) -> list[str]:
         """Returns the data centres of all members, in order."""
@@ -42,7 +44,7 @@
 
     def members_in(self, data_centre: str) -> list[Member]:
         """Returns the members of a data centre, stopped ones too."""
-        return list(self._by_centre.get(data_centre, {}).values())
+        return list(self._by_centre.get(data_centre, ()))
 
     def serving(self, service: str) -> list[Member]:
         """Returns the members whose target takes calls of `service`.
@@ -50,7 +52,7 @@
         Suspects are left out, unless all are suspected: then the fault is
         more likely in the network, and a suspect may still answer.
         """
-        running = list(self._by_service.get(service, {}).values())
+        running = list(self._by_service.get(service, ()))
         alive = [m for m in running if m.state is MemberState.ALIVE]
         return alive or running
 
@@ -63,13 +65,11 @@
             if known.precedence() >= member.precedence():
                 return False
             self.remove(known.id)
-        member = share_host(member)
         self._members[member.id] = member
-        self._by_centre.setdefault(member.data_centre, {})[member.id] = member
-        self._by_address[member.control] = member.id
+        self._by_centre.setdefault(member.data_centre, []).append(member)
+        self._by_address.add(member)
         if member.serving and member.running:
-            group = self._by_service.setdefault(member.service, {})
-            group[member.id] = member
+            self._by_service.setdefault(member.service, []).append(member)
         return True
 
     def remove(self, member_id: MemberId) -> None:
@@ -77,16 +77,19 @@
         member = self._members.pop(member_id, None)
         if member is None:
             return
-        if self._by_address.get(member.control) == member_id:
-            del self._by_address[member.control]
-        _discard(self._by_centre, member.data_centre, member_id)
-        _discard(self._by_service, member.service, member_id)
+        self._by_address.discard(member)
+        _discard(self._by_centre, member.data_centre, member)
+        _discard(self._by_service, member.service, member)
 
 
 def _discard(
-    groups: dict[str, dict[MemberId, Member]], name: str, member_id: MemberId
+    groups: dict[str, list[Member]], name: str, member: Member
 ) -> None:
-    group = groups.get(name, {})
-    group.pop(member_id, None)
+    group = groups.get(name, [])
+    # By identity: comparing records would take milliseconds.
+    for index, each in enumerate(group):
+        if each is member:
+            del group[index]
+            break
     if not group:
         groups.pop(name, None)
--- a/src/guavawing/model.py
+++ b/src/guavawing/model.py
@@ -22,21 +22,12 @@
     BULK = "bulk"
 
 
-# The few ports of a fleet, each kept once for thousands of addresses.
-_ports: dict[int, int] = {}
-
-
-def _share_port(port: int) -> int:
-    return _ports.setdefault(port, port)
-
-
-# Nodes keep tens of thousands: a slot for weak references would cost 16 bytes.
-@attrs.frozen(order=True, weakref_slot=False)
+@attrs.frozen(order=True)
 class Address:
     """An IP address and a port."""
 
     host: str
-    port: int = attrs.field(converter=_share_port)
+    port: int
 
     def __str__(self) -> str:
         if ":" in self.host:
--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -11,7 +11,13 @@
 import attrs
 
 from guavawing.distribution import Version
-from guavawing.membership import Gossip, Member, MemberState, Notice
+from guavawing.membership import (
+    Gossip,
+    Listeners,
+    Member,
+    MemberState,
+    Notice,
+)
 from guavawing.node.admin_server import (
     AdminActions,
     AdminServer,
@@ -342,9 +348,10 @@
         data_centre=settings.data_centre,
         region=settings.region,
         service=settings.service,
-        mesh=settings.mesh,
-        control=settings.control,
-        admin=settings.admin,
+        host=settings.mesh.host,
+        listeners=Listeners.share(
+            settings.mesh, settings.control, settings.admin
+        ),
         slots=0,
         serving=False,
     )
--- a/src/guavawing/node/datagrams.py
+++ b/src/guavawing/node/datagrams.py
@@ -18,6 +18,7 @@
     Body,
     Claim,
     Datagram,
+    Listeners,
     Member,
     MemberState,
     Nack,
@@ -198,6 +199,7 @@
 
 
 def _decode_member(record: pb.MemberRecord) -> Member:
+    mesh = _decode_address(record.mesh)
     return Member(
         id=_check_name("id", record.id),
         incarnation=_check_range(
@@ -208,9 +210,12 @@
         data_centre=_check_name("data centre", record.data_centre),
         region=_check_name("region", record.region),
         service=_check_name("service", record.service),
-        mesh=_decode_address(record.mesh),
-        control=_decode_address(record.control),
-        admin=_decode_address(record.admin),
+        host=mesh.host,
+        listeners=Listeners.share(
+            mesh,
+            _decode_address(record.control),
+            _decode_address(record.admin),
+        ),
         slots=_check_range("slots", record.slots, MAX_SLOTS),
         serving=record.serving,
     )
--- a/tests/cover/membership.feature
+++ b/tests/cover/membership.feature
@@ -160,6 +160,9 @@
     When a broken peer tells of 25000 members to "desk-bergen-1"
     Then "desk-bergen-1" knows at most 20000 members
 
+  Scenario: A table finds members by address, also those of one host
+    Then 300 random tables find the members of each address and group
+
   Scenario: A peer that tells pages without end is not asked for ever
     Given 3 members of one data centre
     When a broken peer answers "desk-bergen-1" with the same page 10000 times
--- a/tests/steps/datagram_steps.py
+++ b/tests/steps/datagram_steps.py
@@ -13,6 +13,7 @@
     Ack,
     Claim,
     Datagram,
+    Listeners,
     MemberState,
     Nack,
     Notice,
@@ -41,12 +42,18 @@
     "sequence": st.integers(0, MAX_SEQUENCE),
 }
 records = st.builds(
-    lambda member, **changes: attrs.evolve(member, **changes),
+    lambda member, addresses, **changes: attrs.evolve(
+        member,
+        host=addresses[0].host,
+        listeners=Listeners.share(*addresses),
+        **changes,
+    ),
     st.just(make_member("desk-bergen-1", 1)),
+    st.tuples(addresses, addresses, addresses)
+    | addresses.map(lambda each: (each,) * 3),
     id=names,
     state=st.sampled_from((MemberState.ALIVE, MemberState.LEFT)),
     service=names,
-    mesh=addresses,
     serving=st.booleans(),
     **versions,
 )
--- a/tests/steps/membership_lie_steps.py
+++ b/tests/steps/membership_lie_steps.py
@@ -7,6 +7,7 @@
 from guavawing.membership import (
     Claim,
     Datagram,
+    Listeners,
     MemberState,
     Notice,
     PeerLimiter,
@@ -29,7 +30,10 @@
     drive = context.drive
     me = drive.node(name).gossip.me
     moved = attrs.evolve(
-        me, incarnation=me.incarnation + 9, mesh=Address("10.9.9.9", 1)
+        me,
+        incarnation=me.incarnation + 9,
+        host="10.9.9.9",
+        listeners=Listeners.share(Address("10.9.9.9", 1), me.control, me.admin),
     )
     lies = [Push()] * 2
     records = (moved, attrs.evolve(me, sequence=me.sequence + 5, slots=0))
--- a/tests/steps/membership_process_steps.py
+++ b/tests/steps/membership_process_steps.py
@@ -9,7 +9,14 @@
 import orjson
 from behave import then, when
 
-from guavawing.membership import Datagram, Member, MemberState, Notice, Push
+from guavawing.membership import (
+    Datagram,
+    Listeners,
+    Member,
+    MemberState,
+    Notice,
+    Push,
+)
 from guavawing.model import parse_address
 from guavawing.node.datagrams import encode_datagram
 from guavawing.platform.client import open_platform
@@ -141,9 +148,8 @@
         data_centre=node.data_centre,
         region=node.region,
         service=node.service,
-        mesh=mesh,
-        control=control,
-        admin=admin,
+        host=mesh.host,
+        listeners=Listeners.share(mesh, control, admin),
         slots=0,
         serving=False,
     )
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -1,14 +1,21 @@
 """Steps that drive membership machines with a clock of their own."""
 
+import itertools
+
+import attrs
 from behave import given, then, when
+from hypothesis import strategies as st
 
 from bench.gossip_driver import make_member
 from bench.gossip_session import STEP_S, Session
 from guavawing.membership import (
+    Listeners,
     MemberState,
+    MemberTable,
     Notice,
 )
 from guavawing.model import Address
+from tests.support import check_examples
 
 CENTRES = ("bergen", "voss", "floro", "odda")
 SETTLE_S = 15.0
@@ -326,3 +333,40 @@
         seconds,
         lambda: max(find_ages(context, centre, other)) <= seconds,
     )
+
+
+@then("{count:d} random tables find the members of each address and group")
+def step_find(context, count):
+    addresses = [
+        Address(*each)
+        for each in itertools.product(("10.0.0.1", "10.0.0.2"), (1, 2, 3))
+    ]
+    place = st.sampled_from(addresses)
+    change = st.tuples(st.sampled_from("abcd"), place, place, st.booleans())
+
+    @check_examples(count, st.lists(change, max_size=40))
+    def check(changes):
+        table = MemberTable()
+        last: dict[Address, str] = {}
+        for turn, (name, mesh, control, removed) in enumerate(changes):
+            known = table.get(name)
+            if known is not None and last.get(known.control) == name:
+                del last[known.control]
+            table.remove(name)
+            if not removed:
+                record = attrs.evolve(
+                    make_member(
+                        name, 1, incarnation=turn, serving=turn % 3 > 0
+                    ),
+                    host=mesh.host,
+                    listeners=Listeners.share(mesh, control, mesh),
+                )
+                table.merge(record)
+                assert (record.mesh, record.control) == (mesh, control)
+                last[control] = name
+            for address in addresses:
+                found = table.find(address)
+                assert found is table.get(last.get(address, "")), address
+            members = list(table)
+            assert table.members_in("bergen") == members
+            assert table.serving("desk") == [m for m in members if m.serving]
