--- a/tests/steps/datagram_steps.py
+++ b/tests/steps/datagram_steps.py
@@ -24,12 +24,18 @@
     "sequence": st.integers(0, ms.MAX_SEQUENCE),
 }
 records = st.builds(
-    attrs.evolve,
+    lambda member, addresses, **changes: attrs.evolve(
+        member,
+        host=addresses[0].host,
+        listeners=ms.Listeners.share(*addresses),
+        **changes,
+    ),
     st.just(make_member("desk-bergen-1", 1)),
+    st.tuples(addresses, addresses, addresses)
+    | addresses.map(lambda each: (each,) * 3),
     id=names,
     state=st.sampled_from((ms.MemberState.ALIVE, ms.MemberState.LEFT)),
     service=names,
-    mesh=addresses,
     serving=st.booleans(),
     **versions,
 )
--- a/tests/steps/membership_lie_steps.py
+++ b/tests/steps/membership_lie_steps.py
@@ -20,7 +20,12 @@
     drive = context.drive
     me = drive.node(name).gossip.me
     moved = attrs.evolve(
-        me, incarnation=me.incarnation + 9, mesh=Address("10.9.9.9", 1)
+        me,
+        incarnation=me.incarnation + 9,
+        host="10.9.9.9",
+        listeners=ms.Listeners.share(
+            Address("10.9.9.9", 1), me.control, me.admin
+        ),
     )
     records = (moved, attrs.evolve(me, sequence=me.sequence + 5, slots=0))
     states = (ms.MemberState.SUSPECT, ms.MemberState.DEAD, ms.MemberState.LEFT)
--- a/tests/steps/rival_steps.py
+++ b/tests/steps/rival_steps.py
@@ -10,7 +10,7 @@
 
 from bench.gossip_driver import make_member
 from bench.gossip_session import Session
-from guavawing.membership import Datagram, Notice, Push
+from guavawing.membership import Datagram, Listeners, Notice, Push
 from guavawing.membership.rival import Rank
 from guavawing.model import Address
 from guavawing.node.metrics import Metrics
@@ -136,7 +136,9 @@
         drive.run(pause)
         me = node.gossip.me
         record = attrs.evolve(
-            me, incarnation=me.incarnation + 9, control=ELSEWHERE
+            me,
+            incarnation=me.incarnation + 9,
+            listeners=Listeners.share(me.mesh, ELSEWHERE, me.admin),
         )
         datagram = Datagram("liar", Push(), Notice(0, b""), (record,))
         sends = node.gossip.receive(datagram, now=drive.driver.now)
