Let the calls of a stopped node last longer than its notices

Cause: the calls at a node that gets SIGTERM ended 2.0 s after it, and the notices before the waits for them take 1.5 s, with up to 1 s for closing.

Change: they work 5 s. With the waits taken out the scenario fails at "every verdict is ran" (owner-lost); with them it passes.

--- a/tests/processes/drain.feature
+++ b/tests/processes/drain.feature
@@ -11,7 +11,7 @@
     And when the callers stop every call was run once
 
   Scenario: A node that gets SIGTERM finishes what runs and ends with code 0
-    When 6 reads of 5000 ms that work 2500 ms are started through "desk-bergen-2, feed-bergen-1, desk-bergen-1"
+    When 6 reads of 9000 ms that work 5000 ms are started through "desk-bergen-2, feed-bergen-1, desk-bergen-1"
     And 0.5 s go by
     And node "desk-bergen-1" gets SIGTERM
     Then every verdict is "ran"
