Write the list of members in pieces

Ruled out: leaving the list to another process; `config wait` and `status` ask one node for it.

Change: the list is written 200 members at a time.

Seen: the new scenario failed first (all 15,000 in one turn, bound 500) and passes.

--- a/src/guavawing/node/admin_server.py
+++ b/src/guavawing/node/admin_server.py
@@ -1,7 +1,9 @@
 """HTTP server for operators and monitoring."""
 
+import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable
+import itertools
+from collections.abc import AsyncIterator, Callable, Iterator
 
 import attrs
 import orjson
@@ -14,6 +16,10 @@
 __all__ = ["AdminActions", "AdminServer", "open_admin_server"]
 
 MAX_CONNECTIONS = 64
+# Members of a list that are written in one turn of the event loop.
+MEMBERS_PER_PIECE = 200
+
+JSON_TYPE = "application/json"
 
 Tree = dict[str, object]
 Route = Callable[[web.BaseRequest], web.Response]
@@ -25,14 +31,14 @@
 
     Attributes:
         read_status: Returns the state of the node as a JSON tree.
-        list_members: Returns the members that the node knows.
+        list_members: Yields the members that the node knows.
         is_ready: Returns whether the node takes calls.
         set_draining: Starts or ends a drain of the target.
         update_gauges: Brings gauges up to date before they are scraped.
     """
 
     read_status: Callable[[], Tree]
-    list_members: Callable[[], list[Tree]]
+    list_members: Callable[[], Iterator[Tree]]
     is_ready: Callable[[], bool]
     set_draining: Callable[[bool], None]
     update_gauges: Callable[[], None]
@@ -52,7 +58,7 @@
         self._actions = actions
         self.metrics = metrics
         self._routes: dict[tuple[str, str], Route] = {
-            ("GET", "/status"): self._answer_status,
+            ("GET", "/status"): lambda _: _respond(actions.read_status()),
             ("GET", "/healthz"): lambda _: _respond({"alive": True}),
             ("GET", "/readyz"): self._answer_readiness,
             ("GET", "/metrics"): self._answer_metrics,
@@ -62,6 +68,9 @@
 
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Answers one request."""
+        wants_members = req.query.get("members") != "no"
+        if (req.method, req.path) == ("GET", "/status") and wants_members:
+            return await self._stream_status(req)
         route = self._routes.get((req.method, req.path))
         if route is None:
             paths = sorted({path for _, path in self._routes})
@@ -70,16 +79,26 @@
             )
         return route(req)
 
-    def _answer_status(self, req: web.BaseRequest) -> web.Response:
-        """Answers with the members too, unless they are not wanted.
+    async def _stream_status(self, req: web.BaseRequest) -> web.StreamResponse:
+        """Answers with the state of the node and the members it knows.
 
-        Whoever asks every node needs the list of one only, and the lists of
-        all grow with the square of the fleet.
+        The list of a large fleet is some megabytes. It is written in pieces,
+        so that it is never held whole and that calls go on meanwhile.
+        Whoever asks every node needs the list of one only, and says so.
         """
-        tree = self._actions.read_status()
-        if req.query.get("members") != "no":
-            tree["members"] = self._actions.list_members()
-        return _respond(tree)
+        resp = web.StreamResponse(headers={"Content-Type": JSON_TYPE})
+        await resp.prepare(req)
+        status = orjson.dumps(self._actions.read_status())
+        await resp.write(status.removesuffix(b"}") + b',"members":[')
+        members = map(orjson.dumps, self._actions.list_members())
+        separator = b""
+        while piece := list(itertools.islice(members, MEMBERS_PER_PIECE)):
+            await resp.write(separator + b",".join(piece))
+            separator = b","
+            await asyncio.sleep(0)
+        await resp.write(b"]}")
+        await resp.write_eof()
+        return resp
 
     def _answer_readiness(self, _: web.BaseRequest) -> web.Response:
         ready = self._actions.is_ready()
@@ -99,7 +118,7 @@
     return web.Response(
         status=status,
         body=orjson.dumps(tree),
-        content_type="application/json",
+        content_type=JSON_TYPE,
     )
 
 
--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -5,7 +5,7 @@
 import gc
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import attrs
@@ -330,9 +330,9 @@
             },
         }
 
-    def _list_members(self) -> list[dict[str, Any]]:
-        return [
-            {
+    def _list_members(self) -> Iterator[dict[str, Any]]:
+        for member in self._gossip.table:
+            yield {
                 "node": member.id,
                 "state": member.state.name.lower(),
                 "serving": member.serving,
@@ -340,8 +340,6 @@
                 "service": member.service,
                 "admin": str(member.admin),
             }
-            for member in self._gossip.table
-        ]
 
 
 def _describe_node(settings: Settings, incarnation: int) -> Member:
--- a/tests/steps/bound_steps.py
+++ b/tests/steps/bound_steps.py
@@ -1,12 +1,18 @@
 """Steps about bounds: one side is real, the other a few lines."""
 
 import asyncio
+import collections
 import contextlib
 
 import aiohttp
 from behave import given, then, when
 
 from guavawing.model import parse_address
+from guavawing.node.admin_server import (
+    AdminActions,
+    AdminServer,
+    open_admin_server,
+)
 from guavawing.node.caller_server import CallerServer, open_caller_server
 from guavawing.node.frame_queue import ByteCount
 from guavawing.node.frames import (
@@ -275,3 +281,50 @@
     found = context.ending.verdict
     assert (verdict_name(found), str(found.reason)) == (verdict, reason), found
     assert not context.ending.body
+
+
+@when("an operator asks a node that knows {count:d} members for its list")
+def step_list_members(context, count):
+    address = take_address(context)
+    turn = 0
+    context.turns = []
+
+    def list_members():
+        for number in range(count):
+            context.turns.append(turn)
+            yield {"node": str(number)}
+
+    async def count_turns():
+        nonlocal turn
+        while True:
+            turn += 1
+            await asyncio.sleep(0)
+
+    async def run():
+        actions = AdminActions(
+            read_status=lambda: {"node": "desk-bergen-1"},
+            list_members=list_members,
+            is_ready=lambda: True,
+            set_draining=lambda _: None,
+            update_gauges=lambda: None,
+        )
+        counting = asyncio.ensure_future(count_turns())
+        async with (
+            open_admin_server(AdminServer(actions, Metrics()), address),
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{address}/status") as resp,
+        ):
+            context.tree = await resp.json()
+        counting.cancel()
+
+    context.run(run())
+
+
+@then(
+    "it names {count:d} members, and at most {most:d} of them in one turn of"
+    " the node's loop"
+)
+def step_listed(context, count, most):
+    names = [member["node"] for member in context.tree["members"]]
+    assert names == [str(number) for number in range(count)], len(names)
+    assert max(collections.Counter(context.turns).values()) <= most
