Check the bound of connections to an owner

The listener for other nodes no longer is the HTTP library's, so that the scenario of the admin address says nothing of it.

--- a/src/guavawing/node/mesh_server.py
+++ b/src/guavawing/node/mesh_server.py
@@ -56,9 +56,11 @@
         owner: Owner,
         policies: PolicySource,
         member_id: str,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._owner = owner
+        self._max_connections = max_connections
         self._policies = policies
         self._member_id = member_id
         self._connections: set[_Connection] = set()
@@ -89,7 +91,7 @@
         """Takes a connection; returns whether there was room for it."""
         self._connections.add(conn)
         self._closed.clear()
-        return len(self._connections) <= MAX_CONNECTIONS
+        return len(self._connections) <= self._max_connections
 
     def discard(self, conn: "_Connection") -> None:
         """Forgets a connection."""
--- a/tests/processes/answers_bounds.feature
+++ b/tests/processes/answers_bounds.feature
@@ -51,6 +51,11 @@
     When an entry node sends it 5 calls and goes away before their answers
     Then nothing waits at the owner
 
+  Scenario: Connections to an owner beyond the bound
+    Given an owner whose target doesn't answer
+    When 5 entry nodes connect to it and it takes 3 connections
+    Then 3 of them are greeted and 2 are closed and counted
+
   Scenario: The list of a large fleet holds up nothing else
     When an operator asks a node that knows 15000 members for its list
     Then it names 15000 members, and at most 500 of them in one turn of the node's loop
--- a/tests/steps/bound_steps.py
+++ b/tests/steps/bound_steps.py
@@ -84,15 +84,17 @@
 
 
 @contextlib.asynccontextmanager
-async def open_owner(context):
+async def open_owner(context, **options):
     """Opens the owner's server; gives its address."""
     address = take_address(context)
     context.mesh_server = server = MeshServer(
         owner=context.owner,
         policies=lambda: POLICIES,
         member_id="owner",
+        **options,
     )
-    async with open_mesh_server(server, address, Metrics()):
+    context.metrics = Metrics()
+    async with open_mesh_server(server, address, context.metrics):
         yield address
 
 
@@ -283,6 +285,31 @@
     assert not context.ending.body
 
 
+@when("{count:d} entry nodes connect to it and it takes {most:d} connections")
+def step_connect_many(context, count, most):
+    async def run():
+        async with (
+            open_owner(context, max_connections=most) as owner,
+            contextlib.AsyncExitStack() as stack,
+        ):
+            greeted = []
+            for _ in range(count):
+                peer = await stack.enter_async_context(open_frame_peer(owner))
+                with contextlib.suppress(ConnectionError):
+                    greeted.append(await peer.receive())
+            return len(greeted)
+
+    context.greeted = context.run(run())
+
+
+@then("{count:d} of them are greeted and {rest:d} are closed and counted")
+def step_greeted(context, count, rest):
+    assert context.greeted == count, context.greeted
+    labels = 'listener="mesh",reason="too-many"'
+    line = f"guavawing_refused_connections_total{{{labels}}} {rest}"
+    assert line in context.metrics.render()[0].decode().splitlines()
+
+
 @when("an operator asks a node that knows {count:d} members for its list")
 def step_list_members(context, count):
     address = take_address(context)
