--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,9 +15,9 @@
 from bench.slope import Slope, read_slopes
 from guavawing.membership.summary import CONTACTS_PER_SERVICE
 from guavawing.node.rival_check import SPREAD_PER_MEMBER_S
-from guavawing.platform.seeds import SEEDS_PER_DATA_CENTRE
 from guavawing.policy.choice import SUBSET_SIZE
 from guavawing.policy.key_table import MAX_ENTRIES, MAX_KEPT_BYTES
+from guavawing.store.seeds import SEEDS_PER_DATA_CENTRE
 
 PAGE = pathlib.Path(__file__).parent.parent / "docs" / "CAPACITY.md"
 BEGIN = "<!-- begin: python -m bench.capacity --write -->"
--- a/bench/measure_convergence.py
+++ b/bench/measure_convergence.py
@@ -27,10 +27,10 @@
 from guavawing.distribution.keeper import Version
 from guavawing.model import parse_address
 from guavawing.node.channel import CountingServer, SourceChannel
-from guavawing.platform import publish_document
-from guavawing.platform.client import open_platform
 from guavawing.proto.control_grpc import ControlBase, ControlStub
 from guavawing.proto.control_pb2 import PullReply, PullRequest
+from guavawing.store import publish_document
+from guavawing.store.client import open_platform
 from standins.cluster import Fleet, open_fleet, plan_fleet
 from standins.documents import make_fleet_document, make_newsroom_document
 from standins.learners import LearnerNetwork
--- a/bench/measure_keys.py
+++ b/bench/measure_keys.py
@@ -7,10 +7,10 @@
 from bench.key_history import History
 from bench.slope import Slope, write_slopes
 from guavawing.model import parse_address
-from guavawing.platform import publish_document
-from guavawing.platform.client import open_platform
 from guavawing.policy.bound_key import BoundKey
 from guavawing.policy.key_table import MAX_ENTRIES, KeyTable
+from guavawing.store import publish_document
+from guavawing.store.client import open_platform
 from guavawing.verdict import Ran, verdict_name
 from standins.caller import send_call
 from standins.cluster import Fleet, open_fleet, plan_fleet
--- a/bench/measure_retries.py
+++ b/bench/measure_retries.py
@@ -3,8 +3,8 @@
 from bench.figure import Figure
 from bench.retry_chain import ChainPlan, run_chain
 from guavawing.model import parse_address
-from guavawing.platform import publish_document
-from guavawing.platform.client import open_platform
+from guavawing.store import publish_document
+from guavawing.store.client import open_platform
 from standins.chain import count_attempts, name_layers, open_chain
 from standins.documents import make_chain_document
 
--- a/bench/seed_storm.py
+++ b/bench/seed_storm.py
@@ -17,7 +17,7 @@
 from guavawing.membership import MemberTable
 from guavawing.model import Address
 from guavawing.node.joiner import Joiner
-from guavawing.platform.client import Row, TransactionRefusedError, Write
+from guavawing.store.client import Row, TransactionRefusedError, Write
 
 __all__ = ["StormLoad", "measure_storm"]
 
--- a/src/guavawing/cli/commands/defaults.py
+++ b/src/guavawing/cli/commands/defaults.py
@@ -15,7 +15,7 @@
     encode_document,
 )
 from guavawing.errors import InvalidArgumentError
-from guavawing.platform import Head, Platform, publish_edit
+from guavawing.store import Head, Platform, publish_edit
 
 __all__ = ["default"]
 
--- a/src/guavawing/cli/commands/exceptions.py
+++ b/src/guavawing/cli/commands/exceptions.py
@@ -11,8 +11,8 @@
 from guavawing.cli.values import parse_value
 from guavawing.config import Document, ExceptionEntry, describe_names
 from guavawing.errors import InvalidArgumentError
-from guavawing.platform import Head, Platform, publish_edit
-from guavawing.platform.publisher import Edit
+from guavawing.store import Head, Platform, publish_edit
+from guavawing.store.publisher import Edit
 
 __all__ = ["exception"]
 
--- a/src/guavawing/cli/commands/keys.py
+++ b/src/guavawing/cli/commands/keys.py
@@ -9,8 +9,8 @@
 from guavawing.cli.options import output_option, platform_option
 from guavawing.cli.printing import Progress, print_json
 from guavawing.model import Address
-from guavawing.platform.claims import remove_claims
-from guavawing.platform.client import open_platform
+from guavawing.store.claims import remove_claims
+from guavawing.store.client import open_platform
 
 __all__ = ["keys"]
 
--- a/src/guavawing/cli/commands/prune.py
+++ b/src/guavawing/cli/commands/prune.py
@@ -17,9 +17,9 @@
     PlatformWriteUnknownError,
 )
 from guavawing.model import Address
-from guavawing.platform import PruneState, RetentionRule
-from guavawing.platform import prune as prune_steps
-from guavawing.platform.client import open_platform
+from guavawing.store import PruneState, RetentionRule
+from guavawing.store import prune as prune_steps
+from guavawing.store.client import open_platform
 
 __all__ = ["prune"]
 
--- a/src/guavawing/cli/commands/publish.py
+++ b/src/guavawing/cli/commands/publish.py
@@ -9,7 +9,7 @@
 from guavawing.cli.submission import submit
 from guavawing.config import check_document, decode_document
 from guavawing.errors import InvalidArgumentError
-from guavawing.platform import (
+from guavawing.store import (
     Head,
     Platform,
     fetch_change,
--- a/src/guavawing/cli/queries/diff.py
+++ b/src/guavawing/cli/queries/diff.py
@@ -18,8 +18,8 @@
 )
 from guavawing.errors import InvalidArgumentError
 from guavawing.model import Address
-from guavawing.platform import Platform, fetch_head, fetch_version
-from guavawing.platform.client import open_platform
+from guavawing.store import Platform, fetch_head, fetch_version
+from guavawing.store.client import open_platform
 
 __all__ = ["diff"]
 
--- a/src/guavawing/cli/queries/history.py
+++ b/src/guavawing/cli/queries/history.py
@@ -10,8 +10,8 @@
 from guavawing.cli.options import output_option, platform_option
 from guavawing.cli.printing import print_json, print_table
 from guavawing.model import Address
-from guavawing.platform import Change, fetch_history
-from guavawing.platform.client import open_platform
+from guavawing.store import Change, fetch_history
+from guavawing.store.client import open_platform
 
 __all__ = ["history"]
 
--- a/src/guavawing/cli/queries/show.py
+++ b/src/guavawing/cli/queries/show.py
@@ -11,8 +11,8 @@
 from guavawing.cli.printing import print_table
 from guavawing.config import Document, encode_document
 from guavawing.model import Address
-from guavawing.platform import fetch_document, fetch_version
-from guavawing.platform.client import open_platform
+from guavawing.store import fetch_document, fetch_version
+from guavawing.store.client import open_platform
 
 __all__ = ["show"]
 
--- a/src/guavawing/cli/submission.py
+++ b/src/guavawing/cli/submission.py
@@ -18,8 +18,8 @@
     PlatformUnavailableError,
     PlatformWriteUnknownError,
 )
-from guavawing.platform import Head, Platform, parse_change_id
-from guavawing.platform.client import open_platform
+from guavawing.store import Head, Platform, parse_change_id
+from guavawing.store.client import open_platform
 
 __all__ = ["Attempt", "submit"]
 
--- a/src/guavawing/node/daemon.py
+++ b/src/guavawing/node/daemon.py
@@ -37,10 +37,10 @@
 from guavawing.node.rival_check import RivalCheck, open_rival_check
 from guavawing.node.settings import Settings
 from guavawing.node.target_client import open_target_client
-from guavawing.platform import Platform
-from guavawing.platform.claims import Claims
-from guavawing.platform.client import open_platform
 from guavawing.policy.choice import Chooser
+from guavawing.store import Platform
+from guavawing.store.claims import Claims
+from guavawing.store.client import open_platform
 
 __all__ = ["Node"]
 
--- a/src/guavawing/node/distributor.py
+++ b/src/guavawing/node/distributor.py
@@ -47,9 +47,9 @@
 from guavawing.node.channel import ByteListener, open_channel
 from guavawing.node.logs import log, log_action
 from guavawing.node.metrics import Metrics
-from guavawing.platform import Platform, fetch_head, name_object
 from guavawing.proto.control_grpc import ControlStub
 from guavawing.proto.control_pb2 import PullReply, PullRequest
+from guavawing.store import Platform, fetch_head, name_object
 
 __all__ = ["Distributor", "open_distributor"]
 
--- a/src/guavawing/node/entry.py
+++ b/src/guavawing/node/entry.py
@@ -13,10 +13,10 @@
 from guavawing.node.metrics import Metrics
 from guavawing.node.owner import Owner
 from guavawing.node.submission import Submission
-from guavawing.platform.claims import Claims
 from guavawing.policy.bound_key import BoundKey
 from guavawing.policy.choice import Candidate, Chooser, LoadReport
 from guavawing.policy.retry import RetryBudget
+from guavawing.store.claims import Claims
 from guavawing.verdict import Verdict
 
 __all__ = ["Entry"]
--- a/src/guavawing/node/joiner.py
+++ b/src/guavawing/node/joiner.py
@@ -8,8 +8,8 @@
 from guavawing.errors import PlatformError
 from guavawing.membership import Gossip
 from guavawing.node.logs import log
-from guavawing.platform import Platform
-from guavawing.platform.seeds import (
+from guavawing.store import Platform
+from guavawing.store.seeds import (
     SEEDS_PER_DATA_CENTRE,
     Seed,
     fetch_seeds,
--- a/src/guavawing/node/keyed_router.py
+++ b/src/guavawing/node/keyed_router.py
@@ -8,7 +8,6 @@
 from guavawing.errors import PlatformError
 from guavawing.membership import Member, MemberState
 from guavawing.node.messages import Answer, CallAttempt
-from guavawing.platform.claims import Claim, Claims
 from guavawing.policy.bound_key import BoundKey
 from guavawing.policy.keyed_call import (
     Ask,
@@ -19,6 +18,7 @@
     Mint,
     Step,
 )
+from guavawing.store.claims import Claim, Claims
 from guavawing.verdict import MayHaveRun, NotRun, Reason
 
 __all__ = ["KeyedRouter", "OwnerAccess"]
--- a/src/guavawing/node/rival_check.py
+++ b/src/guavawing/node/rival_check.py
@@ -19,12 +19,12 @@
 from guavawing.membership import Gossip
 from guavawing.membership.rival import Rank
 from guavawing.node.metrics import Metrics
-from guavawing.platform.processes import (
+from guavawing.store.processes import (
     ProcessRow,
     fetch_process,
     write_process,
 )
-from guavawing.platform.store import PlatformStore
+from guavawing.store.store import PlatformStore
 
 __all__ = ["CheckOutcome", "RivalCheck", "open_rival_check"]
 
--- /dev/null
+++ b/src/guavawing/platform/headers.py
@@ -0,0 +1,298 @@
+"""Headers of requests and answers, and the bytes that carry them."""
+
+import http
+from collections.abc import Iterable
+
+import attrs
+
+__all__ = [
+    "NOT_RUN_STATUSES",
+    "AnswerHead",
+    "CallerHead",
+    "answers_request",
+    "build_answer",
+    "build_refusal",
+    "build_target_request",
+    "read_answer_head",
+    "read_caller_head",
+]
+
+MS_PER_S = 1000
+RawHeaders = Iterable[tuple[bytes, bytes]]
+
+# Headers that concern one connection only.
+_HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"expect",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+# Headers of a request that this node sets anew.
+_REPLACED_HEADERS = frozenset(
+    {
+        b"content-length",
+        b"x-caller-service",
+        b"x-deadline-ms",
+        b"x-expected-instance",
+    }
+)
+_STATUS_LINES = {
+    status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode()
+    for status in http.HTTPStatus
+}
+_BODILESS = frozenset({204, 304})
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
+@attrs.frozen
+class CallerHead:
+    """What a client's request head tells.
+
+    Attributes:
+        host: Value of `Host`.
+        request_id: Id of the request; empty if none was given.
+        deadline_s: Time for which the client waits, in seconds; None if it
+            did not say.
+        forwarded: Header lines to be passed on, each with its line end.
+        expects_continue: Whether the client waits for leave to send a body.
+    """
+
+    host: str
+    request_id: bytes
+    deadline_s: float | None
+    forwarded: bytes
+    expects_continue: bool
+
+
+@attrs.frozen
+class AnswerHead:
+    """What the head of a target's answer tells.
+
+    Attributes:
+        request_id: Id of the request that it answers; empty if missing.
+        signed: Whether the target has signed it.
+        not_executed: Whether the target says that it did not run the request.
+        closes: Whether the target closes the connection after it.
+        idle_timeout_s: Time after which the target closes the connection when
+            idle, in seconds; None if it did not say.
+        framed: Whether the end of the body can be told from its bytes.
+        forwarded: Header lines to be passed on, each with its line end.
+    """
+
+    request_id: bytes
+    signed: bool
+    not_executed: bool
+    closes: bool
+    idle_timeout_s: float | None
+    framed: bool
+    forwarded: bytes
+
+
+def read_caller_head(headers: RawHeaders) -> CallerHead:
+    """Reads the headers of a client's request."""
+    host = request_id = b""
+    deadline_s = None
+    expects_continue = False
+    dropped: frozenset[bytes] | set[bytes] = _HOP_HEADERS
+    lines: list[bytes] = []
+    for name, value in headers:
+        lower = name.lower()
+        if lower in dropped:
+            if lower == b"connection":
+                dropped = dropped | _split_list(value)
+            elif lower == b"expect":
+                expects_continue = value.lower() == b"100-continue"
+            continue
+        if lower in _REPLACED_HEADERS:
+            if lower == b"x-deadline-ms":
+                deadline_s = _read_ms(value)
+            continue
+        if lower == b"host":
+            host = value
+        elif lower == b"x-request-id":
+            request_id = value
+        lines += (name, b": ", value, b"\r\n")
+    return CallerHead(
+        host.decode("latin-1"),
+        request_id,
+        deadline_s,
+        b"".join(lines),
+        expects_continue,
+    )
+
+
+def build_target_request(
+    method: bytes,
+    path: bytes,
+    forwarded: bytes,
+    body: bytes,
+    *,
+    deadline_s: float,
+    target_id: str,
+    origin: str,
+) -> bytes:
+    """Returns the bytes of a request to a target.
+
+    Args:
+        method: HTTP method.
+        path: Path with its query.
+        forwarded: Header lines of the client's request.
+        body: Whole body.
+        deadline_s: Time that is left, in seconds.
+        target_id: Id of the target that is to execute it; another one that
+            has its address now answers that it did not.
+        origin: Service of the VM where the request began.
+    """
+    has_body = body or method in (b"POST", b"PUT", b"PATCH")
+    length = b"Content-Length: %d\r\n" % len(body) if has_body else b""
+    return b"".join(
+        (
+            method,
+            b" ",
+            path,
+            b" HTTP/1.1\r\n",
+            forwarded,
+            length,
+            b"X-Deadline-Ms: %d\r\n" % max(1, int(deadline_s * MS_PER_S)),
+            b"X-Expected-Instance: ",
+            target_id.encode(),
+            b"\r\nX-Caller-Service: ",
+            origin.encode(),
+            b"\r\n\r\n",
+            body,
+        )
+    )
+
+
+def read_answer_head(status: int, headers: RawHeaders) -> AnswerHead:
+    """Reads the headers of a target's answer."""
+    request_id = b""
+    signed = not_executed = closes = False
+    framed = status in _BODILESS
+    idle_timeout_s = None
+    dropped: frozenset[bytes] | set[bytes] = _HOP_HEADERS
+    lines: list[bytes] = []
+    for name, value in headers:
+        lower = name.lower()
+        if lower in dropped:
+            if lower == b"connection":
+                options = _split_list(value)
+                closes = b"close" in options
+                dropped = dropped | options
+            elif lower == b"transfer-encoding":
+                framed = True
+            elif lower == b"keep-alive":
+                idle_timeout_s = _read_idle_timeout(value)
+            continue
+        if lower == b"content-length":
+            framed = True
+            continue
+        if lower == b"x-request-id":
+            request_id = value
+        elif lower == b"x-response-signature":
+            signed = True
+        elif lower == b"x-not-executed":
+            not_executed = True
+        lines += (name, b": ", value, b"\r\n")
+    return AnswerHead(
+        request_id,
+        signed,
+        not_executed,
+        closes,
+        idle_timeout_s,
+        framed,
+        b"".join(lines),
+    )
+
+
+def answers_request(headers: RawHeaders, request_id: bytes) -> bool:
+    """Returns whether an answer is the one to a request.
+
+    A target may send a second answer to an earlier request. A rejection of
+    something that it did not run may carry no id.
+    """
+    rejects = False
+    for name, value in headers:
+        lower = name.lower()
+        if lower == b"x-request-id":
+            return value == request_id
+        if lower in (b"x-not-executed", b"x-instance-id"):
+            rejects = True
+    return rejects or not request_id
+
+
+def build_answer(
+    status: int, forwarded: bytes, body: bytes, *, closes: bool
+) -> bytes:
+    """Returns the bytes of an answer to a client."""
+    return b"".join(
+        (
+            _status_line(status),
+            forwarded,
+            b"" if status in _BODILESS else _length_line(body),
+            b"Connection: close\r\n\r\n" if closes else b"\r\n",
+            body,
+        )
+    )
+
+
+def build_refusal(
+    status: int,
+    request_id: bytes,
+    *,
+    retry_after_s: float | None = None,
+    reason: str = "",
+    closes: bool = False,
+) -> bytes:
+    """Returns the bytes of an answer of this node's own.
+
+    Args:
+        status: HTTP status.
+        request_id: Id of the request that it answers.
+        retry_after_s: When to come back, in seconds.
+        reason: Why the request was not served, for the client's logs.
+        closes: Whether the connection is closed after it.
+    """
+    head = b""
+    if request_id:
+        head = b"X-Request-Id: " + request_id + b"\r\n"
+    if retry_after_s is not None:
+        head += b"Retry-After: %.3f\r\n" % retry_after_s
+    return build_answer(status, head, reason.encode(), closes=closes)
+
+
+def _status_line(status: int) -> bytes:
+    line = _STATUS_LINES.get(status)
+    return b"HTTP/1.1 %d Unknown\r\n" % status if line is None else line
+
+
+def _length_line(body: bytes) -> bytes:
+    return b"Content-Length: %d\r\n" % len(body)
+
+
+def _split_list(value: bytes) -> set[bytes]:
+    return {part.strip().lower() for part in value.split(b",")}
+
+
+def _read_ms(value: bytes) -> float | None:
+    try:
+        return max(0.0, float(value) / MS_PER_S)
+    except ValueError:
+        return None
+
+
+def _read_idle_timeout(value: bytes) -> float | None:
+    for part in value.split(b","):
+        name, _, number = part.partition(b"=")
+        if name.strip().lower() == b"timeout":
+            try:
+                return float(number)
+            except ValueError:
+                return None
+    return None
--- /dev/null
+++ b/src/guavawing/platform/routing.py
@@ -0,0 +1,103 @@
+"""Reading the configuration that the operator writes to the store."""
+
+from typing import Any
+
+import orjson
+
+from guavawing.errors import MessageInvalidError
+from guavawing.traffic.model import (
+    ClientLimits,
+    Route,
+    Routing,
+    ServiceSpec,
+    SplitPart,
+)
+
+__all__ = ["decode_routing"]
+
+MS_PER_S = 1000
+# The kinds of route whose requests may be executed more than once; any other
+# kind, also one that is not known here, is executed at most once.
+_IDEMPOTENT_KINDS = frozenset({"safe", "download"})
+_BULK_KINDS = frozenset({"download"})
+DEFAULT_LATENCY_TARGET_MS = 300
+DEFAULT_MAX_CONNECTIONS = 100
+
+
+def decode_routing(document: bytes) -> Routing:
+    """Reads one whole version of the configuration.
+
+    Raises:
+        MessageInvalidError: If the document can't be read or lacks something.
+    """
+    try:
+        content = orjson.loads(document)
+        services = {
+            str(name): ServiceSpec(
+                health_path=str(entry.get("healthCheckPath", "/")),
+                max_connections=int(
+                    entry.get("maxConnections", DEFAULT_MAX_CONNECTIONS)
+                ),
+            )
+            for name, entry in content["services"].items()
+        }
+        return Routing(
+            version=int(content["version"]),
+            routes=tuple(
+                _decode_route(name, entry)
+                for name, entry in content["routes"].items()
+            ),
+            services=services,
+            limits=_decode_limits(content.get("limits") or {}),
+            document=document,
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as exc:
+        raise MessageInvalidError(
+            f"the configuration can't be read: {exc!r}"
+        ) from exc
+
+
+def _decode_route(name: str, entry: dict[str, Any]) -> Route:
+    kind = entry["type"]
+    timeout_ms = entry.get("timeoutMs")
+    split = entry.get("trafficSplit")
+    if split:
+        parts = tuple(
+            SplitPart(str(part["service"]), float(part["weight"]))
+            for part in split
+        )
+    else:
+        parts = (SplitPart(str(entry["service"]), 1.0),)
+    return Route(
+        name=name,
+        host=str(entry["host"]).lower(),
+        prefix=str(entry["prefix"]),
+        idempotent=kind in _IDEMPOTENT_KINDS,
+        bulk=kind in _BULK_KINDS,
+        timeout_s=None if not timeout_ms else float(timeout_ms) / MS_PER_S,
+        latency_target_s=float(
+            entry.get("targetLatencyMs") or DEFAULT_LATENCY_TARGET_MS
+        )
+        / MS_PER_S,
+        priority=int(entry.get("priority", 0)),
+        max_attempts=max(1, int(entry.get("maxAttempts", 1))),
+        parts=parts,
+    )
+
+
+def _decode_limits(entry: dict[str, Any]) -> ClientLimits:
+    usual = ClientLimits()
+    return ClientLimits(
+        max_header_bytes=int(
+            entry.get("maxHeaderBytes", usual.max_header_bytes)
+        ),
+        max_body_bytes=int(entry.get("maxBodyBytes", usual.max_body_bytes)),
+        header_timeout_s=float(
+            entry.get("headerTimeoutMs", usual.header_timeout_s * MS_PER_S)
+        )
+        / MS_PER_S,
+        idle_timeout_s=float(
+            entry.get("idleTimeoutMs", usual.idle_timeout_s * MS_PER_S)
+        )
+        / MS_PER_S,
+    )
--- /dev/null
+++ b/src/guavawing/platform/settings.py
@@ -0,0 +1,155 @@
+"""The settings file that the platform writes for each process."""
+
+import os
+import pathlib
+from collections.abc import Mapping
+
+import attrs
+
+from guavawing.errors import InvalidArgumentError, SettingsInvalidError
+from guavawing.model import Address, parse_address
+
+__all__ = ["VmSettings", "find_settings_file", "parse_settings"]
+
+SETTINGS_VARIABLE = "GUAVAWING_SETTINGS"
+MS_PER_S = 1000
+
+
+@attrs.frozen
+class VmSettings:
+    """What the platform tells a process of its VM and its surroundings.
+
+    Attributes:
+        node: Name of this node.
+        host: IP address of the VM.
+        data_centre: Data centre of the VM.
+        service: Service of the target beside this node.
+        target: Where the target takes requests.
+        callers: Where clients on this VM send requests to.
+        ready: Where the platform asks whether this node is ready.
+        heartbeats: Where the target sends its heartbeats.
+        mesh: Where other nodes send requests to.
+        gossip: Where other nodes send beacons to (UDP).
+        metrics: Where counters are served.
+        store: Where the platform's store listens.
+        heartbeat_s: Usual time between two heartbeats, in seconds.
+        drain_s: Longest time from the acknowledged drain of a target to the
+            last request sent to it, in seconds.
+        grace_s: Time from SIGTERM to SIGKILL, in seconds.
+        apply_s: Time within which a new version has to be in force, in
+            seconds.
+        retry_ratio: Retries that the fleet may make for each request.
+        retry_allowance: Retries beyond that in one window, for the fleet.
+    """
+
+    node: str
+    host: str
+    data_centre: str
+    service: str
+    target: Address
+    callers: Address
+    ready: Address
+    heartbeats: Address
+    mesh: Address
+    gossip: Address
+    metrics: Address
+    store: Address
+    heartbeat_s: float
+    drain_s: float
+    grace_s: float
+    apply_s: float
+    retry_ratio: float
+    retry_allowance: float
+
+
+def find_settings_file() -> pathlib.Path:
+    """Returns the path of the settings file.
+
+    Raises:
+        SettingsInvalidError: If the environment does not name one.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsInvalidError(
+            f"got no {SETTINGS_VARIABLE}, expected the path of a settings file"
+        )
+    return pathlib.Path(path)
+
+
+def parse_settings(text: str) -> VmSettings:
+    """Reads lines of the form `a.b=value`; unknown ones are ignored.
+
+    Raises:
+        SettingsInvalidError: If a field is missing or has a bad value.
+    """
+    fields = _Fields(
+        dict(
+            line.strip().split("=", 1)
+            for line in text.splitlines()
+            if "=" in line
+        )
+    )
+    first_port = fields.text("network.internalPorts").split(",")[0]
+    last_port = fields.text("network.internalPorts").split(",")[-1]
+    host = fields.text("self.ip")
+    bounds = "terms.bounds"
+    return VmSettings(
+        node=fields.text("self.node"),
+        host=host,
+        data_centre=fields.text("self.zone"),
+        service=fields.text("self.service"),
+        target=fields.address("self.appAddr"),
+        callers=fields.address("network.listen.outbound"),
+        ready=fields.address("network.listen.ready"),
+        heartbeats=fields.address("network.listen.control"),
+        mesh=fields.address("network.listen.inbound"),
+        gossip=fields.address_of(host, first_port),
+        metrics=fields.address_of(host, last_port),
+        # The platform's settings hold the store's under the name "platform".
+        store=fields.address("platform.platform.address"),
+        heartbeat_s=fields.number("platform.heartbeatMs") / MS_PER_S,
+        drain_s=fields.number(f"{bounds}.drainMs") / MS_PER_S,
+        grace_s=fields.number(f"{bounds}.graceS"),
+        apply_s=fields.number(f"{bounds}.configApplyMs") / MS_PER_S,
+        retry_ratio=fields.number(f"{bounds}.retryBudgetRatio"),
+        retry_allowance=fields.number(f"{bounds}.retryBudgetSlack"),
+    )
+
+
+class _Fields:
+    """The fields of a settings file, checked as they are read."""
+
+    def __init__(self, values: Mapping[str, str]) -> None:
+        self._values = values
+
+    def text(self, name: str) -> str:
+        value = self._values.get(name, "")
+        if not value:
+            raise SettingsInvalidError(f"got no {name}, expected a value")
+        return value
+
+    def number(self, name: str) -> float:
+        value = self.text(name)
+        try:
+            number = float(value)
+        except ValueError:
+            number = -1.0
+        if number < 0:
+            raise SettingsInvalidError(
+                f"got {name}={value!r}, expected a number of at least 0"
+            )
+        return number
+
+    def address(self, name: str) -> Address:
+        try:
+            return parse_address(self.text(name))
+        except InvalidArgumentError as exc:
+            raise SettingsInvalidError(f"{name}: {exc}") from exc
+
+    def address_of(self, host: str, port: str) -> Address:
+        try:
+            return parse_address(f"{host}:{port}")
+        except InvalidArgumentError as exc:
+            raise SettingsInvalidError(
+                f"got internal port {port!r}: {exc}"
+            ) from exc
--- /dev/null
+++ b/src/guavawing/sidecar/beacons.py
@@ -0,0 +1,181 @@
+"""Beacons: datagrams by which nodes tell each other of themselves.
+
+A beacon holds the sender's record, the version that it enforces and the load
+of its target. One goes to every node from time to time, and at once when the
+target's phase or the version changes. They need neither the store nor a
+connection, so nodes that the store turns away learn of nodes and versions.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import cast
+
+from guavawing.errors import MessageInvalidError
+from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.mesh_codec import (
+    Beacon,
+    decode_beacon,
+    encode_beacon,
+)
+from guavawing.sidecar.metrics import SidecarMetrics
+from guavawing.traffic.model import LoadReport, PeerRecord
+from guavawing.traffic.peers import Peer, PeerTable
+
+__all__ = ["Beacons"]
+
+PERIOD_S = 1.0
+JITTER = 0.1
+# A long lost node is sent only every so many beacons: its VM may come back.
+LOST_EVERY = 5
+# Shortest time between two beacons that a change brings about, in seconds.
+CHANGE_PERIOD_S = 0.05
+MAX_DATAGRAM_BYTES = 1400
+
+
+class Beacons(asyncio.DatagramProtocol):
+    """Sends and takes beacons.
+
+    Attributes:
+        version: Configuration version that this node enforces.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: PeerRecord,
+        port: int,
+        peers: PeerTable,
+        read_load: Callable[[], LoadReport],
+        on_peer: Callable[[Peer], None],
+        log: DecisionLog,
+        metrics: SidecarMetrics,
+    ) -> None:
+        """Creates a machine without a socket.
+
+        Args:
+            me: This node's record.
+            port: Port of beacons, the same on all VMs.
+            peers: Takes what is heard.
+            read_load: Returns the load of this node's target.
+            on_peer: Is told of each node that a beacon came from.
+            log: Takes changes of belief.
+            metrics: Counts what can't be read.
+        """
+        self._loop = asyncio.get_running_loop()
+        self._me = me
+        self._port = port
+        self._peers = peers
+        self._read_load = read_load
+        self._on_peer = on_peer
+        self._log = log
+        self._metrics = metrics
+        self._transport: asyncio.DatagramTransport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._change_timer: asyncio.TimerHandle | None = None
+        self._sequence = 0
+        self._round = 0
+        self.version = 0
+        self.leaving = False
+
+    async def listen(self) -> None:
+        """Opens the socket and begins to send."""
+        await self._loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self._me.host, self._port)
+        )
+        self._tick()
+
+    def close(self) -> None:
+        """Stops sending and closes the socket."""
+        for timer in (self._timer, self._change_timer):
+            if timer is not None:
+                timer.cancel()
+        if self._transport is not None:
+            self._transport.close()
+
+    def tell_change(self) -> None:
+        """Tells all nodes soon that something of this one has changed."""
+        if self._change_timer is None:
+            self._change_timer = self._loop.call_later(
+                CHANGE_PERIOD_S, self._send_change
+            )
+
+    def greet(self, host: str) -> None:
+        """Asks a node that has just been learned of for its beacon."""
+        self._send(self._encode(asks=True), host)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the socket."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Takes a datagram; one that can't be read is counted."""
+        try:
+            beacon = decode_beacon(data)
+        except MessageInvalidError:
+            self._metrics.unreadable.inc({"source": "beacon"})
+            return
+        now = self._loop.time()
+        peer = self._peers.take_record(beacon.record, now=now)
+        if peer is None:
+            return
+        if beacon.sequence <= peer.sequence:
+            return
+        peer.sequence = beacon.sequence
+        if self._peers.take_sign_of_life(peer, now=now):
+            self._log.belief("peer-returned", peer=peer.record.node)
+        before = peer.view.report
+        self._peers.take_load(peer, beacon.load, now=now)
+        if before is None or before.phase is not beacon.load.phase:
+            self._log.belief(
+                "peer-target",
+                peer=peer.record.node,
+                service=peer.record.service,
+                phase=beacon.load.phase.name.lower(),
+            )
+        peer.version = beacon.version
+        if beacon.asks:
+            self._send(self._encode(), peer.record.host)
+        self._on_peer(peer)
+
+    def _tick(self) -> None:
+        now = self._loop.time()
+        for peer in self._peers.expire(now=now):
+            self._log.belief(
+                "peer-lost",
+                peer=peer.record.node,
+                silent_s=round(now - (peer.heard_at or peer.found_at), 1),
+            )
+        self._round += 1
+        payload = self._encode()
+        for peer in self._peers:
+            if self._round % LOST_EVERY and self._peers.is_long_lost(
+                peer, now=now
+            ):
+                continue
+            self._send(payload, peer.record.host)
+        jitter = random.uniform(1 - JITTER, 1 + JITTER)
+        self._timer = self._loop.call_later(PERIOD_S * jitter, self._tick)
+
+    def _send_change(self) -> None:
+        self._change_timer = None
+        payload = self._encode()
+        for peer in self._peers:
+            self._send(payload, peer.record.host)
+
+    def _encode(self, *, asks: bool = False) -> bytes:
+        self._sequence += 1
+        return encode_beacon(
+            Beacon(
+                self._me,
+                self._sequence,
+                self.version,
+                self._read_load(),
+                asks,
+                self.leaving,
+            )
+        )
+
+    def _send(self, payload: bytes, host: str) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(payload, (host, self._port))
--- /dev/null
+++ b/src/guavawing/sidecar/daemon.py
@@ -0,0 +1,409 @@
+"""The daemon: opens every part in order and stops them cleanly."""
+
+import asyncio
+import gc
+import pathlib
+import signal
+import time
+from collections.abc import Callable
+
+import uvloop
+
+from guavawing.errors import MessageInvalidError, SettingsInvalidError
+from guavawing.platform.headers import build_answer, build_refusal
+from guavawing.platform.heartbeats import (
+    DEPARTURE_PATH,
+    HEARTBEAT_PATH,
+    decode_heartbeat,
+)
+from guavawing.platform.settings import VmSettings, parse_settings
+from guavawing.platform.store_client import (
+    CONFIGURATION_TABLE,
+    RowChanges,
+    StoreClient,
+)
+from guavawing.sidecar.beacons import Beacons
+from guavawing.sidecar.configuration import Configuration
+from guavawing.sidecar.decision_log import DecisionLog, open_decision_log
+from guavawing.sidecar.entry import Entry, RetryTerms
+from guavawing.sidecar.http_server import HttpRequest, HttpServer
+from guavawing.sidecar.membership import NODES_TABLE, Membership
+from guavawing.sidecar.mesh_client import MeshClient
+from guavawing.sidecar.mesh_server import MeshServer
+from guavawing.sidecar.metrics import SidecarMetrics
+from guavawing.sidecar.owner import Owner
+from guavawing.sidecar.store_link import StoreLink
+from guavawing.sidecar.table_watch import TableWatch
+from guavawing.sidecar.target_pool import TargetPool
+from guavawing.traffic.balancer import OwnerView
+from guavawing.traffic.model import (
+    LoadReport,
+    PeerRecord,
+    Routing,
+    TargetPhase,
+)
+from guavawing.traffic.peers import Peer, PeerTable
+from guavawing.traffic.routes import RouteTable
+from guavawing.traffic.target_state import TargetState
+
+__all__ = ["Sidecar", "run_sidecar"]
+
+OK = 200
+BAD_REQUEST = 400
+NOT_FOUND = 404
+UNAVAILABLE = 503
+MS_PER_S = 1000
+JSON_HEAD = b"Content-Type: application/json\r\n"
+TEXT_HEAD = b"Content-Type: text/plain; version=0.0.4\r\n"
+# Descriptors kept for files, listeners, the mesh, the target and the store.
+MAX_CALLER_CONNECTIONS = 2_500
+MAX_LOCAL_CONNECTIONS = 64
+# Shortest times between two reads of a table, in seconds: versions in quick
+# succession are read together, well inside the time to apply them.
+CONFIGURATION_PERIOD_S = 0.6
+NODES_PERIOD_S = 0.6
+# Time after SIGTERM in which clients may still send as before: the platform
+# asks for readiness once a second and acts on two misses.
+NOTICE_S = 2.3
+# Time without a request after which a stopping process may end, in seconds.
+QUIET_S = 0.4
+# Time before the end of the grace period at which it ends anyway, in seconds.
+STOP_MARGIN_S = 0.4
+STOP_POLL_S = 0.05
+SETTINGS_POLL_S = 2.0
+# Allocations between two collections of the youngest objects.
+GC_ALLOCATIONS = 20_000
+
+
+class Sidecar:
+    """The parts of one daemon and what connects them."""
+
+    def __init__(
+        self, settings: VmSettings, path: pathlib.Path, log: DecisionLog
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._settings = settings
+        self._path = path
+        self._log = log
+        self._tasks: list[asyncio.Task[None]] = []
+        self._leaving = False
+        self._metrics = SidecarMetrics()
+        self._me = PeerRecord(
+            settings.node,
+            settings.host,
+            settings.mesh.port,
+            settings.data_centre,
+            settings.service,
+            time.time_ns() // 1_000_000,
+        )
+        self._own_view = OwnerView(settings.host, local=True, near=True)
+        self._peers = PeerTable(self._me, self._own_view)
+        self._target = TargetState(settings.service, settings.target)
+        self._pool = TargetPool(settings.target)
+        self._make_request_parts()
+        self._make_shared_state()
+
+    def _make_request_parts(self) -> None:
+        settings = self._settings
+        self._owner = Owner(
+            service=settings.service,
+            state=self._target,
+            pool=self._pool,
+            drain_s=settings.drain_s,
+            log=self._log,
+            metrics=self._metrics,
+        )
+        self._owner.on_phase = self._take_own_change
+        self._mesh = MeshClient(
+            source=settings.host,
+            on_load=self._take_load,
+            on_alive=self._take_alive,
+            on_document=self._take_document,
+        )
+        self._entry = Entry(
+            service=settings.service,
+            owner=self._owner,
+            own_view=self._own_view,
+            peers=self._peers,
+            mesh=self._mesh,
+            retries=RetryTerms(settings.retry_ratio, settings.retry_allowance),
+            log=self._log,
+            metrics=self._metrics,
+        )
+        self._callers = HttpServer(
+            self._entry.handle, max_connections=MAX_CALLER_CONNECTIONS
+        )
+        self._mesh_server = MeshServer(
+            self._owner, read_document=self._read_document
+        )
+        local = MAX_LOCAL_CONNECTIONS
+        self._ready = HttpServer(self._answer_ready, max_connections=local)
+        self._control = HttpServer(self._take_call, max_connections=local)
+        self._scrapes = HttpServer(self._answer_scrape, max_connections=local)
+
+    def _make_shared_state(self) -> None:
+        settings = self._settings
+        self._beacons = Beacons(
+            me=self._me,
+            port=settings.gossip.port,
+            peers=self._peers,
+            read_load=self._owner.load,
+            on_peer=self._take_peer,
+            log=self._log,
+            metrics=self._metrics,
+        )
+        self._configuration = Configuration(
+            on_version=self._apply,
+            ask_peer=lambda peer, version: self._mesh.ask_document(
+                peer.record.host, peer.record.mesh_port, version
+            ),
+            log=self._log,
+            metrics=self._metrics,
+        )
+        self._link = StoreLink(settings.store)
+        self._store = StoreClient(self._link.call)
+        self._membership = Membership(
+            self._store,
+            self._me,
+            self._peers,
+            on_found=self._take_found,
+            on_gone=self._mesh.drop,
+            log=self._log,
+            metrics=self._metrics,
+        )
+
+    async def start(self) -> None:
+        """Opens every listener and begins to follow the store."""
+        settings = self._settings
+        await self._callers.listen(settings.callers.host, settings.callers.port)
+        await self._mesh_server.listen(settings.mesh.host, settings.mesh.port)
+        await self._control.listen(
+            settings.heartbeats.host, settings.heartbeats.port
+        )
+        await self._ready.listen(settings.ready.host, settings.ready.port)
+        await self._scrapes.listen(settings.metrics.host, settings.metrics.port)
+        await self._beacons.listen()
+        watches = (
+            self._watch(
+                CONFIGURATION_TABLE,
+                self._configuration.take_changes,
+                CONFIGURATION_PERIOD_S,
+            ),
+            self._watch(
+                NODES_TABLE, self._membership.take_changes, NODES_PERIOD_S
+            ),
+        )
+        for work in (*(w.run() for w in watches), self._poll_settings()):
+            self._tasks.append(self._loop.create_task(work))
+        self._log.event(
+            "start",
+            host=settings.host,
+            service=settings.service,
+            data_centre=settings.data_centre,
+        )
+
+    async def stop(self) -> None:
+        """Tells everybody to go elsewhere, finishes what runs, and closes."""
+        began_at = self._loop.time()
+        self._log.event("stop", version=self._configuration.version)
+        self._leaving = True
+        self._owner.leaving = True
+        self._beacons.leaving = True
+        self._beacons.tell_change()
+        withdrawal = None
+        if self._target.phase in (TargetPhase.DRAINING, TargetPhase.GONE):
+            withdrawal = self._loop.create_task(self._membership.withdraw())
+        await asyncio.sleep(NOTICE_S)
+        self._callers.leaving = True
+        self._callers.close_idle()
+        ends_at = began_at + self._settings.grace_s - STOP_MARGIN_S
+        while self._loop.time() < ends_at and self._is_needed():
+            await asyncio.sleep(STOP_POLL_S)
+        if withdrawal is not None:
+            withdrawal.cancel()
+        self._log.event("stopped", seconds=self._loop.time() - began_at)
+        self.close()
+
+    def close(self) -> None:
+        """Closes everything at once."""
+        for task in self._tasks:
+            task.cancel()
+        for server in (
+            self._callers,
+            self._ready,
+            self._control,
+            self._scrapes,
+        ):
+            server.close()
+        self._mesh_server.close()
+        self._mesh.close()
+        self._beacons.close()
+        self._pool.close_idle()
+        self._link.close()
+
+    def reload(self) -> None:
+        """Reads the settings file again and applies what has changed."""
+        try:
+            settings = parse_settings(self._path.read_text(encoding="utf-8"))
+        except (OSError, SettingsInvalidError, UnicodeDecodeError) as exc:
+            self._log.event("settings-invalid", cause=str(exc))
+            return
+        if settings == self._settings:
+            return
+        self._log.event("settings-changed")
+        if settings.store != self._settings.store:
+            self._link.move(settings.store)
+        self._settings = settings
+
+    def _watch(
+        self,
+        table: str,
+        on_changes: Callable[[RowChanges, bool], None],
+        period_s: float,
+    ) -> TableWatch:
+        return TableWatch(
+            self._store,
+            table,
+            on_changes=on_changes,
+            min_period_s=period_s,
+            log=self._log,
+            metrics=self._metrics,
+        )
+
+    def _is_needed(self) -> bool:
+        quiet_s = self._loop.time() - self._callers.last_request_at
+        return (
+            self._callers.busy > 0 or self._owner.busy > 0 or quiet_s < QUIET_S
+        )
+
+    async def _poll_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_POLL_S)
+            self.reload()
+
+    # What the parts tell each other.
+
+    def _apply(self, routing: Routing) -> None:
+        self._entry.table = RouteTable(routing)
+        self._callers.limits = routing.limits
+        self._beacons.version = routing.version
+        self._beacons.tell_change()
+
+    def _take_own_change(self) -> None:
+        self._log.belief(
+            "target",
+            target=self._target.target_id,
+            phase=self._target.phase.name.lower(),
+            slots=self._target.slots,
+        )
+        self._beacons.tell_change()
+
+    def _take_peer(self, peer: Peer) -> None:
+        self._entry.resize_allowances()
+        self._configuration.take_peer(peer)
+
+    def _take_found(self, peer: Peer) -> None:
+        self._entry.resize_allowances()
+        self._beacons.greet(peer.record.host)
+
+    def _take_load(self, host: str, load: LoadReport) -> None:
+        peer = self._peers.get(host)
+        if peer is not None:
+            self._peers.take_load(peer, load, now=self._loop.time())
+
+    def _take_alive(self, host: str) -> None:
+        peer = self._peers.get(host)
+        if peer is not None:
+            self._peers.take_sign_of_life(peer, now=self._loop.time())
+
+    def _take_document(self, document: bytes) -> None:
+        self._configuration.take_document(document, source="peer")
+
+    def _read_document(self) -> bytes | None:
+        routing = self._configuration.routing
+        return None if routing is None else routing.document
+
+    # Calls of the platform and of the target.
+
+    def _answer_ready(self, request: HttpRequest) -> None:
+        ready = self._entry.table is not None and not self._leaving
+        payload = build_refusal(OK if ready else UNAVAILABLE, b"")
+        request.conn.respond(payload)
+
+    def _answer_scrape(self, request: HttpRequest) -> None:
+        alive = sum(1 for peer in self._peers if peer.view.alive)
+        self._metrics.peers.set({"state": "alive"}, alive)
+        self._metrics.peers.set({"state": "lost"}, len(self._peers) - alive)
+        self._metrics.log_lines_left_out.set({}, self._log.left_out)
+        payload = build_answer(
+            OK, TEXT_HEAD, self._metrics.render(), closes=False
+        )
+        request.conn.respond(payload)
+
+    def _take_call(self, request: HttpRequest) -> None:
+        path = request.path.decode("latin-1")
+        now = self._loop.time()
+        if path.startswith(HEARTBEAT_PATH):
+            status = self._take_heartbeat(
+                path.removeprefix(HEARTBEAT_PATH), request.body
+            )
+        elif path.startswith(DEPARTURE_PATH):
+            target_id = path.removeprefix(DEPARTURE_PATH)
+            if self._target.take_departure(target_id, now=now):
+                self._owner.take_target_change()
+            status = OK
+        else:
+            status = NOT_FOUND
+        body = b"{}" if status == OK else b""
+        payload = build_answer(status, JSON_HEAD, body, closes=False)
+        request.conn.respond(payload)
+
+    def _take_heartbeat(self, target_id: str, body: bytes) -> int:
+        try:
+            report = decode_heartbeat(target_id, body)
+        except MessageInvalidError as exc:
+            self._metrics.unreadable.inc({"source": "heartbeat"})
+            self._log.belief("heartbeat-unreadable", cause=str(exc))
+            return BAD_REQUEST
+        if not self._target.is_mine(report):
+            self._metrics.unreadable.inc({"source": "heartbeat"})
+            self._log.belief("heartbeat-of-another", target=target_id[:80])
+            return BAD_REQUEST
+        if self._target.take_report(report, now=self._loop.time()):
+            self._owner.take_target_change()
+        return OK
+
+
+def run_sidecar(path: pathlib.Path) -> None:
+    """Runs the daemon until SIGTERM or SIGINT.
+
+    Raises:
+        SettingsInvalidError: If the settings file can't be used.
+    """
+    settings = parse_settings(path.read_text(encoding="utf-8"))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(_run(settings, path))
+
+
+async def _run(settings: VmSettings, path: pathlib.Path) -> None:
+    loop = asyncio.get_running_loop()
+    ended = asyncio.Event()
+    with open_decision_log(node=settings.node) as log:
+        sidecar = Sidecar(settings, path, log)
+        for sig in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(sig, ended.set)
+        loop.add_signal_handler(signal.SIGHUP, sidecar.reload)
+        try:
+            await sidecar.start()
+            _settle_garbage_collector()
+            await ended.wait()
+            await sidecar.stop()
+        finally:
+            sidecar.close()
+
+
+def _settle_garbage_collector() -> None:
+    """Spares the collector the objects that live as long as the process."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_ALLOCATIONS)
--- /dev/null
+++ b/src/guavawing/sidecar/http_client.py
@@ -0,0 +1,225 @@
+"""Client end of an HTTP/1.1 connection: one request at a time."""
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+import attrs
+import httptools
+
+__all__ = ["Awaited", "ClientConnection", "HttpReply"]
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+MIN_FINAL_STATUS = 200
+_FRAMING = frozenset({b"content-length", b"transfer-encoding"})
+_BODILESS = frozenset({204, 304})
+
+
+@attrs.frozen
+class HttpReply:
+    """A whole answer.
+
+    Attributes:
+        status: HTTP status.
+        headers: Names and values.
+        body: Whole body.
+        keeps_open: Whether the connection can be used again.
+    """
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    keeps_open: bool
+
+
+@attrs.frozen
+class Awaited:
+    """What a connection does with the answer to a request.
+
+    Attributes:
+        accepts: Tells whether an answer belongs to the request.
+        on_reply: Takes the answer.
+        on_loss: Takes that no answer will come, and the error if any.
+        headless: Whether the answer has no body whatever its headers say.
+    """
+
+    accepts: Callable[[HttpReply], bool]
+    on_reply: Callable[[HttpReply], None]
+    on_loss: Callable[[Exception | None], None]
+    headless: bool = False
+
+
+class ClientConnection(asyncio.Protocol):
+    """A connection to a server.
+
+    Attributes:
+        usable: Whether a request may be sent on it.
+        idle_since: When its last answer came.
+    """
+
+    __slots__ = (
+        "_awaited",
+        "_body",
+        "_body_bytes",
+        "_framed",
+        "_headers",
+        "_loop",
+        "_on_close",
+        "_parser",
+        "_replies",
+        "_started",
+        "_status",
+        "_transport",
+        "idle_since",
+        "idle_timeout_s",
+        "usable",
+    )
+
+    def __init__(
+        self, on_close: Callable[["ClientConnection"], None] | None = None
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._parser = httptools.HttpResponseParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._on_close = on_close
+        self._awaited: Awaited | None = None
+        self._replies: list[HttpReply] = []
+        self.usable = False
+        self.idle_since = self._loop.time()
+        self.idle_timeout_s: float | None = None
+        self._reset()
+
+    @property
+    def busy(self) -> bool:
+        """Whether an answer is awaited."""
+        return self._awaited is not None
+
+    def send(self, payload: bytes, awaited: Awaited) -> None:
+        """Sends the bytes of a whole request."""
+        assert self._transport is not None and not self.busy
+        self._awaited = awaited
+        self._transport.write(payload)
+
+    def close(self) -> None:
+        """Closes the connection; an awaited answer is given up."""
+        self.usable = False
+        self._awaited = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    # Events of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the open connection."""
+        self._transport = cast(asyncio.Transport, transport)
+        self.usable = True
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of the server."""
+        if not self.busy:
+            # Bytes that belong to no request.
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            self._take_replies()
+            self._lose(exc)
+            return
+        self._take_replies()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Takes the end of the connection."""
+        self.usable = False
+        self._transport = None
+        if exc is None and self._started and not self._framed:
+            # A body without a length ends with its connection.
+            self._complete(keeps_open=False)
+            self._take_replies()
+        if self.busy:
+            self._lose(exc)
+        if self._on_close is not None:
+            self._on_close(self)
+
+    # Events of the parser.
+
+    def on_message_begin(self) -> None:
+        """Takes the first byte of an answer."""
+        self._reset()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Takes the end of the headers."""
+        self._started = True
+        self._status = self._parser.get_status_code()
+        self._framed = self._status in _BODILESS or any(
+            name.lower() in _FRAMING for name, _ in self._headers
+        )
+        headless = self._awaited is not None and self._awaited.headless
+        if headless and self._status >= MIN_FINAL_STATUS:
+            self._complete(keeps_open=False)
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > MAX_BODY_BYTES:
+            raise ValueError("the answer is larger than the limit")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Takes the end of an answer."""
+        if self._started and self._status >= MIN_FINAL_STATUS:
+            self._complete(keeps_open=self._parser.should_keep_alive())
+
+    def _complete(self, *, keeps_open: bool) -> None:
+        reply = HttpReply(
+            self._status, self._headers, b"".join(self._body), keeps_open
+        )
+        self._replies.append(reply)
+        self._reset()
+
+    def _take_replies(self) -> None:
+        """Hands over what has been read, once the parser has returned."""
+        replies, self._replies = self._replies, []
+        for number, reply in enumerate(replies, 1):
+            awaited = self._awaited
+            if awaited is None:
+                return
+            if awaited.accepts(reply):
+                surplus = number < len(replies) or self._started
+                self._conclude(awaited, reply, surplus=surplus)
+            elif not reply.keeps_open:
+                self._lose(None)
+
+    def _conclude(
+        self, awaited: Awaited, reply: HttpReply, *, surplus: bool
+    ) -> None:
+        """Hands over the awaited answer.
+
+        Args:
+            awaited: What waits for it.
+            reply: The answer.
+            surplus: Whether more bytes follow, which belong to no request.
+        """
+        self._awaited = None
+        self.idle_since = self._loop.time()
+        if surplus or not reply.keeps_open or self._transport is None:
+            self.close()
+        awaited.on_reply(reply)
+
+    def _lose(self, exc: Exception | None) -> None:
+        awaited = self._awaited
+        self.close()
+        if awaited is not None:
+            awaited.on_loss(exc)
+
+    def _reset(self) -> None:
+        self._started = False
+        self._framed = True
+        self._status = 0
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
--- /dev/null
+++ b/src/guavawing/sidecar/http_server.py
@@ -0,0 +1,321 @@
+"""HTTP/1.1 server for callers, targets and the platform.
+
+The parser is a library's; its strict mode refuses requests whose framing is
+ambiguous, so that no request can be hidden in another one.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+from typing import cast
+
+import attrs
+import httptools
+
+from guavawing.platform.headers import build_refusal
+from guavawing.traffic.model import ClientLimits
+
+__all__ = ["HttpRequest", "HttpServer", "ServerConnection"]
+
+BAD_REQUEST = 400
+REQUEST_TIMEOUT = 408
+PAYLOAD_TOO_LARGE = 413
+HEADERS_TOO_LARGE = 431
+# Period in which idle connections and slow requests are looked for.
+SWEEP_PERIOD_S = 0.5
+# Time beyond a limit after which a connection is closed, in seconds: a
+# client that keeps to the limit never meets the close.
+LIMIT_MARGIN_S = 1.0
+# Requests that a client may send ahead of their answers.
+MAX_PIPELINED = 32
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+@attrs.define(eq=False)
+class HttpRequest:
+    """One request, whole.
+
+    Attributes:
+        conn: Connection that it came on.
+        method: HTTP method.
+        path: Path with its query, as it was sent.
+        headers: Names and values, as they were sent.
+        body: Whole body.
+        on_gone: Is called once if the client goes away before the answer.
+    """
+
+    conn: "ServerConnection"
+    method: bytes
+    path: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    on_gone: Callable[[], None] | None = None
+
+
+Handler = Callable[[HttpRequest], None]
+
+
+class HttpServer:
+    """One listener and its connections.
+
+    Attributes:
+        limits: Bounds on clients, from the newest configuration.
+        leaving: Whether clients are told to go elsewhere.
+    """
+
+    def __init__(self, handler: Handler, *, max_connections: int) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._max_connections = max_connections
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.TimerHandle | None = None
+        self.handler = handler
+        self.connections: set[ServerConnection] = set()
+        self.limits = ClientLimits()
+        self.leaving = False
+        self.last_request_at = self._loop.time()
+
+    @property
+    def busy(self) -> int:
+        """Connections with a request that is not answered."""
+        return sum(1 for conn in self.connections if conn.busy)
+
+    async def listen(self, host: str, port: int) -> None:
+        """Opens the listener."""
+        self._server = await self._loop.create_server(
+            lambda: ServerConnection(self),
+            host,
+            port,
+            backlog=1024,
+            reuse_address=True,
+        )
+        self._sweep()
+
+    def admits(self) -> bool:
+        """Returns whether one more connection may be opened."""
+        return len(self.connections) <= self._max_connections
+
+    def close_listener(self) -> None:
+        """Takes no more connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close(self) -> None:
+        """Closes everything at once."""
+        self.close_listener()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for conn in tuple(self.connections):
+            conn.abort()
+
+    def close_idle(self) -> None:
+        """Closes the connections on which no request is under way."""
+        for conn in tuple(self.connections):
+            if not conn.busy and not conn.reading:
+                conn.close()
+
+    def _sweep(self) -> None:
+        now = self._loop.time()
+        for conn in tuple(self.connections):
+            conn.check_limits(now)
+        self._sweeper = self._loop.call_later(SWEEP_PERIOD_S, self._sweep)
+
+
+class ServerConnection(asyncio.Protocol):
+    """One client connection; answers go out in the order of the requests."""
+
+    __slots__ = (
+        "_body",
+        "_body_bytes",
+        "_current",
+        "_header_bytes",
+        "_headers",
+        "_parser",
+        "_pending",
+        "_refused",
+        "_server",
+        "_since",
+        "_transport",
+        "_url",
+        "reading",
+    )
+
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._pending: collections.deque[HttpRequest] = collections.deque()
+        self._current: HttpRequest | None = None
+        self._refused = 0
+        self.reading = False
+        self._since = 0.0
+        self._reset()
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request waits for its answer."""
+        return self._current is not None
+
+    @property
+    def open(self) -> bool:
+        """Whether the client can still be answered."""
+        return self._transport is not None
+
+    def respond(self, payload: bytes, *, closes: bool = False) -> None:
+        """Answers the current request.
+
+        Args:
+            payload: Bytes of the whole answer.
+            closes: Whether the answer says that the connection is closed.
+        """
+        transport = self._transport
+        self._current = None
+        if transport is None:
+            return
+        transport.write(payload)
+        self._since = self._server._loop.time()
+        if closes:
+            self._transport = None
+            self._server.connections.discard(self)
+            transport.close()
+        elif self._pending:
+            self._dispatch(self._pending.popleft())
+
+    def keeps_open(self) -> bool:
+        """Returns whether the connection outlives the current answer."""
+        return not self._server.leaving and not self._refused
+
+    def close(self) -> None:
+        """Closes the connection after what was written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def check_limits(self, now: float) -> None:
+        """Closes the connection if the client is too slow or idle."""
+        if self._current is not None:
+            return
+        limits = self._server.limits
+        limit_s = (
+            limits.header_timeout_s if self.reading else limits.idle_timeout_s
+        )
+        if now - self._since <= limit_s + LIMIT_MARGIN_S:
+            return
+        if self.reading:
+            self._refuse(REQUEST_TIMEOUT)
+        else:
+            self.close()
+
+    # Events of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the open connection."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._since = self._server._loop.time()
+        self._server.connections.add(self)
+        if not self._server.admits():
+            self.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes of the client."""
+        if self._refused:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(BAD_REQUEST)
+        except httptools.HttpParserError:
+            self._refuse(self._refused or BAD_REQUEST)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Takes the end of the connection."""
+        self._transport = None
+        self._server.connections.discard(self)
+        current, self._current = self._current, None
+        self._pending.clear()
+        if current is not None and current.on_gone is not None:
+            current.on_gone()
+
+    # Events of the parser.
+
+    def on_message_begin(self) -> None:
+        """Takes the first byte of a request."""
+        self._reset()
+        self.reading = True
+        if self._current is None:
+            self._since = self._server._loop.time()
+
+    def on_url(self, url: bytes) -> None:
+        """Takes the path, which may come in parts."""
+        self._url += url
+        self._count_header(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self._headers.append((name, value))
+        self._count_header(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Takes the end of the headers."""
+        if self._current is not None or self._transport is None:
+            return
+        for name, value in self._headers:
+            if (name.lower(), value.lower()) == (b"expect", b"100-continue"):
+                self._transport.write(CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._server.limits.max_body_bytes:
+            self._stop_parsing(PAYLOAD_TOO_LARGE)
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Takes the end of a request."""
+        self.reading = False
+        request = HttpRequest(
+            self,
+            self._parser.get_method(),
+            self._url,
+            self._headers,
+            b"".join(self._body),
+        )
+        self._server.last_request_at = self._server._loop.time()
+        if self._current is None:
+            self._dispatch(request)
+        elif len(self._pending) < MAX_PIPELINED:
+            self._pending.append(request)
+        else:
+            self.abort()
+
+    def _dispatch(self, request: HttpRequest) -> None:
+        self._current = request
+        self._server.handler(request)
+
+    def _reset(self) -> None:
+        self._url = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._header_bytes = 0
+        self._body_bytes = 0
+
+    def _count_header(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_bytes > self._server.limits.max_header_bytes:
+            self._stop_parsing(HEADERS_TOO_LARGE)
+
+    def _stop_parsing(self, status: int) -> None:
+        self._refused = status
+        raise ValueError("the request is larger than the limits")
+
+    def _refuse(self, status: int) -> None:
+        """Answers a request that can't be read, and closes."""
+        self._refused = status
+        if self._current is None and self._transport is not None:
+            payload = build_refusal(status, b"", closes=True)
+            self.respond(payload, closes=True)
+        else:
+            self.close()
--- /dev/null
+++ b/src/guavawing/sidecar/membership.py
@@ -0,0 +1,158 @@
+"""The rows by which nodes find each other in the store."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import orjson
+
+from guavawing.errors import PlatformError
+from guavawing.platform.store_client import (
+    Put,
+    RowChanges,
+    StoreClient,
+    StoredRow,
+)
+from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.metrics import SidecarMetrics
+from guavawing.traffic.model import PeerRecord
+from guavawing.traffic.peers import Peer, PeerTable
+
+__all__ = ["NODES_TABLE", "Membership"]
+
+NODES_TABLE = "nodes"
+# Pauses after failed writes, in seconds: doubled each time, with jitter.
+FIRST_PAUSE_S = 0.2
+MAX_PAUSE_S = 3.0
+
+
+class Membership:
+    """Keeps this node's row and takes those of the others."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        me: PeerRecord,
+        peers: PeerTable,
+        *,
+        on_found: Callable[[Peer], None],
+        on_gone: Callable[[str], None],
+        log: DecisionLog,
+        metrics: SidecarMetrics,
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._store = store
+        self._me = me
+        self._peers = peers
+        self._on_found = on_found
+        self._on_gone = on_gone
+        self._log = log
+        self._metrics = metrics
+        self._own_row: StoredRow | None = None
+        self._writer: asyncio.Task[None] | None = None
+
+    def take_changes(self, changes: RowChanges, whole: bool) -> None:
+        """Takes rows of the table; a row that can't be read names no node."""
+        unreadable = changes.unreadable
+        for row in changes.rows:
+            if row.value is None:
+                self._take_removal(row.key)
+                continue
+            record = _decode_record(row)
+            if record is None:
+                unreadable += 1
+            elif record.host == self._me.host:
+                self._own_row = row
+            else:
+                self._take_record(record)
+        for _ in range(unreadable):
+            self._metrics.unreadable.inc({"source": NODES_TABLE})
+        if whole or self._own_row is not None:
+            self._check_own_row()
+
+    async def withdraw(self) -> None:
+        """Removes this node's row, since its target is gone for good."""
+        if self._own_row is None:
+            return
+        try:
+            await self._store.remove_row(self._own_row)
+        except PlatformError as exc:
+            self._log.belief("row-not-removed", cause=str(exc))
+
+    def _take_record(self, record: PeerRecord) -> None:
+        known = self._peers.get(record.host)
+        peer = self._peers.take_record(record, now=self._loop.time())
+        if peer is None or peer is known:
+            return
+        self._log.belief("peer-found", peer=record.node, service=record.service)
+        self._on_found(peer)
+
+    def _take_removal(self, host: str) -> None:
+        if host == self._me.host:
+            self._own_row = None
+            return
+        peer = self._peers.get(host)
+        if peer is None:
+            return
+        self._log.belief("peer-removed", peer=peer.record.node)
+        self._peers.forget(host)
+        self._on_gone(host)
+
+    def _check_own_row(self) -> None:
+        value = _encode_record(self._me)
+        if self._own_row is not None and self._own_row.value == value:
+            return
+        if self._writer is None or self._writer.done():
+            self._writer = self._loop.create_task(self._write(value))
+
+    async def _write(self, value: bytes) -> None:
+        put = Put(NODES_TABLE, self._me.host, value)
+        pause_s = FIRST_PAUSE_S
+        while True:
+            try:
+                await self._store.put_rows([put])
+            except PlatformError as exc:
+                self._count("failed")
+                self._log.belief("row-not-written", cause=str(exc))
+                await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
+                pause_s = min(MAX_PAUSE_S, pause_s * 2)
+                continue
+            self._count("answered")
+            return
+
+    def _count(self, outcome: str) -> None:
+        self._metrics.store_calls.inc(
+            {"call": "write-node", "outcome": outcome}
+        )
+
+
+def _encode_record(record: PeerRecord) -> bytes:
+    return orjson.dumps(
+        {
+            "node": record.node,
+            "host": record.host,
+            "mesh_port": record.mesh_port,
+            "data_centre": record.data_centre,
+            "service": record.service,
+        },
+        option=orjson.OPT_SORT_KEYS,
+    )
+
+
+def _decode_record(row: StoredRow) -> PeerRecord | None:
+    """Returns the record of a row, or None if it can't be read."""
+    try:
+        content = orjson.loads(row.value or b"")
+        texts = [
+            content[name] for name in ("node", "host", "data_centre", "service")
+        ]
+        port = content["mesh_port"]
+    except (KeyError, TypeError, ValueError):
+        # The caller counts it.
+        return None
+    if not all(isinstance(text, str) for text in texts):
+        return None
+    if type(port) is not int or row.key != texts[1]:
+        return None
+    node, host, data_centre, service = texts
+    return PeerRecord(node, host, port, data_centre, service, 0)
--- /dev/null
+++ b/src/guavawing/sidecar/mesh_client.py
@@ -0,0 +1,300 @@
+"""Connections to owners on other VMs."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+import attrs
+
+from guavawing.errors import MessageInvalidError
+from guavawing.node.frame_stream import FrameStream, Keepalive
+from guavawing.sidecar.mesh_codec import (
+    AnswerFrame,
+    ConfigFrame,
+    Hello,
+    decode_frame,
+    encode_ask_config,
+    encode_ask_outcome,
+    encode_cancel,
+    encode_request,
+)
+from guavawing.traffic.model import Attempt, LoadReport, Outcome
+from guavawing.verdict import MayHaveRun, NotRun, Reason
+
+__all__ = ["MeshClient", "MeshTicket"]
+
+CONNECT_TIMEOUT_S = 0.6
+KEEPALIVE = Keepalive(tick_s=0.4, asks=True)
+# Connections to one owner for small answers, and for large ones: a lost packet
+# or a large answer holds up only what shares its connection.
+SMALL_LANES = 2
+BULK_LANES = 1
+OWNER_RETRY_AFTER_S = 0.3
+
+OutcomeListener = Callable[[Outcome], None]
+LoadListener = Callable[[str, LoadReport], None]
+
+
+@attrs.define(eq=False)
+class MeshTicket:
+    """An attempt under way at another node.
+
+    Attributes:
+        attempt: The attempt.
+        on_outcome: Takes the outcome, once; None if nobody waits.
+        lane: Connection that it was sent on, if any.
+        frame_id: Its number on that connection.
+        process: Number of the owner's process that it was sent to; 0 if it
+            was not sent or the owner has not said.
+        asked: Whether the owner has been asked what became of it.
+    """
+
+    attempt: Attempt
+    on_outcome: OutcomeListener | None
+    lane: "_Lane | None" = None
+    frame_id: int = 0
+    process: int = 0
+    asked: bool = False
+
+    def end(self, outcome: Outcome) -> None:
+        """Hands over the outcome; does nothing the second time."""
+        on_outcome, self.on_outcome = self.on_outcome, None
+        if on_outcome is not None:
+            on_outcome(outcome)
+
+
+class MeshClient:
+    """Connections to all owners, opened when they are needed."""
+
+    def __init__(
+        self,
+        *,
+        source: str,
+        on_load: LoadListener,
+        on_alive: Callable[[str], None],
+        on_document: Callable[[bytes], None],
+    ) -> None:
+        """Creates a client without connections.
+
+        Args:
+            source: IP address to connect from.
+            on_load: Takes the load that came with an answer.
+            on_alive: Takes the host of a node that has answered.
+            on_document: Takes a configuration that was asked for.
+        """
+        self.loop = asyncio.get_running_loop()
+        self.source = source
+        self.on_load = on_load
+        self.on_alive = on_alive
+        self.on_document = on_document
+        self._lanes: dict[tuple[str, int, bool], list[_Lane]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def submit(
+        self,
+        host: str,
+        port: int,
+        attempt: Attempt,
+        on_outcome: OutcomeListener,
+    ) -> MeshTicket:
+        """Sends an attempt to the owner at an address."""
+        ticket = MeshTicket(attempt, on_outcome)
+        self._pick_lane(host, port, bulk=attempt.bulk).add(ticket)
+        return ticket
+
+    def cancel(self, ticket: MeshTicket) -> None:
+        """Tells the owner that nobody waits for an attempt."""
+        ticket.on_outcome = None
+        if ticket.lane is not None:
+            ticket.lane.cancel(ticket)
+
+    def ask_document(self, host: str, port: int, version: int) -> None:
+        """Asks a node for a configuration newer than `version`."""
+        lane = self._pick_lane(host, port, bulk=True)
+        lane.tell(encode_ask_config(version))
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for lanes in self._lanes.values():
+            for lane in lanes:
+                lane.close()
+
+    def drop(self, host: str) -> None:
+        """Closes the connections to a node that was found lost."""
+        for key, lanes in self._lanes.items():
+            if key[0] == host:
+                for lane in lanes:
+                    lane.close()
+
+    def start(self, work: "asyncio.Task[None]") -> None:
+        """Keeps a task until it has ended."""
+        self._tasks.add(work)
+        work.add_done_callback(self._tasks.discard)
+
+    def _pick_lane(self, host: str, port: int, *, bulk: bool) -> "_Lane":
+        key = (host, port, bulk)
+        lanes = self._lanes.get(key)
+        if lanes is None:
+            count = BULK_LANES if bulk else SMALL_LANES
+            lanes = self._lanes[key] = [
+                _Lane(self, host, port) for _ in range(count)
+            ]
+        return min(lanes, key=lambda lane: lane.outstanding)
+
+
+class _Lane:
+    """One connection to an owner; it is opened anew after it broke."""
+
+    def __init__(self, client: MeshClient, host: str, port: int) -> None:
+        self._client = client
+        self._host, self._port = host, port
+        self._ids = itertools.count(1)
+        self._stream: FrameStream | None = None
+        self._connecting = False
+        self._process = 0
+        self._waiting: list[MeshTicket] = []
+        self._unsent: list[bytes] = []
+        self._pending: dict[int, MeshTicket] = {}
+
+    @property
+    def outstanding(self) -> int:
+        return len(self._pending) + len(self._waiting)
+
+    def add(self, ticket: MeshTicket) -> None:
+        ticket.lane = self
+        if self._stream is not None and not self._stream.closed:
+            self._write(ticket)
+            return
+        self._waiting.append(ticket)
+        self._connect()
+
+    def tell(self, payload: bytes) -> None:
+        if self._stream is not None and not self._stream.closed:
+            self._stream.write(payload)
+        else:
+            self._unsent.append(payload)
+            self._connect()
+
+    def cancel(self, ticket: MeshTicket) -> None:
+        if ticket in self._waiting:
+            self._waiting.remove(ticket)
+            return
+        known = self._pending.pop(ticket.frame_id, None) is not None
+        if known and self._stream is not None:
+            self._stream.write(encode_cancel(ticket.frame_id))
+
+    def close(self) -> None:
+        if self._stream is not None:
+            self._stream.abort()
+
+    # Events of the stream.
+
+    def take_open(self, stream: FrameStream) -> None:
+        self._stream = stream
+        self._process = 0
+
+    def take_frame(self, payload: bytes) -> None:
+        match decode_frame(payload, now=self._client.loop.time()):
+            case AnswerFrame(id=frame_id, outcome=outcome, load=load):
+                self._client.on_load(self._host, load)
+                ticket = self._pending.pop(frame_id, None)
+                if ticket is not None:
+                    ticket.end(outcome)
+            case Hello(process=process):
+                self._process = process
+                for ticket in self._pending.values():
+                    ticket.process = ticket.process or process
+            case ConfigFrame(document=document):
+                self._client.on_document(document)
+            case other:
+                raise MessageInvalidError(
+                    f"got {type(other).__name__}, expected an answer"
+                )
+        self._client.on_alive(self._host)
+
+    def take_room(self) -> None:
+        """Needs nothing: requests are small against what is buffered."""
+
+    def take_end(self) -> None:
+        self._stream = None
+        lost, self._pending = self._pending, {}
+        unknown = [
+            ticket for ticket in lost.values() if ticket.on_outcome is not None
+        ]
+        if unknown:
+            # Whether they ran is asked on a new connection.
+            self._client.start(
+                self._client.loop.create_task(self._ask_again(unknown))
+            )
+
+    async def _ask_again(self, tickets: list[MeshTicket]) -> None:
+        """Asks the owner's process what became of attempts, once each."""
+        for ticket in tickets:
+            if ticket.asked or not ticket.process:
+                ticket.end(Outcome(MayHaveRun(Reason.OWNER_LOST)))
+        asked = [t for t in tickets if t.on_outcome is not None]
+        if not asked:
+            return
+        await self._open()
+        stream = self._stream
+        if stream is None or stream.closed:
+            for ticket in asked:
+                ticket.end(Outcome(MayHaveRun(Reason.OWNER_LOST)))
+            return
+        for ticket in asked:
+            if ticket.on_outcome is None:
+                continue
+            ticket.asked = True
+            ticket.frame_id = next(self._ids)
+            self._pending[ticket.frame_id] = ticket
+            stream.write(
+                encode_ask_outcome(
+                    ticket.frame_id,
+                    ticket.attempt.request_id,
+                    ticket.process,
+                )
+            )
+
+    def _write(self, ticket: MeshTicket) -> None:
+        assert self._stream is not None
+        ticket.frame_id = next(self._ids)
+        ticket.process = self._process
+        self._pending[ticket.frame_id] = ticket
+        now = self._client.loop.time()
+        self._stream.write(
+            encode_request(ticket.frame_id, ticket.attempt, now=now)
+        )
+
+    def _connect(self) -> None:
+        if not self._connecting:
+            self._client.start(self._client.loop.create_task(self._open()))
+
+    async def _open(self) -> None:
+        """Opens the connection, and sends what waits for it."""
+        if self._stream is not None and not self._stream.closed:
+            return
+        self._connecting = True
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await self._client.loop.create_connection(
+                    lambda: FrameStream(self, keepalive=KEEPALIVE),
+                    self._host,
+                    self._port,
+                    local_addr=(self._client.source, 0),
+                )
+        except (OSError, TimeoutError):
+            verdict = NotRun(Reason.OWNER_UNREACHABLE, OWNER_RETRY_AFTER_S)
+            self._unsent.clear()
+            waiting, self._waiting = self._waiting, []
+            for ticket in waiting:
+                ticket.end(Outcome(verdict))
+            return
+        finally:
+            self._connecting = False
+        unsent, self._unsent = self._unsent, []
+        for payload in unsent:
+            self.tell(payload)
+        waiting, self._waiting = self._waiting, []
+        for ticket in waiting:
+            if ticket.on_outcome is not None:
+                self.add(ticket)
--- /dev/null
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -0,0 +1,380 @@
+"""Messages between nodes: msgpack arrays, each begun by its kind."""
+
+from typing import Any
+
+import attrs
+import msgpack
+
+from guavawing.errors import MessageInvalidError
+from guavawing.traffic.model import (
+    Attempt,
+    LoadReport,
+    Outcome,
+    PeerRecord,
+    TargetPhase,
+)
+from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason, Verdict
+
+__all__ = [
+    "AnswerFrame",
+    "AskConfig",
+    "AskOutcome",
+    "Beacon",
+    "CancelFrame",
+    "ConfigFrame",
+    "Frame",
+    "Hello",
+    "RequestFrame",
+    "decode_beacon",
+    "decode_frame",
+    "encode_answer",
+    "encode_ask_config",
+    "encode_ask_outcome",
+    "encode_beacon",
+    "encode_cancel",
+    "encode_config",
+    "encode_hello",
+    "encode_request",
+]
+
+REQUEST, ANSWER, CANCEL, ASK_CONFIG, CONFIG, ASK_OUTCOME, BEACON, HELLO = range(
+    8
+)
+RAN, NOT_RUN, MAY_HAVE_RUN = range(3)
+_packer = msgpack.Packer(use_bin_type=True)
+
+
+@attrs.frozen
+class RequestFrame:
+    """Asks an owner to execute an attempt."""
+
+    id: int
+    attempt: Attempt
+
+
+@attrs.frozen
+class AnswerFrame:
+    """Tells how an attempt ended, with the load of the owner."""
+
+    id: int
+    outcome: Outcome
+    load: LoadReport
+
+
+@attrs.frozen
+class CancelFrame:
+    """Tells that nobody waits for an attempt."""
+
+    id: int
+
+
+@attrs.frozen
+class AskOutcome:
+    """Asks how an attempt that was sent on a lost connection ended.
+
+    Attributes:
+        id: Number of the question on its connection.
+        request_id: Id of the request.
+        process: Number of the process that the attempt was sent to.
+    """
+
+    id: int
+    request_id: bytes
+    process: int
+
+
+@attrs.frozen
+class Hello:
+    """First message of an owner: the number that its process drew."""
+
+    process: int
+
+
+@attrs.frozen
+class AskConfig:
+    """Asks for the configuration if it is newer than a version."""
+
+    version: int
+
+
+@attrs.frozen
+class ConfigFrame:
+    """Holds a whole configuration."""
+
+    document: bytes
+
+
+@attrs.frozen
+class Beacon:
+    """What a node tells others from time to time.
+
+    Attributes:
+        record: The node itself.
+        sequence: Rises with each beacon of a process.
+        version: Configuration version that it enforces.
+        load: Load of its target.
+        asks: Whether it wants a beacon back at once.
+        leaves: Whether its process is about to end.
+    """
+
+    record: PeerRecord
+    sequence: int
+    version: int
+    load: LoadReport
+    asks: bool
+    leaves: bool
+
+
+Frame = (
+    RequestFrame
+    | AnswerFrame
+    | CancelFrame
+    | AskConfig
+    | AskOutcome
+    | ConfigFrame
+    | Hello
+)
+
+
+def encode_request(frame_id: int, attempt: Attempt, *, now: float) -> bytes:
+    """Returns the message that asks an owner to execute an attempt."""
+    return _pack(
+        (
+            REQUEST,
+            frame_id,
+            attempt.request_id,
+            attempt.service,
+            attempt.origin,
+            attempt.method,
+            attempt.path,
+            attempt.head,
+            attempt.body,
+            attempt.deadline - now,
+            attempt.priority,
+            attempt.idempotent,
+            attempt.bulk,
+            attempt.max_wait_s,
+        )
+    )
+
+
+def encode_answer(frame_id: int, outcome: Outcome, load: LoadReport) -> bytes:
+    """Returns the message that tells how an attempt ended."""
+    match outcome.verdict:
+        case Ran(reason=reason):
+            kind, retry_after_s = RAN, None
+        case NotRun(reason=reason, retry_after_s=retry_after_s):
+            kind = NOT_RUN
+        case MayHaveRun(reason=reason):
+            kind, retry_after_s = MAY_HAVE_RUN, None
+    return _pack(
+        (
+            ANSWER,
+            frame_id,
+            kind,
+            reason.value,
+            retry_after_s,
+            outcome.status,
+            outcome.head,
+            outcome.body,
+            _list_load(load),
+        )
+    )
+
+
+def encode_cancel(frame_id: int) -> bytes:
+    """Returns the message that cancels an attempt."""
+    return _pack((CANCEL, frame_id))
+
+
+def encode_ask_outcome(frame_id: int, request_id: bytes, process: int) -> bytes:
+    """Returns the message that asks how an earlier attempt ended."""
+    return _pack((ASK_OUTCOME, frame_id, request_id, process))
+
+
+def encode_hello(process: int) -> bytes:
+    """Returns the first message of an owner."""
+    return _pack((HELLO, process))
+
+
+def encode_ask_config(version: int) -> bytes:
+    """Returns the message that asks for a newer configuration."""
+    return _pack((ASK_CONFIG, version))
+
+
+def encode_config(document: bytes) -> bytes:
+    """Returns the message that holds a configuration."""
+    return _pack((CONFIG, document))
+
+
+def encode_beacon(beacon: Beacon) -> bytes:
+    """Returns the datagram of a beacon."""
+    record = beacon.record
+    return _pack(
+        (
+            BEACON,
+            record.node,
+            record.host,
+            record.mesh_port,
+            record.data_centre,
+            record.service,
+            record.incarnation,
+            beacon.sequence,
+            beacon.version,
+            _list_load(beacon.load),
+            beacon.asks,
+            beacon.leaves,
+        )
+    )
+
+
+def decode_frame(payload: bytes, *, now: float) -> Frame:
+    """Reads a message of a connection between nodes.
+
+    Raises:
+        MessageInvalidError: If the bytes are not such a message.
+    """
+    try:
+        fields = _unpack(payload)
+        match fields[0]:
+            case 0:
+                return _decode_request(fields, now)
+            case 1:
+                return _decode_answer(fields)
+            case 2:
+                return CancelFrame(_number(fields[1]))
+            case 3:
+                return AskConfig(_number(fields[1]))
+            case 4:
+                return ConfigFrame(_bytes(fields[1]))
+            case 5:
+                return AskOutcome(
+                    _number(fields[1]), _bytes(fields[2]), _number(fields[3])
+                )
+            case 7:
+                return Hello(_number(fields[1]))
+    except (IndexError, TypeError, ValueError) as exc:
+        raise MessageInvalidError(f"not a message of a node: {exc}") from exc
+    raise MessageInvalidError(f"got kind {fields[0]!r} of a message")
+
+
+def decode_beacon(payload: bytes) -> Beacon:
+    """Reads a datagram.
+
+    Raises:
+        MessageInvalidError: If the bytes are not a beacon.
+    """
+    try:
+        fields = _unpack(payload)
+        if fields[0] != BEACON:
+            raise ValueError(f"got kind {fields[0]!r}, expected {BEACON}")
+        return Beacon(
+            PeerRecord(
+                _text(fields[1]),
+                _text(fields[2]),
+                _number(fields[3]),
+                _text(fields[4]),
+                _text(fields[5]),
+                _number(fields[6]),
+            ),
+            _number(fields[7]),
+            _number(fields[8]),
+            _read_load(fields[9]),
+            bool(fields[10]),
+            bool(fields[11]),
+        )
+    except (IndexError, TypeError, ValueError) as exc:
+        raise MessageInvalidError(f"not a beacon: {exc}") from exc
+
+
+def _pack(fields: tuple[Any, ...]) -> bytes:
+    payload: bytes = _packer.pack(fields)
+    return payload
+
+
+def _unpack(payload: bytes) -> list[Any]:
+    try:
+        fields = msgpack.unpackb(payload)
+    except (msgpack.UnpackException, RecursionError) as exc:
+        raise ValueError(str(exc)) from exc
+    if not isinstance(fields, list) or not fields:
+        raise ValueError("not a list of fields")
+    return fields
+
+
+def _decode_request(fields: list[Any], now: float) -> RequestFrame:
+    return RequestFrame(
+        _number(fields[1]),
+        Attempt(
+            request_id=_bytes(fields[2]),
+            service=_text(fields[3]),
+            origin=_text(fields[4]),
+            method=_bytes(fields[5]),
+            path=_bytes(fields[6]),
+            head=_bytes(fields[7]),
+            body=_bytes(fields[8]),
+            deadline=now + float(fields[9]),
+            priority=_number(fields[10]),
+            idempotent=bool(fields[11]),
+            bulk=bool(fields[12]),
+            max_wait_s=float(fields[13]),
+        ),
+    )
+
+
+def _decode_answer(fields: list[Any]) -> AnswerFrame:
+    reason = Reason(fields[3])
+    verdict: Verdict
+    match fields[2]:
+        case 0:
+            verdict = Ran(reason)
+        case 1:
+            retry_after_s = None if fields[4] is None else float(fields[4])
+            verdict = NotRun(reason, retry_after_s)
+        case 2:
+            verdict = MayHaveRun(reason)
+        case _:
+            raise ValueError(f"got verdict {fields[2]!r}")
+    outcome = Outcome(
+        verdict, _number(fields[5]), _bytes(fields[6]), _bytes(fields[7])
+    )
+    return AnswerFrame(_number(fields[1]), outcome, _read_load(fields[8]))
+
+
+def _list_load(load: LoadReport) -> tuple[int, int, int, int, float]:
+    return (
+        int(load.phase),
+        load.slots,
+        load.running,
+        load.queued,
+        load.service_s,
+    )
+
+
+def _read_load(fields: Any) -> LoadReport:
+    phase, slots, running, queued, service_s = fields
+    return LoadReport(
+        TargetPhase(phase),
+        _number(slots),
+        _number(running),
+        _number(queued),
+        float(service_s),
+    )
+
+
+def _number(value: Any) -> int:
+    if type(value) is not int:
+        raise TypeError(f"got {value!r}, expected a number")
+    return value
+
+
+def _bytes(value: Any) -> bytes:
+    if type(value) is not bytes:
+        raise TypeError(f"got {value!r:.80}, expected bytes")
+    return value
+
+
+def _text(value: Any) -> str:
+    if type(value) is not str:
+        raise TypeError(f"got {value!r:.80}, expected text")
+    return value
--- /dev/null
+++ b/src/guavawing/sidecar/mesh_server.py
@@ -0,0 +1,235 @@
+"""Takes attempts of other nodes for the target beside this one."""
+
+import asyncio
+import collections
+import secrets
+from collections.abc import Callable
+
+import attrs
+
+from guavawing.errors import MessageInvalidError
+from guavawing.node.frame_stream import FrameStream, Keepalive
+from guavawing.sidecar.mesh_codec import (
+    AskConfig,
+    AskOutcome,
+    CancelFrame,
+    RequestFrame,
+    decode_frame,
+    encode_answer,
+    encode_config,
+    encode_hello,
+)
+from guavawing.sidecar.owner import Owner
+from guavawing.traffic.model import Attempt, Outcome
+from guavawing.verdict import MayHaveRun, NotRun, Reason
+
+__all__ = ["MeshServer"]
+
+KEEPALIVE = Keepalive(tick_s=1.5, asks=False)
+# Connections of other nodes: a few lanes of each node of a large fleet.
+MAX_CONNECTIONS = 1_500
+# Outcomes that are kept for entry nodes whose connection broke, by time and by
+# number: an entry node asks within a second or so.
+KEPT_S = 5.0
+MAX_KEPT = 2_000
+PROCESS_BITS = 62
+# Largest answer that is kept.
+MAX_KEPT_BYTES = 64 * 1024
+
+
+@attrs.define(eq=False)
+class _Job:
+    """An attempt of another node, from its arrival until it is forgotten.
+
+    Attributes:
+        request_id: Id of the request.
+        conn: Connection that waits for the outcome, if any.
+        frame_id: Number of the request on it.
+        item_id: Number at the owner.
+        outcome: The outcome, once known.
+    """
+
+    request_id: bytes
+    conn: "_Connection | None"
+    frame_id: int
+    item_id: int = 0
+    outcome: Outcome | None = None
+
+
+class MeshServer:
+    """Listener for other nodes."""
+
+    def __init__(
+        self, owner: Owner, *, read_document: Callable[[], bytes | None]
+    ) -> None:
+        """Creates a server that does not listen yet.
+
+        Args:
+            owner: Takes the attempts.
+            read_document: Returns the configuration in force.
+        """
+        self.loop = asyncio.get_running_loop()
+        self.owner = owner
+        self.read_document = read_document
+        self.process = secrets.randbits(PROCESS_BITS)
+        self.connections: set[_Connection] = set()
+        self._jobs: dict[bytes, _Job] = {}
+        self._kept: collections.deque[tuple[float, bytes]] = collections.deque()
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> None:
+        """Opens the listener."""
+        self._server = await self.loop.create_server(
+            self._make_stream, host, port, backlog=1024, reuse_address=True
+        )
+
+    def close(self) -> None:
+        """Closes the listener and all connections."""
+        if self._server is not None:
+            self._server.close()
+        for conn in tuple(self.connections):
+            conn.abort()
+
+    def _make_stream(self) -> FrameStream:
+        return FrameStream(_Connection(self), keepalive=KEEPALIVE)
+
+    def submit(
+        self, conn: "_Connection", frame_id: int, attempt: Attempt
+    ) -> _Job:
+        """Hands an attempt to the owner and remembers its outcome."""
+        job = _Job(attempt.request_id, conn, frame_id)
+        if attempt.request_id in self._jobs:
+            # A void left by a question that overtook the attempt, or a second
+            # copy of it: it is not executed.
+            job.outcome = Outcome(NotRun(Reason.CANCELLED, 0.0))
+            conn.answer(job)
+            return job
+        self._jobs[attempt.request_id] = job
+        job.item_id = self.owner.submit(
+            attempt,
+            lambda outcome: self._take_outcome(attempt, job, outcome),
+            local=False,
+        )
+        return job
+
+    def cancel(self, job: _Job) -> None:
+        """Takes that nobody waits for an attempt any more."""
+        job.conn = None
+        self.owner.cancel(job.item_id)
+        if job.outcome is None:
+            job.outcome = Outcome(MayHaveRun(Reason.CANCELLED))
+            self._keep(job.request_id)
+
+    def ask_outcome(
+        self, conn: "_Connection", frame_id: int, question: AskOutcome
+    ) -> _Job:
+        """Answers how an attempt ended, now or once it has ended.
+
+        An attempt that has not arrived is voided: should it arrive later, it
+        is not executed, so the answer that it has not run stays true. Of what
+        an earlier process did nothing is known.
+        """
+        request_id = question.request_id
+        job = self._jobs.get(request_id)
+        if question.process != self.process:
+            job = _Job(request_id, None, 0)
+            job.outcome = Outcome(MayHaveRun(Reason.OWNER_REPLACED))
+        elif job is None:
+            job = _Job(request_id, None, 0)
+            job.outcome = Outcome(NotRun(Reason.OWNER_UNREACHABLE, 0.0))
+            self._jobs[request_id] = job
+            self._keep(request_id)
+        job.conn, job.frame_id = conn, frame_id
+        if job.outcome is not None:
+            conn.answer(job)
+        return job
+
+    def _take_outcome(
+        self, attempt: Attempt, job: _Job, outcome: Outcome
+    ) -> None:
+        job.outcome = outcome
+        if len(outcome.body) > MAX_KEPT_BYTES:
+            job.outcome = Outcome(MayHaveRun(Reason.ANSWER_NOT_KEPT))
+        if job.conn is not None:
+            job.conn.answer(job, outcome)
+        self._keep(attempt.request_id)
+
+    def _keep(self, request_id: bytes) -> None:
+        now = self.loop.time()
+        self._kept.append((now, request_id))
+        while self._kept and (
+            len(self._kept) > MAX_KEPT or now - self._kept[0][0] > KEPT_S
+        ):
+            _, oldest = self._kept.popleft()
+            self._jobs.pop(oldest, None)
+
+
+class _Connection:
+    """A connection of an entry node."""
+
+    def __init__(self, server: MeshServer) -> None:
+        self._server = server
+        self._stream: FrameStream | None = None
+        self._jobs: dict[int, _Job] = {}
+
+    def answer(self, job: _Job, outcome: Outcome | None = None) -> None:
+        """Sends an outcome to the entry node."""
+        outcome = job.outcome if outcome is None else outcome
+        assert outcome is not None
+        self._jobs.pop(job.frame_id, None)
+        job.conn = None
+        if self._stream is not None:
+            load = self._server.owner.load()
+            self._stream.write(encode_answer(job.frame_id, outcome, load))
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        if self._stream is not None:
+            self._stream.abort()
+
+    def take_open(self, stream: FrameStream) -> None:
+        """Takes the open connection."""
+        if len(self._server.connections) >= MAX_CONNECTIONS:
+            stream.abort()
+            return
+        self._stream = stream
+        self._server.connections.add(self)
+        stream.write(encode_hello(self._server.process))
+
+    def take_frame(self, payload: bytes) -> None:
+        """Takes a message of the entry node."""
+        match decode_frame(payload, now=self._server.loop.time()):
+            case RequestFrame(id=frame_id, attempt=attempt):
+                job = self._server.submit(self, frame_id, attempt)
+                if job.conn is not None:
+                    self._jobs[frame_id] = job
+            case CancelFrame(id=frame_id):
+                job_or_none = self._jobs.pop(frame_id, None)
+                if job_or_none is not None:
+                    self._server.cancel(job_or_none)
+            case AskOutcome(id=frame_id) as question:
+                job = self._server.ask_outcome(self, frame_id, question)
+                if job.conn is not None:
+                    self._jobs[frame_id] = job
+            case AskConfig(version=version):
+                self._send_config(version)
+            case other:
+                raise MessageInvalidError(
+                    f"got {type(other).__name__}, expected a request"
+                )
+
+    def take_room(self) -> None:
+        """Needs nothing: answers are sent as they come."""
+
+    def take_end(self) -> None:
+        """Keeps what runs: the entry node may ask on another connection."""
+        self._server.connections.discard(self)
+        self._stream = None
+        for job in self._jobs.values():
+            job.conn = None
+        self._jobs.clear()
+
+    def _send_config(self, version: int) -> None:
+        document = self._server.read_document()
+        if document is not None and self._stream is not None:
+            self._stream.write(encode_config(document))
--- /dev/null
+++ b/src/guavawing/sidecar/metrics.py
@@ -0,0 +1,145 @@
+"""Counters and latency histograms of the daemon, in the Prometheus format."""
+
+import bisect
+
+from aioprometheus import Counter as CounterSeries
+from aioprometheus import Gauge as GaugeSeries
+from aioprometheus import Histogram as HistogramSeries
+from aioprometheus import Registry
+from aioprometheus.renderer import render
+
+from guavawing.node.metrics import Counter, Gauge
+from guavawing.verdict import Reason, Verdict, verdict_name
+
+__all__ = ["SidecarMetrics"]
+
+# Upper bounds in seconds, from one hop without work to the longest deadline.
+LATENCY_BOUNDS_S = [
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+]
+
+
+class _Latency:
+    """A histogram that is cheap to feed and handed over when scraped."""
+
+    def __init__(self, registry: Registry, name: str, text: str) -> None:
+        self._series = HistogramSeries(name, text, buckets=LATENCY_BOUNDS_S)
+        registry.register(self._series)
+        self._pending: list[int] = [0] * (len(LATENCY_BOUNDS_S) + 1)
+        self._sums = [0.0] * (len(LATENCY_BOUNDS_S) + 1)
+
+    def observe(self, seconds: float) -> None:
+        """Takes one duration."""
+        index = bisect.bisect_left(LATENCY_BOUNDS_S, seconds)
+        self._pending[index] += 1
+        self._sums[index] += seconds
+
+    def hand_over(self) -> None:
+        """Gives the durations since the last time to the library."""
+        for index, count in enumerate(self._pending):
+            mean = self._sums[index] / count if count else 0.0
+            for _ in range(count):
+                self._series.observe({}, mean)
+            self._pending[index], self._sums[index] = 0, 0.0
+
+
+class SidecarMetrics:
+    """What one daemon counts."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self.answers = self._counter(
+            "guavawing_answers_total",
+            "Requests of clients answered, by verdict and reason.",
+        )
+        self.retries = self._counter(
+            "guavawing_retries_total",
+            "Attempts after the first one, by the reason of the one before.",
+        )
+        self.store_calls = self._counter(
+            "guavawing_store_calls_total",
+            "Calls to the platform's store, by call and outcome.",
+        )
+        self.unreadable = self._counter(
+            "guavawing_unreadable_total",
+            "Rows, heartbeats and messages that could not be read, by source.",
+        )
+        self.version = self._gauge(
+            "guavawing_config_version", "Configuration version in force."
+        )
+        self.peers = self._gauge(
+            "guavawing_peers", "Other nodes that are known, by state."
+        )
+        self.log_lines_left_out = self._gauge(
+            "guavawing_log_lines_left_out", "Log lines that were not written."
+        )
+        self._entry = self._latency(
+            "guavawing_entry_seconds",
+            "Time from a whole request to its answer at the entry node.",
+        )
+        self._queue = self._latency(
+            "guavawing_queue_seconds", "Time that a request waits for a slot."
+        )
+        self._target = self._latency(
+            "guavawing_target_seconds", "Time that a target takes to answer."
+        )
+
+    def count_answer(self, verdict: Verdict) -> None:
+        """Takes the verdict of an answered request."""
+        self.answers.inc(
+            {"verdict": verdict_name(verdict), "reason": verdict.reason}
+        )
+
+    def count_retry(self, reason: Reason) -> None:
+        """Takes that another attempt follows one that ended so."""
+        self.retries.inc({"reason": reason})
+
+    def observe_entry(self, seconds: float) -> None:
+        """Takes the time of a request at its entry node."""
+        self._entry.observe(seconds)
+
+    def observe_queue(self, seconds: float) -> None:
+        """Takes the time that a request waited for a slot."""
+        self._queue.observe(seconds)
+
+    def observe_target(self, seconds: float) -> None:
+        """Takes the time that the target took."""
+        self._target.observe(seconds)
+
+    def render(self) -> bytes:
+        """Returns all series as text."""
+        for counter in (
+            self.answers,
+            self.retries,
+            self.store_calls,
+            self.unreadable,
+        ):
+            counter.hand_over()
+        for latency in (self._entry, self._queue, self._target):
+            latency.hand_over()
+        content, _ = render(self._registry, ["text/plain"])
+        return bytes(content)
+
+    def _counter(self, name: str, text: str) -> Counter:
+        series = CounterSeries(name, text)
+        self._registry.register(series)
+        return Counter(series)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        series = GaugeSeries(name, text)
+        self._registry.register(series)
+        return Gauge(series)
+
+    def _latency(self, name: str, text: str) -> _Latency:
+        return _Latency(self._registry, name, text)
--- /dev/null
+++ b/src/guavawing/sidecar/owner.py
@@ -0,0 +1,230 @@
+"""The owner side of a node: everything that reaches the target beside it."""
+
+import asyncio
+import itertools
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.metrics import SidecarMetrics
+from guavawing.sidecar.target_pool import Execution, TargetPool
+from guavawing.traffic.model import (
+    Attempt,
+    LoadReport,
+    Outcome,
+    TargetPhase,
+)
+from guavawing.traffic.slot_queue import (
+    Admit,
+    Queued,
+    Refuse,
+    SlotQueue,
+    Waiter,
+)
+from guavawing.traffic.target_state import TargetState
+from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
+
+__all__ = ["Owner"]
+
+OutcomeListener = Callable[[Outcome], None]
+
+# When to come back if the target is not known yet, or gone, in seconds.
+NO_TARGET_RETRY_AFTER_S = 0.4
+# Part of the drain bound after which waiting requests are sent no more.
+DRAIN_PART = 0.5
+# A target that has just started takes this many times as long.
+COLD_SLOWDOWN = 2.0
+
+
+@attrs.define(eq=False)
+class _Item:
+    """An attempt at this owner."""
+
+    id: int
+    attempt: Attempt
+    on_outcome: OutcomeListener | None
+    offered_at: float
+    timer: asyncio.TimerHandle | None = None
+    execution: Execution | None = None
+
+
+class Owner:
+    """Admits attempts to the target and tells how they ended."""
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        state: TargetState,
+        pool: TargetPool,
+        drain_s: float,
+        log: DecisionLog,
+        metrics: SidecarMetrics,
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._service = service
+        self._state = state
+        self._pool = pool
+        self._drain_s = drain_s
+        self._log = log
+        self._metrics = metrics
+        self._queue = SlotQueue()
+        self._items: dict[int, _Item] = {}
+        self._ids = itertools.count(1)
+        self.leaving = False
+        self.on_phase: Callable[[], None] = lambda: None
+
+    @property
+    def busy(self) -> int:
+        """Attempts that wait or run."""
+        return len(self._items)
+
+    def load(self) -> LoadReport:
+        """Returns the target's load, for entry nodes."""
+        phase = self._state.phase
+        if self.leaving and phase is TargetPhase.READY:
+            phase = TargetPhase.DRAINING
+        service_s = self._queue.service_s
+        if self._state.is_cold(now=self._loop.time()):
+            service_s *= COLD_SLOWDOWN
+        return LoadReport(
+            phase,
+            self._queue.slots,
+            self._queue.running,
+            self._queue.queued,
+            service_s,
+        )
+
+    def take_target_change(self) -> None:
+        """Takes that the target's phase or slots have changed."""
+        self._queue.slots = self._state.slots
+        if self._state.phase is TargetPhase.GONE:
+            self._pool.close_idle()
+        self._start(self._queue.admit_waiting(now=self._loop.time()))
+        self.on_phase()
+
+    def submit(
+        self, attempt: Attempt, on_outcome: OutcomeListener, *, local: bool
+    ) -> int:
+        """Takes an attempt.
+
+        Args:
+            attempt: The attempt.
+            on_outcome: Takes the outcome, once, unless it is cancelled.
+            local: Whether this node is the entry node as well.
+
+        Returns:
+            Number for `cancel`.
+        """
+        now = self._loop.time()
+        item = _Item(next(self._ids), attempt, on_outcome, now)
+        refusal = self._find_refusal(attempt, local=local)
+        if refusal is not None:
+            self._conclude(item, Outcome(refusal))
+            return item.id
+        self._items[item.id] = item
+        waiter = Waiter(
+            item.id, attempt.priority, attempt.deadline, attempt.max_wait_s
+        )
+        match self._queue.offer(waiter, now=now):
+            case Admit():
+                self._execute(item)
+            case Queued(start_by=start_by):
+                item.timer = self._loop.call_at(start_by, self._expire, item.id)
+            case Refuse(verdict=verdict):
+                self._conclude(item, Outcome(verdict))
+        return item.id
+
+    def cancel(self, item_id: int) -> None:
+        """Takes that nobody waits for an attempt any more.
+
+        One that waits is dropped. One that runs is stopped if it may be
+        repeated; another one goes on, so that it is not cut in the middle.
+        """
+        item = self._items.get(item_id)
+        if item is None:
+            return
+        item.on_outcome = None
+        if self._queue.discard(item_id):
+            self._conclude(item, Outcome(NotRun(Reason.CANCELLED)))
+        elif item.execution is not None and item.attempt.idempotent:
+            item.execution.abandon()
+
+    def _find_refusal(self, attempt: Attempt, *, local: bool) -> NotRun | None:
+        if attempt.service != self._service:
+            return NotRun(Reason.WRONG_OWNER, 0.0)
+        if self.leaving and not local:
+            return NotRun(Reason.DRAINING, 0.0)
+        match self._state.phase:
+            case TargetPhase.READY:
+                return None
+            case TargetPhase.DRAINING:
+                return NotRun(Reason.DRAINING, 0.0)
+        return NotRun(Reason.TARGET_UNREACHABLE, NO_TARGET_RETRY_AFTER_S)
+
+    def _execute(self, item: _Item) -> None:
+        if item.timer is not None:
+            item.timer.cancel()
+            item.timer = None
+        verdict = self._find_late_refusal(item)
+        if verdict is not None:
+            self._release(item, Outcome(verdict))
+            return
+        self._metrics.observe_queue(self._loop.time() - item.offered_at)
+        item.execution = self._pool.execute(
+            item.attempt,
+            target_id=self._state.target_id,
+            on_end=lambda _, outcome: self._finish(item, outcome),
+        )
+
+    def _find_late_refusal(self, item: _Item) -> NotRun | None:
+        """Returns why an attempt that waited must not be sent any more."""
+        now = self._loop.time()
+        if item.attempt.deadline <= now:
+            return NotRun(Reason.DEADLINE_PASSED)
+        since = self._state.draining_since
+        if since is not None and now - since > self._drain_s * DRAIN_PART:
+            return NotRun(Reason.DRAINING, 0.0)
+        if self._state.phase is TargetPhase.GONE:
+            return NotRun(Reason.TARGET_UNREACHABLE, NO_TARGET_RETRY_AFTER_S)
+        return None
+
+    def _finish(self, item: _Item, outcome: Outcome) -> None:
+        match outcome.verdict:
+            case Ran():
+                now = self._loop.time()
+                self._conclude(item, outcome)
+                self._start(self._queue.finish(item.id, now=now))
+                return
+            case NotRun(reason=Reason.TARGET_UNREACHABLE):
+                if self._state.take_refused_connection():
+                    self._log.belief("target-unreachable", phase="gone")
+                    self._pool.close_idle()
+                    self.on_phase()
+            case MayHaveRun() | NotRun():
+                pass
+        self._release(item, outcome)
+
+    def _release(self, item: _Item, outcome: Outcome) -> None:
+        self._conclude(item, outcome)
+        admitted = self._queue.release(item.id, now=self._loop.time())
+        self._start(admitted)
+
+    def _start(self, admitted: Iterable[Admit]) -> None:
+        for admit in tuple(admitted):
+            self._execute(self._items[admit.id])
+
+    def _expire(self, item_id: int) -> None:
+        refusal = self._queue.expire(item_id)
+        if refusal is not None:
+            self._conclude(self._items[item_id], Outcome(refusal.verdict))
+
+    def _conclude(self, item: _Item, outcome: Outcome) -> None:
+        self._items.pop(item.id, None)
+        if item.timer is not None:
+            item.timer.cancel()
+            item.timer = None
+        on_outcome, item.on_outcome = item.on_outcome, None
+        if on_outcome is not None:
+            on_outcome(outcome)
--- /dev/null
+++ b/src/guavawing/sidecar/table_watch.py
@@ -0,0 +1,118 @@
+"""Follows a table of the store: one read, then its feed of changes."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from guavawing.errors import PlatformError, PlatformUnavailableError
+from guavawing.platform.store_client import (
+    HistoryLostError,
+    RowChanges,
+    StoreClient,
+)
+from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.metrics import SidecarMetrics
+
+__all__ = ["TableWatch"]
+
+# Longest time that the store is asked to wait for a change, in seconds.
+FEED_WAIT_S = 25.0
+# Pauses after failed calls, in seconds: doubled each time, with jitter.
+FIRST_PAUSE_S = 0.1
+MAX_PAUSE_S = 1.0
+
+
+class TableWatch:
+    """Hands each change of a table to a listener.
+
+    Attributes:
+        connected: Whether the last call was answered.
+    """
+
+    def __init__(
+        self,
+        store: StoreClient,
+        table: str,
+        *,
+        on_changes: Callable[[RowChanges, bool], None],
+        min_period_s: float,
+        log: DecisionLog,
+        metrics: SidecarMetrics,
+    ) -> None:
+        """Creates a watch that has not begun.
+
+        Args:
+            store: The store.
+            table: Name of the table.
+            on_changes: Takes changed rows, and whether they are the whole
+                table.
+            min_period_s: Shortest time between two calls, in seconds: changes
+                in quick succession are read together.
+            log: Takes losses and returns of the store.
+            metrics: Counts the calls.
+        """
+        self._loop = asyncio.get_running_loop()
+        self._store = store
+        self._table = table
+        self._on_changes = on_changes
+        self._min_period_s = min_period_s
+        self._log = log
+        self._metrics = metrics
+        self._version: int | None = None
+        self.connected = False
+        self._ever_failed = False
+
+    async def run(self) -> None:
+        """Follows the table until cancelled."""
+        pause_s = FIRST_PAUSE_S
+        while True:
+            began_at = self._loop.time()
+            try:
+                await self._step()
+            except HistoryLostError:
+                self._count("history-lost")
+                self._version = None
+                continue
+            except PlatformError as exc:
+                self._take_failure(exc)
+                await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
+                pause_s = min(MAX_PAUSE_S, pause_s * 2)
+                continue
+            pause_s = FIRST_PAUSE_S
+            self._take_answer()
+            spent_s = self._loop.time() - began_at
+            await asyncio.sleep(max(0.0, self._min_period_s - spent_s))
+
+    async def _step(self) -> None:
+        if self._version is None:
+            changes = await self._store.read_table(self._table)
+            self._version = changes.version
+            self._on_changes(changes, True)
+            return
+        changes = await self._store.watch_table(
+            self._table, after=self._version, wait_s=FEED_WAIT_S
+        )
+        self._version = max(self._version, changes.version)
+        if changes.rows:
+            self._on_changes(changes, False)
+
+    def _take_answer(self) -> None:
+        self._count("answered")
+        if not self.connected:
+            self.connected = True
+            self._log.belief(
+                "store-reached", table=self._table, version=self._version
+            )
+
+    def _take_failure(self, exc: PlatformError) -> None:
+        unsent = isinstance(exc, PlatformUnavailableError)
+        self._count("unavailable" if unsent else "failed")
+        if self.connected or not self._ever_failed:
+            self._ever_failed = True
+            self.connected = False
+            self._log.belief("store-lost", table=self._table, cause=str(exc))
+
+    def _count(self, outcome: str) -> None:
+        self._metrics.store_calls.inc(
+            {"call": f"watch-{self._table}", "outcome": outcome}
+        )
--- /dev/null
+++ b/src/guavawing/sidecar/target_pool.py
@@ -0,0 +1,234 @@
+"""Connections to the target beside this node."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import attrs
+
+from guavawing.model import Address
+from guavawing.platform.headers import (
+    NOT_RUN_STATUSES,
+    AnswerHead,
+    answers_request,
+    build_target_request,
+    read_answer_head,
+)
+from guavawing.sidecar.http_client import (
+    Awaited,
+    ClientConnection,
+    HttpReply,
+)
+from guavawing.traffic.model import Attempt, Outcome
+from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
+
+__all__ = ["Execution", "TargetPool"]
+
+CONNECT_TIMEOUT_S = 1.0
+# Idle time that a target is assumed to allow if it does not say, in seconds.
+ASSUMED_IDLE_TIMEOUT_S = 5.0
+# A connection is not used in the last part of its idle time: the target may
+# close it while the request is on its way.
+IDLE_MARGIN_S = 1.0
+# Longest idle time of a connection for a request that must not run twice, in
+# seconds: whether one that was dropped without a sign has run can't be known.
+AT_MOST_ONCE_IDLE_S = 1.5
+# Time after the deadline for which a target's own answer is waited for.
+ANSWER_MARGIN_S = 0.25
+CONNECT_RETRY_AFTER_S = 0.5
+# When to come back after a target had no room, in seconds.
+SHED_RETRY_AFTER_S = 0.2
+OK_STATUSES = range(200, 300)
+MISDIRECTED = 421
+HEAD = b"HEAD"
+
+
+@attrs.define(eq=False)
+class Execution:
+    """An attempt at the target.
+
+    Attributes:
+        attempt: The attempt.
+        on_end: Takes the outcome, once.
+        conn: Its connection, once there is one.
+        timer: Ends the wait for the answer.
+        ended: Whether the outcome is known.
+    """
+
+    attempt: Attempt
+    on_end: Callable[["Execution", Outcome], None]
+    conn: ClientConnection | None = None
+    timer: asyncio.TimerHandle | None = None
+    ended: bool = False
+
+    def end(self, outcome: Outcome) -> None:
+        """Hands over the outcome; does nothing the second time."""
+        if self.ended:
+            return
+        self.ended = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self.on_end(self, outcome)
+
+    def abandon(self) -> None:
+        """Closes the connection, by which most targets drop the request."""
+        if self.conn is not None:
+            self.conn.close()
+        self.end(Outcome(MayHaveRun(Reason.CANCELLED)))
+
+
+class TargetPool:
+    """Sends attempts to one target, each once."""
+
+    def __init__(self, address: Address) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._address = address
+        self._idle: list[ClientConnection] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._opened = 0
+
+    @property
+    def opened(self) -> int:
+        """Connections opened so far."""
+        return self._opened
+
+    def execute(
+        self,
+        attempt: Attempt,
+        *,
+        target_id: str,
+        on_end: Callable[[Execution, Outcome], None],
+    ) -> Execution:
+        """Sends an attempt to the target.
+
+        Args:
+            attempt: The attempt.
+            target_id: Id of the target that is to execute it.
+            on_end: Takes the outcome, once.
+        """
+        execution = Execution(attempt, on_end)
+        conn = self._take_idle(idempotent=attempt.idempotent)
+        if conn is not None:
+            self._send(execution, conn, target_id)
+        else:
+            task = self._loop.create_task(self._open(execution, target_id))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        return execution
+
+    def close_idle(self) -> None:
+        """Closes the connections that are not in use."""
+        idle, self._idle = self._idle, []
+        for conn in idle:
+            conn.close()
+
+    def _take_idle(self, *, idempotent: bool) -> ClientConnection | None:
+        """Returns the connection that was used last, if it is fit."""
+        now = self._loop.time()
+        while self._idle:
+            conn = self._idle[-1]
+            allowed_s = conn.idle_timeout_s or ASSUMED_IDLE_TIMEOUT_S
+            limit_s = max(allowed_s - IDLE_MARGIN_S, allowed_s / 2)
+            idle_s = now - conn.idle_since
+            if conn.usable and idle_s <= limit_s:
+                if not idempotent and idle_s > AT_MOST_ONCE_IDLE_S:
+                    return None
+                return self._idle.pop()
+            # All below it have been idle for longer.
+            self.close_idle()
+        return None
+
+    async def _open(self, execution: Execution, target_id: str) -> None:
+        host, port = self._address.host, self._address.port
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                transport, conn = await self._loop.create_connection(
+                    lambda: ClientConnection(self._drop), host, port
+                )
+        except (OSError, TimeoutError) as exc:
+            refused = isinstance(exc, ConnectionRefusedError)
+            reason = (
+                Reason.TARGET_UNREACHABLE
+                if refused
+                else Reason.TARGET_CONNECT_FAILED
+            )
+            execution.end(Outcome(NotRun(reason, CONNECT_RETRY_AFTER_S)))
+            return
+        self._opened += 1
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if execution.ended:
+            self._idle.append(conn)
+        else:
+            self._send(execution, conn, target_id)
+
+    def _send(
+        self, execution: Execution, conn: ClientConnection, target_id: str
+    ) -> None:
+        attempt = execution.attempt
+        left_s = attempt.deadline - self._loop.time()
+        if left_s <= 0:
+            self._idle.append(conn)
+            execution.end(Outcome(NotRun(Reason.DEADLINE_PASSED)))
+            return
+        execution.conn = conn
+        execution.timer = self._loop.call_later(
+            left_s + ANSWER_MARGIN_S, self._time_out, execution
+        )
+        payload = build_target_request(
+            attempt.method,
+            attempt.path,
+            attempt.head,
+            attempt.body,
+            deadline_s=left_s,
+            target_id=target_id,
+            origin=attempt.origin,
+        )
+        awaited = Awaited(
+            accepts=lambda reply: answers_request(
+                reply.headers, attempt.request_id
+            ),
+            on_reply=lambda reply: self._take_reply(execution, reply),
+            on_loss=lambda _: execution.end(
+                Outcome(MayHaveRun(Reason.TARGET_BROKE))
+            ),
+            headless=attempt.method == HEAD,
+        )
+        conn.send(payload, awaited)
+
+    def _take_reply(self, execution: Execution, reply: HttpReply) -> None:
+        conn = execution.conn
+        assert conn is not None
+        head = read_answer_head(reply.status, reply.headers)
+        if head.idle_timeout_s is not None:
+            conn.idle_timeout_s = head.idle_timeout_s
+        if conn.usable and not head.closes:
+            self._idle.append(conn)
+        elif conn.usable:
+            conn.close()
+        execution.end(_judge(reply, head))
+
+    def _time_out(self, execution: Execution) -> None:
+        if execution.conn is not None:
+            execution.conn.close()
+        execution.end(Outcome(MayHaveRun(Reason.TARGET_TIMEOUT)))
+
+    def _drop(self, conn: ClientConnection) -> None:
+        if conn in self._idle:
+            self._idle.remove(conn)
+
+
+def _judge(reply: HttpReply, head: AnswerHead) -> Outcome:
+    """Returns what a target's answer says of the attempt."""
+    if reply.status == MISDIRECTED:
+        return Outcome(NotRun(Reason.TARGET_REPLACED, 0.0))
+    if head.not_executed:
+        return Outcome(NotRun(Reason.TARGET_SHED, SHED_RETRY_AFTER_S))
+    if reply.status in NOT_RUN_STATUSES:
+        # The target does not say that it has not run the request, so its
+        # status must not be taken for that.
+        return Outcome(MayHaveRun(Reason.TARGET_BROKE))
+    if reply.status in OK_STATUSES and not head.signed:
+        return Outcome(MayHaveRun(Reason.TARGET_BROKE))
+    return Outcome(Ran(), reply.status, head.forwarded, reply.body)
--- a/src/guavawing/platform/claims.py
+++ b/src/guavawing/store/claims.py
@@ -20,13 +20,13 @@
     PlatformError,
     PlatformWriteUnknownError,
 )
-from guavawing.platform.client import (
+from guavawing.policy.bound_key import BoundKey, parse_bound_key
+from guavawing.store.client import (
     Platform,
     Row,
     TransactionRefusedError,
     Write,
 )
-from guavawing.policy.bound_key import BoundKey, parse_bound_key
 
 __all__ = ["Claim", "Claims", "remove_claims"]
 
--- a/src/guavawing/platform/floor.py
+++ b/src/guavawing/store/floor.py
@@ -8,8 +8,8 @@
 import attrs
 
 from guavawing.errors import PlatformDataInvalidError
-from guavawing.platform.client import Row, TransactionRefusedError, Write
-from guavawing.platform.store import PlatformStore
+from guavawing.store.client import Row, TransactionRefusedError, Write
+from guavawing.store.store import PlatformStore
 
 __all__ = ["Floor", "fetch_floor", "raise_floor"]
 
--- a/src/guavawing/platform/processes.py
+++ b/src/guavawing/store/processes.py
@@ -13,8 +13,8 @@
 )
 from guavawing.membership.rival import Rank
 from guavawing.model import MemberId, parse_address
-from guavawing.platform.client import Row, TransactionRefusedError, Write
-from guavawing.platform.store import PlatformStore
+from guavawing.store.client import Row, TransactionRefusedError, Write
+from guavawing.store.store import PlatformStore
 
 __all__ = ["ProcessRow", "fetch_process", "write_process"]
 
--- a/src/guavawing/platform/publisher.py
+++ b/src/guavawing/store/publisher.py
@@ -35,9 +35,9 @@
     PlatformWriteUnknownError,
     VersionPrunedError,
 )
-from guavawing.platform.client import TransactionRefusedError, Write
-from guavawing.platform.store import PlatformStore
-from guavawing.platform.versions import (
+from guavawing.store.client import TransactionRefusedError, Write
+from guavawing.store.store import PlatformStore
+from guavawing.store.versions import (
     CHANGE_TABLE,
     HEAD_KEY,
     HEAD_TABLE,
--- a/src/guavawing/platform/retention.py
+++ b/src/guavawing/store/retention.py
@@ -15,10 +15,10 @@
 
 import attrs
 
-from guavawing.platform.client import TransactionRefusedError, Write
-from guavawing.platform.floor import Floor, fetch_floor, raise_floor
-from guavawing.platform.store import PlatformStore
-from guavawing.platform.versions import (
+from guavawing.store.client import TransactionRefusedError, Write
+from guavawing.store.floor import Floor, fetch_floor, raise_floor
+from guavawing.store.store import PlatformStore
+from guavawing.store.versions import (
     CHANGE_TABLE,
     HISTORY_PAGE,
     HISTORY_TABLE,
--- a/src/guavawing/platform/seeds.py
+++ b/src/guavawing/store/seeds.py
@@ -15,7 +15,7 @@
     PlatformWriteUnknownError,
 )
 from guavawing.model import Address, MemberId, parse_address
-from guavawing.platform.client import (
+from guavawing.store.client import (
     Platform,
     Row,
     TransactionRefusedError,
--- a/src/guavawing/platform/store.py
+++ b/src/guavawing/store/store.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from guavawing.platform.client import MAX_SCAN_ROWS, Row, Write
+from guavawing.store.client import MAX_SCAN_ROWS, Row, Write
 
 __all__ = ["PlatformStore"]
 
--- a/src/guavawing/platform/versions.py
+++ b/src/guavawing/store/versions.py
@@ -23,9 +23,9 @@
     PlatformDataInvalidError,
     VersionPrunedError,
 )
-from guavawing.platform.client import Row
-from guavawing.platform.floor import fetch_floor
-from guavawing.platform.store import PlatformStore
+from guavawing.store.client import Row
+from guavawing.store.floor import fetch_floor
+from guavawing.store.store import PlatformStore
 
 __all__ = [
     "Change",
--- /dev/null
+++ b/src/guavawing/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about requests between services: pure machines, no sockets."""
--- /dev/null
+++ b/src/guavawing/traffic/peers.py
@@ -0,0 +1,145 @@
+"""The other nodes: who they are, whether they live, what they report."""
+
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from guavawing.traffic.balancer import OwnerView
+from guavawing.traffic.model import LoadReport, PeerRecord
+
+__all__ = ["Peer", "PeerTable"]
+
+# Time without a sign of life after which a node is held lost, in seconds:
+# three beacons and the jitter of their timers.
+SILENT_S = 3.3
+# Time after which a lost node is no longer sent every beacon, in seconds.
+LOST_S = 12.0
+# Shortest time from the last sign of life of a process to the first one of
+# the next at the same address, in seconds.
+RESTART_S = 0.5
+
+
+@attrs.define
+class Peer:
+    """One other node.
+
+    Attributes:
+        record: What it told of itself.
+        view: What is known of its target's load.
+        version: Configuration version that it enforces.
+        heard_at: Time of its last sign of life; None if there was none.
+        sequence: Number of its last beacon.
+        found_at: Time at which this node learned of it.
+    """
+
+    record: PeerRecord
+    view: OwnerView
+    found_at: float
+    version: int = 0
+    heard_at: float | None = None
+    sequence: int = -1
+
+
+class PeerTable:
+    """The nodes by address of their VM, and the owners of each service."""
+
+    __slots__ = ("_by_host", "_by_service", "_me")
+
+    def __init__(self, me: PeerRecord, own_view: OwnerView) -> None:
+        self._me = me
+        self._by_host: dict[str, Peer] = {}
+        self._by_service: dict[str, dict[str, OwnerView]] = {}
+        self._by_service[me.service] = {me.host: own_view}
+
+    def __len__(self) -> int:
+        return len(self._by_host)
+
+    def __iter__(self) -> Iterator[Peer]:
+        return iter(self._by_host.values())
+
+    def get(self, host: str) -> Peer | None:
+        """Returns the node on a VM, or None."""
+        return self._by_host.get(host)
+
+    def owners(self, service: str) -> Iterable[OwnerView]:
+        """Returns the owners of a service, this node included."""
+        return self._by_service.get(service, {}).values()
+
+    def take_record(self, record: PeerRecord, *, now: float) -> Peer | None:
+        """Takes a node's record; None if it is this node's own or older.
+
+        A VM's address may be given to a new VM with another service: the
+        later start wins. Clocks may have stepped back between two starts, so
+        the one that was heard of lately wins over one that was not.
+        """
+        if record.host == self._me.host:
+            return None
+        known = self._by_host.get(record.host)
+        if known is not None:
+            if record == known.record:
+                return known
+            if self._is_overtaken(record, known, now):
+                return None
+            self._drop_view(known.record)
+        view = OwnerView(
+            record.host,
+            local=False,
+            near=record.data_centre == self._me.data_centre,
+        )
+        peer = Peer(record, view, now)
+        self._by_host[record.host] = peer
+        self._by_service.setdefault(record.service, {})[record.host] = view
+        return peer
+
+    def forget(self, host: str) -> None:
+        """Drops a node that is gone for good."""
+        peer = self._by_host.pop(host, None)
+        if peer is not None:
+            self._drop_view(peer.record)
+
+    def take_sign_of_life(self, peer: Peer, *, now: float) -> bool:
+        """Takes that a node was heard; returns whether it was held lost."""
+        returned = not peer.view.alive
+        peer.heard_at = now
+        peer.view.alive = True
+        return returned
+
+    def take_load(self, peer: Peer, report: LoadReport, *, now: float) -> None:
+        """Takes what a node says of its target."""
+        peer.view.take_report(report, now=now)
+
+    def expire(self, *, now: float) -> list[Peer]:
+        """Returns the nodes that have just been found lost."""
+        lost = []
+        for peer in self._by_host.values():
+            heard_at = peer.found_at if peer.heard_at is None else peer.heard_at
+            if peer.view.alive and now - heard_at > SILENT_S:
+                peer.view.alive = False
+                lost.append(peer)
+        return lost
+
+    def is_long_lost(self, peer: Peer, *, now: float) -> bool:
+        """Returns whether a node has been silent for long."""
+        heard_at = peer.found_at if peer.heard_at is None else peer.heard_at
+        return now - heard_at > LOST_S
+
+    def newest_version(self) -> tuple[int, Peer] | None:
+        """Returns the newest version at a live node and that node."""
+        live = [peer for peer in self if peer.view.alive and peer.version]
+        if not live:
+            return None
+        newest = max(live, key=lambda peer: peer.version)
+        return newest.version, newest
+
+    def _is_overtaken(
+        self, record: PeerRecord, known: Peer, now: float
+    ) -> bool:
+        if record.incarnation >= known.record.incarnation:
+            return False
+        if record.incarnation == 0:
+            return True
+        return known.heard_at is not None and now - known.heard_at < RESTART_S
+
+    def _drop_view(self, record: PeerRecord) -> None:
+        owners = self._by_service.get(record.service, {})
+        owners.pop(record.host, None)
--- /dev/null
+++ b/src/guavawing/traffic/target_state.py
@@ -0,0 +1,122 @@
+"""What a node knows of the target beside it, from the target's heartbeats."""
+
+from guavawing.model import Address
+from guavawing.traffic.model import TargetPhase, TargetReport
+
+__all__ = ["TargetState"]
+
+# Heartbeats in a row that may be missing before a target whose connections
+# fail too is held gone. Heartbeats may arrive seconds late.
+MAX_LOST_HEARTBEATS = 4
+
+
+class TargetState:
+    """Folds heartbeats, departures and failed connections into a phase.
+
+    Attributes:
+        target_id: Id of the current incarnation; empty if none is known.
+        slots: Requests that the target executes at a time.
+        phase: Whether it takes new requests.
+        draining_since: Time at which it was told to leave; None if it stays.
+    """
+
+    __slots__ = (
+        "_address",
+        "_born_ms",
+        "_cold_until",
+        "_left",
+        "_sequence",
+        "_service",
+        "draining_since",
+        "phase",
+        "slots",
+        "target_id",
+    )
+
+    def __init__(self, service: str, address: Address) -> None:
+        self._service = service
+        self._address = address
+        self._born_ms = 0
+        self._sequence = -1
+        self._cold_until = 0.0
+        self._left: set[tuple[str, int]] = set()
+        self.target_id = ""
+        self.slots = 0
+        self.phase = TargetPhase.UNKNOWN
+        self.draining_since: float | None = None
+
+    def is_mine(self, report: TargetReport) -> bool:
+        """Returns whether a heartbeat is of the target beside this node."""
+        return (
+            report.service == self._service
+            and report.address == self._address
+            and report.slots > 0
+        )
+
+    def is_cold(self, *, now: float) -> bool:
+        """Returns whether the target is still slow after its start."""
+        return now < self._cold_until
+
+    def take_report(self, report: TargetReport, *, now: float) -> bool:
+        """Takes a heartbeat.
+
+        A heartbeat of an earlier process, or one that was overtaken, changes
+        nothing.
+
+        Returns:
+            Whether the target, its phase or its slots changed.
+        """
+        same = report.id == self.target_id and report.born_ms == self._born_ms
+        if same and report.sequence <= self._sequence:
+            return False
+        if not same and not self._supersedes(report):
+            return False
+        before = (self.target_id, self._born_ms, self.phase, self.slots)
+        if not same:
+            self.draining_since = None
+            self.phase = TargetPhase.UNKNOWN
+        self.target_id = report.id
+        self._born_ms = report.born_ms
+        self._sequence = report.sequence
+        self.slots = report.slots
+        self._cold_until = now + report.cold_s
+        if report.draining or self.draining_since is not None:
+            self._start_draining(now)
+        else:
+            self.phase = TargetPhase.READY
+        after = (self.target_id, self._born_ms, self.phase, self.slots)
+        return before != after
+
+    def take_departure(self, target_id: str, *, now: float) -> bool:
+        """Takes the word of a target that it leaves.
+
+        Returns:
+            Whether the phase changed.
+        """
+        if target_id != self.target_id or self.phase is TargetPhase.GONE:
+            return False
+        self._left.add((target_id, self._born_ms))
+        before = self.phase
+        self._start_draining(now)
+        return before is not self.phase
+
+    def take_refused_connection(self) -> bool:
+        """Takes that nothing listens at the target's address.
+
+        Returns:
+            Whether the phase changed.
+        """
+        if self.phase in (TargetPhase.GONE, TargetPhase.UNKNOWN):
+            return False
+        self.phase = TargetPhase.GONE
+        return True
+
+    def _supersedes(self, report: TargetReport) -> bool:
+        if (report.id, report.born_ms) in self._left:
+            return False
+        return not self.target_id or report.born_ms >= self._born_ms
+
+    def _start_draining(self, now: float) -> None:
+        if self.draining_since is None:
+            self.draining_since = now
+        self.phase = TargetPhase.DRAINING
--- /dev/null
+++ b/src/guavawing/traffic/unserved.py
@@ -0,0 +1,60 @@
+"""What follows an attempt that was not served."""
+
+import enum
+
+from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason, Verdict
+
+__all__ = ["Step", "next_step"]
+
+# Time that must be left for another attempt to be of use, in seconds.
+MIN_TIME_LEFT_S = 0.02
+
+
+class Step(enum.Enum):
+    """What the entry node does next with a request."""
+
+    # No target was asked: another owner may have room.
+    ASK_ANOTHER = enum.auto()
+    # A target was asked: another one costs a retry.
+    RETRY = enum.auto()
+    GIVE_UP = enum.auto()
+
+
+def next_step(
+    verdict: Verdict,
+    *,
+    answered: bool,
+    idempotent: bool,
+    sent: int,
+    max_sent: int,
+    asked: int,
+    max_asked: int,
+    left_s: float,
+) -> Step:
+    """Decides what follows an attempt.
+
+    Args:
+        verdict: How it ended.
+        answered: Whether the target's own answer, a failure, is at hand.
+        idempotent: Whether the request may run more than once.
+        sent: Attempts that have reached a target.
+        max_sent: Most targets that the request may be sent to.
+        asked: Owners that have been asked.
+        max_asked: Most owners to ask.
+        left_s: Time left for the request, in seconds.
+    """
+    if left_s < MIN_TIME_LEFT_S or asked >= max_asked:
+        return Step.GIVE_UP
+    match verdict:
+        case NotRun(reason=Reason.TARGET_SHED):
+            return Step.RETRY if sent < max_sent else Step.GIVE_UP
+        case NotRun(reason=Reason.DEADLINE_PASSED | Reason.CANCELLED):
+            return Step.GIVE_UP
+        case NotRun():
+            return Step.ASK_ANOTHER
+        case MayHaveRun(reason=Reason.TARGET_TIMEOUT):
+            return Step.GIVE_UP
+        case MayHaveRun() | Ran():
+            if idempotent and sent < max_sent:
+                return Step.RETRY
+    return Step.GIVE_UP
--- a/standins/memory_platform.py
+++ b/standins/memory_platform.py
@@ -1,6 +1,6 @@
 """Stand-in for the platform's client: tables and objects in memory.
 
-It has the methods of `guavawing.platform.Platform`, without sockets, so that
+It has the methods of `guavawing.store.Platform`, without sockets, so that
 sessions of several publishers can be stepped by hand and are deterministic.
 Each request first gives up control once; then it meets its fault, if any.
 """
@@ -15,7 +15,7 @@
     PlatformUnavailableError,
     PlatformWriteUnknownError,
 )
-from guavawing.platform.client import Row, TransactionRefusedError, Write
+from guavawing.store.client import Row, TransactionRefusedError, Write
 
 # Characters of an object's name that a log shows: number and 8 of the digest.
 NAME_LENGTH = 21
--- a/standins/operators.py
+++ b/standins/operators.py
@@ -15,7 +15,7 @@
     PlatformUnavailableError,
     PlatformWriteUnknownError,
 )
-from guavawing.platform import (
+from guavawing.store import (
     Head,
     PlatformStore,
     fetch_head,
--- a/tests/steps/claim_steps.py
+++ b/tests/steps/claim_steps.py
@@ -5,8 +5,8 @@
 
 from behave import given, then, when
 
-from guavawing.platform.claims import BOUND_AT, TABLE, remove_claims
-from guavawing.platform.client import Write
+from guavawing.store.claims import BOUND_AT, TABLE, remove_claims
+from guavawing.store.client import Write
 from standins.memory_platform import MemoryPlatform, MemoryStore
 
 SECONDS_PER_DAY = 86_400
--- a/tests/steps/exception_day_steps.py
+++ b/tests/steps/exception_day_steps.py
@@ -9,7 +9,7 @@
 from guavawing.membership import MemberTable
 from guavawing.node.distributor import Distributor, open_distributor
 from guavawing.node.metrics import Metrics
-from guavawing.platform import publish_document
+from guavawing.store import publish_document
 from standins.documents import make_exception, make_newsroom_document
 from standins.memory_platform import MemoryPlatform, MemoryStore
 from tests.fleet_support import wait_until
--- a/tests/steps/membership_process_steps.py
+++ b/tests/steps/membership_process_steps.py
@@ -11,8 +11,8 @@
 
 from guavawing.membership import Notice
 from guavawing.model import parse_address
-from guavawing.platform.client import open_platform
-from guavawing.platform.seeds import fetch_seeds
+from guavawing.store.client import open_platform
+from guavawing.store.seeds import fetch_seeds
 from standins.process import Process
 from tests.fleet_support import (
     POLL_S,
--- a/tests/steps/publishing_steps.py
+++ b/tests/steps/publishing_steps.py
@@ -9,15 +9,15 @@
 
 from guavawing.config import compute_digest, encode_document
 from guavawing.errors import PlatformDataInvalidError
-from guavawing.platform import (
+from guavawing.store import (
     fetch_document,
     fetch_head,
     fetch_history,
     name_object,
     publish_edit,
 )
-from guavawing.platform.client import open_platform
-from guavawing.platform.versions import HISTORY_TABLE
+from guavawing.store.client import open_platform
+from guavawing.store.versions import HISTORY_TABLE
 from standins.documents import make_exception, make_newsroom_document
 from standins.memory_platform import Fault, MemoryPlatform, MemoryStore
 from standins.operators import (
--- a/tests/steps/retention_steps.py
+++ b/tests/steps/retention_steps.py
@@ -10,7 +10,7 @@
 from guavawing.distribution import Learner, VersionId
 from guavawing.distribution import events as ev
 from guavawing.errors import PlatformError
-from guavawing.platform import (
+from guavawing.store import (
     RetentionRule,
     fetch_head,
     fetch_version,
@@ -18,8 +18,8 @@
     prune,
     publish_edit,
 )
-from guavawing.platform.client import open_platform
-from guavawing.platform.versions import CHANGE_TABLE, HISTORY_TABLE
+from guavawing.store.client import open_platform
+from guavawing.store.versions import CHANGE_TABLE, HISTORY_TABLE
 from standins.memory_platform import CrashError, MemoryPlatform, MemoryStore
 from standins.operators import NOW, make_changed_document, run, submit
 from tests.support import (
--- a/tests/support.py
+++ b/tests/support.py
@@ -11,8 +11,8 @@
 from guavawing.config import Document, PolicyTable
 from guavawing.model import parse_address
 from guavawing.node.messages import CallAttempt
-from guavawing.platform import Head, fetch_head, publish_document
-from guavawing.platform.client import open_platform
+from guavawing.store import Head, fetch_head, publish_document
+from guavawing.store.client import open_platform
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
 from standins.cluster import Fleet
 from standins.documents import make_newsroom_document
