Keep work in its data centre, and serve first what can be in time

Half of the served requests were late: they waited for up to a third of their latency target whatever the target's speed, and clients that had been refused went before fresh ones. Refused clients left connections behind until a node had more than its descriptors and reset new ones (8,335 cut).

Ruled out: targets that slow down when full (trial: mean times are the same from 3 to 18 requests at a time).

--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -65,6 +65,9 @@
 # Time after SIGTERM in which clients may still send as before: the platform
 # asks for readiness once a second and acts on two misses.
 NOTICE_S = 2.3
+# Longest time that a request may take in the rest of the grace period: later
+# ones are refused, so that none is cut.
+LONGEST_REQUEST_S = 1.5
 # Time without a request after which a stopping process may end, in seconds.
 QUIET_S = 0.4
 # Time before the end of the grace period at which it ends anyway, in seconds.
@@ -218,6 +221,9 @@
         self._callers.close_idle()
         ends_at = began_at + self._settings.grace_s - STOP_MARGIN_S
         while self._loop.time() < ends_at and self._is_needed():
+            self._entry.closing |= (
+                self._loop.time() > ends_at - LONGEST_REQUEST_S
+            )
             await asyncio.sleep(STOP_POLL_S)
         if withdrawal is not None:
             withdrawal.cancel()
@@ -271,10 +277,10 @@
         )
 
     def _is_needed(self) -> bool:
+        if self._callers.busy > 0 or self._owner.busy > 0:
+            return True
         quiet_s = self._loop.time() - self._callers.last_request_at
-        return (
-            self._callers.busy > 0 or self._owner.busy > 0 or quiet_s < QUIET_S
-        )
+        return not self._entry.closing and quiet_s < QUIET_S
 
     async def _poll_settings(self) -> None:
         while True:
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -6,6 +6,7 @@
 import attrs
 
 from guavawing.platform.headers import (
+    CallerHead,
     build_answer,
     build_refusal,
     read_caller_head,
@@ -18,6 +19,7 @@
 from guavawing.traffic.balancer import Balancer, OwnerView
 from guavawing.traffic.budget import RetryAllowance
 from guavawing.traffic.model import Attempt, Outcome, Route
+from guavawing.traffic.patience import Patience
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.routes import RouteTable
 from guavawing.traffic.unserved import Step, next_step
@@ -34,13 +36,15 @@
 # When to come back while no configuration or no target is known, in seconds.
 NO_CONFIG_RETRY_AFTER_S = 0.5
 NO_TARGET_RETRY_AFTER_S = 0.5
-# Part of a route's latency target for which a request may wait for a slot:
-# the rest is for its execution.
-WAIT_SHARE = 0.35
-# Part of the time to its deadline that a request of the highest priority may
-# wait: others wait for it, and hold slots meanwhile.
-URGENT_WAIT_SHARE = 0.5
-URGENT_PRIORITY = 0
+# When to come back to a process that is about to end: its next one has
+# started by then.
+STOPPING_RETRY_AFTER_S = 1.0
+# Part of a route's latency target that an answer may take at this node: the
+# rest is for the way to the client and back.
+USEFUL_SHARE = 0.9
+# Part of the time to its deadline that the most urgent requests of a service
+# may take instead: whoever sent them holds a slot meanwhile.
+URGENT_SHARE = 0.6
 # Owners that are asked for room for one request.
 MAX_OWNERS_ASKED = 4
 # Time after its deadline at which a request without an answer is given up, in
@@ -63,7 +67,12 @@
 
 
 class Entry:
-    """Serves the requests of clients on this VM."""
+    """Serves the requests of clients on this VM.
+
+    Attributes:
+        table: Routes in force; None until there is a configuration.
+        closing: Whether requests are refused because the process ends.
+    """
 
     def __init__(
         self,
@@ -87,20 +96,22 @@
         self.metrics = metrics
         self.balancer = Balancer(Random())
         self.table: RouteTable | None = None
-        self.leaving = False
+        self.closing = False
         self._retries = retries
         self._allowances: dict[str, RetryAllowance] = {}
+        self._patience = Patience()
 
     def handle(self, request: HttpRequest) -> None:
         """Takes a whole request; its answer may follow later."""
         now = self.loop.time()
         head = read_caller_head(request.headers)
         if self.table is None:
-            self._refuse(
-                request,
-                head.request_id,
-                NotRun(Reason.NO_CONFIG, NO_CONFIG_RETRY_AFTER_S),
-            )
+            verdict = NotRun(Reason.NO_CONFIG, NO_CONFIG_RETRY_AFTER_S)
+            self._refuse(request, head.request_id, verdict)
+            return
+        if self.closing:
+            verdict = NotRun(Reason.STOPPING, STOPPING_RETRY_AFTER_S)
+            self._refuse(request, head.request_id, verdict)
             return
         path = request.path.decode("latin-1")
         route = self.table.find(head.host, path)
@@ -112,18 +123,33 @@
                 status=NOT_FOUND,
             )
             return
+        attempt = self._make_attempt(request, head, route, self.table, now)
+        self.allowance(attempt.service).earn()
+        _Transfer(self, request, route, attempt, now).begin()
+
+    def _make_attempt(
+        self,
+        request: HttpRequest,
+        head: CallerHead,
+        route: Route,
+        table: RouteTable,
+        now: float,
+    ) -> Attempt:
         deadline_s = head.deadline_s
         if deadline_s is None:
             deadline_s = route.timeout_s or DEFAULT_DEADLINE_S
         limit_s = deadline_s
         if route.timeout_s is not None:
             limit_s = min(limit_s, route.timeout_s)
-        wait_s = WAIT_SHARE * route.latency_target_s
-        if route.priority == URGENT_PRIORITY:
-            wait_s = max(wait_s, URGENT_WAIT_SHARE * limit_s)
-        attempt = Attempt(
+        spent_s = self._patience.estimate_spent_s(route.name, deadline_s)
+        target_s = USEFUL_SHARE * route.latency_target_s
+        useful_s = target_s - spent_s
+        late = useful_s <= 0 and deadline_s > route.latency_target_s
+        if table.is_most_urgent(route):
+            useful_s = max(useful_s, URGENT_SHARE * limit_s)
+        return Attempt(
             request_id=head.request_id,
-            service=self.table.pick_service(route),
+            service=table.pick_service(route),
             origin=self.service,
             method=request.method,
             path=request.path,
@@ -133,10 +159,10 @@
             priority=route.priority,
             idempotent=route.idempotent,
             bulk=route.bulk,
-            max_wait_s=wait_s,
+            late=late,
+            useful_until=now + useful_s,
+            spare_only=False,
         )
-        self.allowance(attempt.service).earn()
-        _Transfer(self, request, route, attempt, now).begin()
 
     def allowance(self, service: str) -> RetryAllowance:
         """Returns this node's part of a service's retry budget."""
@@ -164,7 +190,7 @@
         *,
         status: int = UNAVAILABLE,
     ) -> None:
-        closes = not request.conn.keeps_open()
+        closes = not request.conn.keeps_open(refused=True)
         payload = build_refusal(
             status,
             request_id,
@@ -241,16 +267,18 @@
         entry, attempt = self._entry, self._attempt
         now = entry.loop.time()
         entry.own_view.take_report(entry.owner.load(), now=now)
-        owner = entry.balancer.choose(
+        choice = entry.balancer.choose(
             entry.peers.owners(attempt.service),
-            route=self._route.name,
-            bulk=attempt.bulk,
-            excluded=self._asked.__contains__,
+            useful_s=attempt.useful_until - now,
+            excluded=self._asked,
             now=now,
         )
-        if owner is None:
+        if choice is None:
             self._give_up()
             return
+        owner = choice.owner
+        if choice.spare_only:
+            attempt = attrs.evolve(attempt, spare_only=True)
         if entry.log.samples(attempt.request_id):
             entry.log.request(
                 "request-sent",
@@ -376,8 +404,6 @@
         )
         self._end(outcome.verdict, outcome.status)
         conn.respond(payload, closes=closes)
-        size = len(outcome.body) + len(self._attempt.body)
-        self._entry.balancer.observe_size(self._route.name, size)
 
     def _refuse(
         self,
@@ -386,7 +412,7 @@
         retry_after_s: float | None,
     ) -> None:
         conn = self._request.conn
-        closes = not conn.keeps_open()
+        closes = not conn.keeps_open(refused=True)
         payload = build_refusal(
             status,
             self._attempt.request_id,
--- a/src/guavawing/sidecar/http_server.py
+++ b/src/guavawing/sidecar/http_server.py
@@ -28,6 +28,9 @@
 LIMIT_MARGIN_S = 1.0
 # Requests that a client may send ahead of their answers.
 MAX_PIPELINED = 32
+# Connections from which on refused clients are told to close theirs, and four
+# times as many from which on all are: a part of the descriptors of a process.
+MANY_CONNECTIONS = 400
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -180,9 +183,20 @@
         elif self._pending:
             self._dispatch(self._pending.popleft())
 
-    def keeps_open(self) -> bool:
-        """Returns whether the connection outlives the current answer."""
-        return not self._server.leaving and not self._refused
+    def keeps_open(self, *, refused: bool = False) -> bool:
+        """Returns whether the connection outlives the current answer.
+
+        Args:
+            refused: Whether the answer is a refusal. Clients return on a new
+                connection, so this one would only be idle.
+        """
+        server = self._server
+        most = MANY_CONNECTIONS if refused else 4 * MANY_CONNECTIONS
+        return (
+            not server.leaving
+            and not self._refused
+            and len(server.connections) <= most
+        )
 
     def close(self) -> None:
         """Closes the connection after what was written."""
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -153,7 +153,9 @@
             attempt.priority,
             attempt.idempotent,
             attempt.bulk,
-            attempt.max_wait_s,
+            attempt.late,
+            attempt.useful_until - now,
+            attempt.spare_only,
         )
     )
 
@@ -317,7 +319,9 @@
             priority=_number(fields[10]),
             idempotent=bool(fields[11]),
             bulk=bool(fields[12]),
-            max_wait_s=float(fields[13]),
+            late=bool(fields[13]),
+            useful_until=now + float(fields[14]),
+            spare_only=bool(fields[15]),
         ),
     )
 
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -125,7 +125,12 @@
             return item.id
         self._items[item.id] = item
         waiter = Waiter(
-            item.id, attempt.priority, attempt.deadline, attempt.max_wait_s
+            item.id,
+            attempt.priority,
+            attempt.late,
+            attempt.deadline,
+            attempt.useful_until,
+            attempt.spare_only,
         )
         match self._queue.offer(waiter, now=now):
             case Admit():
--- a/src/guavawing/traffic/balancer.py
+++ b/src/guavawing/traffic/balancer.py
@@ -1,27 +1,28 @@
 """Choice of the node whose target gets a request.
 
 An owner is a node seen as the way to its target. What it costs to send a
-request there is the time until the answer: the way, the wait for a slot and
-the execution, as far as they are known here. Bytes between data centres cost
-more than local ones, so an owner elsewhere must be better by a margin that
-grows with the size of the answers.
+request there is the time until the answer: the wait for a slot and the
+execution, as far as they are known here.
+
+Bytes between data centres cost more than local ones, and a request that takes
+a slot elsewhere displaces one of the clients there. So work leaves its data
+centre only if no owner here can answer in time, and then only for slots that
+nobody there waits for. Only where a data centre has no owner at all does it
+take part in the queues of the others.
 """
 
-from collections.abc import Callable, Iterable
+import enum
+from collections.abc import Collection, Container
 from random import Random
 
 import attrs
 
 from guavawing.traffic.model import LoadReport, TargetPhase
 
-__all__ = ["Balancer", "OwnerView"]
+__all__ = ["Balancer", "Choice", "OwnerView"]
 
-# Time on the way to another data centre and back, in seconds, until measured.
+# Time on the way to another data centre and back, in seconds.
 REMOTE_ROUND_TRIP_S = 0.009
-# Wait that one kilobyte between data centres is worth, in seconds.
-REMOTE_S_PER_KB = 0.0015
-# Wait for which no size of answers keeps work in its data centre, in seconds.
-MAX_REMOTE_MARGIN_S = 0.25
 # Time in which what a report says of other nodes' requests halves in weight.
 REPORT_HALF_LIFE_S = 0.4
 # Share by which costs are blurred, so that nodes with equal views don't all
@@ -33,10 +34,8 @@
 FAILED_BACK_OFF_S = 0.5
 MAX_FAILED_BACK_OFF_S = 4.0
 FAILURES_UNTIL_OUT = 3
-# Weight of the newest size in the mean size of answers of a route.
-SIZE_WEIGHT = 0.1
-ASSUMED_ANSWER_KB = 4.0
-ASSUMED_BULK_KB = 64.0
+# An execution is expected to take at most this many times the mean.
+USUAL_SERVICE_FACTOR = 1.5
 
 
 @attrs.define
@@ -101,6 +100,10 @@
             and report.slots > 0
         )
 
+    def is_usable(self, *, now: float) -> bool:
+        """Returns whether the owner is in reach and has not failed lately."""
+        return self.alive and now >= self.out_until
+
     def estimate_wait_s(self, *, now: float) -> float:
         """Returns how long a new request would wait for a slot there."""
         report = self.report
@@ -109,66 +112,95 @@
         fading: float = 0.5 ** ((now - self.reported_at) / REPORT_HALF_LIFE_S)
         busy = self.outstanding + self.others * fading
         over = busy + 1 - report.slots
-        return max(0.0, over) * report.service_s / max(report.slots, 1)
+        wait_s = max(0.0, over) * report.service_s / max(report.slots, 1)
+        return max(wait_s, self.full_until - now)
+
+
+class _Rank(enum.IntEnum):
+    """Order in which kinds of owner are chosen."""
+
+    NEAR_IN_TIME = 0
+    FAR_IN_TIME = 1
+    NEAR = 2
+    FAR_FREE = 3
+    FAR_QUEUED = 4
+    DOUBTFUL = 5
+
+
+@attrs.frozen
+class Choice:
+    """The owner for an attempt.
+
+    Attributes:
+        owner: The owner.
+        spare_only: Whether it may use only a slot that nobody waits for.
+    """
+
+    owner: OwnerView
+    spare_only: bool
 
 
 class Balancer:
     """Chooses owners for the requests of one entry node."""
 
-    __slots__ = ("_answer_kb", "_rng")
+    __slots__ = ("_rng",)
 
     def __init__(self, rng: Random) -> None:
         self._rng = rng
-        self._answer_kb: dict[str, float] = {}
-
-    def observe_size(self, route: str, size: int) -> None:
-        """Takes the size of an answer and its request, in bytes."""
-        size_kb = size / 1024
-        mean = self._answer_kb.get(route, size_kb)
-        self._answer_kb[route] = mean + SIZE_WEIGHT * (size_kb - mean)
 
     def choose(
         self,
-        owners: Iterable[OwnerView],
+        owners: Collection[OwnerView],
         *,
-        route: str,
-        bulk: bool,
-        excluded: Callable[[str], bool],
+        useful_s: float,
+        excluded: Container[str],
         now: float,
-    ) -> OwnerView | None:
+    ) -> Choice | None:
         """Returns the owner for the next attempt, or None if there is none.
 
-        Owners that are out, full or unheard of are chosen only if there is
-        no other.
+        Args:
+            owners: The owners of the service.
+            useful_s: Time within which an answer is of full use.
+            excluded: Nodes that have been asked already.
+            now: Event loop's time, in seconds.
         """
-        margin_s = self._remote_margin_s(route, bulk)
+        working = [owner for owner in owners if owner.takes_work()]
+        usable = [owner for owner in working if owner.is_usable(now=now)]
+        has_near = any(owner.near for owner in usable)
         best: OwnerView | None = None
-        best_cost = (2, 0.0)
-        for owner in owners:
-            if excluded(owner.node) or not owner.takes_work():
+        best_cost = (_Rank.DOUBTFUL, 0.0)
+        for owner in usable or working:
+            if owner.node in excluded:
+                continue
+            cost = self._assess(owner, useful_s, now)
+            if has_near and cost[0] >= _Rank.FAR_QUEUED:
                 continue
-            usable = owner.alive and now >= owner.out_until
-            rank = 0 if usable else 1
-            cost = (rank, self._cost_s(owner, margin_s, now))
             if best is None or cost < best_cost:
                 best, best_cost = owner, cost
-        return best
-
-    def _cost_s(self, owner: OwnerView, margin_s: float, now: float) -> float:
+        if best is None:
+            return None
+        return Choice(best, spare_only=has_near and not best.near)
+
+    def _assess(
+        self, owner: OwnerView, useful_s: float, now: float
+    ) -> tuple[_Rank, float]:
+        """Returns the rank and, within it, the cost of an owner."""
         report = owner.report
         assert report is not None
         wait_s = owner.estimate_wait_s(now=now)
-        if now < owner.full_until:
-            wait_s = max(wait_s, owner.full_until - now)
         # Between owners without a wait, the one with more free slots is the
         # better one: some targets slow down when nearly full.
         busy = (owner.outstanding + owner.others) / max(report.slots, 1)
         cost_s = wait_s + report.service_s * (1 + 0.3 * min(busy, 1.0))
         cost_s *= 1 + JITTER * self._rng.random()
-        return cost_s if owner.near else cost_s + margin_s
-
-    def _remote_margin_s(self, route: str, bulk: bool) -> float:
-        assumed_kb = ASSUMED_BULK_KB if bulk else ASSUMED_ANSWER_KB
-        size_kb = self._answer_kb.get(route, assumed_kb)
-        margin_s = min(size_kb * REMOTE_S_PER_KB, MAX_REMOTE_MARGIN_S)
-        return REMOTE_ROUND_TRIP_S + margin_s
+        expected_s = wait_s + USUAL_SERVICE_FACTOR * report.service_s
+        if not owner.is_usable(now=now):
+            return _Rank.DOUBTFUL, cost_s
+        if owner.near:
+            in_time = expected_s <= useful_s
+            return (_Rank.NEAR_IN_TIME if in_time else _Rank.NEAR), cost_s
+        cost_s += REMOTE_ROUND_TRIP_S
+        if wait_s > 0:
+            return _Rank.FAR_QUEUED, cost_s
+        in_time = expected_s + REMOTE_ROUND_TRIP_S <= useful_s
+        return (_Rank.FAR_IN_TIME if in_time else _Rank.FAR_FREE), cost_s
--- a/src/guavawing/traffic/model.py
+++ b/src/guavawing/traffic/model.py
@@ -191,7 +191,9 @@
         priority: Order of service, 0 first.
         idempotent: Whether it may be executed more than once.
         bulk: Whether its answer is large.
-        max_wait_s: Longest time that it may wait for a slot, in seconds.
+        late: Whether its answer comes too late to be of full use anyway.
+        useful_until: Event loop's time until which its answer is of full use.
+        spare_only: Whether it may use a slot that nobody waits for only.
     """
 
     request_id: bytes
@@ -205,7 +207,9 @@
     priority: int
     idempotent: bool
     bulk: bool
-    max_wait_s: float
+    late: bool
+    useful_until: float
+    spare_only: bool
 
 
 @attrs.frozen
--- a/src/guavawing/traffic/peers.py
+++ b/src/guavawing/traffic/peers.py
@@ -1,6 +1,6 @@
 """The other nodes: who they are, whether they live, what they report."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterator
 
 import attrs
 
@@ -61,7 +61,7 @@
         """Returns the node on a VM, or None."""
         return self._by_host.get(host)
 
-    def owners(self, service: str) -> Iterable[OwnerView]:
+    def owners(self, service: str) -> Collection[OwnerView]:
         """Returns the owners of a service, this node included."""
         return self._by_service.get(service, {}).values()
 
--- a/src/guavawing/traffic/routes.py
+++ b/src/guavawing/traffic/routes.py
@@ -21,14 +21,25 @@
 class RouteTable:
     """The routes of one version."""
 
-    __slots__ = ("_by_host", "_splits", "routing")
+    __slots__ = ("_by_host", "_splits", "_top_priorities", "routing")
 
     def __init__(self, routing: Routing) -> None:
         self.routing = routing
         self._by_host: dict[str, dict[str, Route]] = {}
         self._splits: dict[str, _Split] = {}
+        self._top_priorities: dict[str, int] = {}
         for route in routing.routes:
             self._by_host.setdefault(route.host, {})[route.prefix] = route
+            for part in route.parts:
+                top = self._top_priorities.get(part.service, route.priority)
+                self._top_priorities[part.service] = min(top, route.priority)
+
+    def is_most_urgent(self, route: Route) -> bool:
+        """Returns whether no route of its services goes before a route."""
+        return all(
+            route.priority <= self._top_priorities[part.service]
+            for part in route.parts
+        )
 
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of a path, or None.
--- a/src/guavawing/traffic/slot_queue.py
+++ b/src/guavawing/traffic/slot_queue.py
@@ -1,8 +1,11 @@
 """Admission of requests to one target: its slots and a short queue.
 
 One event comes in, actions go out; `now` is the event loop's time in seconds.
-A request waits only as long as its answer can still be of use. One that would
-have to wait longer is refused at once, with the time until there is room.
+A request waits only as long as its answer can still come in time to be of
+full use. One that would have to wait longer is refused at once, with the time
+until there is room. While there is more work than slots, those that can still
+be answered in time go before those that are late already: what the target can
+execute is the same, and more answers come in time.
 """
 
 import bisect
@@ -17,10 +20,15 @@
 # Weight of the newest execution in the mean time that a slot is held.
 SERVICE_TIME_WEIGHT = 0.1
 INITIAL_SERVICE_S = 0.1
-# How far a mean can be from the next execution: answers within the deadline
-# are expected only if this part of the mean is left after the wait.
+# An execution is expected to take at most this many times the mean: about nine
+# in ten do where times spread by a factor of two.
+USUAL_SERVICE_FACTOR = 1.5
+# Nothing is sent to the target if less than this part of the mean is left.
 MIN_SERVICE_PART = 0.5
-MIN_RETRY_AFTER_S = 0.05
+# Wait that is allowed where no answer can come in time any more, in seconds:
+# a slot that becomes free within a round trip is used.
+MIN_WAIT_S = 0.03
+MIN_RETRY_AFTER_S = 0.04
 # A target that drains or is gone: another one has to be found first.
 NO_TARGET_RETRY_AFTER_S = 0.25
 
@@ -32,14 +40,18 @@
     Attributes:
         id: Unique at this node.
         priority: Order of service, 0 first.
+        late: Whether its answer comes too late to be of full use anyway.
         deadline: Time at which it is given up.
-        max_wait_s: Longest time that it may wait for a slot.
+        useful_until: Time until which its answer is of full use.
+        spare_only: Whether it may use a slot that nobody waits for only.
     """
 
     id: int
     priority: int
+    late: bool
     deadline: float
-    max_wait_s: float
+    useful_until: float
+    spare_only: bool
 
 
 @attrs.frozen
@@ -71,6 +83,7 @@
 @attrs.frozen(order=True)
 class _Entry:
     priority: int
+    late: bool
     number: int
     id: int = attrs.field(order=False)
     start_by: float = attrs.field(order=False)
@@ -111,14 +124,16 @@
         """Requests that wait for a slot."""
         return len(self._entries)
 
-    def estimate_wait_s(self, priority: int) -> float:
-        """Returns how long a new request of a priority would wait."""
+    def estimate_wait_s(self, priority: int, *, late: bool) -> float:
+        """Returns how long a new request would wait."""
         if len(self._running) < self.slots and not self._entries:
             return 0.0
         if self.slots <= 0:
             return NO_TARGET_RETRY_AFTER_S
         ahead = bisect.bisect(
-            self._entries, priority, key=lambda entry: entry.priority
+            self._entries,
+            (priority, late),
+            key=lambda entry: (entry.priority, entry.late),
         )
         over = len(self._running) - self.slots
         return (ahead + 1 + max(over, 0)) * self.service_s / self.slots
@@ -131,17 +146,19 @@
         if len(self._running) < self.slots and not self._entries:
             self._running[waiter.id] = now
             return Admit(waiter.id)
-        wait_s = self.estimate_wait_s(waiter.priority)
-        longest_s = min(
-            waiter.max_wait_s, left_s - MIN_SERVICE_PART * self.service_s
-        )
+        wait_s = self.estimate_wait_s(waiter.priority, late=waiter.late)
+        longest_s = self._longest_wait_s(waiter, now)
         if wait_s > longest_s or self.slots <= 0:
-            retry_after_s = max(wait_s, MIN_RETRY_AFTER_S)
+            retry_after_s = max(wait_s - longest_s, MIN_RETRY_AFTER_S)
             verdict = NotRun(Reason.QUEUE_FULL, retry_after_s)
             return Refuse(waiter.id, verdict)
         self._number += 1
         entry = _Entry(
-            waiter.priority, self._number, waiter.id, now + longest_s
+            waiter.priority,
+            waiter.late,
+            self._number,
+            waiter.id,
+            now + longest_s,
         )
         bisect.insort(self._entries, entry)
         self._numbers[waiter.id] = entry
@@ -171,8 +188,8 @@
         """Refuses a request whose wait is over; None if it waits no more."""
         if not self.discard(waiter_id):
             return None
-        retry_after_s = max(self.estimate_wait_s(0), MIN_RETRY_AFTER_S)
-        return Refuse(waiter_id, NotRun(Reason.QUEUE_FULL, retry_after_s))
+        verdict = NotRun(Reason.QUEUE_FULL, MIN_RETRY_AFTER_S)
+        return Refuse(waiter_id, verdict)
 
     def discard(self, waiter_id: int) -> bool:
         """Takes a waiting request out; returns whether it waited."""
@@ -182,6 +199,11 @@
         self._entries.remove(entry)
         return True
 
-    def waiting(self) -> list[int]:
-        """Returns the ids of the requests that wait, first to last."""
-        return [entry.id for entry in self._entries]
+    def _longest_wait_s(self, waiter: Waiter, now: float) -> float:
+        """Returns how long a request may wait to be of use."""
+        if waiter.spare_only:
+            return 0.0
+        useful_s = waiter.useful_until - now
+        useful_s -= USUAL_SERVICE_FACTOR * self.service_s
+        left_s = waiter.deadline - now - MIN_SERVICE_PART * self.service_s
+        return min(max(useful_s, MIN_WAIT_S), left_s)
