Doubt silent owners within half a second, stop and restart sooner

Cause: requests to owners behind a cut waited until 1.2 s of silence broke the connection; a node that was told to stop gave up its target's capacity for up to 5.6 s, and its next process waited for a heartbeat.

Change: an owner with something to answer is asked for a sign of life and doubted after 0.5 s, what may be repeated goes elsewhere; a stopping node serves in full for 2.3 s and then ends at once; a new process asks its target's health check, and its peers for the slots; small answers may wait for slots elsewhere.

--- a/src/guavawing/node/frame_stream.py
+++ b/src/guavawing/node/frame_stream.py
@@ -61,6 +61,7 @@
 
     Attributes:
         closed: Whether it is closed or being closed.
+        heard_at: Event loop's time of the last bytes of the peer.
         paused: Whether so much waits for the network that no more frames
             should be written.
     """
@@ -75,6 +76,7 @@
         "_timer",
         "_transport",
         "closed",
+        "heard_at",
         "paused",
     )
 
@@ -90,8 +92,13 @@
         self._part = bytearray()
         self._needed = 0
         self.closed = False
+        self.heard_at = self._loop.time()
         self.paused = False
 
+    def ask_sign_of_life(self) -> None:
+        """Asks the peer for a sign of life before the next tick."""
+        self.write(SIGN_OF_LIFE)
+
     def write(self, payload: bytes) -> None:
         """Sends a frame; does nothing once the connection is closed."""
         if not self.closed and self._transport is not None:
@@ -119,6 +126,7 @@
     def data_received(self, data: bytes) -> None:
         """Takes bytes of the peer."""
         self._silent_ticks = 0
+        self.heard_at = self._loop.time()
         if self._part:
             self._part += data
             if len(self._part) < self._needed:
--- a/src/guavawing/platform/headers.py
+++ b/src/guavawing/platform/headers.py
@@ -13,6 +13,7 @@
     "build_answer",
     "build_refusal",
     "build_target_request",
+    "find_target_id",
     "read_answer_head",
     "read_caller_head",
 ]
@@ -227,6 +228,14 @@
     return rejects or not request_id
 
 
+def find_target_id(headers: RawHeaders) -> str:
+    """Returns the id of the target that answered; empty if not given."""
+    for name, value in headers:
+        if name.lower() == b"x-instance-id":
+            return value.decode("latin-1")
+    return ""
+
+
 def build_answer(
     status: int, forwarded: bytes, body: bytes, *, closes: bool
 ) -> bytes:
--- a/src/guavawing/sidecar/beacons.py
+++ b/src/guavawing/sidecar/beacons.py
@@ -48,6 +48,7 @@
         peers: PeerTable,
         read_load: Callable[[], LoadReport],
         on_peer: Callable[[Peer], None],
+        on_slots: Callable[[int], None],
         log: DecisionLog,
         metrics: SidecarMetrics,
     ) -> None:
@@ -59,6 +60,7 @@
             peers: Takes what is heard.
             read_load: Returns the load of this node's target.
             on_peer: Is told of each node that a beacon came from.
+            on_slots: Takes the slots that a peer knows of this node's target.
             log: Takes changes of belief.
             metrics: Counts what can't be read.
         """
@@ -68,6 +70,7 @@
         self._peers = peers
         self._read_load = read_load
         self._on_peer = on_peer
+        self._on_slots = on_slots
         self._log = log
         self._metrics = metrics
         self._transport: asyncio.DatagramTransport | None = None
@@ -76,7 +79,6 @@
         self._sequence = 0
         self._round = 0
         self.version = 0
-        self.leaving = False
 
     async def listen(self) -> None:
         """Opens the socket and begins to send."""
@@ -134,8 +136,13 @@
                 phase=beacon.load.phase.name.lower(),
             )
         peer.version = beacon.version
+        if beacon.load.slots:
+            peer.slots = beacon.load.slots
+        if beacon.known_slots:
+            self._on_slots(beacon.known_slots)
         if beacon.asks:
-            self._send(self._encode(), peer.record.host)
+            payload = self._encode(known_slots=peer.slots)
+            self._send(payload, peer.record.host)
         self._on_peer(peer)
 
     def _tick(self) -> None:
@@ -163,7 +170,7 @@
         for peer in self._peers:
             self._send(payload, peer.record.host)
 
-    def _encode(self, *, asks: bool = False) -> bytes:
+    def _encode(self, *, asks: bool = False, known_slots: int = 0) -> bytes:
         self._sequence += 1
         return encode_beacon(
             Beacon(
@@ -172,7 +179,7 @@
                 self.version,
                 self._read_load(),
                 asks,
-                self.leaving,
+                known_slots,
             )
         )
 
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -35,6 +35,7 @@
 from guavawing.sidecar.store_link import StoreLink
 from guavawing.sidecar.table_watch import TableWatch
 from guavawing.sidecar.target_pool import TargetPool
+from guavawing.sidecar.target_probe import probe_target
 from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.model import (
     LoadReport,
@@ -65,15 +66,18 @@
 # Time after SIGTERM in which clients may still send as before: the platform
 # asks for readiness once a second and acts on two misses.
 NOTICE_S = 2.3
-# Longest time that a request may take in the rest of the grace period: later
-# ones are refused, so that none is cut.
-LONGEST_REQUEST_S = 1.5
+# Time after that in which requests are still taken. Later ones are refused, so
+# that what runs can end and none is cut.
+LAST_REQUESTS_S = 0.5
 # Time without a request after which a stopping process may end, in seconds.
 QUIET_S = 0.4
 # Time before the end of the grace period at which it ends anyway, in seconds.
 STOP_MARGIN_S = 0.4
 STOP_POLL_S = 0.05
 SETTINGS_POLL_S = 2.0
+# Health checks of a target that has sent no heartbeat yet.
+PROBES = 8
+PROBE_PERIOD_S = 0.2
 # Allocations between two collections of the youngest objects.
 GC_ALLOCATIONS = 20_000
 
@@ -121,6 +125,7 @@
             source=settings.host,
             on_load=self._take_load,
             on_alive=self._take_alive,
+            on_doubt=self._take_doubt,
             on_document=self._take_document,
         )
         self._entry = Entry(
@@ -152,6 +157,7 @@
             peers=self._peers,
             read_load=self._owner.load,
             on_peer=self._take_peer,
+            on_slots=self._take_slots,
             log=self._log,
             metrics=self._metrics,
         )
@@ -196,8 +202,9 @@
                 NODES_TABLE, self._membership.take_changes, NODES_PERIOD_S
             ),
         )
-        for work in (*(w.run() for w in watches), self._poll_settings()):
-            self._tasks.append(self._loop.create_task(work))
+        work = [watch.run() for watch in watches]
+        work += [self._poll_settings(), self._probe_target()]
+        self._tasks += [self._loop.create_task(each) for each in work]
         self._log.event(
             "start",
             host=settings.host,
@@ -210,20 +217,20 @@
         began_at = self._loop.time()
         self._log.event("stop", version=self._configuration.version)
         self._leaving = True
-        self._owner.leaving = True
-        self._beacons.leaving = True
-        self._beacons.tell_change()
         withdrawal = None
         if self._target.phase in (TargetPhase.DRAINING, TargetPhase.GONE):
             withdrawal = self._loop.create_task(self._membership.withdraw())
         await asyncio.sleep(NOTICE_S)
+        # From now on the target is not used from elsewhere, and clients that
+        # are still there are told to close their connections.
+        self._owner.leaving = True
+        self._beacons.tell_change()
         self._callers.leaving = True
         self._callers.close_idle()
+        closes_at = self._loop.time() + LAST_REQUESTS_S
         ends_at = began_at + self._settings.grace_s - STOP_MARGIN_S
         while self._loop.time() < ends_at and self._is_needed():
-            self._entry.closing |= (
-                self._loop.time() > ends_at - LONGEST_REQUEST_S
-            )
+            self._entry.closing |= self._loop.time() > closes_at
             await asyncio.sleep(STOP_POLL_S)
         if withdrawal is not None:
             withdrawal.cancel()
@@ -287,6 +294,24 @@
             await asyncio.sleep(SETTINGS_POLL_S)
             self.reload()
 
+    async def _probe_target(self) -> None:
+        """Finds the target before its first heartbeat, if it is there."""
+        for _ in range(PROBES):
+            await asyncio.sleep(PROBE_PERIOD_S)
+            if self._target.phase is not TargetPhase.UNKNOWN:
+                return
+            routing = self._configuration.routing
+            if routing is None:
+                continue
+            spec = routing.services.get(self._settings.service)
+            if spec is None:
+                return
+            target_id = await probe_target(
+                self._settings.target, spec.health_path
+            )
+            if target_id and self._target.take_probe(target_id):
+                self._owner.take_target_change()
+
     # What the parts tell each other.
 
     def _apply(self, routing: Routing) -> None:
@@ -322,6 +347,16 @@
         if peer is not None:
             self._peers.take_sign_of_life(peer, now=self._loop.time())
 
+    def _take_doubt(self, host: str) -> None:
+        peer = self._peers.get(host)
+        if peer is not None and peer.view.alive:
+            peer.view.alive = False
+            self._log.belief("peer-silent", peer=peer.record.node)
+
+    def _take_slots(self, slots: int) -> None:
+        if self._target.take_slots(slots):
+            self._owner.take_target_change()
+
     def _take_document(self, document: bytes) -> None:
         self._configuration.take_document(document, source="peer")
 
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -269,6 +269,7 @@
         entry.own_view.take_report(entry.owner.load(), now=now)
         choice = entry.balancer.choose(
             entry.peers.owners(attempt.service),
+            route=self._route.name,
             useful_s=attempt.useful_until - now,
             excluded=self._asked,
             now=now,
@@ -404,6 +405,8 @@
         )
         self._end(outcome.verdict, outcome.status)
         conn.respond(payload, closes=closes)
+        size = len(outcome.body) + len(self._attempt.body)
+        self._entry.balancer.observe_size(self._route.name, size)
 
     def _refuse(
         self,
--- a/src/guavawing/sidecar/mesh_client.py
+++ b/src/guavawing/sidecar/mesh_client.py
@@ -30,6 +30,15 @@
 SMALL_LANES = 2
 BULK_LANES = 1
 OWNER_RETRY_AFTER_S = 0.3
+# Period of the check for owners that have gone silent, in seconds.
+CHECK_PERIOD_S = 0.1
+# Silence after which an owner that has something to answer is asked for a sign
+# of life, and after which it is doubted, in seconds. The second is above the
+# time in which a lost packet is sent again.
+ASK_AFTER_S = 0.12
+DOUBT_AFTER_S = 0.5
+# A check that is later than this proves that this process was late itself.
+LATE_CHECK_S = 0.1
 
 OutcomeListener = Callable[[Outcome], None]
 LoadListener = Callable[[str, LoadReport], None]
@@ -72,6 +81,7 @@
         source: str,
         on_load: LoadListener,
         on_alive: Callable[[str], None],
+        on_doubt: Callable[[str], None],
         on_document: Callable[[bytes], None],
     ) -> None:
         """Creates a client without connections.
@@ -80,15 +90,19 @@
             source: IP address to connect from.
             on_load: Takes the load that came with an answer.
             on_alive: Takes the host of a node that has answered.
+            on_doubt: Takes the host of a node that gives no sign of life.
             on_document: Takes a configuration that was asked for.
         """
         self.loop = asyncio.get_running_loop()
         self.source = source
         self.on_load = on_load
         self.on_alive = on_alive
+        self.on_doubt = on_doubt
         self.on_document = on_document
         self._lanes: dict[tuple[str, int, bool], list[_Lane]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._checked_at = self.loop.time()
+        self._checker = self.loop.call_later(CHECK_PERIOD_S, self._check)
 
     def submit(
         self,
@@ -115,6 +129,7 @@
 
     def close(self) -> None:
         """Closes all connections."""
+        self._checker.cancel()
         for lanes in self._lanes.values():
             for lane in lanes:
                 lane.close()
@@ -131,6 +146,17 @@
         self._tasks.add(work)
         work.add_done_callback(self._tasks.discard)
 
+    def _check(self) -> None:
+        """Looks for owners that have gone silent."""
+        now = self.loop.time()
+        late = now - self._checked_at > CHECK_PERIOD_S + LATE_CHECK_S
+        self._checked_at = now
+        for lanes in self._lanes.values():
+            for lane in lanes:
+                if lane.outstanding:
+                    lane.check(now, late=late)
+        self._checker = self.loop.call_later(CHECK_PERIOD_S, self._check)
+
     def _pick_lane(self, host: str, port: int, *, bulk: bool) -> "_Lane":
         key = (host, port, bulk)
         lanes = self._lanes.get(key)
@@ -152,6 +178,9 @@
         self._stream: FrameStream | None = None
         self._connecting = False
         self._process = 0
+        # Time from which on an answer or a sign of life is awaited.
+        self._awaited_from = 0.0
+        self._asked = False
         self._waiting: list[MeshTicket] = []
         self._unsent: list[bytes] = []
         self._pending: dict[int, MeshTicket] = {}
@@ -187,6 +216,30 @@
         if self._stream is not None:
             self._stream.abort()
 
+    def check(self, now: float, *, late: bool) -> None:
+        """Doubts the owner if it has been silent for long.
+
+        What may be repeated is given back, so that it can be sent elsewhere.
+        For the rest the owner's answer is waited for.
+        """
+        stream = self._stream
+        if stream is None or not self._pending:
+            return
+        if late or stream.heard_at >= self._awaited_from:
+            self._awaited_from, self._asked = now, False
+            return
+        silent_s = now - self._awaited_from
+        if not self._asked and silent_s > ASK_AFTER_S:
+            self._asked = True
+            stream.ask_sign_of_life()
+        if silent_s <= DOUBT_AFTER_S:
+            return
+        self._client.on_doubt(self._host)
+        for ticket in tuple(self._pending.values()):
+            if ticket.attempt.idempotent:
+                self.cancel(ticket)
+                ticket.end(Outcome(MayHaveRun(Reason.OWNER_LOST)))
+
     # Events of the stream.
 
     def take_open(self, stream: FrameStream) -> None:
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -114,7 +114,9 @@
         version: Configuration version that it enforces.
         load: Load of its target.
         asks: Whether it wants a beacon back at once.
-        leaves: Whether its process is about to end.
+        known_slots: Slots that the receiver's target had by its last beacon;
+            0 if not known. It tells a process that has just started what its
+            target will say itself with its next heartbeat.
     """
 
     record: PeerRecord
@@ -122,7 +124,7 @@
     version: int
     load: LoadReport
     asks: bool
-    leaves: bool
+    known_slots: int
 
 
 Frame = (
@@ -225,7 +227,7 @@
             beacon.version,
             _list_load(beacon.load),
             beacon.asks,
-            beacon.leaves,
+            beacon.known_slots,
         )
     )
 
@@ -283,7 +285,7 @@
             _number(fields[8]),
             _read_load(fields[9]),
             bool(fields[10]),
-            bool(fields[11]),
+            _number(fields[11]),
         )
     except (IndexError, TypeError, ValueError) as exc:
         raise MessageInvalidError(f"not a beacon: {exc}") from exc
--- a/src/guavawing/traffic/balancer.py
+++ b/src/guavawing/traffic/balancer.py
@@ -34,6 +34,11 @@
 FAILED_BACK_OFF_S = 0.5
 MAX_FAILED_BACK_OFF_S = 4.0
 FAILURES_UNTIL_OUT = 3
+# Mean size of requests with their answers up to which they may wait for slots
+# of another data centre, in kilobytes: the bytes of larger ones are dearer
+# than a refusal here, after which the client can come back.
+MAX_QUEUED_FAR_KB = 3.0
+SIZE_WEIGHT = 0.05
 # An execution is expected to take at most this many times the mean.
 USUAL_SERVICE_FACTOR = 1.5
 
@@ -143,15 +148,23 @@
 class Balancer:
     """Chooses owners for the requests of one entry node."""
 
-    __slots__ = ("_rng",)
+    __slots__ = ("_rng", "_size_kb")
 
     def __init__(self, rng: Random) -> None:
         self._rng = rng
+        self._size_kb: dict[str, float] = {}
+
+    def observe_size(self, route: str, size: int) -> None:
+        """Takes the bytes of a request with its answer."""
+        size_kb = size / 1024
+        mean_kb = self._size_kb.get(route, size_kb)
+        self._size_kb[route] = mean_kb + SIZE_WEIGHT * (size_kb - mean_kb)
 
     def choose(
         self,
         owners: Collection[OwnerView],
         *,
+        route: str,
         useful_s: float,
         excluded: Container[str],
         now: float,
@@ -160,6 +173,7 @@
 
         Args:
             owners: The owners of the service.
+            route: Name of the route.
             useful_s: Time within which an answer is of full use.
             excluded: Nodes that have been asked already.
             now: Event loop's time, in seconds.
@@ -167,22 +181,25 @@
         working = [owner for owner in owners if owner.takes_work()]
         usable = [owner for owner in working if owner.is_usable(now=now)]
         has_near = any(owner.near for owner in usable)
+        size_kb = self._size_kb.get(route, MAX_QUEUED_FAR_KB + 1)
+        small = size_kb <= MAX_QUEUED_FAR_KB
         best: OwnerView | None = None
         best_cost = (_Rank.DOUBTFUL, 0.0)
         for owner in usable or working:
             if owner.node in excluded:
                 continue
-            cost = self._assess(owner, useful_s, now)
+            cost = self._assess(owner, useful_s, now, small=small)
             if has_near and cost[0] >= _Rank.FAR_QUEUED:
                 continue
             if best is None or cost < best_cost:
                 best, best_cost = owner, cost
         if best is None:
             return None
-        return Choice(best, spare_only=has_near and not best.near)
+        spare_only = has_near and not best.near and not small
+        return Choice(best, spare_only=spare_only)
 
     def _assess(
-        self, owner: OwnerView, useful_s: float, now: float
+        self, owner: OwnerView, useful_s: float, now: float, *, small: bool
     ) -> tuple[_Rank, float]:
         """Returns the rank and, within it, the cost of an owner."""
         report = owner.report
@@ -200,7 +217,7 @@
             in_time = expected_s <= useful_s
             return (_Rank.NEAR_IN_TIME if in_time else _Rank.NEAR), cost_s
         cost_s += REMOTE_ROUND_TRIP_S
-        if wait_s > 0:
+        if wait_s > 0 and not small:
             return _Rank.FAR_QUEUED, cost_s
         in_time = expected_s + REMOTE_ROUND_TRIP_S <= useful_s
         return (_Rank.FAR_IN_TIME if in_time else _Rank.FAR_FREE), cost_s
--- a/src/guavawing/traffic/peers.py
+++ b/src/guavawing/traffic/peers.py
@@ -30,6 +30,7 @@
         heard_at: Time of its last sign of life; None if there was none.
         sequence: Number of its last beacon.
         found_at: Time at which this node learned of it.
+        slots: Slots that its target had when it last said so.
     """
 
     record: PeerRecord
@@ -38,6 +39,7 @@
     version: int = 0
     heard_at: float | None = None
     sequence: int = -1
+    slots: int = 0
 
 
 class PeerTable:
@@ -87,6 +89,8 @@
             near=record.data_centre == self._me.data_centre,
         )
         peer = Peer(record, view, now)
+        if known is not None and known.record.service == record.service:
+            peer.slots = known.slots
         self._by_host[record.host] = peer
         self._by_service.setdefault(record.service, {})[record.host] = view
         return peer
--- a/src/guavawing/traffic/target_state.py
+++ b/src/guavawing/traffic/target_state.py
@@ -5,9 +5,9 @@
 
 __all__ = ["TargetState"]
 
-# Heartbeats in a row that may be missing before a target whose connections
-# fail too is held gone. Heartbeats may arrive seconds late.
-MAX_LOST_HEARTBEATS = 4
+# Slots that are assumed of a target that has only answered a health check,
+# until its heartbeat or a peer tells: few, so that it is not overrun.
+ASSUMED_SLOTS = 4
 
 
 class TargetState:
@@ -87,6 +87,30 @@
         after = (self.target_id, self._born_ms, self.phase, self.slots)
         return before != after
 
+    def take_probe(self, target_id: str) -> bool:
+        """Takes a good health check of a target that has sent no heartbeat.
+
+        Returns:
+            Whether the target became known by it.
+        """
+        if self.phase is not TargetPhase.UNKNOWN or self.target_id:
+            return False
+        self.target_id = target_id
+        self.slots = self.slots or ASSUMED_SLOTS
+        self.phase = TargetPhase.READY
+        return True
+
+    def take_slots(self, slots: int) -> bool:
+        """Takes the slots that a peer knows; heartbeats go before it.
+
+        Returns:
+            Whether the slots changed.
+        """
+        if self._sequence >= 0 or slots == self.slots:
+            return False
+        self.slots = slots
+        return True
+
     def take_departure(self, target_id: str, *, now: float) -> bool:
         """Takes the word of a target that it leaves.
 
