--- a/src/guavawing/traffic/balancer.py
+++ b/src/guavawing/traffic/balancer.py
@@ -38,6 +38,10 @@
 # of another data centre, in kilobytes: the bytes of larger ones are dearer
 # than a refusal here, after which the client can come back.
 MAX_QUEUED_FAR_KB = 3.0
+# Mean size from which on they leave their data centre only after all owners
+# here have refused, in kilobytes: such bytes cost more than a late answer.
+MIN_KEPT_KB = 16.0
+ASSUMED_KB = 4.0
 SIZE_WEIGHT = 0.05
 # An execution is expected to take at most this many times the mean.
 USUAL_SERVICE_FACTOR = 1.5
@@ -132,6 +136,23 @@
     DOUBTFUL = 5
 
 
+class _Reach(enum.Enum):
+    """How requests may use owners of other data centres."""
+
+    # They wait for slots there like the clients there.
+    QUEUES = enum.auto()
+    # They take slots there that nobody waits for.
+    SPARE = enum.auto()
+    # They do that only when the owners here have refused.
+    LAST_RESORT = enum.auto()
+
+    @classmethod
+    def of_size(cls, size_kb: float) -> "_Reach":
+        if size_kb <= MAX_QUEUED_FAR_KB:
+            return cls.QUEUES
+        return cls.SPARE if size_kb < MIN_KEPT_KB else cls.LAST_RESORT
+
+
 @attrs.frozen
 class Choice:
     """The owner for an attempt.
@@ -181,25 +202,29 @@
         working = [owner for owner in owners if owner.takes_work()]
         usable = [owner for owner in working if owner.is_usable(now=now)]
         has_near = any(owner.near for owner in usable)
-        size_kb = self._size_kb.get(route, MAX_QUEUED_FAR_KB + 1)
-        small = size_kb <= MAX_QUEUED_FAR_KB
+        size_kb = self._size_kb.get(route, ASSUMED_KB)
+        reach = _Reach.of_size(size_kb)
         best: OwnerView | None = None
         best_cost = (_Rank.DOUBTFUL, 0.0)
         for owner in usable or working:
             if owner.node in excluded:
                 continue
-            cost = self._assess(owner, useful_s, now, small=small)
+            cost = self._assess(owner, useful_s, now, reach)
             if has_near and cost[0] >= _Rank.FAR_QUEUED:
                 continue
             if best is None or cost < best_cost:
                 best, best_cost = owner, cost
         if best is None:
             return None
-        spare_only = has_near and not best.near and not small
+        spare_only = reach is not _Reach.QUEUES and has_near and not best.near
         return Choice(best, spare_only=spare_only)
 
     def _assess(
-        self, owner: OwnerView, useful_s: float, now: float, *, small: bool
+        self,
+        owner: OwnerView,
+        useful_s: float,
+        now: float,
+        reach: "_Reach",
     ) -> tuple[_Rank, float]:
         """Returns the rank and, within it, the cost of an owner."""
         report = owner.report
@@ -217,7 +242,10 @@
             in_time = expected_s <= useful_s
             return (_Rank.NEAR_IN_TIME if in_time else _Rank.NEAR), cost_s
         cost_s += REMOTE_ROUND_TRIP_S
-        if wait_s > 0 and not small:
+        if wait_s > 0 and reach is not _Reach.QUEUES:
             return _Rank.FAR_QUEUED, cost_s
-        in_time = expected_s + REMOTE_ROUND_TRIP_S <= useful_s
+        in_time = (
+            reach is not _Reach.LAST_RESORT
+            and expected_s + REMOTE_ROUND_TRIP_S <= useful_s
+        )
         return (_Rank.FAR_IN_TIME if in_time else _Rank.FAR_FREE), cost_s
