Compare two owners at random, and queue elsewhere only where less is refused

Change: two of the fit owners are compared; loads tell the share of refused requests, and work queues elsewhere only where that is lower by 0.05; failures that all targets of a service share are not tried again.

--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -18,6 +18,7 @@
 from guavawing.sidecar.owner import Owner
 from guavawing.traffic.balancer import Balancer, OwnerView
 from guavawing.traffic.budget import RetryAllowance
+from guavawing.traffic.failures import FailureShare
 from guavawing.traffic.model import Attempt, Outcome, Route
 from guavawing.traffic.patience import Patience
 from guavawing.traffic.peers import PeerTable
@@ -100,6 +101,7 @@
         self._retries = retries
         self._allowances: dict[str, RetryAllowance] = {}
         self._patience = Patience()
+        self.failures = FailureShare()
 
     def handle(self, request: HttpRequest) -> None:
         """Takes a whole request; its answer may follow later."""
@@ -312,8 +314,12 @@
         owner.outstanding -= 1
         now = self._entry.loop.time()
         verdict = outcome.verdict
+        failed = outcome.status in SERVER_ERRORS
+        entry_failures = self._entry.failures
+        if isinstance(verdict, Ran):
+            entry_failures.observe(self._attempt.service, failed=failed)
         match verdict:
-            case Ran() if outcome.status not in SERVER_ERRORS:
+            case Ran() if not failed:
                 owner.take_success()
                 self._deliver(outcome)
                 return
@@ -334,7 +340,7 @@
                 self._note_refusal(verdict)
         step = next_step(
             verdict,
-            answered=outcome.status > 0,
+            common=entry_failures.are_common(self._attempt.service),
             idempotent=self._attempt.idempotent,
             sent=self._sent,
             max_sent=self._route.max_attempts,
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -347,24 +347,26 @@
     return AnswerFrame(_number(fields[1]), outcome, _read_load(fields[8]))
 
 
-def _list_load(load: LoadReport) -> tuple[int, int, int, int, float]:
+def _list_load(load: LoadReport) -> tuple[float, ...]:
     return (
         int(load.phase),
         load.slots,
         load.running,
         load.queued,
         load.service_s,
+        load.refused_share,
     )
 
 
 def _read_load(fields: Any) -> LoadReport:
-    phase, slots, running, queued, service_s = fields
+    phase, slots, running, queued, service_s, refused_share = fields
     return LoadReport(
         TargetPhase(phase),
         _number(slots),
         _number(running),
         _number(queued),
         float(service_s),
+        float(refused_share),
     )
 
 
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -85,7 +85,8 @@
         phase = self._state.phase
         if self.leaving and phase is TargetPhase.READY:
             phase = TargetPhase.DRAINING
-        service_s = self._queue.service_s
+        known = self._queue.knows_service_time
+        service_s = self._queue.service_s if known else 0.0
         if self._state.is_cold(now=self._loop.time()):
             service_s *= COLD_SLOWDOWN
         return LoadReport(
@@ -94,6 +95,7 @@
             self._queue.running,
             self._queue.queued,
             service_s,
+            round(self._queue.refused_share, 3),
         )
 
     def take_target_change(self) -> None:
--- a/src/guavawing/traffic/balancer.py
+++ b/src/guavawing/traffic/balancer.py
@@ -25,20 +25,25 @@
 REMOTE_ROUND_TRIP_S = 0.009
 # Time in which what a report says of other nodes' requests halves in weight.
 REPORT_HALF_LIFE_S = 0.4
-# Share by which costs are blurred, so that nodes with equal views don't all
-# choose the same owner.
-JITTER = 0.15
+# Time that is assumed of a target that has executed nothing yet, in seconds:
+# short, so that it is tried.
+UNKNOWN_SERVICE_S = 0.02
+# Owners that are compared for one request.
+COMPARED = 2
+# Share of requests that go to any fit owner, so that something is known of
+# each, also of one that was slow when it was last asked.
+EXPLORED_SHARE = 0.03
 # Time for which a full owner is left alone after it refused, in seconds.
 MAX_BACK_OFF_S = 0.25
 # Time for which an owner is left out after failures in a row, in seconds.
 FAILED_BACK_OFF_S = 0.5
 MAX_FAILED_BACK_OFF_S = 4.0
 FAILURES_UNTIL_OUT = 3
-# Mean size of requests with their answers up to which they may wait for slots
-# of another data centre, in kilobytes: the bytes of larger ones are dearer
-# than a refusal here, after which the client can come back.
-MAX_QUEUED_FAR_KB = 3.0
-# Mean size from which on they leave their data centre only after all owners
+# Share of refused requests by which owners here must be worse off for requests
+# to wait for slots elsewhere.
+MIN_PRESSURE_GAP = 0.05
+# Mean size of requests with their answers from which on they leave their data
+# centre only after all owners
 # here have refused, in kilobytes: such bytes cost more than a late answer.
 MIN_KEPT_KB = 16.0
 ASSUMED_KB = 4.0
@@ -100,6 +105,17 @@
         """Takes that a request was served."""
         self.failures = 0
 
+    def service_s(self) -> float:
+        """Returns the mean time that a request holds a slot there."""
+        report = self.report
+        if report is None or not report.service_s:
+            return UNKNOWN_SERVICE_S
+        return report.service_s
+
+    def pressure(self) -> float:
+        """Returns the share of requests that the owner refuses."""
+        return 0.0 if self.report is None else self.report.refused_share
+
     def takes_work(self) -> bool:
         """Returns whether the target is known to take new requests."""
         report = self.report
@@ -121,7 +137,7 @@
         fading: float = 0.5 ** ((now - self.reported_at) / REPORT_HALF_LIFE_S)
         busy = self.outstanding + self.others * fading
         over = busy + 1 - report.slots
-        wait_s = max(0.0, over) * report.service_s / max(report.slots, 1)
+        wait_s = max(0.0, over) * self.service_s() / max(report.slots, 1)
         return max(wait_s, self.full_until - now)
 
 
@@ -136,23 +152,6 @@
     DOUBTFUL = 5
 
 
-class _Reach(enum.Enum):
-    """How requests may use owners of other data centres."""
-
-    # They wait for slots there like the clients there.
-    QUEUES = enum.auto()
-    # They take slots there that nobody waits for.
-    SPARE = enum.auto()
-    # They do that only when the owners here have refused.
-    LAST_RESORT = enum.auto()
-
-    @classmethod
-    def of_size(cls, size_kb: float) -> "_Reach":
-        if size_kb <= MAX_QUEUED_FAR_KB:
-            return cls.QUEUES
-        return cls.SPARE if size_kb < MIN_KEPT_KB else cls.LAST_RESORT
-
-
 @attrs.frozen
 class Choice:
     """The owner for an attempt.
@@ -201,30 +200,45 @@
         """
         working = [owner for owner in owners if owner.takes_work()]
         usable = [owner for owner in working if owner.is_usable(now=now)]
-        has_near = any(owner.near for owner in usable)
-        size_kb = self._size_kb.get(route, ASSUMED_KB)
-        reach = _Reach.of_size(size_kb)
-        best: OwnerView | None = None
-        best_cost = (_Rank.DOUBTFUL, 0.0)
+        near = [owner.pressure() for owner in usable if owner.near]
+        pressure = sum(near) / len(near) if near else None
+        large = self._size_kb.get(route, ASSUMED_KB) >= MIN_KEPT_KB
+        ranked: dict[_Rank, list[tuple[float, OwnerView]]] = {}
         for owner in usable or working:
             if owner.node in excluded:
                 continue
-            cost = self._assess(owner, useful_s, now, reach)
-            if has_near and cost[0] >= _Rank.FAR_QUEUED:
-                continue
-            if best is None or cost < best_cost:
-                best, best_cost = owner, cost
-        if best is None:
+            rank, cost_s = self._assess(
+                owner, useful_s, now, pressure=pressure, large=large
+            )
+            if pressure is None or rank < _Rank.FAR_QUEUED:
+                ranked.setdefault(rank, []).append((cost_s, owner))
+        if not ranked:
             return None
-        spare_only = reach is not _Reach.QUEUES and has_near and not best.near
-        return Choice(best, spare_only=spare_only)
+        best = self._pick(ranked[min(ranked)])
+        queues = best.near or _may_queue(best, pressure)
+        return Choice(best, spare_only=not queues)
+
+    def _pick(self, costs: list[tuple[float, OwnerView]]) -> OwnerView:
+        """Returns one of the owners that are equally fit.
+
+        Every entry node sees much the same old reports. If all took the
+        cheapest owner, they would flood one after the other, so each compares
+        a few at random.
+        """
+        if len(costs) > COMPARED:
+            costs = self._rng.sample(costs, COMPARED)
+        if self._rng.random() < EXPLORED_SHARE:
+            return self._rng.choice(costs)[1]
+        return min(costs, key=lambda pair: pair[0])[1]
 
     def _assess(
         self,
         owner: OwnerView,
         useful_s: float,
         now: float,
-        reach: "_Reach",
+        *,
+        pressure: float | None,
+        large: bool,
     ) -> tuple[_Rank, float]:
         """Returns the rank and, within it, the cost of an owner."""
         report = owner.report
@@ -233,19 +247,29 @@
         # Between owners without a wait, the one with more free slots is the
         # better one: some targets slow down when nearly full.
         busy = (owner.outstanding + owner.others) / max(report.slots, 1)
-        cost_s = wait_s + report.service_s * (1 + 0.3 * min(busy, 1.0))
-        cost_s *= 1 + JITTER * self._rng.random()
-        expected_s = wait_s + USUAL_SERVICE_FACTOR * report.service_s
+        service_s = owner.service_s()
+        cost_s = wait_s + service_s * (1 + 0.3 * min(busy, 1.0))
+        expected_s = wait_s + USUAL_SERVICE_FACTOR * service_s
         if not owner.is_usable(now=now):
             return _Rank.DOUBTFUL, cost_s
         if owner.near:
             in_time = expected_s <= useful_s
             return (_Rank.NEAR_IN_TIME if in_time else _Rank.NEAR), cost_s
         cost_s += REMOTE_ROUND_TRIP_S
-        if wait_s > 0 and reach is not _Reach.QUEUES:
+        if wait_s > 0 and not _may_queue(owner, pressure):
             return _Rank.FAR_QUEUED, cost_s
-        in_time = (
-            reach is not _Reach.LAST_RESORT
-            and expected_s + REMOTE_ROUND_TRIP_S <= useful_s
-        )
+        in_time = not large and expected_s + REMOTE_ROUND_TRIP_S <= useful_s
         return (_Rank.FAR_IN_TIME if in_time else _Rank.FAR_FREE), cost_s
+
+
+def _may_queue(owner: OwnerView, pressure: float | None) -> bool:
+    """Returns whether work may wait for an owner of another data centre.
+
+    Args:
+        owner: The owner.
+        pressure: Share of requests that owners here refuse; None if there
+            are none.
+    """
+    if pressure is None:
+        return True
+    return owner.pressure() + MIN_PRESSURE_GAP < pressure
--- a/src/guavawing/traffic/model.py
+++ b/src/guavawing/traffic/model.py
@@ -143,7 +143,10 @@
         slots: Requests that it executes at a time.
         running: Requests that hold a slot.
         queued: Requests that wait for a slot.
-        service_s: Mean time that a request holds a slot, in seconds.
+        service_s: Mean time that a request holds a slot, in seconds; 0 if it
+            has executed none.
+        refused_share: Share of the latest requests that it refused for lack
+            of room.
     """
 
     phase: TargetPhase
@@ -151,6 +154,7 @@
     running: int
     queued: int
     service_s: float
+    refused_share: float = 0.0
 
 
 @attrs.frozen
--- a/src/guavawing/traffic/slot_queue.py
+++ b/src/guavawing/traffic/slot_queue.py
@@ -19,6 +19,9 @@
 
 # Weight of the newest execution in the mean time that a slot is held.
 SERVICE_TIME_WEIGHT = 0.1
+# Weight of the newest request in the share of refused ones: some hundred
+# requests, which is about a second at a full target.
+REFUSED_WEIGHT = 0.02
 INITIAL_SERVICE_S = 0.1
 # An execution is expected to take at most this many times the mean: about nine
 # in ten do where times spread by a factor of two.
@@ -95,13 +98,16 @@
     Attributes:
         slots: Requests that the target executes at a time.
         service_s: Mean time that a request holds its slot, in seconds.
+        refused_share: Share of the latest requests that found no room.
     """
 
     __slots__ = (
         "_entries",
+        "_executed",
         "_number",
         "_numbers",
         "_running",
+        "refused_share",
         "service_s",
         "slots",
     )
@@ -109,11 +115,18 @@
     def __init__(self) -> None:
         self.slots = 0
         self.service_s = INITIAL_SERVICE_S
+        self._executed = 0
+        self.refused_share = 0.0
         self._running: dict[int, float] = {}
         self._entries: list[_Entry] = []
         self._numbers: dict[int, _Entry] = {}
         self._number = 0
 
+    @property
+    def knows_service_time(self) -> bool:
+        """Whether the mean comes from executions."""
+        return self._executed > 0
+
     @property
     def running(self) -> int:
         """Requests that hold a slot."""
@@ -145,13 +158,16 @@
             return Refuse(waiter.id, NotRun(Reason.DEADLINE_PASSED))
         if len(self._running) < self.slots and not self._entries:
             self._running[waiter.id] = now
+            self._note_offer(waiter, refused=False)
             return Admit(waiter.id)
         wait_s = self.estimate_wait_s(waiter.priority, late=waiter.late)
         longest_s = self._longest_wait_s(waiter, now)
         if wait_s > longest_s or self.slots <= 0:
+            self._note_offer(waiter, refused=True)
             retry_after_s = max(wait_s - longest_s, MIN_RETRY_AFTER_S)
             verdict = NotRun(Reason.QUEUE_FULL, retry_after_s)
             return Refuse(waiter.id, verdict)
+        self._note_offer(waiter, refused=False)
         self._number += 1
         entry = _Entry(
             waiter.priority,
@@ -167,8 +183,10 @@
     def finish(self, waiter_id: int, *, now: float) -> Iterator[Admit]:
         """Takes the end of an execution; yields what is to be sent next."""
         started_at = self._running.pop(waiter_id)
-        change = (now - started_at) - self.service_s
-        self.service_s += SERVICE_TIME_WEIGHT * change
+        self._executed += 1
+        # The first executions count in full, so that the mean is soon right.
+        weight = max(SERVICE_TIME_WEIGHT, 1 / self._executed)
+        self.service_s += weight * ((now - started_at) - self.service_s)
         return self.admit_waiting(now=now)
 
     def release(self, waiter_id: int, *, now: float) -> Iterator[Admit]:
@@ -199,6 +217,12 @@
         self._entries.remove(entry)
         return True
 
+    def _note_offer(self, waiter: Waiter, *, refused: bool) -> None:
+        # What came for spare slots only tells nothing of those who queue.
+        if not waiter.spare_only:
+            change = refused - self.refused_share
+            self.refused_share += REFUSED_WEIGHT * change
+
     def _longest_wait_s(self, waiter: Waiter, now: float) -> float:
         """Returns how long a request may wait to be of use."""
         if waiter.spare_only:
--- a/src/guavawing/traffic/unserved.py
+++ b/src/guavawing/traffic/unserved.py
@@ -23,7 +23,7 @@
 def next_step(
     verdict: Verdict,
     *,
-    answered: bool,
+    common: bool,
     idempotent: bool,
     sent: int,
     max_sent: int,
@@ -35,7 +35,8 @@
 
     Args:
         verdict: How it ended.
-        answered: Whether the target's own answer, a failure, is at hand.
+        common: Whether targets of the service fail often: then another one
+            would fail as well.
         idempotent: Whether the request may run more than once.
         sent: Attempts that have reached a target.
         max_sent: Most targets that the request may be sent to.
@@ -54,6 +55,8 @@
             return Step.ASK_ANOTHER
         case MayHaveRun(reason=Reason.TARGET_TIMEOUT):
             return Step.GIVE_UP
+        case Ran() if common:
+            return Step.GIVE_UP
         case MayHaveRun() | Ran():
             if idempotent and sent < max_sent:
                 return Step.RETRY
