Follow the store from two nodes a data centre, pass versions on as deltas

Cause: each node read each version (1,120 idle routes take a third of a second of a 10 Mbit/s link on the grown sites) and sent a beacon to each other one; behind a cut, owners that were doubted were asked all the same, at 0.6 s each.

Change: two live nodes of a data centre follow the store, the others hear of a version and pull what has changed; far nodes get beacons in turn; doubted owners are left alone until they give a sign of life; owners log their attempts.

--- a/src/guavawing/platform/store_client.py
+++ b/src/guavawing/platform/store_client.py
@@ -59,7 +59,7 @@
 
 CALL_TIMEOUT_S = 2.0
 # Time beyond the wait that the store is asked for, in seconds.
-WATCH_MARGIN_S = 3.0
+WATCH_MARGIN_S = 1.5
 
 
 class HistoryLostError(PlatformError):
--- a/src/guavawing/sidecar/beacons.py
+++ b/src/guavawing/sidecar/beacons.py
@@ -1,12 +1,14 @@
 """Beacons: datagrams by which nodes tell each other of themselves.
 
 A beacon holds the sender's record, the version that it enforces and the load
-of its target. One goes to every node from time to time, and at once when the
-target's phase or the version changes. They need neither the store nor a
-connection, so nodes that the store turns away learn of nodes and versions.
+of its target. Near nodes get one every second, far ones in turn, and all of
+them one at once when the target's phase changes. They need neither the store
+nor a connection, so nodes that the store turns away learn of nodes and
+versions.
 """
 
 import asyncio
+import itertools
 import random
 from collections.abc import Callable
 from typing import cast
@@ -28,6 +30,14 @@
 JITTER = 0.1
 # A long lost node is sent only every so many beacons: its VM may come back.
 LOST_EVERY = 5
+# Near nodes that get a beacon each period, and far ones: what a node sends does
+# not grow with the fleet.
+NEAR_PER_PERIOD = 40
+FAR_PER_PERIOD = 4
+# Nodes of each other data centre that are told of a new version.
+TOLD_ELSEWHERE = 2
+# Near nodes that one tells which has a version from another node.
+TOLD_NEAR = 3
 # Shortest time between two beacons that a change brings about, in seconds.
 CHANGE_PERIOD_S = 0.05
 MAX_DATAGRAM_BYTES = 1400
@@ -38,6 +48,7 @@
 
     Attributes:
         version: Configuration version that this node enforces.
+        reaches_store: Whether the store answers this node.
     """
 
     def __init__(
@@ -79,6 +90,7 @@
         self._sequence = 0
         self._round = 0
         self.version = 0
+        self.reaches_store = True
 
     async def listen(self) -> None:
         """Opens the socket and begins to send."""
@@ -102,6 +114,21 @@
                 CHANGE_PERIOD_S, self._send_change
             )
 
+    def tell_version(self, *, first: bool) -> None:
+        """Tells other nodes of a version that has just come in force.
+
+        Args:
+            first: Whether it came from the store: then all near nodes are
+                told, and a few elsewhere.
+        """
+        payload = self._encode()
+        near = self._peers.near()
+        if not first:
+            near = random.sample(near, min(TOLD_NEAR, len(near)))
+        told = near + (self._sample_elsewhere() if first else [])
+        for peer in told:
+            self._send(payload, peer.record.host)
+
     def greet(self, host: str) -> None:
         """Asks a node that has just been learned of for its beacon."""
         self._send(self._encode(asks=True), host)
@@ -136,6 +163,7 @@
                 phase=beacon.load.phase.name.lower(),
             )
         peer.version = beacon.version
+        peer.reaches_store = beacon.reaches_store
         if beacon.load.slots:
             peer.slots = beacon.load.slots
         if beacon.known_slots:
@@ -147,7 +175,15 @@
 
     def _tick(self) -> None:
         now = self._loop.time()
-        for peer in self._peers.expire(now=now):
+        near, far = self._peers.near(), self._peers.far()
+        near_periods = max(1.0, len(near) / NEAR_PER_PERIOD)
+        far_periods = max(1.0, len(far) / FAR_PER_PERIOD)
+        lost = self._peers.expire(
+            now=now,
+            near_period_s=PERIOD_S * near_periods,
+            far_period_s=PERIOD_S * far_periods,
+        )
+        for peer in lost:
             self._log.belief(
                 "peer-lost",
                 peer=peer.record.node,
@@ -155,7 +191,9 @@
             )
         self._round += 1
         payload = self._encode()
-        for peer in self._peers:
+        due = self._take_turn(near, NEAR_PER_PERIOD)
+        due += self._take_turn(far, FAR_PER_PERIOD)
+        for peer in due:
             if self._round % LOST_EVERY and self._peers.is_long_lost(
                 peer, now=now
             ):
@@ -164,10 +202,28 @@
         jitter = random.uniform(1 - JITTER, 1 + JITTER)
         self._timer = self._loop.call_later(PERIOD_S * jitter, self._tick)
 
+    def _take_turn(self, peers: list[Peer], count: int) -> list[Peer]:
+        """Returns the nodes that are due in this round."""
+        if len(peers) <= count:
+            return peers
+        start = self._round * count % len(peers)
+        turn = itertools.islice(itertools.cycle(peers), start, start + count)
+        return list(turn)
+
+    def _sample_elsewhere(self) -> list[Peer]:
+        groups: dict[str, list[Peer]] = {}
+        for peer in self._peers.far():
+            groups.setdefault(peer.record.data_centre, []).append(peer)
+        return [
+            peer
+            for group in groups.values()
+            for peer in random.sample(group, min(TOLD_ELSEWHERE, len(group)))
+        ]
+
     def _send_change(self) -> None:
         self._change_timer = None
         payload = self._encode()
-        for peer in self._peers:
+        for peer in self._peers.near() + self._sample_elsewhere():
             self._send(payload, peer.record.host)
 
     def _encode(self, *, asks: bool = False, known_slots: int = 0) -> bytes:
@@ -180,6 +236,7 @@
                 self._read_load(),
                 asks,
                 known_slots,
+                self.reaches_store,
             )
         )
 
--- a/src/guavawing/sidecar/configuration.py
+++ b/src/guavawing/sidecar/configuration.py
@@ -1,13 +1,21 @@
 """Which version of the configuration is in force at this node."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 
 from guavawing.errors import MessageInvalidError
 from guavawing.platform.routing import decode_routing
 from guavawing.platform.store_client import CONFIGURATION_KEY, RowChanges
 from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.mesh_codec import ConfigFrame
 from guavawing.sidecar.metrics import SidecarMetrics
+from guavawing.traffic.document_delta import (
+    apply_delta,
+    compress,
+    decompress,
+    make_delta,
+)
 from guavawing.traffic.model import Routing
 from guavawing.traffic.peers import Peer
 
@@ -16,6 +24,10 @@
 # Time that the store is given to tell of a version that a peer has already,
 # in seconds.
 STORE_FIRST_S = 0.3
+# Earlier versions that are kept to tell others what has changed since.
+KEPT_VERSIONS = 6
+STORE = "store"
+PEER = "peer"
 # Shortest time between two questions to peers, in seconds.
 ASK_PERIOD_S = 0.4
 
@@ -30,18 +42,24 @@
     def __init__(
         self,
         *,
-        on_version: Callable[[Routing], None],
+        on_version: Callable[[Routing, bool], None],
         ask_peer: Callable[[Peer, int], None],
+        reads_store: Callable[[], bool],
         log: DecisionLog,
         metrics: SidecarMetrics,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._on_version = on_version
         self._ask_peer = ask_peer
+        self._reads_store = reads_store
         self._log = log
         self._metrics = metrics
         self._asked_at = -ASK_PERIOD_S
+        self._earlier: collections.deque[Routing] = collections.deque(
+            maxlen=KEPT_VERSIONS
+        )
         self._wanted: dict[int, float] = {}
+        self._again: asyncio.TimerHandle | None = None
         self.routing: Routing | None = None
 
     @property
@@ -55,7 +73,7 @@
             self._metrics.unreadable.inc({"source": "configuration"})
         for row in changes.rows:
             if row.key == CONFIGURATION_KEY and row.value is not None:
-                self.take_document(row.value, source="store")
+                self.take_document(row.value, source=STORE)
 
     def take_document(self, document: bytes, *, source: str) -> None:
         """Puts a version in force whole if it is newer, or not at all."""
@@ -67,7 +85,9 @@
             return
         if routing.version <= self.version:
             return
-        before = self.version
+        before, earlier = self.version, self.routing
+        if earlier is not None:
+            self._earlier.append(earlier)
         self.routing = routing
         self._wanted.clear()
         self._metrics.version.set({}, routing.version)
@@ -78,7 +98,38 @@
             source=source,
             routes=len(routing.routes),
         )
-        self._on_version(routing)
+        self._on_version(routing, source == STORE)
+
+    def take_config(self, config: ConfigFrame) -> None:
+        """Takes what a peer has sent."""
+        try:
+            if config.base == 0:
+                document = decompress(config.payload)
+            elif config.base == self.version and self.routing is not None:
+                document = apply_delta(self.routing.document, config.payload)
+            else:
+                # Another version has come meanwhile.
+                return
+        except MessageInvalidError as exc:
+            self._metrics.unreadable.inc({"source": "configuration"})
+            self._log.belief("version-unreadable", cause=str(exc))
+            return
+        self.take_document(document, source=PEER)
+
+    def read_config(self, version: int) -> tuple[int, bytes] | None:
+        """Returns what turns a version of a peer into the one in force.
+
+        Returns:
+            The base of a delta and the delta; 0 and the compressed document
+            if that version is not known here; None if there is none newer.
+        """
+        if self.routing is None or version >= self.version:
+            return None
+        for earlier in self._earlier:
+            if earlier.version == version:
+                delta = make_delta(earlier.document, self.routing.document)
+                return version, delta
+        return 0, compress(self.routing.document)
 
     def take_peer(self, peer: Peer) -> None:
         """Takes that a peer enforces a version, which may be newer."""
@@ -87,7 +138,8 @@
         now = self._loop.time()
         heard_at = self._wanted.setdefault(peer.version, now)
         waited_s = now - heard_at
-        if self.routing is not None and waited_s < STORE_FIRST_S:
+        reads = self._reads_store()
+        if reads and self.routing is not None and waited_s < STORE_FIRST_S:
             self._loop.call_later(
                 STORE_FIRST_S - waited_s + 0.01, self.take_peer, peer
             )
@@ -95,3 +147,12 @@
         if now - self._asked_at >= ASK_PERIOD_S:
             self._asked_at = now
             self._ask_peer(peer, self.version)
+        elif self._again is None:
+            # The answer to the last question may be lost or too old.
+            self._again = self._loop.call_later(
+                ASK_PERIOD_S, self._ask_again, peer
+            )
+
+    def _ask_again(self, peer: Peer) -> None:
+        self._again = None
+        self.take_peer(peer)
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -29,6 +29,7 @@
 from guavawing.sidecar.http_server import HttpRequest, HttpServer
 from guavawing.sidecar.membership import NODES_TABLE, Membership
 from guavawing.sidecar.mesh_client import MeshClient
+from guavawing.sidecar.mesh_codec import ConfigFrame
 from guavawing.sidecar.mesh_server import MeshServer
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.owner import Owner
@@ -44,6 +45,7 @@
     TargetPhase,
 )
 from guavawing.traffic.peers import Peer, PeerTable
+from guavawing.traffic.readers import is_reader
 from guavawing.traffic.routes import RouteTable
 from guavawing.traffic.target_state import TargetState
 
@@ -126,7 +128,7 @@
             on_load=self._take_load,
             on_alive=self._take_alive,
             on_doubt=self._take_doubt,
-            on_document=self._take_document,
+            on_config=self._take_config,
         )
         self._entry = Entry(
             service=settings.service,
@@ -142,7 +144,7 @@
             self._entry.handle, max_connections=MAX_CALLER_CONNECTIONS
         )
         self._mesh_server = MeshServer(
-            self._owner, read_document=self._read_document
+            self._owner, read_config=self._read_config
         )
         local = MAX_LOCAL_CONNECTIONS
         self._ready = HttpServer(self._answer_ready, max_connections=local)
@@ -163,9 +165,10 @@
         )
         self._configuration = Configuration(
             on_version=self._apply,
-            ask_peer=lambda peer, version: self._mesh.ask_document(
+            ask_peer=lambda peer, version: self._mesh.ask_config(
                 peer.record.host, peer.record.mesh_port, version
             ),
+            reads_store=self._is_reader,
             log=self._log,
             metrics=self._metrics,
         )
@@ -279,6 +282,8 @@
             table,
             on_changes=on_changes,
             min_period_s=period_s,
+            is_reader=self._is_reader,
+            on_reach=self._take_reach,
             log=self._log,
             metrics=self._metrics,
         )
@@ -314,11 +319,11 @@
 
     # What the parts tell each other.
 
-    def _apply(self, routing: Routing) -> None:
+    def _apply(self, routing: Routing, first: bool) -> None:
         self._entry.table = RouteTable(routing)
         self._callers.limits = routing.limits
         self._beacons.version = routing.version
-        self._beacons.tell_change()
+        self._beacons.tell_version(first=first)
 
     def _take_own_change(self) -> None:
         self._log.belief(
@@ -357,12 +362,19 @@
         if self._target.take_slots(slots):
             self._owner.take_target_change()
 
-    def _take_document(self, document: bytes) -> None:
-        self._configuration.take_document(document, source="peer")
+    def _take_config(self, config: ConfigFrame) -> None:
+        self._configuration.take_config(config)
+
+    def _read_config(self, version: int) -> tuple[int, bytes] | None:
+        return self._configuration.read_config(version)
+
+    def _is_reader(self) -> bool:
+        return is_reader(self._settings.host, self._peers.near())
 
-    def _read_document(self) -> bytes | None:
-        routing = self._configuration.routing
-        return None if routing is None else routing.document
+    def _take_reach(self, reached: bool) -> None:
+        if self._beacons.reaches_store != reached:
+            self._beacons.reaches_store = reached
+            self._beacons.tell_change()
 
     # Calls of the platform and of the target.
 
--- a/src/guavawing/sidecar/mesh_client.py
+++ b/src/guavawing/sidecar/mesh_client.py
@@ -36,7 +36,7 @@
 # of life, and after which it is doubted, in seconds. The second is above the
 # time in which a lost packet is sent again.
 ASK_AFTER_S = 0.12
-DOUBT_AFTER_S = 0.5
+DOUBT_AFTER_S = 0.4
 # A check that is later than this proves that this process was late itself.
 LATE_CHECK_S = 0.1
 
@@ -82,7 +82,7 @@
         on_load: LoadListener,
         on_alive: Callable[[str], None],
         on_doubt: Callable[[str], None],
-        on_document: Callable[[bytes], None],
+        on_config: Callable[[ConfigFrame], None],
     ) -> None:
         """Creates a client without connections.
 
@@ -91,14 +91,14 @@
             on_load: Takes the load that came with an answer.
             on_alive: Takes the host of a node that has answered.
             on_doubt: Takes the host of a node that gives no sign of life.
-            on_document: Takes a configuration that was asked for.
+            on_config: Takes a configuration that was asked for.
         """
         self.loop = asyncio.get_running_loop()
         self.source = source
         self.on_load = on_load
         self.on_alive = on_alive
         self.on_doubt = on_doubt
-        self.on_document = on_document
+        self.on_config = on_config
         self._lanes: dict[tuple[str, int, bool], list[_Lane]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._checked_at = self.loop.time()
@@ -122,7 +122,7 @@
         if ticket.lane is not None:
             ticket.lane.cancel(ticket)
 
-    def ask_document(self, host: str, port: int, version: int) -> None:
+    def ask_config(self, host: str, port: int, version: int) -> None:
         """Asks a node for a configuration newer than `version`."""
         lane = self._pick_lane(host, port, bulk=True)
         lane.tell(encode_ask_config(version))
@@ -153,8 +153,7 @@
         self._checked_at = now
         for lanes in self._lanes.values():
             for lane in lanes:
-                if lane.outstanding:
-                    lane.check(now, late=late)
+                lane.check(now, late=late)
         self._checker = self.loop.call_later(CHECK_PERIOD_S, self._check)
 
     def _pick_lane(self, host: str, port: int, *, bulk: bool) -> "_Lane":
@@ -181,6 +180,7 @@
         # Time from which on an answer or a sign of life is awaited.
         self._awaited_from = 0.0
         self._asked = False
+        self._doubted = False
         self._waiting: list[MeshTicket] = []
         self._unsent: list[bytes] = []
         self._pending: dict[int, MeshTicket] = {}
@@ -223,18 +223,25 @@
         For the rest the owner's answer is waited for.
         """
         stream = self._stream
-        if stream is None or not self._pending:
+        if stream is None or not (self._pending or self._doubted):
             return
         if late or stream.heard_at >= self._awaited_from:
+            if self._doubted and not late:
+                self._doubted = False
+                self._client.on_alive(self._host)
             self._awaited_from, self._asked = now, False
             return
         silent_s = now - self._awaited_from
         if not self._asked and silent_s > ASK_AFTER_S:
             self._asked = True
             stream.ask_sign_of_life()
-        if silent_s <= DOUBT_AFTER_S:
-            return
-        self._client.on_doubt(self._host)
+        if silent_s > DOUBT_AFTER_S:
+            self._doubt()
+
+    def _doubt(self) -> None:
+        if not self._doubted:
+            self._doubted = True
+            self._client.on_doubt(self._host)
         for ticket in tuple(self._pending.values()):
             if ticket.attempt.idempotent:
                 self.cancel(ticket)
@@ -257,8 +264,8 @@
                 self._process = process
                 for ticket in self._pending.values():
                     ticket.process = ticket.process or process
-            case ConfigFrame(document=document):
-                self._client.on_document(document)
+            case ConfigFrame() as config:
+                self._client.on_config(config)
             case other:
                 raise MessageInvalidError(
                     f"got {type(other).__name__}, expected an answer"
@@ -270,6 +277,7 @@
 
     def take_end(self) -> None:
         self._stream = None
+        self._doubted = False
         lost, self._pending = self._pending, {}
         unknown = [
             ticket for ticket in lost.values() if ticket.on_outcome is not None
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -99,9 +99,15 @@
 
 @attrs.frozen
 class ConfigFrame:
-    """Holds a whole configuration."""
+    """Holds a configuration.
 
-    document: bytes
+    Attributes:
+        base: Version that the payload is a delta for; 0 if it is whole.
+        payload: The delta, or the compressed document.
+    """
+
+    base: int
+    payload: bytes
 
 
 @attrs.frozen
@@ -117,6 +123,7 @@
         known_slots: Slots that the receiver's target had by its last beacon;
             0 if not known. It tells a process that has just started what its
             target will say itself with its next heartbeat.
+        reaches_store: Whether the store answers the sender.
     """
 
     record: PeerRecord
@@ -125,6 +132,7 @@
     load: LoadReport
     asks: bool
     known_slots: int
+    reaches_store: bool
 
 
 Frame = (
@@ -206,9 +214,9 @@
     return _pack((ASK_CONFIG, version))
 
 
-def encode_config(document: bytes) -> bytes:
+def encode_config(base: int, payload: bytes) -> bytes:
     """Returns the message that holds a configuration."""
-    return _pack((CONFIG, document))
+    return _pack((CONFIG, base, payload))
 
 
 def encode_beacon(beacon: Beacon) -> bytes:
@@ -228,6 +236,7 @@
             _list_load(beacon.load),
             beacon.asks,
             beacon.known_slots,
+            beacon.reaches_store,
         )
     )
 
@@ -250,7 +259,7 @@
             case 3:
                 return AskConfig(_number(fields[1]))
             case 4:
-                return ConfigFrame(_bytes(fields[1]))
+                return ConfigFrame(_number(fields[1]), _bytes(fields[2]))
             case 5:
                 return AskOutcome(
                     _number(fields[1]), _bytes(fields[2]), _number(fields[3])
@@ -286,6 +295,7 @@
             _read_load(fields[9]),
             bool(fields[10]),
             _number(fields[11]),
+            bool(fields[12]),
         )
     except (IndexError, TypeError, ValueError) as exc:
         raise MessageInvalidError(f"not a beacon: {exc}") from exc
--- a/src/guavawing/sidecar/mesh_server.py
+++ b/src/guavawing/sidecar/mesh_server.py
@@ -60,17 +60,21 @@
     """Listener for other nodes."""
 
     def __init__(
-        self, owner: Owner, *, read_document: Callable[[], bytes | None]
+        self,
+        owner: Owner,
+        *,
+        read_config: Callable[[int], tuple[int, bytes] | None],
     ) -> None:
         """Creates a server that does not listen yet.
 
         Args:
             owner: Takes the attempts.
-            read_document: Returns the configuration in force.
+            read_config: Returns what turns a version into the one in force:
+                the base of a delta, 0 for a whole document, and the bytes.
         """
         self.loop = asyncio.get_running_loop()
         self.owner = owner
-        self.read_document = read_document
+        self.read_config = read_config
         self.process = secrets.randbits(PROCESS_BITS)
         self.connections: set[_Connection] = set()
         self._jobs: dict[bytes, _Job] = {}
@@ -230,6 +234,6 @@
         self._jobs.clear()
 
     def _send_config(self, version: int) -> None:
-        document = self._server.read_document()
-        if document is not None and self._stream is not None:
-            self._stream.write(encode_config(document))
+        config = self._server.read_config(version)
+        if config is not None and self._stream is not None:
+            self._stream.write(encode_config(*config))
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -23,7 +23,13 @@
     Waiter,
 )
 from guavawing.traffic.target_state import TargetState
-from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
+from guavawing.verdict import (
+    MayHaveRun,
+    NotRun,
+    Ran,
+    Reason,
+    verdict_name,
+)
 
 __all__ = ["Owner"]
 
@@ -35,6 +41,9 @@
 DRAIN_PART = 0.5
 # A target that has just started takes this many times as long.
 COLD_SLOWDOWN = 2.0
+# An attempt is logged as slow if it took this many times the mean.
+SLOW_FACTOR = 4.0
+MS_PER_S = 1000
 
 
 @attrs.define(eq=False)
@@ -45,6 +54,7 @@
     attempt: Attempt
     on_outcome: OutcomeListener | None
     offered_at: float
+    sent_at: float = 0.0
     timer: asyncio.TimerHandle | None = None
     execution: Execution | None = None
 
@@ -178,7 +188,8 @@
         if verdict is not None:
             self._release(item, Outcome(verdict))
             return
-        self._metrics.observe_queue(self._loop.time() - item.offered_at)
+        item.sent_at = self._loop.time()
+        self._metrics.observe_queue(item.sent_at - item.offered_at)
         item.execution = self._pool.execute(
             item.attempt,
             target_id=self._state.target_id,
@@ -232,6 +243,35 @@
         if item.timer is not None:
             item.timer.cancel()
             item.timer = None
+        self._log_end(item, outcome)
         on_outcome, item.on_outcome = item.on_outcome, None
         if on_outcome is not None:
             on_outcome(outcome)
+
+    def _log_end(self, item: _Item, outcome: Outcome) -> None:
+        now = self._loop.time()
+        sent_at = item.sent_at or now
+        if item.sent_at:
+            self._metrics.observe_target(now - sent_at)
+        attempt = item.attempt
+        notable = isinstance(outcome.verdict, MayHaveRun) or (
+            isinstance(outcome.verdict, Ran)
+            and now - item.offered_at > SLOW_FACTOR * self._queue.service_s
+        )
+        if notable or self._log.samples(attempt.request_id):
+            self._log.request(
+                "attempt-ended",
+                attempt.request_id,
+                notable=notable,
+                verdict=verdict_name(outcome.verdict),
+                reason=outcome.verdict.reason,
+                status=outcome.status,
+                target=self._state.target_id,
+                queue_ms=round((sent_at - item.offered_at) * MS_PER_S, 1),
+                target_ms=round((now - sent_at) * MS_PER_S, 1),
+                left_ms=round((attempt.deadline - now) * MS_PER_S, 1),
+                running=self._queue.running,
+                queued=self._queue.queued,
+                slots=self._queue.slots,
+                bytes=len(outcome.body),
+            )
--- a/src/guavawing/sidecar/table_watch.py
+++ b/src/guavawing/sidecar/table_watch.py
@@ -16,7 +16,13 @@
 __all__ = ["TableWatch"]
 
 # Longest time that the store is asked to wait for a change, in seconds.
-FEED_WAIT_S = 25.0
+FEED_WAIT_S = 10.0
+# Period in which a node that does not follow the store looks whether it has to
+# begin, in seconds.
+TURN_PERIOD_S = 0.25
+# Pause after the first read, in which nodes that start together hear of each
+# other and know who goes on reading, in seconds.
+SETTLE_S = 0.8
 # Pauses after failed calls, in seconds: doubled each time, with jitter.
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 1.0
@@ -36,6 +42,8 @@
         *,
         on_changes: Callable[[RowChanges, bool], None],
         min_period_s: float,
+        is_reader: Callable[[], bool],
+        on_reach: Callable[[bool], None],
         log: DecisionLog,
         metrics: SidecarMetrics,
     ) -> None:
@@ -48,6 +56,9 @@
                 table.
             min_period_s: Shortest time between two calls, in seconds: changes
                 in quick succession are read together.
+            is_reader: Tells whether this node follows the store. Each node
+                reads the table once.
+            on_reach: Takes whether the store answers.
             log: Takes losses and returns of the store.
             metrics: Counts the calls.
         """
@@ -56,16 +67,21 @@
         self._table = table
         self._on_changes = on_changes
         self._min_period_s = min_period_s
+        self._is_reader = is_reader
+        self._on_reach = on_reach
         self._log = log
         self._metrics = metrics
         self._version: int | None = None
         self.connected = False
         self._ever_failed = False
+        self._ever_read = False
 
     async def run(self) -> None:
         """Follows the table until cancelled."""
         pause_s = FIRST_PAUSE_S
         while True:
+            while self._version is not None and not self._is_reader():
+                await asyncio.sleep(TURN_PERIOD_S)
             began_at = self._loop.time()
             try:
                 await self._step()
@@ -86,8 +102,12 @@
     async def _step(self) -> None:
         if self._version is None:
             changes = await self._store.read_table(self._table)
+            first = not self._ever_read
+            self._ever_read = True
             self._version = changes.version
             self._on_changes(changes, True)
+            if first:
+                await asyncio.sleep(SETTLE_S)
             return
         changes = await self._store.watch_table(
             self._table, after=self._version, wait_s=FEED_WAIT_S
@@ -100,6 +120,7 @@
         self._count("answered")
         if not self.connected:
             self.connected = True
+            self._on_reach(True)
             self._log.belief(
                 "store-reached", table=self._table, version=self._version
             )
@@ -110,6 +131,7 @@
         if self.connected or not self._ever_failed:
             self._ever_failed = True
             self.connected = False
+            self._on_reach(False)
             self._log.belief("store-lost", table=self._table, cause=str(exc))
 
     def _count(self, outcome: str) -> None:
--- a/src/guavawing/traffic/balancer.py
+++ b/src/guavawing/traffic/balancer.py
@@ -198,7 +198,9 @@
             excluded: Nodes that have been asked already.
             now: Event loop's time, in seconds.
         """
-        working = [owner for owner in owners if owner.takes_work()]
+        working = [
+            owner for owner in owners if owner.alive and owner.takes_work()
+        ]
         usable = [owner for owner in working if owner.is_usable(now=now)]
         near = [owner.pressure() for owner in usable if owner.near]
         pressure = sum(near) / len(near) if near else None
--- /dev/null
+++ b/src/guavawing/traffic/document_delta.py
@@ -0,0 +1,109 @@
+"""What has changed between two versions of a document, as bytes.
+
+A document is cut into pieces at fixed marks. The newer one is told as runs of
+pieces of the older one and as new bytes, so a version that changes a few
+routes of many takes a few hundred bytes.
+"""
+
+import hashlib
+import itertools
+import zlib
+from collections.abc import Iterator
+
+import msgpack
+
+from guavawing.errors import MessageInvalidError
+
+__all__ = ["apply_delta", "compress", "decompress", "digest", "make_delta"]
+
+MARK = b'},"'
+DIGEST_BYTES = 16
+COMPRESSION_LEVEL = 4
+MAX_DOCUMENT_BYTES = 32 * 1024 * 1024
+
+
+def digest(document: bytes) -> bytes:
+    """Returns what tells a document from any other."""
+    return hashlib.blake2b(document, digest_size=DIGEST_BYTES).digest()
+
+
+def compress(document: bytes) -> bytes:
+    """Returns a document compressed."""
+    return zlib.compress(document, COMPRESSION_LEVEL)
+
+
+def decompress(payload: bytes) -> bytes:
+    """Returns the document in compressed bytes.
+
+    Raises:
+        MessageInvalidError: If the bytes are damaged or hold too much.
+    """
+    stream = zlib.decompressobj()
+    try:
+        document = stream.decompress(payload, MAX_DOCUMENT_BYTES)
+    except zlib.error as exc:
+        raise MessageInvalidError(f"not a compressed document: {exc}") from exc
+    if not stream.eof:
+        raise MessageInvalidError(
+            f"a document ends early or has over {MAX_DOCUMENT_BYTES} bytes"
+        )
+    return document
+
+
+def make_delta(base: bytes, document: bytes) -> bytes:
+    """Returns what turns `base` into `document`."""
+    places: dict[bytes, int] = {}
+    for place, piece in enumerate(_cut(base)):
+        places.setdefault(piece, place)
+    steps: list[list[int] | bytes] = []
+    for piece in _cut(document):
+        known = places.get(piece)
+        last = steps[-1] if steps else None
+        if known is None:
+            if isinstance(last, bytes):
+                steps[-1] = last + piece
+            else:
+                steps.append(piece)
+        elif isinstance(last, list) and last[0] + last[1] == known:
+            last[1] += 1
+        else:
+            steps.append([known, 1])
+    return compress(msgpack.packb([digest(document), steps]))
+
+
+def apply_delta(base: bytes, delta: bytes) -> bytes:
+    """Returns the document that a delta makes of `base`.
+
+    Raises:
+        MessageInvalidError: If the delta is damaged or is not for `base`.
+    """
+    pieces = list(_cut(base))
+    try:
+        expected, steps = msgpack.unpackb(decompress(delta))
+        parts = [_take_step(step, pieces) for step in steps]
+        document = b"".join(itertools.chain.from_iterable(parts))
+    except (TypeError, ValueError, msgpack.UnpackException) as exc:
+        raise MessageInvalidError(f"not a delta: {exc}") from exc
+    if digest(document) != expected:
+        raise MessageInvalidError("a delta is not for the document at hand")
+    return document
+
+
+def _take_step(step: object, pieces: list[bytes]) -> list[bytes]:
+    match step:
+        case bytes():
+            return [step]
+        case [int(start), int(count)] if 0 <= start <= len(pieces):
+            return pieces[start : start + count]
+    raise ValueError(f"got step {step!r:.80}")
+
+
+def _cut(document: bytes) -> Iterator[bytes]:
+    start = 0
+    while True:
+        end = document.find(MARK, start)
+        if end < 0:
+            yield document[start:]
+            return
+        yield document[start : end + len(MARK)]
+        start = end + len(MARK)
--- a/src/guavawing/traffic/peers.py
+++ b/src/guavawing/traffic/peers.py
@@ -9,9 +9,9 @@
 
 __all__ = ["Peer", "PeerTable"]
 
-# Time without a sign of life after which a node is held lost, in seconds:
-# three beacons and the jitter of their timers.
-SILENT_S = 3.3
+# Beacons in a row that are missing when a node is held lost, with the jitter of
+# their timers.
+MISSING_BEACONS = 3.3
 # Time after which a lost node is no longer sent every beacon, in seconds.
 LOST_S = 12.0
 # Shortest time from the last sign of life of a process to the first one of
@@ -31,6 +31,7 @@
         sequence: Number of its last beacon.
         found_at: Time at which this node learned of it.
         slots: Slots that its target had when it last said so.
+        reaches_store: Whether the platform's store answers it, as it says.
     """
 
     record: PeerRecord
@@ -40,6 +41,7 @@
     heard_at: float | None = None
     sequence: int = -1
     slots: int = 0
+    reaches_store: bool = True
 
 
 class PeerTable:
@@ -63,6 +65,14 @@
         """Returns the node on a VM, or None."""
         return self._by_host.get(host)
 
+    def near(self) -> list[Peer]:
+        """Returns the other nodes of this data centre."""
+        return [peer for peer in self if peer.view.near]
+
+    def far(self) -> list[Peer]:
+        """Returns the nodes of other data centres."""
+        return [peer for peer in self if not peer.view.near]
+
     def owners(self, service: str) -> Collection[OwnerView]:
         """Returns the owners of a service, this node included."""
         return self._by_service.get(service, {}).values()
@@ -112,12 +122,21 @@
         """Takes what a node says of its target."""
         peer.view.take_report(report, now=now)
 
-    def expire(self, *, now: float) -> list[Peer]:
-        """Returns the nodes that have just been found lost."""
+    def expire(
+        self, *, now: float, near_period_s: float, far_period_s: float
+    ) -> list[Peer]:
+        """Returns the nodes that have just been found lost.
+
+        Args:
+            now: Event loop's time, in seconds.
+            near_period_s: Time between two beacons of a near node.
+            far_period_s: Time between two beacons of a far node.
+        """
         lost = []
         for peer in self._by_host.values():
             heard_at = peer.found_at if peer.heard_at is None else peer.heard_at
-            if peer.view.alive and now - heard_at > SILENT_S:
+            period_s = near_period_s if peer.view.near else far_period_s
+            if peer.view.alive and now - heard_at > MISSING_BEACONS * period_s:
                 peer.view.alive = False
                 lost.append(peer)
         return lost
