Count the time on the way in the choice of an owner

Change: answers tell how long the owner had the request; the rest of the time, seen lately, counts in the choice, for small and large answers apart.

--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -216,6 +216,7 @@
 
     __slots__ = (
         "_asked",
+        "_asked_at",
         "_attempt",
         "_entry",
         "_fallback",
@@ -246,6 +247,7 @@
         self._started_at = now
         # Owners that have been asked, and attempts that reached a target.
         self._asked: list[str] = []
+        self._asked_at = now
         self._sent = 0
         self._refused = 0
         self._retry_after_s: float | None = None
@@ -272,6 +274,7 @@
         choice = entry.balancer.choose(
             entry.peers.owners(attempt.service),
             route=self._route.name,
+            bulk=attempt.bulk,
             useful_s=attempt.useful_until - now,
             excluded=self._asked,
             now=now,
@@ -293,6 +296,7 @@
             )
         self._asked.append(owner.node)
         self._owner = owner
+        self._asked_at = now
         owner.outstanding += 1
         if owner.local:
             self._ticket = None
@@ -313,6 +317,11 @@
         self._owner = None
         owner.outstanding -= 1
         now = self._entry.loop.time()
+        if not owner.local:
+            transit_s = now - self._asked_at - outcome.held_s
+            owner.take_transit(
+                max(0.0, transit_s), bulk=self._attempt.bulk, now=now
+            )
         verdict = outcome.verdict
         failed = outcome.status in SERVER_ERRORS
         entry_failures = self._entry.failures
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -190,6 +190,7 @@
             outcome.head,
             outcome.body,
             _list_load(load),
+            outcome.held_s,
         )
     )
 
@@ -352,7 +353,11 @@
         case _:
             raise ValueError(f"got verdict {fields[2]!r}")
     outcome = Outcome(
-        verdict, _number(fields[5]), _bytes(fields[6]), _bytes(fields[7])
+        verdict,
+        _number(fields[5]),
+        _bytes(fields[6]),
+        _bytes(fields[7]),
+        float(fields[9]),
     )
     return AnswerFrame(_number(fields[1]), outcome, _read_load(fields[8]))
 
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -246,7 +246,8 @@
         self._log_end(item, outcome)
         on_outcome, item.on_outcome = item.on_outcome, None
         if on_outcome is not None:
-            on_outcome(outcome)
+            held_s = self._loop.time() - item.offered_at
+            on_outcome(attrs.evolve(outcome, held_s=held_s))
 
     def _log_end(self, item: _Item, outcome: Outcome) -> None:
         now = self._loop.time()
--- a/src/guavawing/traffic/balancer.py
+++ b/src/guavawing/traffic/balancer.py
@@ -25,6 +25,10 @@
 REMOTE_ROUND_TRIP_S = 0.009
 # Time in which what a report says of other nodes' requests halves in weight.
 REPORT_HALF_LIFE_S = 0.4
+# Weight of the newest time on the way, and the time in which one that is not
+# seen again halves, in seconds: queues on links come and go with large answers.
+TRANSIT_WEIGHT = 0.3
+TRANSIT_HALF_LIFE_S = 1.0
 # Time that is assumed of a target that has executed nothing yet, in seconds:
 # short, so that it is tried.
 UNKNOWN_SERVICE_S = 0.02
@@ -66,6 +70,8 @@
         outstanding: Requests of this node that it has not answered.
         others: Requests of other nodes that it had at the last report.
         full_until: Time until which it is known to be full.
+        transit_s: Lately seen time of a request on the way there and back,
+            for small answers and for bulk ones.
         failures: Failures in a row.
         out_until: Time until which it is left out after failures.
     """
@@ -79,6 +85,8 @@
     outstanding: int = 0
     others: float = 0.0
     full_until: float = 0.0
+    transit_s: list[float] = attrs.field(factory=lambda: [0.0, 0.0])
+    transit_at: list[float] = attrs.field(factory=lambda: [0.0, 0.0])
     failures: int = 0
     out_until: float = 0.0
 
@@ -89,6 +97,18 @@
         busy = report.running + report.queued
         self.others = float(max(0, busy - self.outstanding))
 
+    def take_transit(self, transit_s: float, *, bulk: bool, now: float) -> None:
+        """Takes the time that a request spent on the way there and back."""
+        known_s = self.expect_transit_s(bulk=bulk, now=now)
+        self.transit_s[bulk] = known_s + TRANSIT_WEIGHT * (transit_s - known_s)
+        self.transit_at[bulk] = now
+
+    def expect_transit_s(self, *, bulk: bool, now: float) -> float:
+        """Returns the time on the way, which fades if nothing is sent."""
+        age_s = now - self.transit_at[bulk]
+        fading: float = 0.5 ** (age_s / TRANSIT_HALF_LIFE_S)
+        return self.transit_s[bulk] * fading
+
     def take_refusal(self, retry_after_s: float, *, now: float) -> None:
         """Takes that the owner had no room."""
         self.full_until = now + min(retry_after_s, MAX_BACK_OFF_S)
@@ -185,6 +205,7 @@
         owners: Collection[OwnerView],
         *,
         route: str,
+        bulk: bool,
         useful_s: float,
         excluded: Container[str],
         now: float,
@@ -194,6 +215,7 @@
         Args:
             owners: The owners of the service.
             route: Name of the route.
+            bulk: Whether the answer is large.
             useful_s: Time within which an answer is of full use.
             excluded: Nodes that have been asked already.
             now: Event loop's time, in seconds.
@@ -210,7 +232,12 @@
             if owner.node in excluded:
                 continue
             rank, cost_s = self._assess(
-                owner, useful_s, now, pressure=pressure, large=large
+                owner,
+                useful_s,
+                now,
+                pressure=pressure,
+                large=large,
+                bulk=bulk,
             )
             if pressure is None or rank < _Rank.FAR_QUEUED:
                 ranked.setdefault(rank, []).append((cost_s, owner))
@@ -241,6 +268,7 @@
         *,
         pressure: float | None,
         large: bool,
+        bulk: bool,
     ) -> tuple[_Rank, float]:
         """Returns the rank and, within it, the cost of an owner."""
         report = owner.report
@@ -250,8 +278,9 @@
         # better one: some targets slow down when nearly full.
         busy = (owner.outstanding + owner.others) / max(report.slots, 1)
         service_s = owner.service_s()
-        cost_s = wait_s + service_s * (1 + 0.3 * min(busy, 1.0))
-        expected_s = wait_s + USUAL_SERVICE_FACTOR * service_s
+        transit_s = owner.expect_transit_s(bulk=bulk, now=now)
+        cost_s = wait_s + service_s * (1 + 0.3 * min(busy, 1.0)) + transit_s
+        expected_s = wait_s + USUAL_SERVICE_FACTOR * service_s + transit_s
         if not owner.is_usable(now=now):
             return _Rank.DOUBTFUL, cost_s
         if owner.near:
--- a/src/guavawing/traffic/model.py
+++ b/src/guavawing/traffic/model.py
@@ -225,9 +225,11 @@
         status: Status of the target's answer; 0 if there is none.
         head: Header lines of the target's answer to be passed on.
         body: Whole body of the target's answer.
+        held_s: Time that the owner had the attempt, in seconds.
     """
 
     verdict: Verdict
     status: int = 0
     head: bytes = b""
     body: bytes = b""
+    held_s: float = 0.0
