--- a/src/guavawing/traffic/document_delta.py
+++ b/src/guavawing/traffic/document_delta.py
@@ -16,7 +16,7 @@
 
 __all__ = ["apply_delta", "compress", "decompress", "digest", "make_delta"]
 
-MARK = b'},"'
+MARK = b"}"
 DIGEST_BYTES = 16
 COMPRESSION_LEVEL = 4
 MAX_DOCUMENT_BYTES = 32 * 1024 * 1024
--- /dev/null
+++ b/tests/cover/traffic_choice.feature
@@ -0,0 +1,66 @@
+Feature: Choice of the node whose target gets a request
+
+  Scenario: Work stays in its data centre while owners there are in time
+    Given near owners "n1 n2" and far owners "f1 f2" of 10 slots
+    When owner "n1" reports 9 running and executions of 0.1 s
+    And owner "n2" reports 9 running and executions of 0.1 s
+    Then of 100 requests that are of use for 0.3 s only "n1 n2" get any
+
+  Scenario: A burst in one data centre goes to free slots elsewhere
+    Given near owners "n1" and far owners "f1" of 10 slots
+    When owner "n1" reports 30 running and executions of 0.1 s
+    And owner "f1" reports 0 running and executions of 0.1 s
+    Then of 20 requests that are of use for 0.3 s only "f1" get any
+    And all of them may use spare slots only
+
+  Scenario: Data centres that are all full don't exchange their work
+    Given near owners "n1" and far owners "f1" of 10 slots
+    When owner "n1" reports 30 running and executions of 0.1 s
+    And owner "f1" reports 30 running and executions of 0.1 s
+    Then of 20 requests that are of use for 0.3 s only "n1" get any
+
+  Scenario: Work queues elsewhere where fewer requests are refused
+    Given near owners "n1" and far owners "f1" of 10 slots
+    When owner "n1" reports 30 running and executions of 0.1 s and refuses 40 %
+    And owner "f1" reports 11 running and executions of 0.1 s and refuses 10 %
+    Then of 20 requests that are of use for 0.3 s only "f1" get any
+
+  Scenario: Large answers leave their data centre only after a refusal there
+    Given near owners "n1" and far owners "f1" of 10 slots
+    And answers of 90 KB
+    When owner "n1" reports 30 running and executions of 0.1 s
+    And owner "f1" reports 0 running and executions of 0.1 s
+    Then of 20 requests that are of use for 0.3 s only "n1" get any
+    When owner "n1" has been asked
+    Then of 20 requests that are of use for 0.3 s only "f1" get any
+
+  Scenario: Many nodes with the same old reports don't flood one owner
+    Given near owners "n1 n2 n3 n4 n5 n6 n7 n8" and far owners "" of 5 slots
+    When each owner "n1 n2 n3 n4 n5 n6 n7 n8" reports 2 running and executions from 0.1 s on
+    Then of 400 requests of 25 nodes that are of use for 0.6 s no owner gets over 120
+
+  Scenario: An owner that has executed nothing yet is tried
+    Given near owners "n1 n2" and far owners "" of 10 slots
+    When owner "n1" reports 1 running and executions of 0.05 s
+    And owner "n2" reports 0 running and executions of 0 s
+    Then of 20 requests that are of use for 0.3 s most go to "n2"
+
+  Scenario: A slow link counts like a slow target
+    Given near owners "n1 n2" and far owners "" of 10 slots
+    When each owner "n1 n2" reports 1 running and executions from 0.1 s on
+    And 3 bulk answers of "n1" take 1 s on the way
+    Then of 40 bulk requests that are of use for 0.8 s most go to "n2"
+
+  Scenario: An owner that gives no sign of life is not asked
+    Given near owners "n1" and far owners "f1" of 10 slots
+    When each owner "n1 f1" reports 0 running and executions from 0.1 s on
+    And owner "n1" is silent
+    Then of 20 requests that are of use for 0.3 s only "f1" get any
+    When owner "f1" is silent
+    Then no owner gets a request
+
+  Scenario: An owner that fails is left out for a while
+    Given near owners "n1 n2" and far owners "" of 10 slots
+    When each owner "n1 n2" reports 0 running and executions from 0.1 s on
+    And 3 requests fail at "n1"
+    Then of 20 requests that are of use for 0.3 s only "n2" get any
--- /dev/null
+++ b/tests/cover/traffic_retries.feature
@@ -0,0 +1,30 @@
+Feature: What follows a request that was not served
+
+  Scenario Outline: Only what can't run twice is sent again
+    Given a request that is <kind> and was sent to <sent> of 2 targets
+    When its attempt ends with <verdict>
+    Then the next step is <step>
+
+    Examples:
+      | kind       | sent | verdict                      | step        |
+      | idempotent | 0    | not-run queue-full           | ask another |
+      | unsafe     | 0    | not-run queue-full           | ask another |
+      | unsafe     | 0    | not-run draining             | ask another |
+      | unsafe     | 1    | not-run target-shed          | retry       |
+      | unsafe     | 1    | may-have-run target-broke    | give up     |
+      | unsafe     | 1    | may-have-run owner-lost      | give up     |
+      | idempotent | 1    | may-have-run owner-lost      | retry       |
+      | idempotent | 2    | may-have-run owner-lost      | give up     |
+      | idempotent | 1    | may-have-run target-timeout  | give up     |
+      | idempotent | 0    | not-run deadline-passed      | give up     |
+      | idempotent | 1    | ran served                   | retry       |
+      | unsafe     | 1    | ran served                   | give up     |
+
+  Scenario: Failures that all targets share are not tried again
+    Given a service whose last 30 answers were failures
+    And a request that is idempotent and was sent to 1 of 2 targets
+    When its attempt ends with ran served
+    Then the next step is give up
+
+  Scenario: All nodes together stay inside the budget of a service
+    Then 9 nodes with 400 requests each spend at most 776 retries of ratio 0.2 and allowance 56
--- /dev/null
+++ b/tests/cover/traffic_slots.feature
@@ -0,0 +1,55 @@
+Feature: Slots of a target beside its node
+
+  Scenario: A request that can't be answered in time is refused at once
+    Given a slot queue of 2 slots whose executions take 0.1 s
+    When at 0 s requests "a b" arrive
+    And at 0 s requests "c d e f" arrive that are of use for 0.32 s
+    Then "c d e" wait
+    And "f" is refused with queue-full and a time to return of at least 0.04 s
+
+  Scenario: A target that is slow gets a shorter queue
+    Given a slot queue of 2 slots whose executions take 0.18 s
+    When at 0 s requests "a b" arrive
+    And at 0 s requests "c d" arrive that are of use for 0.3 s
+    Then "c d" are refused
+
+  Scenario: Under overload what can still be in time goes before what is late
+    Given a slot queue of 1 slots whose executions take 0.02 s
+    When at 0 s requests "running" arrive
+    And at 0 s late requests "late" arrive
+    And at 0.001 s requests "fresh" arrive that are of use for 0.3 s
+    And at 0.01 s "running" ends
+    Then "fresh" runs
+    And "late" waits
+
+  Scenario: Urgent requests go first whenever they come
+    Given a slot queue of 1 slots whose executions take 0.02 s
+    When at 0 s requests "running" arrive
+    And at 0 s requests "usual" arrive that are of use for 0.3 s
+    And at 0.001 s requests "call" of priority 1 arrive
+    And at 0.01 s "running" ends
+    Then "call" runs
+    And "usual" waits
+
+  Scenario: Work of another data centre takes no place in the queue
+    Given a slot queue of 1 slots whose executions take 0.02 s
+    When at 0 s requests "running" arrive
+    And at 0 s spare requests "far" arrive
+    Then "far" is refused
+    And the share of refused requests is 0 %
+
+  Scenario: A request is not sent with too little time to be executed
+    Given a slot queue of 1 slots whose executions take 0.1 s
+    When at 0 s requests "running" arrive
+    And at 0 s requests "short" arrive with 0.04 s to their deadline
+    Then "short" is refused
+
+  Scenario: More slots start what waits
+    Given a slot queue of 1 slots whose executions take 0.05 s
+    When at 0 s requests "a" arrive
+    And at 0 s requests "b" arrive that are of use for 1 s
+    And the target has 2 slots
+    Then "b" runs
+
+  Scenario: The queue keeps its rules in any session
+    Then 300 random sessions of a slot queue keep its rules
--- /dev/null
+++ b/tests/steps/traffic_choice_steps.py
@@ -0,0 +1,162 @@
+"""Steps that drive the choice of an owner."""
+
+import collections
+import random
+
+from behave import given, then, when
+
+from guavawing.traffic.balancer import Balancer, OwnerView
+from guavawing.traffic.model import LoadReport, TargetPhase
+
+NOW = 100.0
+ROUTE = "route"
+MAX_EXPLORED = 8
+
+
+def make_balancer(seed=4):
+    balancer = Balancer(random.Random(seed))
+    balancer.observe_size(ROUTE, 4096)
+    return balancer
+
+
+def choose(context, balancer, useful_s, *, bulk=False, views=None):
+    return balancer.choose(
+        views or list(context.views.values()),
+        route=ROUTE,
+        bulk=bulk,
+        useful_s=useful_s,
+        excluded=context.asked,
+        now=NOW,
+    )
+
+
+def report(context, name, running, service_s, refused=0):
+    view = context.views[name]
+    load = LoadReport(
+        TargetPhase.READY, context.slots, running, 0, service_s, refused
+    )
+    view.take_report(load, now=NOW)
+
+
+@given('near owners "{near}" and far owners "{far}" of {slots:d} slots')
+@given('near owners "{near}" and far owners "" of {slots:d} slots')
+def step_owners(context, near, slots, far=""):
+    context.slots = slots
+    context.asked = set()
+    context.balancer = make_balancer()
+    context.views = {
+        name: OwnerView(name, local=False, near=name in near.split())
+        for name in near.split() + far.split()
+    }
+
+
+@given("answers of {size_kb:d} KB")
+def step_size(context, size_kb):
+    for _ in range(200):
+        context.balancer.observe_size(ROUTE, size_kb * 1024)
+
+
+@when(
+    'owner "{name}" reports {running:d} running and executions of'
+    " {service_s:g} s"
+)
+def step_report(context, name, running, service_s):
+    report(context, name, running, service_s)
+
+
+@when(
+    'owner "{name}" reports {running:d} running and executions of'
+    " {service_s:g} s and refuses {percent:d} %"
+)
+def step_report_refused(context, name, running, service_s, percent):
+    report(context, name, running, service_s, percent / 100)
+
+
+@when(
+    'each owner "{names}" reports {running:d} running and executions from'
+    " {service_s:g} s on"
+)
+def step_report_all(context, names, running, service_s):
+    for number, name in enumerate(names.split()):
+        report(context, name, running, service_s * (1 + 0.05 * number))
+
+
+@when('owner "{name}" has been asked')
+def step_asked(context, name):
+    context.asked.add(name)
+
+
+@when('owner "{name}" is silent')
+def step_silent(context, name):
+    context.views[name].alive = False
+
+
+@when('{count:d} requests fail at "{name}"')
+def step_fail(context, count, name):
+    for _ in range(count):
+        context.views[name].take_failure(now=NOW)
+
+
+@when('{count:d} bulk answers of "{name}" take {seconds:g} s on the way')
+def step_transit(context, count, name, seconds):
+    for _ in range(count):
+        context.views[name].take_transit(seconds, bulk=True, now=NOW)
+
+
+def count_chosen(context, count, useful_s, *, bulk=False):
+    choices = [
+        choose(context, context.balancer, useful_s, bulk=bulk)
+        for _ in range(count)
+    ]
+    context.choices = choices
+    return collections.Counter(each.owner.node for each in choices)
+
+
+@then(
+    "of {count:d} requests that are of use for {useful_s:g} s only"
+    ' "{names}" get any'
+)
+def step_only(context, count, useful_s, names):
+    chosen = count_chosen(context, count, useful_s)
+    assert set(chosen) == set(names.split()), chosen
+
+
+@then("all of them may use spare slots only")
+def step_spare(context):
+    assert all(each.spare_only for each in context.choices)
+
+
+@then(
+    "of {count:d} requests that are of use for {useful_s:g} s most go to"
+    ' "{name}"'
+)
+def step_most(context, count, useful_s, name):
+    chosen = count_chosen(context, count, useful_s)
+    assert chosen[name] >= count - MAX_EXPLORED, chosen
+
+
+@then(
+    "of {count:d} bulk requests that are of use for {useful_s:g} s most go to"
+    ' "{name}"'
+)
+def step_most_bulk(context, count, useful_s, name):
+    chosen = count_chosen(context, count, useful_s, bulk=True)
+    assert chosen[name] >= count - MAX_EXPLORED, chosen
+
+
+@then("no owner gets a request")
+def step_none(context):
+    assert choose(context, context.balancer, 0.3) is None
+
+
+@then(
+    "of {count:d} requests of {nodes:d} nodes that are of use for"
+    " {useful_s:g} s no owner gets over {most:d}"
+)
+def step_no_flood(context, count, nodes, useful_s, most):
+    balancers = [make_balancer(seed) for seed in range(nodes)]
+    chosen = collections.Counter(
+        choose(context, balancers[number % nodes], useful_s).owner.node
+        for number in range(count)
+    )
+    assert max(chosen.values()) <= most, chosen
--- /dev/null
+++ b/tests/steps/traffic_slot_steps.py
@@ -0,0 +1,201 @@
+"""Steps that drive the slot queue of a target."""
+
+from behave import given, then, when
+from hypothesis import strategies as st
+
+from guavawing.traffic.slot_queue import (
+    Admit,
+    Queued,
+    Refuse,
+    SlotQueue,
+    Waiter,
+)
+from guavawing.verdict import NotRun
+from tests.support import check_examples
+
+USUAL_PRIORITY = 2
+
+
+class Session:
+    """Feeds requests by name to a queue and keeps what becomes of them."""
+
+    def __init__(self, slots, service_s):
+        self.queue = SlotQueue()
+        self.queue.slots = slots
+        self.queue.service_s = service_s
+        self.names = {}
+        self.state = {}
+        self.verdicts = {}
+
+    def arrive(
+        self,
+        name,
+        now,
+        *,
+        priority=USUAL_PRIORITY,
+        useful_s=1.0,
+        deadline_s=2.0,
+        late=False,
+        spare=False,
+    ):
+        number = len(self.names) + 1
+        self.names[number] = name
+        waiter = Waiter(
+            number, priority, late, now + deadline_s, now + useful_s, spare
+        )
+        self.take(self.queue.offer(waiter, now=now))
+
+    def take(self, decision):
+        name = self.names[decision.id]
+        match decision:
+            case Admit():
+                self.state[name] = "runs"
+            case Queued():
+                self.state[name] = "waits"
+            case Refuse(verdict=verdict):
+                self.state[name] = "refused"
+                self.verdicts[name] = verdict
+
+    def number(self, name):
+        return next(n for n, each in self.names.items() if each == name)
+
+    def end(self, name, now):
+        del self.state[name]
+        for admit in self.queue.finish(self.number(name), now=now):
+            self.take(admit)
+
+
+@given("a slot queue of {slots:d} slots whose executions take {service_s:g} s")
+def step_queue(context, slots, service_s):
+    context.session = Session(slots, service_s)
+
+
+def arrive_all(context, names, now, **options):
+    for name in names.split():
+        context.session.arrive(name, now, **options)
+
+
+@when('at {now:g} s requests "{names}" arrive')
+def step_arrive(context, now, names):
+    arrive_all(context, names, now)
+
+
+@when(
+    'at {now:g} s requests "{names}" arrive that are of use for {useful_s:g} s'
+)
+def step_arrive_useful(context, now, names, useful_s):
+    arrive_all(context, names, now, useful_s=useful_s)
+
+
+@when(
+    'at {now:g} s requests "{names}" arrive with {left_s:g} s to their deadline'
+)
+def step_arrive_short(context, now, names, left_s):
+    arrive_all(context, names, now, deadline_s=left_s)
+
+
+@when('at {now:g} s requests "{names}" of priority {priority:d} arrive')
+def step_arrive_priority(context, now, names, priority):
+    arrive_all(context, names, now, priority=priority)
+
+
+@when('at {now:g} s late requests "{names}" arrive')
+def step_arrive_late(context, now, names):
+    arrive_all(context, names, now, late=True, useful_s=0.0)
+
+
+@when('at {now:g} s spare requests "{names}" arrive')
+def step_arrive_spare(context, now, names):
+    arrive_all(context, names, now, spare=True)
+
+
+@when('at {now:g} s "{name}" ends')
+def step_end(context, now, name):
+    context.session.end(name, now)
+
+
+@when("the target has {slots:d} slots")
+def step_slots(context, slots):
+    queue = context.session.queue
+    queue.slots = slots
+    for admit in queue.admit_waiting(now=0.0):
+        context.session.take(admit)
+
+
+@then('"{names}" {state:w}')
+def step_state(context, names, state):
+    expected = {"wait": "waits", "run": "runs"}.get(state, state)
+    found = {name: context.session.state.get(name) for name in names.split()}
+    assert set(found.values()) == {expected}, found
+
+
+@then('"{names}" is refused')
+@then('"{names}" are refused')
+def step_refused(context, names):
+    found = {name: context.session.state.get(name) for name in names.split()}
+    assert set(found.values()) == {"refused"}, found
+
+
+@then(
+    '"{name}" is refused with {reason} and a time to return of at least'
+    " {seconds:g} s"
+)
+def step_refused_until(context, name, reason, seconds):
+    verdict = context.session.verdicts[name]
+    assert isinstance(verdict, NotRun)
+    assert verdict.reason == reason, verdict
+    assert verdict.retry_after_s >= seconds, verdict
+
+
+@then("the share of refused requests is {percent:d} %")
+def step_share(context, percent):
+    share = context.session.queue.refused_share
+    assert round(share * 100) == percent, share
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["arrive", "end", "expire", "discard"]),
+        st.integers(0, 3),
+        st.booleans(),
+        st.booleans(),
+        st.floats(0.01, 1.0),
+    ),
+    max_size=60,
+)
+
+
+@then("{count:d} random sessions of a slot queue keep its rules")
+def step_random(context, count):
+    @check_examples(count, st.integers(1, 4), EVENTS)
+    def check(slots, events):
+        session = Session(slots, 0.05)
+        now = 0.0
+        for step, (kind, priority, late, spare, value) in enumerate(events):
+            now += 0.01
+            running = [n for n, s in session.state.items() if s == "runs"]
+            waiting = [n for n, s in session.state.items() if s == "waits"]
+            if kind == "arrive":
+                session.arrive(
+                    str(step),
+                    now,
+                    priority=priority,
+                    late=late,
+                    spare=spare,
+                    useful_s=value,
+                )
+                if session.state[str(step)] == "waits":
+                    assert len(running) == slots, "waits beside a free slot"
+                    assert not spare
+            elif kind == "end" and running:
+                session.end(running[0], now)
+            elif kind == "expire" and waiting:
+                refusal = session.queue.expire(session.number(waiting[0]))
+                session.take(refusal)
+            elif kind == "discard" and waiting:
+                assert session.queue.discard(session.number(waiting[0]))
+                del session.state[waiting[0]]
+            states = list(session.state.values())
+            assert states.count("runs") <= slots
+            assert states.count("runs") == session.queue.running
+            assert states.count("waits") == session.queue.queued
