--- a/tests/steps/traffic_state_steps.py
+++ b/tests/steps/traffic_state_steps.py
@@ -208,8 +208,9 @@
 
 @then("a delta for another document is refused")
 def step_delta_refused(context):
-    delta = make_delta(b"one", b"one and two")
-    for base, payload in ((b"other", delta), (b"one", delta[:-3]), (b"", b"")):
+    delta = make_delta(b"{one}", b"{one}{two}")
+    cases = ((b"{other}", delta), (b"{one}", delta[:-3]), (b"", b""))
+    for base, payload in cases:
         try:
             apply_delta(base, payload)
         except MessageInvalidError:
