--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -172,7 +172,7 @@
             log=self._log,
             metrics=self._metrics,
         )
-        self._link = StoreLink(settings.store)
+        self._link = StoreLink(settings.store, source=settings.host)
         self._store = StoreClient(self._link.call)
         self._membership = Membership(
             self._store,
--- a/src/guavawing/sidecar/store_link.py
+++ b/src/guavawing/sidecar/store_link.py
@@ -27,7 +27,14 @@
 class StoreLink:
     """Makes calls to the store, each on a connection of its own at a time."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, *, source: str) -> None:
+        """Creates a caller without connections.
+
+        Args:
+            address: Where the store listens.
+            source: IP address to connect from.
+        """
+        self._source = source
         self._loop = asyncio.get_running_loop()
         self._address = address
         self._idle: list[ClientConnection] = []
@@ -79,7 +86,10 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 transport, conn = await self._loop.create_connection(
-                    ClientConnection, self._address.host, self._address.port
+                    ClientConnection,
+                    self._address.host,
+                    self._address.port,
+                    local_addr=(self._source, 0),
                 )
         except (OSError, TimeoutError) as exc:
             raise PlatformUnavailableError(
--- a/standins/process.py
+++ b/standins/process.py
@@ -18,11 +18,13 @@
     Attributes:
         name: What it is called in messages.
         argv: Its command line; empty for a process that is another's.
+        env: Its environment; None for that of this process.
         proc: The running process, if any.
     """
 
     name: str
     argv: list[str]
+    env: dict[str, str] | None = None
     proc: asyncio.subprocess.Process | None = None
 
     async def start(self, *, log: pathlib.Path) -> None:
@@ -30,6 +32,7 @@
         with log.open("ab") as stream:
             self.proc = await asyncio.create_subprocess_exec(
                 *self.argv,
+                env=self.env,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=stream,
                 stderr=stream,
--- /dev/null
+++ b/standins/vm_target.py
@@ -0,0 +1,167 @@
+"""Stand-in for a target beside a node on the platform.
+
+The last part of a request's path says what becomes of it: `ok`, `slow` (1 s),
+`lost` (executed, then the connection is reset), `late` (an answer to another
+request before its own), `cut` (the answer ends early), `shed`, `unsigned`,
+`error`; with `-once` behind it a request fails only the first time.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from typing import cast
+
+import attrs
+import httptools
+
+SLOW_S = 1.0
+BODY = b"the whole answer"
+
+
+@attrs.define
+class Execution:
+    """A request that the target began to work on."""
+
+    request_id: str
+    headers: dict[str, str]
+    body: bytes
+    at: float
+    ended: bool = False
+    cut: bool = False
+
+
+@attrs.define(eq=False)
+class VmTarget:
+    """One target.
+
+    Attributes:
+        id: Id of its incarnation; requests that expect another one get 421.
+        healthy: Whether its health check answers well.
+        executions: What it has worked on.
+        running: Requests that it works on now.
+        most_running: Most of them at one time.
+        failed: Ids of requests that have failed `-once`, at any target that
+            shares the set.
+    """
+
+    id: str
+    healthy: bool = True
+    executions: list[Execution] = attrs.field(factory=list)
+    running: int = 0
+    most_running: int = 0
+    failed: set[str] = attrs.field(factory=set)
+
+    def count(self, request_id: str) -> int:
+        """Returns how often a request was executed."""
+        return sum(1 for e in self.executions if e.request_id == request_id)
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(self, target: VmTarget) -> None:
+        self._target = target
+        self._parser = httptools.HttpRequestParser(self)
+        self._task: asyncio.Task[None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self._task is not None:
+            self._task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        self._parser.feed_data(data)
+
+    def on_message_begin(self) -> None:
+        self._url, self._body = b"", b""
+        self._headers: dict[str, str] = {}
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._task = loop.create_task(self._answer())
+
+    async def _answer(self) -> None:
+        target, headers = self._target, self._headers
+        request_id = headers.get("x-request-id", "")
+        if self._url == b"/health":
+            status = 200 if target.healthy else 503
+            self._write(status, f"X-Instance-Id: {target.id}\r\n", b"")
+            return
+        expected = headers.get("x-expected-instance", target.id)
+        if expected != target.id:
+            self._write(421, f"X-Instance-Id: {target.id}\r\n", b"")
+            return
+        mode = self._url.decode().rpartition("/")[2]
+        name, _, once = mode.partition("-")
+        if once and request_id in target.failed:
+            name = "ok"
+        target.failed.add(request_id)
+        own = f"X-Request-Id: {request_id}\r\n"
+        if name == "shed":
+            self._write(503, own + "X-Not-Executed: 1\r\n", b"")
+            return
+        await self._execute(name, own, request_id)
+
+    async def _execute(self, name: str, own: str, request_id: str) -> None:
+        target = self._target
+        loop = asyncio.get_running_loop()
+        execution = Execution(
+            request_id, self._headers, self._body, loop.time()
+        )
+        target.executions.append(execution)
+        target.running += 1
+        target.most_running = max(target.most_running, target.running)
+        try:
+            await asyncio.sleep(SLOW_S if name == "slow" else 0.005)
+            execution.ended = True
+        except asyncio.CancelledError:
+            execution.cut = True
+            raise
+        finally:
+            target.running -= 1
+        signed = own + "X-Response-Signature: 1.2.3\r\n"
+        match name:
+            case "lost":
+                self._transport.abort()
+            case "late":
+                stale = signed.replace(request_id, "another")
+                self._write(200, stale, b"of another request")
+                self._write(200, signed, BODY)
+            case "cut":
+                self._write(200, signed, BODY, length=len(BODY) + 9)
+                self._transport.close()
+            case "unsigned":
+                self._write(200, own, BODY)
+            case "error":
+                self._write(500, signed, b"")
+            case _:
+                self._write(200, signed, BODY)
+
+    def _write(
+        self, status: int, head: str, body: bytes, *, length: int = -1
+    ) -> None:
+        length = len(body) if length < 0 else length
+        lines = f"HTTP/1.1 {status} X\r\n{head}Content-Length: {length}\r\n\r\n"
+        self._transport.write(lines.encode() + body)
+
+
+@contextlib.asynccontextmanager
+async def open_vm_target(
+    target: VmTarget, host: str, port: int
+) -> AsyncIterator[VmTarget]:
+    """Serves a target until closed."""
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(lambda: _Connection(target), host, port)
+    try:
+        yield target
+    finally:
+        server.close()
--- /dev/null
+++ b/tests/processes/sidecar.feature
@@ -0,0 +1,92 @@
+@alone
+Feature: Daemons beside targets on the platform
+
+  Background:
+    Given VMs of two data centres
+      | vm | data centre | service |
+      | a1 | bergen      | desk    |
+      | a2 | bergen      | desk    |
+      | a3 | bergen      | feed    |
+      | b1 | voss        | desk    |
+
+  Scenario: A request reaches its service from any VM, and its answer comes back
+    When on "a3" a client that claims "X-Caller-Service: forged" sends GET "/desk/safe/ok" as "r1"
+    Then it gets 200 with the whole answer
+    And one target of "desk" executed "r1" once, for "feed" with at most 2500 ms
+
+  Scenario Outline: What a target does wrong harms only its own request
+    When a client on "a1" sends <method> "/desk/<kind>/<mode>" as "r1"
+    Then it gets <status>
+    And "r1" was executed <times> times
+
+    Examples:
+      | method | kind   | mode          | status | times |
+      | GET    | safe   | lost-once     | 200    | 2     |
+      | DELETE | unsafe | lost-once     | 502    | 1     |
+      | DELETE | unsafe | lost          | 502    | 1     |
+      | GET    | safe   | late          | 200    | 1     |
+      | POST   | unsafe | late          | 200    | 1     |
+      | POST   | unsafe | cut           | 502    | 1     |
+      | POST   | unsafe | unsigned      | 502    | 1     |
+      | POST   | unsafe | shed          | 503    | 0     |
+      | POST   | unsafe | shed-once     | 200    | 1     |
+      | POST   | unsafe | error         | 500    | 1     |
+
+  Scenario: Unknown routes and requests that hide another one are refused
+    When a client on "a1" sends GET "/nowhere/ok" as "r1"
+    Then it gets 404
+    When a client on "a1" sends a request that hides another one
+    Then no target executed anything
+
+  Scenario: Slots are never overrun, and what does not fit is refused at once
+    When clients on all VMs send 60 requests "/desk/safe/slow" at the same time
+    Then some of them get 200 and the others 503 with a time to return
+    And no target ever ran more than 4 at a time
+
+  Scenario: A target that says it leaves gets nothing more
+    When target "a1" says that it leaves
+    And clients on all VMs send 40 requests "/desk/safe/ok" one after the other
+    Then all of them get 200
+    And target "a1" executed nothing since
+
+  Scenario: A planned stop cuts nothing
+    When a client on "a2" sends POST "/desk/unsafe/slow" as "r1" and goes on
+    And the daemon of "a2" gets SIGTERM while 30 requests follow
+    Then all of them get 200
+    And the daemon of "a2" ends with code 0 within 6 s
+    And none was executed twice
+
+  Scenario: A killed daemon's requests are not run twice
+    When 12 clients on "a3" send POST "/desk/unsafe/slow" and go on
+    And the daemons of "a1 b1" are killed
+    Then each gets 200, 502 or 503
+    And none was executed twice
+    And none that got 503 was executed
+
+  Scenario: A frozen daemon holds up only what must not be repeated
+    When the daemon of "a2" is frozen
+    And clients on "a3" send 20 requests "/desk/safe/ok" one after the other
+    Then all of them get 200
+
+  Scenario: A client that leaves ends the work on its request
+    When a client on "a3" sends GET "/desk/safe/slow" and leaves after 0.2 s
+    Then within 0.5 s its work at the target is cut
+
+  Scenario: A new version is in force everywhere, also where the store refuses
+    When the store refuses the VM "a2"
+    And version 3 moves the routes of "desk" to "feed"
+    Then within 2 s requests "/desk/safe/ok" on all VMs are run by "feed"
+    When an older version 2 is written
+    And the store loses its history
+    And version 5 moves the routes of "feed" to "desk"
+    Then within 2 s requests "/feed/safe/ok" on all VMs are run by "desk"
+
+  Scenario: The store is away
+    When the store is away
+    And the daemon of "a1" is killed and started again
+    Then within 2 s the daemon of "a1" is ready
+    And clients on all VMs get 200 for "/desk/safe/ok"
+
+  Scenario: All daemons are killed at once
+    When all daemons are killed and started again
+    Then within 3 s clients on all VMs get 200 for "/desk/safe/ok"
--- /dev/null
+++ b/tests/steps/sidecar_steps.py
@@ -0,0 +1,469 @@
+"""Steps that drive daemons beside targets on stand-ins of the platform."""
+
+import asyncio
+import collections
+import itertools
+import signal
+
+import aiohttp
+from behave import given, then, when
+
+from standins.vm_fleet import (
+    HOST_NAME,
+    SLOTS,
+    make_document,
+    open_vm_fleet,
+)
+from standins.vm_target import BODY
+from tests.support import open_in_scenario
+
+DEADLINE_MS = 2900
+POLL_S = 0.05
+START_TIMEOUT_S = 10.0
+_ids = itertools.count(1)
+
+
+def find(context, name):
+    return context.vms.vms[name]
+
+
+async def ask(context, vm, path, *, method="GET", request_id="", head=None):
+    """Sends a request as a client of a VM; returns (status, head, body)."""
+    request_id = request_id or f"auto-{next(_ids)}"
+    headers = {
+        "Host": HOST_NAME,
+        "X-Request-Id": request_id,
+        "X-Deadline-Ms": str(DEADLINE_MS),
+        **(head or {}),
+    }
+    data = b"some body" if method == "POST" else None
+    try:
+        async with context.vms.http.request(
+            method, vm.url + path, headers=headers, data=data
+        ) as resp:
+            return resp.status, resp.headers, await resp.read()
+    except aiohttp.ClientError as exc:
+        return 0, {}, repr(exc).encode()
+
+
+def executions(context, request_id):
+    return [
+        (vm, execution)
+        for vm in context.vms.vms.values()
+        for execution in vm.target.executions
+        if execution.request_id == request_id
+    ]
+
+
+async def wait_for(seconds, holds, describe):
+    """Waits until an asynchronous condition holds."""
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + seconds
+    while not await holds():
+        assert loop.time() < ends_at, describe()
+        await asyncio.sleep(POLL_S)
+
+
+@given("VMs of two data centres")
+def step_vms(context):
+    plan = [(r["vm"], r["data centre"], r["service"]) for r in context.table]
+    context.vms = open_in_scenario(context, open_vm_fleet(plan))
+    context.results = []
+
+    async def serves():
+        vms = context.vms.vms.values()
+        if not all([await context.vms.is_ready(vm) for vm in vms]):
+            return False
+        paths = ("/desk/safe/ok", "/feed/safe/ok")
+        found = [(await ask(context, v, p))[0] for v in vms for p in paths]
+        return set(found) == {200}
+
+    logs = [vm.log for vm in context.vms.vms.values()]
+    context.run(
+        wait_for(
+            START_TIMEOUT_S,
+            serves,
+            lambda: "\n".join(log.read_text()[-2000:] for log in logs),
+        )
+    )
+    for vm in context.vms.vms.values():
+        vm.target.executions.clear()
+        vm.target.most_running = 0
+
+
+@when('a client on "{name}" sends {method:w} "{path}" as "{request_id}"')
+def step_send(context, name, method, path, request_id):
+    context.answer = context.run(
+        ask(
+            context,
+            find(context, name),
+            path,
+            method=method,
+            request_id=request_id,
+        )
+    )
+
+
+@when(
+    'on "{name}" a client that claims "{header}" sends {method:w} "{path}" as'
+    ' "{request_id}"'
+)
+def step_send_claim(context, name, header, method, path, request_id):
+    key, value = header.split(": ")
+    context.answer = context.run(
+        ask(
+            context,
+            find(context, name),
+            path,
+            method=method,
+            request_id=request_id,
+            head={key: value},
+        )
+    )
+
+
+@then("it gets {status:d}")
+def step_gets(context, status):
+    assert context.answer[0] == status, context.answer
+
+
+@then("it gets 200 with the whole answer")
+def step_gets_whole(context):
+    status, headers, body = context.answer
+    assert (status, body) == (200, BODY), context.answer
+    assert headers["X-Response-Signature"] == "1.2.3"
+    assert headers["X-Request-Id"] == "r1"
+
+
+@then(
+    'one target of "{service}" executed "{request_id}" once, for "{origin}"'
+    " with at most {most_ms:d} ms"
+)
+def step_executed_once(context, service, request_id, origin, most_ms):
+    [(vm, execution)] = executions(context, request_id)
+    assert vm.service == service
+    headers = execution.headers
+    assert headers["x-caller-service"] == origin, headers
+    assert 0 < int(headers["x-deadline-ms"]) <= most_ms, headers
+    assert headers["x-expected-instance"] == vm.target.id, headers
+
+
+@then('"{request_id}" was executed {times} times')
+def step_times(context, request_id, times):
+    found = len(executions(context, request_id))
+    assert found == int(times), found
+
+
+@when('a client on "{name}" sends a request that hides another one')
+def step_smuggle(context, name):
+    vm = find(context, name)
+    payload = (
+        f"POST /desk/unsafe/ok HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
+        "X-Request-Id: outer\r\nX-Deadline-Ms: 2000\r\n"
+        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+        f"0\r\n\r\nGET /desk/safe/ok HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
+        "X-Request-Id: hidden\r\n\r\n"
+    )
+
+    async def send():
+        host, port = vm.url.removeprefix("http://").split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(payload.encode())
+        answer = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        return answer
+
+    answer = context.run(send())
+    assert answer.startswith(b"HTTP/1.1 400"), answer
+
+
+@then("no target executed anything")
+def step_nothing(context):
+    for vm in context.vms.vms.values():
+        assert not vm.target.executions, vm
+
+
+async def ask_all(context, names, count, path, *, together=False):
+    vms = [find(context, name) for name in names]
+    calls = [ask(context, vms[n % len(vms)], path) for n in range(count)]
+    if together:
+        return await asyncio.gather(*calls)
+    return [await call for call in calls]
+
+
+@when('clients on all VMs send {count:d} requests "{path}" at the same time')
+def step_burst(context, count, path):
+    context.results = context.run(
+        ask_all(context, context.vms.vms, count, path, together=True)
+    )
+
+
+@when('clients on all VMs send {count:d} requests "{path}" one after the other')
+def step_series(context, count, path):
+    context.results = context.run(
+        ask_all(context, context.vms.vms, count, path)
+    )
+
+
+@when(
+    'clients on "{name}" send {count:d} requests "{path}" one after the other'
+)
+def step_series_of(context, name, count, path):
+    context.results = context.run(ask_all(context, [name], count, path))
+
+
+@then("some of them get 200 and the others 503 with a time to return")
+def step_some(context):
+    found = collections.Counter(each[0] for each in context.results)
+    assert set(found) == {200, 503}, found
+    for status, headers, _ in context.results:
+        if status == 503:
+            assert float(headers["Retry-After"]) > 0, headers
+
+
+@then("no target ever ran more than {most:d} at a time")
+def step_most(context, most):
+    assert most == SLOTS
+    for vm in context.vms.vms.values():
+        assert vm.target.most_running <= most, vm.target.most_running
+
+
+@then("all of them get {status:d}")
+def step_all(context, status):
+    found = collections.Counter(each[0] for each in context.results)
+    assert set(found) == {status}, (found, context.results)
+
+
+@when('target "{name}" says that it leaves')
+def step_leaves(context, name):
+    vm = find(context, name)
+    vm.draining = True
+    assert context.run(context.vms.beat(vm)) == 200
+    vm.target.executions.clear()
+
+
+@then('target "{name}" executed nothing since')
+def step_none_since(context, name):
+    assert not find(context, name).target.executions
+
+
+@when(
+    'a client on "{name}" sends {method:w} "{path}" as "{request_id}" and'
+    " goes on"
+)
+def step_send_on(context, name, method, path, request_id):
+    async def start():
+        call = ask(
+            context,
+            find(context, name),
+            path,
+            method=method,
+            request_id=request_id,
+        )
+        return asyncio.get_running_loop().create_task(call)
+
+    context.tasks = [context.run(start())]
+
+
+@when('{count:d} clients on "{name}" send {method:w} "{path}" and go on')
+def step_many_on(context, count, name, method, path):
+    async def start():
+        loop = asyncio.get_running_loop()
+        vm = find(context, name)
+        context.ids = [f"many-{number}" for number in range(count)]
+        tasks = [
+            loop.create_task(
+                ask(context, vm, path, method=method, request_id=each)
+            )
+            for each in context.ids
+        ]
+        await asyncio.sleep(0.3)
+        return tasks
+
+    context.tasks = context.run(start())
+
+
+@when('the daemon of "{name}" gets SIGTERM while {count:d} requests follow')
+def step_term(context, name, count):
+    vm = find(context, name)
+
+    async def stop():
+        await asyncio.sleep(0.2)
+        vm.process.send(signal.SIGTERM)
+        results = []
+        for _ in range(count):
+            results.append(
+                await ask(context, vm, "/desk/unsafe/ok", method="POST")
+            )
+            await asyncio.sleep(0.05)
+        return results + [await task for task in context.tasks]
+
+    context.results = context.run(stop())
+
+
+@then('the daemon of "{name}" ends with code {code:d} within {seconds:g} s')
+def step_ends(context, name, code, seconds):
+    assert context.run(find(context, name).process.wait(seconds)) == code
+
+
+@then("none was executed twice")
+def step_none_twice(context):
+    counts = collections.Counter(
+        execution.request_id
+        for vm in context.vms.vms.values()
+        for execution in vm.target.executions
+    )
+    assert set(counts.values()) <= {1}, counts
+
+
+@when('the daemons of "{names}" are killed')
+def step_kill(context, names):
+    for name in names.split():
+        context.run(find(context, name).process.kill())
+
+
+async def gather(tasks):
+    return await asyncio.gather(*tasks)
+
+
+@then("each gets 200, 502 or 503")
+def step_each(context):
+    context.results = context.run(gather(context.tasks))
+    found = collections.Counter(each[0] for each in context.results)
+    assert set(found) <= {200, 502, 503}, (found, context.results)
+
+
+@then("none that got 503 was executed")
+def step_refused_not_run(context):
+    pairs = zip(context.ids, context.results, strict=True)
+    for request_id, (status, _, _) in pairs:
+        if status == 503:
+            assert not executions(context, request_id), request_id
+
+
+@when('the daemon of "{name}" is frozen')
+def step_freeze(context, name):
+    process = find(context, name).process
+    process.send(signal.SIGSTOP)
+    context.add_cleanup(lambda: process.send(signal.SIGCONT))
+
+
+@when('a client on "{name}" sends GET "{path}" and leaves after {seconds:g} s')
+def step_leave(context, name, path, seconds):
+    async def leave():
+        call = ask(context, find(context, name), path, request_id="left")
+        task = asyncio.get_running_loop().create_task(call)
+        await asyncio.sleep(seconds)
+        task.cancel()
+
+    context.run(leave())
+
+
+@then("within {seconds:g} s its work at the target is cut")
+def step_cut(context, seconds):
+    async def is_cut():
+        found = executions(context, "left")
+        return bool(found) and all(e.cut for _, e in found)
+
+    context.run(wait_for(seconds, is_cut, lambda: executions(context, "left")))
+
+
+@when('the store refuses the VM "{name}"')
+def step_refuses(context, name):
+    context.vms.store.faults.refused.add(find(context, name).host)
+
+
+@when("the store is away")
+def step_away(context):
+    context.vms.store.faults.away = True
+
+
+@when("the store loses its history")
+def step_history(context):
+    context.vms.store.faults.history_lost = True
+
+
+@when('version {version:d} moves the routes of "{one}" to "{two}"')
+def step_move(context, version, one, two):
+    publish_moved(context, version, one, two)
+
+
+@when("an older version {version:d} is written")
+def step_older(context, version):
+    publish_moved(context, version, "nothing", "feed")
+
+
+def publish_moved(context, version, one, two):
+    routes = make_document(version)["routes"]
+    for route in routes.values():
+        if route["service"] == one:
+            route["service"] = two
+    context.vms.publish(version, routes=routes)
+
+
+@then(
+    'within {seconds:g} s requests "{path}" on all VMs are run by "{service}"'
+)
+def step_run_by(context, seconds, path, service):
+    async def run_by():
+        for vm in context.vms.vms.values():
+            request_id = f"moved-{next(_ids)}"
+            await ask(context, vm, path, request_id=request_id)
+            found = {v.service for v, _ in executions(context, request_id)}
+            if found != {service}:
+                return False
+        return True
+
+    logs = context.vms.vms.values()
+    context.run(
+        wait_for(seconds, run_by, lambda: [v.read_log()[-3:] for v in logs])
+    )
+
+
+@when('the daemon of "{name}" is killed and started again')
+def step_restart(context, name):
+    restart(context, [name])
+
+
+@when("all daemons are killed and started again")
+def step_restart_all(context):
+    restart(context, context.vms.vms)
+
+
+def restart(context, names):
+    for name in names:
+        context.run(find(context, name).process.kill())
+    for name in names:
+        context.run(context.vms.start(find(context, name)))
+
+
+@then('within {seconds:g} s the daemon of "{name}" is ready')
+def step_ready(context, seconds, name):
+    vm = find(context, name)
+    context.run(
+        wait_for(
+            seconds, lambda: context.vms.is_ready(vm), lambda: vm.read_log()
+        )
+    )
+
+
+@then('clients on all VMs get 200 for "{path}"')
+def step_all_served(context, path):
+    check_served(context, path, 0.0)
+
+
+@then('within {seconds:g} s clients on all VMs get 200 for "{path}"')
+def step_all_served_within(context, seconds, path):
+    check_served(context, path, seconds)
+
+
+def check_served(context, path, seconds):
+    found = []
+
+    async def served():
+        found[:] = [
+            (await ask(context, vm, path))[0] for vm in context.vms.vms.values()
+        ]
+        return set(found) == {200}
+
+    context.run(wait_for(seconds, served, lambda: found))
