--- a/src/guavawing/cli/main.py
+++ b/src/guavawing/cli/main.py
@@ -22,6 +22,7 @@
 _COMMANDS = (
     "commands.drain:drain",
     "commands.exceptions:exception",
+    "queries.explain:explain",
     "commands.keys:keys",
     "commands.node:node",
     "queries.status:status",
--- a/src/guavawing/platform/settings.py
+++ b/src/guavawing/platform/settings.py
@@ -12,6 +12,8 @@
 __all__ = ["VmSettings", "find_settings_file", "parse_settings"]
 
 SETTINGS_VARIABLE = "GUAVAWING_SETTINGS"
+# Port of the counters, as the deploy file names it.
+METRICS_PORT = 9464
 MS_PER_S = 1000
 
 
@@ -90,7 +92,6 @@
         )
     )
     first_port = fields.text("network.internalPorts").split(",")[0]
-    last_port = fields.text("network.internalPorts").split(",")[-1]
     host = fields.text("self.ip")
     bounds = "terms.bounds"
     return VmSettings(
@@ -104,7 +105,7 @@
         heartbeats=fields.address("network.listen.control"),
         mesh=fields.address("network.listen.inbound"),
         gossip=fields.address_of(host, first_port),
-        metrics=fields.address_of(host, last_port),
+        metrics=Address(host, METRICS_PORT),
         # The platform's settings hold the store's under the name "platform".
         store=fields.address("platform.platform.address"),
         heartbeat_s=fields.number("platform.heartbeatMs") / MS_PER_S,
--- /dev/null
+++ b/tests/cover/explain.feature
@@ -0,0 +1,26 @@
+Feature: One request's story from log lines
+
+  Scenario: The lines of all nodes are told in order
+    Given log lines
+      | node | at    | type             | request | reason       |
+      | a1   | 10.2  | request-answered | r1      | target-broke |
+      | b2   | 10.1  | attempt-ended    | r1      | target-broke |
+      | a1   | 10.15 | request-answered | r2      | served       |
+      | a1   | 10.12 | request-answered | r1.c    | served       |
+      | a1   | 9.0   | version-in-force |         |              |
+      | a1   | 2.0   | version-in-force |         |              |
+    When "r1" is explained
+    Then the story is "attempt-ended b2, request-answered a1, request-answered a1"
+    When "r1" is explained with 5 s before
+    Then the story is "version-in-force a1, attempt-ended b2, request-answered a1, request-answered a1"
+
+  Scenario: A request that was not logged is said to be so
+    Given log lines
+      | node | at   | type             | request | reason |
+      | a1   | 10.2 | request-answered | r1      | served |
+    When "r9" is explained
+    Then it ends with code 1 and says "only a sample is logged"
+
+  Scenario: Requests beyond the sample are logged up to a rate
+    Then 10000 refused requests in a second leave at most 80 lines and the rest counted
+    And of 10000 served requests one in 128 is logged, the same at each node
--- /dev/null
+++ b/tests/steps/explain_steps.py
@@ -0,0 +1,107 @@
+"""Steps that explain requests from log lines, and bound the lines."""
+
+import asyncio
+
+import orjson
+from behave import given, then, when
+from click.testing import CliRunner
+
+from guavawing.cli.main import main
+from guavawing.sidecar.decision_log import SAMPLE_ONE_IN, DecisionLog
+
+
+@given("log lines")
+def step_lines(context):
+    context.lines = []
+    for row in context.table:
+        record = {
+            "node": row["node"],
+            "timestamp": float(row["at"]),
+            "message_type": row["type"],
+        }
+        if row["request"]:
+            record |= {"request": row["request"], "reason": row["reason"]}
+        prefix = f"  {row['at']} {row['node']} "
+        context.lines.append(prefix + orjson.dumps(record).decode())
+    context.lines.append("no record at all")
+
+
+def explain(context, request_id, *options):
+    context.result = CliRunner().invoke(
+        main,
+        ["explain", request_id, "--output", "json", *options],
+        input="\n".join(context.lines),
+    )
+
+
+@when('"{request_id}" is explained')
+def step_explain(context, request_id):
+    explain(context, request_id)
+
+
+@when('"{request_id}" is explained with {seconds:g} s before')
+def step_explain_before(context, request_id, seconds):
+    explain(context, request_id, "--before", str(seconds))
+
+
+@then('the story is "{expected}"')
+def step_story(context, expected):
+    assert context.result.exit_code == 0, context.result.output
+    story = orjson.loads(context.result.output)
+    found = [f"{each['message_type']} {each['node']}" for each in story]
+    assert ", ".join(found) == expected, found
+
+
+@then('it ends with code {code:d} and says "{text}"')
+def step_says(context, code, text):
+    assert context.result.exit_code == code
+    assert text in context.result.output, context.result.output
+
+
+class CountingLog(DecisionLog):
+    """Counts lines in place of writing them."""
+
+    def __init__(self, node):
+        super().__init__(node=node)
+        self.requests = []
+
+    def event(self, kind, **fields):
+        self.requests.append(fields["request"])
+
+
+async def make_logs():
+    return [CountingLog(node) for node in ("a", "b")]
+
+
+def log_all(context, count, *, notable):
+    async def run():
+        logs = await make_logs()
+        for number in range(count):
+            for log in logs:
+                log.request("request-answered", b"%d" % number, notable=notable)
+        return logs
+
+    return asyncio.run_coroutine_threadsafe(run(), context.loop).result()
+
+
+@then(
+    "{count:d} refused requests in a second leave at most {most:d} lines and"
+    " the rest counted"
+)
+def step_bounded(context, count, most):
+    log, _ = log_all(context, count, notable=True)
+    sampled = sum(log.samples(b"%d" % number) for number in range(count))
+    notable = len(log.requests) - sampled
+    assert 0 < notable <= most, notable
+    assert len(log.requests) + log.left_out == count
+
+
+@then(
+    "of {count:d} served requests one in {share:d} is logged, the same at each"
+    " node"
+)
+def step_sampled(context, count, share):
+    one, two = log_all(context, count, notable=False)
+    assert share == SAMPLE_ONE_IN
+    assert one.requests == two.requests
+    assert 0.5 < len(one.requests) * share / count < 2, len(one.requests)
