Send large answers a few at a time

Change: an owner has at most 128 KB of large answers under way; the entry node confirms each. Errors that nobody expected are logged as faults.

--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -442,6 +442,13 @@
     loop = asyncio.get_running_loop()
     ended = asyncio.Event()
     with open_decision_log(node=settings.node) as log:
+        loop.set_exception_handler(
+            lambda _, context: log.belief(
+                "fault",
+                message=context.get("message"),
+                error=repr(context.get("exception")),
+            )
+        )
         sidecar = Sidecar(settings, path, log)
         for sig in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(sig, ended.set)
--- a/src/guavawing/sidecar/mesh_server.py
+++ b/src/guavawing/sidecar/mesh_server.py
@@ -9,10 +9,12 @@
 
 from guavawing.errors import MessageInvalidError
 from guavawing.node.frame_stream import FrameStream, Keepalive
+from guavawing.sidecar.bulk_gate import LARGE_BYTES, BulkGate
 from guavawing.sidecar.mesh_codec import (
     AskConfig,
     AskOutcome,
     CancelFrame,
+    ReceivedFrame,
     RequestFrame,
     decode_frame,
     encode_answer,
@@ -75,6 +77,7 @@
         self.loop = asyncio.get_running_loop()
         self.owner = owner
         self.read_config = read_config
+        self.gate = BulkGate()
         self.process = secrets.randbits(PROCESS_BITS)
         self.connections: set[_Connection] = set()
         self._jobs: dict[bytes, _Job] = {}
@@ -182,9 +185,22 @@
         assert outcome is not None
         self._jobs.pop(job.frame_id, None)
         job.conn = None
-        if self._stream is not None:
-            load = self._server.owner.load()
-            self._stream.write(encode_answer(job.frame_id, outcome, load))
+        frame_id = job.frame_id
+        if len(outcome.body) < LARGE_BYTES:
+            self._send_answer(frame_id, outcome)
+            return
+        self._server.gate.offer(
+            (self, frame_id),
+            len(outcome.body),
+            lambda: self._send_answer(frame_id, outcome),
+        )
+
+    def _send_answer(self, frame_id: int, outcome: Outcome) -> bool:
+        if self._stream is None:
+            return False
+        load = self._server.owner.load()
+        self._stream.write(encode_answer(frame_id, outcome, load))
+        return True
 
     def abort(self) -> None:
         """Closes the connection at once."""
@@ -215,6 +231,8 @@
                 job = self._server.ask_outcome(self, frame_id, question)
                 if job.conn is not None:
                     self._jobs[frame_id] = job
+            case ReceivedFrame(id=frame_id):
+                self._server.gate.confirm((self, frame_id))
             case AskConfig(version=version):
                 self._send_config(version)
             case other:
