Wait longer for silent owners before repeating, and not at a planned stop

Change: what may be repeated is sent elsewhere after 0.7 s, and not by a node that is stopping; unconfirmed large answers hold up others for 0.25 s.

--- a/src/guavawing/sidecar/bulk_gate.py
+++ b/src/guavawing/sidecar/bulk_gate.py
@@ -19,9 +19,9 @@
 # Large answers that may be under way at a time, in bytes: a tenth of a second
 # on a link of 10 Mbit/s. One is sent whatever its size.
 MAX_UNDER_WAY_BYTES = 128 * 1024
-# Time after which an answer that was not confirmed no longer counts, in
-# seconds: its entry node is gone or cut off.
-UNCONFIRMED_S = 1.0
+# Time after which an answer that was not confirmed no longer holds up others,
+# in seconds: a packet of it was lost, or its entry node is cut off.
+UNCONFIRMED_S = 0.25
 
 
 @attrs.define(eq=False)
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -220,6 +220,7 @@
         began_at = self._loop.time()
         self._log.event("stop", version=self._configuration.version)
         self._leaving = True
+        self._mesh.leaving = True
         withdrawal = None
         if self._target.phase in (TargetPhase.DRAINING, TargetPhase.GONE):
             withdrawal = self._loop.create_task(self._membership.withdraw())
--- a/src/guavawing/sidecar/mesh_client.py
+++ b/src/guavawing/sidecar/mesh_client.py
@@ -39,6 +39,10 @@
 # time in which a lost packet is sent again.
 ASK_AFTER_S = 0.12
 DOUBT_AFTER_S = 0.4
+# Silence after which what may be repeated is sent elsewhere, in seconds: longer,
+# as an owner behind a full link is slow to give a sign of life and its answer
+# may be under way.
+GIVE_BACK_AFTER_S = 0.7
 # A check that is later than this proves that this process was late itself.
 LATE_CHECK_S = 0.1
 
@@ -75,7 +79,12 @@
 
 
 class MeshClient:
-    """Connections to all owners, opened when they are needed."""
+    """Connections to all owners, opened when they are needed.
+
+    Attributes:
+        leaving: Whether this process is about to end: then what runs is
+            waited for, also at owners that are silent.
+    """
 
     def __init__(
         self,
@@ -101,6 +110,7 @@
         self.on_alive = on_alive
         self.on_doubt = on_doubt
         self.on_config = on_config
+        self.leaving = False
         self._lanes: dict[tuple[str, int, bool], list[_Lane]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._checked_at = self.loop.time()
@@ -237,13 +247,13 @@
         if not self._asked and silent_s > ASK_AFTER_S:
             self._asked = True
             stream.ask_sign_of_life()
-        if silent_s > DOUBT_AFTER_S:
-            self._doubt()
-
-    def _doubt(self) -> None:
-        if not self._doubted:
+        if silent_s > DOUBT_AFTER_S and not self._doubted:
             self._doubted = True
             self._client.on_doubt(self._host)
+        if silent_s > GIVE_BACK_AFTER_S and not self._client.leaving:
+            self._give_back()
+
+    def _give_back(self) -> None:
         for ticket in tuple(self._pending.values()):
             if ticket.attempt.idempotent:
                 self.cancel(ticket)
