--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed-$(shell sha256sum requirements.lock | cut -c1-12)
 
-.PHONY: env demo test bench format lock proto golden
+.PHONY: env demo test soak bench format lock proto golden
 
 env: $(STAMP)
 
@@ -18,6 +18,12 @@
 test: env
 	VENV=$(VENV) tests/run_checks.sh
 
+SEED ?= 1
+SEEDS ?= 1
+
+soak: env
+	PYTHONPATH=src:. $(PY) -m soak --seed $(SEED) --count $(SEEDS)
+
 bench: env
 	PYTHONPATH=src:. $(PY) -m bench
 
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,143 @@
+"""Runs seeds of the soak: `python -m soak --seed N [--count N] [--vms N]`."""
+
+import argparse
+import asyncio
+import contextlib
+import random
+import sys
+
+import aiohttp
+
+from soak.checks import Answer, find_broken
+from soak.faults import Faults
+from standins.vm_fleet import HOST_NAME, Vm, VmFleet, open_vm_fleet
+
+CLIENTS_PER_VM = 3
+DEADLINE_MS = 2900
+MODES = ("ok",) * 12 + ("slow", "lost", "late", "cut", "shed", "unsigned")
+SERVICES = ("desk", "feed")
+DATA_CENTRES = ("bergen", "voss")
+RECOVERY_S = 6.0
+MIN_SERVED = 20
+# Probes ask for routes of the newest versions.
+NEWEST_PROBES = 4
+
+
+async def main() -> int:
+    """Runs the seeds; returns 1 if any broke a promise."""
+    parser = argparse.ArgumentParser(prog="soak")
+    parser.add_argument("--seed", type=int, default=1, help="first seed")
+    parser.add_argument("--count", type=int, default=1, help="seeds to run")
+    parser.add_argument("--vms", type=int, default=6, help="daemons")
+    parser.add_argument("--seconds", type=float, default=10.0, help="of faults")
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.seed, options.seed + options.count):
+        broken = await run_seed(seed, options.vms, options.seconds)
+        failed += bool(broken)
+        print(f"seed {seed}: {'FAILED' if broken else 'ok'}", flush=True)
+        for line in broken[:20]:
+            print(f"  {line}")
+    print(f"seeds: {options.count - failed} passed, {failed} failed")
+    return int(failed > 0)
+
+
+async def run_seed(seed: int, vms: int, seconds: float) -> list[str]:
+    """Runs one seed; returns a line for each broken promise."""
+    rng = random.Random(seed)
+    plan = [
+        (
+            f"vm{number}",
+            DATA_CENTRES[number % 2],
+            SERVICES[number // 2 % 2],
+        )
+        for number in range(vms)
+    ]
+    answers: list[Answer] = []
+    loop = asyncio.get_running_loop()
+    async with open_vm_fleet(plan, relayed=True) as fleet:
+        fleet.publish_probe(1)
+        await asyncio.sleep(2.0)
+        faults = Faults(fleet, rng)
+        clients = [
+            loop.create_task(
+                _ask_on(fleet, vm, random.Random(f"{seed} {n}"), answers)
+            )
+            for vm in fleet.vms.values()
+            for n in range(CLIENTS_PER_VM)
+        ]
+        await faults.run(loop.time() + seconds)
+        calm_at = loop.time() + RECOVERY_S
+        await asyncio.sleep(RECOVERY_S + 1.5)
+        for client in clients:
+            client.cancel()
+        await asyncio.gather(*clients, return_exceptions=True)
+        broken = find_broken(fleet, faults, answers)
+        served = sum(a.status == 200 for a in answers if a.sent_at > calm_at)
+        if served < MIN_SERVED:
+            broken.append(f"only {served} served after all faults were over")
+        if broken:
+            broken += [f"fault: {line}" for line in faults.told]
+        return broken
+
+
+async def _ask_on(
+    fleet: VmFleet,
+    vm: Vm,
+    rng: random.Random,
+    answers: list[Answer],
+) -> None:
+    """One client: it keeps its connection until the daemon is gone."""
+    loop = asyncio.get_running_loop()
+    connector = aiohttp.TCPConnector(limit=1)
+    async with aiohttp.ClientSession(connector=connector) as http:
+        while True:
+            kind = rng.choice(("safe", "unsafe", "unsafe", "probe"))
+            probe = rng.choice(fleet.probes[-NEWEST_PROBES:])
+            path = f"/{rng.choice(SERVICES)}/{kind}/{rng.choice(MODES)}"
+            if kind == "probe":
+                path = f"/since-{probe}/ok"
+            request_id = f"{vm.name}-{rng.getrandbits(48):x}"
+            sent_at, process = loop.time(), vm.process.starts
+            status, body = await _ask(http, vm, kind, path, request_id)
+            answers.append(
+                Answer(
+                    vm.name,
+                    process,
+                    request_id,
+                    kind,
+                    probe,
+                    status,
+                    body,
+                    sent_at,
+                    loop.time(),
+                )
+            )
+            await asyncio.sleep(rng.uniform(0, 0.03) if status else 0.2)
+
+
+async def _ask(
+    http: aiohttp.ClientSession, vm: Vm, kind: str, path: str, request_id: str
+) -> tuple[int, bytes]:
+    headers = {
+        "Host": HOST_NAME,
+        "X-Request-Id": request_id,
+        "X-Deadline-Ms": str(DEADLINE_MS),
+    }
+    method = "POST" if kind == "unsafe" else "GET"
+    data = b"some body" if kind == "unsafe" else None
+    with contextlib.suppress(aiohttp.ClientConnectorError):
+        try:
+            async with asyncio.timeout(DEADLINE_MS / 1000 + 1):
+                async with http.request(
+                    method, vm.url + path, headers=headers, data=data
+                ) as resp:
+                    return resp.status, await resp.read()
+        except (aiohttp.ClientError, TimeoutError):
+            return 0, b""
+    # Nothing listens: the request was never sent.
+    return -1, b""
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
--- a/src/guavawing/sidecar/mesh_client.py
+++ b/src/guavawing/sidecar/mesh_client.py
@@ -39,9 +39,9 @@
 # time in which a lost packet is sent again.
 ASK_AFTER_S = 0.12
 DOUBT_AFTER_S = 0.4
-# Silence after which what may be repeated is sent elsewhere, in seconds: longer,
-# as an owner behind a full link is slow to give a sign of life and its answer
-# may be under way.
+# Silence after which what may be repeated is sent elsewhere, in seconds. It is
+# longer, as an owner behind a full link is slow to give a sign of life, and its
+# answer may be under way.
 GIVE_BACK_AFTER_S = 0.7
 # A check that is later than this proves that this process was late itself.
 LATE_CHECK_S = 0.1
--- a/standins/process.py
+++ b/standins/process.py
@@ -19,16 +19,19 @@
         name: What it is called in messages.
         argv: Its command line; empty for a process that is another's.
         env: Its environment; None for that of this process.
+        starts: How often it was started.
         proc: The running process, if any.
     """
 
     name: str
     argv: list[str]
     env: dict[str, str] | None = None
+    starts: int = 0
     proc: asyncio.subprocess.Process | None = None
 
     async def start(self, *, log: pathlib.Path) -> None:
         """Starts the process; its standard error goes to `log`."""
+        self.starts += 1
         with log.open("ab") as stream:
             self.proc = await asyncio.create_subprocess_exec(
                 *self.argv,
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -64,6 +64,11 @@
         self.cut(one, other)
         self.cut(other, one)
 
+    def hang_up(self) -> None:
+        """Breaks every connection."""
+        for task in tuple(self._tasks):
+            task.cancel()
+
     def heal(self) -> None:
         """Lets everything pass."""
         self.rules.clear()
@@ -93,6 +98,9 @@
                 )
             except OSError:
                 pass
+            except asyncio.CancelledError:
+                # `hang_up` or `close`; asyncio's streams would log it.
+                writer.transport.abort()
             finally:
                 self._tasks.discard(task)
                 writer.close()
--- a/standins/vm_fleet.py
+++ b/standins/vm_fleet.py
@@ -14,12 +14,15 @@
 import attrs
 
 from standins.process import Process
+from standins.relay import Relay
 from standins.vm_store import VmStore, open_vm_store
 from standins.vm_target import VmTarget, open_vm_target
 
 ROOT = pathlib.Path(__file__).parent.parent
 TARGET, INBOUND, OUTBOUND, READY, CONTROL = range(8145, 8150)
 INTERNAL = (7380, 7395)
+RELAY_PORT, RELAYED_TARGET = 8150, 8151
+STORE_ZONE = "store"
 HEARTBEAT_S = 0.5
 GRACE_S = 6
 SLOTS = 4
@@ -40,6 +43,7 @@
     log: pathlib.Path
     draining: bool = False
     beating: bool = True
+    busy: bool = False
     sequence: int = 0
     born: int = 1000
 
@@ -62,17 +66,33 @@
         store: The store.
         vms: The VMs by name.
         http: Client session of the tests.
+        relay: What stands before the store and the targets, if anything.
+        probes: Versions that came with a route of their own.
     """
 
     store: VmStore
     vms: dict[str, Vm]
     http: aiohttp.ClientSession
+    relay: Relay | None = None
+    probes: list[int] = attrs.field(factory=list)
 
     def publish(self, version: int, **changes: object) -> None:
         """Writes a configuration as the operator does."""
         document = make_document(version, **changes)
         self.store.put("op", "config", json.dumps(document).encode())
 
+    def publish_probe(self, version: int) -> None:
+        """Writes a version with one more route: `/since-VERSION/`."""
+        self.probes.append(version)
+        routes = make_document(version)["routes"]
+        assert isinstance(routes, dict)
+        for each in self.probes:
+            routes[f"since-{each}"] = {
+                **routes["desk-safe"],
+                "prefix": f"/since-{each}/",
+            }
+        self.publish(version, routes=routes)
+
     async def start(self, vm: Vm) -> None:
         """Starts the daemon of a VM."""
         await vm.process.start(log=vm.log)
@@ -167,14 +187,15 @@
 
 @contextlib.asynccontextmanager
 async def open_vm_fleet(
-    plan: Iterable[tuple[str, str, str]], *, publish: bool = True
+    plan: Iterable[tuple[str, str, str]], *, relayed: bool = False
 ) -> AsyncIterator[VmFleet]:
     """Starts a store, targets and daemons on loopback until closed.
 
     Args:
         plan: Name, data centre and service of each VM.
-        publish: Whether a first configuration is written before the daemons
-            start.
+        relayed: Whether a relay stands before the store and each target. The
+            zones of its rules are the addresses of the VMs, `STORE_ZONE`, and
+            for the target of a VM `target` before its address.
     """
     net = f"127.{10 + os.getpid() % 200}"
     async with contextlib.AsyncExitStack() as stack:
@@ -184,17 +205,33 @@
         connector = aiohttp.TCPConnector(limit=0, force_close=False)
         http = await enter(aiohttp.ClientSession(connector=connector))
         fleet = VmFleet(store, {}, http)
-        if publish:
-            fleet.publish(1)
+        fleet.publish(1)
+        store_address = store.address
+        if relayed:
+            fleet.relay = Relay(lambda host: host)
+            stack.push_async_callback(fleet.relay.close)
+            store_address = f"{net}.0.2:{RELAY_PORT}"
+            store_host, store_port = store.address.split(":")
+            await fleet.relay.forward_tcp(
+                (f"{net}.0.2", RELAY_PORT),
+                (store_host, int(store_port)),
+                STORE_ZONE,
+            )
         failed: set[str] = set()
         for number, (name, dc, service) in enumerate(plan, 1):
             host = f"{net}.1.{number}"
             path = pathlib.Path(folder) / f"{name}.conf"
             path.write_text(
-                _make_settings(name, host, dc, service, store.address)
+                _make_settings(name, host, dc, service, store_address)
             )
             target = VmTarget(f"i-{name}", failed=failed)
-            await enter(open_vm_target(target, host, TARGET))
+            port = TARGET
+            if fleet.relay is not None:
+                port = RELAYED_TARGET
+                await fleet.relay.forward_tcp(
+                    (host, TARGET), (host, port), f"target {host}"
+                )
+            await enter(open_vm_target(target, host, port))
             process = Process(
                 name,
                 [sys.executable, str(ROOT / "deploy" / "sidecar.py")],
--- a/standins/vm_target.py
+++ b/standins/vm_target.py
@@ -23,6 +23,7 @@
     """A request that the target began to work on."""
 
     request_id: str
+    target_id: str
     headers: dict[str, str]
     body: bytes
     at: float
@@ -115,7 +116,7 @@
         target = self._target
         loop = asyncio.get_running_loop()
         execution = Execution(
-            request_id, self._headers, self._body, loop.time()
+            request_id, target.id, self._headers, self._body, loop.time()
         )
         target.executions.append(execution)
         target.running += 1
--- a/tests/steps/sidecar_steps.py
+++ b/tests/steps/sidecar_steps.py
@@ -237,7 +237,7 @@
 @when('target "{name}" says that it leaves')
 def step_leaves(context, name):
     vm = find(context, name)
-    vm.draining = True
+    vm.draining, vm.target.healthy = True, False
     assert context.run(context.vms.beat(vm)) == 200
     vm.target.executions.clear()
 
