--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -68,6 +68,9 @@
 # Time after SIGTERM in which clients may still send as before: the platform
 # asks for readiness once a second and acts on two misses.
 NOTICE_S = 2.3
+# Time after SIGTERM up to which it serves on while another node of its service
+# restarts: what is left of the grace period is enough to end.
+LONGEST_TURN_S = 4.0
 # Time after that in which requests are still taken. Later ones are refused, so
 # that what runs can end and none is cut.
 LAST_REQUESTS_S = 0.5
@@ -225,6 +228,7 @@
         if self._target.phase in (TargetPhase.DRAINING, TargetPhase.GONE):
             withdrawal = self._loop.create_task(self._membership.withdraw())
         await asyncio.sleep(NOTICE_S)
+        await self._wait_for_turn(began_at + LONGEST_TURN_S)
         # From now on the target is not used from elsewhere, and clients that
         # are still there are told to close their connections.
         self._owner.leaving = True
@@ -241,6 +245,20 @@
         self._log.event("stopped", seconds=self._loop.time() - began_at)
         self.close()
 
+    async def _wait_for_turn(self, ends_at: float) -> None:
+        """Serves on while another owner of the service restarts.
+
+        Nodes that are stopped one after the other would else be away
+        together, with most of the service's slots.
+        """
+        service = self._settings.service
+        while self._loop.time() < ends_at:
+            if not self._peers.has_restarting_owner(
+                service, now=self._loop.time()
+            ):
+                return
+            await asyncio.sleep(STOP_POLL_S)
+
     def close(self) -> None:
         """Closes everything at once."""
         for task in self._tasks:
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -222,7 +222,7 @@
         "_fallback",
         "_item",
         "_owner",
-        "_refused",
+        "_refusal",
         "_request",
         "_retry_after_s",
         "_route",
@@ -249,7 +249,8 @@
         self._asked: list[str] = []
         self._asked_at = now
         self._sent = 0
-        self._refused = 0
+        # Last refusal by an owner or a target.
+        self._refusal: NotRun | None = None
         self._retry_after_s: float | None = None
         self._owner: OwnerView | None = None
         self._item = 0
@@ -366,6 +367,7 @@
                 self._give_up(verdict)
 
     def _note_refusal(self, verdict: NotRun) -> None:
+        self._refusal = verdict
         retry_after_s = verdict.retry_after_s
         if retry_after_s:
             known = self._retry_after_s
@@ -397,9 +399,7 @@
             self._deliver(self._fallback)
             return
         if verdict is None or isinstance(verdict, Ran):
-            verdict = NotRun(Reason.NO_TARGET)
-            if self._sent and not self._attempt.idempotent:
-                verdict = NotRun(Reason.TARGET_SHED)
+            verdict = self._refusal or NotRun(Reason.NO_TARGET)
         match verdict:
             case MayHaveRun(reason=Reason.TARGET_TIMEOUT):
                 self._refuse(GATEWAY_TIMEOUT, verdict, None)
--- a/src/guavawing/traffic/peers.py
+++ b/src/guavawing/traffic/peers.py
@@ -14,6 +14,8 @@
 MISSING_BEACONS = 3.3
 # Time after which a lost node is no longer sent every beacon, in seconds.
 LOST_S = 12.0
+# Longest time in which a node that was stopped is back, in seconds.
+RESTARTING_S = 4.0
 # Shortest time from the last sign of life of a process to the first one of
 # the next at the same address, in seconds.
 RESTART_S = 0.5
@@ -77,6 +79,24 @@
         """Returns the owners of a service, this node included."""
         return self._by_service.get(service, {}).values()
 
+    def has_restarting_owner(self, service: str, *, now: float) -> bool:
+        """Returns whether another owner of a service is about to come back.
+
+        Its node has said that it takes no work, or has been silent for no
+        longer than a restart lasts.
+        """
+        for peer in self:
+            heard_at = peer.heard_at
+            if peer.record.service != service or heard_at is None:
+                continue
+            report = peer.view.report
+            takes_work = report is not None and peer.view.takes_work()
+            if now - heard_at < RESTARTING_S and not (
+                takes_work and now - heard_at < MISSING_BEACONS / 2
+            ):
+                return True
+        return False
+
     def take_record(self, record: PeerRecord, *, now: float) -> Peer | None:
         """Takes a node's record; None if it is this node's own or older.
 
--- a/tests/cover/traffic_state.feature
+++ b/tests/cover/traffic_state.feature
@@ -98,5 +98,11 @@
     When after 5 s a beacon of node "b" of service feed comes from 10.0.0.9
     Then service desk has no owner and service feed has 1
 
+  Scenario: Nodes of a service that are stopped in turn take turns
+    Given a node that knows the node "a" of service desk at 10.0.0.9
+    Then no owner of desk is restarting
+    When the node at 10.0.0.9 says that it takes no work
+    Then an owner of desk is restarting for 4 s
+
   Scenario: What peers send can't break a node
     Then 400 random messages are read or refused
--- a/tests/steps/traffic_state_steps.py
+++ b/tests/steps/traffic_state_steps.py
@@ -20,7 +20,7 @@
 )
 from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.document_delta import apply_delta, make_delta
-from guavawing.traffic.model import PeerRecord
+from guavawing.traffic.model import LoadReport, PeerRecord, TargetPhase
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.readers import is_reader
 from guavawing.traffic.routes import RouteTable
@@ -236,6 +236,28 @@
     assert context.peers.take_record(record, now=seconds) is not None
 
 
+@then("no owner of {service} is restarting")
+def step_none_restarting(context, service):
+    peer = context.peers.get("10.0.0.9")
+    load = LoadReport(TargetPhase.READY, 9, 0, 0, 0.1)
+    context.peers.take_load(peer, load, now=0.0)
+    assert not context.peers.has_restarting_owner(service, now=1.0)
+
+
+@when("the node at {host} says that it takes no work")
+def step_takes_none(context, host):
+    load = LoadReport(TargetPhase.DRAINING, 9, 0, 0, 0.1)
+    context.peers.take_load(context.peers.get(host), load, now=1.0)
+
+
+@then("an owner of {service} is restarting for {seconds:g} s")
+def step_restarting(context, service, seconds):
+    restarting = context.peers.has_restarting_owner
+    assert restarting(service, now=1.0)
+    assert restarting(service, now=seconds - 0.1)
+    assert not restarting(service, now=seconds + 0.1)
+
+
 @then("service {one} has no owner and service {two} has {count:d}")
 def step_owner_counts(context, one, two, count):
     others = [v for v in context.peers.owners(one) if not v.local]
