Tell of large answers that a link has yet to send

Change: loads tell how long the link takes for the large answers to be sent; it counts in the choice for large answers. A stopping node waits for its turn only while over a fifth of its service's owners restart.

--- a/src/guavawing/platform/settings.py
+++ b/src/guavawing/platform/settings.py
@@ -15,6 +15,7 @@
 # Port of the counters, as the deploy file names it.
 METRICS_PORT = 9464
 MS_PER_S = 1000
+BYTES_PER_MEGABIT = 1_000_000 / 8
 
 
 @attrs.frozen
@@ -34,6 +35,7 @@
         gossip: Where other nodes send beacons to (UDP).
         metrics: Where counters are served.
         store: Where the platform's store listens.
+        link_bytes_per_s: What the VM's link takes, in bytes a second.
         heartbeat_s: Usual time between two heartbeats, in seconds.
         drain_s: Longest time from the acknowledged drain of a target to the
             last request sent to it, in seconds.
@@ -56,6 +58,7 @@
     gossip: Address
     metrics: Address
     store: Address
+    link_bytes_per_s: float
     heartbeat_s: float
     drain_s: float
     grace_s: float
@@ -108,6 +111,8 @@
         metrics=Address(host, METRICS_PORT),
         # The platform's settings hold the store's under the name "platform".
         store=fields.address("platform.platform.address"),
+        link_bytes_per_s=fields.number("self.limits.linkMbps")
+        * BYTES_PER_MEGABIT,
         heartbeat_s=fields.number("platform.heartbeatMs") / MS_PER_S,
         drain_s=fields.number(f"{bounds}.drainMs") / MS_PER_S,
         grace_s=fields.number(f"{bounds}.graceS"),
--- a/src/guavawing/sidecar/bulk_gate.py
+++ b/src/guavawing/sidecar/bulk_gate.py
@@ -34,7 +34,7 @@
 class BulkGate:
     """Which large answers are under way."""
 
-    __slots__ = ("_loop", "_sent", "_under_way", "_waiting")
+    __slots__ = ("_held", "_loop", "_sent", "_under_way", "_waiting")
 
     def __init__(self) -> None:
         self._loop = asyncio.get_running_loop()
@@ -43,6 +43,12 @@
         )
         self._sent: dict[object, _Answer] = {}
         self._under_way = 0
+        self._held = 0
+
+    @property
+    def backlog(self) -> int:
+        """Bytes of large answers that wait or are under way."""
+        return self._held + self._under_way
 
     def offer(self, key: object, size: int, send: Callable[[], bool]) -> None:
         """Sends a large answer now or once there is room.
@@ -52,6 +58,7 @@
             size: Its size, in bytes.
             send: Sends it; returns False if nobody takes it any more.
         """
+        self._held += size
         self._waiting.append((key, _Answer(size, send)))
         self._send_waiting()
 
@@ -72,6 +79,7 @@
             if self._sent and total > MAX_UNDER_WAY_BYTES:
                 return
             self._waiting.popleft()
+            self._held -= answer.size
             if not answer.send():
                 continue
             self._sent[key] = answer
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -122,6 +122,7 @@
             state=self._target,
             pool=self._pool,
             drain_s=settings.drain_s,
+            link_bytes_per_s=settings.link_bytes_per_s,
             log=self._log,
             metrics=self._metrics,
         )
@@ -246,14 +247,14 @@
         self.close()
 
     async def _wait_for_turn(self, ends_at: float) -> None:
-        """Serves on while another owner of the service restarts.
+        """Serves on while many other owners of the service restart.
 
         Nodes that are stopped one after the other would else be away
         together, with most of the service's slots.
         """
         service = self._settings.service
         while self._loop.time() < ends_at:
-            if not self._peers.has_restarting_owner(
+            if not self._peers.has_many_restarting(
                 service, now=self._loop.time()
             ):
                 return
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -395,18 +395,20 @@
         load.queued,
         load.service_s,
         load.refused_share,
+        load.link_wait_s,
     )
 
 
 def _read_load(fields: Any) -> LoadReport:
-    phase, slots, running, queued, service_s, refused_share = fields
+    phase, slots, running, queued, service_s, refused, link_wait_s = fields
     return LoadReport(
         TargetPhase(phase),
         _number(slots),
         _number(running),
         _number(queued),
         float(service_s),
-        float(refused_share),
+        float(refused),
+        float(link_wait_s),
     )
 
 
--- a/src/guavawing/sidecar/mesh_server.py
+++ b/src/guavawing/sidecar/mesh_server.py
@@ -9,7 +9,7 @@
 
 from guavawing.errors import MessageInvalidError
 from guavawing.node.frame_stream import FrameStream, Keepalive
-from guavawing.sidecar.bulk_gate import LARGE_BYTES, BulkGate
+from guavawing.sidecar.bulk_gate import LARGE_BYTES
 from guavawing.sidecar.mesh_codec import (
     AskConfig,
     AskOutcome,
@@ -77,7 +77,6 @@
         self.loop = asyncio.get_running_loop()
         self.owner = owner
         self.read_config = read_config
-        self.gate = BulkGate()
         self.process = secrets.randbits(PROCESS_BITS)
         self.connections: set[_Connection] = set()
         self._jobs: dict[bytes, _Job] = {}
@@ -189,7 +188,7 @@
         if len(outcome.body) < LARGE_BYTES:
             self._send_answer(frame_id, outcome)
             return
-        self._server.gate.offer(
+        self._server.owner.gate.offer(
             (self, frame_id),
             len(outcome.body),
             lambda: self._send_answer(frame_id, outcome),
@@ -232,7 +231,7 @@
                 if job.conn is not None:
                     self._jobs[frame_id] = job
             case ReceivedFrame(id=frame_id):
-                self._server.gate.confirm((self, frame_id))
+                self._server.owner.gate.confirm((self, frame_id))
             case AskConfig(version=version):
                 self._send_config(version)
             case other:
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from guavawing.sidecar.bulk_gate import BulkGate
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.target_pool import Execution, TargetPool
@@ -69,6 +70,7 @@
         state: TargetState,
         pool: TargetPool,
         drain_s: float,
+        link_bytes_per_s: float,
         log: DecisionLog,
         metrics: SidecarMetrics,
     ) -> None:
@@ -77,6 +79,8 @@
         self._state = state
         self._pool = pool
         self._drain_s = drain_s
+        self._link_bytes_per_s = link_bytes_per_s
+        self.gate = BulkGate()
         self._log = log
         self._metrics = metrics
         self._queue = SlotQueue()
@@ -106,6 +110,7 @@
             self._queue.queued,
             service_s,
             round(self._queue.refused_share, 3),
+            round(self.gate.backlog / self._link_bytes_per_s, 3),
         )
 
     def take_target_change(self) -> None:
--- a/src/guavawing/traffic/balancer.py
+++ b/src/guavawing/traffic/balancer.py
@@ -104,10 +104,17 @@
         self.transit_at[bulk] = now
 
     def expect_transit_s(self, *, bulk: bool, now: float) -> float:
-        """Returns the time on the way, which fades if nothing is sent."""
+        """Returns the time on the way.
+
+        What was seen fades if nothing is sent; the owner itself tells of
+        large answers that its link has yet to send.
+        """
         age_s = now - self.transit_at[bulk]
         fading: float = 0.5 ** (age_s / TRANSIT_HALF_LIFE_S)
-        return self.transit_s[bulk] * fading
+        seen_s = self.transit_s[bulk] * fading
+        if not bulk or self.local or self.report is None:
+            return seen_s
+        return max(seen_s, self.report.link_wait_s)
 
     def take_refusal(self, retry_after_s: float, *, now: float) -> None:
         """Takes that the owner had no room."""
--- a/src/guavawing/traffic/model.py
+++ b/src/guavawing/traffic/model.py
@@ -147,6 +147,8 @@
             has executed none.
         refused_share: Share of the latest requests that it refused for lack
             of room.
+        link_wait_s: Time that the link takes for the large answers that are
+            to be sent, in seconds.
     """
 
     phase: TargetPhase
@@ -155,6 +157,7 @@
     queued: int
     service_s: float
     refused_share: float = 0.0
+    link_wait_s: float = 0.0
 
 
 @attrs.frozen
--- a/src/guavawing/traffic/peers.py
+++ b/src/guavawing/traffic/peers.py
@@ -16,6 +16,8 @@
 LOST_S = 12.0
 # Longest time in which a node that was stopped is back, in seconds.
 RESTARTING_S = 4.0
+# Share of a service's owners that may be away for a restart together.
+MAX_RESTARTING_SHARE = 0.2
 # Shortest time from the last sign of life of a process to the first one of
 # the next at the same address, in seconds.
 RESTART_S = 0.5
@@ -79,23 +81,24 @@
         """Returns the owners of a service, this node included."""
         return self._by_service.get(service, {}).values()
 
-    def has_restarting_owner(self, service: str, *, now: float) -> bool:
-        """Returns whether another owner of a service is about to come back.
+    def has_many_restarting(self, service: str, *, now: float) -> bool:
+        """Returns whether many other owners of a service are coming back.
 
-        Its node has said that it takes no work, or has been silent for no
-        longer than a restart lasts.
+        Their nodes have said that they take no work, or have been silent for
+        no longer than a restart lasts.
         """
+        restarting = owners = 0
         for peer in self:
             heard_at = peer.heard_at
             if peer.record.service != service or heard_at is None:
                 continue
-            report = peer.view.report
-            takes_work = report is not None and peer.view.takes_work()
-            if now - heard_at < RESTARTING_S and not (
-                takes_work and now - heard_at < MISSING_BEACONS / 2
-            ):
-                return True
-        return False
+            silent_s = now - heard_at
+            if silent_s >= RESTARTING_S:
+                continue
+            owners += 1
+            silent = silent_s >= MISSING_BEACONS / 2
+            restarting += silent or not peer.view.takes_work()
+        return restarting > MAX_RESTARTING_SHARE * (owners + 1)
 
     def take_record(self, record: PeerRecord, *, now: float) -> Peer | None:
         """Takes a node's record; None if it is this node's own or older.
--- a/standins/vm_fleet.py
+++ b/standins/vm_fleet.py
@@ -167,6 +167,7 @@
         "self.node": vm_name,
         "self.ip": host,
         "self.zone": dc,
+        "self.limits.linkMbps": 1000.0,
         "self.service": service,
         "self.appAddr": f"{host}:{TARGET}",
         "network.listen.inbound": f"{host}:{INBOUND}",
--- a/tests/cover/traffic_choice.feature
+++ b/tests/cover/traffic_choice.feature
@@ -51,6 +51,12 @@
     And 3 bulk answers of "n1" take 1 s on the way
     Then of 40 bulk requests that are of use for 0.8 s most go to "n2"
 
+  Scenario: Large answers go round an owner whose link has much to send
+    Given near owners "n1 n2" and far owners "" of 10 slots
+    When each owner "n1 n2" reports 1 running and executions from 0.1 s on
+    And owner "n1" reports 0.4 s of large answers to be sent
+    Then of 40 bulk requests that are of use for 0.8 s most go to "n2"
+
   Scenario: An owner that gives no sign of life is not asked
     Given near owners "n1" and far owners "f1" of 10 slots
     When each owner "n1 f1" reports 0 running and executions from 0.1 s on
--- a/tests/steps/traffic_choice_steps.py
+++ b/tests/steps/traffic_choice_steps.py
@@ -3,6 +3,7 @@
 import collections
 import random
 
+import attrs
 from behave import given, then, when
 
 from guavawing.traffic.balancer import Balancer, OwnerView
@@ -81,6 +82,13 @@
         report(context, name, running, service_s * (1 + 0.05 * number))
 
 
+@when('owner "{name}" reports {seconds:g} s of large answers to be sent')
+def step_link_wait(context, name, seconds):
+    view = context.views[name]
+    load = attrs.evolve(view.report, link_wait_s=seconds)
+    view.take_report(load, now=NOW)
+
+
 @when('owner "{name}" has been asked')
 def step_asked(context, name):
     context.asked.add(name)
--- a/tests/steps/traffic_state_steps.py
+++ b/tests/steps/traffic_state_steps.py
@@ -241,7 +241,7 @@
     peer = context.peers.get("10.0.0.9")
     load = LoadReport(TargetPhase.READY, 9, 0, 0, 0.1)
     context.peers.take_load(peer, load, now=0.0)
-    assert not context.peers.has_restarting_owner(service, now=1.0)
+    assert not context.peers.has_many_restarting(service, now=1.0)
 
 
 @when("the node at {host} says that it takes no work")
@@ -252,7 +252,7 @@
 
 @then("an owner of {service} is restarting for {seconds:g} s")
 def step_restarting(context, service, seconds):
-    restarting = context.peers.has_restarting_owner
+    restarting = context.peers.has_many_restarting
     assert restarting(service, now=1.0)
     assert restarting(service, now=seconds - 0.1)
     assert not restarting(service, now=seconds + 0.1)
