Pace large answers by the owner's own link

Change: a large answer is sent when 0.8 of the link has had the time for those before; no confirmations; a stopping owner sends what waits.

--- a/src/guavawing/sidecar/bulk_gate.py
+++ b/src/guavawing/sidecar/bulk_gate.py
@@ -1,89 +1,72 @@
-"""Large answers of an owner, a few at a time.
+"""Large answers of an owner, paced by its link.
 
 All answers of a VM share its link. Were all large ones sent as they come, the
 small ones behind them would wait for the sum of what their connections have
-under way. So large answers are sent only up to a number of bytes at a time,
-and the entry node tells when one has arrived.
+under way. So the next large answer is sent when the link has had the time for
+the one before.
 """
 
 import asyncio
 import collections
 from collections.abc import Callable
 
-import attrs
-
 __all__ = ["LARGE_BYTES", "BulkGate"]
 
 # Answers from this size on are large, in bytes.
 LARGE_BYTES = 16 * 1024
-# Large answers that may be under way at a time, in bytes: a tenth of a second
-# on a link of 10 Mbit/s. One is sent whatever its size.
-MAX_UNDER_WAY_BYTES = 128 * 1024
-# Time after which an answer that was not confirmed no longer holds up others,
-# in seconds: a packet of it was lost, or its entry node is cut off.
-UNCONFIRMED_S = 0.25
-
-
-@attrs.define(eq=False)
-class _Answer:
-    size: int
-    send: Callable[[], bool]
-    timer: asyncio.TimerHandle | None = None
+# Share of the link that large answers may take; the rest is for small ones,
+# requests, and what is sent again after a loss.
+LINK_SHARE = 0.8
 
 
 class BulkGate:
-    """Which large answers are under way."""
+    """Which large answers wait for the link."""
+
+    __slots__ = ("_bytes_per_s", "_free_at", "_loop", "_timer", "_waiting")
 
-    __slots__ = ("_held", "_loop", "_sent", "_under_way", "_waiting")
+    def __init__(self, link_bytes_per_s: float) -> None:
+        """Creates a gate that nothing waits at.
 
-    def __init__(self) -> None:
+        Args:
+            link_bytes_per_s: What the link takes, in bytes a second.
+        """
         self._loop = asyncio.get_running_loop()
-        self._waiting: collections.deque[tuple[object, _Answer]] = (
+        self._bytes_per_s = LINK_SHARE * link_bytes_per_s
+        self._free_at = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+        self._waiting: collections.deque[tuple[int, Callable[[], None]]] = (
             collections.deque()
         )
-        self._sent: dict[object, _Answer] = {}
-        self._under_way = 0
-        self._held = 0
 
     @property
-    def backlog(self) -> int:
-        """Bytes of large answers that wait or are under way."""
-        return self._held + self._under_way
+    def waiting(self) -> int:
+        """Large answers that are still to be sent."""
+        return len(self._waiting)
 
-    def offer(self, key: object, size: int, send: Callable[[], bool]) -> None:
-        """Sends a large answer now or once there is room.
+    def wait_s(self) -> float:
+        """Returns how long one more large answer would wait."""
+        ahead_s = max(0.0, self._free_at - self._loop.time())
+        size = sum(size for size, _ in self._waiting)
+        return ahead_s + size / self._bytes_per_s
+
+    def offer(self, size: int, send: Callable[[], None]) -> None:
+        """Sends a large answer now or once the link has had time for others.
 
         Args:
-            key: What `confirm` names it by.
             size: Its size, in bytes.
-            send: Sends it; returns False if nobody takes it any more.
+            send: Sends it.
         """
-        self._held += size
-        self._waiting.append((key, _Answer(size, send)))
-        self._send_waiting()
-
-    def confirm(self, key: object) -> None:
-        """Takes that an answer has arrived, or never will."""
-        answer = self._sent.pop(key, None)
-        if answer is None:
-            return
-        if answer.timer is not None:
-            answer.timer.cancel()
-        self._under_way -= answer.size
-        self._send_waiting()
+        self._waiting.append((size, send))
+        if self._timer is None:
+            self._send_next()
 
-    def _send_waiting(self) -> None:
+    def _send_next(self) -> None:
+        self._timer = None
         while self._waiting:
-            key, answer = self._waiting[0]
-            total = self._under_way + answer.size
-            if self._sent and total > MAX_UNDER_WAY_BYTES:
+            now = self._loop.time()
+            if now < self._free_at:
+                self._timer = self._loop.call_at(self._free_at, self._send_next)
                 return
-            self._waiting.popleft()
-            self._held -= answer.size
-            if not answer.send():
-                continue
-            self._sent[key] = answer
-            self._under_way += answer.size
-            answer.timer = self._loop.call_later(
-                UNCONFIRMED_S, self.confirm, key
-            )
+            size, send = self._waiting.popleft()
+            self._free_at = now + size / self._bytes_per_s
+            send()
--- a/src/guavawing/sidecar/mesh_client.py
+++ b/src/guavawing/sidecar/mesh_client.py
@@ -8,7 +8,6 @@
 
 from guavawing.errors import MessageInvalidError
 from guavawing.node.frame_stream import FrameStream, Keepalive
-from guavawing.sidecar.bulk_gate import LARGE_BYTES
 from guavawing.sidecar.mesh_codec import (
     AnswerFrame,
     ConfigFrame,
@@ -17,7 +16,6 @@
     encode_ask_config,
     encode_ask_outcome,
     encode_cancel,
-    encode_received,
     encode_request,
 )
 from guavawing.traffic.model import Attempt, LoadReport, Outcome
@@ -269,8 +267,6 @@
         match decode_frame(payload, now=self._client.loop.time()):
             case AnswerFrame(id=frame_id, outcome=outcome, load=load):
                 self._client.on_load(self._host, load)
-                if len(outcome.body) >= LARGE_BYTES and self._stream:
-                    self._stream.write(encode_received(frame_id))
                 ticket = self._pending.pop(frame_id, None)
                 if ticket is not None:
                     ticket.end(outcome)
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -24,7 +24,6 @@
     "ConfigFrame",
     "Frame",
     "Hello",
-    "ReceivedFrame",
     "RequestFrame",
     "decode_beacon",
     "decode_frame",
@@ -35,7 +34,6 @@
     "encode_cancel",
     "encode_config",
     "encode_hello",
-    "encode_received",
     "encode_request",
 ]
 
@@ -48,8 +46,7 @@
     ASK_OUTCOME,
     BEACON,
     HELLO,
-    RECEIVED,
-) = range(9)
+) = range(8)
 RAN, NOT_RUN, MAY_HAVE_RUN = range(3)
 _packer = msgpack.Packer(use_bin_type=True)
 
@@ -78,13 +75,6 @@
     id: int
 
 
-@attrs.frozen
-class ReceivedFrame:
-    """Tells that a large answer has arrived whole."""
-
-    id: int
-
-
 @attrs.frozen
 class AskOutcome:
     """Asks how an attempt that was sent on a lost connection ended.
@@ -160,7 +150,6 @@
     | AskOutcome
     | ConfigFrame
     | Hello
-    | ReceivedFrame
 )
 
 
@@ -218,11 +207,6 @@
     return _pack((CANCEL, frame_id))
 
 
-def encode_received(frame_id: int) -> bytes:
-    """Returns the message that a large answer has arrived."""
-    return _pack((RECEIVED, frame_id))
-
-
 def encode_ask_outcome(frame_id: int, request_id: bytes, process: int) -> bytes:
     """Returns the message that asks how an earlier attempt ended."""
     return _pack((ASK_OUTCOME, frame_id, request_id, process))
@@ -290,8 +274,6 @@
                 )
             case 7:
                 return Hello(_number(fields[1]))
-            case 8:
-                return ReceivedFrame(_number(fields[1]))
     except (IndexError, TypeError, ValueError) as exc:
         raise MessageInvalidError(f"not a message of a node: {exc}") from exc
     raise MessageInvalidError(f"got kind {fields[0]!r} of a message")
--- a/src/guavawing/sidecar/mesh_server.py
+++ b/src/guavawing/sidecar/mesh_server.py
@@ -14,7 +14,6 @@
     AskConfig,
     AskOutcome,
     CancelFrame,
-    ReceivedFrame,
     RequestFrame,
     decode_frame,
     encode_answer,
@@ -189,17 +188,13 @@
             self._send_answer(frame_id, outcome)
             return
         self._server.owner.gate.offer(
-            (self, frame_id),
-            len(outcome.body),
-            lambda: self._send_answer(frame_id, outcome),
+            len(outcome.body), lambda: self._send_answer(frame_id, outcome)
         )
 
-    def _send_answer(self, frame_id: int, outcome: Outcome) -> bool:
-        if self._stream is None:
-            return False
-        load = self._server.owner.load()
-        self._stream.write(encode_answer(frame_id, outcome, load))
-        return True
+    def _send_answer(self, frame_id: int, outcome: Outcome) -> None:
+        if self._stream is not None:
+            load = self._server.owner.load()
+            self._stream.write(encode_answer(frame_id, outcome, load))
 
     def abort(self) -> None:
         """Closes the connection at once."""
@@ -230,8 +225,6 @@
                 job = self._server.ask_outcome(self, frame_id, question)
                 if job.conn is not None:
                     self._jobs[frame_id] = job
-            case ReceivedFrame(id=frame_id):
-                self._server.owner.gate.confirm((self, frame_id))
             case AskConfig(version=version):
                 self._send_config(version)
             case other:
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -79,8 +79,7 @@
         self._state = state
         self._pool = pool
         self._drain_s = drain_s
-        self._link_bytes_per_s = link_bytes_per_s
-        self.gate = BulkGate()
+        self.gate = BulkGate(link_bytes_per_s)
         self._log = log
         self._metrics = metrics
         self._queue = SlotQueue()
@@ -91,8 +90,8 @@
 
     @property
     def busy(self) -> int:
-        """Attempts that wait or run."""
-        return len(self._items)
+        """Attempts that wait or run, and answers that are to be sent."""
+        return len(self._items) + self.gate.waiting
 
     def load(self) -> LoadReport:
         """Returns the target's load, for entry nodes."""
@@ -110,7 +109,7 @@
             self._queue.queued,
             service_s,
             round(self._queue.refused_share, 3),
-            round(self.gate.backlog / self._link_bytes_per_s, 3),
+            round(self.gate.wait_s(), 3),
         )
 
     def take_target_change(self) -> None:
