--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -40,6 +40,8 @@
 NO_TARGET_RETRY_AFTER_S = 0.4
 # Part of the drain bound after which waiting requests are sent no more.
 DRAIN_PART = 0.5
+# Wait for the link that is allowed where a large answer is late anyway.
+MIN_LINK_WAIT_S = 0.2
 # A target that has just started takes this many times as long.
 COLD_SLOWDOWN = 2.0
 # An attempt is logged as slow if it took this many times the mean.
@@ -179,11 +181,22 @@
             return NotRun(Reason.DRAINING, 0.0)
         match self._state.phase:
             case TargetPhase.READY:
-                return None
+                return self._find_full_link(attempt) if not local else None
             case TargetPhase.DRAINING:
                 return NotRun(Reason.DRAINING, 0.0)
         return NotRun(Reason.TARGET_UNREACHABLE, NO_TARGET_RETRY_AFTER_S)
 
+    def _find_full_link(self, attempt: Attempt) -> NotRun | None:
+        """Refuses a large answer that the link could not send in time."""
+        if not attempt.bulk:
+            return None
+        wait_s = self.gate.wait_s()
+        useful_s = attempt.useful_until - self._loop.time()
+        longest_s = max(useful_s - self._queue.service_s, MIN_LINK_WAIT_S)
+        if wait_s <= longest_s:
+            return None
+        return NotRun(Reason.QUEUE_FULL, wait_s - longest_s)
+
     def _execute(self, item: _Item) -> None:
         if item.timer is not None:
             item.timer.cancel()
