--- a/src/guavawing/cli/queries/explain.py
+++ b/src/guavawing/cli/queries/explain.py
@@ -57,9 +57,20 @@
     show_default=True,
     help="Also print what nodes came to believe in this many seconds before.",
 )
+@click.option(
+    "--after",
+    type=click.FloatRange(min=0),
+    default=0.0,
+    show_default=True,
+    help="The same for this many seconds after.",
+)
 @output_option()
 def explain(
-    request_id: str, files: tuple[TextIO, ...], before: float, output: str
+    request_id: str,
+    files: tuple[TextIO, ...],
+    before: float,
+    after: float,
+    output: str,
 ) -> None:
     """Print what the nodes decided about one request, in order.
 
@@ -67,7 +78,9 @@
     made meanwhile are told too if their ids begin with that of the request.
     """
     lines = _read_lines(files or (sys.stdin,))
-    story = select_story(read_records(lines), request_id, before_s=before)
+    story = select_story(
+        read_records(lines), request_id, before_s=before, after_s=after
+    )
     if not story:
         exit_with(
             ExitCode.FAILURE,
@@ -112,7 +125,11 @@
 
 
 def select_story(
-    records: Iterable[dict[str, Any]], request_id: str, *, before_s: float
+    records: Iterable[dict[str, Any]],
+    request_id: str,
+    *,
+    before_s: float,
+    after_s: float,
 ) -> list[dict[str, Any]]:
     """Returns the records that tell of a request, in order of time.
 
@@ -121,13 +138,14 @@
         request_id: Id of the request.
         before_s: Time before the request in which changes of belief are told
             as well, in seconds.
+        after_s: The same after the request.
     """
     told, beliefs = [], []
     for record in records:
         named = str(record.get("request", ""))
         if named == request_id or named.startswith(f"{request_id}."):
             told.append(record)
-        elif before_s > 0 and record.get("message_type") in _BELIEFS:
+        elif before_s + after_s > 0 and record.get("message_type") in _BELIEFS:
             beliefs.append(record)
     if not told:
         return []
@@ -136,7 +154,7 @@
     told += [
         record
         for record in beliefs
-        if first - before_s <= record["timestamp"] <= last
+        if first - before_s <= record["timestamp"] <= last + after_s
     ]
     return sorted(told, key=lambda record: record["timestamp"])
 
--- a/tests/cover/explain.feature
+++ b/tests/cover/explain.feature
@@ -24,3 +24,13 @@
   Scenario: Requests beyond the sample are logged up to a rate
     Then 10000 refused requests in a second leave at most 80 lines and the rest counted
     And of 10000 served requests one in 128 is logged, the same at each node
+
+  Scenario Outline: The walks of the operators' page on recorded lines
+    When "<request>" is explained from "ringnett-scale-2.log" with "<options>"
+    Then the story tells "<kinds>" with "<details>"
+
+    Examples:
+      | request          | options                  | kinds                                              | details                               |
+      | f40332ea2a3997d6 |                          | request-answered                                   | status=503 reason=queue-full sent=0   |
+      | e19218b524c7ce0c |                          | attempt-ended, request-answered                    | status=502 reason=target-broke sent=1 |
+      | 5cff5f8aad50ada2 | --before 0.3 --after 0.1 | version-in-force, request-refused, version-in-force | reason=unknown-route version=4        |
--- a/tests/steps/explain_steps.py
+++ b/tests/steps/explain_steps.py
@@ -1,6 +1,7 @@
 """Steps that explain requests from log lines, and bound the lines."""
 
 import asyncio
+import pathlib
 
 import orjson
 from behave import given, then, when
@@ -9,6 +10,8 @@
 from guavawing.cli.main import main
 from guavawing.sidecar.decision_log import SAMPLE_ONE_IN, DecisionLog
 
+RECORDED = pathlib.Path(__file__).parents[1] / "recorded"
+
 
 @given("log lines")
 def step_lines(context):
@@ -44,6 +47,37 @@
     explain(context, request_id, "--before", str(seconds))
 
 
+@when('"{request_id}" is explained from "{name}" with "{options}"')
+@when('"{request_id}" is explained from "{name}" with ""')
+def step_explain_recorded(context, request_id, name, options=""):
+    context.request_id = request_id
+    context.result = CliRunner().invoke(
+        main,
+        [
+            "explain",
+            request_id,
+            str(RECORDED / name),
+            "--output",
+            "json",
+            *options.split(),
+        ],
+    )
+
+
+@then('the story tells "{kinds}" with "{details}"')
+def step_tells(context, kinds, details):
+    assert context.result.exit_code == 0, context.result.output
+    story = orjson.loads(context.result.output)
+    found = [each["message_type"] for each in story]
+    wanted = kinds.split(", ")
+    remaining = iter(found)
+    assert all(kind in remaining for kind in wanted), found
+    told = [each for each in story if each.get("request")][-1]
+    for pair in details.split():
+        name, value = pair.split("=")
+        assert str(told[name]) == value, told
+
+
 @then('the story is "{expected}"')
 def step_story(context, expected):
     assert context.result.exit_code == 0, context.result.output
