--- a/src/guavawing/platform/headers.py
+++ b/src/guavawing/platform/headers.py
@@ -290,6 +290,7 @@
 
 
 def _read_ms(value: bytes) -> float | None:
+    """Returns seconds; a value that is no number counts as not given."""
     try:
         return max(0.0, float(value) / MS_PER_S)
     except ValueError:
@@ -297,6 +298,7 @@
 
 
 def _read_idle_timeout(value: bytes) -> float | None:
+    """Returns seconds; a value that is no number counts as not given."""
     for part in value.split(b","):
         name, _, number = part.partition(b"=")
         if name.strip().lower() == b"timeout":
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -9,13 +9,7 @@
 
 import uvloop
 
-from guavawing.errors import MessageInvalidError, SettingsInvalidError
-from guavawing.platform.headers import build_answer, build_refusal
-from guavawing.platform.heartbeats import (
-    DEPARTURE_PATH,
-    HEARTBEAT_PATH,
-    decode_heartbeat,
-)
+from guavawing.errors import SettingsInvalidError
 from guavawing.platform.settings import VmSettings, parse_settings
 from guavawing.platform.store_client import (
     CONFIGURATION_TABLE,
@@ -26,7 +20,8 @@
 from guavawing.sidecar.configuration import Configuration
 from guavawing.sidecar.decision_log import DecisionLog, open_decision_log
 from guavawing.sidecar.entry import Entry, RetryTerms
-from guavawing.sidecar.http_server import HttpRequest, HttpServer
+from guavawing.sidecar.http_server import HttpServer
+from guavawing.sidecar.local_calls import LocalCalls
 from guavawing.sidecar.membership import NODES_TABLE, Membership
 from guavawing.sidecar.mesh_client import MeshClient
 from guavawing.sidecar.mesh_codec import ConfigFrame
@@ -51,13 +46,6 @@
 
 __all__ = ["Sidecar", "run_sidecar"]
 
-OK = 200
-BAD_REQUEST = 400
-NOT_FOUND = 404
-UNAVAILABLE = 503
-MS_PER_S = 1000
-JSON_HEAD = b"Content-Type: application/json\r\n"
-TEXT_HEAD = b"Content-Type: text/plain; version=0.0.4\r\n"
 # Descriptors kept for files, listeners, the mesh, the target and the store.
 MAX_CALLER_CONNECTIONS = 2_500
 MAX_LOCAL_CONNECTIONS = 64
@@ -151,9 +139,21 @@
             self._owner, read_config=self._read_config
         )
         local = MAX_LOCAL_CONNECTIONS
-        self._ready = HttpServer(self._answer_ready, max_connections=local)
-        self._control = HttpServer(self._take_call, max_connections=local)
-        self._scrapes = HttpServer(self._answer_scrape, max_connections=local)
+        calls = LocalCalls(
+            target=self._target,
+            on_target=self._owner.take_target_change,
+            is_ready=lambda: (
+                self._entry.table is not None and not self._leaving
+            ),
+            peers=self._peers,
+            log=self._log,
+            metrics=self._metrics,
+        )
+        self._ready = HttpServer(calls.answer_ready, max_connections=local)
+        self._control = HttpServer(
+            calls.take_target_call, max_connections=local
+        )
+        self._scrapes = HttpServer(calls.answer_scrape, max_connections=local)
 
     def _make_shared_state(self) -> None:
         settings = self._settings
@@ -396,56 +396,6 @@
             self._beacons.reaches_store = reached
             self._beacons.tell_change()
 
-    # Calls of the platform and of the target.
-
-    def _answer_ready(self, request: HttpRequest) -> None:
-        ready = self._entry.table is not None and not self._leaving
-        payload = build_refusal(OK if ready else UNAVAILABLE, b"")
-        request.conn.respond(payload)
-
-    def _answer_scrape(self, request: HttpRequest) -> None:
-        alive = sum(1 for peer in self._peers if peer.view.alive)
-        self._metrics.peers.set({"state": "alive"}, alive)
-        self._metrics.peers.set({"state": "lost"}, len(self._peers) - alive)
-        self._metrics.log_lines_left_out.set({}, self._log.left_out)
-        payload = build_answer(
-            OK, TEXT_HEAD, self._metrics.render(), closes=False
-        )
-        request.conn.respond(payload)
-
-    def _take_call(self, request: HttpRequest) -> None:
-        path = request.path.decode("latin-1")
-        now = self._loop.time()
-        if path.startswith(HEARTBEAT_PATH):
-            status = self._take_heartbeat(
-                path.removeprefix(HEARTBEAT_PATH), request.body
-            )
-        elif path.startswith(DEPARTURE_PATH):
-            target_id = path.removeprefix(DEPARTURE_PATH)
-            if self._target.take_departure(target_id, now=now):
-                self._owner.take_target_change()
-            status = OK
-        else:
-            status = NOT_FOUND
-        body = b"{}" if status == OK else b""
-        payload = build_answer(status, JSON_HEAD, body, closes=False)
-        request.conn.respond(payload)
-
-    def _take_heartbeat(self, target_id: str, body: bytes) -> int:
-        try:
-            report = decode_heartbeat(target_id, body)
-        except MessageInvalidError as exc:
-            self._metrics.unreadable.inc({"source": "heartbeat"})
-            self._log.belief("heartbeat-unreadable", cause=str(exc))
-            return BAD_REQUEST
-        if not self._target.is_mine(report):
-            self._metrics.unreadable.inc({"source": "heartbeat"})
-            self._log.belief("heartbeat-of-another", target=target_id[:80])
-            return BAD_REQUEST
-        if self._target.take_report(report, now=self._loop.time()):
-            self._owner.take_target_change()
-        return OK
-
 
 def run_sidecar(path: pathlib.Path) -> None:
     """Runs the daemon until SIGTERM or SIGINT.
--- /dev/null
+++ b/src/guavawing/sidecar/local_calls.py
@@ -0,0 +1,111 @@
+"""Calls of the platform and of the target on a node's own VM."""
+
+import asyncio
+from collections.abc import Callable
+
+from guavawing.errors import MessageInvalidError
+from guavawing.platform.headers import build_answer, build_refusal
+from guavawing.platform.heartbeats import (
+    DEPARTURE_PATH,
+    HEARTBEAT_PATH,
+    decode_heartbeat,
+)
+from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.http_server import HttpRequest
+from guavawing.sidecar.metrics import SidecarMetrics
+from guavawing.traffic.peers import PeerTable
+from guavawing.traffic.target_state import TargetState
+
+__all__ = ["LocalCalls"]
+
+OK = 200
+BAD_REQUEST = 400
+NOT_FOUND = 404
+UNAVAILABLE = 503
+JSON_HEAD = b"Content-Type: application/json\r\n"
+TEXT_HEAD = b"Content-Type: text/plain; version=0.0.4\r\n"
+MAX_LOGGED_ID = 80
+
+
+class LocalCalls:
+    """Answers heartbeats, questions for readiness, and scrapes."""
+
+    def __init__(
+        self,
+        *,
+        target: TargetState,
+        on_target: Callable[[], None],
+        is_ready: Callable[[], bool],
+        peers: PeerTable,
+        log: DecisionLog,
+        metrics: SidecarMetrics,
+    ) -> None:
+        """Creates handlers for `HttpServer`.
+
+        Args:
+            target: Takes what the target says of itself.
+            on_target: Is told when that has changed.
+            is_ready: Tells whether clients may send work to this VM.
+            peers: Counted for the scrapes.
+            log: Takes heartbeats that name nothing.
+            metrics: What is scraped.
+        """
+        self._loop = asyncio.get_running_loop()
+        self._target = target
+        self._on_target = on_target
+        self._is_ready = is_ready
+        self._peers = peers
+        self._log = log
+        self._metrics = metrics
+
+    def answer_ready(self, request: HttpRequest) -> None:
+        """Tells the platform whether this node is ready."""
+        status = OK if self._is_ready() else UNAVAILABLE
+        request.conn.respond(build_refusal(status, b""))
+
+    def answer_scrape(self, request: HttpRequest) -> None:
+        """Writes the counters."""
+        alive = sum(1 for peer in self._peers if peer.view.alive)
+        self._metrics.peers.set({"state": "alive"}, alive)
+        self._metrics.peers.set({"state": "lost"}, len(self._peers) - alive)
+        self._metrics.log_lines_left_out.set({}, self._log.left_out)
+        payload = build_answer(
+            OK, TEXT_HEAD, self._metrics.render(), closes=False
+        )
+        request.conn.respond(payload)
+
+    def take_target_call(self, request: HttpRequest) -> None:
+        """Takes a heartbeat or the departure of the target."""
+        path = request.path.decode("latin-1")
+        if path.startswith(HEARTBEAT_PATH):
+            target_id = path.removeprefix(HEARTBEAT_PATH)
+            status = self._take_heartbeat(target_id, request.body)
+        elif path.startswith(DEPARTURE_PATH):
+            status = self._take_departure(path.removeprefix(DEPARTURE_PATH))
+        else:
+            status = NOT_FOUND
+        body = b"{}" if status == OK else b""
+        payload = build_answer(status, JSON_HEAD, body, closes=False)
+        request.conn.respond(payload)
+
+    def _take_departure(self, target_id: str) -> int:
+        if self._target.take_departure(target_id, now=self._loop.time()):
+            self._on_target()
+        return OK
+
+    def _take_heartbeat(self, target_id: str, body: bytes) -> int:
+        try:
+            report = decode_heartbeat(target_id, body)
+        except MessageInvalidError as exc:
+            self._metrics.unreadable.inc({"source": "heartbeat"})
+            self._log.belief("heartbeat-unreadable", cause=str(exc))
+            return BAD_REQUEST
+        if not self._target.is_mine(report):
+            self._metrics.unreadable.inc({"source": "heartbeat"})
+            self._log.belief(
+                "heartbeat-of-another", target=target_id[:MAX_LOGGED_ID]
+            )
+            return BAD_REQUEST
+        if self._target.take_report(report, now=self._loop.time()):
+            self._on_target()
+        return OK
--- /dev/null
+++ b/src/guavawing/sidecar/transfer.py
@@ -0,0 +1,349 @@
+"""One request of a client, from its arrival at the entry node to its answer."""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from guavawing.platform.headers import build_answer, build_refusal
+from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.http_server import HttpRequest
+from guavawing.sidecar.mesh_client import MeshClient, MeshTicket
+from guavawing.sidecar.metrics import SidecarMetrics
+from guavawing.sidecar.owner import Owner
+from guavawing.traffic.balancer import Balancer, OwnerView
+from guavawing.traffic.budget import RetryAllowance
+from guavawing.traffic.failures import FailureShare
+from guavawing.traffic.model import Attempt, Outcome, Route
+from guavawing.traffic.peers import PeerTable
+from guavawing.traffic.unserved import Step, next_step
+from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
+
+__all__ = ["EntryParts", "Transfer"]
+
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+MS_PER_S = 1000
+# When to come back while no target is known.
+NO_TARGET_RETRY_AFTER_S = 0.5
+# Owners that are asked for room for one request.
+MAX_OWNERS_ASKED = 4
+# Time after its deadline at which a request without an answer is given up, in
+# seconds: targets answer at the deadline themselves.
+DEADLINE_MARGIN_S = 0.15
+SERVER_ERRORS = range(500, 600)
+
+
+@attrs.frozen
+class EntryParts:
+    """What the requests of one entry node share.
+
+    Attributes:
+        loop: The event loop.
+        owner: Owner of the target beside this node.
+        own_view: What the choice knows of that owner.
+        peers: The other nodes.
+        mesh: Connections to them.
+        balancer: Chooses owners.
+        failures: Share of failures by service.
+        allowance: Returns this node's part of a service's retry budget.
+        version: Returns the number of the version in force.
+        log: Takes decisions.
+        metrics: Counts answers.
+    """
+
+    loop: asyncio.AbstractEventLoop
+    owner: Owner
+    own_view: OwnerView
+    peers: PeerTable
+    mesh: MeshClient
+    balancer: Balancer
+    failures: FailureShare
+    allowance: Callable[[str], RetryAllowance]
+    version: Callable[[], int]
+    log: DecisionLog
+    metrics: SidecarMetrics
+
+
+class Transfer:
+    """One request from its arrival to its answer."""
+
+    __slots__ = (
+        "_asked",
+        "_asked_at",
+        "_attempt",
+        "_fallback",
+        "_item",
+        "_owner",
+        "_parts",
+        "_refusal",
+        "_request",
+        "_retry_after_s",
+        "_route",
+        "_sent",
+        "_started_at",
+        "_ticket",
+        "_timer",
+    )
+
+    def __init__(
+        self,
+        parts: EntryParts,
+        request: HttpRequest,
+        route: Route,
+        attempt: Attempt,
+        now: float,
+    ) -> None:
+        self._parts = parts
+        self._request = request
+        self._route = route
+        self._attempt = attempt
+        self._started_at = now
+        # Owners that have been asked, and attempts that reached a target.
+        self._asked: list[str] = []
+        self._asked_at = now
+        self._sent = 0
+        # Last refusal by an owner or a target.
+        self._refusal: NotRun | None = None
+        self._retry_after_s: float | None = None
+        self._owner: OwnerView | None = None
+        self._item = 0
+        self._ticket: MeshTicket | None = None
+        # Answer of a target that is given if no other attempt brings one.
+        self._fallback: Outcome | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    def begin(self) -> None:
+        """Asks the first owner."""
+        parts = self._parts
+        self._request.on_gone = self._take_gone
+        self._timer = parts.loop.call_at(
+            self._attempt.deadline + DEADLINE_MARGIN_S, self._take_deadline
+        )
+        self._ask()
+
+    def _ask(self) -> None:
+        parts, attempt = self._parts, self._attempt
+        now = parts.loop.time()
+        parts.own_view.take_report(parts.owner.load(), now=now)
+        choice = parts.balancer.choose(
+            parts.peers.owners(attempt.service),
+            route=self._route.name,
+            bulk=attempt.bulk,
+            useful_s=attempt.useful_until - now,
+            excluded=self._asked,
+            now=now,
+        )
+        if choice is None:
+            self._give_up()
+            return
+        owner = choice.owner
+        if choice.spare_only:
+            attempt = attrs.evolve(attempt, spare_only=True)
+        if parts.log.samples(attempt.request_id):
+            parts.log.request(
+                "request-sent",
+                attempt.request_id,
+                notable=False,
+                owner=owner.node,
+                load=str(owner.report),
+                load_age_s=round(now - owner.reported_at, 3),
+            )
+        self._asked.append(owner.node)
+        self._owner = owner
+        self._asked_at = now
+        owner.outstanding += 1
+        if owner.local:
+            self._ticket = None
+            self._item = 0
+            self._item = parts.owner.submit(
+                attempt, self._take_outcome, local=True
+            )
+            return
+        peer = parts.peers.get(owner.node)
+        assert peer is not None
+        self._ticket = parts.mesh.submit(
+            owner.node, peer.record.mesh_port, attempt, self._take_outcome
+        )
+
+    def _take_outcome(self, outcome: Outcome) -> None:
+        owner = self._owner
+        assert owner is not None
+        self._owner = None
+        owner.outstanding -= 1
+        now = self._parts.loop.time()
+        if not owner.local:
+            transit_s = now - self._asked_at - outcome.held_s
+            owner.take_transit(
+                max(0.0, transit_s), bulk=self._attempt.bulk, now=now
+            )
+        verdict = outcome.verdict
+        failed = outcome.status in SERVER_ERRORS
+        failures = self._parts.failures
+        if isinstance(verdict, Ran):
+            failures.observe(self._attempt.service, failed=failed)
+        match verdict:
+            case Ran() if not failed:
+                owner.take_success()
+                self._deliver(outcome)
+                return
+            case Ran():
+                self._fallback = outcome
+                self._sent += 1
+            case MayHaveRun():
+                owner.take_failure(now=now)
+                self._sent += 1
+            case NotRun(reason=Reason.TARGET_SHED):
+                owner.take_failure(now=now)
+                self._sent += 1
+                self._note_refusal(verdict)
+            case NotRun(reason=Reason.QUEUE_FULL):
+                owner.take_refusal(verdict.retry_after_s or 0.0, now=now)
+                self._note_refusal(verdict)
+            case NotRun():
+                self._note_refusal(verdict)
+        step = next_step(
+            verdict,
+            common=failures.are_common(self._attempt.service),
+            idempotent=self._attempt.idempotent,
+            sent=self._sent,
+            max_sent=self._route.max_attempts,
+            asked=len(self._asked),
+            max_asked=MAX_OWNERS_ASKED,
+            left_s=self._attempt.deadline - now,
+        )
+        match step:
+            case Step.ASK_ANOTHER:
+                self._ask()
+            case Step.RETRY:
+                self._retry(verdict)
+            case Step.GIVE_UP:
+                self._give_up(verdict)
+
+    def _note_refusal(self, verdict: NotRun) -> None:
+        self._refusal = verdict
+        retry_after_s = verdict.retry_after_s
+        if retry_after_s:
+            known = self._retry_after_s
+            self._retry_after_s = (
+                retry_after_s if known is None else min(known, retry_after_s)
+            )
+
+    def _retry(self, verdict: NotRun | MayHaveRun | Ran) -> None:
+        """Sends the request to a second target if the budget allows it."""
+        parts = self._parts
+        if not parts.allowance(self._attempt.service).spend():
+            self._give_up(verdict)
+            return
+        parts.metrics.count_retry(verdict.reason)
+        parts.log.request(
+            "request-retried",
+            self._attempt.request_id,
+            notable=True,
+            reason=verdict.reason,
+            sent=self._sent,
+        )
+        self._ask()
+
+    def _give_up(
+        self, verdict: NotRun | MayHaveRun | Ran | None = None
+    ) -> None:
+        """Answers with the best that is known."""
+        if self._fallback is not None:
+            self._deliver(self._fallback)
+            return
+        if verdict is None or isinstance(verdict, Ran):
+            verdict = self._refusal or NotRun(Reason.NO_TARGET)
+        match verdict:
+            case MayHaveRun(reason=Reason.TARGET_TIMEOUT):
+                self._refuse(GATEWAY_TIMEOUT, verdict, None)
+            case MayHaveRun():
+                self._refuse(BAD_GATEWAY, verdict, None)
+            case NotRun(reason=Reason.DEADLINE_PASSED):
+                self._refuse(GATEWAY_TIMEOUT, verdict, None)
+            case NotRun():
+                retry_after_s = self._retry_after_s or NO_TARGET_RETRY_AFTER_S
+                self._refuse(UNAVAILABLE, verdict, retry_after_s)
+
+    def _deliver(self, outcome: Outcome) -> None:
+        """Answers with a target's answer."""
+        conn = self._request.conn
+        closes = not conn.keeps_open()
+        payload = build_answer(
+            outcome.status, outcome.head, outcome.body, closes=closes
+        )
+        self._end(outcome.verdict, outcome.status)
+        conn.respond(payload, closes=closes)
+        size = len(outcome.body) + len(self._attempt.body)
+        self._parts.balancer.observe_size(self._route.name, size)
+
+    def _refuse(
+        self,
+        status: int,
+        verdict: NotRun | MayHaveRun,
+        retry_after_s: float | None,
+    ) -> None:
+        conn = self._request.conn
+        closes = not conn.keeps_open(refused=True)
+        payload = build_refusal(
+            status,
+            self._attempt.request_id,
+            retry_after_s=retry_after_s,
+            reason=verdict.reason.value,
+            closes=closes,
+        )
+        self._end(verdict, status)
+        conn.respond(payload, closes=closes)
+
+    def _end(self, verdict: NotRun | MayHaveRun | Ran, status: int) -> None:
+        self._request.on_gone = None
+        if self._timer is not None:
+            self._timer.cancel()
+        parts = self._parts
+        elapsed_s = parts.loop.time() - self._started_at
+        parts.metrics.count_answer(verdict)
+        parts.metrics.observe_entry(elapsed_s)
+        slow = elapsed_s > self._route.latency_target_s
+        notable = slow or status >= SERVER_ERRORS.start
+        if notable or parts.log.samples(self._attempt.request_id):
+            parts.log.request(
+                "request-answered",
+                self._attempt.request_id,
+                notable=notable,
+                status=status,
+                reason=verdict.reason,
+                route=self._route.name,
+                version=parts.version(),
+                owners=",".join(self._asked),
+                sent=self._sent,
+                elapsed_ms=round(elapsed_s * MS_PER_S, 1),
+                left_ms=round(
+                    (self._attempt.deadline - parts.loop.time()) * 1000, 1
+                ),
+            )
+
+    def _take_gone(self) -> None:
+        """Takes that the client went away."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._cancel_attempt()
+        self._parts.metrics.count_answer(MayHaveRun(Reason.CANCELLED))
+
+    def _take_deadline(self) -> None:
+        """Takes that the time of the request is over."""
+        owner = self._owner
+        if owner is not None:
+            owner.take_failure(now=self._parts.loop.time())
+        self._cancel_attempt()
+        self._refuse(GATEWAY_TIMEOUT, MayHaveRun(Reason.DEADLINE_PASSED), None)
+
+    def _cancel_attempt(self) -> None:
+        owner, self._owner = self._owner, None
+        if owner is None:
+            return
+        owner.outstanding -= 1
+        if self._ticket is not None:
+            self._parts.mesh.cancel(self._ticket)
+        elif owner.local:
+            self._parts.owner.cancel(self._item)
