Answer every connection that a planned stop has let in

The kernel takes connections before the process does; those in the backlog when the listener closed were reset, and so were new ones whose first request had not arrived yet.

Ruled out: kept connections (the callers' library takes the oldest first, so each was used and closed in the notice of 0.5 s).

Change: a listener accepts what the kernel has taken before it closes, and a stopping process gives new connections a moment for their first request. The sidecar and the product's node use the same class.

--- a/src/guavawing/node/http_server.py
+++ b/src/guavawing/node/http_server.py
@@ -9,6 +9,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from guavawing.model import Address
+from guavawing.node.listener import Listener
 from guavawing.node.metrics import Metrics
 
 __all__ = ["BoundedServer", "open_http_server"]
@@ -17,6 +18,9 @@
 FIRST_REQUEST_TIMEOUT_S = 10.0
 KEEPALIVE_TIMEOUT_S = 75.0
 SHUTDOWN_TIMEOUT_S = 1.0
+# Time that connections get for a first request after the listener has closed.
+LAST_REQUEST_TIMEOUT_S = 0.5
+LAST_REQUEST_POLL_S = 0.01
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 ErrorHandler = Callable[[int, str], web.Response]
@@ -103,6 +107,11 @@
         super().connection_lost(handler, exc)
         self._silent.discard(handler)
 
+    async def wait_first_requests(self) -> None:
+        """Waits until no connection is without its first request."""
+        while self._silent:
+            await asyncio.sleep(LAST_REQUEST_POLL_S)
+
     def _note_request(
         self, message: Any, payload: Any, protocol: Any, *rest: Any
     ) -> web.BaseRequest:
@@ -123,13 +132,19 @@
 
 @contextlib.asynccontextmanager
 async def open_http_server(
-    server: web.Server, address: Address
+    server: BoundedServer, address: Address
 ) -> AsyncIterator[None]:
     """Listens at an address until closed."""
     runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
     await runner.setup()
-    await web.TCPSite(runner, address.host, address.port).start()
+    listener = Listener(server)
+    await listener.open(address.host, address.port)
     try:
         yield
     finally:
+        listener.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_REQUEST_TIMEOUT_S):
+                await listener.wait_taken()
+                await server.wait_first_requests()
         await runner.cleanup()
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -241,6 +241,11 @@
         while self._loop.time() < ends_at and self._is_needed():
             self._entry.closing |= self._loop.time() > closes_at
             await asyncio.sleep(STOP_POLL_S)
+        self._callers.close_listener()
+        while self._loop.time() < ends_at and (
+            self._callers.busy or self._callers.awaits_first
+        ):
+            await asyncio.sleep(STOP_POLL_S)
         if withdrawal is not None:
             withdrawal.cancel()
         self._log.event("stopped", seconds=self._loop.time() - began_at)
@@ -309,7 +314,7 @@
         )
 
     def _is_needed(self) -> bool:
-        if self._callers.busy > 0 or self._owner.busy > 0:
+        if self._callers.busy or self._owner.busy > 0:
             return True
         quiet_s = self._loop.time() - self._callers.last_request_at
         return not self._entry.closing and quiet_s < QUIET_S
--- a/src/guavawing/sidecar/http_server.py
+++ b/src/guavawing/sidecar/http_server.py
@@ -12,6 +12,7 @@
 import attrs
 import httptools
 
+from guavawing.node.listener import Listener
 from guavawing.platform.headers import build_refusal
 from guavawing.traffic.model import ClientLimits
 
@@ -26,6 +27,9 @@
 # Time beyond a limit after which a connection is closed, in seconds: a
 # client that keeps to the limit never meets the close.
 LIMIT_MARGIN_S = 1.0
+# Time that a new connection is given for its first request, in seconds, when
+# the process ends: some round trips inside a data centre.
+FIRST_REQUEST_S = 0.25
 # Requests that a client may send ahead of their answers.
 MAX_PIPELINED = 32
 # Connections from which on refused clients are told to close theirs, and four
@@ -69,7 +73,7 @@
     def __init__(self, handler: Handler, *, max_connections: int) -> None:
         self._loop = asyncio.get_running_loop()
         self._max_connections = max_connections
-        self._server: asyncio.Server | None = None
+        self._listener = Listener(lambda: ServerConnection(self))
         self._sweeper: asyncio.TimerHandle | None = None
         self.handler = handler
         self.connections: set[ServerConnection] = set()
@@ -78,19 +82,20 @@
         self.last_request_at = self._loop.time()
 
     @property
-    def busy(self) -> int:
-        """Connections with a request that is not answered."""
-        return sum(1 for conn in self.connections if conn.busy)
+    def busy(self) -> bool:
+        """Whether a request is not answered."""
+        return any(conn.busy for conn in self.connections)
+
+    @property
+    def awaits_first(self) -> bool:
+        """Whether a new connection's first request may be on its way."""
+        return self._listener.taking or any(
+            conn.is_awaited() for conn in self.connections
+        )
 
     async def listen(self, host: str, port: int) -> None:
         """Opens the listener."""
-        self._server = await self._loop.create_server(
-            lambda: ServerConnection(self),
-            host,
-            port,
-            backlog=1024,
-            reuse_address=True,
-        )
+        await self._listener.open(host, port)
         self._sweep()
 
     def admits(self) -> bool:
@@ -99,8 +104,7 @@
 
     def close_listener(self) -> None:
         """Takes no more connections."""
-        if self._server is not None:
-            self._server.close()
+        self._listener.close()
 
     def close(self) -> None:
         """Closes everything at once."""
@@ -113,7 +117,7 @@
     def close_idle(self) -> None:
         """Closes the connections on which no request is under way."""
         for conn in tuple(self.connections):
-            if not conn.busy and not conn.reading:
+            if not (conn.busy or conn.reading or conn.is_awaited()):
                 conn.close()
 
     def _sweep(self) -> None:
@@ -132,6 +136,7 @@
         "_current",
         "_header_bytes",
         "_headers",
+        "_is_new",
         "_parser",
         "_pending",
         "_refused",
@@ -149,6 +154,7 @@
         self._pending: collections.deque[HttpRequest] = collections.deque()
         self._current: HttpRequest | None = None
         self._refused = 0
+        self._is_new = True
         self.reading = False
         self._since = 0.0
         self._reset()
@@ -163,6 +169,11 @@
         """Whether the client can still be answered."""
         return self._transport is not None
 
+    def is_awaited(self) -> bool:
+        """Returns whether the client has just come and sent nothing yet."""
+        age_s = self._server._loop.time() - self._since
+        return self._is_new and age_s < FIRST_REQUEST_S
+
     def respond(self, payload: bytes, *, closes: bool = False) -> None:
         """Answers the current request.
 
@@ -258,6 +269,7 @@
     def on_message_begin(self) -> None:
         """Takes the first byte of a request."""
         self._reset()
+        self._is_new = False
         self.reading = True
         if self._current is None:
             self._since = self._server._loop.time()
--- a/tests/processes/drain.feature
+++ b/tests/processes/drain.feature
@@ -29,3 +29,9 @@
     Given callers send 150 calls of 50 ms a second to "desk"
     When every node is restarted in turn, and ends with exit code 0
     Then when the callers stop every call was run once
+
+  Scenario: A planned stop answers each connection that it has let in
+    Given callers open a connection for each call of "desk" through "feed-bergen-1"
+    When node "feed-bergen-1" gets SIGTERM
+    Then "feed-bergen-1" ends with exit code 0
+    And every call was answered, or turned away when it connected
--- a/tests/processes/sidecar.feature
+++ b/tests/processes/sidecar.feature
@@ -56,6 +56,12 @@
     And the daemon of "a2" ends with code 0 within 6 s
     And none was executed twice
 
+  Scenario: A planned stop answers each connection that it has let in
+    Given clients open a connection for each request "/desk/safe/ok" on "a2"
+    When the daemon of "a2" is told to stop
+    Then the daemon of "a2" ends with code 0 within 6 s
+    And every call was answered, or turned away when it connected
+
   Scenario: A killed daemon's requests are not run twice
     When 12 clients on "a3" send POST "/desk/unsafe/slow" and go on
     And the daemons of "a1 b1" are killed
--- a/tests/steps/drain_steps.py
+++ b/tests/steps/drain_steps.py
@@ -2,11 +2,12 @@
 
 import asyncio
 
-from behave import then, when
+from behave import given, then, when
 
 from standins.records import read_record
 from standins.target import make_answer
 from tests.fleet_support import send_signal, start_nodes
+from tests.steps.fresh_steps import start_fresh_callers
 
 STOP_LIMIT_S = 20.0
 SLOW_READER_S = 3.0
@@ -76,3 +77,15 @@
         step_ends(context, name, code)
         start_nodes(context, [name], "/readyz")
         assert context.run(fleet.wait_for_serving(len(fleet.nodes)))
+
+
+@given(
+    'callers open a connection for each call of "{service}" through "{name}"'
+)
+def step_fresh_callers(context, service, name):
+    host, port = context.fleet.nodes[name].caller.split(":")
+    head = (
+        f"GET /read HTTP/1.1\r\nHost: {host}\r\n"
+        f"Guavawing-Service: {service}\r\nGuavawing-Deadline-Ms: 3000\r\n\r\n"
+    )
+    start_fresh_callers(context, host, int(port), head.encode())
--- /dev/null
+++ b/tests/steps/fresh_steps.py
@@ -0,0 +1,29 @@
+"""Steps with callers that open a connection for each request."""
+
+import asyncio
+
+from behave import then
+
+from standins.fresh_callers import call_freshly
+
+WARM_UP_S = 1.0
+
+
+def start_fresh_callers(context, host, port, request):
+    """Starts callers that open a connection for each request."""
+    over = []
+    context.add_cleanup(over.append, True)
+    callers = call_freshly(host, port, request, lambda: bool(over))
+    context.fresh = (
+        over,
+        asyncio.run_coroutine_threadsafe(callers, context.loop),
+    )
+    context.run(asyncio.sleep(WARM_UP_S))
+
+
+@then("every call was answered, or turned away when it connected")
+def step_fresh_answered(context):
+    over, callers = context.fresh
+    over.append(True)
+    seen = callers.result()
+    assert seen["answered"] and seen["refused"] and not seen["cut"], seen
--- a/tests/steps/sidecar_steps.py
+++ b/tests/steps/sidecar_steps.py
@@ -10,11 +10,13 @@
 
 from standins.vm_fleet import (
     HOST_NAME,
+    OUTBOUND,
     SLOTS,
     make_document,
     open_vm_fleet,
 )
 from standins.vm_target import BODY
+from tests.steps.fresh_steps import start_fresh_callers
 from tests.support import open_in_scenario
 
 DEADLINE_MS = 2900
@@ -301,6 +303,21 @@
     context.results = context.run(stop())
 
 
+@given('clients open a connection for each request "{path}" on "{name}"')
+def step_fresh_clients(context, path, name):
+    head = (
+        f"GET {path} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
+        f"X-Request-Id: fresh\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n\r\n"
+    )
+    vm = find(context, name)
+    start_fresh_callers(context, vm.host, OUTBOUND, head.encode())
+
+
+@when('the daemon of "{name}" is told to stop')
+def step_tell_stop(context, name):
+    find(context, name).process.send(signal.SIGTERM)
+
+
 @then('the daemon of "{name}" ends with code {code:d} within {seconds:g} s')
 def step_ends(context, name, code, seconds):
     assert context.run(find(context, name).process.wait(seconds)) == code
