Send late reads only once no slot is held, and mend the listed scenario

Cause: 'Answers that come after their callers have gone' follows a scenario that cuts 4 answers; a cut answer holds its slot for 1 s, as the target may still be at work. A trial that prints the loads shows 4 of the near target's 10 slots taken each time when the 10 reads start. They fit only if the entry node has heard so; loads come with answers, and the last one may be older than the cuts. The two reads that waited and were refused as not run at their deadline were allowed.

Ruled out: slow connections between nodes (2 of 5 would have been all 5).

Change: the scenario waits until no slot is held; its check is unchanged.

--- a/tests/processes/answers.feature
+++ b/tests/processes/answers.feature
@@ -12,6 +12,7 @@
     And the others got the whole of their own answer
 
   Scenario: Answers that come after their callers have gone
+    Given no target of "desk" holds a slot
     When 10 reads of 300 ms that work 600 ms are started through "feed-bergen-1"
     Then every verdict is "may-have-run"
     When 20 reads of mixed sizes are sent, 20 at a time, through every node
--- a/tests/steps/at_most_once_steps.py
+++ b/tests/steps/at_most_once_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from tests.fleet_support import send_keyed
+from tests.fleet_support import read_statuses, send_keyed, wait_until
 from tests.support import (
     PUBLISH,
     send,
@@ -16,6 +16,8 @@
 
 ENTRY_KEYS_PATH = "/guavawing/keys"
 CALLS = {"publishes": PUBLISH, "reads": {"service": "desk", "path": "/read"}}
+# A cut connection holds its slot for a second.
+SLOTS_FREE_TIMEOUT_S = 3.0
 TARGET_FAULTS = {"lose": "drop_answers", "cut off": "truncate_answers"}
 
 
@@ -26,6 +28,18 @@
     context.add_cleanup(set_target_faults, context, service)
 
 
+@given('no target of "{service}" holds a slot')
+def step_slots_free(context, service):
+    def are_free():
+        return not any(
+            status["load"]["running"]
+            for status in read_statuses(context).values()
+            if status["service"] == service
+        )
+
+    wait_until(SLOTS_FREE_TIMEOUT_S, are_free)
+
+
 @given("the platform loses {count:d} reply")
 def step_platform_loses(context, count):
     set_platform_faults(context, lose_replies=count)
