Keep headers named by a later Connection header at this hop; split long files

Cause: read_caller_head and read_answer_head dropped the headers that a Connection header names only if they came after it.

Besides: dead code is gone (PeerTable.newest_version, RetryAllowance.tokens, an unused constant); messages between nodes, the daemon's process and the steps about the store have modules of their own.

--- a/deploy/sidecar.py
+++ b/deploy/sidecar.py
@@ -6,7 +6,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
 
 from guavawing.platform.settings import find_settings_file
-from guavawing.sidecar.daemon import run_sidecar
+from guavawing.sidecar.program import run_sidecar
 
 if __name__ == "__main__":
     run_sidecar(find_settings_file())
--- a/src/guavawing/platform/headers.py
+++ b/src/guavawing/platform/headers.py
@@ -1,7 +1,7 @@
 """Headers of requests and answers, and the bytes that carry them."""
 
 import http
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 import attrs
 
@@ -19,7 +19,7 @@
 ]
 
 MS_PER_S = 1000
-RawHeaders = Iterable[tuple[bytes, bytes]]
+RawHeaders = Sequence[tuple[bytes, bytes]]
 
 # Headers that concern one connection only.
 _HOP_HEADERS = frozenset(
@@ -100,14 +100,12 @@
     host = request_id = b""
     deadline_s = None
     expects_continue = False
-    dropped: frozenset[bytes] | set[bytes] = _HOP_HEADERS
+    dropped = _find_hop_headers(headers)
     lines: list[bytes] = []
     for name, value in headers:
         lower = name.lower()
         if lower in dropped:
-            if lower == b"connection":
-                dropped = dropped | _split_list(value)
-            elif lower == b"expect":
+            if lower == b"expect":
                 expects_continue = value.lower() == b"100-continue"
             continue
         if lower in _REPLACED_HEADERS:
@@ -174,19 +172,15 @@
 def read_answer_head(status: int, headers: RawHeaders) -> AnswerHead:
     """Reads the headers of a target's answer."""
     request_id = b""
-    signed = not_executed = closes = False
+    signed = not_executed = False
     framed = status in _BODILESS
     idle_timeout_s = None
-    dropped: frozenset[bytes] | set[bytes] = _HOP_HEADERS
+    dropped = _find_hop_headers(headers)
     lines: list[bytes] = []
     for name, value in headers:
         lower = name.lower()
         if lower in dropped:
-            if lower == b"connection":
-                options = _split_list(value)
-                closes = b"close" in options
-                dropped = dropped | options
-            elif lower == b"transfer-encoding":
+            if lower == b"transfer-encoding":
                 framed = True
             elif lower == b"keep-alive":
                 idle_timeout_s = _read_idle_timeout(value)
@@ -205,7 +199,7 @@
         request_id,
         signed,
         not_executed,
-        closes,
+        b"close" in dropped,
         idle_timeout_s,
         framed,
         b"".join(lines),
@@ -285,8 +279,18 @@
     return b"Content-Length: %d\r\n" % len(body)
 
 
-def _split_list(value: bytes) -> set[bytes]:
-    return {part.strip().lower() for part in value.split(b",")}
+def _find_hop_headers(headers: RawHeaders) -> frozenset[bytes]:
+    """Returns the lower-case names of headers that are not passed on.
+
+    A `Connection` header names further ones, wherever it stands; its options,
+    such as `close`, are among the names.
+    """
+    names = _HOP_HEADERS
+    for name, value in headers:
+        if name.lower() == b"connection":
+            options = (part.strip().lower() for part in value.split(b","))
+            names = names.union(options)
+    return names
 
 
 def _read_ms(value: bytes) -> float | None:
--- a/src/guavawing/sidecar/beacons.py
+++ b/src/guavawing/sidecar/beacons.py
@@ -16,10 +16,12 @@
 from guavawing.errors import MessageInvalidError
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.mesh_codec import (
-    Beacon,
     decode_beacon,
     encode_beacon,
 )
+from guavawing.sidecar.mesh_messages import (
+    Beacon,
+)
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.traffic.model import LoadReport, PeerRecord
 from guavawing.traffic.peers import Peer, PeerTable
--- a/src/guavawing/sidecar/configuration.py
+++ b/src/guavawing/sidecar/configuration.py
@@ -8,7 +8,9 @@
 from guavawing.platform.routing import decode_routing
 from guavawing.platform.store_client import CONFIGURATION_KEY, RowChanges
 from guavawing.sidecar.decision_log import DecisionLog
-from guavawing.sidecar.mesh_codec import ConfigFrame
+from guavawing.sidecar.mesh_messages import (
+    ConfigFrame,
+)
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.traffic.document_delta import (
     apply_delta,
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -1,14 +1,10 @@
 """The daemon: opens every part in order and stops them cleanly."""
 
 import asyncio
-import gc
 import pathlib
-import signal
 import time
 from collections.abc import Callable
 
-import uvloop
-
 from guavawing.errors import SettingsInvalidError
 from guavawing.platform.settings import VmSettings, parse_settings
 from guavawing.platform.store_client import (
@@ -18,13 +14,15 @@
 )
 from guavawing.sidecar.beacons import Beacons
 from guavawing.sidecar.configuration import Configuration
-from guavawing.sidecar.decision_log import DecisionLog, open_decision_log
+from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.entry import Entry, RetryTerms
 from guavawing.sidecar.http_server import HttpServer
 from guavawing.sidecar.local_calls import LocalCalls
 from guavawing.sidecar.membership import NODES_TABLE, Membership
 from guavawing.sidecar.mesh_client import MeshClient
-from guavawing.sidecar.mesh_codec import ConfigFrame
+from guavawing.sidecar.mesh_messages import (
+    ConfigFrame,
+)
 from guavawing.sidecar.mesh_server import MeshServer
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.owner import Owner
@@ -44,7 +42,7 @@
 from guavawing.traffic.routes import RouteTable
 from guavawing.traffic.target_state import TargetState
 
-__all__ = ["Sidecar", "run_sidecar"]
+__all__ = ["Sidecar"]
 
 # Descriptors kept for files, listeners, the mesh, the target and the store.
 MAX_CALLER_CONNECTIONS = 2_500
@@ -71,8 +69,6 @@
 # Health checks of a target that has sent no heartbeat yet.
 PROBES = 8
 PROBE_PERIOD_S = 0.2
-# Allocations between two collections of the youngest objects.
-GC_ALLOCATIONS = 20_000
 
 
 class Sidecar:
@@ -400,45 +396,3 @@
         if self._beacons.reaches_store != reached:
             self._beacons.reaches_store = reached
             self._beacons.tell_change()
-
-
-def run_sidecar(path: pathlib.Path) -> None:
-    """Runs the daemon until SIGTERM or SIGINT.
-
-    Raises:
-        SettingsInvalidError: If the settings file can't be used.
-    """
-    settings = parse_settings(path.read_text(encoding="utf-8"))
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(_run(settings, path))
-
-
-async def _run(settings: VmSettings, path: pathlib.Path) -> None:
-    loop = asyncio.get_running_loop()
-    ended = asyncio.Event()
-    with open_decision_log(node=settings.node) as log:
-        loop.set_exception_handler(
-            lambda _, context: log.belief(
-                "fault",
-                message=context.get("message"),
-                error=repr(context.get("exception")),
-            )
-        )
-        sidecar = Sidecar(settings, path, log)
-        for sig in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(sig, ended.set)
-        loop.add_signal_handler(signal.SIGHUP, sidecar.reload)
-        try:
-            await sidecar.start()
-            _settle_garbage_collector()
-            await ended.wait()
-            await sidecar.stop()
-        finally:
-            sidecar.close()
-
-
-def _settle_garbage_collector() -> None:
-    """Spares the collector the objects that live as long as the process."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_ALLOCATIONS)
--- a/src/guavawing/sidecar/mesh_client.py
+++ b/src/guavawing/sidecar/mesh_client.py
@@ -9,15 +9,17 @@
 from guavawing.errors import MessageInvalidError
 from guavawing.node.frame_stream import FrameStream, Keepalive
 from guavawing.sidecar.mesh_codec import (
-    AnswerFrame,
-    ConfigFrame,
-    Hello,
     decode_frame,
     encode_ask_config,
     encode_ask_outcome,
     encode_cancel,
     encode_request,
 )
+from guavawing.sidecar.mesh_messages import (
+    AnswerFrame,
+    ConfigFrame,
+    Hello,
+)
 from guavawing.traffic.model import Attempt, LoadReport, Outcome
 from guavawing.verdict import MayHaveRun, NotRun, Reason
 
--- a/src/guavawing/sidecar/mesh_server.py
+++ b/src/guavawing/sidecar/mesh_server.py
@@ -11,15 +11,17 @@
 from guavawing.node.frame_stream import FrameStream, Keepalive
 from guavawing.sidecar.bulk_gate import LARGE_BYTES
 from guavawing.sidecar.mesh_codec import (
-    AskConfig,
-    AskOutcome,
-    CancelFrame,
-    RequestFrame,
     decode_frame,
     encode_answer,
     encode_config,
     encode_hello,
 )
+from guavawing.sidecar.mesh_messages import (
+    AskConfig,
+    AskOutcome,
+    CancelFrame,
+    RequestFrame,
+)
 from guavawing.sidecar.owner import Owner
 from guavawing.traffic.model import Attempt, Outcome
 from guavawing.verdict import MayHaveRun, NotRun, Reason
--- a/src/guavawing/traffic/budget.py
+++ b/src/guavawing/traffic/budget.py
@@ -33,11 +33,6 @@
         self.resize(allowance=allowance, nodes=nodes)
         self._tokens = self._cap
 
-    @property
-    def tokens(self) -> float:
-        """Retries that can be made now."""
-        return self._tokens
-
     def resize(self, *, allowance: float, nodes: int) -> None:
         """Takes the number of nodes that share the allowance."""
         self._cap = SPENT_ALLOWANCE_SHARE * allowance / max(nodes, 1)
--- a/src/guavawing/traffic/model.py
+++ b/src/guavawing/traffic/model.py
@@ -21,8 +21,6 @@
     "TargetReport",
 ]
 
-DEFAULT_LATENCY_TARGET_S = 0.3
-
 
 @attrs.frozen
 class SplitPart:
--- a/src/guavawing/traffic/peers.py
+++ b/src/guavawing/traffic/peers.py
@@ -169,14 +169,6 @@
         heard_at = peer.found_at if peer.heard_at is None else peer.heard_at
         return now - heard_at > LOST_S
 
-    def newest_version(self) -> tuple[int, Peer] | None:
-        """Returns the newest version at a live node and that node."""
-        live = [peer for peer in self if peer.view.alive and peer.version]
-        if not live:
-            return None
-        newest = max(live, key=lambda peer: peer.version)
-        return newest.version, newest
-
     def _is_overtaken(
         self, record: PeerRecord, known: Peer, now: float
     ) -> bool:
--- /dev/null
+++ b/tests/steps/header_steps.py
@@ -0,0 +1,17 @@
+"""Steps that read the headers of requests."""
+
+from behave import then, when
+
+from guavawing.platform.headers import read_caller_head
+
+
+@when('a client\'s request has the headers "{text}"')
+def step_headers(context, text):
+    pairs = (line.encode().split(b": ") for line in text.split(", "))
+    context.head = read_caller_head([(name, value) for name, value in pairs])
+
+
+@then('the headers "{text}" are passed on')
+def step_forwarded(context, text):
+    lines = [line.encode() + b"\r\n" for line in text.split(", ")]
+    assert context.head.forwarded == b"".join(lines), context.head
--- a/tests/steps/sidecar_steps.py
+++ b/tests/steps/sidecar_steps.py
@@ -2,68 +2,28 @@
 
 import asyncio
 import collections
-import itertools
 import signal
 
-import aiohttp
 from behave import given, then, when
 
 from standins.vm_fleet import (
     HOST_NAME,
     OUTBOUND,
     SLOTS,
-    make_document,
     open_vm_fleet,
 )
 from standins.vm_target import BODY
+from tests.sidecar_support import (
+    DEADLINE_MS,
+    ask,
+    executions,
+    find,
+    wait_for,
+)
 from tests.steps.fresh_steps import start_fresh_callers
 from tests.support import open_in_scenario
 
-DEADLINE_MS = 2900
-POLL_S = 0.05
 START_TIMEOUT_S = 10.0
-_ids = itertools.count(1)
-
-
-def find(context, name):
-    return context.vms.vms[name]
-
-
-async def ask(context, vm, path, *, method="GET", request_id="", head=None):
-    """Sends a request as a client of a VM; returns (status, head, body)."""
-    request_id = request_id or f"auto-{next(_ids)}"
-    headers = {
-        "Host": HOST_NAME,
-        "X-Request-Id": request_id,
-        "X-Deadline-Ms": str(DEADLINE_MS),
-        **(head or {}),
-    }
-    data = b"some body" if method == "POST" else None
-    try:
-        async with context.vms.http.request(
-            method, vm.url + path, headers=headers, data=data
-        ) as resp:
-            return resp.status, resp.headers, await resp.read()
-    except aiohttp.ClientError as exc:
-        return 0, {}, repr(exc).encode()
-
-
-def executions(context, request_id):
-    return [
-        (vm, execution)
-        for vm in context.vms.vms.values()
-        for execution in vm.target.executions
-        if execution.request_id == request_id
-    ]
-
-
-async def wait_for(seconds, holds, describe):
-    """Waits until an asynchronous condition holds."""
-    loop = asyncio.get_running_loop()
-    ends_at = loop.time() + seconds
-    while not await holds():
-        assert loop.time() < ends_at, describe()
-        await asyncio.sleep(POLL_S)
 
 
 @given("VMs of two data centres")
@@ -383,104 +343,3 @@
         return bool(found) and all(e.cut for _, e in found)
 
     context.run(wait_for(seconds, is_cut, lambda: executions(context, "left")))
-
-
-@when('the store refuses the VM "{name}"')
-def step_refuses(context, name):
-    context.vms.store.faults.refused.add(find(context, name).host)
-
-
-@when("the store is away")
-def step_away(context):
-    context.vms.store.faults.away = True
-
-
-@when("the store loses its history")
-def step_history(context):
-    context.vms.store.faults.history_lost = True
-
-
-@when('version {version:d} moves the routes of "{one}" to "{two}"')
-def step_move(context, version, one, two):
-    publish_moved(context, version, one, two)
-
-
-@when("an older version {version:d} is written")
-def step_older(context, version):
-    publish_moved(context, version, "nothing", "feed")
-
-
-def publish_moved(context, version, one, two):
-    routes = make_document(version)["routes"]
-    for route in routes.values():
-        if route["service"] == one:
-            route["service"] = two
-    context.vms.publish(version, routes=routes)
-
-
-@then(
-    'within {seconds:g} s requests "{path}" on all VMs are run by "{service}"'
-)
-def step_run_by(context, seconds, path, service):
-    async def run_by():
-        for vm in context.vms.vms.values():
-            request_id = f"moved-{next(_ids)}"
-            await ask(context, vm, path, request_id=request_id)
-            found = {v.service for v, _ in executions(context, request_id)}
-            if found != {service}:
-                return False
-        return True
-
-    logs = context.vms.vms.values()
-    context.run(
-        wait_for(seconds, run_by, lambda: [v.read_log()[-3:] for v in logs])
-    )
-
-
-@when('the daemon of "{name}" is killed and started again')
-def step_restart(context, name):
-    restart(context, [name])
-
-
-@when("all daemons are killed and started again")
-def step_restart_all(context):
-    restart(context, context.vms.vms)
-
-
-def restart(context, names):
-    for name in names:
-        context.run(find(context, name).process.kill())
-    for name in names:
-        context.run(context.vms.start(find(context, name)))
-
-
-@then('within {seconds:g} s the daemon of "{name}" is ready')
-def step_ready(context, seconds, name):
-    vm = find(context, name)
-    context.run(
-        wait_for(
-            seconds, lambda: context.vms.is_ready(vm), lambda: vm.read_log()
-        )
-    )
-
-
-@then('clients on all VMs get 200 for "{path}"')
-def step_all_served(context, path):
-    check_served(context, path, 0.0)
-
-
-@then('within {seconds:g} s clients on all VMs get 200 for "{path}"')
-def step_all_served_within(context, seconds, path):
-    check_served(context, path, seconds)
-
-
-def check_served(context, path, seconds):
-    found = []
-
-    async def served():
-        found[:] = [
-            (await ask(context, vm, path))[0] for vm in context.vms.vms.values()
-        ]
-        return set(found) == {200}
-
-    context.run(wait_for(seconds, served, lambda: found))
--- /dev/null
+++ b/tests/steps/sidecar_store_steps.py
@@ -0,0 +1,111 @@
+"""Steps with a failing store and daemons that start again."""
+
+import itertools
+
+from behave import then, when
+
+from standins.vm_fleet import make_document
+from tests.sidecar_support import ask, executions, find, wait_for
+
+_ids = itertools.count(1)
+
+
+@when('the store refuses the VM "{name}"')
+def step_refuses(context, name):
+    context.vms.store.faults.refused.add(find(context, name).host)
+
+
+@when("the store is away")
+def step_away(context):
+    context.vms.store.faults.away = True
+
+
+@when("the store loses its history")
+def step_history(context):
+    context.vms.store.faults.history_lost = True
+
+
+@when('version {version:d} moves the routes of "{one}" to "{two}"')
+def step_move(context, version, one, two):
+    publish_moved(context, version, one, two)
+
+
+@when("an older version {version:d} is written")
+def step_older(context, version):
+    publish_moved(context, version, "nothing", "feed")
+
+
+def publish_moved(context, version, one, two):
+    routes = make_document(version)["routes"]
+    for route in routes.values():
+        if route["service"] == one:
+            route["service"] = two
+    context.vms.publish(version, routes=routes)
+
+
+@then(
+    'within {seconds:g} s requests "{path}" on all VMs are run by "{service}"'
+)
+def step_run_by(context, seconds, path, service):
+    async def run_by():
+        for vm in context.vms.vms.values():
+            request_id = f"moved-{next(_ids)}"
+            await ask(context, vm, path, request_id=request_id)
+            found = {v.service for v, _ in executions(context, request_id)}
+            if found != {service}:
+                return False
+        return True
+
+    logs = context.vms.vms.values()
+    context.run(
+        wait_for(seconds, run_by, lambda: [v.read_log()[-3:] for v in logs])
+    )
+
+
+@when('the daemon of "{name}" is killed and started again')
+def step_restart(context, name):
+    restart(context, [name])
+
+
+@when("all daemons are killed and started again")
+def step_restart_all(context):
+    restart(context, context.vms.vms)
+
+
+def restart(context, names):
+    for name in names:
+        context.run(find(context, name).process.kill())
+    for name in names:
+        context.run(context.vms.start(find(context, name)))
+
+
+@then('within {seconds:g} s the daemon of "{name}" is ready')
+def step_ready(context, seconds, name):
+    vm = find(context, name)
+    context.run(
+        wait_for(
+            seconds, lambda: context.vms.is_ready(vm), lambda: vm.read_log()
+        )
+    )
+
+
+@then('clients on all VMs get 200 for "{path}"')
+def step_all_served(context, path):
+    check_served(context, path, 0.0)
+
+
+@then('within {seconds:g} s clients on all VMs get 200 for "{path}"')
+def step_all_served_within(context, seconds, path):
+    check_served(context, path, seconds)
+
+
+def check_served(context, path, seconds):
+    found = []
+
+    async def served():
+        found[:] = [
+            (await ask(context, vm, path))[0] for vm in context.vms.vms.values()
+        ]
+        return set(found) == {200}
+
+    context.run(wait_for(seconds, served, lambda: found))
