Send large answers in pieces, on both legs, the shortest first

A whole answer of 90 to 540 KB takes a link of 5 Mbit/s 137 to 820 ms, and what is written behind it waits. Only the owner's leg was paced, whole answers at a time; the entry node's leg to the client was not.

Ruled out: the choice of owners (near first, compared by cost), slots (62 % of desk's are in use in these seconds).

Change: one pacer for a VM's link; large answers go out in pieces of 16 KB, the shortest first, none interrupted; frames on a connection wait for the end of one that is written in pieces.

--- a/src/guavawing/node/frame_stream.py
+++ b/src/guavawing/node/frame_stream.py
@@ -12,7 +12,13 @@
 
 from guavawing.errors import MessageInvalidError
 
-__all__ = ["MAX_FRAME_BYTES", "FrameHandler", "FrameStream", "Keepalive"]
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "FrameHandler",
+    "FrameStream",
+    "Keepalive",
+    "pack_frame",
+]
 
 MAX_FRAME_BYTES = 65 * 1024 * 1024
 LENGTH_BYTES = 4
@@ -56,6 +62,11 @@
         """Is told that the connection is closed, once."""
 
 
+def pack_frame(payload: bytes) -> bytes:
+    """Returns the bytes of a frame with its length in front."""
+    return len(payload).to_bytes(LENGTH_BYTES, "big") + payload
+
+
 class FrameStream(asyncio.Protocol):
     """One end of a connection.
 
@@ -68,6 +79,7 @@
 
     __slots__ = (
         "_handler",
+        "_held",
         "_keepalive",
         "_loop",
         "_needed",
@@ -75,6 +87,7 @@
         "_silent_ticks",
         "_timer",
         "_transport",
+        "_unfinished",
         "closed",
         "heard_at",
         "paused",
@@ -91,6 +104,9 @@
         # number of bytes of them from which on there is more to read.
         self._part = bytearray()
         self._needed = 0
+        # Frames that wait for the end of one that is written in pieces.
+        self._held: list[bytes] = []
+        self._unfinished = False
         self.closed = False
         self.heard_at = self._loop.time()
         self.paused = False
@@ -101,9 +117,28 @@
 
     def write(self, payload: bytes) -> None:
         """Sends a frame; does nothing once the connection is closed."""
-        if not self.closed and self._transport is not None:
-            length = len(payload).to_bytes(LENGTH_BYTES, "big")
-            self._transport.write(length + payload)
+        if self.closed or self._transport is None:
+            return
+        if self._unfinished:
+            self._held.append(payload)
+            return
+        self._transport.write(pack_frame(payload))
+
+    def write_piece(self, piece: bytes, last: bool) -> None:
+        """Sends a piece of a packed frame; other frames wait for its end.
+
+        Args:
+            piece: The next bytes of `pack_frame`.
+            last: Whether the frame ends with them.
+        """
+        if self.closed or self._transport is None:
+            return
+        self._unfinished = not last
+        self._transport.write(piece)
+        if last and self._held:
+            held, self._held = self._held, []
+            for payload in held:
+                self.write(payload)
 
     def close(self) -> None:
         """Closes the connection after what was written has been sent."""
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -17,6 +17,7 @@
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.entry import Entry, RetryTerms
 from guavawing.sidecar.http_server import HttpServer
+from guavawing.sidecar.link_pacer import LinkPacer
 from guavawing.sidecar.local_calls import LocalCalls
 from guavawing.sidecar.membership import NODES_TABLE, Membership
 from guavawing.sidecar.mesh_client import MeshClient
@@ -101,12 +102,13 @@
 
     def _make_request_parts(self) -> None:
         settings = self._settings
+        pacer = LinkPacer(settings.link_bytes_per_s)
         self._owner = Owner(
             service=settings.service,
             state=self._target,
             pool=self._pool,
             drain_s=settings.drain_s,
-            link_bytes_per_s=settings.link_bytes_per_s,
+            pacer=pacer,
             log=self._log,
             metrics=self._metrics,
         )
@@ -129,7 +131,9 @@
             metrics=self._metrics,
         )
         self._callers = HttpServer(
-            self._entry.handle, max_connections=MAX_CALLER_CONNECTIONS
+            self._entry.handle,
+            max_connections=MAX_CALLER_CONNECTIONS,
+            pacer=pacer,
         )
         self._mesh_server = MeshServer(
             self._owner, read_config=self._read_config
@@ -310,7 +314,7 @@
         )
 
     def _is_needed(self) -> bool:
-        if self._callers.busy or self._owner.busy > 0:
+        if self._callers.busy or self._owner.busy:
             return True
         quiet_s = self._loop.time() - self._callers.last_request_at
         return not self._entry.closing and quiet_s < QUIET_S
--- a/src/guavawing/sidecar/http_server.py
+++ b/src/guavawing/sidecar/http_server.py
@@ -14,6 +14,7 @@
 
 from guavawing.node.listener import Listener
 from guavawing.platform.headers import build_refusal
+from guavawing.sidecar.link_pacer import LARGE_BYTES, LinkPacer
 from guavawing.traffic.model import ClientLimits
 
 __all__ = ["HttpRequest", "HttpServer", "ServerConnection"]
@@ -70,9 +71,23 @@
         leaving: Whether clients are told to go elsewhere.
     """
 
-    def __init__(self, handler: Handler, *, max_connections: int) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        *,
+        max_connections: int,
+        pacer: LinkPacer | None = None,
+    ) -> None:
+        """Creates a server that does not listen yet.
+
+        Args:
+            handler: Takes whole requests.
+            max_connections: Connections beyond that are closed.
+            pacer: Paces large answers; None if there are none.
+        """
         self._loop = asyncio.get_running_loop()
         self._max_connections = max_connections
+        self.pacer = pacer
         self._listener = Listener(lambda: ServerConnection(self))
         self._sweeper: asyncio.TimerHandle | None = None
         self.handler = handler
@@ -140,6 +155,7 @@
         "_parser",
         "_pending",
         "_refused",
+        "_sending",
         "_server",
         "_since",
         "_transport",
@@ -154,6 +170,8 @@
         self._pending: collections.deque[HttpRequest] = collections.deque()
         self._current: HttpRequest | None = None
         self._refused = 0
+        # Whether a large answer is being sent in pieces.
+        self._sending = False
         self._is_new = True
         self.reading = False
         self._since = 0.0
@@ -161,8 +179,8 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request waits for its answer."""
-        return self._current is not None
+        """Whether a request waits for its answer, or a part of it."""
+        return self._current is not None or self._sending
 
     @property
     def open(self) -> bool:
@@ -185,7 +203,25 @@
         self._current = None
         if transport is None:
             return
-        transport.write(payload)
+        pacer = self._server.pacer
+        if pacer is None or len(payload) < LARGE_BYTES:
+            transport.write(payload)
+            self._take_sent(closes=closes)
+            return
+
+        def write(piece: bytes, last: bool) -> None:
+            transport.write(piece)
+            if last:
+                self._sending = False
+                self._take_sent(closes=closes)
+
+        self._sending = True
+        pacer.offer(self, payload, write)
+
+    def _take_sent(self, *, closes: bool) -> None:
+        """Goes on after an answer that was written to its end."""
+        transport = self._transport
+        assert transport is not None
         self._since = self._server._loop.time()
         if closes:
             self._transport = None
@@ -221,7 +257,7 @@
 
     def check_limits(self, now: float) -> None:
         """Closes the connection if the client is too slow or idle."""
-        if self._current is not None:
+        if self.busy:
             return
         limits = self._server.limits
         limit_s = (
@@ -261,6 +297,8 @@
         self._server.connections.discard(self)
         current, self._current = self._current, None
         self._pending.clear()
+        if self._sending and self._server.pacer is not None:
+            self._server.pacer.drop(self)
         if current is not None and current.on_gone is not None:
             current.on_gone()
 
@@ -271,7 +309,7 @@
         self._reset()
         self._is_new = False
         self.reading = True
-        if self._current is None:
+        if not self.busy:
             self._since = self._server._loop.time()
 
     def on_url(self, url: bytes) -> None:
@@ -286,7 +324,7 @@
 
     def on_headers_complete(self) -> None:
         """Takes the end of the headers."""
-        if self._current is not None or self._transport is None:
+        if self.busy or self._transport is None:
             return
         for name, value in self._headers:
             if (name.lower(), value.lower()) == (b"expect", b"100-continue"):
@@ -310,7 +348,7 @@
             b"".join(self._body),
         )
         self._server.last_request_at = self._server._loop.time()
-        if self._current is None:
+        if not self.busy:
             self._dispatch(request)
         elif len(self._pending) < MAX_PIPELINED:
             self._pending.append(request)
@@ -340,7 +378,7 @@
     def _refuse(self, status: int) -> None:
         """Answers a request that can't be read, and closes."""
         self._refused = status
-        if self._current is None and self._transport is not None:
+        if not self.busy and self._transport is not None:
             payload = build_refusal(status, b"", closes=True)
             self.respond(payload, closes=True)
         else:
--- a/src/guavawing/sidecar/mesh_server.py
+++ b/src/guavawing/sidecar/mesh_server.py
@@ -8,8 +8,8 @@
 import attrs
 
 from guavawing.errors import MessageInvalidError
-from guavawing.node.frame_stream import FrameStream, Keepalive
-from guavawing.sidecar.bulk_gate import LARGE_BYTES
+from guavawing.node.frame_stream import FrameStream, Keepalive, pack_frame
+from guavawing.sidecar.link_pacer import LARGE_BYTES
 from guavawing.sidecar.mesh_codec import (
     decode_frame,
     encode_answer,
@@ -185,18 +185,16 @@
         assert outcome is not None
         self._jobs.pop(job.frame_id, None)
         job.conn = None
-        frame_id = job.frame_id
-        if len(outcome.body) < LARGE_BYTES:
-            self._send_answer(frame_id, outcome)
+        stream = self._stream
+        if stream is None:
             return
-        self._server.owner.gate.offer(
-            len(outcome.body), lambda: self._send_answer(frame_id, outcome)
-        )
-
-    def _send_answer(self, frame_id: int, outcome: Outcome) -> None:
-        if self._stream is not None:
-            load = self._server.owner.load()
-            self._stream.write(encode_answer(frame_id, outcome, load))
+        load = self._server.owner.load()
+        payload = encode_answer(job.frame_id, outcome, load)
+        if len(payload) < LARGE_BYTES:
+            stream.write(payload)
+            return
+        pacer = self._server.owner.pacer
+        pacer.offer(self, pack_frame(payload), stream.write_piece)
 
     def abort(self) -> None:
         """Closes the connection at once."""
@@ -240,6 +238,7 @@
     def take_end(self) -> None:
         """Keeps what runs: the entry node may ask on another connection."""
         self._server.connections.discard(self)
+        self._server.owner.pacer.drop(self)
         self._stream = None
         for job in self._jobs.values():
             job.conn = None
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from guavawing.sidecar.bulk_gate import BulkGate
 from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.link_pacer import LinkPacer
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.target_pool import Execution, TargetPool
 from guavawing.traffic.model import (
@@ -72,7 +72,7 @@
         state: TargetState,
         pool: TargetPool,
         drain_s: float,
-        link_bytes_per_s: float,
+        pacer: LinkPacer,
         log: DecisionLog,
         metrics: SidecarMetrics,
     ) -> None:
@@ -81,7 +81,7 @@
         self._state = state
         self._pool = pool
         self._drain_s = drain_s
-        self.gate = BulkGate(link_bytes_per_s)
+        self.pacer = pacer
         self._log = log
         self._metrics = metrics
         self._queue = SlotQueue()
@@ -91,9 +91,9 @@
         self.on_phase: Callable[[], None] = lambda: None
 
     @property
-    def busy(self) -> int:
-        """Attempts that wait or run, and answers that are to be sent."""
-        return len(self._items) + self.gate.waiting
+    def busy(self) -> bool:
+        """Whether attempts wait or run, or answers are to be sent."""
+        return bool(self._items) or self.pacer.busy
 
     def load(self) -> LoadReport:
         """Returns the target's load, for entry nodes."""
@@ -111,7 +111,7 @@
             self._queue.queued,
             service_s,
             round(self._queue.refused_share, 3),
-            round(self.gate.wait_s(), 3),
+            round(self.pacer.wait_s(), 3),
         )
 
     def take_target_change(self) -> None:
@@ -190,7 +190,7 @@
         """Refuses a large answer that the link could not send in time."""
         if not attempt.bulk:
             return None
-        wait_s = self.gate.wait_s()
+        wait_s = self.pacer.wait_s()
         useful_s = attempt.useful_until - self._loop.time()
         longest_s = max(useful_s - self._queue.service_s, MIN_LINK_WAIT_S)
         if wait_s <= longest_s:
--- a/standins/vm_fleet.py
+++ b/standins/vm_fleet.py
@@ -25,6 +25,8 @@
 STORE_ZONE = "store"
 HEARTBEAT_S = 0.5
 GRACE_S = 6
+# Slow enough that a large answer takes some pieces.
+LINK_MBPS = 40.0
 SLOTS = 4
 HOST_NAME = "calls.example"
 
@@ -167,7 +169,7 @@
         "self.node": vm_name,
         "self.ip": host,
         "self.zone": dc,
-        "self.limits.linkMbps": 1000.0,
+        "self.limits.linkMbps": LINK_MBPS,
         "self.service": service,
         "self.appAddr": f"{host}:{TARGET}",
         "network.listen.inbound": f"{host}:{INBOUND}",
--- a/standins/vm_target.py
+++ b/standins/vm_target.py
@@ -3,7 +3,8 @@
 The last part of a request's path says what becomes of it: `ok`, `slow` (1 s),
 `lost` (executed, then the connection is reset), `late` (an answer to another
 request before its own), `cut` (the answer ends early), `shed`, `unsigned`,
-`error`; with `-once` behind it a request fails only the first time.
+`error`, `large` (200,000 bytes); with `-once` behind it a request fails only
+the first time.
 """
 
 import asyncio
@@ -16,6 +17,13 @@
 
 SLOW_S = 1.0
 BODY = b"the whole answer"
+LARGE_BYTES = 200_000
+
+
+def make_large_body(request_id: str) -> bytes:
+    """Returns the body of the `large` answer to a request."""
+    line = f"answer to {request_id}\n".encode()
+    return (line * (LARGE_BYTES // len(line) + 1))[:LARGE_BYTES]
 
 
 @attrs.define
@@ -142,6 +150,8 @@
                 self._transport.close()
             case "unsigned":
                 self._write(200, own, BODY)
+            case "large":
+                self._write(200, signed, make_large_body(request_id))
             case "error":
                 self._write(500, signed, b"")
             case _:
--- a/tests/processes/sidecar.feature
+++ b/tests/processes/sidecar.feature
@@ -49,6 +49,16 @@
     Then all of them get 200
     And target "a1" executed nothing since
 
+  Scenario: Large answers go out in pieces, whole, beside small ones
+    When clients on all VMs ask for 24 large answers of "/desk/safe/large" and for 24 small ones
+    Then each gets the whole of its own answer
+
+  Scenario: A planned stop cuts no large answer
+    Given clients on "a2" ask for 12 large answers of "/desk/safe/large" and go on
+    When the daemon of "a2" is told to stop
+    Then each gets the whole of its own answer
+    And the daemon of "a2" ends with code 0 within 6 s
+
   Scenario: A planned stop cuts nothing
     When a client on "a2" sends POST "/desk/unsafe/slow" as "r1" and goes on
     And the daemon of "a2" gets SIGTERM while 30 requests follow
--- /dev/null
+++ b/tests/steps/link_pacer_steps.py
@@ -0,0 +1,232 @@
+"""Steps that pace large answers on a clock that the steps advance."""
+
+import asyncio
+
+from behave import given, then, when
+
+from guavawing.model import Address
+from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.link_pacer import LinkPacer
+from guavawing.sidecar.metrics import SidecarMetrics
+from guavawing.sidecar.owner import Owner
+from guavawing.sidecar.target_pool import Execution
+from guavawing.traffic.model import Attempt
+from guavawing.traffic.target_state import TargetState
+from guavawing.verdict import Reason
+
+TOLERANCE_S = 1e-6
+
+
+class PausedLoop(asyncio.SelectorEventLoop):
+    """A loop whose clock jumps to the next timer instead of waiting."""
+
+    def __init__(self):
+        super().__init__()
+        self._now = 0.0
+
+    def time(self):
+        return self._now
+
+    def _run_once(self):
+        if not self._ready and self._scheduled:
+            self._now = max(self._now, self._scheduled[0].when())
+        super()._run_once()
+
+
+class Link:
+    """Sends what is written in order, at its rate."""
+
+    def __init__(self, rate):
+        self.loop = asyncio.get_running_loop()
+        self.rate = rate
+        self.free_at = 0.0
+        self.most_bytes = 0.0
+
+    def write(self, size):
+        """Returns how long the bytes take to have been sent."""
+        now = self.loop.time()
+        self.free_at = max(self.free_at, now) + size / self.rate
+        wait_s = self.free_at - now
+        self.most_bytes = max(self.most_bytes, wait_s * self.rate)
+        return wait_s
+
+
+def play(coroutine):
+    """Runs a coroutine on a clock that does not wait."""
+    loop = PausedLoop()
+    try:
+        loop.run_until_complete(coroutine)
+    finally:
+        loop.close()
+
+
+@given("a link of {rate:d} bytes a second")
+def step_link(context, rate):
+    context.rate = rate
+    context.ended = []
+
+
+def offer(context, pacer, link, channel, size):
+    def write(piece, last):
+        link.write(len(piece))
+        if last:
+            context.ended.append(size)
+
+    pacer.offer(channel, bytes(size), write)
+
+
+async def send_all(context, sizes, *, shared=False, left=None):
+    pacer, link = LinkPacer(context.rate), Link(context.rate)
+    context.link = link
+    for number, size in enumerate(sizes):
+        offer(context, pacer, link, 0 if shared else number, size)
+    context.wait_s = pacer.wait_s()
+    if left is not None:
+        pacer.drop(left)
+    while pacer.busy:
+        await asyncio.sleep(0.001)
+    context.sent_at = max(link.free_at, asyncio.get_running_loop().time())
+
+
+@when('answers of "{sizes}" bytes are offered at the same time')
+def step_offer(context, sizes):
+    play(send_all(context, map(int, sizes.split())))
+
+
+@when('answers of "{sizes}" bytes are offered on one connection')
+def step_offer_shared(context, sizes):
+    play(send_all(context, map(int, sizes.split()), shared=True))
+
+
+@when(
+    'answers of "{sizes}" bytes are offered and the first one\'s client leaves'
+)
+def step_offer_left(context, sizes):
+    play(send_all(context, map(int, sizes.split()), left=0))
+
+
+@when(
+    "for {seconds:g} s an answer of {large:d} bytes comes each {large_s:g} s"
+    " and one of {small:d} bytes each {small_s:g} s"
+)
+def step_mixed(context, seconds, large, large_s, small, small_s):
+    async def run():
+        loop = asyncio.get_running_loop()
+        pacer, link = LinkPacer(context.rate), Link(context.rate)
+        context.waits = []
+
+        def come(at, act):
+            loop.call_at(at, act)
+
+        for number in range(int(seconds / large_s)):
+            come(
+                number * large_s,
+                lambda n=number: offer(context, pacer, link, n, large),
+            )
+        for number in range(int(seconds / small_s)):
+            come(
+                number * small_s,
+                lambda: context.waits.append(link.write(small)),
+            )
+        await asyncio.sleep(seconds)
+        assert len(context.ended) >= seconds / large_s - 2, context.ended
+
+    play(run())
+
+
+@then("no small answer waits for more than {seconds:g} s")
+def step_small_wait(context, seconds):
+    assert max(context.waits) <= seconds, max(context.waits)
+
+
+@then("the link never has more than {count:d} bytes to send")
+def step_most(context, count):
+    assert context.link.most_bytes <= count, context.link.most_bytes
+
+
+@then("all are sent within {seconds:g} s")
+def step_within(context, seconds):
+    assert context.sent_at <= seconds + TOLERANCE_S, context.sent_at
+
+
+@then("another one would have waited {least:g} s to {most:g} s")
+def step_wait(context, least, most):
+    assert least <= context.wait_s <= most, context.wait_s
+
+
+@then('they end in the order "{sizes}"')
+def step_order(context, sizes):
+    assert context.ended == [int(size) for size in sizes.split()], context.ended
+
+
+class NoPool:
+    """A target that never answers."""
+
+    def execute(self, attempt, *, target_id, on_end):
+        return Execution(attempt, on_end)
+
+
+@given("an owner on a link of {rate:d} bytes a second")
+def step_owner(context, rate):
+    async def make():
+        state = TargetState("desk", Address("10.0.0.7", 80))
+        state.take_probe("i-1")
+        owner = Owner(
+            service="desk",
+            state=state,
+            pool=NoPool(),
+            drain_s=2.0,
+            pacer=LinkPacer(rate),
+            log=DecisionLog(node="n1"),
+            metrics=SidecarMetrics(),
+        )
+        owner.take_target_change()
+        return owner
+
+    context.owner = context.run(make())
+
+
+@when("{size:d} bytes of large answers wait for its link")
+def step_backlog(context, size):
+    async def offer():
+        context.owner.pacer.offer(0, bytes(size), lambda *piece: None)
+
+    context.run(offer())
+
+
+def submit(context, useful_s, *, bulk):
+    async def run():
+        now = asyncio.get_running_loop().time()
+        attempt = Attempt(
+            request_id=b"r1",
+            service="desk",
+            origin="feed",
+            method=b"GET",
+            path=b"/",
+            head=b"",
+            body=b"",
+            deadline=now + 5,
+            priority=1,
+            idempotent=True,
+            bulk=bulk,
+            late=False,
+            useful_until=now + useful_s,
+            spare_only=False,
+        )
+        outcomes = []
+        context.owner.submit(attempt, outcomes.append, local=False)
+        return outcomes
+
+    return context.run(run())
+
+
+@then("it refuses a large request that is of use for {useful_s:g} s")
+def step_refuses_large(context, useful_s):
+    [outcome] = submit(context, useful_s, bulk=True)
+    assert outcome.verdict.reason == Reason.QUEUE_FULL, outcome
+    assert outcome.verdict.retry_after_s > 0, outcome
+
+
+@then("it takes a {size:w} request that is of use for {useful_s:g} s")
+def step_takes(context, size, useful_s):
+    assert submit(context, useful_s, bulk=size == "large") == []
