Take at a stopping node only what it can answer before it ends

Change: the time of a request at a stopping node ends with the node, so the queue refuses at once what can't be done by then, and the target is told.

--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -223,8 +223,10 @@
         """Tells everybody to go elsewhere, finishes what runs, and closes."""
         began_at = self._loop.time()
         self._log.event("stop", version=self._configuration.version)
+        ends_at = began_at + self._settings.grace_s - STOP_MARGIN_S
         self._leaving = True
         self._mesh.leaving = True
+        self._entry.ends_at = ends_at
         withdrawal = None
         if self._target.phase in (TargetPhase.DRAINING, TargetPhase.GONE):
             withdrawal = self._loop.create_task(self._membership.withdraw())
@@ -237,7 +239,6 @@
         self._callers.leaving = True
         self._callers.close_idle()
         closes_at = self._loop.time() + LAST_REQUESTS_S
-        ends_at = began_at + self._settings.grace_s - STOP_MARGIN_S
         while self._loop.time() < ends_at and self._is_needed():
             self._entry.closing |= self._loop.time() > closes_at
             await asyncio.sleep(STOP_POLL_S)
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -1,6 +1,7 @@
 """The entry side of a node: requests of the clients on its VM."""
 
 import asyncio
+import math
 from random import Random
 
 import attrs
@@ -23,19 +24,21 @@
 from guavawing.traffic.patience import Patience
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.routes import RouteTable
+from guavawing.traffic.time_allotted import allot_time
 from guavawing.verdict import NotRun, Reason
 
 __all__ = ["Entry", "RetryTerms"]
 
 NOT_FOUND = 404
 UNAVAILABLE = 503
-# Deadline of a request that gives none, in seconds.
-DEFAULT_DEADLINE_S = 30.0
 # When to come back while no configuration or no target is known, in seconds.
 NO_CONFIG_RETRY_AFTER_S = 0.5
 # When to come back to a process that is about to end: its next one has
 # started by then.
 STOPPING_RETRY_AFTER_S = 1.0
+# Time that is kept for the last answers before the process ends, in seconds:
+# above the one after which an owner's answer is given up.
+LAST_ANSWER_S = 0.3
 # Part of a route's latency target that an answer may take at this node: the
 # rest is for the way to the client and back.
 USEFUL_SHARE = 0.9
@@ -63,6 +66,7 @@
     Attributes:
         table: Routes in force; None until there is a configuration.
         closing: Whether requests are refused because the process ends.
+        ends_at: Time at which the process ends; None if it stays.
     """
 
     def __init__(
@@ -99,6 +103,7 @@
         )
         self.table: RouteTable | None = None
         self.closing = False
+        self.ends_at: float | None = None
 
     def handle(self, request: HttpRequest) -> None:
         """Takes a whole request; its answer may follow later."""
@@ -108,7 +113,7 @@
             verdict = NotRun(Reason.NO_CONFIG, NO_CONFIG_RETRY_AFTER_S)
             self._refuse(request, head.request_id, verdict)
             return
-        if self.closing:
+        if self.closing or self._left_s(now) <= 0:
             verdict = NotRun(Reason.STOPPING, STOPPING_RETRY_AFTER_S)
             self._refuse(request, head.request_id, verdict)
             return
@@ -134,18 +139,20 @@
         table: RouteTable,
         now: float,
     ) -> Attempt:
-        deadline_s = head.deadline_s
-        if deadline_s is None:
-            deadline_s = route.timeout_s or DEFAULT_DEADLINE_S
-        limit_s = deadline_s
-        if route.timeout_s is not None:
-            limit_s = min(limit_s, route.timeout_s)
+        client_s = head.deadline_s
+        deadline_s = allot_time(client_s=client_s, route_s=None)
+        limit_s = allot_time(
+            client_s=client_s,
+            route_s=route.timeout_s,
+            process_s=self._left_s(now),
+        )
         spent_s = self._patience.estimate_spent_s(route.name, deadline_s)
         target_s = USEFUL_SHARE * route.latency_target_s
         useful_s = target_s - spent_s
         late = useful_s <= 0 and deadline_s > route.latency_target_s
         if table.is_most_urgent(route):
             useful_s = max(useful_s, URGENT_SHARE * limit_s)
+        useful_s = min(useful_s, limit_s)
         return Attempt(
             request_id=head.request_id,
             service=table.pick_service(route),
@@ -163,6 +170,12 @@
             spare_only=False,
         )
 
+    def _left_s(self, now: float) -> float:
+        """Returns the time that requests may take before the process ends."""
+        if self.ends_at is None:
+            return math.inf
+        return self.ends_at - LAST_ANSWER_S - now
+
     def _allowance(self, service: str) -> RetryAllowance:
         """Returns this node's part of a service's retry budget."""
         allowance = self._allowances.get(service)
--- /dev/null
+++ b/tests/steps/traffic_time_steps.py
@@ -0,0 +1,67 @@
+"""Steps about the time that a request gets."""
+
+import math
+
+from behave import given, then, when
+
+from guavawing.traffic.slot_queue import Admit, Refuse, SlotQueue, Waiter
+from guavawing.traffic.time_allotted import allot_time
+
+TOLERANCE_S = 1e-9
+
+
+def read_time(text):
+    return None if text == "-" else float(text.removesuffix(" s"))
+
+
+@when(
+    "a client waits for {client}, the route allows {route} and the process ends"
+    " in {process}"
+)
+def step_allot(context, client, route, process):
+    context.time_s = allot_time(
+        client_s=read_time(client),
+        route_s=read_time(route),
+        process_s=math.inf if process == "-" else read_time(process),
+    )
+
+
+@then("{seconds:g} s are allotted")
+def step_gets(context, seconds):
+    assert abs(context.time_s - seconds) < TOLERANCE_S, context.time_s
+
+
+@given("an entry node whose process ends in {seconds:g} s")
+def step_ends(context, seconds):
+    context.ends_at = seconds
+
+
+@given(
+    "a target that takes {seconds:g} s for each request, with {slots:d} slot"
+)
+def step_target(context, seconds, slots):
+    context.queue = SlotQueue()
+    context.queue.slots = slots
+    context.queue.service_s = seconds
+
+
+@when("requests with {left_s:g} s to their deadline come at 0 s and {at:g} s")
+def step_come(context, left_s, at):
+    context.decisions = []
+    for number, now in enumerate((0.0, at)):
+        time_s = allot_time(
+            client_s=left_s, route_s=None, process_s=context.ends_at - now
+        )
+        ends_at = now + time_s
+        waiter = Waiter(number, 1, False, ends_at, ends_at, False)
+        context.decisions.append(context.queue.offer(waiter, now=now))
+
+
+@then("the first one runs")
+def step_first(context):
+    assert context.decisions[0] == Admit(0), context.decisions
+
+
+@then("the second one is refused")
+def step_second(context):
+    assert isinstance(context.decisions[1], Refuse), context.decisions
