Tell a node's next process that its target leaves; expect slow targets sooner

The log of sidecar b-20: its target said draining to a process that was stopping (26.2 s), the next process started (27.3 s) and found the target by its health check, so requests ran on it 2.8 s after the acknowledgement. Such a target sends no more heartbeats.

Change: beacons tell of a target that leaves, and a peer tells it to the next process of that VM, which then takes neither health checks nor old heartbeats of it. A process that ends sends its last change. The first health checks wait until a peer has been heard.

Besides: the time that an execution is expected to take follows the age of what runs, so a target that turns slow is known before anything ends there.

--- a/src/guavawing/sidecar/beacons.py
+++ b/src/guavawing/sidecar/beacons.py
@@ -23,7 +23,11 @@
     Beacon,
 )
 from guavawing.sidecar.metrics import SidecarMetrics
-from guavawing.traffic.model import LoadReport, PeerRecord
+from guavawing.traffic.model import (
+    Departure,
+    LoadReport,
+    PeerRecord,
+)
 from guavawing.traffic.peers import Peer, PeerTable
 
 __all__ = ["Beacons"]
@@ -61,7 +65,9 @@
         peers: PeerTable,
         read_load: Callable[[], LoadReport],
         on_peer: Callable[[Peer], None],
+        read_departure: Callable[[], Departure | None],
         on_slots: Callable[[int], None],
+        on_departure: Callable[[Departure], None],
         log: DecisionLog,
         metrics: SidecarMetrics,
     ) -> None:
@@ -73,7 +79,10 @@
             peers: Takes what is heard.
             read_load: Returns the load of this node's target.
             on_peer: Is told of each node that a beacon came from.
+            read_departure: Returns this node's target if it leaves.
             on_slots: Takes the slots that a peer knows of this node's target.
+            on_departure: Takes a target of this node that, as a peer knows,
+                said to an earlier process that it leaves.
             log: Takes changes of belief.
             metrics: Counts what can't be read.
         """
@@ -83,7 +92,9 @@
         self._peers = peers
         self._read_load = read_load
         self._on_peer = on_peer
+        self._read_departure = read_departure
         self._on_slots = on_slots
+        self._on_departure = on_departure
         self._log = log
         self._metrics = metrics
         self._transport: asyncio.DatagramTransport | None = None
@@ -102,7 +113,10 @@
         self._tick()
 
     def close(self) -> None:
-        """Stops sending and closes the socket."""
+        """Tells what has changed last, stops sending and closes the socket."""
+        if self._change_timer is not None:
+            self._change_timer.cancel()
+            self._send_change()
         for timer in (self._timer, self._change_timer):
             if timer is not None:
                 timer.cancel()
@@ -168,10 +182,16 @@
         peer.reaches_store = beacon.reaches_store
         if beacon.load.slots:
             peer.slots = beacon.load.slots
+        if beacon.departure is not None:
+            peer.departure = beacon.departure
         if beacon.known_slots:
             self._on_slots(beacon.known_slots)
+        if beacon.known_departure is not None:
+            self._on_departure(beacon.known_departure)
         if beacon.asks:
-            payload = self._encode(known_slots=peer.slots)
+            payload = self._encode(
+                known_slots=peer.slots, known_departure=peer.departure
+            )
             self._send(payload, peer.record.host)
         self._on_peer(peer)
 
@@ -228,7 +248,13 @@
         for peer in self._peers.near() + self._sample_elsewhere():
             self._send(payload, peer.record.host)
 
-    def _encode(self, *, asks: bool = False, known_slots: int = 0) -> bytes:
+    def _encode(
+        self,
+        *,
+        asks: bool = False,
+        known_slots: int = 0,
+        known_departure: Departure | None = None,
+    ) -> bytes:
         self._sequence += 1
         return encode_beacon(
             Beacon(
@@ -239,6 +265,8 @@
                 asks,
                 known_slots,
                 self.reaches_store,
+                self._read_departure(),
+                known_departure,
             )
         )
 
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -33,6 +33,7 @@
 from guavawing.sidecar.target_probe import probe_target
 from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.model import (
+    Departure,
     LoadReport,
     PeerRecord,
     Routing,
@@ -70,6 +71,9 @@
 # Health checks of a target that has sent no heartbeat yet.
 PROBES = 8
 PROBE_PERIOD_S = 0.2
+# Of these the first ones are left out until a peer has been heard: peers answer
+# within a round trip, if there are any.
+PROBES_AFTER_PEERS = 3
 
 
 class Sidecar:
@@ -163,7 +167,9 @@
             peers=self._peers,
             read_load=self._owner.load,
             on_peer=self._take_peer,
+            read_departure=lambda: self._target.departure,
             on_slots=self._take_slots,
+            on_departure=self._take_departure,
             log=self._log,
             metrics=self._metrics,
         )
@@ -327,8 +333,11 @@
 
     async def _probe_target(self) -> None:
         """Finds the target before its first heartbeat, if it is there."""
-        for _ in range(PROBES):
+        for number in range(PROBES):
             await asyncio.sleep(PROBE_PERIOD_S)
+            if number < PROBES_AFTER_PEERS and not self._peers.has_heard():
+                # A peer may know that the target leaves.
+                continue
             if self._target.phase is not TargetPhase.UNKNOWN:
                 return
             routing = self._configuration.routing
@@ -388,6 +397,11 @@
         if self._target.take_slots(slots):
             self._owner.take_target_change()
 
+    def _take_departure(self, departure: Departure) -> None:
+        now = self._loop.time()
+        if self._target.take_known_departure(departure, now=now):
+            self._owner.take_target_change()
+
     def _take_config(self, config: ConfigFrame) -> None:
         self._configuration.take_config(config)
 
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -18,6 +18,7 @@
 )
 from guavawing.traffic.model import (
     Attempt,
+    Departure,
     LoadReport,
     Outcome,
     PeerRecord,
@@ -144,6 +145,8 @@
             beacon.asks,
             beacon.known_slots,
             beacon.reaches_store,
+            _list_departure(beacon.departure),
+            _list_departure(beacon.known_departure),
         )
     )
 
@@ -203,6 +206,8 @@
             bool(fields[10]),
             _number(fields[11]),
             bool(fields[12]),
+            _read_departure(fields[13]),
+            _read_departure(fields[14]),
         )
     except (IndexError, TypeError, ValueError) as exc:
         raise MessageInvalidError(f"not a beacon: {exc}") from exc
@@ -293,6 +298,19 @@
     )
 
 
+def _list_departure(departure: Departure | None) -> tuple[str, int] | None:
+    if departure is None:
+        return None
+    return departure.target_id, departure.born_ms
+
+
+def _read_departure(fields: Any) -> Departure | None:
+    if fields is None:
+        return None
+    target_id, born_ms = fields
+    return Departure(_text(target_id), _number(born_ms))
+
+
 def _number(value: Any) -> int:
     if type(value) is not int:
         raise TypeError(f"got {value!r}, expected a number")
--- a/src/guavawing/sidecar/mesh_messages.py
+++ b/src/guavawing/sidecar/mesh_messages.py
@@ -2,7 +2,13 @@
 
 import attrs
 
-from guavawing.traffic.model import Attempt, LoadReport, Outcome, PeerRecord
+from guavawing.traffic.model import (
+    Attempt,
+    Departure,
+    LoadReport,
+    Outcome,
+    PeerRecord,
+)
 
 __all__ = [
     "AnswerFrame",
@@ -97,6 +103,8 @@
             0 if not known. It tells a process that has just started what its
             target will say itself with its next heartbeat.
         reaches_store: Whether the store answers the sender.
+        departure: Target of the sender that has said that it leaves.
+        known_departure: The same of the receiver, by its last beacon.
     """
 
     record: PeerRecord
@@ -106,6 +114,8 @@
     asks: bool
     known_slots: int
     reaches_store: bool
+    departure: Departure | None = None
+    known_departure: Departure | None = None
 
 
 Frame = (
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -100,9 +100,10 @@
         phase = self._state.phase
         if self.leaving and phase is TargetPhase.READY:
             phase = TargetPhase.DRAINING
+        now = self._loop.time()
         known = self._queue.knows_service_time
-        service_s = self._queue.service_s if known else 0.0
-        if self._state.is_cold(now=self._loop.time()):
+        service_s = self._queue.expect_service_s(now=now) if known else 0.0
+        if self._state.is_cold(now=now):
             service_s *= COLD_SLOWDOWN
         return LoadReport(
             phase,
--- a/src/guavawing/traffic/model.py
+++ b/src/guavawing/traffic/model.py
@@ -10,6 +10,7 @@
 __all__ = [
     "Attempt",
     "ClientLimits",
+    "Departure",
     "LoadReport",
     "Outcome",
     "PeerRecord",
@@ -132,6 +133,20 @@
     born_ms: int
 
 
+@attrs.frozen
+class Departure:
+    """A target that has said that it leaves.
+
+    Attributes:
+        target_id: Id of its incarnation.
+        born_ms: Start of its process, Unix time in milliseconds; 0 if not
+            given.
+    """
+
+    target_id: str
+    born_ms: int
+
+
 @attrs.frozen
 class LoadReport:
     """Load of one target as its node sees it.
--- a/src/guavawing/traffic/peers.py
+++ b/src/guavawing/traffic/peers.py
@@ -5,7 +5,11 @@
 import attrs
 
 from guavawing.traffic.balancer import OwnerView
-from guavawing.traffic.model import LoadReport, PeerRecord
+from guavawing.traffic.model import (
+    Departure,
+    LoadReport,
+    PeerRecord,
+)
 
 __all__ = ["Peer", "PeerTable"]
 
@@ -35,6 +39,7 @@
         sequence: Number of its last beacon.
         found_at: Time at which this node learned of it.
         slots: Slots that its target had when it last said so.
+        departure: Its target that has said that it leaves, if any.
         reaches_store: Whether the platform's store answers it, as it says.
     """
 
@@ -45,6 +50,7 @@
     heard_at: float | None = None
     sequence: int = -1
     slots: int = 0
+    departure: Departure | None = None
     reaches_store: bool = True
 
 
@@ -124,6 +130,7 @@
         peer = Peer(record, view, now)
         if known is not None and known.record.service == record.service:
             peer.slots = known.slots
+            peer.departure = known.departure
         self._by_host[record.host] = peer
         self._by_service.setdefault(record.service, {})[record.host] = view
         return peer
@@ -169,6 +176,10 @@
         heard_at = peer.found_at if peer.heard_at is None else peer.heard_at
         return now - heard_at > LOST_S
 
+    def has_heard(self) -> bool:
+        """Returns whether any node has been heard of."""
+        return any(peer.heard_at is not None for peer in self)
+
     def _is_overtaken(
         self, record: PeerRecord, known: Peer, now: float
     ) -> bool:
--- a/src/guavawing/traffic/target_state.py
+++ b/src/guavawing/traffic/target_state.py
@@ -1,7 +1,7 @@
 """What a node knows of the target beside it, from the target's heartbeats."""
 
 from guavawing.model import Address
-from guavawing.traffic.model import TargetPhase, TargetReport
+from guavawing.traffic.model import Departure, TargetPhase, TargetReport
 
 __all__ = ["TargetState"]
 
@@ -39,12 +39,19 @@
         self._born_ms = 0
         self._sequence = -1
         self._cold_until = 0.0
-        self._left: set[tuple[str, int]] = set()
+        self._left: set[Departure] = set()
         self.target_id = ""
         self.slots = 0
         self.phase = TargetPhase.UNKNOWN
         self.draining_since: float | None = None
 
+    @property
+    def departure(self) -> Departure | None:
+        """The current target if it has said that it leaves."""
+        if self.draining_since is None:
+            return None
+        return Departure(self.target_id, self._born_ms)
+
     def is_mine(self, report: TargetReport) -> bool:
         """Returns whether a heartbeat is of the target beside this node."""
         return (
@@ -95,6 +102,8 @@
         """
         if self.phase is not TargetPhase.UNKNOWN or self.target_id:
             return False
+        if any(left.target_id == target_id for left in self._left):
+            return False
         self.target_id = target_id
         self.slots = self.slots or ASSUMED_SLOTS
         self.phase = TargetPhase.READY
@@ -111,6 +120,23 @@
         self.slots = slots
         return True
 
+    def take_known_departure(self, departure: Departure, *, now: float) -> bool:
+        """Takes that a target had said that it leaves to an earlier process.
+
+        Returns:
+            Whether the phase changed.
+        """
+        self._left.add(departure)
+        if self.phase is not TargetPhase.READY:
+            return False
+        if departure.target_id != self.target_id:
+            return False
+        # Only a health check has told of this target, which knows no birth.
+        if self._born_ms not in (0, departure.born_ms):
+            return False
+        self._start_draining(now)
+        return True
+
     def take_departure(self, target_id: str, *, now: float) -> bool:
         """Takes the word of a target that it leaves.
 
@@ -119,7 +145,7 @@
         """
         if target_id != self.target_id or self.phase is TargetPhase.GONE:
             return False
-        self._left.add((target_id, self._born_ms))
+        self._left.add(Departure(target_id, self._born_ms))
         before = self.phase
         self._start_draining(now)
         return before is not self.phase
@@ -136,7 +162,7 @@
         return True
 
     def _supersedes(self, report: TargetReport) -> bool:
-        if (report.id, report.born_ms) in self._left:
+        if Departure(report.id, report.born_ms) in self._left:
             return False
         return not self.target_id or report.born_ms >= self._born_ms
 
--- a/standins/vm_fleet.py
+++ b/standins/vm_fleet.py
@@ -126,6 +126,14 @@
             await resp.read()
             return resp.status
 
+    async def depart(self, vm: Vm) -> int:
+        """Says that a target leaves; returns the status of the answer."""
+        path = f"-/Instances.Deregister/{vm.target.id}"
+        url = f"http://{vm.host}:{CONTROL}/{path}"
+        async with self.http.post(url) as resp:
+            await resp.read()
+            return resp.status
+
     async def is_ready(self, vm: Vm) -> bool:
         """Returns whether a daemon says that it is ready."""
         url = f"http://{vm.host}:{READY}/-/ready"
--- a/tests/cover/traffic_state.feature
+++ b/tests/cover/traffic_state.feature
@@ -48,6 +48,25 @@
       | a  | 1000 | 5        | draining | 7     |
     Then the target is "a", draining, with 7 slots
 
+  Scenario: A process that has just started hears that its target leaves
+    Given the node of target address 10.0.0.7:80 in service desk
+    When a peer knows that "a", born 1000, leaves
+    Then a health check answered by "a" tells of no target
+    When heartbeats arrive
+      | id | born | sequence | state | slots |
+      | a  | 1000 | 4        | ready | 7     |
+    Then the target is unknown
+    When heartbeats arrive
+      | id | born | sequence | state | slots |
+      | a  | 2000 | 1        | ready | 7     |
+    Then the target is "a", ready, with 7 slots
+
+  Scenario: It hears that its target leaves after it has found it healthy
+    Given the node of target address 10.0.0.7:80 in service desk
+    When a health check is answered by "a"
+    And a peer knows that "a", born 1000, leaves
+    Then the target is "a", draining, with 4 slots
+
   Scenario Outline: A heartbeat of another writer names no target
     Then the heartbeat <body> can't be read
 
--- a/tests/processes/sidecar.feature
+++ b/tests/processes/sidecar.feature
@@ -49,6 +49,14 @@
     Then all of them get 200
     And target "a1" executed nothing since
 
+  Scenario: A target that has said that it leaves is left alone by the next process
+    When target "a1" leaves and sends nothing more
+    And the daemon of "a1" is killed and started again
+    Then within 5 s the daemon of "a1" is ready
+    When clients on all VMs send 40 requests "/desk/safe/ok" one after the other
+    Then all of them get 200
+    And target "a1" executed nothing since
+
   Scenario: Large answers go out in pieces, whole, beside small ones
     When clients on all VMs ask for 24 large answers of "/desk/safe/large" and for 24 small ones
     Then each gets the whole of its own answer
--- a/tests/steps/sidecar_steps.py
+++ b/tests/steps/sidecar_steps.py
@@ -204,6 +204,16 @@
     vm.target.executions.clear()
 
 
+@when('target "{name}" leaves and sends nothing more')
+def step_departs(context, name):
+    vm = find(context, name)
+    vm.beating = False
+    assert context.run(context.vms.depart(vm)) == 200
+    # The other nodes hear of it within a fraction of a second.
+    context.run(asyncio.sleep(0.5))
+    vm.target.executions.clear()
+
+
 @then('target "{name}" executed nothing since')
 def step_none_since(context, name):
     assert not find(context, name).target.executions
--- a/tests/steps/traffic_state_steps.py
+++ b/tests/steps/traffic_state_steps.py
@@ -20,7 +20,12 @@
 )
 from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.document_delta import apply_delta, make_delta
-from guavawing.traffic.model import LoadReport, PeerRecord, TargetPhase
+from guavawing.traffic.model import (
+    Departure,
+    LoadReport,
+    PeerRecord,
+    TargetPhase,
+)
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.readers import is_reader
 from guavawing.traffic.routes import RouteTable
@@ -64,6 +69,22 @@
     assert context.target.take_probe(target_id)
 
 
+@when('a peer knows that "{target_id}", born {born:d}, leaves')
+def step_peer_departure(context, target_id, born):
+    departure = Departure(target_id, born)
+    context.target.take_known_departure(departure, now=1.0)
+
+
+@then('a health check answered by "{target_id}" tells of no target')
+def step_probe_refused(context, target_id):
+    assert not context.target.take_probe(target_id)
+
+
+@then("the target is unknown")
+def step_unknown(context):
+    assert context.target.phase is TargetPhase.UNKNOWN, context.target.phase
+
+
 @when("a peer knows {slots:d} slots")
 def step_slots_known(context, slots):
     assert context.target.take_slots(slots)
