--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -68,6 +68,9 @@
 STOP_MARGIN_S = 0.4
 STOP_POLL_S = 0.05
 SETTINGS_POLL_S = 2.0
+# Time after the first configuration in which targets of all services should be
+# known, in seconds: the period of beacons.
+OWNERS_TIMEOUT_S = 1.0
 # Health checks of a target that has sent no heartbeat yet.
 PROBES = 8
 PROBE_PERIOD_S = 0.2
@@ -88,6 +91,7 @@
         self._log = log
         self._tasks: list[asyncio.Task[None]] = []
         self._leaving = False
+        self._configured_at = 0.0
         self._metrics = SidecarMetrics()
         self._me = PeerRecord(
             settings.node,
@@ -146,9 +150,7 @@
         calls = LocalCalls(
             target=self._target,
             on_target=self._owner.take_target_change,
-            is_ready=lambda: (
-                self._entry.table is not None and not self._leaving
-            ),
+            is_ready=self._is_ready,
             peers=self._peers,
             log=self._log,
             metrics=self._metrics,
@@ -320,6 +322,20 @@
             metrics=self._metrics,
         )
 
+    def _is_ready(self) -> bool:
+        """Returns whether clients may send work to this VM.
+
+        A process that has just got its configuration waits for a moment until
+        it knows targets of all services.
+        """
+        table = self._entry.table
+        if table is None or self._leaving:
+            return False
+        if self._loop.time() - self._configured_at > OWNERS_TIMEOUT_S:
+            return True
+        self._own_view.take_report(self._owner.load(), now=self._loop.time())
+        return all(map(self._peers.has_working, table.routing.services))
+
     def _is_needed(self) -> bool:
         if self._callers.busy or self._owner.busy:
             return True
@@ -355,6 +371,8 @@
     # What the parts tell each other.
 
     def _apply(self, routing: Routing, first: bool) -> None:
+        if self._entry.table is None:
+            self._configured_at = self._loop.time()
         self._entry.table = RouteTable(routing)
         self._callers.limits = routing.limits
         self._beacons.version = routing.version
--- a/src/guavawing/traffic/peers.py
+++ b/src/guavawing/traffic/peers.py
@@ -176,6 +176,12 @@
         heard_at = peer.found_at if peer.heard_at is None else peer.heard_at
         return now - heard_at > LOST_S
 
+    def has_working(self, service: str) -> bool:
+        """Returns whether a target of a service is known to take work."""
+        return any(
+            view.alive and view.takes_work() for view in self.owners(service)
+        )
+
     def has_heard(self) -> bool:
         """Returns whether any node has been heard of."""
         return any(peer.heard_at is not None for peer in self)
