--- a/src/guavawing/traffic/target_state.py
+++ b/src/guavawing/traffic/target_state.py
@@ -8,6 +8,9 @@
 # Slots that are assumed of a target that has only answered a health check,
 # until its heartbeat or a peer tells: few, so that it is not overrun.
 ASSUMED_SLOTS = 4
+# Time after the departure of a target whose birth is not known in which its
+# heartbeats are taken for late ones, in seconds; a new process may have its id.
+LATE_HEARTBEAT_S = 5.0
 
 
 class TargetState:
@@ -25,6 +28,7 @@
         "_born_ms",
         "_cold_until",
         "_left",
+        "_left_unknown",
         "_sequence",
         "_service",
         "draining_since",
@@ -40,6 +44,7 @@
         self._sequence = -1
         self._cold_until = 0.0
         self._left: set[Departure] = set()
+        self._left_unknown: dict[str, float] = {}
         self.target_id = ""
         self.slots = 0
         self.phase = TargetPhase.UNKNOWN
@@ -76,7 +81,7 @@
         same = report.id == self.target_id and report.born_ms == self._born_ms
         if same and report.sequence <= self._sequence:
             return False
-        if not same and not self._supersedes(report):
+        if not same and not self._supersedes(report, now):
             return False
         before = (self.target_id, self._born_ms, self.phase, self.slots)
         if not same:
@@ -102,7 +107,8 @@
         """
         if self.phase is not TargetPhase.UNKNOWN or self.target_id:
             return False
-        if any(left.target_id == target_id for left in self._left):
+        left = {departure.target_id for departure in self._left}
+        if target_id in left or target_id in self._left_unknown:
             return False
         self.target_id = target_id
         self.slots = self.slots or ASSUMED_SLOTS
@@ -143,7 +149,12 @@
         Returns:
             Whether the phase changed.
         """
-        if target_id != self.target_id or self.phase is TargetPhase.GONE:
+        if target_id != self.target_id:
+            # This process has started after the target's last heartbeat, so
+            # nothing is known of its birth.
+            self._left_unknown[target_id] = now
+            return False
+        if self.phase is TargetPhase.GONE:
             return False
         self._left.add(Departure(target_id, self._born_ms))
         before = self.phase
@@ -161,9 +172,12 @@
         self.phase = TargetPhase.GONE
         return True
 
-    def _supersedes(self, report: TargetReport) -> bool:
+    def _supersedes(self, report: TargetReport, now: float) -> bool:
         if Departure(report.id, report.born_ms) in self._left:
             return False
+        left_at = self._left_unknown.get(report.id)
+        if left_at is not None and now - left_at < LATE_HEARTBEAT_S:
+            return False
         return not self.target_id or report.born_ms >= self._born_ms
 
     def _start_draining(self, now: float) -> None:
--- a/tests/cover/traffic_state.feature
+++ b/tests/cover/traffic_state.feature
@@ -61,6 +61,15 @@
       | a  | 2000 | 1        | ready | 7     |
     Then the target is "a", ready, with 7 slots
 
+  Scenario: A target that leaves before its first heartbeat at a new process is left alone
+    Given the node of target address 10.0.0.7:80 in service desk
+    When target "a" leaves
+    Then a health check answered by "a" tells of no target
+    When heartbeats arrive
+      | id | born | sequence | state | slots |
+      | a  | 1000 | 4        | ready | 7     |
+    Then the target is unknown
+
   Scenario: It hears that its target leaves after it has found it healthy
     Given the node of target address 10.0.0.7:80 in service desk
     When a health check is answered by "a"
