--- a/src/guavawing/traffic/balancer.py
+++ b/src/guavawing/traffic/balancer.py
@@ -46,10 +46,11 @@
 # Share of refused requests by which owners here must be worse off for requests
 # to wait for slots elsewhere.
 MIN_PRESSURE_GAP = 0.05
-# Mean size of requests with their answers from which on they leave their data
-# centre only after all owners
-# here have refused, in kilobytes: such bytes cost more than a late answer.
+# Mean size of requests with their answers, in kilobytes, from which on they
+# leave their data centre only where owners here refuse at least this share of
+# all: such bytes cost more than a client's return a little later.
 MIN_KEPT_KB = 16.0
+MIN_LARGE_PRESSURE = 0.25
 ASSUMED_KB = 4.0
 SIZE_WEIGHT = 0.05
 # An execution is expected to take at most this many times the mean.
@@ -296,6 +297,8 @@
         cost_s += REMOTE_ROUND_TRIP_S
         if wait_s > 0 and not _may_queue(owner, pressure):
             return _Rank.FAR_QUEUED, cost_s
+        if large and pressure is not None and pressure < MIN_LARGE_PRESSURE:
+            return _Rank.FAR_QUEUED, cost_s
         in_time = not large and expected_s + REMOTE_ROUND_TRIP_S <= useful_s
         return (_Rank.FAR_IN_TIME if in_time else _Rank.FAR_FREE), cost_s
 
