Revert the age of what runs as expected time; a model of a fleet of sidecars

Change: bench/fleet_model.py plays load patterns on the real decision modules. No gain anywhere, so the expectation goes back to the mean of what ended.

--- /dev/null
+++ b/bench/fleet_model.py
@@ -0,0 +1,485 @@
+"""A simulated fleet of sidecars around the real decision modules.
+
+Clients send requests to the nodes of their data centre; each node chooses
+owners with its `Balancer`, each owner admits with its `SlotQueue`. Time is
+simulated and every random number comes from one seed. Modelled besides: fixed
+delays, speeds of targets, calls that targets make, clients that come back when
+they are told, and targets that turn slow, refuse or start cold. Links,
+processors and the loss of messages are not modelled.
+"""
+
+import heapq
+import itertools
+import math
+import random
+from collections.abc import Callable
+
+import attrs
+
+from guavawing.traffic.balancer import Balancer, OwnerView
+from guavawing.traffic.model import LoadReport, TargetPhase
+from guavawing.traffic.patience import Patience
+from guavawing.traffic.slot_queue import (
+    Admit,
+    Queued,
+    Refuse,
+    SlotQueue,
+    Waiter,
+)
+
+__all__ = ["Fleet", "Kind", "Pattern", "Result", "Trouble", "play"]
+
+CLIENT_DELAY_S = 0.001
+NEAR_DELAY_S = 0.0005
+FAR_DELAY_S = 0.0045
+BEACON_PERIOD_S = 1.0
+FAR_BEACONS = 4
+MAX_ASKED = 4
+# Part of a latency target that is used at the node, as in the sidecar.
+USEFUL_SHARE = 0.9
+URGENT_SHARE = 0.6
+# Pause of a client after an answer that tells no time.
+CLIENT_PAUSE_S = 0.05
+
+
+@attrs.frozen
+class Kind:
+    """Requests of one route.
+
+    Attributes:
+        name: Name of the route.
+        service: Service that executes them.
+        weight: Part of the clients' requests; 0 if only targets send them.
+        work_s: Mean time of an execution, in seconds.
+        spread: Deviation of its logarithm.
+        aim_s: Latency target, in seconds.
+        deadline_s: Time for which clients wait, in seconds.
+        priority: Order of service, 0 first.
+        worth: Worth of an answer in time.
+        retries: Times that a client comes back.
+        calls: Requests that an execution makes: name of the route, how many
+            at once, and the share of executions that make them.
+    """
+
+    name: str
+    service: str
+    weight: float
+    work_s: float
+    spread: float
+    aim_s: float
+    deadline_s: float
+    priority: int
+    worth: float = 1.0
+    retries: int = 2
+    calls: tuple[str, int, float] | None = None
+
+
+@attrs.frozen
+class Trouble:
+    """What happens to a share of a service's targets.
+
+    Attributes:
+        service: The service.
+        share: Share of its targets.
+        at: Begin, in seconds.
+        for_s: Length, in seconds.
+        slowdown: Factor of the time of executions.
+        refused: Share of requests that the targets refuse unexecuted.
+    """
+
+    service: str
+    share: float
+    at: float
+    for_s: float
+    slowdown: float = 1.0
+    refused: float = 0.0
+
+
+@attrs.frozen
+class Pattern:
+    """A load and the fleet that it meets.
+
+    Attributes:
+        name: Name of the pattern.
+        owners: Targets of each service in each data centre.
+        slots: Slots of a target.
+        speeds: Speeds of targets, in turn.
+        kinds: Kinds of request.
+        rate: Requests a second of clients, in all.
+        seconds: Length, in seconds.
+        data_centres: Number of data centres.
+        troubles: What goes wrong.
+    """
+
+    name: str
+    owners: dict[str, int]
+    slots: int
+    speeds: tuple[float, ...]
+    kinds: tuple[Kind, ...]
+    rate: float
+    seconds: float = 20.0
+    data_centres: int = 3
+    troubles: tuple[Trouble, ...] = ()
+
+
+@attrs.define
+class Result:
+    """How the requests of one kind ended.
+
+    Attributes:
+        asked: Requests of clients, their returns not counted.
+        in_time: Served within the latency target.
+        late: Served later.
+        elapsed_s: Times from the first try to the answer, in seconds.
+        crossed: Attempts that went to another data centre.
+    """
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    elapsed_s: list[float] = attrs.field(factory=list)
+    crossed: int = 0
+
+
+@attrs.define(eq=False)
+class _Node:
+    name: str
+    data_centre: int
+    service: str
+    speed: float
+    queue: SlotQueue
+    balancer: Balancer
+    patience: Patience = attrs.field(factory=Patience)
+    views: dict[str, list[OwnerView]] = attrs.field(factory=dict)
+    slowdown: float = 1.0
+    refused: float = 0.0
+    waiting: dict[int, "_Attempt"] = attrs.field(factory=dict)
+
+    def load(self, now: float) -> LoadReport:
+        known = self.queue.knows_service_time
+        return LoadReport(
+            TargetPhase.READY,
+            self.queue.slots,
+            self.queue.running,
+            self.queue.queued,
+            self.queue.service_s if known else 0.0,
+            self.queue.refused_share,
+        )
+
+
+@attrs.define(eq=False)
+class _Request:
+    """One try of a client, or a call of a target."""
+
+    kind: Kind
+    entry: _Node
+    deadline: float
+    useful_until: float
+    late: bool
+    on_end: Callable[[bool, float | None], None]
+    asked: list[str] = attrs.field(factory=list)
+    retry_after_s: float | None = None
+
+
+@attrs.define(eq=False)
+class _Attempt:
+    request: _Request
+    view: OwnerView
+    owner: _Node
+
+
+class Fleet:
+    """Plays one pattern."""
+
+    def __init__(self, pattern: Pattern, seed: int) -> None:
+        self.pattern = pattern
+        self.results = {kind.name: Result() for kind in pattern.kinds}
+        self._kinds = {kind.name: kind for kind in pattern.kinds}
+        self._rng = random.Random(seed)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._ids = itertools.count()
+        self._now = 0.0
+        self._nodes = self._make_nodes()
+        self._by_name = {node.name: node for node in self._nodes}
+        for node in self._nodes:
+            self._make_views(node)
+            self._after(self._rng.random(), lambda n=node: self._beacon(n))
+        for trouble in pattern.troubles:
+            self._plan(trouble)
+
+    def run(self) -> None:
+        """Plays the pattern to its end."""
+        self._arrive()
+        while self._events:
+            self._now, _, act = heapq.heappop(self._events)
+            if self._now > self.pattern.seconds + 10.0:
+                return
+            act()
+
+    # Clients.
+
+    def _arrive(self) -> None:
+        pattern = self.pattern
+        if self._now < pattern.seconds:
+            self._after(self._rng.expovariate(pattern.rate), self._arrive)
+            kinds = [kind for kind in pattern.kinds if kind.weight]
+            weights = [kind.weight for kind in kinds]
+            [kind] = self._rng.choices(kinds, weights)
+            data_centre = self._rng.randrange(pattern.data_centres)
+            self.results[kind.name].asked += 1
+            self._try(kind, data_centre, self._now, kind.retries)
+
+    def _try(
+        self, kind: Kind, data_centre: int, began_at: float, left: int
+    ) -> None:
+        here = [n for n in self._nodes if n.data_centre == data_centre]
+        entry = self._rng.choice(here)
+        deadline = began_at + kind.deadline_s
+        result = self.results[kind.name]
+
+        def end(served: bool, retry_after_s: float | None) -> None:
+            elapsed_s = self._now - began_at
+            if served:
+                result.elapsed_s.append(elapsed_s)
+                in_time = elapsed_s <= kind.aim_s
+                result.in_time += in_time
+                result.late += not in_time
+                return
+            pause_s = CLIENT_PAUSE_S if retry_after_s is None else retry_after_s
+            if left and self._now + pause_s < deadline:
+                self._after(
+                    pause_s,
+                    lambda: self._try(kind, data_centre, began_at, left - 1),
+                )
+
+        self._after(
+            CLIENT_DELAY_S, lambda: self._enter(kind, entry, deadline, end)
+        )
+
+    # The entry node.
+
+    def _enter(
+        self,
+        kind: Kind,
+        entry: _Node,
+        deadline: float,
+        on_end: Callable[[bool, float | None], None],
+    ) -> None:
+        left_s = deadline - self._now
+        spent_s = entry.patience.estimate_spent_s(kind.name, left_s)
+        useful_s = USEFUL_SHARE * kind.aim_s - spent_s
+        late = useful_s <= 0 and left_s > kind.aim_s
+        if kind.priority == min(
+            k.priority for k in self.pattern.kinds if k.service == kind.service
+        ):
+            useful_s = max(useful_s, URGENT_SHARE * left_s)
+        request = _Request(
+            kind, entry, deadline, self._now + useful_s, late, on_end
+        )
+        self._ask(request)
+
+    def _ask(self, request: _Request) -> None:
+        entry, kind = request.entry, request.kind
+        for view in entry.views[kind.service]:
+            if view.local:
+                view.take_report(entry.load(self._now), now=self._now)
+        choice = None
+        if len(request.asked) < MAX_ASKED:
+            choice = entry.balancer.choose(
+                entry.views[kind.service],
+                route=kind.name,
+                bulk=False,
+                useful_s=request.useful_until - self._now,
+                excluded=request.asked,
+                now=self._now,
+            )
+        if choice is None:
+            self._after(
+                CLIENT_DELAY_S,
+                lambda: request.on_end(False, request.retry_after_s),
+            )
+            return
+        view = choice.owner
+        owner = self._by_name[view.node]
+        request.asked.append(view.node)
+        view.outstanding += 1
+        attempt = _Attempt(request, view, owner)
+        if not view.near:
+            self.results[kind.name].crossed += 1
+        spare = choice.spare_only
+        self._after(self._delay_s(view), lambda: self._offer(attempt, spare))
+
+    def _take_answer(
+        self,
+        attempt: _Attempt,
+        load: LoadReport,
+        *,
+        served: bool,
+        refusal_s: float | None = None,
+    ) -> None:
+        view, request = attempt.view, attempt.request
+        view.outstanding -= 1
+        view.take_report(load, now=self._now)
+        if refusal_s is not None:
+            view.take_refusal(refusal_s, now=self._now)
+            known_s = request.retry_after_s
+            request.retry_after_s = min(known_s or math.inf, refusal_s)
+            self._ask(request)
+            return
+        self._after(
+            CLIENT_DELAY_S, lambda: request.on_end(served, CLIENT_PAUSE_S)
+        )
+
+    # The owner.
+
+    def _offer(self, attempt: _Attempt, spare: bool) -> None:
+        owner, request = attempt.owner, attempt.request
+        number = next(self._ids)
+        waiter = Waiter(
+            number,
+            request.kind.priority,
+            request.late,
+            request.deadline,
+            request.useful_until,
+            spare,
+        )
+        owner.waiting[number] = attempt
+        match owner.queue.offer(waiter, now=self._now):
+            case Admit():
+                self._start(owner, number)
+            case Queued(start_by=start_by):
+                self._at(start_by, lambda: self._expire(owner, number))
+            case Refuse(verdict=verdict):
+                self._refuse(owner, number, verdict.retry_after_s or 0.0)
+
+    def _expire(self, owner: _Node, number: int) -> None:
+        refusal = owner.queue.expire(number)
+        if refusal is not None:
+            self._refuse(owner, number, refusal.verdict.retry_after_s or 0.0)
+
+    def _refuse(self, owner: _Node, number: int, retry_after_s: float) -> None:
+        attempt = owner.waiting.pop(number)
+        load = owner.load(self._now)
+        self._after(
+            self._delay_s(attempt.view),
+            lambda: self._take_answer(
+                attempt, load, served=False, refusal_s=retry_after_s
+            ),
+        )
+
+    def _start(self, owner: _Node, number: int) -> None:
+        attempt = owner.waiting[number]
+        kind = attempt.request.kind
+        if self._rng.random() < owner.refused:
+            self._end(owner, number, served=False)
+            return
+        mean = math.log(kind.work_s) - kind.spread**2 / 2
+        work_s = self._rng.lognormvariate(mean, kind.spread)
+        work_s *= owner.slowdown / owner.speed
+        if kind.calls is None or self._rng.random() >= kind.calls[2]:
+            self._after(work_s, lambda: self._end(owner, number, served=True))
+            return
+        name, count, _ = kind.calls
+        called = self._kinds[name]
+        open_calls = [True] * count
+
+        def end_call(served: bool, _: float | None) -> None:
+            if not served:
+                if open_calls:
+                    open_calls.clear()
+                    self._end(owner, number, served=False)
+                return
+            if open_calls:
+                open_calls.pop()
+                if not open_calls:
+                    self._after(
+                        work_s, lambda: self._end(owner, number, served=True)
+                    )
+
+        deadline = min(attempt.request.deadline, self._now + called.deadline_s)
+        for _ in range(count):
+            self._enter(called, owner, deadline, end_call)
+
+    def _end(self, owner: _Node, number: int, *, served: bool) -> None:
+        attempt = owner.waiting.pop(number)
+        admitted = list(owner.queue.finish(number, now=self._now))
+        load = owner.load(self._now)
+        self._after(
+            self._delay_s(attempt.view),
+            lambda: self._take_answer(attempt, load, served=served),
+        )
+        for admit in admitted:
+            self._start(owner, admit.id)
+
+    # The fleet.
+
+    def _make_nodes(self) -> list[_Node]:
+        pattern = self.pattern
+        nodes = []
+        speeds = itertools.cycle(pattern.speeds)
+        for data_centre in range(pattern.data_centres):
+            for service, count in pattern.owners.items():
+                for number in range(count):
+                    queue = SlotQueue()
+                    queue.slots = pattern.slots
+                    name = f"{service}-{data_centre}-{number}"
+                    balancer = Balancer(random.Random(self._rng.random()))
+                    nodes.append(
+                        _Node(
+                            name,
+                            data_centre,
+                            service,
+                            next(speeds),
+                            queue,
+                            balancer,
+                        )
+                    )
+        return nodes
+
+    def _make_views(self, node: _Node) -> None:
+        for other in self._nodes:
+            near = other.data_centre == node.data_centre
+            view = OwnerView(other.name, local=other is node, near=near)
+            view.take_report(other.load(0.0), now=0.0)
+            node.views.setdefault(other.service, []).append(view)
+
+    def _beacon(self, node: _Node) -> None:
+        self._after(BEACON_PERIOD_S, lambda: self._beacon(node))
+        far = [n for n in self._nodes if n.data_centre != node.data_centre]
+        told = [n for n in self._nodes if n.data_centre == node.data_centre]
+        told += self._rng.sample(far, min(FAR_BEACONS, len(far)))
+        load = node.load(self._now)
+        for other in told:
+            for view in other.views[node.service]:
+                if view.node == node.name and not view.local:
+                    view.take_report(load, now=self._now)
+
+    def _plan(self, trouble: Trouble) -> None:
+        nodes = [n for n in self._nodes if n.service == trouble.service]
+        hit = self._rng.sample(nodes, round(trouble.share * len(nodes)))
+
+        def change(slowdown: float, refused: float) -> None:
+            for node in hit:
+                node.slowdown, node.refused = slowdown, refused
+
+        self._at(trouble.at, lambda: change(trouble.slowdown, trouble.refused))
+        self._at(trouble.at + trouble.for_s, lambda: change(1.0, 0.0))
+
+    def _delay_s(self, view: OwnerView) -> float:
+        if view.local:
+            return 0.0
+        return NEAR_DELAY_S if view.near else FAR_DELAY_S
+
+    def _after(self, seconds: float, act: Callable[[], None]) -> None:
+        self._at(self._now + seconds, act)
+
+    def _at(self, time_s: float, act: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (time_s, next(self._order), act))
+
+
+def play(pattern: Pattern, *, seed: int) -> dict[str, Result]:
+    """Plays a pattern and returns the results by kind of request."""
+    fleet = Fleet(pattern, seed)
+    fleet.run()
+    return fleet.results
--- /dev/null
+++ b/bench/fleet_patterns.py
@@ -0,0 +1,57 @@
+"""Load patterns of fleets, named after what makes them heavy."""
+
+from bench.fleet_model import Kind, Pattern, Trouble
+
+__all__ = ["PATTERNS"]
+
+# A newsroom: reads that call another service, publishes, pulls, withdrawals.
+KINDS = (
+    Kind(
+        "read",
+        "desk",
+        5.4,
+        0.18,
+        0.8,
+        0.77,
+        3.0,
+        2,
+        calls=("check", 2, 0.7),
+    ),
+    Kind("publish", "desk", 1.9, 0.24, 0.5, 0.81, 5.0, 1, worth=2.0),
+    Kind("pull", "feed", 0.87, 0.15, 0.5, 1.16, 4.0, 2),
+    Kind("withdraw", "feed", 0.74, 0.15, 0.5, 0.66, 3.0, 2),
+    Kind("check", "feed", 0.0, 0.046, 0.5, 0.25, 0.6, 0, worth=0.0),
+)
+SPEEDS = (0.6, 1.0, 1.4)
+
+
+def _make(name: str, rate: float, *troubles: Trouble) -> Pattern:
+    return Pattern(
+        name=name,
+        owners={"desk": 19, "feed": 5},
+        slots=5,
+        speeds=SPEEDS,
+        kinds=KINDS,
+        rate=rate,
+        troubles=troubles,
+    )
+
+
+PATTERNS = (
+    _make("usual", 700.0),
+    _make("near-full", 850.0),
+    _make("twice-the-usual", 1_400.0),
+    _make(
+        "slow-targets",
+        700.0,
+        Trouble("desk", 0.15, 5.0, 8.0, slowdown=4.5),
+        Trouble("feed", 0.15, 5.0, 8.0, slowdown=4.5),
+    ),
+    _make("refusing-feed", 700.0, Trouble("feed", 1.0, 5.0, 8.0, refused=0.55)),
+    _make(
+        "cold-after-a-power-loss",
+        700.0,
+        Trouble("desk", 0.6, 5.0, 3.0, slowdown=2.0),
+        Trouble("feed", 0.6, 5.0, 3.0, slowdown=2.0),
+    ),
+)
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -102,7 +102,7 @@
             phase = TargetPhase.DRAINING
         now = self._loop.time()
         known = self._queue.knows_service_time
-        service_s = self._queue.expect_service_s(now=now) if known else 0.0
+        service_s = self._queue.service_s if known else 0.0
         if self._state.is_cold(now=now):
             service_s *= COLD_SLOWDOWN
         return LoadReport(
--- a/src/guavawing/traffic/slot_queue.py
+++ b/src/guavawing/traffic/slot_queue.py
@@ -26,10 +26,6 @@
 # An execution is expected to take at most this many times the mean: about nine
 # in ten do where times spread by a factor of two.
 USUAL_SERVICE_FACTOR = 1.5
-# Share of the mean age of what runs that is taken for the time of an execution
-# if that is more than the mean of those that ended. In a full target with times
-# as usual the mean age is about the mean time, so this share of it is below.
-AGE_SHARE = 0.7
 # Nothing is sent to the target if less than this part of the mean is left.
 MIN_SERVICE_PART = 0.5
 # Wait that is allowed where no answer can come in time any more, in seconds:
@@ -141,21 +137,7 @@
         """Requests that wait for a slot."""
         return len(self._entries)
 
-    def expect_service_s(self, *, now: float) -> float:
-        """Returns how long an execution is expected to take.
-
-        A target that has turned slow ends few executions, so the mean follows
-        late; the age of what runs tells at once.
-        """
-        if not self._running or self.slots <= 0:
-            return self.service_s
-        age_s = now - sum(self._running.values()) / len(self._running)
-        busy = min(1.0, len(self._running) / self.slots)
-        return max(self.service_s, AGE_SHARE * busy * age_s)
-
-    def estimate_wait_s(
-        self, priority: int, *, late: bool, now: float
-    ) -> float:
+    def estimate_wait_s(self, priority: int, *, late: bool) -> float:
         """Returns how long a new request would wait."""
         if len(self._running) < self.slots and not self._entries:
             return 0.0
@@ -167,8 +149,7 @@
             key=lambda entry: (entry.priority, entry.late),
         )
         over = len(self._running) - self.slots
-        service_s = self.expect_service_s(now=now)
-        return (ahead + 1 + max(over, 0)) * service_s / self.slots
+        return (ahead + 1 + max(over, 0)) * self.service_s / self.slots
 
     def offer(self, waiter: Waiter, *, now: float) -> Decision:
         """Takes a new request: admits, queues or refuses it."""
@@ -179,9 +160,7 @@
             self._running[waiter.id] = now
             self._note_offer(waiter, refused=False)
             return Admit(waiter.id)
-        wait_s = self.estimate_wait_s(
-            waiter.priority, late=waiter.late, now=now
-        )
+        wait_s = self.estimate_wait_s(waiter.priority, late=waiter.late)
         longest_s = self._longest_wait_s(waiter, now)
         if wait_s > longest_s or self.slots <= 0:
             self._note_offer(waiter, refused=True)
@@ -249,7 +228,6 @@
         if waiter.spare_only:
             return 0.0
         useful_s = waiter.useful_until - now
-        service_s = self.expect_service_s(now=now)
-        useful_s -= USUAL_SERVICE_FACTOR * service_s
-        left_s = waiter.deadline - now - MIN_SERVICE_PART * service_s
+        useful_s -= USUAL_SERVICE_FACTOR * self.service_s
+        left_s = waiter.deadline - now - MIN_SERVICE_PART * self.service_s
         return min(max(useful_s, MIN_WAIT_S), left_s)
