--- /dev/null
+++ b/bench/fleet_report.py
@@ -0,0 +1,57 @@
+"""Figures and plots of what a model of a fleet has played."""
+
+import pathlib
+from collections.abc import Mapping, Sequence
+
+import pygal
+
+from bench.event_model import find_quantile
+from bench.fleet_model import Pattern, Result
+
+__all__ = ["find_worth", "plot_latency", "plot_worth"]
+
+# Part of a request's worth that a late answer has.
+LATE_SHARE = 0.3
+QUANTILES = (0.1, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99)
+
+
+def find_worth(pattern: Pattern, results: Mapping[str, Result]) -> float:
+    """Returns the worth of what was served, as a part of what was asked."""
+    asked = served = 0.0
+    for kind in pattern.kinds:
+        result = results[kind.name]
+        asked += kind.worth * result.asked
+        served += kind.worth * (result.in_time + LATE_SHARE * result.late)
+    return served / asked
+
+
+def plot_latency(
+    pattern: Pattern, results: Mapping[str, Result], path: pathlib.Path
+) -> None:
+    """Writes a plot of the time to the answer by kind of request."""
+    chart = pygal.Line(
+        title=f"Time to the answer: {pattern.name}",
+        x_title="share of the served requests",
+        y_title="ms",
+    )
+    chart.x_labels = [f"{share:g}" for share in QUANTILES]
+    for kind in pattern.kinds:
+        elapsed_s = results[kind.name].elapsed_s
+        if elapsed_s:
+            times = [find_quantile(elapsed_s, share) for share in QUANTILES]
+            chart.add(kind.name, [1000 * time for time in times])
+    chart.render_to_file(str(path))
+
+
+def plot_worth(
+    setting: str,
+    values: Sequence[str],
+    worths: Mapping[str, Sequence[float]],
+    path: pathlib.Path,
+) -> None:
+    """Writes a plot of the worth of patterns by the value of a setting."""
+    chart = pygal.Line(title=f"Worth by {setting}", x_title=setting)
+    chart.x_labels = list(values)
+    for name, series in worths.items():
+        chart.add(name, list(series))
+    chart.render_to_file(str(path))
