--- a/src/guavawing/sidecar/link_pacer.py
+++ b/src/guavawing/sidecar/link_pacer.py
@@ -28,9 +28,6 @@
 # Time by which a late timer is made up for, in seconds.
 MAX_CATCH_UP_S = 0.02
 
-# Weight of the newest size of a large answer in the mean.
-USUAL_WEIGHT = 0.1
-
 PieceWriter = Callable[[bytes, bool], None]
 
 
@@ -59,7 +56,6 @@
         "_loop",
         "_piece_bytes",
         "_timer",
-        "_usual_bytes",
         "_waiting",
     )
 
@@ -74,7 +70,6 @@
         self._piece_bytes = max(
             MIN_PIECE_BYTES, int(self._bytes_per_s * PIECE_S)
         )
-        self._usual_bytes = 0.0
         self._free_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._current: _Answer | None = None
@@ -86,12 +81,8 @@
         return self._current is not None
 
     def wait_s(self) -> float:
-        """Returns how long one more large answer of usual size would wait.
-
-        Only shorter ones go before it, and the one that is being sent.
-        """
-        sizes = [len(answer.rest) for answer in self._waiting]
-        size = sum(each for each in sizes if each <= self._usual_bytes)
+        """Returns how long one more large answer would wait at most."""
+        size = sum(len(answer.rest) for answer in self._waiting)
         if self._current is not None:
             size += len(self._current.rest)
         ahead_s = max(0.0, self._free_at - self._loop.time())
@@ -108,9 +99,6 @@
             payload: Its bytes.
             write: Takes a piece and whether it is the last one.
         """
-        size = len(payload)
-        usual = self._usual_bytes or size
-        self._usual_bytes = usual + USUAL_WEIGHT * (size - usual)
         self._waiting.append(_Answer(channel, memoryview(payload), write))
         if self._current is None:
             self._current = self._pick()
