Send no large answer that its entry node has given up

Cause: an answer that waited for the link was sent also after the entry node had cancelled it at the client's deadline, so a full link was filled further with bytes for nobody.

--- a/src/guavawing/sidecar/link_pacer.py
+++ b/src/guavawing/sidecar/link_pacer.py
@@ -37,11 +37,13 @@
 
     Attributes:
         channel: Connection that it goes out on.
+        number: Its number on the connection.
         rest: Bytes that are still to be sent.
         write: Takes a piece and whether it is the last one.
     """
 
     channel: Hashable
+    number: int
     rest: memoryview
     write: PieceWriter
 
@@ -89,7 +91,12 @@
         return ahead_s + size / self._bytes_per_s
 
     def offer(
-        self, channel: Hashable, payload: bytes, write: PieceWriter
+        self,
+        channel: Hashable,
+        payload: bytes,
+        write: PieceWriter,
+        *,
+        number: int = 0,
     ) -> None:
         """Sends a large answer, now or once the link has had time for others.
 
@@ -98,12 +105,22 @@
                 keep their order.
             payload: Its bytes.
             write: Takes a piece and whether it is the last one.
+            number: Number of the answer on its connection, for `cancel`.
         """
-        self._waiting.append(_Answer(channel, memoryview(payload), write))
+        rest = memoryview(payload)
+        self._waiting.append(_Answer(channel, number, rest, write))
         if self._current is None:
             self._current = self._pick()
             self._send()
 
+    def cancel(self, channel: Hashable, number: int) -> None:
+        """Forgets an answer that nobody waits for, unless it has begun."""
+        self._waiting = [
+            answer
+            for answer in self._waiting
+            if (answer.channel, answer.number) != (channel, number)
+        ]
+
     def drop(self, channel: Hashable) -> None:
         """Forgets the answers of a connection that is closed."""
         self._waiting = [
--- a/src/guavawing/sidecar/mesh_server.py
+++ b/src/guavawing/sidecar/mesh_server.py
@@ -194,7 +194,12 @@
             stream.write(payload)
             return
         pacer = self._server.owner.pacer
-        pacer.offer(self, pack_frame(payload), stream.write_piece)
+        pacer.offer(
+            self,
+            pack_frame(payload),
+            stream.write_piece,
+            number=job.frame_id,
+        )
 
     def abort(self) -> None:
         """Closes the connection at once."""
@@ -221,6 +226,8 @@
                 job_or_none = self._jobs.pop(frame_id, None)
                 if job_or_none is not None:
                     self._server.cancel(job_or_none)
+                else:
+                    self._server.owner.pacer.cancel(self, frame_id)
             case AskOutcome(id=frame_id) as question:
                 job = self._server.ask_outcome(self, frame_id, question)
                 if job.conn is not None:
--- a/src/guavawing/traffic/target_state.py
+++ b/src/guavawing/traffic/target_state.py
@@ -132,7 +132,10 @@
         Returns:
             Whether the phase changed.
         """
-        self._left.add(departure)
+        if departure.born_ms:
+            self._left.add(departure)
+        else:
+            self._left_unknown[departure.target_id] = now
         if self.phase is not TargetPhase.READY:
             return False
         if departure.target_id != self.target_id:
--- a/tests/cover/link_pacer.feature
+++ b/tests/cover/link_pacer.feature
@@ -28,6 +28,12 @@
     Then they end in the order "90000"
     And all are sent within 0.15 s
 
+  Scenario: An answer that nobody waits for any more takes nothing of the link
+    Given a link of 1000000 bytes a second
+    When answers of "50000 900000 90000" bytes are offered and the second one is cancelled
+    Then they end in the order "50000 90000"
+    And all are sent within 0.2 s
+
   Scenario: A fast link holds up nothing
     Given a link of 125000000 bytes a second
     When answers of "80000 80000 80000 80000" bytes are offered at the same time
--- a/tests/steps/link_pacer_steps.py
+++ b/tests/steps/link_pacer_steps.py
@@ -66,23 +66,26 @@
     context.ended = []
 
 
-def offer(context, pacer, link, channel, size):
+def offer(context, pacer, link, channel, size, number=0):
     def write(piece, last):
         link.write(len(piece))
         if last:
             context.ended.append(size)
 
-    pacer.offer(channel, bytes(size), write)
+    pacer.offer(channel, bytes(size), write, number=number)
 
 
-async def send_all(context, sizes, *, shared=False, left=None):
+async def send_all(context, sizes, *, shared=False, left=None, gone=None):
     pacer, link = LinkPacer(context.rate), Link(context.rate)
     context.link = link
     for number, size in enumerate(sizes):
-        offer(context, pacer, link, 0 if shared else number, size)
+        channel = 0 if shared else number
+        offer(context, pacer, link, channel, size, number)
     context.wait_s = pacer.wait_s()
     if left is not None:
         pacer.drop(left)
+    if gone is not None:
+        pacer.cancel(gone, gone)
     while pacer.busy:
         await asyncio.sleep(0.001)
     context.sent_at = max(link.free_at, asyncio.get_running_loop().time())
@@ -105,6 +108,11 @@
     play(send_all(context, map(int, sizes.split()), left=0))
 
 
+@when('answers of "{sizes}" bytes are offered and the second one is cancelled')
+def step_offer_cancelled(context, sizes):
+    play(send_all(context, map(int, sizes.split()), gone=1))
+
+
 @when(
     "for {seconds:g} s an answer of {large:d} bytes comes each {large_s:g} s"
     " and one of {small:d} bytes each {small_s:g} s"
