--- a/tests/cover/traffic_state.feature
+++ b/tests/cover/traffic_state.feature
@@ -134,3 +134,13 @@
 
   Scenario: What peers send can't break a node
     Then 400 random messages are read or refused
+
+  @golden
+  Scenario Outline: A session of decisions on requests reads as its golden file
+    Then the session of decisions "<session>" equals its golden file
+
+    Examples:
+      | session             |
+      | traffic-departure   |
+      | traffic-full-target |
+      | traffic-choice      |
--- a/tests/steps/traffic_state_steps.py
+++ b/tests/steps/traffic_state_steps.py
@@ -30,7 +30,9 @@
 from guavawing.traffic.readers import is_reader
 from guavawing.traffic.routes import RouteTable
 from guavawing.traffic.target_state import TargetState
+from tests.golden_files import check_golden
 from tests.support import check_examples
+from tests.traffic_sessions import SESSIONS
 
 SERVICE = {"healthCheckPath": "/health", "maxConnections": 110}
 
@@ -310,3 +312,8 @@
                 decode(payload)
             except MessageInvalidError:
                 continue
+
+
+@then('the session of decisions "{name}" equals its golden file')
+def step_session(context, name):
+    check_golden(name, "\n".join(SESSIONS[name]()) + "\n")
