--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -4,6 +4,7 @@
 import signal
 import time
 
+import aiohttp
 import attrs
 import orjson
 
@@ -14,6 +15,8 @@
 from tests.support import PUBLISH, send
 
 POLL_S = 0.05
+# Characters of a node's log that a failed start prints.
+LOG_TAIL = 4_000
 
 
 def wait_until(seconds, holds, describe=lambda: ""):
@@ -65,7 +68,13 @@
         context.run(fleet.start_node(name))
         context.down.discard(name)
     for name in names:
-        context.run(fleet.wait_for_http(fleet.nodes[name].admin, path))
+        node = fleet.nodes[name]
+        try:
+            context.run(fleet.wait_for_http(node.admin, path))
+        except aiohttp.ClientError as exc:
+            log = fleet.log_of(node, "node").read_text()[-LOG_TAIL:]
+            code = node.node.proc.returncode
+            raise AssertionError(f"{name}: exit code {code}\n{log}") from exc
 
 
 def send_keyed(context, node, key, **options):
