Keep all faults of a VM in the soak, and let only its own excuse a cut

The log of vm4 has start, no stop, and ends 5.8 s after the planned stop of the process before: it was killed. The time of the kill was overwritten by that of the restart, so the check took the planned stop for the cause.

Change: every fault is kept. Faults of other VMs no longer excuse a cut, which is stricter than before.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -91,7 +91,7 @@
         return False
     return all(
         not answer.sent_at - SETTLE_S < struck_at < answer.ended_at
-        for struck_at in faults.struck.values()
+        for struck_at in faults.struck.get(answer.vm, [])
     )
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -28,7 +28,7 @@
         fleet: What they strike.
         rng: Draws them.
         version: Newest version written.
-        struck: When unplanned faults struck a VM last, by its name.
+        struck: Times at which unplanned faults struck VMs, by their names.
         planned: When a planned stop began last, by VM.
         acked: When a target's leaving was acknowledged, by its id.
         told: What was done, for the report of a failure.
@@ -37,7 +37,7 @@
     fleet: VmFleet
     rng: random.Random
     version: int = 1
-    struck: dict[str, float] = attrs.field(factory=dict)
+    struck: dict[str, list[float]] = attrs.field(factory=dict)
     planned: dict[str, float] = attrs.field(factory=dict)
     acked: dict[str, float] = attrs.field(factory=dict)
     told: list[str] = attrs.field(factory=list)
@@ -68,7 +68,8 @@
         await asyncio.gather(*running)
 
     def _note(self, vm: Vm) -> None:
-        self.struck[vm.name] = asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time()
+        self.struck.setdefault(vm.name, []).append(now)
 
     async def _last(self) -> None:
         await asyncio.sleep(self.rng.uniform(*LENGTH_S))
