--- a/tests/run_features.py
+++ b/tests/run_features.py
@@ -89,7 +89,9 @@
     except orjson.JSONDecodeError:
         return []
     return [
-        Result(f"{path}: {element['name']}", element.get("status", "error"))
+        Result(
+            f"{path}: {element['name'].strip()}", element.get("status", "error")
+        )
         for feature in features
         for element in feature.get("elements", ())
         if element["type"] != "background"
