--- a/bench/fleet_patterns.py
+++ b/bench/fleet_patterns.py
@@ -1,6 +1,6 @@
 """Load patterns of fleets, named after what makes them heavy."""
 
-from bench.fleet_model import Kind, Pattern, Trouble
+from bench.fleet_load import Kind, Pattern, Trouble
 
 __all__ = ["PATTERNS"]
 
--- a/bench/fleet_report.py
+++ b/bench/fleet_report.py
@@ -6,7 +6,7 @@
 import pygal
 
 from bench.event_model import find_quantile
-from bench.fleet_model import Pattern, Result
+from bench.fleet_load import Pattern, Result
 
 __all__ = ["find_worth", "plot_latency", "plot_worth"]
 
