Ask a peer whose beacon comes before its row what it knows of the target

Found by reading; the failure was seen once.

Change: each peer is asked once, by whichever comes first, row or beacon. A health check is left out until a peer had been heard one period before, for up to 1.2 s, above the period of beacons. A departure of a target that this process did not know is told to peers too. The departures that a process remembers are bounded (they were kept for ever). Metrics are no longer registered a second time with the library's global registry.

--- a/src/guavawing/sidecar/beacons.py
+++ b/src/guavawing/sidecar/beacons.py
@@ -145,9 +145,15 @@
         for peer in told:
             self._send(payload, peer.record.host)
 
-    def greet(self, host: str) -> None:
-        """Asks a node that has just been learned of for its beacon."""
-        self._send(self._encode(asks=True), host)
+    def greet(self, peer: Peer) -> None:
+        """Asks a node, once, for its beacon and for what it knows of this one.
+
+        Whichever comes first, its row or its beacon, a process that has just
+        started learns of its target's departure from the first node it hears.
+        """
+        if not peer.greeted:
+            peer.greeted = True
+            self._send(self._encode(asks=True), peer.record.host)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes the socket."""
@@ -164,6 +170,7 @@
         peer = self._peers.take_record(beacon.record, now=now)
         if peer is None:
             return
+        self.greet(peer)
         if beacon.sequence <= peer.sequence:
             return
         peer.sequence = beacon.sequence
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -74,9 +74,9 @@
 # Health checks of a target that has sent no heartbeat yet.
 PROBES = 8
 PROBE_PERIOD_S = 0.2
-# Of these the first ones are left out until a peer has been heard: peers answer
-# within a round trip, if there are any.
-PROBES_AFTER_PEERS = 3
+# Of these the first ones are left out until a peer had been heard a period
+# before, so that its answer is here: beacons come within 1.1 s if any do.
+PROBES_AFTER_PEERS = 6
 
 
 class Sidecar:
@@ -350,8 +350,9 @@
     async def _probe_target(self) -> None:
         """Finds the target before its first heartbeat, if it is there."""
         for number in range(PROBES):
+            had_heard = self._peers.has_heard()
             await asyncio.sleep(PROBE_PERIOD_S)
-            if number < PROBES_AFTER_PEERS and not self._peers.has_heard():
+            if number < PROBES_AFTER_PEERS and not had_heard:
                 # A peer may know that the target leaves.
                 continue
             if self._target.phase is not TargetPhase.UNKNOWN:
@@ -393,7 +394,7 @@
 
     def _take_found(self, peer: Peer) -> None:
         self._entry.resize_allowances()
-        self._beacons.greet(peer.record.host)
+        self._beacons.greet(peer)
 
     def _take_load(self, host: str, load: LoadReport) -> None:
         peer = self._peers.get(host)
--- a/src/guavawing/sidecar/metrics.py
+++ b/src/guavawing/sidecar/metrics.py
@@ -34,8 +34,9 @@
     """A histogram that is cheap to feed and handed over when scraped."""
 
     def __init__(self, registry: Registry, name: str, text: str) -> None:
-        self._series = HistogramSeries(name, text, buckets=LATENCY_BOUNDS_S)
-        registry.register(self._series)
+        self._series = HistogramSeries(
+            name, text, registry=registry, buckets=LATENCY_BOUNDS_S
+        )
         self._pending: list[int] = [0] * (len(LATENCY_BOUNDS_S) + 1)
         self._sums = [0.0] * (len(LATENCY_BOUNDS_S) + 1)
 
@@ -132,14 +133,10 @@
         return bytes(content)
 
     def _counter(self, name: str, text: str) -> Counter:
-        series = CounterSeries(name, text)
-        self._registry.register(series)
-        return Counter(series)
+        return Counter(CounterSeries(name, text, registry=self._registry))
 
     def _gauge(self, name: str, text: str) -> Gauge:
-        series = GaugeSeries(name, text)
-        self._registry.register(series)
-        return Gauge(series)
+        return Gauge(GaugeSeries(name, text, registry=self._registry))
 
     def _latency(self, name: str, text: str) -> _Latency:
         return _Latency(self._registry, name, text)
--- a/src/guavawing/traffic/peers.py
+++ b/src/guavawing/traffic/peers.py
@@ -41,6 +41,7 @@
         slots: Slots that its target had when it last said so.
         departure: Its target that has said that it leaves, if any.
         reaches_store: Whether the platform's store answers it, as it says.
+        greeted: Whether it was asked what it knows of this node.
     """
 
     record: PeerRecord
@@ -52,6 +53,7 @@
     slots: int = 0
     departure: Departure | None = None
     reaches_store: bool = True
+    greeted: bool = False
 
 
 class PeerTable:
@@ -131,6 +133,8 @@
         if known is not None and known.record.service == record.service:
             peer.slots = known.slots
             peer.departure = known.departure
+            # A row does not tell the start of the process that wrote it.
+            peer.greeted = known.greeted and not known.record.incarnation
         self._by_host[record.host] = peer
         self._by_service.setdefault(record.service, {})[record.host] = view
         return peer
--- a/src/guavawing/traffic/target_state.py
+++ b/src/guavawing/traffic/target_state.py
@@ -11,6 +11,9 @@
 # Time after the departure of a target whose birth is not known in which its
 # heartbeats are taken for late ones, in seconds; a new process may have its id.
 LATE_HEARTBEAT_S = 5.0
+# Departures that are remembered: far above the targets that start on one VM
+# while heartbeats or health checks of an earlier one may still come.
+MAX_LEFT = 32
 
 
 class TargetState:
@@ -28,7 +31,6 @@
         "_born_ms",
         "_cold_until",
         "_left",
-        "_left_unknown",
         "_sequence",
         "_service",
         "draining_since",
@@ -43,8 +45,7 @@
         self._born_ms = 0
         self._sequence = -1
         self._cold_until = 0.0
-        self._left: set[Departure] = set()
-        self._left_unknown: dict[str, float] = {}
+        self._left: dict[Departure, float] = {}
         self.target_id = ""
         self.slots = 0
         self.phase = TargetPhase.UNKNOWN
@@ -52,10 +53,12 @@
 
     @property
     def departure(self) -> Departure | None:
-        """The current target if it has said that it leaves."""
-        if self.draining_since is None:
-            return None
-        return Departure(self.target_id, self._born_ms)
+        """The target that has said that it leaves, if it is the latest one."""
+        if self.draining_since is not None:
+            return Departure(self.target_id, self._born_ms)
+        if self.phase is TargetPhase.UNKNOWN and self._left:
+            return next(reversed(self._left))
+        return None
 
     def is_mine(self, report: TargetReport) -> bool:
         """Returns whether a heartbeat is of the target beside this node."""
@@ -107,8 +110,7 @@
         """
         if self.phase is not TargetPhase.UNKNOWN or self.target_id:
             return False
-        left = {departure.target_id for departure in self._left}
-        if target_id in left or target_id in self._left_unknown:
+        if any(departure.target_id == target_id for departure in self._left):
             return False
         self.target_id = target_id
         self.slots = self.slots or ASSUMED_SLOTS
@@ -132,10 +134,7 @@
         Returns:
             Whether the phase changed.
         """
-        if departure.born_ms:
-            self._left.add(departure)
-        else:
-            self._left_unknown[departure.target_id] = now
+        self._note_left(departure, now)
         if self.phase is not TargetPhase.READY:
             return False
         if departure.target_id != self.target_id:
@@ -155,11 +154,11 @@
         if target_id != self.target_id:
             # This process has started after the target's last heartbeat, so
             # nothing is known of its birth.
-            self._left_unknown[target_id] = now
+            self._note_left(Departure(target_id, 0), now)
             return False
         if self.phase is TargetPhase.GONE:
             return False
-        self._left.add(Departure(target_id, self._born_ms))
+        self._note_left(Departure(target_id, self._born_ms), now)
         before = self.phase
         self._start_draining(now)
         return before is not self.phase
@@ -176,13 +175,19 @@
         return True
 
     def _supersedes(self, report: TargetReport, now: float) -> bool:
-        if Departure(report.id, report.born_ms) in self._left:
+        departure = Departure(report.id, report.born_ms)
+        if report.born_ms and departure in self._left:
             return False
-        left_at = self._left_unknown.get(report.id)
+        left_at = self._left.get(Departure(report.id, 0))
         if left_at is not None and now - left_at < LATE_HEARTBEAT_S:
             return False
         return not self.target_id or report.born_ms >= self._born_ms
 
+    def _note_left(self, departure: Departure, now: float) -> None:
+        self._left[departure] = now
+        if len(self._left) > MAX_LEFT:
+            del self._left[next(iter(self._left))]
+
     def _start_draining(self, now: float) -> None:
         if self.draining_since is None:
             self.draining_since = now
--- a/tests/cover/traffic_state.feature
+++ b/tests/cover/traffic_state.feature
@@ -70,6 +70,17 @@
       | a  | 1000 | 4        | ready | 7     |
     Then the target is unknown
 
+  Scenario: Peers are told of a departure also by a process that knew no target
+    Given the node of target address 10.0.0.7:80 in service desk
+    When target "a" leaves
+    Then peers are told that "a", born 0, leaves
+
+  Scenario: Departures are remembered without end of memory
+    Given the node of target address 10.0.0.7:80 in service desk
+    When 1000 targets leave one after the other
+    Then at most 32 departures are remembered
+    And peers are told that "t999", born 0, leaves
+
   Scenario: It hears that its target leaves after it has found it healthy
     Given the node of target address 10.0.0.7:80 in service desk
     When a health check is answered by "a"
--- a/tests/steps/traffic_state_steps.py
+++ b/tests/steps/traffic_state_steps.py
@@ -1,5 +1,6 @@
 """Steps about targets, routes, peers and documents of the platform."""
 
+import copy
 import json
 import random
 
@@ -77,6 +78,28 @@
     context.target.take_known_departure(departure, now=1.0)
 
 
+@when("{count:d} targets leave one after the other")
+def step_many_leave(context, count):
+    for number in range(count):
+        context.target.take_departure(f"t{number}", now=float(number))
+
+
+@then("at most {count:d} departures are remembered")
+def step_remembered(context, count):
+    unknown = [
+        number
+        for number in range(1000)
+        if not copy.deepcopy(context.target).take_probe(f"t{number}")
+    ]
+    assert len(unknown) <= count, len(unknown)
+
+
+@then('peers are told that "{target_id}", born {born:d}, leaves')
+def step_told_departure(context, target_id, born):
+    departure = context.target.departure
+    assert departure == Departure(target_id, born), departure
+
+
 @then('a health check answered by "{target_id}" tells of no target')
 def step_probe_refused(context, target_id):
     assert not context.target.take_probe(target_id)
