Say of no request that may have run that it has not

Cause: after an attempt whose answer was lost, a retry that found no other owner, or one without room, ended with the refusal of the last attempt: 503, which promises that the request has not run. Only requests that may be repeated are sent twice, so none of the others was touched. The retry found nobody since a node that has just started knew only its own target.

Change: what was lost goes before a later refusal (502). If no other owner is known, the one whose answer was lost is asked again.

--- a/src/guavawing/sidecar/transfer.py
+++ b/src/guavawing/sidecar/transfer.py
@@ -1,7 +1,7 @@
 """One request of a client, from its arrival at the entry node to its answer."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import attrs
 
@@ -11,12 +11,12 @@
 from guavawing.sidecar.mesh_client import MeshClient, MeshTicket
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.owner import Owner
-from guavawing.traffic.balancer import Balancer, OwnerView
+from guavawing.traffic.balancer import Balancer, Choice, OwnerView
 from guavawing.traffic.budget import RetryAllowance
 from guavawing.traffic.failures import FailureShare
 from guavawing.traffic.model import Attempt, Outcome, Route
 from guavawing.traffic.peers import PeerTable
-from guavawing.traffic.unserved import Step, next_step
+from guavawing.traffic.unserved import Step, next_step, settle_verdict
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
 
 __all__ = ["EntryParts", "Transfer"]
@@ -73,6 +73,7 @@
         "_asked",
         "_asked_at",
         "_attempt",
+        "_broke",
         "_fallback",
         "_item",
         "_owner",
@@ -104,6 +105,8 @@
         self._asked: list[str] = []
         self._asked_at = now
         self._sent = 0
+        # Last attempt whose outcome is not known.
+        self._broke: MayHaveRun | None = None
         # Last refusal by an owner or a target.
         self._refusal: NotRun | None = None
         self._retry_after_s: float | None = None
@@ -123,18 +126,19 @@
         )
         self._ask()
 
-    def _ask(self) -> None:
+    def _ask(self, *, again: bool = False) -> None:
+        """Asks an owner.
+
+        Args:
+            again: Whether one that was asked already will do if there is no
+                other.
+        """
         parts, attempt = self._parts, self._attempt
         now = parts.loop.time()
         parts.own_view.take_report(parts.owner.load(), now=now)
-        choice = parts.balancer.choose(
-            parts.peers.owners(attempt.service),
-            route=self._route.name,
-            bulk=attempt.bulk,
-            useful_s=attempt.useful_until - now,
-            excluded=self._asked,
-            now=now,
-        )
+        choice = self._choose(now, excluded=self._asked)
+        if choice is None and again:
+            choice = self._choose(now, excluded=())
         if choice is None:
             self._give_up()
             return
@@ -167,6 +171,17 @@
             owner.node, peer.record.mesh_port, attempt, self._take_outcome
         )
 
+    def _choose(self, now: float, *, excluded: Sequence[str]) -> Choice | None:
+        parts, attempt = self._parts, self._attempt
+        return parts.balancer.choose(
+            parts.peers.owners(attempt.service),
+            route=self._route.name,
+            bulk=attempt.bulk,
+            useful_s=attempt.useful_until - now,
+            excluded=excluded,
+            now=now,
+        )
+
     def _take_outcome(self, outcome: Outcome) -> None:
         owner = self._owner
         assert owner is not None
@@ -194,6 +209,7 @@
             case MayHaveRun():
                 owner.take_failure(now=now)
                 self._sent += 1
+                self._broke = verdict
             case NotRun(reason=Reason.TARGET_SHED):
                 owner.take_failure(now=now)
                 self._sent += 1
@@ -244,7 +260,8 @@
             reason=verdict.reason,
             sent=self._sent,
         )
-        self._ask()
+        # A target that has broken off one answer may give the next one.
+        self._ask(again=isinstance(verdict, MayHaveRun))
 
     def _give_up(
         self, verdict: NotRun | MayHaveRun | Ran | None = None
@@ -255,6 +272,7 @@
             return
         if verdict is None or isinstance(verdict, Ran):
             verdict = self._refusal or NotRun(Reason.NO_TARGET)
+        verdict = settle_verdict(verdict, broke=self._broke)
         match verdict:
             case MayHaveRun(reason=Reason.TARGET_TIMEOUT):
                 self._refuse(GATEWAY_TIMEOUT, verdict, None)
--- a/src/guavawing/traffic/unserved.py
+++ b/src/guavawing/traffic/unserved.py
@@ -4,7 +4,7 @@
 
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason, Verdict
 
-__all__ = ["Step", "next_step"]
+__all__ = ["Step", "next_step", "settle_verdict"]
 
 # Time that must be left for another attempt to be of use, in seconds.
 MIN_TIME_LEFT_S = 0.02
@@ -20,6 +20,20 @@
     GIVE_UP = enum.auto()
 
 
+def settle_verdict(
+    verdict: NotRun | MayHaveRun, *, broke: MayHaveRun | None
+) -> NotRun | MayHaveRun:
+    """Returns what is true of a request after all of its attempts.
+
+    Args:
+        verdict: How the last attempt ended, or why there was none.
+        broke: An earlier attempt that may have run, if any.
+    """
+    if isinstance(verdict, NotRun) and broke is not None:
+        return broke
+    return verdict
+
+
 def next_step(
     verdict: Verdict,
     *,
--- /dev/null
+++ b/tests/cover/transfer.feature
@@ -0,0 +1,23 @@
+Feature: What a client is told after several attempts
+
+  Scenario Outline: A request whose answer was lost is not said to be not run
+    Given a safe request, owners "<owners>" and a retry that is allowed
+    When attempts end with "<ends>"
+    Then the client gets <status>
+    And these owners were asked: "<asked>"
+
+    Examples:
+      | owners | ends                  | status | asked |
+      | a b    | lost, served          | 200    | a b   |
+      | a b    | lost, full            | 502    | a b   |
+      | a b    | lost, lost            | 502    | a b   |
+      | a      | lost, served          | 200    | a a   |
+      | a      | lost, full            | 502    | a a   |
+      | a b    | full, full            | 503    | a b   |
+      | a b    | error, full           | 500    | a b   |
+      | a      | shed                  | 503    | a     |
+
+  Scenario: A request that found nobody after its answer was lost is not said to be not run
+    Given a safe request, owners "a" and a retry that is allowed
+    When attempts end with "lost" and nobody is left
+    Then the client gets 502
--- /dev/null
+++ b/tests/steps/transfer_steps.py
@@ -0,0 +1,152 @@
+"""Steps that drive one request through owners in memory."""
+
+import asyncio
+from random import Random
+
+from behave import given, then, when
+
+from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.http_server import HttpRequest
+from guavawing.sidecar.metrics import SidecarMetrics
+from guavawing.sidecar.transfer import EntryParts, Transfer
+from guavawing.traffic.balancer import Balancer, OwnerView
+from guavawing.traffic.budget import RetryAllowance
+from guavawing.traffic.failures import FailureShare
+from guavawing.traffic.model import (
+    Attempt,
+    LoadReport,
+    Outcome,
+    PeerRecord,
+    Route,
+    SplitPart,
+    TargetPhase,
+)
+from guavawing.traffic.peers import PeerTable
+from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
+
+LEFT_S = 2.0
+IDLE = LoadReport(TargetPhase.READY, 8, 0, 0, 0.05)
+ENDS = {
+    "served": Outcome(Ran(), 200),
+    "error": Outcome(Ran(), 500),
+    "lost": Outcome(MayHaveRun(Reason.TARGET_BROKE)),
+    "full": Outcome(NotRun(Reason.QUEUE_FULL, 0.1)),
+    "shed": Outcome(NotRun(Reason.TARGET_SHED, 0.2)),
+}
+ROUTE = Route(
+    "read", "a.ex", "/", True, False, 1.0, 0.5, 0, 2, (SplitPart("desk", 1.0),)
+)
+
+
+class MemoryConnection:
+    """A client's connection that keeps the status of the answer."""
+
+    status = 0
+
+    def keeps_open(self, *, refused=False):
+        return True
+
+    def respond(self, payload, *, closes):
+        assert not self.status, "answered twice"
+        self.status = int(payload.split(b" ", 2)[1])
+
+
+class MemoryMesh:
+    """Ends attempts as it is told to."""
+
+    def __init__(self, ends, peers):
+        self.ends, self.peers, self.asked = list(ends), peers, []
+
+    def submit(self, host, port, attempt, on_outcome):
+        self.asked.append(host)
+        outcome = self.ends.pop(0)
+        if outcome is None:
+            self.peers.get(host).view.alive = False
+            outcome = ENDS["lost"]
+        asyncio.get_running_loop().call_soon(on_outcome, outcome)
+
+
+class NoTarget:
+    """An owner without a target."""
+
+    def load(self):
+        return LoadReport(TargetPhase.UNKNOWN, 0, 0, 0, 0.0)
+
+
+def make_peers(names, now):
+    me = PeerRecord("me", "me", 1, "east", "feed", 1)
+    view = OwnerView("me", local=True, near=True)
+    peers = PeerTable(me, view)
+    for name in names:
+        record = PeerRecord(name, name, 1, "east", "desk", 1)
+        peer = peers.take_record(record, now=now)
+        peers.take_load(peer, IDLE, now=now)
+    return peers, view
+
+
+async def play(context, ends):
+    loop = asyncio.get_running_loop()
+    now = loop.time()
+    peers, own_view = make_peers(context.names, now)
+    mesh = MemoryMesh(ends, peers)
+    parts = EntryParts(
+        loop=loop,
+        owner=NoTarget(),
+        own_view=own_view,
+        peers=peers,
+        mesh=mesh,
+        balancer=Balancer(Random(1)),
+        failures=FailureShare(),
+        allowance=lambda _: RetryAllowance(ratio=0.2, allowance=9, nodes=1),
+        version=lambda: 1,
+        log=DecisionLog(node="me"),
+        metrics=SidecarMetrics(),
+    )
+    conn = MemoryConnection()
+    request = HttpRequest(conn, b"GET", b"/x", [], b"")
+    attempt = Attempt(
+        request_id=b"r1",
+        service="desk",
+        origin="feed",
+        method=b"GET",
+        path=b"/x",
+        head=b"",
+        body=b"",
+        deadline=now + LEFT_S,
+        priority=0,
+        idempotent=True,
+        bulk=False,
+        late=False,
+        useful_until=now + LEFT_S,
+        spare_only=False,
+    )
+    Transfer(parts, request, ROUTE, attempt, now).begin()
+    while not conn.status:
+        await asyncio.sleep(0)
+    return conn.status, mesh.asked
+
+
+@given('a safe request, owners "{names}" and a retry that is allowed')
+def step_request(context, names):
+    context.names = names.split()
+
+
+@when('attempts end with "{ends}"')
+def step_ends(context, ends):
+    outcomes = [ENDS[end] for end in ends.split(", ")]
+    context.status, context.asked = context.run(play(context, outcomes))
+
+
+@when('attempts end with "lost" and nobody is left')
+def step_nobody(context):
+    context.status, context.asked = context.run(play(context, [None]))
+
+
+@then("the client gets {status:d}")
+def step_status(context, status):
+    assert context.status == status, context.status
+
+
+@then('these owners were asked: "{names}"')
+def step_asked(context, names):
+    assert sorted(context.asked) == names.split(), context.asked
