One client and one stand-in for the platform's store

Cause: the product's own commands and nodes spoke a protocol of their own to a stand-in of their own, beside the client and the stand-in of the published one: two clients, two row types with transactions, two error classes.

Change: guavawing.store.client packs the product's JSON rows and objects on top of platform.store_client, which gained single reads, bounded reads and objects; one write type with its expected version. TransactionRefusedError and HistoryLostError are in errors.py. standins/platform.py and vm_store.py are one stand-in of the published protocol with the faults of both. Two writers of conditional rows share their code and log what they could not write or read.

A transaction of the published protocol holds 100 entries, and a removal that expects a revision is two.

--- a/bench/seed_storm.py
+++ b/bench/seed_storm.py
@@ -14,10 +14,11 @@
 
 from bench.gossip_driver import make_member
 from guavawing.distribution import PollSchedule
+from guavawing.errors import TransactionRefusedError
 from guavawing.membership import MemberTable
 from guavawing.model import Address
 from guavawing.node.joiner import Joiner
-from guavawing.store.client import Row, TransactionRefusedError, Write
+from guavawing.store.client import Row, Write
 
 __all__ = ["StormLoad", "measure_storm"]
 
@@ -82,7 +83,7 @@
             await asyncio.sleep(REPLY_S)
         return self.published
 
-    async def transact(self, writes: Sequence[Write]) -> None:
+    async def transact(self, writes: Sequence[Write]) -> int:
         self.writes[_second()] += 1
         await asyncio.sleep(REPLY_S)
         for write in writes:
@@ -91,6 +92,7 @@
             if revision != write.expected_revision:
                 raise TransactionRefusedError("another revision")
             self.rows[write.key] = Row(write.key, write.value, revision + 1)
+        return revision + 1
 
 
 class _Starter:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -142,11 +142,11 @@
         faults = self.fleet.store.faults
         match self.rng.randrange(3):
             case 0:
-                faults.away = True
+                faults.down = True
                 await self._last()
-                faults.away = False
+                faults.down = False
             case 1:
-                faults.lost_writes += 1
+                faults.lose_replies += 1
             case 2:
                 faults.history_lost = True
 
--- a/src/guavawing/errors.py
+++ b/src/guavawing/errors.py
@@ -10,6 +10,7 @@
     "ConflictingChangeError",
     "ControlError",
     "GuavawingError",
+    "HistoryLostError",
     "InvalidArgumentError",
     "MessageInvalidError",
     "NodeReplacedError",
@@ -18,6 +19,7 @@
     "PlatformUnavailableError",
     "PlatformWriteUnknownError",
     "SettingsInvalidError",
+    "TransactionRefusedError",
     "VersionPrunedError",
 ]
 
@@ -88,6 +90,14 @@
     """Raised when a write got no answer and may have taken effect."""
 
 
+class TransactionRefusedError(PlatformError):
+    """Raised when a row does not have the version that a write expects."""
+
+
+class HistoryLostError(PlatformError):
+    """Raised when the store no longer has the changes that were asked for."""
+
+
 class PlatformDataInvalidError(PlatformError):
     """Raised when a row or an object that the platform holds is damaged."""
 
--- a/src/guavawing/platform/store_client.py
+++ b/src/guavawing/platform/store_client.py
@@ -1,4 +1,8 @@
-"""Calls to the platform's store: rows that last, and a feed of changes."""
+"""Calls to the platform's store: rows, a feed of their changes, and objects.
+
+A row has the version of the store's counter at its last change; the counter
+rises with each transaction. Tables are not divided into parts here.
+"""
 
 import base64
 import urllib.parse
@@ -9,27 +13,28 @@
 import orjson
 
 from guavawing.errors import (
-    PlatformError,
+    HistoryLostError,
     PlatformUnavailableError,
     PlatformWriteUnknownError,
+    TransactionRefusedError,
 )
 
 __all__ = [
     "CONFIGURATION_KEY",
     "CONFIGURATION_TABLE",
-    "HistoryLostError",
     "HttpCall",
-    "Put",
     "RowChanges",
-    "RowConflictError",
+    "RowWrite",
     "StoreClient",
     "StoredRow",
+    "Transport",
 ]
 
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
 MS_PER_S = 1000
 OK = 200
+NOT_FOUND = 404
 GONE = 410
 CONFLICT = 412
 # Statuses after which nothing was done.
@@ -57,19 +62,14 @@
 # the call was not sent, and PlatformWriteUnknownError if no answer came.
 Transport = Callable[[HttpCall], Awaitable[tuple[int, bytes]]]
 
+# Longest times of a call about rows and of one that carries an object, in
+# seconds: far above those of a slow store.
 CALL_TIMEOUT_S = 2.0
+OBJECT_TIMEOUT_S = 5.0
 # Time beyond the wait that the store is asked for, in seconds.
 WATCH_MARGIN_S = 1.5
 
 
-class HistoryLostError(PlatformError):
-    """Raised when the store no longer has the changes that were asked for."""
-
-
-class RowConflictError(PlatformError):
-    """Raised when a row does not have the version that a write expects."""
-
-
 @attrs.frozen
 class StoredRow:
     """A row, or the place of one that was removed.
@@ -103,12 +103,21 @@
 
 
 @attrs.frozen
-class Put:
-    """A row to be written."""
+class RowWrite:
+    """A row to be written or removed.
+
+    Attributes:
+        table: Its table.
+        key: Its key.
+        value: Its bytes; None removes the row.
+        expected: Version that it must have, 0 if it must not exist; None if
+            any will do.
+    """
 
     table: str
     key: str
-    value: bytes
+    value: bytes | None
+    expected: int | None = None
 
 
 class StoreClient:
@@ -119,8 +128,31 @@
     def __init__(self, transport: Transport) -> None:
         self._transport = transport
 
-    async def read_table(self, table: str) -> RowChanges:
-        """Returns all rows of a table, as of the first page's version.
+    async def read_row(self, table: str, key: str) -> StoredRow | None:
+        """Returns a row, or None if it does not exist.
+
+        Raises:
+            PlatformUnavailableError: If the store gives no usable answer.
+        """
+        query = {"table": table, "part": "", "from": key, "limit": "1"}
+        content = await self._get("/-/rows-get", query, CALL_TIMEOUT_S)
+        changes = _decode_changes(content)
+        if changes.unreadable:
+            raise _unavailable(f"row {table}/{key} can't be read")
+        return next((row for row in changes.rows if row.key == key), None)
+
+    async def read_table(
+        self, table: str, *, after: str = "", limit: int | None = None
+    ) -> RowChanges:
+        """Returns rows of a table in order of key.
+
+        Args:
+            table: Name of the table.
+            after: Key behind which to begin.
+            limit: Most rows to return; None for all.
+
+        Returns:
+            The rows, with the version as of the first page.
 
         Raises:
             PlatformUnavailableError: If the store gives no usable answer.
@@ -128,17 +160,20 @@
         rows: list[StoredRow] = []
         unreadable = 0
         version: int | None = None
-        start = ""
+        # The range begins with `from`: it begins behind a key.
+        start = after and after + "\0"
         while True:
             query = {"table": table, "part": "", "from": start}
+            if limit is not None:
+                query["limit"] = str(limit - len(rows))
             content = await self._get("/-/rows-get", query, CALL_TIMEOUT_S)
             page = _decode_changes(content)
             rows += page.rows
             unreadable += page.unreadable
             version = page.version if version is None else version
-            if not content.get("hasMore") or not page.rows:
+            full = limit is not None and len(rows) >= limit
+            if full or not content.get("hasMore") or not page.rows:
                 return RowChanges(tuple(rows), version, unreadable)
-            # The range begins with `from`: the next page begins behind it.
             start = page.rows[-1].key + "\0"
 
     async def watch_table(
@@ -165,82 +200,104 @@
         )
         return _decode_changes(content)
 
-    async def put_rows(
-        self, puts: Sequence[Put], *, expected: Sequence[StoredRow] = ()
-    ) -> None:
-        """Writes rows, all or none.
+    async def write_rows(self, writes: Sequence[RowWrite]) -> int:
+        """Writes and removes rows, all or none.
 
-        Args:
-            puts: The rows.
-            expected: Rows that must have their versions still.
+        Returns:
+            The newest version: that of the rows unless others were written
+            right after them.
 
         Raises:
-            RowConflictError: If an expected row has another version.
+            TransactionRefusedError: If a row has another version.
             PlatformUnavailableError: If nothing was written.
             PlatformWriteUnknownError: If the rows may have been written.
         """
-        await self._transact(
-            [
-                {
-                    "table": put.table,
-                    "part": "",
-                    "key": put.key,
-                    "value": base64.b64encode(put.value).decode(),
-                }
-                for put in puts
-            ],
-            [],
-            expected,
-        )
-
-    async def remove_row(self, row: StoredRow) -> None:
-        """Removes a row that still has its version.
-
-        Raises: As `put_rows`.
-        """
-        place = {"table": row.table, "part": "", "key": row.key}
-        await self._transact([], [place], [row])
-
-    async def _transact(
-        self,
-        puts: list[dict[str, Any]],
-        removals: list[dict[str, Any]],
-        expected: Sequence[StoredRow],
-    ) -> None:
         preconditions = [
-            {
-                "table": row.table,
-                "part": "",
-                "key": row.key,
-                "schemaVersion": row.version,
-            }
-            for row in expected
+            _place(write) | {"schemaVersion": write.expected}
+            for write in writes
+            if write.expected is not None
         ]
+        puts = [
+            _place(write) | {"value": base64.b64encode(write.value).decode()}
+            for write in writes
+            if write.value is not None
+        ]
+        removals = [_place(write) for write in writes if write.value is None]
         body = orjson.dumps(
             {"precondition": preconditions, "puts": puts, "remove": removals}
         )
         call = HttpCall("POST", "/-/rows-tx", body, CALL_TIMEOUT_S)
-        status, _ = await self._transport(call)
-        if status == OK:
-            return
+        status, answer = await self._transport(call)
         if status == CONFLICT:
-            raise RowConflictError("a row was written by somebody else")
-        if status in _REFUSALS:
+            raise TransactionRefusedError("a row was written by somebody else")
+        _check_written(status)
+        return _decode_version(answer)
+
+    async def put_object(self, name: str, payload: bytes) -> None:
+        """Stores an object; storing the same bytes again is harmless.
+
+        Raises:
+            PlatformUnavailableError: If nothing was written.
+            PlatformWriteUnknownError: If the object may have been stored.
+        """
+        path = "/-/blob-put/" + urllib.parse.quote(name)
+        call = HttpCall("PUT", path, payload, OBJECT_TIMEOUT_S)
+        status, _ = await self._transport(call)
+        _check_written(status)
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Returns an object's bytes, or None if there is none.
+
+        Raises:
+            PlatformUnavailableError: If the store gives no usable answer.
+        """
+        path = "/-/blob-get/" + urllib.parse.quote(name)
+        status, body = await self._read(path, OBJECT_TIMEOUT_S)
+        if status == NOT_FOUND:
+            return None
+        if status != OK:
             raise _unavailable(f"status {status}")
-        raise PlatformWriteUnknownError(
-            f"the store answered a write with status {status}"
-        )
+        return body
+
+    async def list_objects(
+        self, *, prefix: str = "", after: str = ""
+    ) -> list[str]:
+        """Returns names of objects in order, one page.
+
+        Args:
+            prefix: Begin of the names.
+            after: Name behind which to begin.
+
+        Raises:
+            PlatformUnavailableError: If the store gives no usable answer.
+        """
+        query = {"prefix": prefix, "after": after}
+        content = await self._get("/-/blob-list", query, CALL_TIMEOUT_S)
+        names = content.get("names")
+        if not isinstance(names, list):
+            raise _unavailable("the answer holds no names")
+        if not all(isinstance(name, str) for name in names):
+            raise _unavailable("a name of an object is no text")
+        return names
+
+    async def remove_object(self, name: str) -> None:
+        """Removes an object; harmless if there is none.
+
+        Raises:
+            PlatformUnavailableError: If nothing was removed.
+            PlatformWriteUnknownError: If the object may have been removed.
+        """
+        path = "/-/blob-drop/" + urllib.parse.quote(name)
+        call = HttpCall("DELETE", path, b"", CALL_TIMEOUT_S)
+        status, _ = await self._transport(call)
+        if status != NOT_FOUND:
+            _check_written(status)
 
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
     ) -> dict[str, Any]:
         url = f"{path}?{urllib.parse.urlencode(query)}"
-        call = HttpCall("GET", url, b"", timeout_s)
-        try:
-            status, body = await self._transport(call)
-        except PlatformWriteUnknownError as exc:
-            # A read that was not answered has changed nothing.
-            raise _unavailable(str(exc)) from exc
+        status, body = await self._read(url, timeout_s)
         if status == GONE:
             raise HistoryLostError("the store has dropped the history")
         if status != OK:
@@ -253,6 +310,43 @@
             raise _unavailable("the answer is not an object")
         return content
 
+    async def _read(self, path: str, timeout_s: float) -> tuple[int, bytes]:
+        try:
+            return await self._transport(HttpCall("GET", path, b"", timeout_s))
+        except PlatformWriteUnknownError as exc:
+            # A read that was not answered has changed nothing.
+            raise _unavailable(str(exc)) from exc
+
+
+def _place(write: RowWrite) -> dict[str, Any]:
+    return {"table": write.table, "part": "", "key": write.key}
+
+
+def _check_written(status: int) -> None:
+    if status == OK:
+        return
+    if status in _REFUSALS:
+        raise _unavailable(f"status {status}")
+    # Any other error may stand for a write that was passed on and whose answer
+    # was then lost.
+    raise PlatformWriteUnknownError(
+        f"the store answered a write with status {status}"
+    )
+
+
+def _decode_version(answer: bytes) -> int:
+    try:
+        version = orjson.loads(answer)["schemaVersion"]
+    except (KeyError, TypeError, ValueError) as exc:
+        raise PlatformWriteUnknownError(
+            f"the store's answer to a write can't be read: {exc!r}"
+        ) from exc
+    if type(version) is not int:
+        raise PlatformWriteUnknownError(
+            f"the store answered a write with version {version!r}"
+        )
+    return version
+
 
 def _decode_changes(content: dict[str, Any]) -> RowChanges:
     entries, version = content.get("rows"), content.get("schemaVersion")
--- a/src/guavawing/sidecar/membership.py
+++ b/src/guavawing/sidecar/membership.py
@@ -8,8 +8,8 @@
 
 from guavawing.errors import PlatformError
 from guavawing.platform.store_client import (
-    Put,
     RowChanges,
+    RowWrite,
     StoreClient,
     StoredRow,
 )
@@ -75,7 +75,9 @@
         if self._own_row is None:
             return
         try:
-            await self._store.remove_row(self._own_row)
+            row = self._own_row
+            removal = RowWrite(row.table, row.key, None, row.version)
+            await self._store.write_rows([removal])
         except PlatformError as exc:
             self._log.belief("row-not-removed", cause=str(exc))
 
@@ -106,11 +108,11 @@
             self._writer = self._loop.create_task(self._write(value))
 
     async def _write(self, value: bytes) -> None:
-        put = Put(NODES_TABLE, self._me.host, value)
+        write = RowWrite(NODES_TABLE, self._me.host, value)
         pause_s = FIRST_PAUSE_S
         while True:
             try:
-                await self._store.put_rows([put])
+                await self._store.write_rows([write])
             except PlatformError as exc:
                 self._count("failed")
                 self._log.belief("row-not-written", cause=str(exc))
--- a/src/guavawing/sidecar/table_watch.py
+++ b/src/guavawing/sidecar/table_watch.py
@@ -4,12 +4,12 @@
 import random
 from collections.abc import Callable
 
-from guavawing.errors import PlatformError, PlatformUnavailableError
-from guavawing.platform.store_client import (
+from guavawing.errors import (
     HistoryLostError,
-    RowChanges,
-    StoreClient,
+    PlatformError,
+    PlatformUnavailableError,
 )
+from guavawing.platform.store_client import RowChanges, StoreClient
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.metrics import SidecarMetrics
 
--- a/src/guavawing/store/claims.py
+++ b/src/guavawing/store/claims.py
@@ -19,22 +19,18 @@
     InvalidArgumentError,
     PlatformError,
     PlatformWriteUnknownError,
-)
-from guavawing.policy.bound_key import BoundKey, parse_bound_key
-from guavawing.store.client import (
-    Platform,
-    Row,
     TransactionRefusedError,
-    Write,
 )
+from guavawing.policy.bound_key import BoundKey, parse_bound_key
+from guavawing.store.client import MAX_ENTRIES, Platform, Row, Write
 
 __all__ = ["Claim", "Claims", "remove_claims"]
 
 TABLE = "key-claims"
 BOUND_AT = "bound_at_s"
 ROWS_PER_READ = 1_000
-# Rows removed by one transaction, which the platform counts as one write.
-ROWS_PER_TRANSACTION = 200
+# Rows removed by one transaction: each expects its revision.
+ROWS_PER_TRANSACTION = MAX_ENTRIES // 2
 
 
 @attrs.frozen
@@ -96,8 +92,8 @@
         value = {"key": str(key), BOUND_AT: int(time.time())}
         write = Write(TABLE, name, value, revision)
         try:
-            await self._platform.transact((write,))
-            return Claim(name, key, revision + 1)
+            written = await self._platform.transact((write,))
+            return Claim(name, key, written)
         except (TransactionRefusedError, PlatformWriteUnknownError):
             claim = await self._read(name)
             if claim is None:
--- a/src/guavawing/store/client.py
+++ b/src/guavawing/store/client.py
@@ -1,9 +1,7 @@
-"""Client of the platform's table service and object store.
+"""The product's view of the platform's store: JSON rows and packed objects.
 
-This is the only module that knows the platform's wire format: JSON over
-HTTP. A row has a revision that rises with every write; a transaction names
-the revision that it expects of each row, 0 for a row that must not exist.
-Objects are stored compressed with zlib.
+Rows hold JSON objects here, and objects are stored compressed with zlib. The
+calls themselves are made by `guavawing.platform.store_client`.
 """
 
 import contextlib
@@ -13,6 +11,7 @@
 import aiohttp
 import attrs
 import orjson
+import yarl
 
 from guavawing.distribution.compression import (
     compress_payload,
@@ -21,31 +20,25 @@
 from guavawing.errors import (
     MessageInvalidError,
     PlatformDataInvalidError,
-    PlatformError,
     PlatformUnavailableError,
     PlatformWriteUnknownError,
 )
 from guavawing.model import Address
+from guavawing.platform.store_client import (
+    HttpCall,
+    RowWrite,
+    StoreClient,
+    StoredRow,
+)
 
-__all__ = [
-    "Platform",
-    "Row",
-    "TransactionRefusedError",
-    "Write",
-    "open_platform",
-]
+__all__ = ["MAX_ENTRIES", "Platform", "Row", "Write", "open_platform"]
 
 REQUEST_TIMEOUT_S = 5.0
 MAX_OBJECT_BYTES = 8 * 1024 * 1024
 MAX_SCAN_ROWS = 1_000
-_NOT_FOUND = 404
-_CONFLICT = 409
-# Statuses that say that a request was not carried out.
-_REFUSALS = frozenset({400, 401, 403, 404, 405, 413, 429, 503})
-
-
-class TransactionRefusedError(PlatformError):
-    """Raised when a row does not have the revision that a write expects."""
+# Most entries of one transaction, as the platform bounds them: a write counts
+# as one, and as one more if it expects a revision.
+MAX_ENTRIES = 100
 
 
 @attrs.frozen
@@ -81,31 +74,63 @@
     expected_revision: int | None
 
 
-class Platform:
-    """Table service and object store at one address."""
+class _Link:
+    """Makes the calls of one store over HTTP."""
 
-    __slots__ = ("_base", "_received", "_session")
+    __slots__ = ("_base", "_session", "_timeout_s", "received")
 
     def __init__(
-        self, session: aiohttp.ClientSession, address: Address
+        self, session: aiohttp.ClientSession, address: Address, timeout_s: float
     ) -> None:
         self._session = session
         self._base = f"http://{address}"
-        self._received = 0
+        self._timeout_s = timeout_s
+        self.received = 0
+
+    async def call(self, call: HttpCall) -> tuple[int, bytes]:
+        """Makes a call; see `guavawing.platform.store_client.Transport`."""
+        url = yarl.URL(self._base + call.path, encoded=True)
+        timeout = aiohttp.ClientTimeout(total=self._timeout_s)
+        try:
+            async with self._session.request(
+                call.method, url, data=call.body, timeout=timeout
+            ) as resp:
+                body = await resp.read()
+        except aiohttp.ClientConnectorError as exc:
+            raise PlatformUnavailableError(
+                f"no connection to the platform: {_describe(exc)}"
+            ) from exc
+        except (aiohttp.ClientError, TimeoutError) as exc:
+            raise PlatformWriteUnknownError(
+                f"the platform gave no answer: {_describe(exc)}"
+            ) from exc
+        self.received += len(body)
+        return resp.status, body
+
+
+class Platform:
+    """Table service and object store at one address."""
+
+    __slots__ = ("_link", "_store")
+
+    def __init__(self, link: _Link) -> None:
+        self._link = link
+        self._store = StoreClient(link.call)
 
     @property
     def received_bytes(self) -> int:
         """Bytes of all answers so far, without their headers."""
-        return self._received
+        return self._link.received
 
     async def read_row(self, table: str, key: str) -> Row | None:
         """Returns a row, or None if it does not exist.
 
         Raises:
             PlatformUnavailableError: If the platform gives no usable answer.
+            PlatformDataInvalidError: If the row is damaged.
         """
-        payload = await self._read(f"/tables/{table}/rows/{key}")
-        return None if payload is None else _decode_row(payload)
+        row = await self._store.read_row(table, key)
+        return None if row is None else _decode_row(row)
 
     async def scan_rows(
         self, table: str, *, after: str = "", limit: int = MAX_SCAN_ROWS
@@ -114,27 +139,30 @@
 
         Raises:
             PlatformUnavailableError: If the platform gives no usable answer.
+            PlatformDataInvalidError: If a row is damaged.
         """
-        payload = await self._read(
-            f"/tables/{table}/rows", {"after": after, "limit": str(limit)}
-        )
-        entries = payload.get("rows") if isinstance(payload, dict) else None
-        if not isinstance(entries, list):
-            raise _unavailable(ValueError("the answer holds no rows"))
-        return [_decode_row(entry) for entry in entries]
+        found = await self._store.read_table(table, after=after, limit=limit)
+        if found.unreadable:
+            raise PlatformDataInvalidError(
+                f"{found.unreadable} rows of table {table} can't be read"
+            )
+        return [_decode_row(row) for row in found.rows]
 
-    async def transact(self, writes: Sequence[Write]) -> None:
+    async def transact(self, writes: Sequence[Write]) -> int:
         """Carries out all writes or none.
 
+        Returns:
+            The revision of the rows, or a later one if others were written
+            right after them.
+
         Raises:
             TransactionRefusedError: If a row has another revision.
             PlatformUnavailableError: If nothing was written.
             PlatformWriteUnknownError: If the writes may have been carried out.
         """
-        body = orjson.dumps({"writes": [attrs.asdict(w) for w in writes]})
-        status = await self._write("POST", "/transactions", body)
-        if status == _CONFLICT:
-            raise TransactionRefusedError("a row was written by somebody else")
+        return await self._store.write_rows(
+            [_encode_write(each) for each in writes]
+        )
 
     async def put_object(self, name: str, payload: bytes) -> None:
         """Stores an object; storing the same bytes again is harmless.
@@ -143,8 +171,7 @@
             PlatformUnavailableError: If nothing was written.
             PlatformWriteUnknownError: If the object may have been stored.
         """
-        data = compress_payload(payload)
-        await self._write("PUT", f"/objects/{name}", data)
+        await self._store.put_object(name, compress_payload(payload))
 
     async def get_object(self, name: str) -> bytes | None:
         """Returns an object's bytes, or None if there is none.
@@ -153,17 +180,9 @@
             PlatformUnavailableError: If the platform gives no usable answer.
             PlatformDataInvalidError: If the object is damaged.
         """
-        try:
-            async with self._session.get(
-                f"{self._base}/objects/{name}"
-            ) as resp:
-                if resp.status == _NOT_FOUND:
-                    return None
-                resp.raise_for_status()
-                data = await resp.read()
-                self._received += len(data)
-        except (aiohttp.ClientError, TimeoutError) as exc:
-            raise _unavailable(exc) from exc
+        data = await self._store.get_object(name)
+        if data is None:
+            return None
         try:
             return decompress_payload(data, limit=MAX_OBJECT_BYTES)
         except MessageInvalidError as exc:
@@ -171,23 +190,13 @@
                 f"the object {name} is damaged: {exc}"
             ) from exc
 
-    async def list_objects(
-        self, *, after: str = "", limit: int = MAX_SCAN_ROWS
-    ) -> list[str]:
-        """Returns up to `limit` names of objects in order, behind `after`.
+    async def list_objects(self, *, after: str = "") -> list[str]:
+        """Returns names of objects in order, from behind `after`.
 
         Raises:
             PlatformUnavailableError: If the platform gives no usable answer.
         """
-        payload = await self._read(
-            "/objects", {"after": after, "limit": str(limit)}
-        )
-        names = payload.get("names") if isinstance(payload, dict) else None
-        if not isinstance(names, list):
-            raise _unavailable(ValueError("the answer holds no names"))
-        if not all(isinstance(name, str) for name in names):
-            raise _unavailable(ValueError("a name of an object is no text"))
-        return names
+        return await self._store.list_objects(after=after)
 
     async def delete_object(self, name: str) -> None:
         """Removes an object; harmless if there is none.
@@ -196,41 +205,7 @@
             PlatformUnavailableError: If nothing was removed.
             PlatformWriteUnknownError: If the object may have been removed.
         """
-        await self._write("DELETE", f"/objects/{name}", b"")
-
-    async def _read(
-        self, path: str, params: dict[str, str] | None = None
-    ) -> Any:
-        try:
-            async with self._session.get(
-                self._base + path, params=params
-            ) as resp:
-                if resp.status == _NOT_FOUND:
-                    return None
-                resp.raise_for_status()
-                return orjson.loads(await resp.read())
-        except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
-            raise _unavailable(exc) from exc
-
-    async def _write(self, method: str, path: str, body: bytes) -> int:
-        try:
-            async with self._session.request(
-                method, self._base + path, data=body
-            ) as resp:
-                if resp.status == _CONFLICT:
-                    return resp.status
-                resp.raise_for_status()
-                return resp.status
-        except aiohttp.ClientConnectorError as exc:
-            raise _unavailable(exc) from exc
-        except aiohttp.ClientResponseError as exc:
-            # Any other error of a server may stand for a write that a proxy
-            # passed on and whose answer it then lost.
-            if exc.status in _REFUSALS:
-                raise _unavailable(exc) from exc
-            raise _unknown(exc) from exc
-        except (aiohttp.ClientError, TimeoutError) as exc:
-            raise _unknown(exc) from exc
+        await self._store.remove_object(name)
 
 
 @contextlib.asynccontextmanager
@@ -247,40 +222,29 @@
         source: IP address to connect from; None for any.
         timeout_s: Longest time of one request, in seconds.
     """
-    timeout = aiohttp.ClientTimeout(total=timeout_s)
     connector = aiohttp.TCPConnector(
         local_addr=None if source is None else (source, 0)
     )
-    async with aiohttp.ClientSession(
-        connector=connector, timeout=timeout
-    ) as session:
-        yield Platform(session, address)
-
-
-def _decode_row(entry: Any) -> Row:
-    try:
-        row = Row(entry["key"], entry["value"], entry["revision"])
-    except (KeyError, TypeError) as exc:
-        raise _unavailable(exc) from exc
-    if not isinstance(row.value, dict) or type(row.revision) is not int:
-        raise _unavailable(ValueError("the answer is not a row"))
-    return row
+    async with aiohttp.ClientSession(connector=connector) as session:
+        yield Platform(_Link(session, address, timeout_s))
 
 
-def _unavailable(exc: Exception) -> PlatformUnavailableError:
-    return PlatformUnavailableError(
-        f"the platform gave no usable answer: {_describe(exc)}"
-    )
+def _encode_write(write: Write) -> RowWrite:
+    value = None if write.value is None else orjson.dumps(write.value)
+    return RowWrite(write.table, write.key, value, write.expected_revision)
 
 
-def _unknown(exc: Exception) -> PlatformWriteUnknownError:
-    return PlatformWriteUnknownError(
-        f"the platform gave no answer to a write: {_describe(exc)}"
-    )
+def _decode_row(row: StoredRow) -> Row:
+    place = f"row {row.table}/{row.key}"
+    try:
+        value = orjson.loads(row.value or b"")
+    except orjson.JSONDecodeError as exc:
+        raise PlatformDataInvalidError(f"{place} is damaged: {exc}") from exc
+    if not isinstance(value, dict):
+        raise PlatformDataInvalidError(f"{place} is damaged: got {value!r}")
+    return Row(row.key, value, row.version)
 
 
 def _describe(exc: Exception) -> str:
     """Returns an error in one line; a timeout has no text of its own."""
-    if isinstance(exc, aiohttp.ClientResponseError):
-        return f"status {exc.status}"
     return " ".join(str(exc).split()) or type(exc).__name__
--- a/src/guavawing/store/floor.py
+++ b/src/guavawing/store/floor.py
@@ -7,8 +7,8 @@
 
 import attrs
 
-from guavawing.errors import PlatformDataInvalidError
-from guavawing.store.client import Row, TransactionRefusedError, Write
+from guavawing.errors import PlatformDataInvalidError, TransactionRefusedError
+from guavawing.store.client import Row, Write
 from guavawing.store.store import PlatformStore
 
 __all__ = ["Floor", "fetch_floor", "raise_floor"]
--- a/src/guavawing/store/processes.py
+++ b/src/guavawing/store/processes.py
@@ -6,14 +6,11 @@
 
 import attrs
 
-from guavawing.errors import (
-    InvalidArgumentError,
-    PlatformUnavailableError,
-    PlatformWriteUnknownError,
-)
+from guavawing.errors import InvalidArgumentError
 from guavawing.membership.rival import Rank
 from guavawing.model import MemberId, parse_address
-from guavawing.store.client import Row, TransactionRefusedError, Write
+from guavawing.store.client import Row, Write
+from guavawing.store.conditional import log_unreadable, write_if_unchanged
 from guavawing.store.store import PlatformStore
 
 __all__ = ["ProcessRow", "fetch_process", "write_process"]
@@ -54,11 +51,8 @@
 async def write_process(platform: PlatformStore, row: ProcessRow) -> bool:
     """Writes a rank into a row that still has the revision of `row`.
 
-    A write without an answer counts as not carried out: the next reader
-    finds out.
-
     Returns:
-        Whether the row was written.
+        Whether the row is known to be written.
     """
     assert row.rank is not None
     value = {
@@ -66,22 +60,16 @@
         "control": str(row.rank.control),
     }
     write = Write(TABLE, row.member_id, value, row.revision)
-    try:
-        await platform.transact([write])
-    except (
-        TransactionRefusedError,
-        PlatformUnavailableError,
-        PlatformWriteUnknownError,
-    ):
-        return False
-    return True
+    return await write_if_unchanged(platform, write)
 
 
 def _decode_rank(row: Row) -> Rank | None:
+    """Returns the rank in a row, or None if the row can't be read."""
     try:
         return Rank(
             int(row.value["incarnation"]),
             parse_address(str(row.value["control"])),
         )
-    except (KeyError, TypeError, ValueError, InvalidArgumentError):
+    except (KeyError, TypeError, ValueError, InvalidArgumentError) as exc:
+        log_unreadable(TABLE, row, exc)
         return None
--- a/src/guavawing/store/publisher.py
+++ b/src/guavawing/store/publisher.py
@@ -33,9 +33,10 @@
     InvalidArgumentError,
     PlatformUnavailableError,
     PlatformWriteUnknownError,
+    TransactionRefusedError,
     VersionPrunedError,
 )
-from guavawing.store.client import TransactionRefusedError, Write
+from guavawing.store.client import Write
 from guavawing.store.store import PlatformStore
 from guavawing.store.versions import (
     CHANGE_TABLE,
--- a/src/guavawing/store/retention.py
+++ b/src/guavawing/store/retention.py
@@ -15,7 +15,8 @@
 
 import attrs
 
-from guavawing.store.client import TransactionRefusedError, Write
+from guavawing.errors import TransactionRefusedError
+from guavawing.store.client import Write
 from guavawing.store.floor import Floor, fetch_floor, raise_floor
 from guavawing.store.store import PlatformStore
 from guavawing.store.versions import (
--- a/src/guavawing/store/seeds.py
+++ b/src/guavawing/store/seeds.py
@@ -9,18 +9,11 @@
 
 import attrs
 
-from guavawing.errors import (
-    InvalidArgumentError,
-    PlatformUnavailableError,
-    PlatformWriteUnknownError,
-)
+from guavawing.errors import InvalidArgumentError
 from guavawing.model import Address, MemberId, parse_address
-from guavawing.store.client import (
-    Platform,
-    Row,
-    TransactionRefusedError,
-    Write,
-)
+from guavawing.store.client import Row, Write
+from guavawing.store.conditional import log_unreadable, write_if_unchanged
+from guavawing.store.store import PlatformStore
 
 __all__ = ["SEEDS_PER_DATA_CENTRE", "Seed", "fetch_seeds", "write_seed"]
 
@@ -47,7 +40,7 @@
     revision: int
 
 
-async def fetch_seeds(platform: Platform) -> list[Seed]:
+async def fetch_seeds(platform: PlatformStore) -> list[Seed]:
     """Returns the readable seed rows of all data centres.
 
     Raises:
@@ -58,14 +51,11 @@
     return [seed for seed in seeds if seed is not None]
 
 
-async def write_seed(platform: Platform, seed: Seed) -> bool:
+async def write_seed(platform: PlatformStore, seed: Seed) -> bool:
     """Writes a row that still has the revision of `seed`.
 
-    A write without an answer counts as not carried out: the next reader
-    finds out.
-
     Returns:
-        Whether the row was written.
+        Whether the row is known to be written.
     """
     value: dict[str, Any] = {
         "data_centre": seed.data_centre,
@@ -74,15 +64,8 @@
         "control": str(seed.control),
     }
     key = f"{seed.data_centre}.{seed.slot}"
-    try:
-        await platform.transact([Write(SEED_TABLE, key, value, seed.revision)])
-    except (
-        TransactionRefusedError,
-        PlatformUnavailableError,
-        PlatformWriteUnknownError,
-    ):
-        return False
-    return True
+    write = Write(SEED_TABLE, key, value, seed.revision)
+    return await write_if_unchanged(platform, write)
 
 
 def _decode_seed(row: Row) -> Seed | None:
@@ -95,5 +78,6 @@
             parse_address(str(row.value["control"])),
             row.revision,
         )
-    except (KeyError, TypeError, ValueError, InvalidArgumentError):
+    except (KeyError, TypeError, ValueError, InvalidArgumentError) as exc:
+        log_unreadable(SEED_TABLE, row, exc)
         return None
--- a/src/guavawing/store/store.py
+++ b/src/guavawing/store/store.py
@@ -19,8 +19,8 @@
     ) -> list[Row]:
         """Returns up to `limit` rows in order of key, from behind `after`."""
 
-    async def transact(self, writes: Sequence[Write]) -> None:
-        """Carries out all writes or none."""
+    async def transact(self, writes: Sequence[Write]) -> int:
+        """Carries out all writes or none; returns the rows' revision."""
 
     async def put_object(self, name: str, payload: bytes) -> None:
         """Stores an object; storing the same bytes again is harmless."""
@@ -28,10 +28,8 @@
     async def get_object(self, name: str) -> bytes | None:
         """Returns an object's bytes, or None if there is none."""
 
-    async def list_objects(
-        self, *, after: str = "", limit: int = MAX_SCAN_ROWS
-    ) -> list[str]:
-        """Returns up to `limit` names of objects in order, behind `after`."""
+    async def list_objects(self, *, after: str = "") -> list[str]:
+        """Returns names of objects in order, behind `after`."""
 
     async def delete_object(self, name: str) -> None:
         """Removes an object; harmless if there is none."""
--- a/standins/vm_fleet.py
+++ b/standins/vm_fleet.py
@@ -13,9 +13,9 @@
 import aiohttp
 import attrs
 
+from standins.platform import PlatformStandIn, open_stand_in
 from standins.process import Process
 from standins.relay import Relay
-from standins.vm_store import VmStore, open_vm_store
 from standins.vm_target import VmTarget, open_vm_target
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -72,7 +72,7 @@
         probes: Versions that came with a route of their own.
     """
 
-    store: VmStore
+    store: PlatformStandIn
     vms: dict[str, Vm]
     http: aiohttp.ClientSession
     relay: Relay | None = None
@@ -81,7 +81,7 @@
     def publish(self, version: int, **changes: object) -> None:
         """Writes a configuration as the operator does."""
         document = make_document(version, **changes)
-        self.store.put("op", "config", json.dumps(document).encode())
+        self.store.tables.put("op", "config", json.dumps(document).encode())
 
     def publish_probe(self, version: int) -> None:
         """Writes a version with one more route: `/since-VERSION/`."""
@@ -212,7 +212,8 @@
     async with contextlib.AsyncExitStack() as stack:
         enter = stack.enter_async_context
         folder = stack.enter_context(tempfile.TemporaryDirectory())
-        store = await enter(open_vm_store(f"{net}.0.1"))
+        store = PlatformStandIn()
+        await enter(open_stand_in(store, host=f"{net}.0.1"))
         connector = aiohttp.TCPConnector(limit=0, force_close=False)
         http = await enter(aiohttp.ClientSession(connector=connector))
         fleet = VmFleet(store, {}, http)
