Compare owners by kind of request; use free slots of slow targets

Two reasons: - What comes back after a refusal can rarely be in time, and among owners that would all be late the cheapest was chosen: a fast one with a queue, which refuses what can't be in time. Slow owners with free slots were never asked. - An owner's service time was the mean over its mix. One that got short calls looked fast and drew ever more of them (183 of them a second, 32 waiting), others of the same speed looked slow since they had got long answers.

Change: owners keep and report the mean by kind of request (priority, idempotent, large); the choice, the wait and the longest wait use it. Near owners with a free slot go before near ones with a queue; a free one counts as in time by its mean.

A slot whose request was broken off stays taken for 20 ms.

--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -66,6 +66,7 @@
             self.queue.queued,
             self.queue.service_s if known else 0.0,
             self.queue.refused_share,
+            kind_s=dict(self.queue.kind_s),
         )
 
 
@@ -191,6 +192,7 @@
             choice = entry.balancer.choose(
                 entry.views[kind.service],
                 route=kind.name,
+                kind=self._number(kind),
                 bulk=False,
                 useful_s=request.useful_until - self._now,
                 excluded=request.asked,
@@ -233,6 +235,9 @@
             CLIENT_DELAY_S, lambda: request.on_end(served, CLIENT_PAUSE_S)
         )
 
+    def _number(self, kind: Kind) -> int:
+        return self.pattern.kinds.index(kind)
+
     # The owner.
 
     def _offer(self, attempt: _Attempt, spare: bool) -> None:
@@ -245,6 +250,7 @@
             request.deadline,
             request.useful_until,
             spare,
+            self._number(request.kind),
         )
         owner.waiting[number] = attempt
         match owner.queue.offer(waiter, now=self._now):
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -50,6 +50,7 @@
     HELLO,
 ) = range(8)
 RAN, NOT_RUN, MAY_HAVE_RUN = range(3)
+MS_PER_S = 1000
 _packer = msgpack.Packer(use_bin_type=True)
 
 
@@ -176,7 +177,7 @@
                 )
             case 7:
                 return Hello(_number(fields[1]))
-    except (IndexError, TypeError, ValueError) as exc:
+    except (AttributeError, IndexError, TypeError, ValueError) as exc:
         raise MessageInvalidError(f"not a message of a node: {exc}") from exc
     raise MessageInvalidError(f"got kind {fields[0]!r} of a message")
 
@@ -209,7 +210,7 @@
             _read_departure(fields[13]),
             _read_departure(fields[14]),
         )
-    except (IndexError, TypeError, ValueError) as exc:
+    except (AttributeError, IndexError, TypeError, ValueError) as exc:
         raise MessageInvalidError(f"not a beacon: {exc}") from exc
 
 
@@ -220,7 +221,7 @@
 
 def _unpack(payload: bytes) -> list[Any]:
     try:
-        fields = msgpack.unpackb(payload)
+        fields = msgpack.unpackb(payload, strict_map_key=False)
     except (msgpack.UnpackException, RecursionError) as exc:
         raise ValueError(str(exc)) from exc
     if not isinstance(fields, list) or not fields:
@@ -273,7 +274,7 @@
     return AnswerFrame(_number(fields[1]), outcome, _read_load(fields[8]))
 
 
-def _list_load(load: LoadReport) -> tuple[float, ...]:
+def _list_load(load: LoadReport) -> tuple[Any, ...]:
     return (
         int(load.phase),
         load.slots,
@@ -282,11 +283,15 @@
         load.service_s,
         load.refused_share,
         load.link_wait_s,
+        # Whole milliseconds take the fewest bytes.
+        {kind: round(s * MS_PER_S) for kind, s in load.kind_s.items()},
     )
 
 
 def _read_load(fields: Any) -> LoadReport:
-    phase, slots, running, queued, service_s, refused, link_wait_s = fields
+    phase, slots, running, queued, service_s, refused, link_wait_s, kind_ms = (
+        fields
+    )
     return LoadReport(
         TargetPhase(phase),
         _number(slots),
@@ -295,6 +300,7 @@
         float(service_s),
         float(refused),
         float(link_wait_s),
+        {_number(kind): _number(ms) / MS_PER_S for kind, ms in kind_ms.items()},
     )
 
 
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -44,6 +44,10 @@
 MIN_LINK_WAIT_S = 0.2
 # A target that has just started takes this many times as long.
 COLD_SLOWDOWN = 2.0
+# Time for which a slot stays taken after its request was broken off, in
+# seconds. By then a target on the same VM has seen the end of the connection,
+# and drops the request before it gets another one.
+BROKEN_OFF_S = 0.02
 # An attempt is logged as slow if it took this many times the mean.
 SLOW_FACTOR = 4.0
 MS_PER_S = 1000
@@ -103,16 +107,19 @@
         now = self._loop.time()
         known = self._queue.knows_service_time
         service_s = self._queue.service_s if known else 0.0
-        if self._state.is_cold(now=now):
-            service_s *= COLD_SLOWDOWN
+        slowdown = COLD_SLOWDOWN if self._state.is_cold(now=now) else 1.0
         return LoadReport(
             phase,
             self._queue.slots,
             self._queue.running,
             self._queue.queued,
-            service_s,
+            service_s * slowdown,
             round(self._queue.refused_share, 3),
             round(self.pacer.wait_s(), 3),
+            {
+                kind: seconds * slowdown
+                for kind, seconds in self._queue.kind_s.items()
+            },
         )
 
     def take_target_change(self) -> None:
@@ -150,6 +157,7 @@
             attempt.deadline,
             attempt.useful_until,
             attempt.spare_only,
+            attempt.kind,
         )
         match self._queue.offer(waiter, now=now):
             case Admit():
@@ -193,7 +201,9 @@
             return None
         wait_s = self.pacer.wait_s()
         useful_s = attempt.useful_until - self._loop.time()
-        longest_s = max(useful_s - self._queue.service_s, MIN_LINK_WAIT_S)
+        longest_s = max(
+            useful_s - self._queue.expect_s(attempt.kind), MIN_LINK_WAIT_S
+        )
         if wait_s <= longest_s:
             return None
         return NotRun(Reason.QUEUE_FULL, wait_s - longest_s)
@@ -238,14 +248,20 @@
                     self._log.belief("target-unreachable", phase="gone")
                     self._pool.close_idle()
                     self.on_phase()
-            case MayHaveRun() | NotRun():
+            case MayHaveRun():
+                self._conclude(item, outcome)
+                self._loop.call_later(BROKEN_OFF_S, self._free_slot, item.id)
+                return
+            case NotRun():
                 pass
         self._release(item, outcome)
 
     def _release(self, item: _Item, outcome: Outcome) -> None:
         self._conclude(item, outcome)
-        admitted = self._queue.release(item.id, now=self._loop.time())
-        self._start(admitted)
+        self._free_slot(item.id)
+
+    def _free_slot(self, item_id: int) -> None:
+        self._start(self._queue.release(item_id, now=self._loop.time()))
 
     def _start(self, admitted: Iterable[Admit]) -> None:
         for admit in tuple(admitted):
@@ -275,7 +291,8 @@
         attempt = item.attempt
         notable = isinstance(outcome.verdict, MayHaveRun) or (
             isinstance(outcome.verdict, Ran)
-            and now - item.offered_at > SLOW_FACTOR * self._queue.service_s
+            and now - item.offered_at
+            > SLOW_FACTOR * self._queue.expect_s(attempt.kind)
         )
         if notable or self._log.samples(attempt.request_id):
             self._log.request(
--- a/src/guavawing/sidecar/transfer.py
+++ b/src/guavawing/sidecar/transfer.py
@@ -176,6 +176,7 @@
         return parts.balancer.choose(
             parts.peers.owners(attempt.service),
             route=self._route.name,
+            kind=attempt.kind,
             bulk=attempt.bulk,
             useful_s=attempt.useful_until - now,
             excluded=excluded,
--- a/src/guavawing/traffic/balancer.py
+++ b/src/guavawing/traffic/balancer.py
@@ -32,6 +32,9 @@
 # Time that is assumed of a target that has executed nothing yet, in seconds:
 # short, so that it is tried.
 UNKNOWN_SERVICE_S = 0.02
+# Wait for a slot up to which an owner counts as free, in seconds: owners let a
+# request that can't be in time wait for as long.
+FREE_WAIT_S = 0.03
 # Owners that are compared for one request.
 COMPARED = 2
 # Share of requests that go to any fit owner, so that something is known of
@@ -140,6 +143,21 @@
             return UNKNOWN_SERVICE_S
         return report.service_s
 
+    def execution_s(self, kind: int, usual_s: float | None) -> float:
+        """Returns the mean time that a request of a kind holds a slot there.
+
+        Args:
+            kind: Kind of the request.
+            usual_s: That time at other owners, if any has told.
+        """
+        report = self.report
+        if report is None or not report.service_s:
+            return UNKNOWN_SERVICE_S
+        known_s = report.kind_s.get(kind)
+        if known_s is not None:
+            return known_s
+        return report.service_s if usual_s is None else usual_s
+
     def pressure(self) -> float:
         """Returns the share of requests that the owner refuses."""
         return 0.0 if self.report is None else self.report.refused_share
@@ -174,10 +192,13 @@
 
     NEAR_IN_TIME = 0
     FAR_IN_TIME = 1
-    NEAR = 2
-    FAR_FREE = 3
-    FAR_QUEUED = 4
-    DOUBTFUL = 5
+    # Owners refuse what can't be in time unless a slot is free.
+    NEAR_FREE = 2
+    NEAR_BUSY = 3
+    FAR_FREE = 4
+    # Not chosen where there are near owners.
+    FAR_KEPT_OUT = 5
+    DOUBTFUL = 6
 
 
 @attrs.frozen
@@ -213,6 +234,7 @@
         owners: Collection[OwnerView],
         *,
         route: str,
+        kind: int,
         bulk: bool,
         useful_s: float,
         excluded: Container[str],
@@ -223,6 +245,7 @@
         Args:
             owners: The owners of the service.
             route: Name of the route.
+            kind: Kind of the request.
             bulk: Whether the answer is large.
             useful_s: Time within which an answer is of full use.
             excluded: Nodes that have been asked already.
@@ -234,6 +257,7 @@
         usable = [owner for owner in working if owner.is_usable(now=now)]
         near = [owner.pressure() for owner in usable if owner.near]
         pressure = sum(near) / len(near) if near else None
+        usual_s = _find_usual_s(working, kind)
         large = self._size_kb.get(route, ASSUMED_KB) >= MIN_KEPT_KB
         ranked: dict[_Rank, list[tuple[float, OwnerView]]] = {}
         for owner in usable or working:
@@ -243,11 +267,12 @@
                 owner,
                 useful_s,
                 now,
+                service_s=owner.execution_s(kind, usual_s),
                 pressure=pressure,
                 large=large,
                 bulk=bulk,
             )
-            if pressure is None or rank < _Rank.FAR_QUEUED:
+            if pressure is None or rank is not _Rank.FAR_KEPT_OUT:
                 ranked.setdefault(rank, []).append((cost_s, owner))
         if not ranked:
             return None
@@ -274,6 +299,7 @@
         useful_s: float,
         now: float,
         *,
+        service_s: float,
         pressure: float | None,
         large: bool,
         bulk: bool,
@@ -285,24 +311,38 @@
         # Between owners without a wait, the one with more free slots is the
         # better one: some targets slow down when nearly full.
         busy = (owner.outstanding + owner.others) / max(report.slots, 1)
-        service_s = owner.service_s()
         transit_s = owner.expect_transit_s(bulk=bulk, now=now)
         cost_s = wait_s + service_s * (1 + 0.3 * min(busy, 1.0)) + transit_s
         expected_s = wait_s + USUAL_SERVICE_FACTOR * service_s + transit_s
+        free = wait_s <= FREE_WAIT_S
+        if owner.near and free:
+            # A slow target's free slots are of use to more than half of all.
+            expected_s = wait_s + service_s + transit_s
         if not owner.is_usable(now=now):
             return _Rank.DOUBTFUL, cost_s
         if owner.near:
-            in_time = expected_s <= useful_s
-            return (_Rank.NEAR_IN_TIME if in_time else _Rank.NEAR), cost_s
+            if expected_s <= useful_s:
+                return _Rank.NEAR_IN_TIME, cost_s
+            return (_Rank.NEAR_FREE if free else _Rank.NEAR_BUSY), cost_s
         cost_s += REMOTE_ROUND_TRIP_S
         if wait_s > 0 and not _may_queue(owner, pressure):
-            return _Rank.FAR_QUEUED, cost_s
+            return _Rank.FAR_KEPT_OUT, cost_s
         if large and pressure is not None and pressure < MIN_LARGE_PRESSURE:
-            return _Rank.FAR_QUEUED, cost_s
+            return _Rank.FAR_KEPT_OUT, cost_s
         in_time = not large and expected_s + REMOTE_ROUND_TRIP_S <= useful_s
         return (_Rank.FAR_IN_TIME if in_time else _Rank.FAR_FREE), cost_s
 
 
+def _find_usual_s(owners: Collection[OwnerView], kind: int) -> float | None:
+    """Returns the mean of what owners tell of a kind; None if none does."""
+    told = [
+        owner.report.kind_s[kind]
+        for owner in owners
+        if owner.report is not None and kind in owner.report.kind_s
+    ]
+    return sum(told) / len(told) if told else None
+
+
 def _may_queue(owner: OwnerView, pressure: float | None) -> bool:
     """Returns whether work may wait for an owner of another data centre.
 
--- a/src/guavawing/traffic/model.py
+++ b/src/guavawing/traffic/model.py
@@ -1,6 +1,7 @@
 """Value classes of routing, targets and nodes."""
 
 import enum
+from collections.abc import Mapping
 
 import attrs
 
@@ -162,6 +163,8 @@
             of room.
         link_wait_s: Time that the link takes for the large answers that are
             to be sent, in seconds.
+        kind_s: The mean time by kind of request (`Attempt.kind`), for kinds
+            that it has executed.
     """
 
     phase: TargetPhase
@@ -171,6 +174,7 @@
     service_s: float
     refused_share: float = 0.0
     link_wait_s: float = 0.0
+    kind_s: Mapping[int, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -231,6 +235,11 @@
     useful_until: float
     spare_only: bool
 
+    @property
+    def kind(self) -> int:
+        """Number of the kind of request, by which times are compared."""
+        return self.priority << 2 | self.idempotent << 1 | self.bulk
+
 
 @attrs.frozen
 class Outcome:
--- a/src/guavawing/traffic/slot_queue.py
+++ b/src/guavawing/traffic/slot_queue.py
@@ -9,6 +9,8 @@
 """
 
 import bisect
+import collections
+import itertools
 from collections.abc import Iterator
 
 import attrs
@@ -47,6 +49,7 @@
         deadline: Time at which it is given up.
         useful_until: Time until which its answer is of full use.
         spare_only: Whether it may use a slot that nobody waits for only.
+        kind: Kind of the request: those of one kind take about as long.
     """
 
     id: int
@@ -55,6 +58,7 @@
     deadline: float
     useful_until: float
     spare_only: bool
+    kind: int = 0
 
 
 @attrs.frozen
@@ -90,6 +94,7 @@
     number: int
     id: int = attrs.field(order=False)
     start_by: float = attrs.field(order=False)
+    kind: int = attrs.field(order=False)
 
 
 class SlotQueue:
@@ -99,6 +104,7 @@
         slots: Requests that the target executes at a time.
         service_s: Mean time that a request holds its slot, in seconds.
         refused_share: Share of the latest requests that found no room.
+        kind_s: The mean time by kind of request that was executed.
     """
 
     __slots__ = (
@@ -107,6 +113,7 @@
         "_number",
         "_numbers",
         "_running",
+        "kind_s",
         "refused_share",
         "service_s",
         "slots",
@@ -115,9 +122,11 @@
     def __init__(self) -> None:
         self.slots = 0
         self.service_s = INITIAL_SERVICE_S
-        self._executed = 0
+        self.kind_s: dict[int, float] = {}
+        self._executed: collections.Counter[int] = collections.Counter()
         self.refused_share = 0.0
-        self._running: dict[int, float] = {}
+        # Start of the execution and kind, by id.
+        self._running: dict[int, tuple[float, int]] = {}
         self._entries: list[_Entry] = []
         self._numbers: dict[int, _Entry] = {}
         self._number = 0
@@ -125,7 +134,7 @@
     @property
     def knows_service_time(self) -> bool:
         """Whether the mean comes from executions."""
-        return self._executed > 0
+        return bool(self._executed)
 
     @property
     def running(self) -> int:
@@ -137,6 +146,10 @@
         """Requests that wait for a slot."""
         return len(self._entries)
 
+    def expect_s(self, kind: int) -> float:
+        """Returns how long a request of a kind holds a slot."""
+        return self.kind_s.get(kind, self.service_s)
+
     def estimate_wait_s(self, priority: int, *, late: bool) -> float:
         """Returns how long a new request would wait."""
         if len(self._running) < self.slots and not self._entries:
@@ -149,7 +162,11 @@
             key=lambda entry: (entry.priority, entry.late),
         )
         over = len(self._running) - self.slots
-        return (ahead + 1 + max(over, 0)) * self.service_s / self.slots
+        ahead_s = sum(
+            self.expect_s(entry.kind)
+            for entry in itertools.islice(self._entries, ahead)
+        )
+        return (ahead_s + (1 + max(over, 0)) * self.service_s) / self.slots
 
     def offer(self, waiter: Waiter, *, now: float) -> Decision:
         """Takes a new request: admits, queues or refuses it."""
@@ -157,7 +174,7 @@
         if left_s <= 0:
             return Refuse(waiter.id, NotRun(Reason.DEADLINE_PASSED))
         if len(self._running) < self.slots and not self._entries:
-            self._running[waiter.id] = now
+            self._running[waiter.id] = (now, waiter.kind)
             self._note_offer(waiter, refused=False)
             return Admit(waiter.id)
         wait_s = self.estimate_wait_s(waiter.priority, late=waiter.late)
@@ -175,6 +192,7 @@
             self._number,
             waiter.id,
             now + longest_s,
+            waiter.kind,
         )
         bisect.insort(self._entries, entry)
         self._numbers[waiter.id] = entry
@@ -182,11 +200,8 @@
 
     def finish(self, waiter_id: int, *, now: float) -> Iterator[Admit]:
         """Takes the end of an execution; yields what is to be sent next."""
-        started_at = self._running.pop(waiter_id)
-        self._executed += 1
-        # The first executions count in full, so that the mean is soon right.
-        weight = max(SERVICE_TIME_WEIGHT, 1 / self._executed)
-        self.service_s += weight * ((now - started_at) - self.service_s)
+        started_at, kind = self._running.pop(waiter_id)
+        self._note_execution(kind, now - started_at)
         return self.admit_waiting(now=now)
 
     def release(self, waiter_id: int, *, now: float) -> Iterator[Admit]:
@@ -199,7 +214,7 @@
         while self._entries and len(self._running) < self.slots:
             entry = self._entries.pop(0)
             del self._numbers[entry.id]
-            self._running[entry.id] = now
+            self._running[entry.id] = (now, entry.kind)
             yield Admit(entry.id)
 
     def expire(self, waiter_id: int) -> Refuse | None:
@@ -217,6 +232,16 @@
         self._entries.remove(entry)
         return True
 
+    def _note_execution(self, kind: int, held_s: float) -> None:
+        self._executed[kind] += 1
+        # The first executions count in full, so that the mean is soon right.
+        executed = self._executed.total()
+        weight = max(SERVICE_TIME_WEIGHT, 1 / executed)
+        self.service_s += weight * (held_s - self.service_s)
+        weight = max(SERVICE_TIME_WEIGHT, 1 / self._executed[kind])
+        known_s = self.kind_s.get(kind, held_s)
+        self.kind_s[kind] = known_s + weight * (held_s - known_s)
+
     def _note_offer(self, waiter: Waiter, *, refused: bool) -> None:
         # What came for spare slots only tells nothing of those who queue.
         if not waiter.spare_only:
@@ -227,7 +252,8 @@
         """Returns how long a request may wait to be of use."""
         if waiter.spare_only:
             return 0.0
+        expected_s = self.expect_s(waiter.kind)
         useful_s = waiter.useful_until - now
-        useful_s -= USUAL_SERVICE_FACTOR * self.service_s
-        left_s = waiter.deadline - now - MIN_SERVICE_PART * self.service_s
+        useful_s -= USUAL_SERVICE_FACTOR * expected_s
+        left_s = waiter.deadline - now - MIN_SERVICE_PART * expected_s
         return min(max(useful_s, MIN_WAIT_S), left_s)
--- a/tests/cover/traffic_choice.feature
+++ b/tests/cover/traffic_choice.feature
@@ -19,6 +19,26 @@
     And owner "f1" reports 30 running and executions of 0.1 s
     Then of 20 requests that are of use for 0.3 s only "n1" get any
 
+  Scenario: Requests that come back late take free slots of slow targets
+    Given near owners "fast1 fast2 fast3 slow" and far owners "f1" of 5 slots
+    When each owner "fast1 fast2 fast3" reports 9 running and executions from 0.15 s on
+    And owner "slow" reports 3 running and executions of 0.5 s
+    And owner "f1" reports 5 running and executions of 0.15 s
+    Then of 40 requests that are of use for 0 s only "slow" get any
+    And of 40 requests that are of use for 0.2 s only "slow" get any
+
+  Scenario: An owner of many short calls is no faster for long requests
+    Given near owners "short long" and far owners "" of 5 slots
+    When owner "short" reports 2 running, 0.4 s for this kind, 10 % of all, and 0.04 s for another
+    And owner "long" reports 2 running, 0.2 s for this kind, 90 % of all, and 0.02 s for another
+    Then of 40 requests that are of use for 1 s most go to "long"
+
+  Scenario: An owner that has not executed a kind is taken for a usual one
+    Given near owners "calls usual" and far owners "" of 5 slots
+    When owner "calls" reports 4 running and 0.04 s for another kind
+    And owner "usual" reports 1 running, 0.3 s for this kind, 50 % of all, and 0.04 s for another
+    Then of 40 requests that are of use for 1 s most go to "usual"
+
   Scenario: Work queues elsewhere where fewer requests are refused
     Given near owners "n1" and far owners "f1" of 10 slots
     When owner "n1" reports 30 running and executions of 0.1 s and refuses 40 %
--- a/tests/cover/traffic_slots.feature
+++ b/tests/cover/traffic_slots.feature
@@ -53,3 +53,18 @@
 
   Scenario: The queue keeps its rules in any session
     Then 300 random sessions of a slot queue keep its rules
+
+  Scenario: Short calls ahead don't lengthen the wait like long requests
+    Given a slot queue of 1 slots that executes mostly packages, calls in 0.02 s and packages in 0.4 s
+    When at 30 s requests "running" arrive
+    And at 30 s calls "c1 c2 c3" arrive
+    And at 30 s packages "p" arrive that are of use for 1.2 s
+    Then "c1 c2 c3 p" wait
+
+  Scenario: A long request is not queued for an answer that would be late
+    Given a slot queue of 1 slots that executes mostly calls, calls in 0.02 s and packages in 0.4 s
+    When at 30 s requests "running" arrive
+    And at 30 s packages "p" arrive that are of use for 0.5 s
+    Then "p" is refused
+    When at 30 s calls "c" arrive
+    Then "c" wait
--- /dev/null
+++ b/tests/steps/sidecar_owner_steps.py
@@ -0,0 +1,141 @@
+"""Steps that drive the owner of a target without a network."""
+
+import asyncio
+
+from behave import given, then, when
+
+from guavawing.model import parse_address
+from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.link_pacer import LinkPacer
+from guavawing.sidecar.metrics import SidecarMetrics
+from guavawing.sidecar.owner import Owner
+from guavawing.traffic.model import Attempt, Outcome, TargetReport
+from guavawing.traffic.target_state import TargetState
+from guavawing.verdict import MayHaveRun, Ran, Reason
+
+ADDRESS = parse_address("10.0.0.7:80")
+LEFT_S = 5.0
+# Beyond the bound, for the timers of a busy machine.
+SLACK_S = 0.5
+
+
+class MemoryExecution:
+    """An attempt at a target that answers when it is told to."""
+
+    def __init__(self, on_end):
+        self._on_end = on_end
+
+    def abandon(self):
+        self.end(Outcome(MayHaveRun(Reason.CANCELLED)))
+
+    def end(self, outcome):
+        self._on_end(self, outcome)
+
+
+class MemoryPool:
+    """Keeps what is sent to the target, and when."""
+
+    def __init__(self):
+        self.sent = {}
+        self.executions = {}
+
+    def execute(self, attempt, *, target_id, on_end):
+        name = attempt.request_id.decode()
+        self.sent[name] = asyncio.get_running_loop().time()
+        self.executions[name] = MemoryExecution(on_end)
+        return self.executions[name]
+
+
+async def make_owner(context, slots):
+    state = TargetState("desk", ADDRESS)
+    report = TargetReport("t1", "desk", ADDRESS, slots, False, 1, 0.0, 1_000)
+    state.take_report(report, now=0.0)
+    context.pool = MemoryPool()
+    context.owner = Owner(
+        service="desk",
+        state=state,
+        pool=context.pool,
+        drain_s=2.0,
+        pacer=LinkPacer(1e9),
+        log=DecisionLog(node="a1"),
+        metrics=SidecarMetrics(),
+    )
+    context.owner.take_target_change()
+
+
+@given("an owner with {slots:d} slot")
+def step_owner(context, slots):
+    context.run(make_owner(context, slots))
+
+
+def make_attempt(name, now):
+    return Attempt(
+        request_id=name.encode(),
+        service="desk",
+        origin="feed",
+        method=b"GET",
+        path=b"/x",
+        head=b"",
+        body=b"",
+        deadline=now + LEFT_S,
+        priority=1,
+        idempotent=True,
+        bulk=False,
+        late=False,
+        useful_until=now + LEFT_S,
+        spare_only=False,
+    )
+
+
+async def submit(context, names):
+    now = asyncio.get_running_loop().time()
+    context.items = {
+        name: context.owner.submit(
+            make_attempt(name, now), lambda _: None, local=True
+        )
+        for name in names
+    }
+    assert list(context.pool.sent) == names[:1], context.pool.sent
+
+
+@when('attempt "{first}" runs and attempt "{second}" waits')
+def step_submit(context, first, second):
+    context.run(submit(context, [first, second]))
+
+
+async def leave(context, name):
+    context.freed_at = asyncio.get_running_loop().time()
+    context.owner.cancel(context.items[name])
+
+
+@when('the client of "{name}" leaves')
+def step_leave(context, name):
+    context.run(leave(context, name))
+
+
+async def answer(context, name):
+    context.freed_at = asyncio.get_running_loop().time()
+    context.pool.executions[name].end(Outcome(Ran(), 200))
+
+
+@when('the target answers "{name}"')
+def step_answer(context, name):
+    context.run(answer(context, name))
+
+
+async def wait_until_sent(context, name):
+    async with asyncio.timeout(SLACK_S):
+        while name not in context.pool.sent:
+            await asyncio.sleep(0.001)
+    return context.pool.sent[name] - context.freed_at
+
+
+@then('"{name}" is sent not before {seconds:g} s later, and then at once')
+def step_sent_later(context, name, seconds):
+    after_s = context.run(wait_until_sent(context, name))
+    assert seconds <= after_s < seconds + SLACK_S, after_s
+
+
+@then('"{name}" is sent at once')
+def step_sent(context, name):
+    assert name in context.pool.sent
--- a/tests/steps/traffic_choice_steps.py
+++ b/tests/steps/traffic_choice_steps.py
@@ -11,6 +11,7 @@
 
 NOW = 100.0
 ROUTE = "route"
+KIND, OTHER_KIND = 4, 9
 MAX_EXPLORED = 8
 
 
@@ -24,6 +25,7 @@
     return balancer.choose(
         views or list(context.views.values()),
         route=ROUTE,
+        kind=KIND,
         bulk=bulk,
         useful_s=useful_s,
         excluded=context.asked,
@@ -31,10 +33,16 @@
     )
 
 
-def report(context, name, running, service_s, refused=0):
+def report(context, name, running, service_s, refused=0, kind_s=None):
     view = context.views[name]
     load = LoadReport(
-        TargetPhase.READY, context.slots, running, 0, service_s, refused
+        TargetPhase.READY,
+        context.slots,
+        running,
+        0,
+        service_s,
+        refused,
+        kind_s=kind_s or {},
     )
     view.take_report(load, now=NOW)
 
@@ -51,6 +59,25 @@
     }
 
 
+@when(
+    'owner "{name}" reports {running:d} running, {own_s:g} s for this kind,'
+    " {percent:d} % of all, and {other_s:g} s for another"
+)
+def step_report_kinds(context, name, running, own_s, percent, other_s):
+    share = percent / 100
+    mean_s = share * own_s + (1 - share) * other_s
+    kind_s = {KIND: own_s, OTHER_KIND: other_s}
+    report(context, name, running, mean_s, kind_s=kind_s)
+
+
+@when(
+    'owner "{name}" reports {running:d} running and {other_s:g} s for another'
+    " kind"
+)
+def step_report_other(context, name, running, other_s):
+    report(context, name, running, other_s, kind_s={OTHER_KIND: other_s})
+
+
 @given("answers of {size_kb:d} KB")
 def step_size(context, size_kb):
     for _ in range(200):
--- a/tests/steps/traffic_slot_steps.py
+++ b/tests/steps/traffic_slot_steps.py
@@ -14,6 +14,7 @@
 from tests.support import check_examples
 
 USUAL_PRIORITY = 2
+CALL, PACKAGE = 6, 11
 
 
 class Session:
@@ -37,11 +38,18 @@
         deadline_s=2.0,
         late=False,
         spare=False,
+        kind=0,
     ):
         number = len(self.names) + 1
         self.names[number] = name
         waiter = Waiter(
-            number, priority, late, now + deadline_s, now + useful_s, spare
+            number,
+            priority,
+            late,
+            now + deadline_s,
+            now + useful_s,
+            spare,
+            kind,
         )
         self.take(self.queue.offer(waiter, now=now))
 
@@ -70,6 +78,33 @@
     context.session = Session(slots, service_s)
 
 
+@given(
+    "a slot queue of {slots:d} slots that executes mostly {most}, calls in"
+    " {call_s:g} s and packages in {package_s:g} s"
+)
+def step_queue_kinds(context, slots, most, call_s, package_s):
+    session = context.session = Session(slots, call_s)
+    for number in range(40):
+        rare = number % 10 == 0
+        package = rare if most == "calls" else not rare
+        held_s = package_s if package else call_s
+        now = number * 0.5
+        session.arrive(f"warm{number}", now, kind=PACKAGE if package else CALL)
+        session.end(f"warm{number}", now + held_s)
+
+
+@when('at {now:g} s calls "{names}" arrive')
+def step_arrive_calls(context, now, names):
+    arrive_all(context, names, now, kind=CALL, priority=1, useful_s=1.0)
+
+
+@when(
+    'at {now:g} s packages "{names}" arrive that are of use for {useful_s:g} s'
+)
+def step_arrive_packages(context, now, names, useful_s):
+    arrive_all(context, names, now, kind=PACKAGE, useful_s=useful_s)
+
+
 def arrive_all(context, names, now, **options):
     for name in names.split():
         context.session.arrive(name, now, **options)
--- a/tests/traffic_sessions.py
+++ b/tests/traffic_sessions.py
@@ -120,6 +120,7 @@
         choice = balancer.choose(
             views,
             route=f"r{size}",
+            kind=0,
             bulk=size > 500,
             useful_s=0.3,
             excluded=(),
