Read the rows of nodes once more after a start

Cause: a node reads the table of nodes once and then leaves it to the readers of its data centre. Those that start together read before the others have written; a reader learns of all and greets them, but the others of each other never. So few owners got the load of each entry node, more nodes than two a data centre followed the store, and each took too large a part of the shared retry allowance.

Ruled out: lines that the log left out (none); departures of peers; the readers themselves know 72.

Change: each node reads the changes once more 3 s after its first read, and tries again until the store answers.

Tests: both scenarios of table_watch.feature fail without the change. sidecar.feature, soak.feature, fleet_model.feature: 33 passed, 0 failed.

--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -54,6 +54,9 @@
 # succession are read together, well inside the time to apply them.
 CONFIGURATION_PERIOD_S = 0.6
 NODES_PERIOD_S = 0.6
+# Time after its start in which a node reads the rows of the others once more,
+# in seconds: nodes that start together read before the others have written.
+CATCH_UP_S = 3.0
 SETTINGS_POLL_S = 2.0
 # Time after the first configuration in which targets of all services should be
 # known, in seconds: the period of beacons.
@@ -211,7 +214,10 @@
                 CONFIGURATION_PERIOD_S,
             ),
             self._watch(
-                NODES_TABLE, self._membership.take_changes, NODES_PERIOD_S
+                NODES_TABLE,
+                self._membership.take_changes,
+                NODES_PERIOD_S,
+                catch_up_s=CATCH_UP_S,
             ),
         )
         work = [watch.run() for watch in watches]
@@ -273,12 +279,15 @@
         table: str,
         on_changes: Callable[[RowChanges, bool], None],
         period_s: float,
+        *,
+        catch_up_s: float = 0.0,
     ) -> TableWatch:
         return TableWatch(
             self._store,
             table,
             on_changes=on_changes,
             min_period_s=period_s,
+            catch_up_s=catch_up_s,
             is_reader=self._is_reader,
             on_reach=self._take_reach,
             log=self._log,
--- a/src/guavawing/sidecar/table_watch.py
+++ b/src/guavawing/sidecar/table_watch.py
@@ -42,6 +42,7 @@
         *,
         on_changes: Callable[[RowChanges, bool], None],
         min_period_s: float,
+        catch_up_s: float = 0.0,
         is_reader: Callable[[], bool],
         on_reach: Callable[[bool], None],
         log: DecisionLog,
@@ -56,8 +57,10 @@
                 table.
             min_period_s: Shortest time between two calls, in seconds: changes
                 in quick succession are read together.
+            catch_up_s: Time after the first read, in seconds, until which
+                this node reads changes itself, whoever follows the store.
             is_reader: Tells whether this node follows the store. Each node
-                reads the table once.
+                reads the table once, and once more to catch up.
             on_reach: Takes whether the store answers.
             log: Takes losses and returns of the store.
             metrics: Counts the calls.
@@ -67,6 +70,7 @@
         self._table = table
         self._on_changes = on_changes
         self._min_period_s = min_period_s
+        self._catch_up_s = catch_up_s
         self._is_reader = is_reader
         self._on_reach = on_reach
         self._log = log
@@ -75,12 +79,14 @@
         self.connected = False
         self._ever_failed = False
         self._ever_read = False
+        self._catch_up_at = 0.0
+        self._caught_up = not catch_up_s
 
     async def run(self) -> None:
         """Follows the table until cancelled."""
         pause_s = FIRST_PAUSE_S
         while True:
-            while self._version is not None and not self._is_reader():
+            while not self._is_due():
                 await asyncio.sleep(TURN_PERIOD_S)
             began_at = self._loop.time()
             try:
@@ -103,19 +109,29 @@
         if self._version is None:
             changes = await self._store.read_table(self._table)
             first = not self._ever_read
-            self._ever_read = True
+            if first:
+                self._ever_read = True
+                self._catch_up_at = self._loop.time() + self._catch_up_s
             self._version = changes.version
             self._on_changes(changes, True)
             if first:
                 await asyncio.sleep(SETTLE_S)
             return
+        catches_up = self._loop.time() >= self._catch_up_at
+        wait_s = FEED_WAIT_S if self._is_reader() else 0.0
         changes = await self._store.watch_table(
-            self._table, after=self._version, wait_s=FEED_WAIT_S
+            self._table, after=self._version, wait_s=wait_s
         )
+        self._caught_up |= catches_up
         self._version = max(self._version, changes.version)
         if changes.rows:
             self._on_changes(changes, False)
 
+    def _is_due(self) -> bool:
+        if self._version is None or self._is_reader():
+            return True
+        return not self._caught_up and self._loop.time() >= self._catch_up_at
+
     def _take_answer(self) -> None:
         self._count("answered")
         if not self.connected:
