--- a/src/guavawing/sidecar/table_watch.py
+++ b/src/guavawing/sidecar/table_watch.py
@@ -57,10 +57,11 @@
                 table.
             min_period_s: Shortest time between two calls, in seconds: changes
                 in quick succession are read together.
-            catch_up_s: Time after the first read, in seconds, until which
-                this node reads changes itself, whoever follows the store.
+            catch_up_s: Time after the first read, in seconds, at which a node
+                that does not follow the store reads the changes once; 0 for
+                never.
             is_reader: Tells whether this node follows the store. Each node
-                reads the table once, and once more to catch up.
+                reads the table once.
             on_reach: Takes whether the store answers.
             log: Takes losses and returns of the store.
             metrics: Counts the calls.
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from guavawing.traffic.model import Attempt
 from standins.vm_fleet import HOST_NAME
 
 DEADLINE_MS = 2900
@@ -12,6 +13,27 @@
 _ids = itertools.count(1)
 
 
+def make_attempt(name, *, now, left_s=5.0, **changes):
+    """Returns an attempt of a read that may be repeated."""
+    fields = {
+        "request_id": name.encode(),
+        "service": "desk",
+        "origin": "feed",
+        "method": b"GET",
+        "path": b"/x",
+        "head": b"",
+        "body": b"",
+        "deadline": now + left_s,
+        "priority": 1,
+        "idempotent": True,
+        "bulk": False,
+        "late": False,
+        "useful_until": now + left_s,
+        "spare_only": False,
+    }
+    return Attempt(**(fields | changes))
+
+
 def find(context, name):
     return context.vms.vms[name]
 
--- a/tests/steps/link_pacer_steps.py
+++ b/tests/steps/link_pacer_steps.py
@@ -10,9 +10,9 @@
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.owner import Owner
 from guavawing.sidecar.target_pool import Execution
-from guavawing.traffic.model import Attempt
 from guavawing.traffic.target_state import TargetState
 from guavawing.verdict import Reason
+from tests.sidecar_support import make_attempt
 
 TOLERANCE_S = 1e-6
 
@@ -205,21 +205,8 @@
 def submit(context, useful_s, *, bulk):
     async def run():
         now = asyncio.get_running_loop().time()
-        attempt = Attempt(
-            request_id=b"r1",
-            service="desk",
-            origin="feed",
-            method=b"GET",
-            path=b"/",
-            head=b"",
-            body=b"",
-            deadline=now + 5,
-            priority=1,
-            idempotent=True,
-            bulk=bulk,
-            late=False,
-            useful_until=now + useful_s,
-            spare_only=False,
+        attempt = make_attempt(
+            "r1", now=now, bulk=bulk, useful_until=now + useful_s
         )
         outcomes = []
         context.owner.submit(attempt, outcomes.append, local=False)
--- a/tests/steps/sidecar_owner_steps.py
+++ b/tests/steps/sidecar_owner_steps.py
@@ -9,12 +9,12 @@
 from guavawing.sidecar.link_pacer import LinkPacer
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.owner import Owner
-from guavawing.traffic.model import Attempt, Outcome, TargetReport
+from guavawing.traffic.model import Outcome, TargetReport
 from guavawing.traffic.target_state import TargetState
 from guavawing.verdict import MayHaveRun, Ran, Reason
+from tests.sidecar_support import make_attempt
 
 ADDRESS = parse_address("10.0.0.7:80")
-LEFT_S = 5.0
 # Beyond the bound, for the timers of a busy machine.
 SLACK_S = 0.5
 
@@ -68,30 +68,11 @@
     context.run(make_owner(context, slots))
 
 
-def make_attempt(name, now):
-    return Attempt(
-        request_id=name.encode(),
-        service="desk",
-        origin="feed",
-        method=b"GET",
-        path=b"/x",
-        head=b"",
-        body=b"",
-        deadline=now + LEFT_S,
-        priority=1,
-        idempotent=True,
-        bulk=False,
-        late=False,
-        useful_until=now + LEFT_S,
-        spare_only=False,
-    )
-
-
 async def submit(context, names):
     now = asyncio.get_running_loop().time()
     context.items = {
         name: context.owner.submit(
-            make_attempt(name, now), lambda _: None, local=True
+            make_attempt(name, now=now), lambda _: None, local=True
         )
         for name in names
     }
--- a/tests/steps/transfer_steps.py
+++ b/tests/steps/transfer_steps.py
@@ -13,7 +13,6 @@
 from guavawing.traffic.budget import RetryAllowance
 from guavawing.traffic.failures import FailureShare
 from guavawing.traffic.model import (
-    Attempt,
     LoadReport,
     Outcome,
     PeerRecord,
@@ -23,6 +22,7 @@
 )
 from guavawing.traffic.peers import PeerTable
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
+from tests.sidecar_support import make_attempt
 
 LEFT_S = 2.0
 IDLE = LoadReport(TargetPhase.READY, 8, 0, 0, 0.05)
@@ -104,22 +104,7 @@
     )
     conn = MemoryConnection()
     request = HttpRequest(conn, b"GET", b"/x", [], b"")
-    attempt = Attempt(
-        request_id=b"r1",
-        service="desk",
-        origin="feed",
-        method=b"GET",
-        path=b"/x",
-        head=b"",
-        body=b"",
-        deadline=now + LEFT_S,
-        priority=0,
-        idempotent=True,
-        bulk=False,
-        late=False,
-        useful_until=now + LEFT_S,
-        spare_only=False,
-    )
+    attempt = make_attempt("r1", now=now, left_s=LEFT_S)
     Transfer(parts, request, ROUTE, attempt, now).begin()
     while not conn.status:
         await asyncio.sleep(0)
