Prefer sure targets to slow free ones, and these to other data centres

Change: a rank of its own between near owners that nine in ten keep and those elsewhere.

The new scenario of traffic_choice.feature fails on the commit before.

--- a/src/guavawing/traffic/balancer.py
+++ b/src/guavawing/traffic/balancer.py
@@ -191,14 +191,16 @@
     """Order in which kinds of owner are chosen."""
 
     NEAR_IN_TIME = 0
-    FAR_IN_TIME = 1
+    # A free slot of a slow target: more than half of all are in time there.
+    NEAR_LIKELY = 1
+    FAR_IN_TIME = 2
     # Owners refuse what can't be in time unless a slot is free.
-    NEAR_FREE = 2
-    NEAR_BUSY = 3
-    FAR_FREE = 4
+    NEAR_FREE = 3
+    NEAR_BUSY = 4
+    FAR_FREE = 5
     # Not chosen where there are near owners.
-    FAR_KEPT_OUT = 5
-    DOUBTFUL = 6
+    FAR_KEPT_OUT = 6
+    DOUBTFUL = 7
 
 
 @attrs.frozen
@@ -314,16 +316,15 @@
         transit_s = owner.expect_transit_s(bulk=bulk, now=now)
         cost_s = wait_s + service_s * (1 + 0.3 * min(busy, 1.0)) + transit_s
         expected_s = wait_s + USUAL_SERVICE_FACTOR * service_s + transit_s
-        free = wait_s <= FREE_WAIT_S
-        if owner.near and free:
-            # A slow target's free slots are of use to more than half of all.
-            expected_s = wait_s + service_s + transit_s
         if not owner.is_usable(now=now):
             return _Rank.DOUBTFUL, cost_s
         if owner.near:
             if expected_s <= useful_s:
                 return _Rank.NEAR_IN_TIME, cost_s
-            return (_Rank.NEAR_FREE if free else _Rank.NEAR_BUSY), cost_s
+            if wait_s > FREE_WAIT_S:
+                return _Rank.NEAR_BUSY, cost_s
+            likely = wait_s + service_s + transit_s <= useful_s
+            return (_Rank.NEAR_LIKELY if likely else _Rank.NEAR_FREE), cost_s
         cost_s += REMOTE_ROUND_TRIP_S
         if wait_s > 0 and not _may_queue(owner, pressure):
             return _Rank.FAR_KEPT_OUT, cost_s
--- a/tests/cover/traffic_choice.feature
+++ b/tests/cover/traffic_choice.feature
@@ -27,6 +27,15 @@
     Then of 40 requests that are of use for 0 s only "slow" get any
     And of 40 requests that are of use for 0.2 s only "slow" get any
 
+  Scenario: A free slot of a slow target goes before one elsewhere, and after a fast one here
+    Given near owners "fast slow1 slow2 slow3" and far owners "f1" of 5 slots
+    When owner "fast" reports 2 running and executions of 0.2 s
+    And each owner "slow1 slow2 slow3" reports 0 running and executions from 0.5 s on
+    And owner "f1" reports 0 running and executions of 0.2 s
+    Then of 40 requests that are of use for 0.6 s only "fast" get any
+    When owner "fast" reports 16 running and executions of 0.2 s
+    Then of 40 requests that are of use for 0.6 s only "slow1 slow2 slow3" get any
+
   Scenario: An owner of many short calls is no faster for long requests
     Given near owners "short long" and far owners "" of 5 slots
     When owner "short" reports 2 running, 0.4 s for this kind, 10 % of all, and 0.04 s for another
