--- a/src/guavawing/store/client.py
+++ b/src/guavawing/store/client.py
@@ -90,6 +90,7 @@
     async def call(self, call: HttpCall) -> tuple[int, bytes]:
         """Makes a call; see `guavawing.platform.store_client.Transport`."""
         url = yarl.URL(self._base + call.path, encoded=True)
+        # Commands and tests set their own bound; that of a call is for daemons.
         timeout = aiohttp.ClientTimeout(total=self._timeout_s)
         try:
             async with self._session.request(
