Return the revision that the platform gave a published head

Cause: found in reading the change of the store's client: a publish returned the head's revision as the one before plus one, which held at the old stand-in that counted each row. The platform's counter rises with every transaction.

The new scenario of processes/publishing fails on the commit before (a row of another table written in between), passes now.

--- a/src/guavawing/store/publisher.py
+++ b/src/guavawing/store/publisher.py
@@ -236,7 +236,7 @@
         Write(HISTORY_TABLE, name_history_row(change.version), value, 0),
     )
     try:
-        await platform.transact(writes)
+        revision = await platform.transact(writes)
     except TransactionRefusedError:
         accepted = await _find_accepted(platform, change, payload)
         if accepted is None:
@@ -247,7 +247,7 @@
         if accepted is None:
             raise
         return accepted
-    return attrs.evolve(change.to_head(), revision=head.revision + 1)
+    return attrs.evolve(change.to_head(), revision=revision)
 
 
 def _is_payload_of(change: Change, payload: bytes) -> bool:
@@ -274,6 +274,7 @@
     try:
         return await _find_accepted(platform, change, payload)
     except PlatformUnavailableError:
+        # The caller raises the error of the write, which is the graver one.
         return None
 
 
--- a/tests/processes/publishing.feature
+++ b/tests/processes/publishing.feature
@@ -33,3 +33,7 @@
   Scenario: Ten operators read again after each conflict
     When 10 operators publish until accepted, in order of their answers
     Then the history holds each of them once, in that order
+
+  Scenario: What a publish returns names the row that the next one expects
+    When changes "a b c" are published, each on what the one before returned
+    Then each returned the revision that the platform's head had
--- a/tests/steps/publishing_steps.py
+++ b/tests/steps/publishing_steps.py
@@ -14,9 +14,10 @@
     fetch_head,
     fetch_history,
     name_object,
+    publish_document,
     publish_edit,
 )
-from guavawing.store.client import open_platform
+from guavawing.store.client import Write, open_platform
 from guavawing.store.versions import HISTORY_TABLE
 from standins.documents import make_exception, make_newsroom_document
 from standins.memory_platform import Fault, MemoryPlatform, MemoryStore
@@ -88,6 +89,34 @@
     )
 
 
+@when('changes "{changes}" are published, each on what the one before returned')
+def step_publish_series(context, changes):
+    async def operate(platform):
+        pairs, base = [], 0
+        for change in changes.split():
+            head = await publish_document(
+                platform,
+                make_changed_document(change),
+                change_id=change,
+                base_version=base,
+                author="ana",
+                now=NOW,
+            )
+            pairs.append((head, await fetch_head(platform)))
+            # Other tables have a part in the platform's counter.
+            await platform.transact([Write("seeds", change, {}, None)])
+            base = head.version
+        return pairs
+
+    context.heads = perform(context, operate)
+
+
+@then("each returned the revision that the platform's head had")
+def step_revisions(context):
+    for returned, stored in context.heads:
+        assert returned == stored, (returned, stored)
+
+
 def read_history(store):
     rows = sorted(store.tables.get(HISTORY_TABLE, {}).items())
     return [value for _, (value, _) in rows]
