Split the reports of membership and the search for a target off

Reports takes what reporters repeat; TargetSearch the health checks before the first heartbeat. The fleet's model takes the sidecar's constants in place of copies. An owner that can't be reached is logged at debug; other errors that end in None say why.

--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -17,6 +17,8 @@
 import attrs
 
 from bench.fleet_load import Kind, Pattern, Result, Trouble
+from guavawing.sidecar.entry import URGENT_SHARE, USEFUL_SHARE
+from guavawing.sidecar.transfer import MAX_OWNERS_ASKED
 from guavawing.traffic.balancer import Balancer, OwnerView
 from guavawing.traffic.model import LoadReport, TargetPhase
 from guavawing.traffic.patience import Patience
@@ -35,10 +37,6 @@
 FAR_DELAY_S = 0.0045
 BEACON_PERIOD_S = 1.0
 FAR_BEACONS = 4
-MAX_ASKED = 4
-# Part of a latency target that is used at the node, as in the sidecar.
-USEFUL_SHARE = 0.9
-URGENT_SHARE = 0.6
 # Pause of a client after an answer that tells no time.
 CLIENT_PAUSE_S = 0.05
 
@@ -188,7 +186,7 @@
             if view.local:
                 view.take_report(entry.load(self._now), now=self._now)
         choice = None
-        if len(request.asked) < MAX_ASKED:
+        if len(request.asked) < MAX_OWNERS_ASKED:
             choice = entry.balancer.choose(
                 entry.views[kind.service],
                 route=kind.name,
--- a/src/guavawing/cli/node_client.py
+++ b/src/guavawing/cli/node_client.py
@@ -121,6 +121,7 @@
         address = parse_address(member["admin"])
         return await _read_status(session, address, members=False)
     except ControlError:
+        # The report names the node as silent.
         return None
 
 
--- a/src/guavawing/membership/gossip.py
+++ b/src/guavawing/membership/gossip.py
@@ -24,6 +24,12 @@
     SyncRequest,
     estimate_bytes,
 )
+from guavawing.membership.reports import (
+    HEAD_BYTES,
+    Reports,
+    select_changes,
+    split_updates,
+)
 from guavawing.membership.rival import Rank
 from guavawing.membership.roster import Roster
 from guavawing.membership.rumours import Update
@@ -39,15 +45,11 @@
 LEAVE_FANOUT = 8
 # Members of another data centre that a reporter tells of a change.
 REMOTE_FANOUT = 2
-# Ticks in which it does so, since the contacts may have stopped as well.
-REMOTE_REPEATS = 3
 REMOTE_DATAGRAMS_PER_TICK = 4
 # Ticks without the event loop's turn after which the loop is late, and
 # probe periods after which this process has stalled.
 LATE_TICKS = 3
 STALL_PERIODS = 1.5
-# Room that a datagram keeps for its sender, notice and body.
-HEAD_BYTES = 300
 MS_PER_S = 1000
 
 
@@ -74,8 +76,7 @@
         self._exchange = Exchange(self._roster, others, rng)
         self._notice = Notice(0, b"")
         self._seen_at: float | None = None
-        self._reports: dict[MemberId, Member | Claim] = {}
-        self._reports_left: dict[MemberId, int] = {}
+        self._reports = Reports()
         self.table = self._roster.table
 
     @property
@@ -284,32 +285,21 @@
 
     def _report(self) -> list[Send]:
         """Tells other data centres of changes in this one."""
-        outbound = self._roster.outbound
-        for key in outbound:
-            self._reports_left[key] = REMOTE_REPEATS
-        self._reports |= outbound
-        outbound.clear()
-        if not self._reports:
+        changes = self._reports.take(self._roster.outbound)
+        self._roster.outbound.clear()
+        if not changes:
             return []
         sends: list[Send] = []
-        changes = tuple(self._reports.values())
-        self._count_reports()
         members = self.table.members_in(self.me.data_centre)
         for data_centre in self._other_centres():
             if not self._exchange.is_reporter_for(data_centre):
                 continue
             sample = sample_contacts(members, data_centre=data_centre)
-            told = _select_changes(changes, {m.id for m in sample})
-            for part in _split(told)[:REMOTE_DATAGRAMS_PER_TICK]:
+            told = select_changes(changes, {m.id for m in sample})
+            for part in split_updates(told)[:REMOTE_DATAGRAMS_PER_TICK]:
                 sends += self._push(data_centre, REMOTE_FANOUT, part)
         return sends
 
-    def _count_reports(self) -> None:
-        for key in tuple(self._reports):
-            self._reports_left[key] -= 1
-            if self._reports_left[key] == 0:
-                del self._reports[key], self._reports_left[key]
-
     def _push(
         self, data_centre: str, count: int, updates: Sequence[Update]
     ) -> list[Send]:
@@ -384,29 +374,3 @@
             tuple(claims),
             tuple(ages),
         )
-
-
-def _select_changes(
-    changes: Iterable[Member | Claim], sample: set[MemberId]
-) -> list[Member | Claim]:
-    return [
-        change
-        for change in changes
-        if isinstance(change, Claim)
-        or change.id in sample
-        or not change.serving
-    ]
-
-
-def _split(updates: Iterable[Update]) -> list[list[Update]]:
-    """Returns the updates in parts that fit one datagram each."""
-    parts: list[list[Update]] = []
-    room = 0
-    for update in updates:
-        size = estimate_bytes(update)
-        if size > room:
-            parts.append([])
-            room = MAX_DATAGRAM_BYTES - HEAD_BYTES
-        parts[-1].append(update)
-        room -= size
-    return parts
--- a/src/guavawing/node/mesh_pool.py
+++ b/src/guavawing/node/mesh_pool.py
@@ -7,6 +7,7 @@
 from guavawing.membership import Member
 from guavawing.model import MemberId
 from guavawing.node.frame_queue import ByteCount
+from guavawing.node.logs import log
 from guavawing.node.mesh_client import (
     CONNECT_TIMEOUT_S,
     LoadListener,
@@ -89,7 +90,15 @@
                 await open_mesh_connection(
                     member.mesh, conn, source=self._source
                 )
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as exc:
+            # The call is refused with its own reason and counter.
+            log(
+                "debug",
+                "owner-not-reached",
+                member=member.id,
+                address=str(member.mesh),
+                cause=repr(exc),
+            )
             return None
         if conn.owner != member.id:
             # Another node has taken over the address.
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -31,7 +31,7 @@
 from guavawing.sidecar.store_link import StoreLink
 from guavawing.sidecar.table_watch import TableWatch
 from guavawing.sidecar.target_pool import TargetPool
-from guavawing.sidecar.target_probe import probe_target
+from guavawing.sidecar.target_probe import TargetSearch
 from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.model import (
     Departure,
@@ -61,12 +61,6 @@
 # Time after the first configuration in which targets of all services should be
 # known, in seconds: the period of beacons.
 OWNERS_TIMEOUT_S = 1.0
-# Health checks of a target that has sent no heartbeat yet.
-PROBES = 8
-PROBE_PERIOD_S = 0.2
-# Of these the first ones are left out until a peer had been heard a period
-# before, so that its answer is here: beacons come within 1.1 s if any do.
-PROBES_AFTER_PEERS = 6
 
 
 class Sidecar:
@@ -220,8 +214,15 @@
                 catch_up_s=CATCH_UP_S,
             ),
         )
+        search = TargetSearch(
+            settings.target,
+            state=self._target,
+            find_path=self._find_health_path,
+            peers=self._peers,
+            on_found=self._owner.take_target_change,
+        )
         work = [watch.run() for watch in watches]
-        work += [self._poll_settings(), self._probe_target()]
+        work += [self._poll_settings(), search.run()]
         self._tasks += [self._loop.create_task(each) for each in work]
         self._log.event(
             "start",
@@ -313,27 +314,11 @@
             await asyncio.sleep(SETTINGS_POLL_S)
             self.reload()
 
-    async def _probe_target(self) -> None:
-        """Finds the target before its first heartbeat, if it is there."""
-        for number in range(PROBES):
-            had_heard = self._peers.has_heard()
-            await asyncio.sleep(PROBE_PERIOD_S)
-            if number < PROBES_AFTER_PEERS and not had_heard:
-                # A peer may know that the target leaves.
-                continue
-            if self._target.phase is not TargetPhase.UNKNOWN:
-                return
-            routing = self._configuration.routing
-            if routing is None:
-                continue
-            spec = routing.services.get(self._settings.service)
-            if spec is None:
-                return
-            target_id = await probe_target(
-                self._settings.target, spec.health_path
-            )
-            if target_id and self._target.take_probe(target_id):
-                self._owner.take_target_change()
+    def _find_health_path(self) -> str | None:
+        """Returns the path of the target's health check, once it is known."""
+        routing = self._configuration.routing
+        spec = routing and routing.services.get(self._settings.service)
+        return spec.health_path if spec else None
 
     # What the parts tell each other.
 
--- a/src/guavawing/sidecar/target_probe.py
+++ b/src/guavawing/sidecar/target_probe.py
@@ -10,14 +10,67 @@
     ClientConnection,
     HttpReply,
 )
+from guavawing.traffic.model import TargetPhase
+from guavawing.traffic.peers import PeerTable
+from guavawing.traffic.target_state import TargetState
 
-__all__ = ["probe_target"]
+__all__ = ["TargetSearch"]
 
 PROBE_TIMEOUT_S = 0.5
 OK = 200
+# Health checks of a target that has sent no heartbeat yet.
+PROBES = 8
+PROBE_PERIOD_S = 0.2
+# Of these the first ones are left out until a peer had been heard a period
+# before, so that its answer is here: beacons come within 1.1 s if any do.
+PROBES_AFTER_PEERS = 6
 
 
-async def probe_target(address: Address, path: str) -> str:
+class TargetSearch:
+    """Finds the target before its first heartbeat, if it is there."""
+
+    def __init__(
+        self,
+        address: Address,
+        *,
+        state: TargetState,
+        find_path: Callable[[], str | None],
+        peers: PeerTable,
+        on_found: Callable[[], None],
+    ) -> None:
+        """Creates a search that has not begun.
+
+        Args:
+            address: Where the target takes requests.
+            state: Takes what is found.
+            find_path: Returns the path of the health check, once it is known.
+            peers: The other nodes, which may know that the target leaves.
+            on_found: Is told that the target is there.
+        """
+        self._address = address
+        self._state = state
+        self._find_path = find_path
+        self._peers = peers
+        self._on_found = on_found
+
+    async def run(self) -> None:
+        """Asks the target's health check until something is known of it."""
+        for number in range(PROBES):
+            had_heard = self._peers.has_heard()
+            await asyncio.sleep(PROBE_PERIOD_S)
+            if number < PROBES_AFTER_PEERS and not had_heard:
+                continue
+            if self._state.phase is not TargetPhase.UNKNOWN:
+                return
+            path = self._find_path()
+            if path is None:
+                continue
+            target_id = await _probe_target(self._address, path)
+            if target_id and self._state.take_probe(target_id):
+                self._on_found()
+
+
+async def _probe_target(address: Address, path: str) -> str:
     """Returns the id of a healthy target, or an empty text.
 
     Args:
