Begin requests sent ahead while earlier ones are under way

Cause: a connection kept up to 32 requests behind the first and began each only when the one before was answered, so each of them waited for all before it. Nothing tested any of it. A 33rd request, or bytes that can't be read behind a request under way, cut the answer that was under way.

Ruled out: beginning any request beside others. A client sends all that lies behind an answer that closes its connection again, also what must not run twice, so such a request waits until all before it are answered.

A request that can't be read is refused in its turn. Reading stops at bounds, nothing is cut.

--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -126,6 +126,7 @@
             self._entry.handle,
             max_connections=MAX_CALLER_CONNECTIONS,
             pacer=pacer,
+            overlaps=self._entry.may_overlap,
         )
         self._mesh_server = MeshServer(
             self._owner, read_config=self._read_config
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -127,9 +127,17 @@
                 status=NOT_FOUND,
             )
             return
-        attempt = self._make_attempt(request, head, route, self.table, now)
+        attempt = self._make_attempt(request, head, route, self.table)
         self._allowance(attempt.service).earn()
-        Transfer(self._parts, request, route, attempt, now).begin()
+        Transfer(self._parts, request, route, attempt).begin()
+
+    def may_overlap(self, request: HttpRequest) -> bool:
+        """Returns whether a request may be under way beside another one."""
+        if self.table is None:
+            return False
+        head = read_caller_head(request.headers)
+        route = self.table.find(head.host, request.path.decode("latin-1"))
+        return route is not None and route.idempotent
 
     def _make_attempt(
         self,
@@ -137,8 +145,9 @@
         head: CallerHead,
         route: Route,
         table: RouteTable,
-        now: float,
     ) -> Attempt:
+        # Requests that were sent ahead may have waited since then.
+        now = request.arrived_at
         client_s = head.deadline_s
         deadline_s = allot_time(client_s=client_s, route_s=None)
         limit_s = allot_time(
@@ -202,7 +211,7 @@
         *,
         status: int = UNAVAILABLE,
     ) -> None:
-        closes = not request.conn.keeps_open(refused=True)
+        closes = not request.keeps_open(refused=True)
         payload = build_refusal(
             status,
             request_id,
@@ -210,7 +219,7 @@
             reason=verdict.reason.value,
             closes=closes,
         )
-        request.conn.respond(payload, closes=closes)
+        request.respond(payload, closes=closes)
         self._metrics.count_answer(verdict)
         self._log.request(
             "request-refused",
--- a/src/guavawing/sidecar/http_server.py
+++ b/src/guavawing/sidecar/http_server.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import collections
 from collections.abc import Callable
 from typing import cast
 
@@ -16,6 +15,7 @@
 from guavawing.platform.headers import build_refusal
 from guavawing.sidecar.link_pacer import LARGE_BYTES, LinkPacer
 from guavawing.traffic.model import ClientLimits
+from guavawing.traffic.pipeline import Exchange, Pipeline
 
 __all__ = ["HttpRequest", "HttpServer", "ServerConnection"]
 
@@ -31,8 +31,13 @@
 # Time that a new connection is given for its first request, in seconds, when
 # the process ends: some round trips inside a data centre.
 FIRST_REQUEST_S = 0.25
-# Requests that a client may send ahead of their answers.
-MAX_PIPELINED = 32
+# Bytes that are parsed at once, so that a client that sends many requests
+# ahead is read no further than its connection has room for.
+PARSED_BYTES = 16 * 1024
+# Bytes of all requests and answers of a server that are held, from which on
+# connections with a request under way are read no further: a sixth of the
+# memory of the smallest VMs.
+MAX_HELD_BYTES = 32 * 1024 * 1024
 # Connections from which on refused clients are told to close theirs, and four
 # times as many from which on all are: a part of the descriptors of a process.
 MANY_CONNECTIONS = 400
@@ -49,6 +54,7 @@
         path: Path with its query, as it was sent.
         headers: Names and values, as they were sent.
         body: Whole body.
+        arrived_at: Event loop's time at which its last byte came.
         on_gone: Is called once if the client goes away before the answer.
     """
 
@@ -57,7 +63,33 @@
     path: bytes
     headers: list[tuple[bytes, bytes]]
     body: bytes
+    arrived_at: float
     on_gone: Callable[[], None] | None = None
+    _exchange: "Exchange[HttpRequest] | None" = None
+
+    @property
+    def size(self) -> int:
+        """Bytes that the request takes in memory, roughly."""
+        head = sum(len(name) + len(value) for name, value in self.headers)
+        return len(self.path) + head + len(self.body)
+
+    def keeps_open(self, *, refused: bool = False) -> bool:
+        """Returns whether the connection outlives the answer.
+
+        Args:
+            refused: Whether the answer is a refusal. Clients return on a new
+                connection, so this one would only be idle.
+        """
+        return self.conn.keeps_open(self, refused=refused)
+
+    def respond(self, payload: bytes, *, closes: bool = False) -> None:
+        """Answers the request.
+
+        Args:
+            payload: Bytes of the whole answer.
+            closes: Whether the answer says that the connection is closed.
+        """
+        self.conn.respond(self, payload, closes=closes)
 
 
 Handler = Callable[[HttpRequest], None]
@@ -68,6 +100,7 @@
 
     Attributes:
         limits: Bounds on clients, from the newest configuration.
+        held_bytes: Bytes of requests and answers that are held.
         leaving: Whether clients are told to go elsewhere.
     """
 
@@ -77,6 +110,7 @@
         *,
         max_connections: int,
         pacer: LinkPacer | None = None,
+        overlaps: Callable[[HttpRequest], bool] = lambda _: False,
     ) -> None:
         """Creates a server that does not listen yet.
 
@@ -84,6 +118,8 @@
             handler: Takes whole requests.
             max_connections: Connections beyond that are closed.
             pacer: Paces large answers; None if there are none.
+            overlaps: Tells whether a request may be under way beside others
+                of its connection.
         """
         self._loop = asyncio.get_running_loop()
         self._max_connections = max_connections
@@ -91,6 +127,8 @@
         self._listener = Listener(lambda: ServerConnection(self))
         self._sweeper: asyncio.TimerHandle | None = None
         self.handler = handler
+        self.overlaps = overlaps
+        self.held_bytes = 0
         self.connections: set[ServerConnection] = set()
         self.limits = ClientLimits()
         self.leaving = False
@@ -148,17 +186,22 @@
     __slots__ = (
         "_body",
         "_body_bytes",
-        "_current",
+        "_continue_due",
+        "_feeding",
+        "_handing_on",
         "_header_bytes",
         "_headers",
+        "_held_bytes",
         "_is_new",
         "_parser",
-        "_pending",
+        "_paused",
+        "_pipeline",
         "_refused",
         "_sending",
         "_server",
         "_since",
         "_transport",
+        "_unread",
         "_url",
         "reading",
     )
@@ -167,12 +210,18 @@
         self._server = server
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
-        self._pending: collections.deque[HttpRequest] = collections.deque()
-        self._current: HttpRequest | None = None
+        self._pipeline: Pipeline[HttpRequest] = Pipeline(server.overlaps)
+        self._held_bytes = 0
         self._refused = 0
         # Whether a large answer is being sent in pieces.
         self._sending = False
         self._is_new = True
+        # Bytes that came while there was no room for more requests.
+        self._unread = b""
+        self._paused = False
+        self._feeding = False
+        self._handing_on = False
+        self._continue_due = False
         self.reading = False
         self._since = 0.0
         self._reset()
@@ -180,7 +229,7 @@
     @property
     def busy(self) -> bool:
         """Whether a request waits for its answer, or a part of it."""
-        return self._current is not None or self._sending
+        return bool(self._pipeline) or self._sending
 
     @property
     def open(self) -> bool:
@@ -192,57 +241,27 @@
         age_s = self._server._loop.time() - self._since
         return self._is_new and age_s < FIRST_REQUEST_S
 
-    def respond(self, payload: bytes, *, closes: bool = False) -> None:
-        """Answers the current request.
-
-        Args:
-            payload: Bytes of the whole answer.
-            closes: Whether the answer says that the connection is closed.
-        """
-        transport = self._transport
-        self._current = None
-        if transport is None:
-            return
-        pacer = self._server.pacer
-        if pacer is None or len(payload) < LARGE_BYTES:
-            transport.write(payload)
-            self._take_sent(closes=closes)
+    def respond(
+        self, request: HttpRequest, payload: bytes, *, closes: bool
+    ) -> None:
+        """Answers a request, once all before it have been answered."""
+        exchange = request._exchange
+        if self._transport is None or exchange is None:
             return
+        self._pipeline.answer(exchange, payload, closes=closes)
+        self._send_answers()
+        self._go_on()
 
-        def write(piece: bytes, last: bool) -> None:
-            transport.write(piece)
-            if last:
-                self._sending = False
-                self._take_sent(closes=closes)
-
-        self._sending = True
-        pacer.offer(self, payload, write)
-
-    def _take_sent(self, *, closes: bool) -> None:
-        """Goes on after an answer that was written to its end."""
-        transport = self._transport
-        assert transport is not None
-        self._since = self._server._loop.time()
-        if closes:
-            self._transport = None
-            self._server.connections.discard(self)
-            transport.close()
-        elif self._pending:
-            self._dispatch(self._pending.popleft())
-
-    def keeps_open(self, *, refused: bool = False) -> bool:
-        """Returns whether the connection outlives the current answer.
-
-        Args:
-            refused: Whether the answer is a refusal. Clients return on a new
-                connection, so this one would only be idle.
-        """
+    def keeps_open(self, request: HttpRequest, *, refused: bool) -> bool:
+        """Returns whether the connection outlives an answer."""
         server = self._server
         most = MANY_CONNECTIONS if refused else 4 * MANY_CONNECTIONS
-        return (
-            not server.leaving
-            and not self._refused
-            and len(server.connections) <= most
+        may_stay = not self._refused and len(server.connections) <= most
+        if may_stay and not server.leaving:
+            return True
+        exchange = request._exchange
+        return exchange is not None and self._pipeline.has_begun_behind(
+            exchange
         )
 
     def close(self) -> None:
@@ -270,6 +289,121 @@
         else:
             self.close()
 
+    def _send_answers(self) -> None:
+        """Writes the answers whose turn it is."""
+        while self._transport is not None and not self._sending:
+            exchange = self._pipeline.pop_answer()
+            if exchange is None:
+                return
+            assert exchange.answer is not None
+            self._write(self._transport, exchange.answer, exchange.closes)
+
+    def _write(
+        self, transport: asyncio.Transport, payload: bytes, closes: bool
+    ) -> None:
+        pacer = self._server.pacer
+        if pacer is None or len(payload) < LARGE_BYTES:
+            transport.write(payload)
+            self._take_sent(closes=closes)
+            return
+
+        def write(piece: bytes, last: bool) -> None:
+            transport.write(piece)
+            if last:
+                self._sending = False
+                self._take_sent(closes=closes)
+                self._send_answers()
+                self._go_on()
+
+        self._sending = True
+        pacer.offer(self, payload, write)
+
+    def _take_sent(self, *, closes: bool) -> None:
+        """Takes that an answer was written to its end."""
+        transport = self._transport
+        assert transport is not None
+        self._since = self._server._loop.time()
+        if closes:
+            self._end()
+            transport.close()
+
+    def _end(self) -> None:
+        """Forgets the connection; what is behind the last answer is dropped.
+
+        Requests that were not handed on never are, and a client sends them
+        again on another connection.
+        """
+        self._transport = None
+        self._server.connections.discard(self)
+        self._unread = b""
+        dropped = self._pipeline.clear()
+        self._note_held()
+        for request in dropped:
+            if request.on_gone is not None:
+                request.on_gone()
+
+    def _go_on(self) -> None:
+        """Hands on what may be begun, and reads on if there is room."""
+        if self._handing_on:
+            # An answer that came at once: the loop below goes on.
+            return
+        self._handing_on = True
+        try:
+            for exchange in self._pipeline.begin(
+                ahead=not self._server.leaving
+            ):
+                self._server.handler(exchange.request)
+        finally:
+            self._handing_on = False
+        self._note_held()
+        if not self._feeding:
+            self._read_on()
+
+    def _read_on(self) -> None:
+        """Parses what was put off, and reads the connection again."""
+        if self._unread and not self._is_full():
+            data, self._unread = self._unread, b""
+            self._feed(data)
+        if self._transport is None:
+            return
+        if self._continue_due and not self.busy:
+            self._continue_due = False
+            self._transport.write(CONTINUE)
+        if self._paused and not self._is_full():
+            self._paused = False
+            self._transport.resume_reading()
+
+    def _is_full(self) -> bool:
+        """Whether no more is read until an answer has been given."""
+        crowded = self._server.held_bytes >= MAX_HELD_BYTES
+        return self._pipeline.is_full or (crowded and bool(self._pipeline))
+
+    def _note_held(self) -> None:
+        held = self._pipeline.size
+        self._server.held_bytes += held - self._held_bytes
+        self._held_bytes = held
+
+    def _feed(self, data: bytes) -> None:
+        """Parses bytes as far as there is room for requests."""
+        self._feeding = True
+        view = memoryview(data)
+        try:
+            while view and not self._refused and self._transport is not None:
+                if self._is_full():
+                    self._unread = bytes(view)
+                    if not self._paused:
+                        self._paused = True
+                        self._transport.pause_reading()
+                    return
+                piece, view = view[:PARSED_BYTES], view[PARSED_BYTES:]
+                self._parser.feed_data(piece)
+        except httptools.HttpParserUpgrade:
+            self._refuse(BAD_REQUEST)
+        except httptools.HttpParserError:
+            self._refuse(self._refused or BAD_REQUEST)
+        finally:
+            self._feeding = False
+
     # Events of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -282,25 +416,19 @@
 
     def data_received(self, data: bytes) -> None:
         """Takes bytes of the client."""
-        if self._refused:
+        if self._refused or self._transport is None:
             return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(BAD_REQUEST)
-        except httptools.HttpParserError:
-            self._refuse(self._refused or BAD_REQUEST)
+        if self._paused or self._unread:
+            self._unread += data
+        else:
+            self._feed(data)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Takes the end of the connection."""
-        self._transport = None
-        self._server.connections.discard(self)
-        current, self._current = self._current, None
-        self._pending.clear()
         if self._sending and self._server.pacer is not None:
             self._server.pacer.drop(self)
-        if current is not None and current.on_gone is not None:
-            current.on_gone()
+        self._sending = False
+        self._end()
 
     # Events of the parser.
 
@@ -324,11 +452,14 @@
 
     def on_headers_complete(self) -> None:
         """Takes the end of the headers."""
-        if self.busy or self._transport is None:
+        if self._transport is None:
             return
         for name, value in self._headers:
             if (name.lower(), value.lower()) == (b"expect", b"100-continue"):
-                self._transport.write(CONTINUE)
+                self._continue_due = True
+        if self._continue_due and not self.busy:
+            self._continue_due = False
+            self._transport.write(CONTINUE)
 
     def on_body(self, body: bytes) -> None:
         """Takes a part of the body."""
@@ -340,24 +471,22 @@
     def on_message_complete(self) -> None:
         """Takes the end of a request."""
         self.reading = False
+        self._continue_due = False
+        if self._transport is None:
+            # Behind an answer that has closed the connection.
+            return
+        now = self._server._loop.time()
         request = HttpRequest(
             self,
             self._parser.get_method(),
             self._url,
             self._headers,
             b"".join(self._body),
+            now,
         )
-        self._server.last_request_at = self._server._loop.time()
-        if not self.busy:
-            self._dispatch(request)
-        elif len(self._pending) < MAX_PIPELINED:
-            self._pending.append(request)
-        else:
-            self.abort()
-
-    def _dispatch(self, request: HttpRequest) -> None:
-        self._current = request
-        self._server.handler(request)
+        self._server.last_request_at = now
+        request._exchange = self._pipeline.add(request, request.size)
+        self._go_on()
 
     def _reset(self) -> None:
         self._url = b""
@@ -376,10 +505,12 @@
         raise ValueError("the request is larger than the limits")
 
     def _refuse(self, status: int) -> None:
-        """Answers a request that can't be read, and closes."""
+        """Answers a request that can't be read, in its turn, and closes."""
         self._refused = status
-        if not self.busy and self._transport is not None:
-            payload = build_refusal(status, b"", closes=True)
-            self.respond(payload, closes=True)
-        else:
-            self.close()
+        if self._transport is None:
+            return
+        payload = build_refusal(status, b"", closes=True)
+        request = HttpRequest(self, b"", b"", [], b"", 0.0)
+        exchange = request._exchange = self._pipeline.add(request, 0)
+        exchange.begun = True
+        self.respond(request, payload, closes=True)
--- a/src/guavawing/sidecar/local_calls.py
+++ b/src/guavawing/sidecar/local_calls.py
@@ -61,7 +61,7 @@
     def answer_ready(self, request: HttpRequest) -> None:
         """Tells the platform whether this node is ready."""
         status = OK if self._is_ready() else UNAVAILABLE
-        request.conn.respond(build_refusal(status, b""))
+        request.respond(build_refusal(status, b""))
 
     def answer_scrape(self, request: HttpRequest) -> None:
         """Writes the counters."""
@@ -72,7 +72,7 @@
         payload = build_answer(
             OK, TEXT_HEAD, self._metrics.render(), closes=False
         )
-        request.conn.respond(payload)
+        request.respond(payload)
 
     def take_target_call(self, request: HttpRequest) -> None:
         """Takes a heartbeat or the departure of the target."""
@@ -86,7 +86,7 @@
             status = NOT_FOUND
         body = b"{}" if status == OK else b""
         payload = build_answer(status, JSON_HEAD, body, closes=False)
-        request.conn.respond(payload)
+        request.respond(payload)
 
     def _take_departure(self, target_id: str) -> int:
         if self._target.take_departure(target_id, now=self._loop.time()):
--- a/src/guavawing/sidecar/transfer.py
+++ b/src/guavawing/sidecar/transfer.py
@@ -94,16 +94,15 @@
         request: HttpRequest,
         route: Route,
         attempt: Attempt,
-        now: float,
     ) -> None:
         self._parts = parts
         self._request = request
         self._route = route
         self._attempt = attempt
-        self._started_at = now
+        self._started_at = request.arrived_at
         # Owners that have been asked, and attempts that reached a target.
         self._asked: list[str] = []
-        self._asked_at = now
+        self._asked_at = request.arrived_at
         self._sent = 0
         # Last attempt whose outcome is not known.
         self._broke: MayHaveRun | None = None
@@ -287,13 +286,12 @@
 
     def _deliver(self, outcome: Outcome) -> None:
         """Answers with a target's answer."""
-        conn = self._request.conn
-        closes = not conn.keeps_open()
+        closes = not self._request.keeps_open()
         payload = build_answer(
             outcome.status, outcome.head, outcome.body, closes=closes
         )
         self._end(outcome.verdict, outcome.status)
-        conn.respond(payload, closes=closes)
+        self._request.respond(payload, closes=closes)
         size = len(outcome.body) + len(self._attempt.body)
         self._parts.balancer.observe_size(self._route.name, size)
 
@@ -303,8 +301,7 @@
         verdict: NotRun | MayHaveRun,
         retry_after_s: float | None,
     ) -> None:
-        conn = self._request.conn
-        closes = not conn.keeps_open(refused=True)
+        closes = not self._request.keeps_open(refused=True)
         payload = build_refusal(
             status,
             self._attempt.request_id,
@@ -313,7 +310,7 @@
             closes=closes,
         )
         self._end(verdict, status)
-        conn.respond(payload, closes=closes)
+        self._request.respond(payload, closes=closes)
 
     def _end(self, verdict: NotRun | MayHaveRun | Ran, status: int) -> None:
         self._request.on_gone = None
--- /dev/null
+++ b/tests/cover/pipeline.feature
@@ -0,0 +1,112 @@
+Feature: Requests that a client sends ahead of their answers
+
+  Paths begin with the kind of request: only "safe" ones may be repeated.
+
+  Scenario: A slow first request does not hold up those behind it
+    Given a client that sends "/safe/1 /safe/2 /safe/3"
+    Then "/safe/1 /safe/2 /safe/3" have been begun
+    When "/safe/3" and then "/safe/2" are answered
+    Then the client has got nothing
+    When "/safe/1" is answered
+    Then the client has got "/safe/1 /safe/2 /safe/3"
+    And the client's connection is open
+
+  Scenario: A request that must not be repeated waits for all before it
+    Given a client that sends "/safe/1 /safe/2 /unsafe/3 /safe/4"
+    Then "/safe/1 /safe/2" have been begun
+    When "/safe/2" is answered
+    Then "/safe/1 /safe/2" have been begun
+    When "/safe/1" is answered
+    Then "/safe/1 /safe/2 /unsafe/3" have been begun
+    When "/unsafe/3" is answered
+    Then "/safe/1 /safe/2 /unsafe/3 /safe/4" have been begun
+
+  Scenario: The time of a request counts from its arrival
+    Given a client that sends "/unsafe/1 /unsafe/2"
+    When 0.2 s pass and then "/unsafe/1" is answered
+    Then "/unsafe/2" has been waiting for 0.2 s when it is begun
+
+  Scenario: A refusal in the middle keeps its place
+    Given a client that sends "/safe/1 /full/2 /safe/3"
+    When "/safe/3" and then "/safe/1" are answered
+    Then the client has got "/safe/1 503 /safe/3"
+
+  Scenario: A long row of requests that are refused at once
+    Given a client that sends 3000 requests "/full/N"
+    Then the client has got 3000 answers in the order of its requests
+
+  Scenario: What lies behind an answer that closes the connection is never begun
+    Given a client that sends "/safe/1 /unsafe/2 /safe/3"
+    When the server tells its clients to leave
+    And "/safe/1" is answered
+    Then the client has got "/safe/1"
+    And the client's connection is closed
+    And "/safe/1" have been begun
+
+  Scenario: A stopping server answers all that was begun before it closes
+    Given a client that sends "/safe/1 /safe/2 /safe/3"
+    When the server tells its clients to leave
+    And "/safe/2" and then "/safe/3" are answered
+    And "/safe/1" is answered
+    Then the client has got "/safe/1 /safe/2 /safe/3"
+    And the client's connection is closed
+
+  Scenario: A stopping server begins nothing ahead
+    Given a server that tells its clients to leave
+    And a client that sends "/safe/1 /safe/2"
+    Then "/safe/1" have been begun
+    When "/safe/1" is answered
+    Then the client's connection is closed
+    And "/safe/1" have been begun
+
+  Scenario: A client that leaves ends all that was begun for it
+    Given a client that sends "/safe/1 /safe/2 /unsafe/3"
+    When the client leaves
+    Then "/safe/1 /safe/2" have been given up
+    And "/safe/1 /safe/2" have been begun
+    When "/safe/1" is answered
+    Then the client has got nothing
+
+  Scenario Outline: Bytes that can't be read behind two requests cut neither
+    Given a client that sends "/safe/1 /unsafe/2" and then <bytes>
+    When "/safe/1" is answered
+    Then "/safe/1 /unsafe/2" have been begun
+    When "/unsafe/2" is answered
+    Then the client has got "/safe/1 /unsafe/2 <status>"
+    And the client's connection is closed
+
+    Examples:
+      | bytes               | status |
+      | garbage             | 400    |
+      | two lengths         | 400    |
+      | an oversized header | 431    |
+
+  Scenario: A connection is read no further than it has room
+    Given a client that sends 2000 requests "/safe/N" one packet each
+    Then 8 requests have been begun and at most 33 have been read
+    And the client's connection is not read
+    When all that is begun is answered until nothing is left
+    Then the client has got 2000 answers in the order of its requests
+    And the client's connection is read
+
+  Scenario: One packet with many requests is read no further than there is room
+    Given a client that sends 2000 requests "/safe/N" in one packet
+    Then 8 requests have been begun and at most 700 have been read
+    When all that is begun is answered until nothing is left
+    Then the client has got 2000 answers in the order of its requests
+
+  Scenario: Large bodies that wait bound what is read of their connection
+    Given a client that sends 40 requests "/safe/N" with bodies of 1 MB
+    Then at most 6 MB are held
+    When all that is begun is answered until nothing is left
+    Then the client has got 40 answers in the order of its requests
+
+  Scenario: Held bytes of all connections bound what is read of each
+    Given 30 clients that each send 5 requests "/unsafe/N" with bodies of 0.9 MB
+    Then at most 64 MB are held
+    When all that is begun is answered until nothing is left
+    Then each client has got 5 answers in the order of its requests
+    And nothing is held
+
+  Scenario: Answers keep their order in any order of events
+    Then over 4000 sessions of random events each answer is in its place, nothing that must not be repeated has run beside another request, and nothing behind a closed connection has been begun
--- /dev/null
+++ b/tests/steps/pipeline_steps.py
@@ -0,0 +1,353 @@
+"""Steps that send requests ahead to a server without a network."""
+
+import asyncio
+from random import Random
+
+from behave import given, then, when
+
+from guavawing.platform.headers import build_answer, build_refusal
+from guavawing.sidecar import http_server
+from guavawing.sidecar.http_server import HttpServer, ServerConnection
+from guavawing.traffic.pipeline import MAX_BEGUN, Pipeline
+
+MB = 1024 * 1024
+BAD_BYTES = {
+    "garbage": b"\x00\x01 what\r\n\r\n",
+    "two lengths": (
+        b"GET /safe/x HTTP/1.1\r\nContent-Length: 1\r\n"
+        b"Content-Length: 2\r\n\r\nab"
+    ),
+    "an oversized header": (
+        b"GET /safe/x HTTP/1.1\r\nX: " + b"a" * 20_000 + b"\r\n\r\n"
+    ),
+}
+
+
+class MemoryTransport:
+    """Keeps what is written; hands packets over while it is read."""
+
+    def __init__(self):
+        self.written, self.closed, self.reading = b"", False, True
+        self.packets = []
+
+    def write(self, data):
+        assert not self.closed, "written after the close"
+        self.written += data
+
+    def close(self):
+        self.closed = True
+
+    abort = close
+
+    def pause_reading(self):
+        assert self.reading, "paused twice"
+        self.reading = False
+
+    def resume_reading(self):
+        assert not self.reading, "resumed twice"
+        self.reading = True
+
+
+class Client:
+    """A client and its connection."""
+
+    def __init__(self, server):
+        self.conn = ServerConnection(server)
+        self.transport = MemoryTransport()
+        self.conn.connection_made(self.transport)
+
+    def send(self, *packets):
+        self.transport.packets += packets
+        self.deliver()
+
+    def deliver(self):
+        """Hands over the packets that the server reads."""
+        transport = self.transport
+        while transport.packets and transport.reading and not transport.closed:
+            self.conn.data_received(transport.packets.pop(0))
+
+    def answers(self):
+        """Returns the path, or the status of a refusal, of each answer."""
+        found = []
+        for part in self.transport.written.split(b"HTTP/1.1 ")[1:]:
+            head, _, body = part.partition(b"\r\n\r\n")
+            status = head.split(b" ")[0]
+            found.append((body if status == b"200" else status).decode())
+        return found
+
+
+def make_request(path, body=b""):
+    head = f"POST {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}"
+    return head.encode() + b"\r\n\r\n" + body
+
+
+def make_server(context):
+    context.begun, context.given_up, context.waited = [], [], {}
+    context.read = 0
+
+    def handle(request):
+        path = request.path.decode()
+        if path.startswith("/full/"):
+            closes = not request.keeps_open(refused=True)
+            request.respond(build_refusal(503, b"", closes=closes))
+            return
+        now = asyncio.get_running_loop().time()
+        context.waited[path] = now - request.arrived_at
+        request.on_gone = lambda: context.given_up.append(path)
+        context.begun.append((path, request))
+
+    context.server = HttpServer(
+        handle,
+        max_connections=100,
+        overlaps=lambda request: request.path.startswith((b"/safe", b"/full")),
+    )
+    context.server.limits = http_server.ClientLimits(max_body_bytes=2 * MB)
+    context.clients = []
+
+
+def answer(context, wanted):
+    for path, request in context.begun:
+        if path == wanted:
+            closes = not request.keeps_open()
+            payload = build_answer(200, b"", path.encode(), closes=closes)
+            request.respond(payload, closes=closes)
+            return
+    raise AssertionError(f"{wanted} has not been begun")
+
+
+def open_client(context, packets):
+    async def send():
+        if "server" not in context:
+            make_server(context)
+        client = Client(context.server)
+        context.clients.append(client)
+        client.send(*packets)
+
+    context.run(send())
+
+
+@given("a server that tells its clients to leave")
+def step_leaving_server(context):
+    async def make():
+        make_server(context)
+        context.server.leaving = True
+
+    context.run(make())
+
+
+@given('a client that sends "{paths}"')
+def step_client(context, paths):
+    packet = b"".join(make_request(path) for path in paths.split())
+    open_client(context, [packet])
+
+
+@given('a client that sends "{paths}" and then {what}')
+def step_bad_client(context, paths, what):
+    packets = [make_request(path) for path in paths.split()]
+    open_client(context, [*packets, BAD_BYTES[what]])
+
+
+@given('a client that sends {count:d} requests "/{kind}/N"')
+@given('a client that sends {count:d} requests "/{kind}/N" in one packet')
+def step_packet(context, count, kind):
+    context.paths = [f"/{kind}/{number}" for number in range(count)]
+    open_client(context, [b"".join(map(make_request, context.paths))])
+
+
+@given('a client that sends {count:d} requests "/{kind}/N" one packet each')
+def step_packets(context, count, kind):
+    context.paths = [f"/{kind}/{number}" for number in range(count)]
+    open_client(context, map(make_request, context.paths))
+
+
+@given(
+    'a client that sends {count:d} requests "/{kind}/N" with bodies of '
+    "{size:g} MB"
+)
+def step_bodies(context, count, kind, size):
+    send_bodies(context, 1, count, kind, size)
+
+
+@given(
+    '{clients:d} clients that each send {count:d} requests "/{kind}/N" with '
+    "bodies of {size:g} MB"
+)
+def step_many_bodies(context, clients, count, kind, size):
+    send_bodies(context, clients, count, kind, size)
+
+
+def send_bodies(context, clients, count, kind, size):
+    context.paths = [f"/{kind}/{number}" for number in range(count)]
+    body = b"b" * int(size * MB)
+    for _ in range(clients):
+        open_client(
+            context, [make_request(path, body) for path in context.paths]
+        )
+
+
+@when('"{path}" is answered')
+def step_answer(context, path):
+    async def run():
+        answer(context, path)
+
+    context.run(run())
+
+
+@when('"{first}" and then "{second}" are answered')
+def step_answers(context, first, second):
+    async def run():
+        answer(context, first)
+        answer(context, second)
+
+    context.run(run())
+
+
+@when('{seconds:g} s pass and then "{path}" is answered')
+def step_late_answer(context, seconds, path):
+    async def run():
+        await asyncio.sleep(seconds)
+        answer(context, path)
+
+    context.run(run())
+
+
+@when("the server tells its clients to leave")
+def step_leave(context):
+    context.server.leaving = True
+
+
+@when("the client leaves")
+def step_gone(context):
+    async def run():
+        context.clients[0].transport.closed = True
+        context.clients[0].conn.connection_lost(None)
+
+    context.run(run())
+
+
+@when("all that is begun is answered until nothing is left")
+def step_answer_all(context):
+    async def run():
+        done = 0
+        while done < len(context.begun):
+            path, request = context.begun[done]
+            request.respond(build_answer(200, b"", path.encode(), closes=False))
+            done += 1
+            for client in context.clients:
+                client.deliver()
+
+    context.run(run())
+
+
+@then('"{paths}" have been begun')
+def step_begun(context, paths):
+    found = [path for path, _ in context.begun]
+    assert found == paths.split(), found
+
+
+@then("{begun:d} requests have been begun and at most {read:d} have been read")
+def step_read(context, begun, read):
+    assert len(context.begun) == begun, len(context.begun)
+    waiting = len(context.clients[0].conn._pipeline)
+    assert waiting <= read, waiting
+
+
+@then('"{path}" has been waiting for {seconds:g} s when it is begun')
+def step_waited(context, path, seconds):
+    waited = context.waited[path]
+    assert seconds <= waited < seconds + 0.1, waited
+
+
+@then('"{paths}" have been given up')
+def step_given_up(context, paths):
+    assert context.given_up == paths.split(), context.given_up
+
+
+@then("the client has got nothing")
+def step_nothing(context):
+    assert not context.clients[0].transport.written
+
+
+@then('the client has got "{answers}"')
+def step_got(context, answers):
+    found = context.clients[0].answers()
+    assert found == answers.split(), found
+
+
+@then("the client has got {count:d} answers in the order of its requests")
+@then("each client has got {count:d} answers in the order of its requests")
+def step_got_all(context, count):
+    refused = ["503"] * count
+    for client in context.clients:
+        found = client.answers()
+        assert found in (context.paths, refused), (len(found), found[:3])
+
+
+@then("at most {size:g} MB are held")
+def step_held(context, size):
+    assert context.server.held_bytes <= size * MB, context.server.held_bytes
+
+
+@then("nothing is held")
+def step_none_held(context):
+    assert context.server.held_bytes == 0, context.server.held_bytes
+
+
+@then("the client's connection is {state}")
+def step_conn_state(context, state):
+    transport = context.clients[0].transport
+    found = {
+        "open": not transport.closed,
+        "closed": transport.closed,
+        "read": transport.reading,
+        "not read": not transport.reading,
+    }
+    assert found[state], found
+
+
+@then(
+    "over {count:d} sessions of random events each answer is in its place, "
+    "nothing that must not be repeated has run beside another request, and "
+    "nothing behind a closed connection has been begun"
+)
+def step_sessions(context, count):
+    for seed in range(count):
+        try:
+            check_session(Random(seed))
+        except AssertionError as exc:
+            raise AssertionError(f"seed {seed}: {exc}") from exc
+
+
+def check_session(rng):
+    """Plays one connection: requests, answers and, at last, its end."""
+    kinds = {}
+    pipeline = Pipeline(lambda number: kinds[number])
+    running, begun, sent, ended, number = {}, [], [], False, 0
+    while not ended and number < 60:
+        if rng.random() < 0.55:
+            kinds[number] = rng.random() < 0.7
+            pipeline.add(number, rng.randrange(100))
+            number += 1
+        elif running:
+            exchange = running.pop(rng.choice(list(running)))
+            last = not pipeline.has_begun_behind(exchange)
+            closes = last and rng.random() < 0.1
+            pipeline.answer(exchange, b"%d" % exchange.request, closes=closes)
+        while (exchange := pipeline.pop_answer()) is not None:
+            sent.append(exchange.request)
+            if exchange.closes:
+                assert not pipeline.clear(), "begun behind the last answer"
+                ended = True
+                break
+        for exchange in pipeline.begin(ahead=rng.random() < 0.8):
+            begun.append(exchange.request)
+            running[exchange.request] = exchange
+            open_before = [n for n in range(exchange.request) if n not in sent]
+            alone = not open_before
+            assert alone or kinds[exchange.request], "ran beside another"
+            assert all(kinds[n] for n in open_before), "ran behind one"
+            assert len(running) <= MAX_BEGUN, len(running)
+    assert sent == list(range(len(sent))), sent
+    assert begun == list(range(len(begun))), begun
+    if ended:
+        assert begun == sent, (begun, sent)
--- a/tests/steps/transfer_steps.py
+++ b/tests/steps/transfer_steps.py
@@ -43,10 +43,10 @@
 
     status = 0
 
-    def keeps_open(self, *, refused=False):
+    def keeps_open(self, request, *, refused):
         return True
 
-    def respond(self, payload, *, closes):
+    def respond(self, request, payload, *, closes):
         assert not self.status, "answered twice"
         self.status = int(payload.split(b" ", 2)[1])
 
@@ -103,9 +103,9 @@
         metrics=SidecarMetrics(),
     )
     conn = MemoryConnection()
-    request = HttpRequest(conn, b"GET", b"/x", [], b"")
+    request = HttpRequest(conn, b"GET", b"/x", [], b"", now)
     attempt = make_attempt("r1", now=now, left_s=LEFT_S)
-    Transfer(parts, request, ROUTE, attempt, now).begin()
+    Transfer(parts, request, ROUTE, attempt).begin()
     while not conn.status:
         await asyncio.sleep(0)
     return conn.status, mesh.asked
