Let nodes that start together find each other at once

Cause: nodes read the rows of all others before those have written theirs, and looked again only 3 s later. Each took itself for a follower of the store meanwhile, as it knew no others, and was answered for each row that was written.

Ruled out: writing first and reading then, which costs a write at each start.

Change: a node that has written its row reads the changes once more, at once. Of any two, the later writer then sees the other's row and greets it. One whose row was there already needs no second read. Nobody follows the store before it has had time to hear of the others.

--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -54,9 +54,6 @@
 # succession are read together, well inside the time to apply them.
 CONFIGURATION_PERIOD_S = 0.6
 NODES_PERIOD_S = 0.6
-# Time after its start in which a node reads the rows of the others once more,
-# in seconds: nodes that start together read before the others have written.
-CATCH_UP_S = 3.0
 SETTINGS_POLL_S = 2.0
 # Time after the first configuration in which targets of all services should be
 # known, in seconds: the period of beacons.
@@ -177,9 +174,18 @@
             self._peers,
             on_found=self._take_found,
             on_gone=self._mesh.drop,
+            on_written=lambda: self._nodes_watch.catch_up(),
             log=self._log,
             metrics=self._metrics,
         )
+        self._configuration_watch = self._watch(
+            CONFIGURATION_TABLE,
+            self._configuration.take_changes,
+            CONFIGURATION_PERIOD_S,
+        )
+        self._nodes_watch = self._watch(
+            NODES_TABLE, self._membership.take_changes, NODES_PERIOD_S
+        )
         self._planned_stop = PlannedStop(
             service=settings.service,
             grace_s=settings.grace_s,
@@ -202,19 +208,6 @@
         await self._ready.listen(settings.ready.host, settings.ready.port)
         await self._scrapes.listen(settings.metrics.host, settings.metrics.port)
         await self._beacons.listen()
-        watches = (
-            self._watch(
-                CONFIGURATION_TABLE,
-                self._configuration.take_changes,
-                CONFIGURATION_PERIOD_S,
-            ),
-            self._watch(
-                NODES_TABLE,
-                self._membership.take_changes,
-                NODES_PERIOD_S,
-                catch_up_s=CATCH_UP_S,
-            ),
-        )
         search = TargetSearch(
             settings.target,
             state=self._target,
@@ -222,8 +215,12 @@
             peers=self._peers,
             on_found=self._owner.take_target_change,
         )
-        work = [watch.run() for watch in watches]
-        work += [self._poll_settings(), search.run()]
+        work = [
+            self._configuration_watch.run(),
+            self._nodes_watch.run(),
+            self._poll_settings(),
+            search.run(),
+        ]
         self._tasks += [self._loop.create_task(each) for each in work]
         self._log.event(
             "start",
@@ -281,15 +278,12 @@
         table: str,
         on_changes: Callable[[RowChanges, bool], None],
         period_s: float,
-        *,
-        catch_up_s: float = 0.0,
     ) -> TableWatch:
         return TableWatch(
             self._store,
             table,
             on_changes=on_changes,
             min_period_s=period_s,
-            catch_up_s=catch_up_s,
             is_reader=self._is_reader,
             on_reach=self._take_reach,
             log=self._log,
--- a/src/guavawing/sidecar/membership.py
+++ b/src/guavawing/sidecar/membership.py
@@ -37,15 +37,31 @@
         *,
         on_found: Callable[[Peer], None],
         on_gone: Callable[[str], None],
+        on_written: Callable[[], None],
         log: DecisionLog,
         metrics: SidecarMetrics,
     ) -> None:
+        """Creates a machine that has read no rows.
+
+        Args:
+            store: The store.
+            me: This node's record.
+            peers: Takes the other nodes.
+            on_found: Is told of each node that was not known.
+            on_gone: Is told the host of each node whose row was removed.
+            on_written: Is told that this node's row was written. Rows that
+                come later are those of nodes that find this one's; earlier
+                ones may have been missed by the first read.
+            log: Takes changes of belief.
+            metrics: Counts calls and rows that can't be read.
+        """
         self._loop = asyncio.get_running_loop()
         self._store = store
         self._me = me
         self._peers = peers
         self._on_found = on_found
         self._on_gone = on_gone
+        self._on_written = on_written
         self._log = log
         self._metrics = metrics
         self._own_row: StoredRow | None = None
@@ -120,6 +136,7 @@
                 pause_s = min(MAX_PAUSE_S, pause_s * 2)
                 continue
             self._count("answered")
+            self._on_written()
             return
 
     def _count(self, outcome: str) -> None:
--- a/src/guavawing/sidecar/table_watch.py
+++ b/src/guavawing/sidecar/table_watch.py
@@ -1,6 +1,7 @@
 """Follows a table of the store: one read, then its feed of changes."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 
@@ -42,7 +43,6 @@
         *,
         on_changes: Callable[[RowChanges, bool], None],
         min_period_s: float,
-        catch_up_s: float = 0.0,
         is_reader: Callable[[], bool],
         on_reach: Callable[[bool], None],
         log: DecisionLog,
@@ -57,9 +57,6 @@
                 table.
             min_period_s: Shortest time between two calls, in seconds: changes
                 in quick succession are read together.
-            catch_up_s: Time after the first read, in seconds, at which a node
-                that does not follow the store reads the changes once; 0 for
-                never.
             is_reader: Tells whether this node follows the store. Each node
                 reads the table once.
             on_reach: Takes whether the store answers.
@@ -71,7 +68,6 @@
         self._table = table
         self._on_changes = on_changes
         self._min_period_s = min_period_s
-        self._catch_up_s = catch_up_s
         self._is_reader = is_reader
         self._on_reach = on_reach
         self._log = log
@@ -79,16 +75,19 @@
         self._version: int | None = None
         self.connected = False
         self._ever_failed = False
-        self._ever_read = False
-        self._catch_up_at = 0.0
-        self._caught_up = not catch_up_s
+        self._settles_until: float | None = None
+        self._behind = asyncio.Event()
+
+    def catch_up(self) -> None:
+        """Reads what has changed by now, once, also if others follow."""
+        self._behind.set()
 
     async def run(self) -> None:
         """Follows the table until cancelled."""
         pause_s = FIRST_PAUSE_S
         while True:
             while not self._is_due():
-                await asyncio.sleep(TURN_PERIOD_S)
+                await self._pause(TURN_PERIOD_S)
             began_at = self._loop.time()
             try:
                 await self._step()
@@ -104,34 +103,39 @@
             pause_s = FIRST_PAUSE_S
             self._take_answer()
             spent_s = self._loop.time() - began_at
-            await asyncio.sleep(max(0.0, self._min_period_s - spent_s))
+            await self._pause(max(0.0, self._min_period_s - spent_s))
 
     async def _step(self) -> None:
         if self._version is None:
             changes = await self._store.read_table(self._table)
-            first = not self._ever_read
-            if first:
-                self._ever_read = True
-                self._catch_up_at = self._loop.time() + self._catch_up_s
+            if self._settles_until is None:
+                self._settles_until = self._loop.time() + SETTLE_S
             self._version = changes.version
             self._on_changes(changes, True)
-            if first:
-                await asyncio.sleep(SETTLE_S)
             return
-        catches_up = self._loop.time() >= self._catch_up_at
-        wait_s = FEED_WAIT_S if self._is_reader() else 0.0
+        catches_up = self._behind.is_set()
+        wait_s = FEED_WAIT_S if self._follows() else 0.0
         changes = await self._store.watch_table(
             self._table, after=self._version, wait_s=wait_s
         )
-        self._caught_up |= catches_up
+        if catches_up:
+            self._behind.clear()
         self._version = max(self._version, changes.version)
         if changes.rows:
             self._on_changes(changes, False)
 
+    async def _pause(self, seconds: float) -> None:
+        """Waits, but not while there is something to catch up with."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._behind.wait()
+
     def _is_due(self) -> bool:
-        if self._version is None or self._is_reader():
-            return True
-        return not self._caught_up and self._loop.time() >= self._catch_up_at
+        return self._version is None or self._behind.is_set() or self._follows()
+
+    def _follows(self) -> bool:
+        settled = self._loop.time() >= (self._settles_until or 0.0)
+        return settled and self._is_reader()
 
     def _take_answer(self) -> None:
         self._count("answered")
--- a/tests/steps/table_watch_steps.py
+++ b/tests/steps/table_watch_steps.py
@@ -2,13 +2,19 @@
 
 import asyncio
 
+import attrs
 from behave import given, then, when
 
 from guavawing.errors import PlatformUnavailableError
 from guavawing.platform.store_client import RowChanges, StoredRow
 from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.membership import NODES_TABLE, Membership
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.table_watch import TableWatch
+from guavawing.traffic.balancer import OwnerView
+from guavawing.traffic.model import PeerRecord
+from guavawing.traffic.peers import PeerTable
+from guavawing.traffic.readers import is_reader
 
 TABLE = "nodes"
 # Longer than any wait of a watch that is due.
@@ -40,10 +46,8 @@
         return RowChanges(found, len(self.rows), 0)
 
 
-@given(
-    "a node that does not follow the store and catches up after {seconds:g} s"
-)
-def step_node(context, seconds):
+@given("a node that does not follow the store")
+def step_node(context):
     context.memory = MemoryTable()
     context.taken = []
 
@@ -55,12 +59,12 @@
                 row.key for row in changes.rows
             ),
             min_period_s=0.05,
-            catch_up_s=seconds,
             is_reader=lambda: False,
             on_reach=lambda _: None,
             log=DecisionLog(node="a1"),
             metrics=SidecarMetrics(),
         )
+        context.watch = watch
         return asyncio.get_running_loop().create_task(watch.run())
 
     context.task = context.run(start())
@@ -86,6 +90,14 @@
     context.run(write())
 
 
+@when("its own row is written")
+def step_own_row(context):
+    async def write():
+        context.watch.catch_up()
+
+    context.run(write())
+
+
 @then("it has taken the row within {seconds:g} s")
 def step_taken(context, seconds):
     async def wait():
@@ -102,3 +114,164 @@
     context.run(asyncio.sleep(SETTLED_S))
     found = (context.memory.reads, context.memory.feeds)
     assert found == (1, times), found
+
+
+class SharedTable:
+    """A table of nodes; all first reads are answered before the first write."""
+
+    def __init__(self, count):
+        self.rows, self.version = {}, 0
+        self.first_reads = asyncio.Barrier(count)
+        self.changed = asyncio.Event()
+        self.writing = asyncio.Lock()
+        self.following = 0
+
+    def find_after(self, version):
+        return tuple(r for r in self.rows.values() if r.version > version)
+
+
+class TableClient:
+    """The calls of one node."""
+
+    def __init__(self, shared):
+        self.shared, self.calls = shared, 0
+
+    async def read_table(self, table):
+        self.calls += 1
+        shared = self.shared
+        found = RowChanges(tuple(shared.rows.values()), shared.version, 0)
+        await shared.first_reads.wait()
+        return found
+
+    async def watch_table(self, table, *, after, wait_s):
+        self.calls += 1
+        shared = self.shared
+        if not shared.find_after(after) and wait_s:
+            shared.following += 1
+            try:
+                async with asyncio.timeout(wait_s):
+                    await shared.changed.wait()
+            except TimeoutError:
+                # The feed ends without a change.
+                pass
+            finally:
+                shared.following -= 1
+        await asyncio.sleep(0)
+        return RowChanges(shared.find_after(after), shared.version, 0)
+
+    async def write_rows(self, writes):
+        self.calls += 1
+        shared = self.shared
+        # A part of the store takes one transaction after another.
+        async with shared.writing:
+            await asyncio.sleep(0.005)
+        shared.version += 1
+        for write in writes:
+            shared.rows[write.key] = StoredRow(
+                NODES_TABLE, write.key, write.value, shared.version
+            )
+        changed, shared.changed = shared.changed, asyncio.Event()
+        changed.set()
+        return shared.version
+
+
+@attrs.define
+class StartingNode:
+    """A node that knows others by their rows and by greetings."""
+
+    host: str
+    client: TableClient
+    peers: PeerTable = None
+    calls_when_found: int = 0
+
+
+def start_node(context, node):
+    """Runs membership and watch of a node; greetings arrive at once."""
+    record = PeerRecord(node.host, node.host, 1, "bergen", "desk", 1)
+    view = OwnerView(node.host, local=True, near=True)
+    node.peers = PeerTable(record, view)
+
+    def greet(peer):
+        now = asyncio.get_running_loop().time()
+        other = context.nodes[peer.record.host]
+        other.peers.take_record(record, now=now)
+
+    log, metrics = DecisionLog(node=node.host), SidecarMetrics()
+    membership = Membership(
+        node.client,
+        record,
+        node.peers,
+        on_found=greet,
+        on_gone=lambda _: None,
+        on_written=lambda: watch.catch_up(),
+        log=log,
+        metrics=metrics,
+    )
+    watch = TableWatch(
+        node.client,
+        NODES_TABLE,
+        on_changes=membership.take_changes,
+        min_period_s=0.05,
+        is_reader=lambda: is_reader(node.host, node.peers.near()),
+        on_reach=lambda _: None,
+        log=log,
+        metrics=metrics,
+    )
+    return asyncio.get_running_loop().create_task(watch.run())
+
+
+@given("{count:d} nodes whose first reads all come before the first write")
+def step_nodes(context, count):
+    async def make():
+        shared = SharedTable(count)
+        context.nodes = {
+            host: StartingNode(host, TableClient(shared))
+            for host in (f"10.0.0.{number}" for number in range(count))
+        }
+        context.shared = shared
+
+    context.run(make())
+
+
+@when("they start together")
+def step_start(context):
+    async def start():
+        return [start_node(context, n) for n in context.nodes.values()]
+
+    tasks = context.run(start())
+
+    async def stop():
+        for task in tasks:
+            task.cancel()
+
+    context.add_cleanup(lambda: context.run(stop()))
+
+
+@when("they run for {seconds:g} s")
+def step_pass(context, seconds):
+    context.run(asyncio.sleep(seconds))
+
+
+@then(
+    "within {seconds:g} s each of them knows all others or was greeted by them"
+)
+def step_known(context, seconds):
+    others = len(context.nodes) - 1
+
+    async def wait():
+        async with asyncio.timeout(seconds):
+            while any(len(n.peers) < others for n in context.nodes.values()):
+                await asyncio.sleep(0.01)
+
+    context.run(wait())
+
+
+@then("each of them has made at most {most:d} calls about nodes by then")
+def step_few_calls(context, most):
+    calls = [node.client.calls for node in context.nodes.values()]
+    assert max(calls) <= most, calls
+
+
+@then("at most {most:d} of them follow the table")
+def step_followers(context, most):
+    assert context.shared.following <= most, context.shared.following
