Find out together with near nodes whether a silent node is lost

Cause: an owner that went dark was noticed by each entry node by itself: by its own request (0.4 s), or by missing beacons after 3.3 s where near and some two minutes where far, at 195 nodes. A node that took no connection was not held against it at all: each request lost the 0.6 s of connecting anew. Far owners of a data centre that was cut off came back one by one as their beacons came, each 39 s at that size.

Ruled out: believing a peer's doubt (a node that has lost its own links doubts all others); more beacons to far nodes (grow with the fleet).

Change: a node tells its near ones whom it got no answer from; each that has not heard that one for 0.6 s asks it, and holds it lost 0.4 s later. An owner that takes no connection is left out for 0.5 s and doubted. When one lost node of a data centre is heard, the others are asked at once. Old and new nodes don't read each other's beacons.

--- a/src/guavawing/sidecar/beacons.py
+++ b/src/guavawing/sidecar/beacons.py
@@ -15,6 +15,7 @@
 
 from guavawing.errors import MessageInvalidError
 from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.loss_check import LossCheck
 from guavawing.sidecar.mesh_codec import (
     decode_beacon,
     encode_beacon,
@@ -100,6 +101,14 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._change_timer: asyncio.TimerHandle | None = None
+        self._losses = LossCheck(
+            peers,
+            ask=lambda peer: self._send(
+                self._encode(asks=True), peer.record.host
+            ),
+            tell=self._send_doubts,
+            log=log,
+        )
         self._sequence = 0
         self._round = 0
         self.version = 0
@@ -114,6 +123,7 @@
 
     def close(self) -> None:
         """Tells what has changed last, stops sending and closes the socket."""
+        self._losses.close()
         if self._change_timer is not None:
             self._change_timer.cancel()
             self._send_change()
@@ -130,6 +140,15 @@
                 CHANGE_PERIOD_S, self._send_change
             )
 
+    def take_doubt(self, host: str) -> None:
+        """Takes that a node gave no answer to this one."""
+        self._losses.take_own_doubt(host)
+
+    def take_return(self, peer: Peer) -> None:
+        """Takes that a node that was held lost was heard."""
+        self._log.belief("peer-returned", peer=peer.record.node)
+        self._losses.take_return(peer)
+
     def tell_version(self, *, first: bool) -> None:
         """Tells other nodes of a version that has just come in force.
 
@@ -175,7 +194,7 @@
             return
         peer.sequence = beacon.sequence
         if self._peers.take_sign_of_life(peer, now=now):
-            self._log.belief("peer-returned", peer=peer.record.node)
+            self.take_return(peer)
         before = peer.view.report
         self._peers.take_load(peer, beacon.load, now=now)
         if before is None or before.phase is not beacon.load.phase:
@@ -195,6 +214,8 @@
             self._on_slots(beacon.known_slots)
         if beacon.known_departure is not None:
             self._on_departure(beacon.known_departure)
+        if beacon.doubts and peer.view.near:
+            self._losses.take_doubts(beacon.doubts, node=peer.record.node)
         if beacon.asks:
             payload = self._encode(
                 known_slots=peer.slots, known_departure=peer.departure
@@ -255,12 +276,19 @@
         for peer in self._peers.near() + self._sample_elsewhere():
             self._send(payload, peer.record.host)
 
+    def _send_doubts(self, hosts: tuple[str, ...]) -> None:
+        payload = self._encode(doubts=hosts)
+        for peer in self._peers.near():
+            if peer.view.alive:
+                self._send(payload, peer.record.host)
+
     def _encode(
         self,
         *,
         asks: bool = False,
         known_slots: int = 0,
         known_departure: Departure | None = None,
+        doubts: tuple[str, ...] = (),
     ) -> bytes:
         self._sequence += 1
         return encode_beacon(
@@ -274,6 +302,7 @@
                 self.reaches_store,
                 self._read_departure(),
                 known_departure,
+                doubts,
             )
         )
 
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -113,6 +113,7 @@
             on_load=self._take_load,
             on_alive=self._take_alive,
             on_doubt=self._take_doubt,
+            on_unreachable=lambda host: self._beacons.take_doubt(host),
             on_config=self._take_config,
         )
         self._entry = Entry(
@@ -368,10 +369,13 @@
 
     def _take_alive(self, host: str) -> None:
         peer = self._peers.get(host)
-        if peer is not None:
-            self._peers.take_sign_of_life(peer, now=self._loop.time())
+        if peer is None:
+            return
+        if self._peers.take_sign_of_life(peer, now=self._loop.time()):
+            self._beacons.take_return(peer)
 
     def _take_doubt(self, host: str) -> None:
+        self._beacons.take_doubt(host)
         peer = self._peers.get(host)
         if peer is not None and peer.view.alive:
             peer.view.alive = False
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -148,6 +148,7 @@
             beacon.reaches_store,
             _list_departure(beacon.departure),
             _list_departure(beacon.known_departure),
+            beacon.doubts,
         )
     )
 
@@ -209,6 +210,7 @@
             bool(fields[12]),
             _read_departure(fields[13]),
             _read_departure(fields[14]),
+            tuple(_text(host) for host in fields[15]),
         )
     except (AttributeError, IndexError, TypeError, ValueError) as exc:
         raise MessageInvalidError(f"not a beacon: {exc}") from exc
--- a/src/guavawing/sidecar/mesh_messages.py
+++ b/src/guavawing/sidecar/mesh_messages.py
@@ -105,6 +105,7 @@
         reaches_store: Whether the store answers the sender.
         departure: Target of the sender that has said that it leaves.
         known_departure: The same of the receiver, by its last beacon.
+        doubts: Hosts of nodes that the sender got no answer from.
     """
 
     record: PeerRecord
@@ -116,6 +117,7 @@
     reaches_store: bool
     departure: Departure | None = None
     known_departure: Departure | None = None
+    doubts: tuple[str, ...] = ()
 
 
 Frame = (
