Split reading requests and keeping a connection off the HTTP server

Change: request_reader.py cuts requests out of bytes, http_connection.py keeps the order of answers, http_server.py the listener. An error that nobody expected in the handling of a request was taken for an unreadable one and answered 400 without a log line; now it is logged as a fault and ends that connection only.

--- a/src/guavawing/errors.py
+++ b/src/guavawing/errors.py
@@ -18,6 +18,7 @@
     "PlatformError",
     "PlatformUnavailableError",
     "PlatformWriteUnknownError",
+    "RequestUnreadableError",
     "SettingsInvalidError",
     "TransactionRefusedError",
     "VersionPrunedError",
@@ -56,6 +57,18 @@
     """Raised when bytes from a peer or a caller are not a valid message."""
 
 
+class RequestUnreadableError(GuavawingError):
+    """Raised when bytes of a client are no request that can be served.
+
+    Attributes:
+        status: HTTP status that says why.
+    """
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+
+
 class NodeReplacedError(GuavawingError):
     """Raised when a node stopped for another process under its id.
 
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -341,7 +341,7 @@
         self._entry.table = RouteTable(
             routing, earlier=self._entry.table, rng=self._rng
         )
-        self._callers.limits = routing.limits
+        self._callers.state.limits = routing.limits
         self._beacons.version = routing.version
         self._beacons.tell_version(first=first)
 
--- a/src/guavawing/sidecar/planned_stop.py
+++ b/src/guavawing/sidecar/planned_stop.py
@@ -107,11 +107,11 @@
         """Takes the target out of use from elsewhere, and clients off."""
         self._owner.leaving = True
         self._beacons.tell_change()
-        self._callers.leaving = True
+        self._callers.state.leaving = True
         self._callers.close_idle()
 
     def _is_needed(self) -> bool:
         if self._callers.busy or self._owner.busy:
             return True
-        quiet_s = self._loop.time() - self._callers.last_request_at
+        quiet_s = self._loop.time() - self._callers.state.last_request_at
         return not self._entry.closing and quiet_s < QUIET_S
--- a/tests/cover/pipeline.feature
+++ b/tests/cover/pipeline.feature
@@ -108,6 +108,15 @@
     Then each client has got 5 answers in the order of its requests
     And nothing is held
 
+  Scenario: An error that nobody expected ends one connection and is logged
+    Given a client that sends "/safe/1 /fault/2"
+    And a client that sends "/safe/3"
+    Then "/safe/1 /safe/3" have been begun
+    And the client's connection is closed
+    And one fault has been told
+    When "/safe/3" is answered
+    Then the last client has got "/safe/3"
+
   Scenario Outline: A request that does not end is refused at a bound
     Given a client that sends <bytes> without end
     Then at most 0.2 MB of it have been read
--- a/tests/steps/pipeline_steps.py
+++ b/tests/steps/pipeline_steps.py
@@ -6,8 +6,8 @@
 from behave import given, then, when
 
 from guavawing.platform.headers import build_answer, build_refusal
-from guavawing.sidecar import http_server
-from guavawing.sidecar.http_server import HttpServer, ServerConnection
+from guavawing.sidecar.http_connection import ServerConnection, ServerState
+from guavawing.traffic.model import ClientLimits
 from guavawing.traffic.pipeline import MAX_BEGUN, Pipeline
 
 MB = 1024 * 1024
@@ -94,6 +94,9 @@
 
 def make_server(context):
     context.begun, context.given_up, context.waited = [], [], {}
+    context.faults = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, fault: context.faults.append(fault))
     context.read = 0
 
     def handle(request):
@@ -102,17 +105,21 @@
             closes = not request.keeps_open(refused=True)
             request.respond(build_refusal(503, b"", closes=closes))
             return
+        if path.startswith("/fault/"):
+            raise RuntimeError("nobody expected this")
         now = asyncio.get_running_loop().time()
         context.waited[path] = now - request.arrived_at
         request.on_gone = lambda: context.given_up.append(path)
         context.begun.append((path, request))
 
-    context.server = HttpServer(
-        handle,
+    context.server = ServerState(
+        handler=handle,
+        overlaps=lambda request: not request.path.startswith(b"/unsafe"),
         max_connections=100,
-        overlaps=lambda request: request.path.startswith((b"/safe", b"/full")),
+        pacer=None,
+        last_request_at=0.0,
+        limits=ClientLimits(max_body_bytes=2 * MB),
     )
-    context.server.limits = http_server.ClientLimits(max_body_bytes=2 * MB)
     context.clients = []
 
 
@@ -286,6 +293,16 @@
     assert not context.clients[0].transport.written
 
 
+@then("one fault has been told")
+def step_fault(context):
+    assert len(context.faults) == 1, context.faults
+
+
+@then('the last client has got "{answers}"')
+def step_last_got(context, answers):
+    assert context.clients[-1].answers() == answers.split()
+
+
 @then('the client has got "{answers}"')
 def step_got(context, answers):
     found = context.clients[0].answers()
