--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -15,17 +15,14 @@
 import random
 from collections.abc import Callable
 
-import attrs
-
 from bench.fleet_load import Kind, Pattern, Result, Trouble
+from bench.fleet_node import Attempt, Node, Request
 from guavawing.sidecar.entry import URGENT_SHARE, USEFUL_SHARE
 from guavawing.sidecar.target_pool import SHED_RETRY_AFTER_S
 from guavawing.sidecar.transfer import MAX_OWNERS_ASKED
 from guavawing.traffic.balancer import Balancer, OwnerView
 from guavawing.traffic.budget import RetryBudget
-from guavawing.traffic.failures import FailureShare
-from guavawing.traffic.model import LoadReport, TargetPhase
-from guavawing.traffic.patience import Patience
+from guavawing.traffic.model import LoadReport
 from guavawing.traffic.slot_queue import (
     Admit,
     Queued,
@@ -50,58 +47,6 @@
 CLIENT_PAUSE_S = 0.05
 
 
-@attrs.define(eq=False)
-class _Node:
-    name: str
-    data_centre: int
-    service: str
-    speed: float
-    queue: SlotQueue
-    balancer: Balancer
-    budget: RetryBudget
-    failures: FailureShare = attrs.field(factory=FailureShare)
-    patience: Patience = attrs.field(factory=Patience)
-    views: dict[str, list[OwnerView]] = attrs.field(factory=dict)
-    slowdown: float = 1.0
-    refused: float = 0.0
-    waiting: dict[int, "_Attempt"] = attrs.field(factory=dict)
-
-    def load(self, now: float) -> LoadReport:
-        known = self.queue.knows_service_time
-        return LoadReport(
-            TargetPhase.READY,
-            self.queue.slots,
-            self.queue.running,
-            self.queue.queued,
-            self.queue.service_s if known else 0.0,
-            self.queue.refused_share,
-            kind_s=dict(self.queue.kind_s),
-        )
-
-
-@attrs.define(eq=False)
-class _Request:
-    """One try of a client, or a call of a target."""
-
-    kind: Kind
-    entry: _Node
-    deadline: float
-    useful_until: float
-    late: bool
-    on_end: Callable[[bool, float | None], None]
-    urgent: bool
-    asked: list[str] = attrs.field(factory=list)
-    sent: int = 0
-    retry_after_s: float | None = None
-
-
-@attrs.define(eq=False)
-class _Attempt:
-    request: _Request
-    view: OwnerView
-    owner: _Node
-
-
 class Fleet:
     """Plays one pattern."""
 
@@ -176,7 +121,7 @@
     def _enter(
         self,
         kind: Kind,
-        entry: _Node,
+        entry: Node,
         deadline: float,
         on_end: Callable[[bool, float | None], None],
     ) -> None:
@@ -189,13 +134,13 @@
         )
         if urgent:
             useful_s = max(useful_s, URGENT_SHARE * left_s)
-        request = _Request(
+        request = Request(
             kind, entry, deadline, self._now + useful_s, late, on_end, urgent
         )
         entry.budget.earn(kind.service, now=self._now)
         self._ask(request)
 
-    def _ask(self, request: _Request) -> None:
+    def _ask(self, request: Request) -> None:
         entry, kind = request.entry, request.kind
         for view in entry.views[kind.service]:
             if view.local:
@@ -221,7 +166,7 @@
         owner = self._by_name[view.node]
         request.asked.append(view.node)
         view.outstanding += 1
-        attempt = _Attempt(request, view, owner)
+        attempt = Attempt(request, view, owner)
         if not view.near:
             self.results[kind.name].crossed += 1
         spare = choice.spare_only
@@ -229,7 +174,7 @@
 
     def _take_answer(
         self,
-        attempt: _Attempt,
+        attempt: Attempt,
         load: LoadReport,
         *,
         served: bool,
@@ -257,7 +202,7 @@
             CLIENT_DELAY_S, lambda: request.on_end(served, CLIENT_PAUSE_S)
         )
 
-    def _take_shed(self, attempt: _Attempt, load: LoadReport) -> None:
+    def _take_shed(self, attempt: Attempt, load: LoadReport) -> None:
         """Takes that the target has refused to execute an attempt."""
         view, request = attempt.view, attempt.request
         view.outstanding -= 1
@@ -271,7 +216,7 @@
             CLIENT_DELAY_S, lambda: request.on_end(False, SHED_RETRY_AFTER_S)
         )
 
-    def _spend(self, request: _Request) -> bool:
+    def _spend(self, request: Request) -> bool:
         return request.entry.budget.spend(
             request.kind.service, urgent=request.urgent, now=self._now
         )
@@ -281,7 +226,7 @@
 
     # The owner.
 
-    def _offer(self, attempt: _Attempt, spare: bool) -> None:
+    def _offer(self, attempt: Attempt, spare: bool) -> None:
         owner, request = attempt.owner, attempt.request
         number = next(self._ids)
         waiter = Waiter(
@@ -302,12 +247,12 @@
             case Refuse(verdict=verdict):
                 self._refuse(owner, number, verdict.retry_after_s or 0.0)
 
-    def _expire(self, owner: _Node, number: int) -> None:
+    def _expire(self, owner: Node, number: int) -> None:
         refusal = owner.queue.expire(number)
         if refusal is not None:
             self._refuse(owner, number, refusal.verdict.retry_after_s or 0.0)
 
-    def _refuse(self, owner: _Node, number: int, retry_after_s: float) -> None:
+    def _refuse(self, owner: Node, number: int, retry_after_s: float) -> None:
         attempt = owner.waiting.pop(number)
         load = owner.load(self._now)
         self._after(
@@ -317,7 +262,7 @@
             ),
         )
 
-    def _start(self, owner: _Node, number: int) -> None:
+    def _start(self, owner: Node, number: int) -> None:
         attempt = owner.waiting[number]
         kind = attempt.request.kind
         if self._rng.random() < owner.refused:
@@ -350,7 +295,7 @@
         for _ in range(count):
             self._enter(called, owner, deadline, end_call)
 
-    def _shed(self, owner: _Node, number: int) -> None:
+    def _shed(self, owner: Node, number: int) -> None:
         attempt = owner.waiting.pop(number)
         admitted = list(owner.queue.release(number, now=self._now))
         load = owner.load(self._now)
@@ -361,7 +306,7 @@
         for admit in admitted:
             self._start(owner, admit.id)
 
-    def _end(self, owner: _Node, number: int, *, served: bool) -> None:
+    def _end(self, owner: Node, number: int, *, served: bool) -> None:
         attempt = owner.waiting.pop(number)
         admitted = list(owner.queue.finish(number, now=self._now))
         load = owner.load(self._now)
@@ -374,7 +319,7 @@
 
     # The fleet.
 
-    def _make_nodes(self) -> list[_Node]:
+    def _make_nodes(self) -> list[Node]:
         pattern = self.pattern
         count = pattern.data_centres * sum(pattern.owners.values())
         nodes = []
@@ -387,7 +332,7 @@
                     name = f"{service}-{data_centre}-{number}"
                     balancer = Balancer(random.Random(self._rng.random()))
                     nodes.append(
-                        _Node(
+                        Node(
                             name,
                             data_centre,
                             service,
@@ -403,14 +348,14 @@
                     )
         return nodes
 
-    def _make_views(self, node: _Node) -> None:
+    def _make_views(self, node: Node) -> None:
         for other in self._nodes:
             near = other.data_centre == node.data_centre
             view = OwnerView(other.name, local=other is node, near=near)
             view.take_report(other.load(0.0), now=0.0)
             node.views.setdefault(other.service, []).append(view)
 
-    def _beacon(self, node: _Node) -> None:
+    def _beacon(self, node: Node) -> None:
         self._after(BEACON_PERIOD_S, lambda: self._beacon(node))
         far = [n for n in self._nodes if n.data_centre != node.data_centre]
         told = [n for n in self._nodes if n.data_centre == node.data_centre]
--- /dev/null
+++ b/bench/fleet_node.py
@@ -0,0 +1,88 @@
+"""Nodes of a simulated fleet, and what is under way at them."""
+
+from collections.abc import Callable
+
+import attrs
+
+from bench.fleet_load import Kind
+from guavawing.traffic.balancer import Balancer, OwnerView
+from guavawing.traffic.budget import RetryBudget
+from guavawing.traffic.failures import FailureShare
+from guavawing.traffic.model import LoadReport, TargetPhase
+from guavawing.traffic.patience import Patience
+from guavawing.traffic.slot_queue import SlotQueue
+
+__all__ = ["Attempt", "Node", "Request"]
+
+
+@attrs.define(eq=False)
+class Node:
+    """A node with its target, and what it knows of others.
+
+    Attributes:
+        name: Its name.
+        data_centre: Number of its data centre.
+        service: Service of its target.
+        speed: Speed of the target; 1 is usual.
+        queue: Slots of the target.
+        balancer: Chooses owners for the clients of its VM.
+        budget: Its part of the retry budgets.
+        failures: Share of failures by service.
+        patience: How long clients have been trying.
+        views: Owners that it knows, by service.
+        slowdown: Factor of the time of executions.
+        refused: Share of requests that the target refuses unexecuted.
+        waiting: Attempts at the target, by number.
+    """
+
+    name: str
+    data_centre: int
+    service: str
+    speed: float
+    queue: SlotQueue
+    balancer: Balancer
+    budget: RetryBudget
+    failures: FailureShare = attrs.field(factory=FailureShare)
+    patience: Patience = attrs.field(factory=Patience)
+    views: dict[str, list[OwnerView]] = attrs.field(factory=dict)
+    slowdown: float = 1.0
+    refused: float = 0.0
+    waiting: dict[int, "Attempt"] = attrs.field(factory=dict)
+
+    def load(self, now: float) -> LoadReport:
+        """Returns what it tells of its target at a time, in seconds."""
+        known = self.queue.knows_service_time
+        return LoadReport(
+            TargetPhase.READY,
+            self.queue.slots,
+            self.queue.running,
+            self.queue.queued,
+            self.queue.service_s if known else 0.0,
+            self.queue.refused_share,
+            kind_s=dict(self.queue.kind_s),
+        )
+
+
+@attrs.define(eq=False)
+class Request:
+    """One try of a client, or a call of a target."""
+
+    kind: Kind
+    entry: Node
+    deadline: float
+    useful_until: float
+    late: bool
+    on_end: Callable[[bool, float | None], None]
+    urgent: bool
+    asked: list[str] = attrs.field(factory=list)
+    sent: int = 0
+    retry_after_s: float | None = None
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """A request at one owner."""
+
+    request: Request
+    view: OwnerView
+    owner: Node
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -168,7 +168,7 @@
             ask_peer=lambda peer, version: self._mesh.ask_config(
                 peer.record.host, peer.record.mesh_port, version
             ),
-            reads_store=self._reads_configuration,
+            reads_store=lambda: self._is_reader(CONFIGURATION_READERS),
             log=self._log,
             metrics=self._metrics,
         )
@@ -388,9 +388,6 @@
     def _read_config(self, version: int) -> tuple[int, bytes] | None:
         return self._configuration.read_config(version)
 
-    def _reads_configuration(self) -> bool:
-        return self._is_reader(CONFIGURATION_READERS)
-
     def _is_reader(self, readers: int) -> bool:
         host = self._settings.host
         return is_reader(host, self._peers.near(), readers=readers)
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -12,7 +12,7 @@
     read_caller_head,
 )
 from guavawing.sidecar.decision_log import DecisionLog
-from guavawing.sidecar.http_connection import HttpRequest
+from guavawing.sidecar.http_request import HttpRequest
 from guavawing.sidecar.mesh_client import MeshClient
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.owner import Owner
--- a/src/guavawing/sidecar/http_connection.py
+++ b/src/guavawing/sidecar/http_connection.py
@@ -8,12 +8,13 @@
 
 from guavawing.errors import RequestUnreadableError
 from guavawing.platform.headers import build_refusal
+from guavawing.sidecar.http_request import HttpRequest
 from guavawing.sidecar.link_pacer import LARGE_BYTES, LinkPacer
 from guavawing.sidecar.request_reader import PARSED_BYTES, RequestReader
 from guavawing.traffic.model import ClientLimits
-from guavawing.traffic.pipeline import Exchange, Pipeline
+from guavawing.traffic.pipeline import Pipeline
 
-__all__ = ["HttpRequest", "ServerConnection", "ServerState"]
+__all__ = ["ServerConnection", "ServerState"]
 
 REQUEST_TIMEOUT = 408
 # Time beyond a limit after which a connection is closed, in seconds: a
@@ -32,54 +33,6 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-@attrs.define(eq=False)
-class HttpRequest:
-    """One request, whole.
-
-    Attributes:
-        conn: Connection that it came on.
-        method: HTTP method.
-        path: Path with its query, as it was sent.
-        headers: Names and values, as they were sent.
-        body: Whole body.
-        arrived_at: Event loop's time at which its last byte came.
-        on_gone: Is called once if the client goes away before the answer.
-    """
-
-    conn: "ServerConnection"
-    method: bytes
-    path: bytes
-    headers: list[tuple[bytes, bytes]]
-    body: bytes
-    arrived_at: float
-    on_gone: Callable[[], None] | None = None
-    _exchange: "Exchange[HttpRequest] | None" = None
-
-    @property
-    def size(self) -> int:
-        """Bytes that the request takes in memory, roughly."""
-        head = sum(len(name) + len(value) for name, value in self.headers)
-        return len(self.path) + head + len(self.body)
-
-    def keeps_open(self, *, refused: bool = False) -> bool:
-        """Returns whether the connection outlives the answer.
-
-        Args:
-            refused: Whether the answer is a refusal. Clients return on a new
-                connection, so this one would only be idle.
-        """
-        return self.conn.keeps_open(self, refused=refused)
-
-    def respond(self, payload: bytes, *, closes: bool = False) -> None:
-        """Answers the request.
-
-        Args:
-            payload: Bytes of the whole answer.
-            closes: Whether the answer says that the connection is closed.
-        """
-        self.conn.respond(self, payload, closes=closes)
-
-
 @attrs.define(eq=False)
 class ServerState:
     """What the connections of one server share.
@@ -181,7 +134,7 @@
         self, request: HttpRequest, payload: bytes, *, closes: bool
     ) -> None:
         """Answers a request, once all before it have been answered."""
-        exchange = request._exchange
+        exchange = request.exchange
         if self._transport is None or exchange is None:
             return
         self._pipeline.answer(exchange, payload, closes=closes)
@@ -195,7 +148,7 @@
         may_stay = not self._refused and len(server.connections) <= most
         if may_stay and not server.leaving:
             return True
-        exchange = request._exchange
+        exchange = request.exchange
         return exchange is not None and self._pipeline.has_begun_behind(
             exchange
         )
@@ -400,7 +353,7 @@
         now = self._loop.time()
         request = HttpRequest(self, method, path, headers, body, now)
         self._server.last_request_at = now
-        request._exchange = self._pipeline.add(request, request.size)
+        request.exchange = self._pipeline.add(request, request.size)
         self._go_on()
 
     def _give_leave(self) -> None:
@@ -416,6 +369,6 @@
             return
         payload = build_refusal(status, b"", closes=True)
         request = HttpRequest(self, b"", b"", [], b"", 0.0)
-        exchange = request._exchange = self._pipeline.add(request, 0)
+        exchange = request.exchange = self._pipeline.add(request, 0)
         exchange.begun = True
         self.respond(request, payload, closes=True)
--- a/src/guavawing/sidecar/http_server.py
+++ b/src/guavawing/sidecar/http_server.py
@@ -4,11 +4,8 @@
 from collections.abc import Callable
 
 from guavawing.node.listener import Listener
-from guavawing.sidecar.http_connection import (
-    HttpRequest,
-    ServerConnection,
-    ServerState,
-)
+from guavawing.sidecar.http_connection import ServerConnection, ServerState
+from guavawing.sidecar.http_request import HttpRequest
 from guavawing.sidecar.link_pacer import LinkPacer
 
 __all__ = ["HttpServer"]
--- a/src/guavawing/sidecar/local_calls.py
+++ b/src/guavawing/sidecar/local_calls.py
@@ -11,7 +11,7 @@
     decode_heartbeat,
 )
 from guavawing.sidecar.decision_log import DecisionLog
-from guavawing.sidecar.http_connection import HttpRequest
+from guavawing.sidecar.http_request import HttpRequest
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.target_state import TargetState
--- a/src/guavawing/sidecar/transfer.py
+++ b/src/guavawing/sidecar/transfer.py
@@ -7,7 +7,7 @@
 
 from guavawing.platform.headers import build_answer, build_refusal
 from guavawing.sidecar.decision_log import DecisionLog
-from guavawing.sidecar.http_connection import HttpRequest
+from guavawing.sidecar.http_request import HttpRequest
 from guavawing.sidecar.mesh_client import MeshClient, MeshTicket
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.owner import Owner
--- a/tests/steps/transfer_steps.py
+++ b/tests/steps/transfer_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from guavawing.sidecar.decision_log import DecisionLog
-from guavawing.sidecar.http_connection import HttpRequest
+from guavawing.sidecar.http_request import HttpRequest
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.transfer import EntryParts, Transfer
 from guavawing.traffic.balancer import Balancer, OwnerView
