Read the beacons of an earlier release

Cause: a beacon without doubts was taken for an unreadable one, so that a fleet would have to be updated in one go. Older nodes leave out the new field.

--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -210,7 +210,8 @@
             bool(fields[12]),
             _read_departure(fields[13]),
             _read_departure(fields[14]),
-            tuple(_text(host) for host in fields[15]),
+            # Nodes of an earlier release tell no doubts.
+            tuple(_text(host) for host in fields[15:16] and fields[15]),
         )
     except (AttributeError, IndexError, TypeError, ValueError) as exc:
         raise MessageInvalidError(f"not a beacon: {exc}") from exc
--- a/tests/cover/beacons.feature
+++ b/tests/cover/beacons.feature
@@ -19,3 +19,8 @@
     When a peer tells of its target's departure and is then replaced
     And the replaced peer asks for what is known
     Then it is told of the departure
+
+  Scenario: The beacon of an earlier release is read
+    Given a node that has just started beside a target
+    When a beacon without doubts comes from a peer
+    Then it asks this peer for what it knows
--- a/tests/steps/beacon_steps.py
+++ b/tests/steps/beacon_steps.py
@@ -3,6 +3,7 @@
 import itertools
 
 import attrs
+import msgpack
 from behave import given, then, when
 
 from guavawing.sidecar.beacons import Beacons
@@ -80,6 +81,18 @@
     context.run(hear(context))
 
 
+@when("a beacon without doubts comes from a peer")
+def step_old_beacon(context):
+    async def hear_old():
+        beacon = Beacon(PEER, 1, 1, IDLE, False, 0, True)
+        fields = msgpack.unpackb(encode_beacon(beacon))
+        context.beacons.datagram_received(
+            msgpack.packb(fields[:-1]), (PEER.host, PORT)
+        )
+
+    context.run(hear_old())
+
+
 async def find(context):
     # A row does not tell the start of the process.
     row = attrs.evolve(PEER, incarnation=0)
