--- a/tests/steps/drain_steps.py
+++ b/tests/steps/drain_steps.py
@@ -60,7 +60,7 @@
             return await resp.read()
 
     body = context.run(read())
-    assert body == make_answer(b"slow", count), len(body)
+    assert body == make_answer(b"slow", count), (len(body), body[:200])
 
 
 @then('"{name}" ends with exit code {code:d}')
