Name the class of a target's process after what it holds

The class Departure holds the id and the start of a target's process. What a target says of itself in answers is to be kept for that process too, so the class is named Incarnation. No behaviour changes.

--- a/src/guavawing/sidecar/beacons.py
+++ b/src/guavawing/sidecar/beacons.py
@@ -25,7 +25,7 @@
 )
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.traffic.model import (
-    Departure,
+    Incarnation,
     LoadReport,
     PeerRecord,
 )
@@ -67,9 +67,9 @@
         peers: PeerTable,
         read_load: Callable[[], LoadReport],
         on_peer: Callable[[Peer], None],
-        read_departure: Callable[[], Departure | None],
+        read_departure: Callable[[], Incarnation | None],
         on_slots: Callable[[int], None],
-        on_departure: Callable[[Departure], None],
+        on_departure: Callable[[Incarnation], None],
         log: DecisionLog,
         metrics: SidecarMetrics,
     ) -> None:
@@ -297,7 +297,7 @@
         *,
         reply_requested: bool = False,
         known_slots: int = 0,
-        known_departure: Departure | None = None,
+        known_departure: Incarnation | None = None,
         suspects: tuple[str, ...] = (),
     ) -> bytes:
         self._sequence += 1
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -35,7 +35,7 @@
 from guavawing.sidecar.target_probe import TargetProbe
 from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.model import (
-    Departure,
+    Incarnation,
     LoadReport,
     PeerRecord,
     Routing,
@@ -378,7 +378,7 @@
         if self._target.apply_peer_slots(slots):
             self._owner.handle_target_change()
 
-    def _handle_known_departure(self, departure: Departure) -> None:
+    def _handle_known_departure(self, departure: Incarnation) -> None:
         now = self._loop.time()
         if self._target.apply_known_departure(departure, now=now):
             self._owner.handle_target_change()
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -18,7 +18,7 @@
 )
 from guavawing.traffic.model import (
     Attempt,
-    Departure,
+    Incarnation,
     LoadReport,
     Outcome,
     PeerRecord,
@@ -313,17 +313,17 @@
     )
 
 
-def _encode_departure(departure: Departure | None) -> tuple[str, int] | None:
+def _encode_departure(departure: Incarnation | None) -> tuple[str, int] | None:
     if departure is None:
         return None
     return departure.target_id, departure.born_ms
 
 
-def _decode_departure(fields: Any) -> Departure | None:
+def _decode_departure(fields: Any) -> Incarnation | None:
     if fields is None:
         return None
     target_id, born_ms = fields
-    return Departure(_text(target_id), _number(born_ms))
+    return Incarnation(_text(target_id), _number(born_ms))
 
 
 def _number(value: Any) -> int:
--- a/src/guavawing/sidecar/mesh_messages.py
+++ b/src/guavawing/sidecar/mesh_messages.py
@@ -4,7 +4,7 @@
 
 from guavawing.traffic.model import (
     Attempt,
-    Departure,
+    Incarnation,
     LoadReport,
     Outcome,
     PeerRecord,
@@ -103,8 +103,8 @@
             beacon; 0 if unknown. A process that has just started uses them
             until the next heartbeat of its target.
         reaches_store: Whether the store answers the sender.
-        departure: Departure that the sender's target has announced, if any.
-        known_departure: Departure of the receiver's target, as announced by
+        departure: Incarnation that the sender's target has announced, if any.
+        known_departure: Incarnation of the receiver's target, as announced by
             the receiver's last beacon, if any.
         suspects: Hosts of nodes that did not answer the sender.
     """
@@ -116,8 +116,8 @@
     reply_requested: bool
     known_slots: int
     reaches_store: bool
-    departure: Departure | None = None
-    known_departure: Departure | None = None
+    departure: Incarnation | None = None
+    known_departure: Incarnation | None = None
     suspects: tuple[str, ...] = ()
 
 
--- a/src/guavawing/traffic/model.py
+++ b/src/guavawing/traffic/model.py
@@ -11,7 +11,7 @@
 __all__ = [
     "Attempt",
     "ClientLimits",
-    "Departure",
+    "Incarnation",
     "LoadReport",
     "Outcome",
     "PeerRecord",
@@ -137,11 +137,11 @@
 
 
 @attrs.frozen
-class Departure:
-    """Announced departure of a target.
+class Incarnation:
+    """One process of a target.
 
     Attributes:
-        target_id: Id of the target's incarnation.
+        target_id: Id under which it runs; a later process may have it too.
         born_ms: Start of its process, Unix time in milliseconds; 0 if not
             given.
     """
--- a/src/guavawing/traffic/peers.py
+++ b/src/guavawing/traffic/peers.py
@@ -6,7 +6,7 @@
 
 from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.model import (
-    Departure,
+    Incarnation,
     LoadReport,
     PeerRecord,
 )
@@ -53,7 +53,7 @@
     last_seen_at: float | None = None
     sequence: int = -1
     slots: int = 0
-    departure: Departure | None = None
+    departure: Incarnation | None = None
     reaches_store: bool = True
     beacon_requested: bool = False
 
--- a/src/guavawing/traffic/target_state.py
+++ b/src/guavawing/traffic/target_state.py
@@ -1,7 +1,7 @@
 """State of the target beside a node, derived mainly from its heartbeats."""
 
 from guavawing.model import Address
-from guavawing.traffic.model import Departure, TargetPhase, TargetReport
+from guavawing.traffic.model import Incarnation, TargetPhase, TargetReport
 
 __all__ = ["TargetState"]
 
@@ -48,17 +48,17 @@
         self._born_ms = 0
         self._sequence = -1
         self._cold_until = 0.0
-        self._departures: dict[Departure, float] = {}
+        self._departures: dict[Incarnation, float] = {}
         self.target_id = ""
         self.slots = 0
         self.phase = TargetPhase.UNKNOWN
         self.draining_since: float | None = None
 
     @property
-    def departure(self) -> Departure | None:
+    def departure(self) -> Incarnation | None:
         """Announced departure of the latest target, if any."""
         if self.draining_since is not None:
-            return Departure(self.target_id, self._born_ms)
+            return Incarnation(self.target_id, self._born_ms)
         if self.phase is TargetPhase.UNKNOWN and self._departures:
             return next(reversed(self._departures))
         return None
@@ -134,7 +134,7 @@
         return True
 
     def apply_known_departure(
-        self, departure: Departure, *, now: float
+        self, departure: Incarnation, *, now: float
     ) -> bool:
         """Applies a departure announced to an earlier process of this node.
 
@@ -161,11 +161,11 @@
         if target_id != self.target_id:
             # This process started after the target's last heartbeat, so the
             # target's start time is unknown.
-            self._record_departure(Departure(target_id, 0), now)
+            self._record_departure(Incarnation(target_id, 0), now)
             return False
         if self.phase is TargetPhase.GONE:
             return False
-        self._record_departure(Departure(target_id, self._born_ms), now)
+        self._record_departure(Incarnation(target_id, self._born_ms), now)
         before = self.phase
         self._start_draining(now)
         return before is not self.phase
@@ -182,15 +182,15 @@
         return True
 
     def _supersedes(self, report: TargetReport, now: float) -> bool:
-        departure = Departure(report.id, report.born_ms)
+        departure = Incarnation(report.id, report.born_ms)
         if report.born_ms and departure in self._departures:
             return False
-        left_at = self._departures.get(Departure(report.id, 0))
+        left_at = self._departures.get(Incarnation(report.id, 0))
         if left_at is not None and now - left_at < LATE_HEARTBEAT_S:
             return False
         return not self.target_id or report.born_ms >= self._born_ms
 
-    def _record_departure(self, departure: Departure, now: float) -> None:
+    def _record_departure(self, departure: Incarnation, now: float) -> None:
         self._departures[departure] = now
         if len(self._departures) > MAX_DEPARTURES:
             del self._departures[next(iter(self._departures))]
--- a/tests/steps/beacon_steps.py
+++ b/tests/steps/beacon_steps.py
@@ -13,7 +13,7 @@
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.model import (
-    Departure,
+    Incarnation,
     LoadReport,
     PeerRecord,
     TargetPhase,
@@ -24,7 +24,7 @@
 OWN_RECORD = PeerRecord("a1", "10.0.0.1", 7001, "east", "desk", 1_000)
 PEER_RECORD = PeerRecord("a2", "10.0.0.2", 7001, "east", "desk", 900)
 IDLE = LoadReport(TargetPhase.READY, 8, 0, 0, 0.0)
-DEPARTURE = Departure("t1", 500)
+DEPARTURE = Incarnation("t1", 500)
 
 
 class MemoryTransport:
--- a/tests/steps/traffic_state_steps.py
+++ b/tests/steps/traffic_state_steps.py
@@ -22,7 +22,7 @@
 from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.document_delta import apply_delta, make_delta
 from guavawing.traffic.model import (
-    Departure,
+    Incarnation,
     LoadReport,
     PeerRecord,
     TargetPhase,
@@ -73,7 +73,7 @@
 
 @when('a peer reports the departure of "{target_id}", born {born:d}')
 def step_peer_departure(context, target_id, born):
-    departure = Departure(target_id, born)
+    departure = Incarnation(target_id, born)
     context.target.apply_known_departure(departure, now=1.0)
 
 
@@ -96,7 +96,7 @@
 @then('the announced departure is that of "{target_id}", born {born:d}')
 def step_announced_departure(context, target_id, born):
     departure = context.target.departure
-    assert departure == Departure(target_id, born), departure
+    assert departure == Incarnation(target_id, born), departure
 
 
 @then('a health check answered by "{target_id}" is ignored')
--- a/tests/traffic_sessions.py
+++ b/tests/traffic_sessions.py
@@ -8,7 +8,7 @@
 from guavawing.model import Address
 from guavawing.traffic.balancer import Balancer, OwnerView
 from guavawing.traffic.model import (
-    Departure,
+    Incarnation,
     LoadReport,
     TargetPhase,
     TargetReport,
@@ -54,7 +54,7 @@
     apply_heartbeat(1.2, "i-1", 1000, 6)
     state = TargetState("desk", ADDRESS)
     lines.append("the process starts again")
-    departure = Departure("i-1", 1000)
+    departure = Incarnation("i-1", 1000)
     add_line(
         2.0,
         "a peer knows that i-1 leaves",
