Log and count what a target states about itself in its answers

Server-Limit and Server-Leaving are decoded in the platform adapter; bad values (missing, doubled, nan, inf, negative, too long) are logged and counted and have no other effect. The owner logs target-limit, target-leaving and target-notice-unreadable; guavawing_target_limit is on the metrics address.

--- a/src/guavawing/platform/headers.py
+++ b/src/guavawing/platform/headers.py
@@ -5,6 +5,9 @@
 
 import attrs
 
+from guavawing.platform.target_notices import NO_NOTICE, decode_notice
+from guavawing.traffic.model import TargetNotice
+
 __all__ = [
     "NOT_RUN_STATUSES",
     "AnswerHead",
@@ -85,6 +88,7 @@
             in seconds; None if missing.
         framed: Whether the body has a defined end other than the close of
             the connection.
+        notice: What the target states about itself.
         forwarded: Header lines to forward, each with its line end.
     """
 
@@ -94,6 +98,7 @@
     closes: bool
     idle_timeout_s: float | None
     framed: bool
+    notice: TargetNotice
     forwarded: bytes
 
 
@@ -177,6 +182,8 @@
     signed = not_executed = False
     framed = status in _BODILESS_STATUSES
     idle_timeout_s = None
+    limits: list[bytes] = []
+    leaving: list[bytes] = []
     dropped = _find_hop_by_hop_headers(headers)
     lines: list[bytes] = []
     for name, value in headers:
@@ -196,7 +203,12 @@
             signed = True
         elif lower == b"x-not-executed":
             not_executed = True
+        elif lower == b"server-limit":
+            limits.append(value)
+        elif lower == b"server-leaving":
+            leaving.append(value)
         lines += (name, b": ", value, b"\r\n")
+    stated = limits or leaving
     return AnswerHead(
         request_id,
         signed,
@@ -204,6 +216,7 @@
         b"close" in dropped,
         idle_timeout_s,
         framed,
+        decode_notice(limits, leaving) if stated else NO_NOTICE,
         b"".join(lines),
     )
 
--- a/src/guavawing/sidecar/metrics.py
+++ b/src/guavawing/sidecar/metrics.py
@@ -82,6 +82,11 @@
         self.peers = self._gauge(
             "guavawing_peers", "Other nodes that are known, by state."
         )
+        self._target_limit = self._gauge(
+            "guavawing_target_limit",
+            "Requests per second that the target accepts; -1 without a limit.",
+        )
+        self.set_target_limit(None)
         self.log_lines_left_out = self._gauge(
             "guavawing_log_lines_left_out", "Log lines that were not written."
         )
@@ -118,6 +123,10 @@
         """Records the execution time at the target."""
         self._target.observe(seconds)
 
+    def set_target_limit(self, per_s: float | None) -> None:
+        """Sets the limit that the target has named; None without a limit."""
+        self._target_limit.set({}, -1.0 if per_s is None else per_s)
+
     def render(self) -> bytes:
         """Returns all series in the text format."""
         for counter in (
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -12,8 +12,10 @@
 from guavawing.sidecar.target_pool import Execution, TargetPool
 from guavawing.traffic.model import (
     Attempt,
+    Incarnation,
     LoadReport,
     Outcome,
+    TargetNotice,
     TargetPhase,
 )
 from guavawing.traffic.slot_queue import (
@@ -99,6 +101,10 @@
         self._queue = SlotQueue()
         self._pending: dict[int, _PendingAttempt] = {}
         self._ids = itertools.count(1)
+        # Last logged unreadable statement of the target, and the last process
+        # of which a statement that it leaves was logged.
+        self._logged_unreadable = ""
+        self._logged_leaving: Incarnation | None = None
         self.stopping = False
         self.on_phase: Callable[[], None] = lambda: None
 
@@ -230,12 +236,50 @@
             return
         pending.sent_at = self._loop.time()
         self._metrics.observe_queue(pending.sent_at - pending.offered_at)
+        incarnation = self._state.incarnation
         pending.execution = self._pool.execute(
             pending.attempt,
-            target_id=self._state.target_id,
+            target_id=incarnation.target_id,
             on_end=lambda _, outcome: self._finish(pending, outcome),
+            on_notice=lambda notice, sent_at: self._apply_notice(
+                notice, incarnation, sent_at
+            ),
         )
 
+    def _apply_notice(
+        self, notice: TargetNotice, incarnation: Incarnation, sent_at: float
+    ) -> None:
+        """Applies what the target states about itself in an answer."""
+        if notice.unreadable and notice.unreadable != self._logged_unreadable:
+            self._logged_unreadable = notice.unreadable
+            self._log.state_change(
+                "target-notice-unreadable",
+                target=incarnation.target_id,
+                value=notice.unreadable,
+            )
+        if notice.unreadable:
+            self._metrics.unreadable.inc({"source": "answer"})
+        if notice.leaving and incarnation != self._logged_leaving:
+            self._logged_leaving = incarnation
+            self._log.state_change(
+                "target-leaving", target=incarnation.target_id
+            )
+        now = self._loop.time()
+        before = self._state.limit_per_s
+        changed = self._state.apply_notice(
+            notice, incarnation=incarnation, sent_at=sent_at, now=now
+        )
+        if changed:
+            limit = self._state.limit_per_s
+            self._metrics.set_target_limit(limit)
+            self._log.state_change(
+                "target-limit",
+                target=incarnation.target_id,
+                per_s=limit,
+                before=before,
+                asked_s=round(now - sent_at, 3),
+            )
+
     def _find_late_refusal(self, pending: _PendingAttempt) -> NotRun | None:
         """Returns a refusal if a queued attempt must no longer be sent."""
         now = self._loop.time()
--- a/src/guavawing/sidecar/target_pool.py
+++ b/src/guavawing/sidecar/target_pool.py
@@ -19,8 +19,8 @@
     HttpReply,
     ResponseHandler,
 )
-from guavawing.traffic.model import Attempt, Outcome
-from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
+from guavawing.traffic.model import Attempt, Outcome, TargetNotice
+from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason, Verdict
 
 __all__ = ["Execution", "TargetPool"]
 
@@ -56,14 +56,19 @@
     Attributes:
         attempt: The attempt.
         on_end: Called exactly once with the outcome.
+        on_notice: Called with what the target states about itself in its
+            answer, and the time at which the request was sent.
         conn: Connection on which it was sent; None before that.
+        sent_at: Event loop's time at which it was sent, in seconds.
         timer: Timeout of the answer.
         ended: Whether the outcome is known.
     """
 
     attempt: Attempt
     on_end: Callable[["Execution", Outcome], None]
+    on_notice: Callable[[TargetNotice, float], None]
     conn: ClientConnection | None = None
+    sent_at: float = 0.0
     timer: asyncio.TimerHandle | None = None
     ended: bool = False
 
@@ -105,6 +110,7 @@
         *,
         target_id: str,
         on_end: Callable[[Execution, Outcome], None],
+        on_notice: Callable[[TargetNotice, float], None],
     ) -> Execution:
         """Sends an attempt to the target.
 
@@ -112,8 +118,11 @@
             attempt: The attempt.
             target_id: Id of the target that must execute it.
             on_end: Called exactly once with the outcome.
+            on_notice: Called before `on_end` if that target has answered, with
+                what it states about itself and the event loop's time at which
+                the attempt was sent, in seconds.
         """
-        execution = Execution(attempt, on_end)
+        execution = Execution(attempt, on_end, on_notice)
         conn = self._pop_idle(idempotent=attempt.idempotent)
         if conn is not None:
             self._send(execution, conn, target_id)
@@ -185,6 +194,7 @@
             execution.end(Outcome(NotRun(Reason.DEADLINE_PASSED)))
             return
         execution.conn = conn
+        execution.sent_at = self._loop.time()
         execution.timer = self._loop.call_later(
             left_s + ANSWER_MARGIN_S, self._time_out, execution
         )
@@ -219,7 +229,10 @@
             self._idle.append(conn)
         elif conn.usable:
             conn.close()
-        execution.end(_classify_reply(reply, head))
+        outcome = _classify_reply(reply, head)
+        if not execution.ended and _is_from_target(outcome.verdict):
+            execution.on_notice(head.notice, execution.sent_at)
+        execution.end(outcome)
 
     def _time_out(self, execution: Execution) -> None:
         if execution.conn is not None:
@@ -237,6 +250,14 @@
             self._idle.remove(conn)
 
 
+def _is_from_target(verdict: Verdict) -> bool:
+    """Returns whether an answer is one of the target that was asked."""
+    match verdict:
+        case Ran() | NotRun(reason=Reason.TARGET_SHED):
+            return True
+    return False
+
+
 def _classify_reply(reply: HttpReply, head: AnswerHead) -> Outcome:
     """Returns the outcome that an answer of the target represents."""
     if reply.status == MISDIRECTED:
--- a/src/guavawing/traffic/model.py
+++ b/src/guavawing/traffic/model.py
@@ -19,6 +19,7 @@
     "Routing",
     "ServiceSpec",
     "SplitPart",
+    "TargetNotice",
     "TargetPhase",
     "TargetReport",
 ]
@@ -150,6 +151,24 @@
     born_ms: int
 
 
+@attrs.frozen
+class TargetNotice:
+    """What a target states about itself in the headers of an answer.
+
+    Attributes:
+        names_limit: Whether it names a limit, readable or not.
+        limit_per_s: Requests per second that it accepts from all nodes
+            together; None if it names no limit or an unreadable one.
+        leaving: Whether it states that it leaves.
+        unreadable: Names and values of headers that could not be read.
+    """
+
+    names_limit: bool = False
+    limit_per_s: float | None = None
+    leaving: bool = False
+    unreadable: str = ""
+
+
 @attrs.frozen
 class LoadReport:
     """Load of one target as its node measures it.
--- a/src/guavawing/traffic/target_state.py
+++ b/src/guavawing/traffic/target_state.py
@@ -1,7 +1,12 @@
 """State of the target beside a node, derived mainly from its heartbeats."""
 
 from guavawing.model import Address
-from guavawing.traffic.model import Incarnation, TargetPhase, TargetReport
+from guavawing.traffic.model import (
+    Incarnation,
+    TargetNotice,
+    TargetPhase,
+    TargetReport,
+)
 
 __all__ = ["TargetState"]
 
@@ -24,6 +29,8 @@
     Attributes:
         target_id: Id of the current incarnation; empty if none is known.
         slots: Requests that the target executes concurrently.
+        limit_per_s: Requests per second that it accepts from all nodes
+            together, as named in its answers; None without a limit.
         phase: Phase of the target; it accepts requests in `READY`.
         draining_since: Event loop's time at which it began to drain, in
             seconds; None if it does not.
@@ -34,9 +41,11 @@
         "_born_ms",
         "_cold_until",
         "_departures",
+        "_limit_named_at",
         "_sequence",
         "_service",
         "draining_since",
+        "limit_per_s",
         "phase",
         "slots",
         "target_id",
@@ -49,16 +58,23 @@
         self._sequence = -1
         self._cold_until = 0.0
         self._departures: dict[Incarnation, float] = {}
+        self._limit_named_at = 0.0
         self.target_id = ""
         self.slots = 0
+        self.limit_per_s: float | None = None
         self.phase = TargetPhase.UNKNOWN
         self.draining_since: float | None = None
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The current process of the target."""
+        return Incarnation(self.target_id, self._born_ms)
+
     @property
     def departure(self) -> Incarnation | None:
         """Announced departure of the latest target, if any."""
         if self.draining_since is not None:
-            return Incarnation(self.target_id, self._born_ms)
+            return self.incarnation
         if self.phase is TargetPhase.UNKNOWN and self._departures:
             return next(reversed(self._departures))
         return None
@@ -92,6 +108,7 @@
         before = (self.target_id, self._born_ms, self.phase, self.slots)
         if not same:
             self.draining_since = None
+            self.limit_per_s = None
             self.phase = TargetPhase.UNKNOWN
         self.target_id = report.id
         self._born_ms = report.born_ms
@@ -170,6 +187,38 @@
         self._start_draining(now)
         return before is not self.phase
 
+    def apply_notice(
+        self,
+        notice: TargetNotice,
+        *,
+        incarnation: Incarnation,
+        sent_at: float,
+        now: float,
+    ) -> bool:
+        """Applies what a target states about itself in an answer.
+
+        Answers may arrive out of order, so a limit is dropped only by the
+        answer to a request that was sent after the limit was last named.
+
+        Args:
+            notice: The statements.
+            incarnation: Process of the target to which the request was sent.
+            sent_at: Event loop's time at which it was sent, in seconds.
+            now: Event loop's time, in seconds.
+
+        Returns:
+            Whether the limit changed.
+        """
+        if incarnation != self.incarnation:
+            return False
+        before = self.limit_per_s
+        if notice.limit_per_s is not None:
+            self.limit_per_s = notice.limit_per_s
+            self._limit_named_at = now
+        elif not notice.names_limit and sent_at >= self._limit_named_at:
+            self.limit_per_s = None
+        return before != self.limit_per_s
+
     def record_refused_connection(self) -> bool:
         """Records that nothing listens at the target's address.
 
--- a/tests/cover/headers.feature
+++ b/tests/cover/headers.feature
@@ -10,3 +10,50 @@
       | X-Hop: 1, Accept: a, Connection: X-Hop      | Accept: a |
       | X-Hop: 1, Connection: close, Accept: a      | X-Hop: 1, Accept: a |
       | Keep-Alive: timeout=5, TE: gzip, Accept: a  | Accept: a |
+
+  Scenario Outline: A limit that can't be read is reported and names no rate
+    When a target's answer has the headers "<headers>"
+    Then it names <limit> requests per second
+    And <unreadable> is reported as unreadable
+    And all of its headers are forwarded
+
+    Examples:
+      | headers                                | limit | unreadable |
+      | Server-Limit: 92                       | 92    | nothing    |
+      | server-limit: 10.799999999999999       | 10.8  | nothing    |
+      | Server-Limit: 0.5                      | 0.5   | nothing    |
+      | Server-Limit: 0                        | 0     | nothing    |
+      | Server-Limit: 1e-05                    | 1e-05 | nothing    |
+      | Server-Limit: 999999999999             | 1e12  | nothing    |
+      | Server-Limit: 1e99                     | 1e99  | nothing    |
+      | Server-Limit: 9, Server-Limit: 7       | 7     | nothing    |
+      | Server-Limit: 9, Server-Limit: x       | 9     | 'x'        |
+      | Server-Limit: 9;Server-Limit: 7        | no    | '9;Server-Limit: 7' |
+      | Server-Limit:                          | no    | ''         |
+      | Server-Limit: many                     | no    | 'many'     |
+      | Server-Limit: -1                       | no    | '-1'       |
+      | Server-Limit: nan                      | no    | 'nan'      |
+      | Server-Limit: inf                      | no    | 'inf'      |
+      | Server-Limit: 1e999                    | no    | '1e999'    |
+      | Server-Limit: 1_0                      | no    | '1_0'      |
+      | Server-Limit: 0x10                     | no    | '0x10'     |
+      | Server-Limit: 1111111111111111111111111111111 | no | '1111111111111111111111111111111' |
+
+  Scenario Outline: A departure that can't be read is reported and has no effect
+    When a target's answer has the headers "<headers>"
+    Then it <states> that the target leaves
+    And <unreadable> is reported as unreadable
+    And all of its headers are forwarded
+
+    Examples:
+      | headers                                  | states         | unreadable |
+      | Server-Leaving: 1                        | states         | nothing    |
+      | SERVER-LEAVING: 1                        | states         | nothing    |
+      | Server-Leaving: 1, Server-Leaving: 1     | states         | nothing    |
+      | Server-Leaving: 0, Server-Leaving: 1     | states         | nothing    |
+      | Server-Leaving: x, Server-Leaving: 1     | states         | 'x'        |
+      | Server-Leaving: 0                        | does not state | nothing    |
+      | Server-Leaving:                          | does not state | ''         |
+      | Server-Leaving: true                     | does not state | 'true'     |
+      | Server-Leaving: 11                       | does not state | '11'       |
+      | X-Other: 1                               | does not state | nothing    |
--- a/tests/steps/http_client_steps.py
+++ b/tests/steps/http_client_steps.py
@@ -246,6 +246,7 @@
             on_end=lambda _, outcome, name=name: context.outcomes.update(
                 {name: outcome}
             ),
+            on_notice=lambda *_: None,
         )
     async with asyncio.timeout(20):
         while len(context.outcomes) < count:
--- a/tests/steps/link_pacer_steps.py
+++ b/tests/steps/link_pacer_steps.py
@@ -163,8 +163,8 @@
 class SilentPool:
     """The pool of a target that never answers."""
 
-    def execute(self, attempt, *, target_id, on_end):
-        return Execution(attempt, on_end)
+    def execute(self, attempt, *, target_id, on_end, on_notice):
+        return Execution(attempt, on_end, on_notice)
 
 
 @given("an owner on a link of {rate:d} bytes a second")
--- a/tests/steps/sidecar_owner_steps.py
+++ b/tests/steps/sidecar_owner_steps.py
@@ -39,7 +39,7 @@
         self.sent = {}
         self.executions = {}
 
-    def execute(self, attempt, *, target_id, on_end):
+    def execute(self, attempt, *, target_id, on_end, on_notice):
         name = attempt.request_id.decode()
         self.sent[name] = asyncio.get_running_loop().time()
         self.executions[name] = MemoryExecution(on_end)
