--- a/standins/vm_target.py
+++ b/standins/vm_target.py
@@ -62,6 +62,8 @@
         max_running: Maximum number of concurrent requests.
         failed: Ids of requests already attempted, for the suffix `-once`, at
             any target that shares the set.
+        limit: Value of `Server-Limit` in its answers; empty for none.
+        leaving: Value of `Server-Leaving` in its answers; empty for none.
     """
 
     id: str
@@ -70,6 +72,8 @@
     running: int = 0
     max_running: int = 0
     failed: set[str] = attrs.field(factory=set)
+    limit: str = ""
+    leaving: str = ""
 
     def count(self, request_id: str) -> int:
         """Returns the number of executions of a request."""
@@ -174,6 +178,10 @@
         self, status: int, head: str, body: bytes, *, length: int = -1
     ) -> None:
         length = len(body) if length < 0 else length
+        if self._target.limit:
+            head += f"Server-Limit: {self._target.limit}\r\n"
+        if self._target.leaving:
+            head += f"Server-Leaving: {self._target.leaving}\r\n"
         lines = f"HTTP/1.1 {status} X\r\n{head}Content-Length: {length}\r\n\r\n"
         self._transport.write(lines.encode() + body)
 
--- /dev/null
+++ b/tests/processes/target_notices.feature
@@ -0,0 +1,27 @@
+@alone
+Feature: What a target states in its answers binds daemons
+
+  Background:
+    Given VMs of two data centres
+      | vm | data centre | service |
+      | a1 | bergen      | desk    |
+      | a2 | bergen      | feed    |
+      | b1 | voss        | feed    |
+
+  # Guards against a target that gets far more requests than the limit that it
+  # names, also after a restart of the daemon beside it.
+  Scenario: A target gets no more requests than it names, across a restart
+    Given target "a1" names a limit of 8 requests per second
+    When clients on "a1 a2 b1" send "/desk/safe/ok" 60 times a second for 9 s
+    And the daemon of "a1" is killed after 5 s and started again
+    Then in each 4 s from 1 s on target "a1" got at most 53 requests
+    And each that was refused got 503 with a Retry-After header
+
+  # Guards against requests at a target whose answers say that it leaves while
+  # its heartbeats don't, also after a restart of the daemon beside it.
+  Scenario: A target that states its departure gets no more requests
+    Given target "a1" states in its answers that it leaves
+    When clients on "a2 b1" send "/desk/safe/ok" 20 times a second for 7 s
+    And the daemon of "a1" is killed after 3 s and started again
+    Then target "a1" got no request later than 2 s after its first answer
+    And each that was refused got 503 with a Retry-After header
