Admit at the owner no more than the rate that its target names

Cause: an owner admitted by slots alone and passed the header Server-Limit on unread.

Change: the slot queue admits by a token bucket at the named rate too. A request waits for room like for a slot, and is refused as rate-limited with the time until there is some.

--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -256,7 +256,7 @@
                 self._refuse(owner, number, verdict.retry_after_s or 0.0)
 
     def _expire(self, owner: Node, number: int) -> None:
-        refusal = owner.queue.expire(number)
+        refusal = owner.queue.expire(number, now=self._now)
         if refusal is not None:
             self._refuse(owner, number, refusal.verdict.retry_after_s or 0.0)
 
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -101,6 +101,8 @@
         self._queue = SlotQueue()
         self._pending: dict[int, _PendingAttempt] = {}
         self._ids = itertools.count(1)
+        # Fires when the target's rate limit admits the next queued attempt.
+        self._limit_timer: asyncio.TimerHandle | None = None
         # Last logged unreadable statement of the target, and the last process
         # of which a statement that it leaves was logged.
         self._logged_unreadable = ""
@@ -138,10 +140,9 @@
 
     def handle_target_change(self) -> None:
         """Applies a change of the target's phase or slots."""
-        self._queue.slots = self._state.slots
         if self._state.phase is TargetPhase.GONE:
             self._pool.close_idle()
-        self._start(self._queue.admit_waiting(now=self._loop.time()))
+        self._apply_capacity()
         self.on_phase()
 
     def submit(
@@ -181,6 +182,7 @@
                 pending.timer = self._loop.call_at(
                     start_by, self._expire, pending.id
                 )
+                self._schedule_admission()
             case Refuse(verdict=verdict):
                 self._complete(pending, Outcome(verdict))
         return pending.id
@@ -270,16 +272,37 @@
             notice, incarnation=incarnation, sent_at=sent_at, now=now
         )
         if changed:
-            limit = self._state.limit_per_s
-            self._metrics.set_target_limit(limit)
+            self._apply_capacity()
             self._log.state_change(
                 "target-limit",
                 target=incarnation.target_id,
-                per_s=limit,
+                per_s=self._state.limit_per_s,
                 before=before,
                 asked_s=round(now - sent_at, 3),
             )
 
+    def _apply_capacity(self) -> None:
+        """Applies the target's slots and rate limit to the queue."""
+        limit_per_s = self._state.limit_per_s
+        self._queue.slots = self._state.slots
+        self._queue.set_limit(limit_per_s, now=self._loop.time())
+        self._metrics.set_target_limit(limit_per_s)
+        self._admit_waiting()
+
+    def _admit_waiting(self) -> None:
+        self._start(self._queue.admit_waiting(now=self._loop.time()))
+
+    def _schedule_admission(self) -> None:
+        """Sets the timer for the next attempt that the rate limit admits."""
+        if self._limit_timer is not None:
+            self._limit_timer.cancel()
+            self._limit_timer = None
+        admitted_at = self._queue.find_next_admission(now=self._loop.time())
+        if admitted_at is not None:
+            self._limit_timer = self._loop.call_at(
+                admitted_at, self._admit_waiting
+            )
+
     def _find_late_refusal(self, pending: _PendingAttempt) -> NotRun | None:
         """Returns a refusal if a queued attempt must no longer be sent."""
         now = self._loop.time()
@@ -322,9 +345,10 @@
     def _start(self, admitted: Iterable[Admit]) -> None:
         for admit in tuple(admitted):
             self._execute(self._pending[admit.id])
+        self._schedule_admission()
 
     def _expire(self, attempt_id: int) -> None:
-        refusal = self._queue.expire(attempt_id)
+        refusal = self._queue.expire(attempt_id, now=self._loop.time())
         if refusal is not None:
             self._complete(self._pending[attempt_id], Outcome(refusal.verdict))
 
--- a/src/guavawing/traffic/slot_queue.py
+++ b/src/guavawing/traffic/slot_queue.py
@@ -7,6 +7,9 @@
 than slots, those that can still be answered in time precede those that are
 already late: the throughput of the target is the same, and more answers are in
 time.
+
+A target may also name a rate limit. A request is then admitted only when both a
+slot and the rate allow it.
 """
 
 import bisect
@@ -16,6 +19,7 @@
 
 import attrs
 
+from guavawing.traffic.rate_limiter import RateLimiter
 from guavawing.verdict import NotRun, Reason
 
 __all__ = ["Admit", "Decision", "Queued", "Refuse", "SlotQueue", "Waiter"]
@@ -116,6 +120,7 @@
     __slots__ = (
         "_entries",
         "_executed",
+        "_limiter",
         "_number",
         "_numbers",
         "_running",
@@ -127,6 +132,7 @@
 
     def __init__(self) -> None:
         self.slots = 0
+        self._limiter: RateLimiter | None = None
         self.service_s = INITIAL_SERVICE_S
         self.kind_s: dict[int, float] = {}
         self._executed: collections.Counter[int] = collections.Counter()
@@ -152,13 +158,46 @@
         """Requests that wait for a slot."""
         return len(self._entries)
 
+    def set_limit(self, per_s: float | None, *, now: float) -> None:
+        """Sets the rate at which requests are admitted.
+
+        Args:
+            per_s: Requests per second; None for no limit.
+            now: Event loop's time, in seconds.
+        """
+        if per_s is None:
+            self._limiter = None
+        elif self._limiter is None:
+            self._limiter = RateLimiter(per_s, now=now)
+        else:
+            self._limiter.change_rate(per_s, now=now)
+
+    def find_limit_wait_s(self, *, now: float) -> float:
+        """Returns the time until the rate admits a new request, in seconds.
+
+        It is 0 without a limit, and negative if the rate admits it already.
+        """
+        if self._limiter is None:
+            return 0.0
+        return self._limiter.wait_s(now=now, ahead=len(self._entries))
+
+    def find_next_admission(self, *, now: float) -> float | None:
+        """Returns when the rate admits the next queued request.
+
+        It is the event loop's time, in seconds; None if no request is queued
+        or the queued ones wait for slots.
+        """
+        if self._limiter is None or not self._entries or not self._has_slot():
+            return None
+        return now + max(0.0, self._limiter.wait_s(now=now))
+
     def expect_service_s(self, kind: int) -> float:
         """Returns the expected slot time of a kind, in seconds."""
         return self.kind_s.get(kind, self.service_s)
 
     def estimate_wait_s(self, priority: int, *, late: bool) -> float:
         """Estimates the wait of a new request for a slot, in seconds."""
-        if len(self._running) < self.slots and not self._entries:
+        if self._has_slot() and not self._entries:
             return 0.0
         if self.slots <= 0:
             return NO_TARGET_RETRY_AFTER_S
@@ -179,17 +218,20 @@
         left_s = waiter.deadline - now
         if left_s <= 0:
             return Refuse(waiter.id, NotRun(Reason.DEADLINE_PASSED))
-        if len(self._running) < self.slots and not self._entries:
+        if not self._entries and self._has_slot() and self._has_room(now):
             self._running[waiter.id] = (now, waiter.kind)
             self._record_offer(waiter, refused=False)
             return Admit(waiter.id)
-        wait_s = self.estimate_wait_s(waiter.priority, late=waiter.late)
+        slot_wait_s = self.estimate_wait_s(waiter.priority, late=waiter.late)
+        limit_wait_s = self.find_limit_wait_s(now=now)
+        wait_s = max(slot_wait_s, limit_wait_s)
         max_wait_s = self._max_wait_s(waiter, now)
         if wait_s > max_wait_s or self.slots <= 0:
             self._record_offer(waiter, refused=True)
+            limited = limit_wait_s > slot_wait_s
+            reason = Reason.RATE_LIMITED if limited else Reason.QUEUE_FULL
             retry_after_s = max(wait_s - max_wait_s, MIN_RETRY_AFTER_S)
-            verdict = NotRun(Reason.QUEUE_FULL, retry_after_s)
-            return Refuse(waiter.id, verdict)
+            return Refuse(waiter.id, NotRun(reason, retry_after_s))
         self._record_offer(waiter, refused=False)
         self._number += 1
         entry = _Entry(
@@ -216,19 +258,22 @@
         return self.admit_waiting(now=now)
 
     def admit_waiting(self, *, now: float) -> Iterator[Admit]:
-        """Admits queued requests to the free slots and yields them."""
-        while self._entries and len(self._running) < self.slots:
+        """Admits queued requests as slots and rate allow and yields them."""
+        while self._entries and self._has_slot() and self._has_room(now):
             entry = self._entries.pop(0)
             del self._numbers[entry.id]
             self._running[entry.id] = (now, entry.kind)
             yield Admit(entry.id)
 
-    def expire(self, waiter_id: int) -> Refuse | None:
+    def expire(self, waiter_id: int, *, now: float) -> Refuse | None:
         """Refuses a request at the end of its wait; None if not queued."""
+        limited = self.find_next_admission(now=now) is not None
         if not self.discard(waiter_id):
             return None
-        verdict = NotRun(Reason.QUEUE_FULL, MIN_RETRY_AFTER_S)
-        return Refuse(waiter_id, verdict)
+        reason = Reason.RATE_LIMITED if limited else Reason.QUEUE_FULL
+        limit_wait_s = self.find_limit_wait_s(now=now)
+        retry_after_s = max(limit_wait_s, MIN_RETRY_AFTER_S)
+        return Refuse(waiter_id, NotRun(reason, retry_after_s))
 
     def discard(self, waiter_id: int) -> bool:
         """Removes a queued request; returns whether it was queued."""
@@ -238,6 +283,13 @@
         self._entries.remove(entry)
         return True
 
+    def _has_slot(self) -> bool:
+        return len(self._running) < self.slots
+
+    def _has_room(self, now: float) -> bool:
+        """Uses the room of the rate limit; returns False if there is none."""
+        return self._limiter is None or self._limiter.acquire(now=now)
+
     def _record_execution(self, kind: int, held_s: float) -> None:
         self._executed[kind] += 1
         # The first executions are averaged with equal weights, so that the mean
--- a/src/guavawing/verdict.py
+++ b/src/guavawing/verdict.py
@@ -32,6 +32,7 @@
     INTERNAL = "internal"
     # Refusals at the owner, before the target executed the request.
     QUEUE_FULL = "queue-full"
+    RATE_LIMITED = "rate-limited"
     CANNOT_MEET_DEADLINE = "cannot-meet-deadline"
     EVICTED = "evicted"
     DRAINING = "draining"
--- /dev/null
+++ b/tests/steps/target_limit_steps.py
@@ -0,0 +1,265 @@
+"""Steps about rate limits that a target names, on a paused clock."""
+
+import asyncio
+
+import attrs
+from behave import given, then, when
+
+from guavawing.model import parse_address
+from guavawing.platform.target_notices import decode_notice
+from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.link_pacer import LinkPacer
+from guavawing.sidecar.metrics import SidecarMetrics
+from guavawing.sidecar.owner import Owner
+from guavawing.traffic.model import Outcome, TargetReport
+from guavawing.traffic.target_state import TargetState
+from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
+from standins.simulated_time_loop import open_simulated_time_loop
+from tests.sidecar_support import make_attempt
+
+ADDRESS = parse_address("10.0.0.7:80")
+USEFUL_S = 0.3
+DEADLINE_S = 2.0
+
+
+class LimitedTarget:
+    """A target in memory that names limits, in the place of a pool.
+
+    Attributes:
+        arrivals: Event loop's times at which requests arrived.
+        limit: Value of its header; empty for none.
+        slow_every: Every request of this number takes `slow_s`; 0 for none.
+    """
+
+    def __init__(self, service_s):
+        self._service_s = service_s
+        self.slow_every, self.slow_s = 0, 0.0
+        self.limit = self.leaving = ""
+        self.arrivals = []
+
+    def execute(self, attempt, *, target_id, on_end, on_notice):
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        self.arrivals.append(sent_at)
+        slow = self.slow_every and len(self.arrivals) % self.slow_every == 0
+        early = self.read_headers()
+
+        def answer():
+            limits, leaving = early if slow else self.read_headers()
+            on_notice(decode_notice(limits, leaving), sent_at)
+            on_end(execution, Outcome(Ran(), 200))
+
+        seconds = self.slow_s if slow else self._service_s
+        execution = Execution(loop.call_later(seconds, answer), on_end)
+        return execution
+
+    def read_headers(self):
+        limits = [self.limit.encode()] if self.limit else []
+        leaving = [self.leaving.encode()] if self.leaving else []
+        return limits, leaving
+
+    def close_idle(self):
+        pass
+
+
+@attrs.define(eq=False)
+class Execution:
+    timer: asyncio.TimerHandle
+    on_end: object
+
+    def abandon(self):
+        self.timer.cancel()
+        self.on_end(self, Outcome(MayHaveRun(Reason.CANCELLED)))
+
+
+@attrs.define
+class Sent:
+    """A request, its time of arrival and its outcome, if any."""
+
+    at: float
+    outcome: Outcome | None = None
+
+
+def make_owner(pool, state):
+    return Owner(
+        service="desk",
+        state=state,
+        pool=pool,
+        drain_s=2.0,
+        pacer=LinkPacer(1e9),
+        log=DecisionLog(node="a1"),
+        metrics=SidecarMetrics(),
+    )
+
+
+def apply_heartbeat(context, target_id, born_ms):
+    report = TargetReport(
+        target_id, "desk", ADDRESS, context.slots, False, 1, 0.0, born_ms
+    )
+    now = context.paused.time()
+    context.state.apply_report(report, now=now)
+    context.owner.handle_target_change()
+
+
+@given(
+    "an owner beside a target of {slots:d} slots that answers after"
+    " {service_s:g} s"
+)
+def step_owner(context, slots, service_s):
+    manager = open_simulated_time_loop()
+    context.paused = manager.__enter__()
+    context.add_cleanup(lambda: manager.__exit__(None, None, None))
+    context.slots = slots
+    context.target = LimitedTarget(service_s)
+    context.state = TargetState("desk", ADDRESS)
+    context.sent = []
+
+    async def make():
+        context.owner = make_owner(context.target, context.state)
+        apply_heartbeat(context, "t1", 1_000)
+
+    context.paused.run_until_complete(make())
+
+
+@given('at {at:g} s the target names "{limit}"')
+@given('at {at:g} s the target names ""')
+def step_names(context, at, limit=""):
+    def name():
+        context.target.limit = limit
+
+    context.paused.call_at(at, name)
+
+
+@given(
+    "every {number:d}th request takes {slow_s:g} s, with the headers of its"
+    " start"
+)
+@given(
+    "every {number:d}rd request takes {slow_s:g} s, with the headers of its"
+    " start"
+)
+def step_slow(context, number, slow_s):
+    context.target.slow_every, context.target.slow_s = number, slow_s
+
+
+@given("at {at:g} s another target takes the address")
+def step_successor(context, at):
+    context.paused.call_at(at, apply_heartbeat, context, "t2", 2_000)
+
+
+@given("at {at:g} s the target starts again under its id")
+def step_reborn(context, at):
+    context.paused.call_at(at, apply_heartbeat, context, "t1", 2_000)
+
+
+async def offer(context, per_s, seconds, group=1, cancel_s=None):
+    loop = asyncio.get_running_loop()
+    start = loop.time()
+    for number in range(int(per_s * seconds / group)):
+        await asyncio.sleep(start + number * group / per_s - loop.time())
+        for member in range(group):
+            submit(context, f"r{number}-{member}", cancel_s)
+    await asyncio.sleep(DEADLINE_S)
+
+
+def submit(context, name, cancel_s=None):
+    loop = asyncio.get_running_loop()
+    now = loop.time()
+    sent = Sent(now)
+    context.sent.append(sent)
+    attempt = make_attempt(
+        name, now=now, left_s=DEADLINE_S, useful_until=now + USEFUL_S
+    )
+
+    def record(outcome):
+        assert sent.outcome is None, sent
+        sent.outcome = outcome
+
+    number = context.owner.submit(attempt, record, local=True)
+    if cancel_s is not None:
+        loop.call_later(cancel_s, context.owner.cancel, number)
+
+
+@when("{per_s:d} requests per second arrive for {seconds:g} s")
+def step_arrive(context, per_s, seconds):
+    context.paused.run_until_complete(offer(context, per_s, seconds))
+
+
+@when(
+    "{per_s:d} requests per second arrive for {seconds:g} s, in groups of"
+    " {group:d}"
+)
+def step_arrive_groups(context, per_s, seconds, group):
+    context.paused.run_until_complete(offer(context, per_s, seconds, group))
+
+
+@when(
+    "{per_s:d} requests per second arrive for {seconds:g} s, each cancelled"
+    " after {cancel_s:g} s"
+)
+def step_arrive_cancelled(context, per_s, seconds, cancel_s):
+    context.paused.run_until_complete(
+        offer(context, per_s, seconds, cancel_s=cancel_s)
+    )
+
+
+@then(
+    "from {start:g} s on the target gets at most {most:d} requests in each"
+    " {window_s:g} s"
+)
+def step_windows(context, start, most, window_s):
+    arrivals = [at for at in context.target.arrivals if at >= start]
+    assert arrivals
+    for at in arrivals:
+        count = sum(1 for each in arrivals if at <= each < at + window_s)
+        assert count <= most, f"{count} requests from {at:.2f} s on"
+
+
+def count_arrivals(context, start, end):
+    return sum(1 for at in context.target.arrivals if start <= at < end)
+
+
+@then("at least {least:d} requests in all from {start:g} s to {end:g} s")
+def step_least(context, least, start, end):
+    count = count_arrivals(context, start, end)
+    assert count >= least, count
+
+
+@then(
+    "at least {least:d} and at most {most:d} requests in all from {start:g} s"
+    " to {end:g} s"
+)
+def step_between(context, least, most, start, end):
+    count = count_arrivals(context, start, end)
+    assert least <= count <= most, count
+
+
+def list_refused(context, start):
+    return [
+        each
+        for each in context.sent
+        if each.at >= start and isinstance(each.outcome.verdict, NotRun)
+    ]
+
+
+@then(
+    "each refusal from {start:g} s on is not-run with a Retry-After of at most"
+    " {most_s:g} s"
+)
+def step_refusals(context, start, most_s):
+    refused = list_refused(context, start)
+    assert refused
+    for each in refused:
+        verdict = each.outcome.verdict
+        assert verdict.reason is Reason.RATE_LIMITED, each
+        assert 0 < verdict.retry_after_s <= most_s, each
+
+
+@then("none is refused")
+def step_none_refused(context):
+    assert not list_refused(context, 0.0), list_refused(context, 0.0)
+
+
+@then("none that came after {start:g} s is refused")
+def step_none_refused_later(context, start):
+    assert not list_refused(context, start), list_refused(context, start)
--- a/tests/steps/traffic_slot_steps.py
+++ b/tests/steps/traffic_slot_steps.py
@@ -227,7 +227,9 @@
             elif kind == "end" and running:
                 session.end(running[0], now)
             elif kind == "expire" and waiting:
-                refusal = session.queue.expire(session.number(waiting[0]))
+                refusal = session.queue.expire(
+                    session.number(waiting[0]), now=now
+                )
                 session.record(refusal)
             elif kind == "discard" and waiting:
                 assert session.queue.discard(session.number(waiting[0]))
