Tell a restarted owner the limit that its target has named

After the process beside a target in need was replaced, it admitted by slots alone until the first answer came: up to 16 requests at once where the limit is 2 a second (cover/target_limits, target that answers after 0.9 s).

Cause: only the owner knew the limit. Entry nodes had passed the answers on without recording anything.

Change: owners report the limit, or that there is none, in answers and beacons; other nodes record it and send it back in the reply to a beacon and with each request, so that it arrives before the request does. What the target answers to the new process itself counts more. Fields are added at the end of messages: nodes of the earlier release ignore them and are read without them.

--- a/src/guavawing/sidecar/beacons.py
+++ b/src/guavawing/sidecar/beacons.py
@@ -28,6 +28,7 @@
     Incarnation,
     LoadReport,
     PeerRecord,
+    TargetLimit,
 )
 from guavawing.traffic.peers import Peer, PeerTable
 
@@ -70,6 +71,7 @@
         read_departure: Callable[[], Incarnation | None],
         on_slots: Callable[[int], None],
         on_departure: Callable[[Incarnation], None],
+        on_limit: Callable[[TargetLimit], None],
         log: DecisionLog,
         metrics: SidecarMetrics,
     ) -> None:
@@ -87,6 +89,8 @@
                 has recorded.
             on_departure: Called with the departure of this node's target that
                 a peer has recorded from an earlier process.
+            on_limit: Called with the limit of this node's target that a peer
+                has recorded from an earlier process.
             log: Receives state changes.
             metrics: Counts unreadable datagrams.
         """
@@ -99,6 +103,7 @@
         self._read_departure = read_departure
         self._on_slots = on_slots
         self._on_departure = on_departure
+        self._on_limit = on_limit
         self._log = log
         self._metrics = metrics
         self._transport: asyncio.DatagramTransport | None = None
@@ -219,13 +224,17 @@
             self._on_slots(beacon.known_slots)
         if beacon.known_departure is not None:
             self._on_departure(beacon.known_departure)
+        if beacon.known_limit is not None:
+            self._on_limit(beacon.known_limit)
         if beacon.suspects and peer.view.near:
             self._loss_check.handle_suspicions(
                 beacon.suspects, node=peer.record.node
             )
         if beacon.reply_requested:
             payload = self._encode(
-                known_slots=peer.slots, known_departure=peer.departure
+                known_slots=peer.slots,
+                known_departure=peer.departure,
+                known_limit=peer.limit,
             )
             self._send(payload, peer.record.host)
         self._on_peer(peer)
@@ -299,6 +308,7 @@
         known_slots: int = 0,
         known_departure: Incarnation | None = None,
         suspects: tuple[str, ...] = (),
+        known_limit: TargetLimit | None = None,
     ) -> bytes:
         self._sequence += 1
         return encode_beacon(
@@ -313,6 +323,7 @@
                 self._read_departure(),
                 known_departure,
                 suspects,
+                known_limit,
             )
         )
 
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -39,6 +39,7 @@
     LoadReport,
     PeerRecord,
     Routing,
+    TargetLimit,
     TargetPhase,
 )
 from guavawing.traffic.peers import Peer, PeerTable
@@ -112,6 +113,7 @@
         self._mesh = MeshClient(
             source=settings.host,
             on_load=self._handle_load,
+            find_limit=self._find_limit,
             on_alive=self._record_liveness,
             on_suspicion=lambda host: self._beacons.handle_suspicion(host),
             on_config=self._handle_config,
@@ -161,6 +163,7 @@
             read_departure=lambda: self._target.departure,
             on_slots=self._handle_known_slots,
             on_departure=self._handle_known_departure,
+            on_limit=self._owner.apply_known_limit,
             log=self._log,
             metrics=self._metrics,
         )
@@ -367,6 +370,10 @@
         if peer is not None:
             self._peers.apply_load(peer, load, now=self._loop.time())
 
+    def _find_limit(self, host: str) -> TargetLimit | None:
+        peer = self._peers.get(host)
+        return None if peer is None else peer.limit
+
     def _record_liveness(self, host: str) -> None:
         peer = self._peers.get(host)
         if peer is None:
--- a/src/guavawing/sidecar/mesh_client.py
+++ b/src/guavawing/sidecar/mesh_client.py
@@ -20,7 +20,12 @@
     ConfigFrame,
     Hello,
 )
-from guavawing.traffic.model import Attempt, LoadReport, Outcome
+from guavawing.traffic.model import (
+    Attempt,
+    LoadReport,
+    Outcome,
+    TargetLimit,
+)
 from guavawing.verdict import MayHaveRun, NotRun, Reason
 
 __all__ = ["MeshClient", "RemoteAttempt"]
@@ -93,6 +98,7 @@
         *,
         source: str,
         on_load: LoadListener,
+        find_limit: Callable[[str], TargetLimit | None],
         on_alive: Callable[[str], None],
         on_suspicion: Callable[[str], None],
         on_config: Callable[[ConfigFrame], None],
@@ -102,6 +108,8 @@
         Args:
             source: Local IP address of the connections.
             on_load: Called with the load that an answer contains.
+            find_limit: Returns the recorded limit of the target beside a
+                host, if any.
             on_alive: Called with the host of a node that has responded.
             on_suspicion: Called with the host of a node that is silent or
                 can't be connected to.
@@ -110,6 +118,7 @@
         self.loop = asyncio.get_running_loop()
         self.source = source
         self.on_load = on_load
+        self.find_limit = find_limit
         self.on_alive = on_alive
         self.on_suspicion = on_suspicion
         self.on_config = on_config
@@ -346,7 +355,12 @@
         self._pending[remote.frame_id] = remote
         now = self._client.loop.time()
         self._stream.write(
-            encode_request(remote.frame_id, remote.attempt, now=now)
+            encode_request(
+                remote.frame_id,
+                remote.attempt,
+                now=now,
+                known_limit=self._client.find_limit(self._host),
+            )
         )
 
     def _connect(self) -> None:
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -1,5 +1,6 @@
 """Codec of messages between nodes: msgpack arrays that begin with a kind."""
 
+import math
 from typing import Any
 
 import msgpack
@@ -22,6 +23,7 @@
     LoadReport,
     Outcome,
     PeerRecord,
+    TargetLimit,
     TargetPhase,
 )
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason, Verdict
@@ -54,7 +56,13 @@
 _packer = msgpack.Packer(use_bin_type=True)
 
 
-def encode_request(frame_id: int, attempt: Attempt, *, now: float) -> bytes:
+def encode_request(
+    frame_id: int,
+    attempt: Attempt,
+    *,
+    now: float,
+    known_limit: TargetLimit | None = None,
+) -> bytes:
     """Returns the frame that requests the execution of an attempt."""
     return _pack(
         (
@@ -74,6 +82,7 @@
             attempt.late,
             attempt.useful_until - now,
             attempt.spare_only,
+            _encode_limit(known_limit),
         )
     )
 
@@ -99,6 +108,8 @@
             outcome.body,
             _encode_load(load),
             outcome.held_s,
+            _encode_limit(load.limit),
+            load.limit_wait_s,
         )
     )
 
@@ -151,6 +162,9 @@
             _encode_departure(beacon.departure),
             _encode_departure(beacon.known_departure),
             beacon.suspects,
+            _encode_limit(beacon.load.limit),
+            beacon.load.limit_wait_s,
+            _encode_limit(beacon.known_limit),
         )
     )
 
@@ -210,14 +224,15 @@
             ),
             _number(fields[7]),
             _number(fields[8]),
-            _decode_load(fields[9]),
+            _decode_load(fields[9], fields[16:18]),
             bool(fields[10]),
             _number(fields[11]),
             bool(fields[12]),
             _decode_departure(fields[13]),
             _decode_departure(fields[14]),
-            # Nodes of an earlier release send no suspects.
+            # Nodes of earlier releases send fewer fields.
             tuple(_text(host) for host in fields[15:16] and fields[15]),
+            _decode_limit(_optional(fields, 18)),
         )
     except (AttributeError, IndexError, TypeError, ValueError) as exc:
         raise MessageInvalidError(f"invalid beacon: {exc}") from exc
@@ -257,6 +272,7 @@
             useful_until=now + float(fields[14]),
             spare_only=bool(fields[15]),
         ),
+        _decode_limit(_optional(fields, 16)),
     )
 
 
@@ -280,7 +296,8 @@
         _bytes(fields[7]),
         float(fields[9]),
     )
-    return AnswerFrame(_number(fields[1]), outcome, _decode_load(fields[8]))
+    load = _decode_load(fields[8], fields[10:12])
+    return AnswerFrame(_number(fields[1]), outcome, load)
 
 
 def _encode_load(load: LoadReport) -> tuple[Any, ...]:
@@ -297,7 +314,14 @@
     )
 
 
-def _decode_load(fields: Any) -> LoadReport:
+def _decode_load(fields: Any, limit_fields: list[Any]) -> LoadReport:
+    """Decodes a load report.
+
+    Args:
+        fields: The report without the rate limit.
+        limit_fields: Limit and wait; empty from nodes of earlier releases.
+    """
+    limit, limit_wait_s = limit_fields or (None, 0.0)
     phase, slots, running, queued, service_s, refused, link_wait_s, kind_ms = (
         fields
     )
@@ -310,9 +334,29 @@
         float(refused),
         float(link_wait_s),
         {_number(kind): _number(ms) / MS_PER_S for kind, ms in kind_ms.items()},
+        _decode_limit(limit),
+        _finite(limit_wait_s),
     )
 
 
+def _encode_limit(
+    limit: TargetLimit | None,
+) -> tuple[str, int, float | None] | None:
+    if limit is None:
+        return None
+    incarnation = limit.incarnation
+    return incarnation.target_id, incarnation.born_ms, limit.per_s
+
+
+def _decode_limit(fields: Any) -> TargetLimit | None:
+    if fields is None:
+        return None
+    target_id, born_ms, per_s = fields
+    if per_s is not None and _finite(per_s) < 0:
+        raise ValueError(f"got {per_s!r}, expected no negative rate")
+    return TargetLimit(Incarnation(_text(target_id), _number(born_ms)), per_s)
+
+
 def _encode_departure(departure: Incarnation | None) -> tuple[str, int] | None:
     if departure is None:
         return None
@@ -326,6 +370,17 @@
     return Incarnation(_text(target_id), _number(born_ms))
 
 
+def _optional(fields: list[Any], index: int) -> Any:
+    """Returns a field that nodes of earlier releases do not send, or None."""
+    return fields[index] if index < len(fields) else None
+
+
+def _finite(value: Any) -> float:
+    if type(value) is not float or not math.isfinite(value):
+        raise TypeError(f"got {value!r}, expected a finite number")
+    return value
+
+
 def _number(value: Any) -> int:
     if type(value) is not int:
         raise TypeError(f"got {value!r}, expected a number")
--- a/src/guavawing/sidecar/mesh_messages.py
+++ b/src/guavawing/sidecar/mesh_messages.py
@@ -8,6 +8,7 @@
     LoadReport,
     Outcome,
     PeerRecord,
+    TargetLimit,
 )
 
 __all__ = [
@@ -25,10 +26,18 @@
 
 @attrs.frozen
 class RequestFrame:
-    """Requests the execution of an attempt by an owner."""
+    """Requests the execution of an attempt by an owner.
+
+    Attributes:
+        id: Id of the request on its connection.
+        attempt: The attempt.
+        known_limit: Limit of the owner's target that the sender has recorded,
+            if any. It binds an owner whose process has just started.
+    """
 
     id: int
     attempt: Attempt
+    known_limit: TargetLimit | None = None
 
 
 @attrs.frozen
@@ -107,6 +116,8 @@
         known_departure: Incarnation of the receiver's target, as announced by
             the receiver's last beacon, if any.
         suspects: Hosts of nodes that did not answer the sender.
+        known_limit: Limit of the receiver's target, as last reported by the
+            receiver, if any.
     """
 
     record: PeerRecord
@@ -119,6 +130,7 @@
     departure: Incarnation | None = None
     known_departure: Incarnation | None = None
     suspects: tuple[str, ...] = ()
+    known_limit: TargetLimit | None = None
 
 
 Frame = (
--- a/src/guavawing/sidecar/mesh_server.py
+++ b/src/guavawing/sidecar/mesh_server.py
@@ -226,7 +226,9 @@
     def on_frame(self, payload: bytes) -> None:
         """Handles a frame of the entry node."""
         match decode_frame(payload, now=self._server.loop.time()):
-            case RequestFrame(id=frame_id, attempt=attempt):
+            case RequestFrame(id=frame_id, attempt=attempt, known_limit=limit):
+                if limit is not None:
+                    self._server.owner.apply_known_limit(limit)
                 job = self._server.submit(self, frame_id, attempt)
                 if job.conn is not None:
                     self._jobs[frame_id] = job
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -15,6 +15,7 @@
     Incarnation,
     LoadReport,
     Outcome,
+    TargetLimit,
     TargetNotice,
     TargetPhase,
 )
@@ -136,6 +137,8 @@
                 kind: seconds * slowdown
                 for kind, seconds in self._queue.kind_s.items()
             },
+            self._state.limit,
+            round(self._queue.find_limit_wait_s(now=now), 3),
         )
 
     def handle_target_change(self) -> None:
@@ -145,6 +148,19 @@
         self._apply_capacity()
         self.on_phase()
 
+    def apply_known_limit(self, limit: TargetLimit) -> None:
+        """Applies the limit of the target that a peer has recorded."""
+        before = self._state.limit_per_s
+        if self._state.apply_known_limit(limit, now=self._loop.time()):
+            self._apply_capacity()
+            self._log.state_change(
+                "target-limit",
+                target=self._state.target_id,
+                per_s=self._state.limit_per_s,
+                before=before,
+                source="peer",
+            )
+
     def submit(
         self, attempt: Attempt, on_outcome: OutcomeListener, *, local: bool
     ) -> int:
@@ -278,6 +294,7 @@
                 target=incarnation.target_id,
                 per_s=self._state.limit_per_s,
                 before=before,
+                source="answer",
                 asked_s=round(now - sent_at, 3),
             )
 
--- a/src/guavawing/traffic/model.py
+++ b/src/guavawing/traffic/model.py
@@ -19,6 +19,7 @@
     "Routing",
     "ServiceSpec",
     "SplitPart",
+    "TargetLimit",
     "TargetNotice",
     "TargetPhase",
     "TargetReport",
@@ -151,6 +152,20 @@
     born_ms: int
 
 
+@attrs.frozen
+class TargetLimit:
+    """Rate limit of one process of a target.
+
+    Attributes:
+        incarnation: The process.
+        per_s: Requests per second that it accepts from all nodes together;
+            None if it names no limit.
+    """
+
+    incarnation: Incarnation
+    per_s: float | None
+
+
 @attrs.frozen
 class TargetNotice:
     """What a target states about itself in the headers of an answer.
@@ -186,6 +201,10 @@
             answers, in seconds.
         kind_s: Mean time that a request holds a slot, in seconds, by kind of
             request (`Attempt.kind`), for the kinds that were executed.
+        limit: Rate limit of the target; None if it is not known whether it has
+            one, as in a process that has just started.
+        limit_wait_s: Time until that rate admits another request, in seconds;
+            negative if it admits one already.
     """
 
     phase: TargetPhase
@@ -196,6 +215,8 @@
     refused_share: float = 0.0
     link_wait_s: float = 0.0
     kind_s: Mapping[int, float] = attrs.field(factory=dict)
+    limit: TargetLimit | None = None
+    limit_wait_s: float = 0.0
 
 
 @attrs.frozen
--- a/src/guavawing/traffic/peers.py
+++ b/src/guavawing/traffic/peers.py
@@ -9,6 +9,7 @@
     Incarnation,
     LoadReport,
     PeerRecord,
+    TargetLimit,
 )
 
 __all__ = ["Peer", "PeerTable"]
@@ -41,6 +42,7 @@
         sequence: Number of its last beacon.
         slots: Slots of its target, as last reported.
         departure: Announced departure of its target, if any.
+        limit: Rate limit of its target, as last reported, if any.
         reaches_store: Whether it reports that it reaches the platform's store.
         beacon_requested: Whether it was requested to send its beacon, with
             what it has recorded about this node.
@@ -54,6 +56,7 @@
     sequence: int = -1
     slots: int = 0
     departure: Incarnation | None = None
+    limit: TargetLimit | None = None
     reaches_store: bool = True
     beacon_requested: bool = False
 
@@ -136,6 +139,7 @@
         if known is not None and known.record.service == record.service:
             peer.slots = known.slots
             peer.departure = known.departure
+            peer.limit = known.limit
             # A row of the table has no start time of the process.
             peer.beacon_requested = (
                 known.beacon_requested and not known.record.incarnation
@@ -160,6 +164,9 @@
     def apply_load(self, peer: Peer, report: LoadReport, *, now: float) -> None:
         """Applies a node's report of its target's load."""
         peer.view.apply_report(report, now=now)
+        if report.limit is not None:
+            named = report.limit.per_s is not None
+            peer.limit = report.limit if named else None
 
     def expire(
         self, *, now: float, near_period_s: float, far_period_s: float
--- a/src/guavawing/traffic/target_state.py
+++ b/src/guavawing/traffic/target_state.py
@@ -3,6 +3,7 @@
 from guavawing.model import Address
 from guavawing.traffic.model import (
     Incarnation,
+    TargetLimit,
     TargetNotice,
     TargetPhase,
     TargetReport,
@@ -41,7 +42,9 @@
         "_born_ms",
         "_cold_until",
         "_departures",
+        "_limit_known",
         "_limit_named_at",
+        "_peer_limit",
         "_sequence",
         "_service",
         "draining_since",
@@ -59,6 +62,10 @@
         self._cold_until = 0.0
         self._departures: dict[Incarnation, float] = {}
         self._limit_named_at = 0.0
+        # Whether an answer of the current process has shown its limit.
+        self._limit_known = False
+        # Limit that peers recorded before this process started.
+        self._peer_limit: TargetLimit | None = None
         self.target_id = ""
         self.slots = 0
         self.limit_per_s: float | None = None
@@ -70,6 +77,13 @@
         """The current process of the target."""
         return Incarnation(self.target_id, self._born_ms)
 
+    @property
+    def limit(self) -> TargetLimit | None:
+        """Limit of the current process; None if it is not known."""
+        if not self._limit_known and self.limit_per_s is None:
+            return None
+        return TargetLimit(self.incarnation, self.limit_per_s)
+
     @property
     def departure(self) -> Incarnation | None:
         """Announced departure of the latest target, if any."""
@@ -108,10 +122,12 @@
         before = (self.target_id, self._born_ms, self.phase, self.slots)
         if not same:
             self.draining_since = None
-            self.limit_per_s = None
             self.phase = TargetPhase.UNKNOWN
         self.target_id = report.id
         self._born_ms = report.born_ms
+        if not same:
+            self._limit_known = False
+            self._adopt_peer_limit()
         self._sequence = report.sequence
         self.slots = report.slots
         self._cold_until = now + report.cold_s
@@ -137,6 +153,7 @@
         self.target_id = target_id
         self.slots = self.slots or ASSUMED_SLOTS
         self.phase = TargetPhase.READY
+        self._adopt_peer_limit()
         return True
 
     def apply_peer_slots(self, slots: int) -> bool:
@@ -150,6 +167,30 @@
         self.slots = slots
         return True
 
+    def apply_known_limit(self, limit: TargetLimit, *, now: float) -> bool:
+        """Applies the limit that a peer recorded from an earlier process.
+
+        What the target states to this process takes precedence.
+
+        Returns:
+            Whether the limit in force changed.
+        """
+        if limit.per_s is None or self._limit_known:
+            return False
+        known = self._peer_limit
+        if (
+            known is not None
+            and known.per_s is not None
+            and known.incarnation == limit.incarnation
+            and known.per_s <= limit.per_s
+        ):
+            return False
+        self._peer_limit = limit
+        before = self.limit_per_s
+        self._adopt_peer_limit()
+        self._limit_named_at = now
+        return before != self.limit_per_s
+
     def apply_known_departure(
         self, departure: Incarnation, *, now: float
     ) -> bool:
@@ -212,6 +253,7 @@
         if incarnation != self.incarnation:
             return False
         before = self.limit_per_s
+        self._limit_known = True
         if notice.limit_per_s is not None:
             self.limit_per_s = notice.limit_per_s
             self._limit_named_at = now
@@ -230,6 +272,17 @@
         self.phase = TargetPhase.GONE
         return True
 
+    def _adopt_peer_limit(self) -> None:
+        """Sets the limit that a peer recorded for the current process."""
+        limit = self._peer_limit
+        self.limit_per_s = None
+        self._limit_named_at = 0.0
+        if limit is None or limit.incarnation.target_id != self.target_id:
+            return
+        # The start time is unknown if only a health check was received.
+        if self._born_ms in (0, limit.incarnation.born_ms):
+            self.limit_per_s = limit.per_s
+
     def _supersedes(self, report: TargetReport, now: float) -> bool:
         departure = Incarnation(report.id, report.born_ms)
         if report.born_ms and departure in self._departures:
--- a/tests/cover/target_limits.feature
+++ b/tests/cover/target_limits.feature
@@ -78,3 +78,37 @@
     And at 0 s the target names "2"
     When 20 requests per second arrive for 6 s, each cancelled after 0.1 s
     Then at least 7 and at most 9 requests in all from 2 s to 6 s
+
+  # Guards against a limit that is lost when the process beside the target is
+  # replaced: its first requests come before the first answer.
+  Scenario: An owner that has just started holds to the limit that peers recorded
+    Given an owner beside a target of 16 slots that answers after 0.9 s
+    And at 0 s the target names "2"
+    When 40 requests per second arrive for 0.5 s from a peer that recorded "2"
+    Then at least 1 and at most 2 requests in all from 0 s to 0.9 s
+    And it reports the limit "2"
+
+  Scenario: An owner that learns the limit before its target is known holds to it
+    Given an owner beside a target of 16 slots that answers after 0.9 s
+    And a peer has recorded "2" for target "t2"
+    And at 0 s another target takes the address
+    When 40 requests per second arrive for 0.5 s
+    Then at least 1 and at most 2 requests in all from 0 s to 0.9 s
+
+  Scenario: The lowest limit that peers recorded counts until the target answers
+    Given an owner beside a target of 16 slots that answers after 0.9 s
+    And a peer has recorded "7" for target "t1"
+    And a peer has recorded "2" for target "t1"
+    And a peer has recorded "5" for target "t1"
+    Then it reports the limit "2"
+
+  Scenario: What the target answers counts more than what peers recorded
+    Given an owner beside a target of 16 slots that answers after 0.05 s
+    When 40 requests per second arrive for 4 s from a peer that recorded "2"
+    Then at least 118 and at most 121 requests in all from 1 s to 4 s
+    And it reports no limit
+
+  Scenario: A limit that peers recorded for another process of the target is ignored
+    Given an owner beside a target of 16 slots that answers after 0.9 s
+    And a peer has recorded "2" for target "t0"
+    Then it does not know the limit
--- a/tests/steps/beacon_steps.py
+++ b/tests/steps/beacon_steps.py
@@ -1,11 +1,13 @@
 """Steps about the beacons of one node on an in-memory transport."""
 
 import itertools
+import json
 
 import attrs
 import msgpack
 from behave import given, then, when
 
+from guavawing.errors import MessageInvalidError
 from guavawing.sidecar.beacons import Beacons
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.mesh_codec import decode_beacon, encode_beacon
@@ -16,15 +18,21 @@
     Incarnation,
     LoadReport,
     PeerRecord,
+    TargetLimit,
     TargetPhase,
 )
 from guavawing.traffic.peers import PeerTable
+from tests.support import assert_raises
 
 PORT = 7002
 OWN_RECORD = PeerRecord("a1", "10.0.0.1", 7001, "east", "desk", 1_000)
 PEER_RECORD = PeerRecord("a2", "10.0.0.2", 7001, "east", "desk", 900)
 IDLE = LoadReport(TargetPhase.READY, 8, 0, 0, 0.0)
 DEPARTURE = Incarnation("t1", 500)
+LIMIT = TargetLimit(DEPARTURE, 2.5)
+NO_LIMIT = TargetLimit(DEPARTURE, None)
+# Position of the limit in the fields of a beacon.
+LIMIT_FIELD = 16
 
 
 class MemoryTransport:
@@ -53,6 +61,7 @@
         read_departure=lambda: None,
         on_slots=lambda _: None,
         on_departure=lambda _: None,
+        on_limit=lambda _: None,
         log=DecisionLog(node=OWN_RECORD.node),
         metrics=SidecarMetrics(),
     )
@@ -67,14 +76,19 @@
 
 
 async def receive_beacon(
-    context, *, record=PEER_RECORD, reply_requested=False, departure=None
+    context,
+    *,
+    record=PEER_RECORD,
+    reply_requested=False,
+    departure=None,
+    limit=None,
 ):
     context.transport.sent.clear()
     beacon = Beacon(
         record,
         next(context.sequence),
         1,
-        IDLE,
+        attrs.evolve(IDLE, limit=limit),
         reply_requested,
         0,
         True,
@@ -99,7 +113,7 @@
         beacon = Beacon(PEER_RECORD, 1, 1, IDLE, False, 0, True)
         fields = msgpack.unpackb(encode_beacon(beacon))
         context.beacons.datagram_received(
-            msgpack.packb(fields[:-1]), (PEER_RECORD.host, PORT)
+            msgpack.packb(fields[:15]), (PEER_RECORD.host, PORT)
         )
 
     context.run(receive_old_beacon())
@@ -123,6 +137,19 @@
     context.replacement = attrs.evolve(PEER_RECORD, incarnation=2_000)
 
 
+@when("a peer reports a limit of its target and is then replaced")
+def step_limit(context):
+    context.run(receive_beacon(context, limit=LIMIT))
+    context.replacement = attrs.evolve(PEER_RECORD, incarnation=2_000)
+
+
+@when("a peer reports a limit of its target, then none, and is then replaced")
+def step_limit_ended(context):
+    context.run(receive_beacon(context, limit=LIMIT))
+    context.run(receive_beacon(context, limit=NO_LIMIT))
+    context.replacement = attrs.evolve(PEER_RECORD, incarnation=2_000)
+
+
 @when("the replacement of this peer requests the recorded state")
 def step_request(context):
     context.run(
@@ -156,3 +183,31 @@
 def step_replied(context):
     known = [beacon.known_departure for beacon, _ in context.transport.sent]
     assert DEPARTURE in known, context.transport.sent
+
+
+@then("the reply to it contains the limit")
+def step_replied_limit(context):
+    known = [beacon.known_limit for beacon, _ in context.transport.sent]
+    assert LIMIT in known, context.transport.sent
+
+
+@then("the reply to it contains no limit")
+def step_replied_no_limit(context):
+    known = [beacon.known_limit for beacon, _ in context.transport.sent]
+    assert known and set(known) == {None}, context.transport.sent
+
+
+@then("a beacon with the limit {text} is {result}")
+def step_decoded(context, text, result):
+    limit = json.loads(text)
+    beacon = Beacon(PEER_RECORD, 1, 1, IDLE, False, 0, True)
+    fields = msgpack.unpackb(encode_beacon(beacon))
+    fields[LIMIT_FIELD] = limit
+    payload = msgpack.packb(fields)
+    if result == "rejected":
+        with assert_raises(MessageInvalidError):
+            decode_beacon(payload)
+    elif limit is None:
+        assert decode_beacon(payload).load.limit is None
+    else:
+        assert decode_beacon(payload).load.limit.per_s == limit[2]
--- a/tests/steps/loss_steps.py
+++ b/tests/steps/loss_steps.py
@@ -89,6 +89,7 @@
             read_departure=lambda: None,
             on_slots=lambda _: None,
             on_departure=lambda _: None,
+            on_limit=lambda _: None,
             log=DecisionLog(node=record.node),
             metrics=SidecarMetrics(),
         )
--- a/tests/steps/target_limit_steps.py
+++ b/tests/steps/target_limit_steps.py
@@ -11,7 +11,12 @@
 from guavawing.sidecar.link_pacer import LinkPacer
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.owner import Owner
-from guavawing.traffic.model import Outcome, TargetReport
+from guavawing.traffic.model import (
+    Incarnation,
+    Outcome,
+    TargetLimit,
+    TargetReport,
+)
 from guavawing.traffic.target_state import TargetState
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
 from standins.simulated_time_loop import open_simulated_time_loop
@@ -152,11 +157,28 @@
     context.paused.call_at(at, apply_heartbeat, context, "t1", 2_000)
 
 
-async def offer(context, per_s, seconds, group=1, cancel_s=None):
+BORN_MS = {"t0": 500, "t1": 1_000, "t2": 2_000}
+
+
+def apply_peer_limit(context, target_id, per_s):
+    incarnation = Incarnation(target_id, BORN_MS[target_id])
+    context.owner.apply_known_limit(TargetLimit(incarnation, per_s))
+
+
+@given('a peer has recorded "{per_s:g}" for target "{target_id}"')
+def step_peer_limit(context, per_s, target_id):
+    apply_peer_limit(context, target_id, per_s)
+
+
+async def offer(
+    context, per_s, seconds, group=1, cancel_s=None, known_per_s=None
+):
     loop = asyncio.get_running_loop()
     start = loop.time()
     for number in range(int(per_s * seconds / group)):
         await asyncio.sleep(start + number * group / per_s - loop.time())
+        if known_per_s is not None:
+            apply_peer_limit(context, "t1", known_per_s)
         for member in range(group):
             submit(context, f"r{number}-{member}", cancel_s)
     await asyncio.sleep(DEADLINE_S)
@@ -185,6 +207,16 @@
     context.paused.run_until_complete(offer(context, per_s, seconds))
 
 
+@when(
+    "{per_s:d} requests per second arrive for {seconds:g} s from a peer that"
+    ' recorded "{known:g}"'
+)
+def step_arrive_known(context, per_s, seconds, known):
+    context.paused.run_until_complete(
+        offer(context, per_s, seconds, known_per_s=known)
+    )
+
+
 @when(
     "{per_s:d} requests per second arrive for {seconds:g} s, in groups of"
     " {group:d}"
@@ -263,3 +295,18 @@
 @then("none that came after {start:g} s is refused")
 def step_none_refused_later(context, start):
     assert not list_refused(context, start), list_refused(context, start)
+
+
+@then('it reports the limit "{per_s:g}"')
+def step_reports_limit(context, per_s):
+    assert context.owner.load().limit.per_s == per_s
+
+
+@then("it reports no limit")
+def step_reports_none(context):
+    assert context.owner.load().limit.per_s is None
+
+
+@then("it does not know the limit")
+def step_unknown(context):
+    assert context.owner.load().limit is None
