Choose owners by the room that the limits of their targets leave

Callers waited for refusals: an entry node sent a request to the owner of a target whose rate was used up, was refused, asked up to three more, and told its client to come back after the shortest time of these.

Cause: the choice knew load and refusals of an owner, not its rate.

Change: the wait for the rate counts like the wait for a slot, minus the age of the report, plus what this node has sent since. An owner whose rate allows the request too late is not asked; if that holds for all, the client is refused at once as rate-limited with the time until there is room.

--- a/bench/fleet_load.py
+++ b/bench/fleet_load.py
@@ -49,6 +49,7 @@
         for_s: Duration, in seconds.
         slowdown: Factor applied to execution times.
         refused: Share of requests that the targets refuse without execution.
+        limit_per_s: Rate limit that each of the targets names; None for none.
     """
 
     service: str
@@ -57,6 +58,7 @@
     for_s: float
     slowdown: float = 1.0
     refused: float = 0.0
+    limit_per_s: float | None = None
 
 
 @attrs.frozen
--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -13,7 +13,7 @@
 import itertools
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from bench.fleet_load import Fault, Kind, Pattern, Result
 from bench.fleet_node import Attempt, Node, Request
@@ -171,7 +171,7 @@
         view = choice.owner
         owner = self._by_name[view.node]
         request.tried_owners.append(view.node)
-        view.outstanding += 1
+        view.record_sent()
         attempt = Attempt(request, view, owner)
         if not view.near:
             self.results[kind.name].cross_centre_attempts += 1
@@ -252,9 +252,24 @@
                 self._start(owner, number)
             case Queued(start_by=start_by):
                 self._schedule_at(start_by, lambda: self._expire(owner, number))
+                self._schedule_admission(owner)
             case Refuse(verdict=verdict):
                 self._refuse(owner, number, verdict.retry_after_s or 0.0)
 
+    def _schedule_admission(self, owner: Node) -> None:
+        """Schedules the next admission that the rate limit allows, if any."""
+        admitted_at = owner.queue.find_next_admission(now=self._now)
+        if admitted_at is not None:
+            self._schedule_at(admitted_at, lambda: self._admit_waiting(owner))
+
+    def _admit_waiting(self, owner: Node) -> None:
+        self._start_all(owner, owner.queue.admit_waiting(now=self._now))
+
+    def _start_all(self, owner: Node, admitted: Iterable[Admit]) -> None:
+        for admit in list(admitted):
+            self._start(owner, admit.id)
+        self._schedule_admission(owner)
+
     def _expire(self, owner: Node, number: int) -> None:
         refusal = owner.queue.expire(number, now=self._now)
         if refusal is not None:
@@ -313,8 +328,7 @@
             self._delay_s(attempt.view),
             lambda: self._handle_shed(attempt, load),
         )
-        for admit in admitted:
-            self._start(owner, admit.id)
+        self._start_all(owner, admitted)
 
     def _end(self, owner: Node, number: int, *, served: bool) -> None:
         attempt = owner.waiting.pop(number)
@@ -324,8 +338,7 @@
             self._delay_s(attempt.view),
             lambda: self._handle_answer(attempt, load, served=served),
         )
-        for admit in admitted:
-            self._start(owner, admit.id)
+        self._start_all(owner, admitted)
 
     # The fleet.
 
@@ -384,14 +397,22 @@
         nodes = [n for n in self._nodes if n.service == fault.service]
         affected = self._rng.sample(nodes, round(fault.share * len(nodes)))
 
-        def change(slowdown: float, refused: float) -> None:
+        def change(
+            slowdown: float, refused: float, limit_per_s: float | None
+        ) -> None:
             for node in affected:
                 node.slowdown, node.refused = slowdown, refused
+                node.limit_per_s = limit_per_s
+                node.queue.set_limit(limit_per_s, now=self._now)
+                self._admit_waiting(node)
 
         self._schedule_at(
-            fault.at, lambda: change(fault.slowdown, fault.refused)
+            fault.at,
+            lambda: change(fault.slowdown, fault.refused, fault.limit_per_s),
+        )
+        self._schedule_at(
+            fault.at + fault.for_s, lambda: change(1.0, 0.0, None)
         )
-        self._schedule_at(fault.at + fault.for_s, lambda: change(1.0, 0.0))
 
     def _delay_s(self, view: OwnerView) -> float:
         if view.local:
--- a/bench/fleet_node.py
+++ b/bench/fleet_node.py
@@ -9,7 +9,12 @@
 from guavawing.traffic.budget import RetryBudget
 from guavawing.traffic.client_wait import ClientWaitEstimator
 from guavawing.traffic.failures import FailureShare
-from guavawing.traffic.model import LoadReport, TargetPhase
+from guavawing.traffic.model import (
+    Incarnation,
+    LoadReport,
+    TargetLimit,
+    TargetPhase,
+)
 from guavawing.traffic.slot_queue import SlotQueue
 
 __all__ = ["Attempt", "Node", "Request"]
@@ -32,6 +37,7 @@
         views: Views of the owners, by service.
         slowdown: Factor applied to execution times.
         refused: Share of requests that the target refuses without execution.
+        limit_per_s: Rate limit that the target names; None for none.
         waiting: Queued and running attempts at the target, by number.
     """
 
@@ -49,6 +55,7 @@
     views: dict[str, list[OwnerView]] = attrs.field(factory=dict)
     slowdown: float = 1.0
     refused: float = 0.0
+    limit_per_s: float | None = None
     waiting: dict[int, "Attempt"] = attrs.field(factory=dict)
 
     def load(self, now: float) -> LoadReport:
@@ -62,6 +69,8 @@
             self.queue.service_s if known else 0.0,
             self.queue.refused_share,
             kind_s=dict(self.queue.kind_s),
+            limit=TargetLimit(Incarnation(self.name, 0), self.limit_per_s),
+            limit_wait_s=self.queue.find_limit_wait_s(now=now),
         )
 
 
--- a/bench/fleet_patterns.py
+++ b/bench/fleet_patterns.py
@@ -49,6 +49,7 @@
         Fault("feed", 0.15, 5.0, 8.0, slowdown=4.5),
     ),
     _make("refusing-feed", 700.0, Fault("feed", 1.0, 5.0, 8.0, refused=0.55)),
+    _make("limited-desk", 500.0, Fault("desk", 0.7, 5.0, 8.0, limit_per_s=2.0)),
     _make(
         "cold-after-a-power-loss",
         700.0,
--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -27,6 +27,8 @@
 MS_PER_S = 1000
 # Retry-After in seconds of a refusal without a better estimate.
 NO_TARGET_RETRY_AFTER_S = 0.5
+# Shortest Retry-After in seconds while rate limits are used up.
+MIN_RETRY_AFTER_S = 0.04
 # Maximum number of owners that a request is sent to.
 MAX_OWNERS_TRIED = 4
 # Time after its deadline at which an unanswered request is answered with a
@@ -153,6 +155,7 @@
         if choice is None and allow_repeat:
             choice = self._choose(now, excluded=())
         if choice is None:
+            self._record_limits(now)
             self._give_up()
             return
         owner = choice.owner
@@ -170,7 +173,7 @@
         self._tried.append(owner.node)
         self._owner = owner
         self._tried_at = now
-        owner.outstanding += 1
+        owner.record_sent()
         if owner.local:
             self._remote = None
             self._attempt_id = 0
@@ -260,6 +263,16 @@
                 retry_after_s if known is None else min(known, retry_after_s)
             )
 
+    def _record_limits(self, now: float) -> None:
+        """Records when the rate limits of targets allow a request."""
+        parts = self._parts
+        wait_s = parts.balancer.find_limit_wait_s(
+            parts.peers.owners(self._attempt.service), now=now
+        )
+        if wait_s is not None and self._refusal is None:
+            wait_s = max(wait_s, MIN_RETRY_AFTER_S)
+            self._record_refusal(NotRun(Reason.RATE_LIMITED, wait_s))
+
     def _retry(self, verdict: NotRun | MayHaveRun | Ran) -> None:
         """Retries the request if the budget allows it."""
         parts = self._parts
--- a/src/guavawing/traffic/balancer.py
+++ b/src/guavawing/traffic/balancer.py
@@ -19,6 +19,7 @@
 import attrs
 
 from guavawing.traffic.model import LoadReport, TargetPhase
+from guavawing.traffic.rate_limiter import find_admitted_rate
 
 __all__ = ["Balancer", "Choice", "OwnerView"]
 
@@ -74,6 +75,8 @@
         report: Its last load report, if any.
         reported_at: Event loop's time of that report, in seconds.
         outstanding: Requests of this node without an answer yet.
+        sent_since_report: Requests of this node that were sent after the last
+            report.
         others: Requests of other nodes at it, as of the last report.
         full_until: Time until which it counts as full after a refusal.
         transit_s: Moving mean of the transit time there and back, in seconds,
@@ -90,6 +93,7 @@
     report: LoadReport | None = None
     reported_at: float = 0.0
     outstanding: int = 0
+    sent_since_report: int = 0
     others: float = 0.0
     full_until: float = 0.0
     transit_s: list[float] = attrs.field(factory=lambda: [0.0, 0.0])
@@ -101,9 +105,15 @@
         """Applies a load report of the owner."""
         self.report = report
         self.reported_at = now
+        self.sent_since_report = 0
         busy = report.running + report.queued
         self.others = float(max(0, busy - self.outstanding))
 
+    def record_sent(self) -> None:
+        """Records that a request is sent to the owner."""
+        self.outstanding += 1
+        self.sent_since_report += 1
+
     def observe_transit(
         self, transit_s: float, *, bulk: bool, now: float
     ) -> None:
@@ -181,8 +191,27 @@
         """Returns whether the owner is alive and not ejected."""
         return self.alive and now >= self.ejected_until
 
+    @property
+    def limit_per_s(self) -> float | None:
+        """Reported rate limit of the target; None without a limit."""
+        limit = None if self.report is None else self.report.limit
+        return None if limit is None else limit.per_s
+
+    def estimate_limit_wait_s(self, *, now: float) -> float:
+        """Estimates when the target's rate limit allows a new request.
+
+        Returns:
+            The time until then in seconds; 0 without a limit.
+        """
+        report, per_s = self.report, self.limit_per_s
+        if report is None or per_s is None:
+            return 0.0
+        sent_s = self.sent_since_report / find_admitted_rate(per_s)
+        age_s = now - self.reported_at
+        return max(0.0, report.limit_wait_s + sent_s - age_s)
+
     def estimate_wait_s(self, *, now: float) -> float:
-        """Estimates the wait of a new request for a slot, in seconds."""
+        """Estimates the wait of a new request at the owner, in seconds."""
         report = self.report
         if report is None:
             return 0.0
@@ -190,7 +219,8 @@
         busy = self.outstanding + self.others * decay
         over = busy + 1 - report.slots
         wait_s = max(0.0, over) * self.service_s() / max(report.slots, 1)
-        return max(wait_s, self.full_until - now)
+        limit_wait_s = self.estimate_limit_wait_s(now=now)
+        return max(wait_s, self.full_until - now, limit_wait_s)
 
 
 class _Rank(enum.IntEnum):
@@ -209,6 +239,9 @@
     # Chosen only if there are no near owners.
     FAR_EXCLUDED = 6
     EJECTED = 7
+    # Never chosen: the rate limit of the target allows the request too late, so
+    # that the owner would refuse it.
+    LIMITED = 8
 
 
 @attrs.frozen
@@ -297,6 +330,8 @@
                     large=large,
                     bulk=bulk,
                 )
+                if rank is _Rank.LIMITED:
+                    continue
                 if pressure is None or rank is not _Rank.FAR_EXCLUDED:
                     ranked.setdefault(rank, []).append((cost_s, owner))
         if not ranked:
@@ -305,6 +340,25 @@
         queues = best.near or _may_queue(best, pressure)
         return Choice(best, spare_only=not queues)
 
+    def find_limit_wait_s(
+        self, owners: Collection[OwnerView], *, now: float
+    ) -> float | None:
+        """Returns the time until a rate limit allows a request, in seconds.
+
+        It is the shortest one of the owners that accept requests; None if none
+        of them has a target with a limit.
+        """
+        return min(
+            (
+                owner.estimate_limit_wait_s(now=now)
+                for owner in owners
+                if owner.alive
+                and owner.accepts_requests()
+                and owner.limit_per_s is not None
+            ),
+            default=None,
+        )
+
     def _pick(self, costs: list[tuple[float, OwnerView]]) -> OwnerView:
         """Returns one of the owners of the same rank.
 
@@ -339,6 +393,10 @@
         transit_s = owner.expect_transit_s(bulk=bulk, now=now)
         cost_s = wait_s + service_s * (1 + 0.3 * min(busy, 1.0)) + transit_s
         expected_s = wait_s + EXPECTED_SERVICE_FACTOR * service_s + transit_s
+        spare_s = useful_s - EXPECTED_SERVICE_FACTOR * service_s
+        limit_wait_s = owner.estimate_limit_wait_s(now=now)
+        if limit_wait_s > max(spare_s, FREE_WAIT_S):
+            return _Rank.LIMITED, cost_s
         if not owner.is_usable(now=now):
             return _Rank.EJECTED, cost_s
         if owner.near:
--- a/src/guavawing/traffic/rate_limiter.py
+++ b/src/guavawing/traffic/rate_limiter.py
@@ -1,6 +1,6 @@
 """Rate limiter whose rate may change while it is in use."""
 
-__all__ = ["RateLimiter"]
+__all__ = ["RateLimiter", "find_admitted_rate"]
 
 # Lowest rate, in requests per second: a target that accepts less, or nothing,
 # is still asked this often, so that the end of its limit is noticed.
@@ -14,6 +14,15 @@
 ROUNDING = 1e-6
 
 
+def find_admitted_rate(per_s: float) -> float:
+    """Returns the rate at which requests are admitted under a limit.
+
+    Args:
+        per_s: The limit, in requests per second.
+    """
+    return max(per_s, MIN_RATE_PER_S)
+
+
 class RateLimiter:
     """Token bucket; `now` is the event loop's time in seconds."""
 
@@ -57,7 +66,7 @@
         return (1 + ahead - self._tokens) / self._rate
 
     def _set_rate(self, per_s: float) -> None:
-        self._rate = max(per_s, MIN_RATE_PER_S)
+        self._rate = find_admitted_rate(per_s)
         self._burst = max(MIN_BURST, self._rate * BURST_S)
         self._tokens = min(self._tokens, self._burst)
 
--- a/tests/cover/fleet_model.feature
+++ b/tests/cover/fleet_model.feature
@@ -11,6 +11,7 @@
       | near-full               |
       | slow-targets            |
       | cold-after-a-power-loss |
+      | limited-desk            |
 
   Scenario: At twice the usual load urgent requests have priority
     When 5 s of the load pattern "twice-the-usual" are simulated
--- a/tests/cover/traffic_choice.feature
+++ b/tests/cover/traffic_choice.feature
@@ -111,3 +111,30 @@
 
   Scenario: The chosen one of hundreds of owners has the best rank
     Then in 120 random fleets of 1 to 300 owners the chosen one has the best rank of all
+
+  # Guards against requests that are sent to a target whose rate is used up,
+  # only to be refused there.
+  Scenario: An owner whose limit is used up is not asked until there is room
+    Given near owners "a b" and far owners "" of 4 slots
+    When owner "a" reports a limit of 10 per second with room in 0.4 s
+    And owner "b" reports 1 running and executions of 0.1 s
+    Then requests useful for 0.3 s all go to "b"
+    And 0.45 s later requests useful for 0.3 s go to "a" too
+
+  Scenario: If all limits are used up nobody is asked, and the time of room is known
+    Given near owners "a b" and far owners "c" of 4 slots
+    When owner "a" reports a limit of 10 per second with room in 0.6 s
+    And owner "b" reports a limit of 10 per second with room in 0.4 s
+    And owner "c" reports a limit of 10 per second with room in 0.9 s
+    Then a request useful for 0.3 s goes to nobody, and there is room in 0.4 s
+
+  Scenario: Requests of this node count until the next report
+    Given near owners "a" and far owners "" of 100 slots
+    When owner "a" reports a limit of 10 per second with room in 0 s
+    Then 5 requests useful for 0.6 s go to "a" and the next one to nobody
+
+  Scenario: A limit with room leaves the choice as it is
+    Given near owners "a b" and far owners "" of 4 slots
+    When owner "a" reports a limit of 1000 per second with room in 0 s
+    And owner "b" reports 3 running and executions of 0.1 s
+    Then requests useful for 0.3 s go to "a" too
--- a/tests/steps/traffic_choice_steps.py
+++ b/tests/steps/traffic_choice_steps.py
@@ -7,7 +7,12 @@
 from behave import given, then, when
 
 from guavawing.traffic.balancer import Balancer, OwnerView
-from guavawing.traffic.model import LoadReport, TargetPhase
+from guavawing.traffic.model import (
+    Incarnation,
+    LoadReport,
+    TargetLimit,
+    TargetPhase,
+)
 
 NOW = 100.0
 ROUTE = "route"
@@ -22,7 +27,7 @@
     return balancer
 
 
-def choose(context, balancer, useful_s, *, bulk=False, views=None):
+def choose(context, balancer, useful_s, *, bulk=False, views=None, now=NOW):
     return balancer.choose(
         views or list(context.views.values()),
         route=ROUTE,
@@ -30,7 +35,7 @@
         bulk=bulk,
         useful_s=useful_s,
         excluded=context.tried,
-        now=NOW,
+        now=now,
     )
 
 
@@ -276,3 +281,64 @@
         for view in usable
         if view is choice.owner or view.node not in excluded
     ]
+
+
+@when(
+    'owner "{name}" reports a limit of {per_s:g} per second with room in'
+    " {wait_s:g} s"
+)
+def step_report_limit(context, name, per_s, wait_s):
+    load = LoadReport(
+        TargetPhase.READY,
+        context.slots,
+        0,
+        0,
+        0.1,
+        limit=TargetLimit(Incarnation("t1", 1_000), per_s),
+        limit_wait_s=wait_s,
+    )
+    context.views[name].apply_report(load, now=NOW)
+
+
+def choose_names(context, useful_s, *, now=NOW, count=50):
+    return {
+        choose(context, context.balancer, useful_s, now=now).owner.node
+        for _ in range(count)
+    }
+
+
+@then('requests useful for {useful_s:g} s all go to "{name}"')
+def step_all_go(context, useful_s, name):
+    assert choose_names(context, useful_s) == {name}
+
+
+@then(
+    '{later_s:g} s later requests useful for {useful_s:g} s go to "{name}" too'
+)
+@then('requests useful for {useful_s:g} s go to "{name}" too')
+def step_go_later(context, useful_s, name, later_s=0.0):
+    assert name in choose_names(context, useful_s, now=NOW + later_s)
+
+
+@then(
+    "a request useful for {useful_s:g} s goes to nobody, and there is room in"
+    " {wait_s:g} s"
+)
+def step_nobody(context, useful_s, wait_s):
+    assert choose(context, context.balancer, useful_s) is None
+    found_s = context.balancer.find_limit_wait_s(
+        context.views.values(), now=NOW
+    )
+    assert found_s == wait_s, found_s
+
+
+@then(
+    '{count:d} requests useful for {useful_s:g} s go to "{name}" and the next'
+    " one to nobody"
+)
+def step_count(context, count, useful_s, name):
+    for _ in range(count):
+        owner = choose(context, context.balancer, useful_s).owner
+        assert owner.node == name
+        owner.record_sent()
+    assert choose(context, context.balancer, useful_s) is None
