Drain a target whose answers state that it leaves

Callers saw failures: a target that states in its answers that it leaves, and whose heartbeats do not say so (or have not yet), was sent requests until the end; in the process scenario 20 a second, 5 s longer than allowed, also after the daemon beside it was killed.

The header Server-Leaving passed every process between target and client and none read it; a departure counted only if a heartbeat or a call of the target announced it.

Change: the owner drains the process of the target that has stated it, like on a call; it stays so until another process of the target reports. Answers between nodes carry the departure, other nodes record it and send it back with beacons and requests to an owner that has started since. A heartbeat that is the first one of a target known by a health check only, and that comes within 5 s of its departure, is taken as that target's. One record per target holds departure and limit; it is recorded and sent in one place.

--- a/src/guavawing/sidecar/beacons.py
+++ b/src/guavawing/sidecar/beacons.py
@@ -25,10 +25,11 @@
 )
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.traffic.model import (
+    NO_TARGET_RECORD,
     Incarnation,
     LoadReport,
     PeerRecord,
-    TargetLimit,
+    TargetRecord,
 )
 from guavawing.traffic.peers import Peer, PeerTable
 
@@ -70,8 +71,7 @@
         on_peer: Callable[[Peer], None],
         read_departure: Callable[[], Incarnation | None],
         on_slots: Callable[[int], None],
-        on_departure: Callable[[Incarnation], None],
-        on_limit: Callable[[TargetLimit], None],
+        on_target_record: Callable[[TargetRecord], None],
         log: DecisionLog,
         metrics: SidecarMetrics,
     ) -> None:
@@ -87,10 +87,8 @@
                 target, if any.
             on_slots: Called with the slots of this node's target that a peer
                 has recorded.
-            on_departure: Called with the departure of this node's target that
-                a peer has recorded from an earlier process.
-            on_limit: Called with the limit of this node's target that a peer
-                has recorded from an earlier process.
+            on_target_record: Called with what a peer has recorded about this
+                node's target.
             log: Receives state changes.
             metrics: Counts unreadable datagrams.
         """
@@ -102,8 +100,7 @@
         self._on_peer = on_peer
         self._read_departure = read_departure
         self._on_slots = on_slots
-        self._on_departure = on_departure
-        self._on_limit = on_limit
+        self._on_target_record = on_target_record
         self._log = log
         self._metrics = metrics
         self._transport: asyncio.DatagramTransport | None = None
@@ -222,19 +219,14 @@
             peer.departure = beacon.departure
         if beacon.known_slots:
             self._on_slots(beacon.known_slots)
-        if beacon.known_departure is not None:
-            self._on_departure(beacon.known_departure)
-        if beacon.known_limit is not None:
-            self._on_limit(beacon.known_limit)
+        self._on_target_record(beacon.known)
         if beacon.suspects and peer.view.near:
             self._loss_check.handle_suspicions(
                 beacon.suspects, node=peer.record.node
             )
         if beacon.reply_requested:
             payload = self._encode(
-                known_slots=peer.slots,
-                known_departure=peer.departure,
-                known_limit=peer.limit,
+                known_slots=peer.slots, known=peer.target_record
             )
             self._send(payload, peer.record.host)
         self._on_peer(peer)
@@ -306,9 +298,8 @@
         *,
         reply_requested: bool = False,
         known_slots: int = 0,
-        known_departure: Incarnation | None = None,
+        known: TargetRecord = NO_TARGET_RECORD,
         suspects: tuple[str, ...] = (),
-        known_limit: TargetLimit | None = None,
     ) -> bytes:
         self._sequence += 1
         return encode_beacon(
@@ -321,9 +312,8 @@
                 known_slots,
                 self.reaches_store,
                 self._read_departure(),
-                known_departure,
+                known,
                 suspects,
-                known_limit,
             )
         )
 
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -35,12 +35,13 @@
 from guavawing.sidecar.target_probe import TargetProbe
 from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.model import (
+    NO_TARGET_RECORD,
     Incarnation,
     LoadReport,
     PeerRecord,
     Routing,
-    TargetLimit,
     TargetPhase,
+    TargetRecord,
 )
 from guavawing.traffic.peers import Peer, PeerTable
 from guavawing.traffic.readers import (
@@ -113,7 +114,7 @@
         self._mesh = MeshClient(
             source=settings.host,
             on_load=self._handle_load,
-            find_limit=self._find_limit,
+            find_record=self._find_record,
             on_alive=self._record_liveness,
             on_suspicion=lambda host: self._beacons.handle_suspicion(host),
             on_config=self._handle_config,
@@ -162,8 +163,7 @@
             on_peer=self._handle_beacon,
             read_departure=lambda: self._target.departure,
             on_slots=self._handle_known_slots,
-            on_departure=self._handle_known_departure,
-            on_limit=self._owner.apply_known_limit,
+            on_target_record=self._owner.apply_peer_record,
             log=self._log,
             metrics=self._metrics,
         )
@@ -365,14 +365,17 @@
         self._entry.resize_budget()
         self._beacons.request_beacon(peer)
 
-    def _handle_load(self, host: str, load: LoadReport) -> None:
+    def _handle_load(
+        self, host: str, load: LoadReport, departure: Incarnation | None
+    ) -> None:
         peer = self._peers.get(host)
         if peer is not None:
             self._peers.apply_load(peer, load, now=self._loop.time())
+            peer.departure = departure or peer.departure
 
-    def _find_limit(self, host: str) -> TargetLimit | None:
+    def _find_record(self, host: str) -> TargetRecord:
         peer = self._peers.get(host)
-        return None if peer is None else peer.limit
+        return NO_TARGET_RECORD if peer is None else peer.target_record
 
     def _record_liveness(self, host: str) -> None:
         peer = self._peers.get(host)
@@ -385,11 +388,6 @@
         if self._target.apply_peer_slots(slots):
             self._owner.handle_target_change()
 
-    def _handle_known_departure(self, departure: Incarnation) -> None:
-        now = self._loop.time()
-        if self._target.apply_known_departure(departure, now=now):
-            self._owner.handle_target_change()
-
     def _handle_config(self, config: ConfigFrame) -> None:
         self._configuration.apply_config(config)
 
--- a/src/guavawing/sidecar/mesh_client.py
+++ b/src/guavawing/sidecar/mesh_client.py
@@ -22,9 +22,10 @@
 )
 from guavawing.traffic.model import (
     Attempt,
+    Incarnation,
     LoadReport,
     Outcome,
-    TargetLimit,
+    TargetRecord,
 )
 from guavawing.verdict import MayHaveRun, NotRun, Reason
 
@@ -53,7 +54,7 @@
 LATE_CHECK_S = 0.1
 
 OutcomeListener = Callable[[Outcome], None]
-LoadListener = Callable[[str, LoadReport], None]
+LoadListener = Callable[[str, LoadReport, Incarnation | None], None]
 
 
 @attrs.define(eq=False)
@@ -98,7 +99,7 @@
         *,
         source: str,
         on_load: LoadListener,
-        find_limit: Callable[[str], TargetLimit | None],
+        find_record: Callable[[str], TargetRecord],
         on_alive: Callable[[str], None],
         on_suspicion: Callable[[str], None],
         on_config: Callable[[ConfigFrame], None],
@@ -107,9 +108,9 @@
 
         Args:
             source: Local IP address of the connections.
-            on_load: Called with the load that an answer contains.
-            find_limit: Returns the recorded limit of the target beside a
-                host, if any.
+            on_load: Called with the load and the departure of the target that
+                an answer contains.
+            find_record: Returns what is recorded about the target on a host.
             on_alive: Called with the host of a node that has responded.
             on_suspicion: Called with the host of a node that is silent or
                 can't be connected to.
@@ -118,7 +119,7 @@
         self.loop = asyncio.get_running_loop()
         self.source = source
         self.on_load = on_load
-        self.find_limit = find_limit
+        self.find_record = find_record
         self.on_alive = on_alive
         self.on_suspicion = on_suspicion
         self.on_config = on_config
@@ -281,11 +282,11 @@
 
     def on_frame(self, payload: bytes) -> None:
         match decode_frame(payload, now=self._client.loop.time()):
-            case AnswerFrame(id=frame_id, outcome=outcome, load=load):
-                self._client.on_load(self._host, load)
-                remote = self._pending.pop(frame_id, None)
+            case AnswerFrame() as answer:
+                self._client.on_load(self._host, answer.load, answer.departure)
+                remote = self._pending.pop(answer.id, None)
                 if remote is not None:
-                    remote.end(outcome)
+                    remote.end(answer.outcome)
             case Hello(process=process):
                 self._process = process
                 for remote in self._pending.values():
@@ -359,7 +360,7 @@
                 remote.frame_id,
                 remote.attempt,
                 now=now,
-                known_limit=self._client.find_limit(self._host),
+                known=self._client.find_record(self._host),
             )
         )
 
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -25,6 +25,7 @@
     PeerRecord,
     TargetLimit,
     TargetPhase,
+    TargetRecord,
 )
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason, Verdict
 
@@ -61,7 +62,7 @@
     attempt: Attempt,
     *,
     now: float,
-    known_limit: TargetLimit | None = None,
+    known: TargetRecord,
 ) -> bytes:
     """Returns the frame that requests the execution of an attempt."""
     return _pack(
@@ -82,12 +83,19 @@
             attempt.late,
             attempt.useful_until - now,
             attempt.spare_only,
-            _encode_limit(known_limit),
+            _encode_limit(known.limit),
+            _encode_departure(known.departure),
         )
     )
 
 
-def encode_answer(frame_id: int, outcome: Outcome, load: LoadReport) -> bytes:
+def encode_answer(
+    frame_id: int,
+    outcome: Outcome,
+    load: LoadReport,
+    *,
+    departure: Incarnation | None,
+) -> bytes:
     """Returns the frame with the outcome of an attempt."""
     match outcome.verdict:
         case Ran(reason=reason):
@@ -110,6 +118,7 @@
             outcome.held_s,
             _encode_limit(load.limit),
             load.limit_wait_s,
+            _encode_departure(departure),
         )
     )
 
@@ -160,11 +169,11 @@
             beacon.known_slots,
             beacon.reaches_store,
             _encode_departure(beacon.departure),
-            _encode_departure(beacon.known_departure),
+            _encode_departure(beacon.known.departure),
             beacon.suspects,
             _encode_limit(beacon.load.limit),
             beacon.load.limit_wait_s,
-            _encode_limit(beacon.known_limit),
+            _encode_limit(beacon.known.limit),
         )
     )
 
@@ -229,10 +238,12 @@
             _number(fields[11]),
             bool(fields[12]),
             _decode_departure(fields[13]),
-            _decode_departure(fields[14]),
+            TargetRecord(
+                _decode_departure(fields[14]),
+                _decode_limit(_optional(fields, 18)),
+            ),
             # Nodes of earlier releases send fewer fields.
             tuple(_text(host) for host in fields[15:16] and fields[15]),
-            _decode_limit(_optional(fields, 18)),
         )
     except (AttributeError, IndexError, TypeError, ValueError) as exc:
         raise MessageInvalidError(f"invalid beacon: {exc}") from exc
@@ -272,7 +283,10 @@
             useful_until=now + float(fields[14]),
             spare_only=bool(fields[15]),
         ),
-        _decode_limit(_optional(fields, 16)),
+        TargetRecord(
+            _decode_departure(_optional(fields, 17)),
+            _decode_limit(_optional(fields, 16)),
+        ),
     )
 
 
@@ -297,7 +311,8 @@
         float(fields[9]),
     )
     load = _decode_load(fields[8], fields[10:12])
-    return AnswerFrame(_number(fields[1]), outcome, load)
+    departure = _decode_departure(_optional(fields, 12))
+    return AnswerFrame(_number(fields[1]), outcome, load, departure)
 
 
 def _encode_load(load: LoadReport) -> tuple[Any, ...]:
--- a/src/guavawing/sidecar/mesh_messages.py
+++ b/src/guavawing/sidecar/mesh_messages.py
@@ -3,12 +3,13 @@
 import attrs
 
 from guavawing.traffic.model import (
+    NO_TARGET_RECORD,
     Attempt,
     Incarnation,
     LoadReport,
     Outcome,
     PeerRecord,
-    TargetLimit,
+    TargetRecord,
 )
 
 __all__ = [
@@ -31,22 +32,30 @@
     Attributes:
         id: Id of the request on its connection.
         attempt: The attempt.
-        known_limit: Limit of the owner's target that the sender has recorded,
-            if any. It binds an owner whose process has just started.
+        known: What the sender has recorded about the owner's target. It binds
+            an owner whose process has just started.
     """
 
     id: int
     attempt: Attempt
-    known_limit: TargetLimit | None = None
+    known: TargetRecord = NO_TARGET_RECORD
 
 
 @attrs.frozen
 class AnswerFrame:
-    """Outcome of an attempt, with the load of the owner."""
+    """Outcome of an attempt, with the state of the owner's target.
+
+    Attributes:
+        id: Id of the request on its connection.
+        outcome: The outcome.
+        load: Load of the target.
+        departure: Announced departure of the target, if any.
+    """
 
     id: int
     outcome: Outcome
     load: LoadReport
+    departure: Incarnation | None = None
 
 
 @attrs.frozen
@@ -112,12 +121,9 @@
             beacon; 0 if unknown. A process that has just started uses them
             until the next heartbeat of its target.
         reaches_store: Whether the store answers the sender.
-        departure: Incarnation that the sender's target has announced, if any.
-        known_departure: Incarnation of the receiver's target, as announced by
-            the receiver's last beacon, if any.
+        departure: Departure that the sender's target has announced, if any.
+        known: What the sender has recorded about the receiver's target.
         suspects: Hosts of nodes that did not answer the sender.
-        known_limit: Limit of the receiver's target, as last reported by the
-            receiver, if any.
     """
 
     record: PeerRecord
@@ -128,9 +134,8 @@
     known_slots: int
     reaches_store: bool
     departure: Incarnation | None = None
-    known_departure: Incarnation | None = None
+    known: TargetRecord = NO_TARGET_RECORD
     suspects: tuple[str, ...] = ()
-    known_limit: TargetLimit | None = None
 
 
 Frame = (
--- a/src/guavawing/sidecar/mesh_server.py
+++ b/src/guavawing/sidecar/mesh_server.py
@@ -196,13 +196,14 @@
         stream = self._stream
         if stream is None:
             return
-        load = self._server.owner.load()
-        payload = encode_answer(job.frame_id, outcome, load)
+        owner = self._server.owner
+        payload = encode_answer(
+            job.frame_id, outcome, owner.load(), departure=owner.departure
+        )
         if len(payload) < LARGE_BYTES:
             stream.write(payload)
             return
-        pacer = self._server.owner.pacer
-        pacer.offer(
+        owner.pacer.offer(
             self,
             pack_frame(payload),
             stream.write_piece,
@@ -226,9 +227,8 @@
     def on_frame(self, payload: bytes) -> None:
         """Handles a frame of the entry node."""
         match decode_frame(payload, now=self._server.loop.time()):
-            case RequestFrame(id=frame_id, attempt=attempt, known_limit=limit):
-                if limit is not None:
-                    self._server.owner.apply_known_limit(limit)
+            case RequestFrame(id=frame_id, attempt=attempt, known=known):
+                self._server.owner.apply_peer_record(known)
                 job = self._server.submit(self, frame_id, attempt)
                 if job.conn is not None:
                     self._jobs[frame_id] = job
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -15,9 +15,9 @@
     Incarnation,
     LoadReport,
     Outcome,
-    TargetLimit,
     TargetNotice,
     TargetPhase,
+    TargetRecord,
 )
 from guavawing.traffic.slot_queue import (
     Admit,
@@ -111,6 +111,11 @@
         self.stopping = False
         self.on_phase: Callable[[], None] = lambda: None
 
+    @property
+    def departure(self) -> Incarnation | None:
+        """Announced departure of the target, if any."""
+        return self._state.departure
+
     @property
     def busy(self) -> bool:
         """Whether attempts are queued or run, or answers are being sent."""
@@ -148,18 +153,16 @@
         self._apply_capacity()
         self.on_phase()
 
-    def apply_known_limit(self, limit: TargetLimit) -> None:
-        """Applies the limit of the target that a peer has recorded."""
+    def apply_peer_record(self, record: TargetRecord) -> None:
+        """Applies what a peer has recorded about the target."""
+        now = self._loop.time()
+        departure, limit = record.departure, record.limit
+        if departure and self._state.apply_known_departure(departure, now=now):
+            self.handle_target_change()
         before = self._state.limit_per_s
-        if self._state.apply_known_limit(limit, now=self._loop.time()):
+        if limit and self._state.apply_known_limit(limit, now=now):
             self._apply_capacity()
-            self._log.state_change(
-                "target-limit",
-                target=self._state.target_id,
-                per_s=self._state.limit_per_s,
-                before=before,
-                source="peer",
-            )
+            self._log_limit(before, source="peer")
 
     def submit(
         self, attempt: Attempt, on_outcome: OutcomeListener, *, local: bool
@@ -283,20 +286,26 @@
                 "target-leaving", target=incarnation.target_id
             )
         now = self._loop.time()
-        before = self._state.limit_per_s
+        limit_before, phase_before = self._state.limit_per_s, self._state.phase
         changed = self._state.apply_notice(
             notice, incarnation=incarnation, sent_at=sent_at, now=now
         )
-        if changed:
+        if self._state.phase is not phase_before:
+            self.handle_target_change()
+        elif changed:
             self._apply_capacity()
-            self._log.state_change(
-                "target-limit",
-                target=incarnation.target_id,
-                per_s=self._state.limit_per_s,
-                before=before,
-                source="answer",
-                asked_s=round(now - sent_at, 3),
-            )
+        if self._state.limit_per_s != limit_before:
+            asked_s = round(now - sent_at, 3)
+            self._log_limit(limit_before, source="answer", asked_s=asked_s)
+
+    def _log_limit(self, before: float | None, **inputs: object) -> None:
+        self._log.state_change(
+            "target-limit",
+            target=self._state.target_id,
+            per_s=self._state.limit_per_s,
+            before=before,
+            **inputs,
+        )
 
     def _apply_capacity(self) -> None:
         """Applies the target's slots and rate limit to the queue."""
--- a/src/guavawing/traffic/model.py
+++ b/src/guavawing/traffic/model.py
@@ -9,6 +9,7 @@
 from guavawing.verdict import Verdict
 
 __all__ = [
+    "NO_TARGET_RECORD",
     "Attempt",
     "ClientLimits",
     "Incarnation",
@@ -22,6 +23,7 @@
     "TargetLimit",
     "TargetNotice",
     "TargetPhase",
+    "TargetRecord",
     "TargetReport",
 ]
 
@@ -166,6 +168,24 @@
     per_s: float | None
 
 
+@attrs.frozen
+class TargetRecord:
+    """What a node has recorded about the target beside another node.
+
+    It is sent to that node, whose process may have started since.
+
+    Attributes:
+        departure: Process of the target whose departure was announced, if any.
+        limit: Rate limit of the target, if any.
+    """
+
+    departure: Incarnation | None = None
+    limit: TargetLimit | None = None
+
+
+NO_TARGET_RECORD = TargetRecord()
+
+
 @attrs.frozen
 class TargetNotice:
     """What a target states about itself in the headers of an answer.
--- a/src/guavawing/traffic/peers.py
+++ b/src/guavawing/traffic/peers.py
@@ -10,6 +10,7 @@
     LoadReport,
     PeerRecord,
     TargetLimit,
+    TargetRecord,
 )
 
 __all__ = ["Peer", "PeerTable"]
@@ -60,6 +61,11 @@
     reaches_store: bool = True
     beacon_requested: bool = False
 
+    @property
+    def target_record(self) -> TargetRecord:
+        """What is recorded about its target."""
+        return TargetRecord(self.departure, self.limit)
+
 
 class PeerTable:
     """Other nodes by address of their VM, and owners of each service."""
--- a/src/guavawing/traffic/target_state.py
+++ b/src/guavawing/traffic/target_state.py
@@ -114,6 +114,9 @@
         Returns:
             Whether the target, its phase or its slots changed.
         """
+        if self._is_departed_probed(report, now):
+            self._born_ms = report.born_ms
+            self._record_departure(self.incarnation, now)
         same = report.id == self.target_id and report.born_ms == self._born_ms
         if same and report.sequence <= self._sequence:
             return False
@@ -199,7 +202,8 @@
         Returns:
             Whether the phase changed.
         """
-        self._record_departure(departure, now)
+        self._departures.setdefault(departure, now)
+        self._trim_departures()
         if self.phase is not TargetPhase.READY:
             return False
         if departure.target_id != self.target_id:
@@ -238,8 +242,9 @@
     ) -> bool:
         """Applies what a target states about itself in an answer.
 
-        Answers may arrive out of order, so a limit is dropped only by the
-        answer to a request that was sent after the limit was last named.
+        A departure binds like one that it announces by a call. Answers may
+        arrive out of order, so a limit is dropped only by the answer to a
+        request that was sent after the limit was last named.
 
         Args:
             notice: The statements.
@@ -248,18 +253,22 @@
             now: Event loop's time, in seconds.
 
         Returns:
-            Whether the limit changed.
+            Whether the limit or the phase changed.
         """
+        if notice.leaving:
+            self._record_departure(incarnation, now)
         if incarnation != self.incarnation:
             return False
-        before = self.limit_per_s
+        before = (self.limit_per_s, self.phase)
+        if notice.leaving and self.phase is not TargetPhase.GONE:
+            self._start_draining(now)
         self._limit_known = True
         if notice.limit_per_s is not None:
             self.limit_per_s = notice.limit_per_s
             self._limit_named_at = now
         elif not notice.names_limit and sent_at >= self._limit_named_at:
             self.limit_per_s = None
-        return before != self.limit_per_s
+        return before != (self.limit_per_s, self.phase)
 
     def record_refused_connection(self) -> bool:
         """Records that nothing listens at the target's address.
@@ -292,8 +301,24 @@
             return False
         return not self.target_id or report.born_ms >= self._born_ms
 
+    def _is_departed_probed(self, report: TargetReport, now: float) -> bool:
+        """Returns whether a heartbeat is the first of a target that leaves.
+
+        The start time of such a target is unknown until then.
+        """
+        since = self.draining_since
+        return (
+            report.id == self.target_id
+            and self._born_ms == 0
+            and since is not None
+            and now - since < LATE_HEARTBEAT_S
+        )
+
     def _record_departure(self, departure: Incarnation, now: float) -> None:
         self._departures[departure] = now
+        self._trim_departures()
+
+    def _trim_departures(self) -> None:
         if len(self._departures) > MAX_DEPARTURES:
             del self._departures[next(iter(self._departures))]
 
--- a/tests/steps/beacon_steps.py
+++ b/tests/steps/beacon_steps.py
@@ -60,8 +60,7 @@
         on_peer=lambda _: None,
         read_departure=lambda: None,
         on_slots=lambda _: None,
-        on_departure=lambda _: None,
-        on_limit=lambda _: None,
+        on_target_record=lambda _: None,
         log=DecisionLog(node=OWN_RECORD.node),
         metrics=SidecarMetrics(),
     )
@@ -93,7 +92,6 @@
         0,
         True,
         departure,
-        None,
     )
     context.beacons.datagram_received(
         encode_beacon(beacon), (record.host, PORT)
@@ -181,19 +179,19 @@
 
 @then("the reply to it contains the departure")
 def step_replied(context):
-    known = [beacon.known_departure for beacon, _ in context.transport.sent]
+    known = [beacon.known.departure for beacon, _ in context.transport.sent]
     assert DEPARTURE in known, context.transport.sent
 
 
 @then("the reply to it contains the limit")
 def step_replied_limit(context):
-    known = [beacon.known_limit for beacon, _ in context.transport.sent]
+    known = [beacon.known.limit for beacon, _ in context.transport.sent]
     assert LIMIT in known, context.transport.sent
 
 
 @then("the reply to it contains no limit")
 def step_replied_no_limit(context):
-    known = [beacon.known_limit for beacon, _ in context.transport.sent]
+    known = [beacon.known.limit for beacon, _ in context.transport.sent]
     assert known and set(known) == {None}, context.transport.sent
 
 
--- a/tests/steps/loss_steps.py
+++ b/tests/steps/loss_steps.py
@@ -88,8 +88,7 @@
             on_peer=lambda _: None,
             read_departure=lambda: None,
             on_slots=lambda _: None,
-            on_departure=lambda _: None,
-            on_limit=lambda _: None,
+            on_target_record=lambda _: None,
             log=DecisionLog(node=record.node),
             metrics=SidecarMetrics(),
         )
--- a/tests/steps/target_limit_steps.py
+++ b/tests/steps/target_limit_steps.py
@@ -15,6 +15,8 @@
     Incarnation,
     Outcome,
     TargetLimit,
+    TargetPhase,
+    TargetRecord,
     TargetReport,
 )
 from guavawing.traffic.target_state import TargetState
@@ -98,8 +100,16 @@
 
 
 def apply_heartbeat(context, target_id, born_ms):
+    context.sequence += 1
     report = TargetReport(
-        target_id, "desk", ADDRESS, context.slots, False, 1, 0.0, born_ms
+        target_id,
+        "desk",
+        ADDRESS,
+        context.slots,
+        False,
+        context.sequence,
+        0.0,
+        born_ms,
     )
     now = context.paused.time()
     context.state.apply_report(report, now=now)
@@ -118,6 +128,7 @@
     context.target = LimitedTarget(service_s)
     context.state = TargetState("desk", ADDRESS)
     context.sent = []
+    context.sequence = 0
 
     async def make():
         context.owner = make_owner(context.target, context.state)
@@ -157,12 +168,44 @@
     context.paused.call_at(at, apply_heartbeat, context, "t1", 2_000)
 
 
+@given('at {at:g} s the target states its departure as "{value}"')
+@given('at {at:g} s the target states its departure as ""')
+def step_states(context, at, value=""):
+    def state():
+        context.target.leaving = value
+
+    context.paused.call_at(at, state)
+
+
+@given("at {at:g} s a heartbeat reports the target as ready")
+def step_heartbeat(context, at):
+    context.paused.call_at(at, apply_heartbeat, context, "t1", 1_000)
+
+
+@given("its process has started after the last heartbeat")
+def step_probed(context):
+    async def make():
+        context.state = TargetState("desk", ADDRESS)
+        context.owner = make_owner(context.target, context.state)
+        context.state.apply_probe("t1")
+        context.owner.handle_target_change()
+
+    context.paused.run_until_complete(make())
+
+
+@given("a peer has recorded the departure of the target")
+def step_peer_departure(context):
+    departure = Incarnation("t1", BORN_MS["t1"])
+    context.owner.apply_peer_record(TargetRecord(departure))
+
+
 BORN_MS = {"t0": 500, "t1": 1_000, "t2": 2_000}
 
 
 def apply_peer_limit(context, target_id, per_s):
     incarnation = Incarnation(target_id, BORN_MS[target_id])
-    context.owner.apply_known_limit(TargetLimit(incarnation, per_s))
+    record = TargetRecord(limit=TargetLimit(incarnation, per_s))
+    context.owner.apply_peer_record(record)
 
 
 @given('a peer has recorded "{per_s:g}" for target "{target_id}"')
@@ -251,6 +294,9 @@
     return sum(1 for at in context.target.arrivals if start <= at < end)
 
 
+@then(
+    "the target gets at least {least:d} requests from {start:g} s to {end:g} s"
+)
 @then("at least {least:d} requests in all from {start:g} s to {end:g} s")
 def step_least(context, least, start, end):
     count = count_arrivals(context, start, end)
@@ -310,3 +356,28 @@
 @then("it does not know the limit")
 def step_unknown(context):
     assert context.owner.load().limit is None
+
+
+@then("the target gets no request from {start:g} s on")
+def step_no_requests(context, start):
+    arrivals = context.target.arrivals
+    assert not count_arrivals(context, start, 1e9), arrivals[-1]
+
+
+@then("each request from {start:g} s on is refused at once as not-run")
+def step_refused_at_once(context, start):
+    late = [each for each in context.sent if each.at >= start]
+    assert late
+    for each in late:
+        assert isinstance(each.outcome.verdict, NotRun), each
+        assert each.outcome.held_s == 0.0, each
+
+
+@then("it reports the target as {phase:w}")
+def step_phase(context, phase):
+    assert context.owner.load().phase is TargetPhase[phase.upper()]
+
+
+@then("it reports the departure of the target")
+def step_departure(context):
+    assert context.owner.departure == Incarnation("t1", BORN_MS["t1"])
