Take no leaving target for a new one by its health check

Change: a check whose answer states the departure finds no target; heartbeats decide. Test: cover/target_departures, failing before (found t1).

--- a/src/guavawing/sidecar/target_probe.py
+++ b/src/guavawing/sidecar/target_probe.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from guavawing.model import Address
-from guavawing.platform.headers import find_target_id
+from guavawing.platform.headers import find_target_id, parse_answer_head
 from guavawing.sidecar.http_client import (
     ClientConnection,
     HttpReply,
@@ -105,6 +105,8 @@
             conn.close()
     if reply is None or reply.status != OK:
         return ""
+    if parse_answer_head(reply.status, reply.headers).notice.leaving:
+        return ""
     return find_target_id(reply.headers)
 
 
--- a/tests/cover/target_departures.feature
+++ b/tests/cover/target_departures.feature
@@ -83,3 +83,16 @@
       | yes   |
       | -1    |
       | 1.0   |
+
+  # Guards against a target that leaves and is taken as a new one, as its health
+  # check passes.
+  Scenario Outline: A health check whose answer states the departure finds no target
+    Given a target whose health check passes and states its departure as "<value>"
+    When a process that has just started checks its health
+    Then it finds <found>
+
+    Examples:
+      | value | found      |
+      | 1     | no target  |
+      | 0     | the target |
+      | yes   | the target |
--- a/tests/steps/target_limit_steps.py
+++ b/tests/steps/target_limit_steps.py
@@ -1,4 +1,4 @@
-"""Steps about rate limits that a target names, on a paused clock."""
+"""Steps about limits and departures that a target states in its answers."""
 
 import asyncio
 
@@ -11,17 +11,23 @@
 from guavawing.sidecar.link_pacer import LinkPacer
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.owner import Owner
+from guavawing.sidecar.target_probe import TargetProbe
+from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.model import (
     Incarnation,
     Outcome,
+    PeerRecord,
     TargetLimit,
     TargetPhase,
     TargetRecord,
     TargetReport,
 )
+from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.target_state import TargetState
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
+from standins.ports import PortBlock
 from standins.simulated_time_loop import open_simulated_time_loop
+from standins.vm_target import VmTarget, open_vm_target
 from tests.sidecar_support import make_attempt
 
 ADDRESS = parse_address("10.0.0.7:80")
@@ -381,3 +387,39 @@
 @then("it reports the departure of the target")
 def step_departure(context):
     assert context.owner.departure == Incarnation("t1", BORN_MS["t1"])
+
+
+@given(
+    'a target whose health check passes and states its departure as "{value}"'
+)
+def step_healthy_target(context, value):
+    context.vm_target = VmTarget("t1", leaving=value)
+
+
+async def probe(target):
+    block = PortBlock()
+    address = parse_address(block.allocate())
+    state = TargetState("desk", address)
+    record = PeerRecord("a1", address.host, 7001, "east", "desk", 1_000)
+    view = OwnerView(address.host, local=True, near=True)
+    async with open_vm_target(target, address.host, address.port):
+        await TargetProbe(
+            address,
+            state=state,
+            find_path=lambda: "/health",
+            peers=PeerTable(record, view),
+            on_found=lambda: None,
+        ).run()
+    block.close()
+    return state
+
+
+@when("a process that has just started checks its health")
+def step_probe(context):
+    context.state = context.run(probe(context.vm_target))
+
+
+@then("it finds {found}")
+def step_found(context, found):
+    expected = "t1" if found == "the target" else ""
+    assert context.state.target_id == expected, context.state.target_id
