Pass on the Retry-After of a target that refuses a request

The owner ignored that and always told 0.2 s, so clients came back before the target wanted them.

Change: a readable number of seconds in the refusal is told to the client; dates and bad values still give 0.2 s. Decimal numbers of headers are parsed in one place. Test: process scenario, failing before (got 0.200 for 3 and 0.7).

--- a/src/guavawing/platform/headers.py
+++ b/src/guavawing/platform/headers.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from guavawing.platform.decimals import parse_decimal
 from guavawing.platform.target_notices import NO_NOTICE, decode_notice
 from guavawing.traffic.model import TargetNotice
 
@@ -89,6 +90,8 @@
         framed: Whether the body has a defined end other than the close of
             the connection.
         notice: What the target states about itself.
+        retry_after_s: Delay before a retry that the target asks for, in
+            seconds; None if missing or unreadable.
         forwarded: Header lines to forward, each with its line end.
     """
 
@@ -99,6 +102,7 @@
     idle_timeout_s: float | None
     framed: bool
     notice: TargetNotice
+    retry_after_s: float | None
     forwarded: bytes
 
 
@@ -182,6 +186,7 @@
     signed = not_executed = False
     framed = status in _BODILESS_STATUSES
     idle_timeout_s = None
+    retry_after_s = None
     limits: list[bytes] = []
     leaving: list[bytes] = []
     dropped = _find_hop_by_hop_headers(headers)
@@ -203,6 +208,8 @@
             signed = True
         elif lower == b"x-not-executed":
             not_executed = True
+        elif lower == b"retry-after":
+            retry_after_s = parse_decimal(value)
         elif lower == b"server-limit":
             limits.append(value)
         elif lower == b"server-leaving":
@@ -217,6 +224,7 @@
         idle_timeout_s,
         framed,
         decode_notice(limits, leaving) if stated else NO_NOTICE,
+        retry_after_s,
         b"".join(lines),
     )
 
--- a/src/guavawing/platform/target_notices.py
+++ b/src/guavawing/platform/target_notices.py
@@ -1,18 +1,13 @@
 """Decoding of the headers in which a target states its limit or departure."""
 
-import re
 from collections.abc import Sequence
 
+from guavawing.platform.decimals import parse_decimal
 from guavawing.traffic.model import TargetNotice
 
 __all__ = ["NO_NOTICE", "decode_notice"]
 
 NO_NOTICE = TargetNotice()
-# A finite number that is not negative; bounded in length, as the range of a
-# float is.
-_DECIMAL = re.compile(
-    rb"(?:[0-9]{1,30}(?:\.[0-9]{0,30})?|\.[0-9]{1,30})(?:[eE][+-]?[0-9]{1,2})?"
-)
 _LEAVING_VALUES = {b"1": True, b"0": False}
 MAX_QUOTED_CHARS = 80
 
@@ -33,10 +28,11 @@
     leaves = False
     unreadable: list[str] = []
     for value in _split_lists(limits):
-        if _DECIMAL.fullmatch(value):
-            per_s.append(float(value))
-        else:
+        number = parse_decimal(value)
+        if number is None:
             unreadable.append(f"Server-Limit {_quote(value)}")
+        else:
+            per_s.append(number)
     for value in _split_lists(leaving):
         if value in _LEAVING_VALUES:
             leaves = leaves or _LEAVING_VALUES[value]
--- a/src/guavawing/sidecar/target_pool.py
+++ b/src/guavawing/sidecar/target_pool.py
@@ -42,7 +42,8 @@
 # the smallest VMs. Above it the largest partial answer is aborted, which is the
 # endless one if there is one.
 MAX_READ_BYTES = 32 * 1024 * 1024
-# Retry-After in seconds if the target rejected the request for overload.
+# Retry-After in seconds if the target rejected the request for overload without
+# one of its own.
 SHED_RETRY_AFTER_S = 0.2
 OK_STATUSES = range(200, 300)
 MISDIRECTED = 421
@@ -263,7 +264,8 @@
     if reply.status == MISDIRECTED:
         return Outcome(NotRun(Reason.TARGET_REPLACED, 0.0))
     if head.not_executed:
-        return Outcome(NotRun(Reason.TARGET_SHED, SHED_RETRY_AFTER_S))
+        retry_after_s = head.retry_after_s or SHED_RETRY_AFTER_S
+        return Outcome(NotRun(Reason.TARGET_SHED, retry_after_s))
     if reply.status in NOT_RUN_STATUSES:
         # Without the header for requests that were not executed, the status
         # alone does not prove that the request has not run.
--- a/standins/vm_target.py
+++ b/standins/vm_target.py
@@ -64,6 +64,7 @@
             any target that shares the set.
         limit: Value of `Server-Limit` in its answers; empty for none.
         leaving: Value of `Server-Leaving` in its answers; empty for none.
+        retry_after: Value of `Retry-After` in its refusals; empty for none.
     """
 
     id: str
@@ -74,6 +75,7 @@
     failed: set[str] = attrs.field(factory=set)
     limit: str = ""
     leaving: str = ""
+    retry_after: str = ""
 
     def count(self, request_id: str) -> int:
         """Returns the number of executions of a request."""
@@ -131,7 +133,10 @@
         target.failed.add(request_id)
         request_id_header = f"X-Request-Id: {request_id}\r\n"
         if name == "shed":
-            self._write(503, request_id_header + "X-Not-Executed: 1\r\n", b"")
+            head = request_id_header + "X-Not-Executed: 1\r\n"
+            if target.retry_after:
+                head += f"Retry-After: {target.retry_after}\r\n"
+            self._write(503, head, b"")
             return
         await self._execute(name, request_id_header, request_id)
 
--- a/tests/cover/headers.feature
+++ b/tests/cover/headers.feature
@@ -57,3 +57,18 @@
       | Server-Leaving: true                     | does not state | 'true'     |
       | Server-Leaving: 11                       | does not state | '11'       |
       | X-Other: 1                               | does not state | nothing    |
+
+  Scenario Outline: The delay that a target asks for is read, or ignored if unreadable
+    When a target's answer has the headers "Retry-After: <value>"
+    Then it asks for a retry after <seconds> s
+
+    Examples:
+      | value                         | seconds |
+      | 3                             | 3       |
+      | 0.25                          | 0.25    |
+      | 0                             | 0       |
+      | Wed; 21 Oct 2026 07:28:00 GMT | no      |
+      | -1                            | no      |
+      | nan                           | no      |
+      | inf                           | no      |
+      | soon                          | no      |
--- a/tests/processes/target_notices.feature
+++ b/tests/processes/target_notices.feature
@@ -25,3 +25,16 @@
     And the daemon of "a1" is killed after 3 s and started again
     Then target "a1" got no request later than 2 s after its first answer
     And each that was refused got 503 with a Retry-After header
+
+  # Guards against a client that is told to come back before the target that
+  # refused its request wants it to.
+  Scenario Outline: A target's own Retry-After reaches the client
+    Given target "a1" refuses with a Retry-After of "<value>"
+    When a client on "a2" sends GET "/desk/safe/shed" as "r1"
+    Then it gets 503 with a Retry-After of <seconds> s
+
+    Examples:
+      | value | seconds |
+      | 3     | 3       |
+      | 0.7   | 0.7     |
+      | later | 0.2     |
--- a/tests/steps/header_steps.py
+++ b/tests/steps/header_steps.py
@@ -56,3 +56,9 @@
 def step_answer_forwarded(context):
     lines = [b": ".join(pair) + b"\r\n" for pair in context.answer_headers]
     assert context.answer_head.forwarded == b"".join(lines)
+
+
+@then("it asks for a retry after {seconds} s")
+def step_retry_after(context, seconds):
+    expected = None if seconds == "no" else float(seconds)
+    assert context.answer_head.retry_after_s == expected, context.answer_head
--- a/tests/steps/target_notice_steps.py
+++ b/tests/steps/target_notice_steps.py
@@ -20,6 +20,18 @@
     find_vm(context, name).target.leaving = "1"
 
 
+@given('target "{name}" refuses with a Retry-After of "{value}"')
+def step_retry_after(context, name, value):
+    find_vm(context, name).target.retry_after = value
+
+
+@then("it gets 503 with a Retry-After of {seconds:g} s")
+def step_gets_retry_after(context, seconds):
+    status, headers, _ = context.answer
+    assert status == 503, context.answer
+    assert float(headers["Retry-After"]) == seconds, headers
+
+
 async def send_periodically(context, names, path, per_s, seconds):
     """Sends requests at a constant rate, alternating between VMs."""
     loop = asyncio.get_running_loop()
