End 'config wait' at its time limit if requests hide their cancellation

Cause: at the time limit the tasks that poll nodes are cancelled. If a request's own timeout expires in the same turn of the loop, aiohttp reports the timeout in place of the cancellation; the task takes that for a silent node and goes on with the next one, 2 s each, and the group waits for it.

Change: a task takes no further node after the time limit. Evidence: on a paused clock, 1,300 nodes whose requests hide the cancellation, limit 1 s: ended after 301 s before, after 1 s now (cover/node_client).

--- a/src/guavawing/cli/node_client.py
+++ b/src/guavawing/cli/node_client.py
@@ -84,6 +84,7 @@
     Raises:
         ControlError: If `node` itself gives no usable answer.
     """
+    loop = asyncio.get_running_loop()
     found: dict[str, Status | None] = {}
     async with _open_session() as session:
         first = await _read_status(session, node, members=True)
@@ -96,7 +97,9 @@
 
         async def poll_members() -> None:
             # The tasks share `pending`; each member is polled by one of them.
-            while pending:
+            # The time is checked too: a request whose own timeout coincides
+            # with the cancellation of its task reports only the timeout.
+            while pending and (until is None or loop.time() < until):
                 member = pending.popleft()
                 name = member["node"]
                 may_retry = name not in found and name not in no_retry
