Read all rows again when the store comes back from an older copy

Operators would have seen versions that never come into force on some nodes: a watch keeps the version up to which it knows a table, the restored store gives that version out again, and the feed after it leaves out the rows written in between, with no 410.

Cause: nothing read Store-Era, so versions of two states of the store were compared.

Change: every answer of the store carries its era from the transport up. A version counts only with the era in which it was given out: an answer of a later era starts a complete read; an answer of an earlier one that arrives late is not used; a write that meets the change has an unknown outcome. After a failed call the next one of the feed does not wait, since an equal version would hide the change until the next write. An era that is missing, doubled, unreadable or falling is counted, logged and ignored.

The stand-in can be restored from a copy; it names the era in all answers.

--- a/src/guavawing/platform/store_client.py
+++ b/src/guavawing/platform/store_client.py
@@ -2,11 +2,14 @@
 
 The store has one version counter, which increases with each transaction. A row
 has the version of its last change. The partitions of tables are not used.
+
+The store may be restored from an older copy. It then gives out versions again,
+and all its answers name the next era: versions of two eras can't be compared.
 """
 
 import base64
 import urllib.parse
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
 from typing import Any
 
 import attrs
@@ -18,16 +21,20 @@
     PlatformWriteUnknownError,
     TransactionRefusedError,
 )
+from guavawing.platform.store_transport import (
+    HttpAnswer,
+    HttpCall,
+    StoreEra,
+    Transport,
+)
 
 __all__ = [
     "CONFIGURATION_KEY",
     "CONFIGURATION_TABLE",
-    "HttpCall",
     "RowChanges",
     "RowWrite",
     "StoreClient",
     "StoredRow",
-    "Transport",
 ]
 
 CONFIGURATION_TABLE = "op"
@@ -41,27 +48,6 @@
 _REFUSALS = frozenset({400, 403, 404, 413, 429, 503, 507})
 
 
-@attrs.frozen
-class HttpCall:
-    """A call to the store.
-
-    Attributes:
-        method: HTTP method.
-        path: Path and query.
-        body: Complete body.
-        timeout_s: Timeout of the answer, in seconds.
-    """
-
-    method: str
-    path: str
-    body: bytes
-    timeout_s: float
-
-
-# Executes a call and returns status and body. Raises PlatformUnavailableError
-# if the call was not sent, and PlatformWriteUnknownError if no answer arrived.
-Transport = Callable[[HttpCall], Awaitable[tuple[int, bytes]]]
-
 # Timeouts of calls for rows and for objects, in seconds; far above the latency
 # of a slow store.
 CALL_TIMEOUT_S = 2.0
@@ -95,11 +81,14 @@
         rows: The rows that could be decoded.
         version: Version from which to continue watching.
         unreadable: Number of entries that could not be decoded.
+        era: Era of the store in which the version was given out; 0 if the
+            store names none.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
     unreadable: int
+    era: int = 0
 
 
 @attrs.frozen
@@ -121,12 +110,17 @@
 
 
 class StoreClient:
-    """Client of the store over a transport."""
+    """Client of the store over a transport.
+
+    Attributes:
+        era: The store's era, as its answers name it.
+    """
 
-    __slots__ = ("_transport",)
+    __slots__ = ("_transport", "era")
 
     def __init__(self, transport: Transport) -> None:
         self._transport = transport
+        self.era = StoreEra()
 
     async def read_row(self, table: str, key: str) -> StoredRow | None:
         """Returns a row, or None if it does not exist.
@@ -136,7 +130,7 @@
         """
         query = {"table": table, "part": "", "from": key, "limit": "1"}
         content = await self._get_json("/-/rows-get", query, CALL_TIMEOUT_S)
-        changes = _decode_changes(content)
+        changes = self._decode_changes(content)
         if changes.unreadable:
             raise _unavailable(f"row {table}/{key} can't be decoded")
         return next((row for row in changes.rows if row.key == key), None)
@@ -160,6 +154,7 @@
         rows: list[StoredRow] = []
         unreadable = 0
         version: int | None = None
+        era: int | None = None
         # `from` is inclusive: key + "\0" is the next possible key.
         start = after and after + "\0"
         while True:
@@ -167,13 +162,16 @@
             if limit is not None:
                 query["limit"] = str(limit - len(rows))
             content = await self._get_json("/-/rows-get", query, CALL_TIMEOUT_S)
-            page = _decode_changes(content)
+            page = self._decode_changes(content)
             rows += page.rows
             unreadable += page.unreadable
             version = page.version if version is None else version
+            era = page.era if era is None else era
+            if page.era != era:
+                raise _unavailable("it was restored between two pages")
             full = limit is not None and len(rows) >= limit
             if full or not content.get("hasMore") or not page.rows:
-                return RowChanges(tuple(rows), version, unreadable)
+                return RowChanges(tuple(rows), version, unreadable, era)
             start = page.rows[-1].key + "\0"
 
     async def watch_table(
@@ -198,7 +196,7 @@
         content = await self._get_json(
             "/-/rows-feed", query, wait_s + WATCH_MARGIN_S
         )
-        return _decode_changes(content)
+        return self._decode_changes(content)
 
     async def write_rows(self, writes: Sequence[RowWrite]) -> int:
         """Writes and removes rows atomically.
@@ -230,13 +228,13 @@
             {"precondition": preconditions, "puts": puts, "remove": removals}
         )
         call = HttpCall("POST", "/-/rows-tx", body, CALL_TIMEOUT_S)
-        status, answer = await self._transport(call)
-        if status == CONFLICT:
+        answer = await self._write(call)
+        if answer.status == CONFLICT:
             raise TransactionRefusedError(
                 "a row does not have the expected version"
             )
-        _check_written(status)
-        return _decode_version(answer)
+        _check_written(answer.status)
+        return _decode_version(answer.body)
 
     async def put_object(self, name: str, payload: bytes) -> None:
         """Stores an object; storing the same bytes again is harmless.
@@ -247,8 +245,8 @@
         """
         path = "/-/blob-put/" + urllib.parse.quote(name)
         call = HttpCall("PUT", path, payload, OBJECT_TIMEOUT_S)
-        status, _ = await self._transport(call)
-        _check_written(status)
+        answer = await self._write(call)
+        _check_written(answer.status)
 
     async def get_object(self, name: str) -> bytes | None:
         """Returns an object's bytes, or None if there is none.
@@ -294,9 +292,9 @@
         """
         path = "/-/blob-drop/" + urllib.parse.quote(name)
         call = HttpCall("DELETE", path, b"", CALL_TIMEOUT_S)
-        status, _ = await self._transport(call)
-        if status != NOT_FOUND:
-            _check_written(status)
+        answer = await self._write(call)
+        if answer.status != NOT_FOUND:
+            _check_written(answer.status)
 
     async def _get_json(
         self, path: str, query: dict[str, str], timeout_s: float
@@ -315,12 +313,51 @@
             raise _unavailable("the answer is not an object")
         return content
 
+    def _decode_changes(self, content: dict[str, Any]) -> RowChanges:
+        entries, version = content.get("rows"), content.get("schemaVersion")
+        if not isinstance(entries, list) or type(version) is not int:
+            raise _unavailable("the answer has no rows or no version")
+        rows, unreadable = [], 0
+        for entry in entries:
+            try:
+                rows.append(_decode_row(entry))
+            except (KeyError, TypeError, ValueError):
+                # One invalid row must not hide the others; callers check the
+                # count.
+                unreadable += 1
+        return RowChanges(tuple(rows), version, unreadable, self.era.newest)
+
     async def _get_raw(self, path: str, timeout_s: float) -> tuple[int, bytes]:
+        era_before = self.era.newest
         try:
-            return await self._transport(HttpCall("GET", path, b"", timeout_s))
+            answer = await self._transport(
+                HttpCall("GET", path, b"", timeout_s)
+            )
         except PlatformWriteUnknownError as exc:
             # An unanswered read has no effect, so its outcome is not unknown.
             raise _unavailable(str(exc)) from exc
+        if not self.era.observe(answer.era, before=era_before):
+            raise _unavailable("it was restored after it had answered")
+        return answer.status, answer.body
+
+    async def _write(self, call: HttpCall) -> HttpAnswer:
+        """Executes a write.
+
+        Raises:
+            PlatformUnavailableError: If nothing was written.
+            PlatformWriteUnknownError: If no answer arrived, or the store was
+                restored during the call. Versions that the call expected may
+                then stand for other rows, and what it has written may be lost.
+        """
+        era_before = self.era.newest
+        answer = await self._transport(call)
+        current = self.era.observe(answer.era, before=era_before)
+        if not current or (era_before and self.era.newest != era_before):
+            raise PlatformWriteUnknownError(
+                f"the store was restored during a write: got era {answer.era},"
+                f" expected {era_before}"
+            )
+        return answer
 
 
 def _encode_key(write: RowWrite) -> dict[str, Any]:
@@ -353,20 +390,6 @@
     return version
 
 
-def _decode_changes(content: dict[str, Any]) -> RowChanges:
-    entries, version = content.get("rows"), content.get("schemaVersion")
-    if not isinstance(entries, list) or type(version) is not int:
-        raise _unavailable("the answer has no rows or no version")
-    rows, unreadable = [], 0
-    for entry in entries:
-        try:
-            rows.append(_decode_row(entry))
-        except (KeyError, TypeError, ValueError):
-            # One invalid row must not hide the others; callers check the count.
-            unreadable += 1
-    return RowChanges(tuple(rows), version, unreadable)
-
-
 def _decode_row(entry: dict[str, Any]) -> StoredRow:
     value = None
     if not entry.get("deleted"):
--- /dev/null
+++ b/src/guavawing/platform/store_transport.py
@@ -0,0 +1,97 @@
+"""Calls to the platform's store, its answers, and the era that they name."""
+
+import re
+from collections.abc import Awaitable, Callable, Sequence
+
+import attrs
+
+__all__ = [
+    "ERA_HEADER",
+    "HttpAnswer",
+    "HttpCall",
+    "StoreEra",
+    "Transport",
+    "parse_era",
+]
+
+ERA_HEADER = "Store-Era"
+_ERA = re.compile(r"[0-9]{1,18}")
+
+
+@attrs.frozen
+class HttpCall:
+    """A call to the store.
+
+    Attributes:
+        method: HTTP method.
+        path: Path and query.
+        body: Complete body.
+        timeout_s: Timeout of the answer, in seconds.
+    """
+
+    method: str
+    path: str
+    body: bytes
+    timeout_s: float
+
+
+@attrs.frozen
+class HttpAnswer:
+    """An answer of the store.
+
+    Attributes:
+        status: HTTP status.
+        body: Complete body.
+        era: Era of the store; None if the answer names none that is readable.
+    """
+
+    status: int
+    body: bytes
+    era: int | None
+
+
+# Executes a call. Raises PlatformUnavailableError if the call was not sent, and
+# PlatformWriteUnknownError if no answer arrived.
+Transport = Callable[[HttpCall], Awaitable[HttpAnswer]]
+
+
+class StoreEra:
+    """Newest era of the store that was seen.
+
+    Attributes:
+        newest: The era; 0 if no answer has named one.
+        on_unreadable: Called for each answer whose era is missing, unreadable
+            or lower than it was when the call was sent. Such an answer counts
+            as one of the newest era.
+    """
+
+    __slots__ = ("newest", "on_unreadable")
+
+    def __init__(self) -> None:
+        self.newest = 0
+        self.on_unreadable: Callable[[], None] = lambda: None
+
+    def observe(self, era: int | None, *, before: int) -> bool:
+        """Records the era of an answer; returns whether it is the newest.
+
+        Args:
+            era: The era that the answer names, if any.
+            before: The newest era when the call was sent.
+        """
+        if era is None or era < before:
+            if before:
+                self.on_unreadable()
+            return True
+        is_newest = era >= self.newest
+        self.newest = max(self.newest, era)
+        return is_newest
+
+
+def parse_era(values: Sequence[str]) -> int | None:
+    """Returns the era that the header lines of an answer name.
+
+    It is None if there is no line, more than one, or no readable number.
+    """
+    if len(values) != 1 or not _ERA.fullmatch(values[0]):
+        return None
+    return int(values[0])
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -178,6 +178,7 @@
         )
         self._store_link = StoreLink(settings.store, source=settings.host)
         self._store = StoreClient(self._store_link.call)
+        self._store.era.on_unreadable = self._record_unreadable_era
         self._membership = Membership(
             self._store,
             self._own_record,
@@ -391,6 +392,12 @@
     def _handle_config(self, config: ConfigFrame) -> None:
         self._configuration.apply_config(config)
 
+    def _record_unreadable_era(self) -> None:
+        self._metrics.unreadable.inc({"source": "store-era"})
+        self._log.state_change(
+            "store-era-unreadable", era=self._store.era.newest
+        )
+
     def _make_update(self, version: int) -> tuple[int, bytes] | None:
         return self._configuration.make_update(version)
 
--- a/src/guavawing/sidecar/store_link.py
+++ b/src/guavawing/sidecar/store_link.py
@@ -5,7 +5,12 @@
 
 from guavawing.errors import PlatformUnavailableError, PlatformWriteUnknownError
 from guavawing.model import Address
-from guavawing.platform.store_client import HttpCall
+from guavawing.platform.store_transport import (
+    ERA_HEADER,
+    HttpAnswer,
+    HttpCall,
+    parse_era,
+)
 from guavawing.sidecar.http_client import (
     ClientConnection,
     HttpReply,
@@ -40,8 +45,8 @@
         self._address = address
         self._idle: list[ClientConnection] = []
 
-    async def call(self, call: HttpCall) -> tuple[int, bytes]:
-        """Sends a call; see `guavawing.platform.store_client.Transport`."""
+    async def call(self, call: HttpCall) -> HttpAnswer:
+        """Sends a call; see `guavawing.platform.store_transport.Transport`."""
         conn = await self._connect()
         fut: asyncio.Future[HttpReply] = self._loop.create_future()
         lost = PlatformWriteUnknownError("connection to the store lost")
@@ -64,7 +69,12 @@
             raise
         if conn.usable:
             self._idle.append(conn)
-        return reply.status, reply.body
+        eras = [
+            value.decode("latin-1").strip()
+            for name, value in reply.headers
+            if name.lower() == ERA_HEADER.lower().encode()
+        ]
+        return HttpAnswer(reply.status, reply.body, parse_era(eras))
 
     def set_address(self, address: Address) -> None:
         """Sends further calls to another address."""
--- a/src/guavawing/sidecar/table_watch.py
+++ b/src/guavawing/sidecar/table_watch.py
@@ -74,7 +74,10 @@
         self._on_reachability = on_reachability
         self._log = log
         self._metrics = metrics
+        # Version up to which the table is known, and the store's era in which
+        # it was given out.
         self._version: int | None = None
+        self._era = 0
         self.connected = False
         self._ever_failed = False
         self._follows_from: float | None = None
@@ -124,16 +127,39 @@
             if self._follows_from is None:
                 self._follows_from = self._loop.time() + DISCOVERY_WAIT_S
             self._version = changes.version
+            self._record_era(changes)
             self._on_changes(changes, True)
             return
-        wait_s = FEED_WAIT_S if self._follows() else 0.0
+        # The first answer after a failure shows whether the store was restored
+        # meanwhile, so it is not to wait for a change.
+        waits = self.connected and self._follows()
+        wait_s = FEED_WAIT_S if waits else 0.0
         changes = await self._store.watch_table(
             self._table, after=self._version, wait_s=wait_s
         )
+        if changes.era != self._era:
+            # Versions are given out again after the store was restored, so this
+            # answer may leave out changes.
+            self._version = None
+            return
         self._version = max(self._version, changes.version)
         if changes.rows:
             self._on_changes(changes, False)
 
+    def _record_era(self, changes: RowChanges) -> None:
+        """Records the era of a complete read; logs that it has changed."""
+        if self._era not in (0, changes.era):
+            self._count("restored")
+            self._log.state_change(
+                "store-restored",
+                table=self._table,
+                era=changes.era,
+                era_before=self._era,
+                version=changes.version,
+                rows=len(changes.rows),
+            )
+        self._era = changes.era
+
     async def _pause(self, seconds: float) -> None:
         """Waits for a time or until a read is requested by `catch_up`."""
         with contextlib.suppress(TimeoutError):
--- a/src/guavawing/store/client.py
+++ b/src/guavawing/store/client.py
@@ -24,11 +24,12 @@
     PlatformWriteUnknownError,
 )
 from guavawing.model import Address
-from guavawing.platform.store_client import (
+from guavawing.platform.store_client import RowWrite, StoreClient, StoredRow
+from guavawing.platform.store_transport import (
+    ERA_HEADER,
+    HttpAnswer,
     HttpCall,
-    RowWrite,
-    StoreClient,
-    StoredRow,
+    parse_era,
 )
 
 __all__ = ["MAX_ENTRIES", "Platform", "Row", "Write", "open_platform"]
@@ -87,8 +88,8 @@
         self._timeout_s = timeout_s
         self.received = 0
 
-    async def call(self, call: HttpCall) -> tuple[int, bytes]:
-        """Executes a call; see `guavawing.platform.store_client.Transport`."""
+    async def call(self, call: HttpCall) -> HttpAnswer:
+        """Executes a call; see `platform.store_transport.Transport`."""
         url = yarl.URL(self._base + call.path, encoded=True)
         # Commands and tests set a timeout of their own in place of that of the
         # call, which is meant for daemons.
@@ -107,7 +108,8 @@
                 f"the platform did not answer: {_describe(exc)}"
             ) from exc
         self.received += len(body)
-        return resp.status, body
+        era = parse_era(resp.headers.getall(ERA_HEADER, []))
+        return HttpAnswer(resp.status, body, era)
 
 
 class Platform:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -45,6 +45,8 @@
             connection.
         serve_first: Number of requests that are served before all further
             ones are refused with status 503; None for no limit.
+        era: Value of `Store-Era` in place of the era of the tables; None for
+            that era.
         garbage: Whether reads are answered with an unexpected JSON value.
         history_lost: Whether the next feed request is answered with 410.
     """
@@ -57,6 +59,7 @@
     lose_after: int = 0
     lost_status: int = 0
     serve_first: int | None = None
+    era: str | None = None
     garbage: bool = False
     history_lost: bool = False
 
@@ -127,6 +130,14 @@
     ) -> web.StreamResponse:
         if req.path in ("/faults", "/counters"):
             return await handler(req)
+        resp = await self._handle(req, handler)
+        era = self.faults.era
+        resp.headers["Store-Era"] = str(self.tables.era) if era is None else era
+        return resp
+
+    async def _handle(
+        self, req: web.Request, handler: Any
+    ) -> web.StreamResponse:
         self._requested.set()
         host = req.remote or ""
         self.calls.append((host, req.path))
@@ -163,6 +174,8 @@
         if self.faults.history_lost:
             self.faults.history_lost = False
             return web.Response(status=GONE)
+        if not self.tables.knows(int(req.query["after"])):
+            return web.Response(status=GONE)
         answer = await self.tables.follow(
             req.query["table"],
             after=int(req.query["after"]),
--- a/standins/platform_tables.py
+++ b/standins/platform_tables.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-__all__ = ["PlatformTables"]
+__all__ = ["PlatformTables", "TablesCopy"]
 
 MS_PER_S = 1000
 # Maximum rows of one answer, as on the platform.
@@ -18,9 +18,23 @@
 Tree = dict[str, Any]
 
 
+@attrs.frozen
+class TablesCopy:
+    """A copy of all rows, with the version of the tables at that moment."""
+
+    rows: dict[tuple[str, str], tuple[str | None, int]]
+    version: int
+
+
 @attrs.define
 class PlatformTables:
-    """Rows by table and key; a deleted row keeps its version."""
+    """Rows by table and key; a deleted row keeps its version.
+
+    Attributes:
+        era: Number that increases when the tables are restored from a copy.
+    """
+
+    era: int = 1
 
     _rows: dict[tuple[str, str], tuple[str | None, int]] = attrs.field(
         factory=dict
@@ -39,6 +53,21 @@
         self._rows[table, key] = (text, self._version)
         self._notify_waiters()
 
+    def copy(self) -> TablesCopy:
+        """Returns a copy of the tables."""
+        return TablesCopy(dict(self._rows), self._version)
+
+    def restore(self, copy: TablesCopy) -> None:
+        """Replaces the tables by a copy; versions continue from there."""
+        self._rows = dict(copy.rows)
+        self._version = copy.version
+        self.era += 1
+        self._notify_waiters()
+
+    def knows(self, version: int) -> bool:
+        """Returns whether a version has been given out."""
+        return version <= self._version
+
     def get(self, table: str, key: str) -> bytes | None:
         """Returns the value of a row, or None if it does not exist."""
         text, _ = self._rows.get((table, key), (None, 0))
