--- a/tests/cover/store_restore.feature
+++ b/tests/cover/store_restore.feature
@@ -85,6 +85,52 @@
     Then the answer is used, and the era is 0
     And 0 bad era is counted
 
+  # Guards against nodes whose rows are lost with the store's last seconds and
+  # are written again by nobody.
+  Scenario: Rows of live nodes that the copy lacks are written again
+    Given nodes "n1 n2 n3 n4" of a data centre of which "n1" follows the store
+    And a copy of the store without the rows of "n2 n3"
+    When the store is restored from the copy
+    Then within 2 s the table has the rows of "n1 n2 n3 n4"
+
+  Scenario: The reader's own row is written again
+    Given nodes "n1 n2" of a data centre of which "n1" follows the store
+    And a copy of the store without the rows of "n1"
+    When the store is restored from the copy
+    Then within 2 s the table has the rows of "n1 n2"
+
+  Scenario: A row that was removed and comes back is removed again
+    Given nodes "n1 n2 n3" of a data centre of which "n1" follows the store
+    And a copy of the store
+    When the row of "n3" is removed
+    And the store is restored from the copy
+    Then within 2 s the table has the rows of "n1 n2"
+    And "n1" does not know "n3"
+
+  Scenario: A row that another node has written meanwhile stays as it is
+    Given nodes "n1 n2 n3" of a data centre of which "n1" follows the store
+    And a copy of the store without the rows of "n2 n3"
+    When the store is restored from the copy
+    And another process writes the row of "n2" before the reader does
+    Then within 2 s the table has the rows of "n1 n2 n3"
+    And the row of "n2" is that of the other process
+
+  Scenario: Rows are written again by a store that refuses at first
+    Given nodes "n1 n2 n3" of a data centre of which "n1" follows the store
+    And a copy of the store without the rows of "n2 n3"
+    When the store is restored from the copy and refuses 2 writes
+    Then within 2 s the table has the rows of "n1 n2 n3"
+
+  # Guards against the removal of a row of another process whose version was
+  # given out again.
+  Scenario: A node that leaves does not remove the row of its successor
+    Given nodes "n1 n2" of a data centre of which "n1" follows the store
+    And a copy of the store without the rows of "n1"
+    When the store is restored from the copy
+    And a successor of "n1" writes its row with the version of the old row
+    And "n1" withdraws at once
+    Then the row of "n1" is that of the other process
+
   Scenario Outline: The calls after a restore don't grow with the fleet
     Given <count> nodes in 3 data centres that have started
     And a copy of the store
