--- a/tests/processes/sidecar.feature
+++ b/tests/processes/sidecar.feature
@@ -111,6 +111,18 @@
     Then within 2 s of its start the daemon of "a1" is ready
     And clients on all VMs get 200 for "/desk/safe/ok"
 
+  # Guards against versions that never come into force after the store was
+  # restored, and against nodes that nobody finds any more.
+  Scenario: The store comes back from an older copy
+    Given a copy of the store without the rows of the VMs "a2 b1"
+    When version 3 moves the routes of "desk" to "feed"
+    Then within 2 s requests "/desk/safe/ok" on all VMs are executed by "feed"
+    When the store is away for 1 s and comes back from the copy
+    And 12 rows that nobody reads are written to it
+    And version 5 moves the routes of "feed" to "desk"
+    Then within 3 s requests "/feed/safe/ok" on all VMs are executed by "desk"
+    And within 3 s the store has the rows of all VMs
+
   Scenario: All daemons are killed at once
     When all daemons are killed and started again
     Then within 3 s of their starts clients on all VMs get 200 for "/desk/safe/ok"
--- a/tests/steps/sidecar_store_steps.py
+++ b/tests/steps/sidecar_store_steps.py
@@ -1,11 +1,13 @@
 """Steps with a failing store and daemons that restart."""
 
+import asyncio
 import itertools
 import os
 import pathlib
 
-from behave import then, when
+from behave import given, then, when
 
+from guavawing.sidecar.membership import NODES_TABLE
 from standins.vm_fleet import make_document
 from tests.sidecar_support import (
     find_executions,
@@ -35,6 +37,49 @@
     context.vms.store.faults.history_lost = True
 
 
+@given('a copy of the store without the rows of the VMs "{names}"')
+def step_copy(context, names):
+    context.copy = context.vms.store.tables.copy()
+    for name in names.split():
+        del context.copy.rows[NODES_TABLE, find_vm(context, name).host]
+
+
+@when("the store is away for {seconds:g} s and comes back from the copy")
+def step_restore(context, seconds):
+    store = context.vms.store
+
+    async def restore():
+        store.faults.down = True
+        await asyncio.sleep(seconds)
+        store.tables.restore(context.copy)
+        store.faults.down = False
+
+    context.run(restore())
+
+
+@when("{count:d} rows that nobody reads are written to it")
+def step_other_rows(context, count):
+    async def write():
+        for number in range(count):
+            context.vms.store.tables.put("other", str(number), b"{}")
+
+    context.run(write())
+
+
+@then("within {seconds:g} s the store has the rows of all VMs")
+def step_has_rows(context, seconds):
+    hosts = {vm.host for vm in context.vms.vms.values()}
+
+    def find_missing():
+        tables = context.vms.store.tables
+        return {h for h in hosts if tables.get(NODES_TABLE, h) is None}
+
+    async def are_written():
+        return not find_missing()
+
+    context.run(wait_for(seconds, are_written, find_missing))
+
+
 @when('version {version:d} moves the routes of "{one}" to "{two}"')
 def step_move(context, version, one, two):
     publish_moved(context, version, one, two)
