--- a/src/guavawing/platform/settings.py
+++ b/src/guavawing/platform/settings.py
@@ -1,5 +1,6 @@
 """The settings file that the platform writes for each process."""
 
+import math
 import os
 import pathlib
 from collections.abc import Mapping
@@ -143,9 +144,9 @@
             number = float(value)
         except ValueError:
             number = -1.0
-        if number < 0:
+        if not 0 <= number < math.inf:
             raise SettingsInvalidError(
-                f"got {name}={value!r}, expected a number of at least 0"
+                f"got {name}={value!r}, expected a finite number of at least 0"
             )
         return number
 
--- a/standins/vm_fleet.py
+++ b/standins/vm_fleet.py
@@ -191,9 +191,10 @@
     return document | changes
 
 
-def _make_settings(
+def make_settings(
     vm_name: str, host: str, dc: str, service: str, store: str
 ) -> str:
+    """Returns the settings file of a VM."""
     lines = {
         "self.node": vm_name,
         "self.ip": host,
@@ -255,7 +256,7 @@
             host = f"{net}.1.{number}"
             path = pathlib.Path(folder) / f"{name}.conf"
             path.write_text(
-                _make_settings(name, host, dc, service, store_address)
+                make_settings(name, host, dc, service, store_address)
             )
             target = VmTarget(f"i-{name}", failed=failed)
             port = TARGET
