Refuse a request whose deadline is no decimal number

Change: such a request is refused with 400, which quotes the value; a deadline above an hour is cut to that. Test: cover/headers and a process scenario.

--- a/src/guavawing/platform/headers.py
+++ b/src/guavawing/platform/headers.py
@@ -23,6 +23,9 @@
 ]
 
 MS_PER_S = 1000
+# Longest time that a client may ask for, in seconds; a longer one is cut.
+MAX_DEADLINE_S = 3600.0
+MAX_QUOTED_BYTES = 80
 RawHeaders = Sequence[tuple[bytes, bytes]]
 
 # Hop-by-hop headers, which are not forwarded.
@@ -64,6 +67,8 @@
         request_id: Id of the request; empty if missing.
         deadline_s: Time for which the client waits, in seconds; None if
             missing.
+        unreadable: Name and value of a header that could not be read; empty if
+            there is none.
         forwarded: Header lines to forward, each with its line end.
         expects_continue: Whether the client waits for 100 Continue before
             it sends the body.
@@ -72,6 +77,7 @@
     host: str
     request_id: bytes
     deadline_s: float | None
+    unreadable: str
     forwarded: bytes
     expects_continue: bool
 
@@ -110,6 +116,7 @@
     """Parses the headers of a client's request."""
     host = request_id = b""
     deadline_s = None
+    unreadable = ""
     expects_continue = False
     dropped = _find_hop_by_hop_headers(headers)
     lines: list[bytes] = []
@@ -122,6 +129,8 @@
         if lower in _REPLACED_HEADERS:
             if lower == b"x-deadline-ms":
                 deadline_s = _parse_ms(value)
+                if deadline_s is None:
+                    unreadable = f"X-Deadline-Ms {value[:MAX_QUOTED_BYTES]!r}"
             continue
         if lower == b"host":
             host = value
@@ -132,6 +141,7 @@
         host.decode("latin-1"),
         request_id,
         deadline_s,
+        unreadable,
         b"".join(lines),
         expects_continue,
     )
@@ -317,11 +327,9 @@
 
 
 def _parse_ms(value: bytes) -> float | None:
-    """Converts milliseconds to seconds; None if it is not a number."""
-    try:
-        return max(0.0, float(value) / MS_PER_S)
-    except ValueError:
-        return None
+    """Converts milliseconds to seconds; None if it is not a decimal number."""
+    number = parse_decimal(value)
+    return None if number is None else min(number / MS_PER_S, MAX_DEADLINE_S)
 
 
 def _parse_idle_timeout(value: bytes) -> float | None:
@@ -329,8 +337,5 @@
     for part in value.split(b","):
         name, _, number = part.partition(b"=")
         if name.strip().lower() == b"timeout":
-            try:
-                return float(number)
-            except ValueError:
-                return None
+            return parse_decimal(number)
     return None
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -29,6 +29,7 @@
 
 __all__ = ["Entry", "RetryTerms"]
 
+BAD_REQUEST = 400
 NOT_FOUND = 404
 UNAVAILABLE = 503
 # Retry-After in seconds while no configuration is in force.
@@ -111,6 +112,15 @@
         """Handles a complete request; it may be answered asynchronously."""
         now = self._parts.loop.time()
         head = parse_request_head(request.headers)
+        if head.unreadable:
+            self._refuse(
+                request,
+                head.request_id,
+                NotRun(Reason.MALFORMED_HEADER),
+                status=BAD_REQUEST,
+                detail=f"got {head.unreadable}, expected a decimal number",
+            )
+            return
         if self.table is None:
             verdict = NotRun(Reason.NO_CONFIG, NO_CONFIG_RETRY_AFTER_S)
             self._refuse(request, head.request_id, verdict)
@@ -199,13 +209,14 @@
         verdict: NotRun,
         *,
         status: int = UNAVAILABLE,
+        detail: str = "",
     ) -> None:
         closes = not request.keeps_open(refused=True)
         payload = build_refusal(
             status,
             request_id,
             retry_after_s=verdict.retry_after_s,
-            reason=verdict.reason.value,
+            reason=detail or verdict.reason.value,
             closes=closes,
         )
         request.respond(payload, closes=closes)
--- a/tests/cover/headers.feature
+++ b/tests/cover/headers.feature
@@ -72,3 +72,21 @@
       | nan                           | no      |
       | inf                           | no      |
       | soon                          | no      |
+
+  # Guards against a deadline that is no time, such as inf, and reaches timers
+  # and targets.
+  Scenario Outline: A deadline that can't be read is reported
+    When a client's request has the headers "X-Deadline-Ms: <value>"
+    Then its deadline is <seconds> s
+
+    Examples:
+      | value | seconds    |
+      | 2000  | 2          |
+      | 0.5   | 0.0005     |
+      | 0     | 0          |
+      | 1e30  | 3600       |
+      | inf   | unreadable |
+      | nan   | unreadable |
+      | -1    | unreadable |
+      | soon  | unreadable |
+      | 1_000 | unreadable |
--- a/tests/processes/sidecar.feature
+++ b/tests/processes/sidecar.feature
@@ -38,6 +38,17 @@
     When a client on "a1" sends a request that smuggles another one
     Then no target executed a request
 
+  Scenario Outline: A request with a deadline that is no time is refused
+    When on "a1" a client with the header "X-Deadline-Ms: <value>" sends GET "/desk/safe/ok" as "r1"
+    Then it gets 400
+    And "r1" was executed 0 times
+
+    Examples:
+      | value |
+      | inf   |
+      | nan   |
+      | -1    |
+
   Scenario: The number of slots is never exceeded, and excess requests are refused at once
     When clients on all VMs send 60 requests "/desk/safe/slow" at the same time
     Then some of them get 200 and the others 503 with a Retry-After header
--- a/tests/steps/header_steps.py
+++ b/tests/steps/header_steps.py
@@ -62,3 +62,14 @@
 def step_retry_after(context, seconds):
     expected = None if seconds == "no" else float(seconds)
     assert context.answer_head.retry_after_s == expected, context.answer_head
+
+
+@then("its deadline is {seconds} s")
+def step_deadline(context, seconds):
+    head = context.head
+    if seconds == "unreadable":
+        assert head.unreadable.startswith("X-Deadline-Ms"), head
+        assert head.deadline_s is None, head
+    else:
+        assert not head.unreadable, head
+        assert head.deadline_s == float(seconds), head
