Draw limits, stated departures and restored stores in the soak

Three kinds of fault and two checks: a target gets no more than the limit that it names, and nothing from a VM that has passed on its departure, except from VMs with a fault or stop of their own. Seeds recorded before draw the kinds that existed then, so that they stay the same cases.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -44,8 +44,17 @@
     return int(failed > 0)
 
 
-async def run_seed(seed: int, vms: int, seconds: float) -> list[str]:
-    """Runs one seed; returns one line per violation, then the fault log."""
+async def run_seed(
+    seed: int, vms: int, seconds: float, *, earlier_kinds: bool = False
+) -> list[str]:
+    """Runs one seed; returns one line per violation, then the fault log.
+
+    Args:
+        seed: Seed of all choices.
+        vms: Number of VMs.
+        seconds: Duration of the faults.
+        earlier_kinds: See `Faults`.
+    """
     rng = random.Random(seed)
     plan = [
         (
@@ -60,7 +69,7 @@
     async with open_vm_fleet(plan, relayed=True) as fleet:
         fleet.publish_probe(1)
         await asyncio.sleep(2.0)
-        faults = Faults(fleet, rng)
+        faults = Faults(fleet, rng, earlier_kinds)
         clients = [
             loop.create_task(
                 _run_client(fleet, vm, random.Random(f"{seed} {n}"), answers)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,10 +1,11 @@
 """Invariants of the soak test, checked on client and target records."""
 
 import collections
+import math
 
 import attrs
 
-from soak.faults import Faults
+from soak.faults import Faults, NamedLimit
 from standins.vm_fleet import SLOTS, VmFleet
 from standins.vm_target import BODY
 
@@ -17,6 +18,13 @@
 # A request sent while its connection is being closed may be lost: it has not
 # been forwarded, and the client sees the connection end within this time.
 LOSS_SLACK_S = 0.2
+# A limit binds this long after a target first named it, in windows of the
+# second length, and allows this factor and number of requests above it.
+LIMIT_BINDS_AFTER_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+OK = 200
 NOT_RUN = frozenset({408, 421, 429, 503})
 
 
@@ -67,7 +75,7 @@
             and execution_counts[answer.request_id]
         ):
             violations.append(f"refused but executed: {answer}")
-        if answer.status == 200 and answer.kind != "probe":
+        if answer.status == OK and answer.kind != "probe":
             if answer.body != BODY:
                 violations.append(f"answer incomplete: {answer}")
             if not execution_counts[answer.request_id]:
@@ -79,6 +87,9 @@
             violations.append(f"connection cut by a planned stop: {answer}")
     violations += _find_version_regressions(answers)
     violations += _find_executions_after_drain(fleet, faults)
+    for limit in faults.limits:
+        violations += _find_excess(fleet, faults, limit)
+    violations += _find_requests_after_departure(fleet, faults, answers)
     for vm in fleet.vms.values():
         if vm.target.max_running > SLOTS:
             violations.append(
@@ -113,7 +124,7 @@
             continue
         key = (answer.vm, answer.process)
         version, seen_at = newest.get(key, (0, 0.0))
-        if answer.status == 200 and answer.probe > version:
+        if answer.status == OK and answer.probe > version:
             newest[key] = (answer.probe, answer.ended_at)
         older = answer.status == 404 and answer.probe <= version
         if older and answer.sent_at > seen_at:
@@ -129,3 +140,69 @@
         if execution.target_id in faults.drain_acked_at
         and execution.at > faults.drain_acked_at[execution.target_id] + DRAIN_S
     ]
+
+
+def _find_excess(
+    fleet: VmFleet, faults: Faults, limit: NamedLimit
+) -> list[str]:
+    """Returns the first window in which a target got more than its limit.
+
+    Requests of VMs with a fault or a restart since the limit was named don't
+    count.
+    """
+    start = limit.from_s + LIMIT_BINDS_AFTER_S
+    times = [
+        execution.at
+        for vm in fleet.vms.values()
+        for execution in vm.target.executions
+        if execution.target_id == limit.target_id
+        and start <= execution.at <= limit.until_s
+        and not _had_fault(
+            faults, _find_vm(execution.request_id), limit.from_s, execution.at
+        )
+    ]
+    allowed = LIMIT_FACTOR * limit.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+    for at in times:
+        count = sum(1 for each in times if at <= each < at + LIMIT_WINDOW_S)
+        if count > allowed:
+            return [f"{count} requests from {at:.2f} s on, against {limit}"]
+    return []
+
+
+def _find_requests_after_departure(
+    fleet: VmFleet, faults: Faults, answers: list[Answer]
+) -> list[str]:
+    """Returns requests at targets whose departure their VM had passed on."""
+    violations = []
+    by_id = {answer.request_id: answer for answer in answers}
+    executions = [
+        (execution, by_id[execution.request_id])
+        for vm in fleet.vms.values()
+        for execution in vm.target.executions
+        if execution.request_id in by_id
+        and execution.at > faults.leaving_at.get(execution.target_id, math.inf)
+    ]
+    passed_at: dict[tuple[str, str], float] = {}
+    for execution, answer in executions:
+        if answer.status == OK:
+            key = (execution.target_id, answer.vm)
+            passed_at[key] = min(answer.ended_at, passed_at.get(key, math.inf))
+    for execution, answer in executions:
+        since = passed_at.get((execution.target_id, answer.vm), math.inf)
+        if answer.sent_at > since + DRAIN_S and not _had_fault(
+            faults, answer.vm, since, execution.at
+        ):
+            violations.append(f"sent to a target that leaves: {answer}")
+    return violations
+
+
+def _find_vm(request_id: str) -> str:
+    return request_id.partition("-")[0]
+
+
+def _had_fault(faults: Faults, vm: str, start: float, end: float) -> bool:
+    """Returns whether a VM had a fault or a planned stop in a time."""
+    stopped_at = faults.planned_stop_at.get(vm, -math.inf)
+    return start - SETTLE_S <= stopped_at <= end or any(
+        start - SETTLE_S <= at <= end for at in faults.unplanned_at.get(vm, [])
+    )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,9 +18,35 @@
 DURATION_S = (0.2, 2.5)
 PAUSE_S = (0.0, 0.6)
 RESTART_S = (0.0, 0.5)
+# Ranges of the time for which a target names a limit, of the time for which it
+# states its departure, and of the age of the copy that the store is restored
+# from, in seconds.
+LIMITED_S = (4.0, 8.0)
+LEAVING_S = (3.0, 5.0)
+COPY_AGE_S = (0.3, 2.0)
+# Time for which a store that is restored is away, in seconds.
+RESTORE_S = 0.3
+LIMITS = ("0", "2", "5", "20")
 OK = 200
 
 
+@attrs.frozen
+class NamedLimit:
+    """A limit that a target has named.
+
+    Attributes:
+        target_id: Id of the target.
+        per_s: Requests per second.
+        from_s: Event loop time at which it began to name it, in seconds.
+        until_s: Time at which it ended.
+    """
+
+    target_id: str
+    per_s: float
+    from_s: float
+    until_s: float
+
+
 @attrs.define
 class Faults:
     """Injects random faults and reverts them.
@@ -28,20 +54,31 @@
     Attributes:
         fleet: Fleet into which faults are injected.
         rng: Random generator of all choices.
+        earlier_kinds: Whether only the kinds of fault are injected that
+            existed when seeds up to 98 were recorded; with others the same
+            seed draws another sequence.
         version: Newest version published.
         unplanned_at: Start and end times of unplanned faults, by VM.
         planned_stop_at: Time of the last planned stop, by VM.
         drain_acked_at: Time at which the drain of a target was acknowledged,
             by target id.
+        restoring: Whether the store is being restored from a copy.
+        limits: Limits that targets have named.
+        leaving_at: Time from which the answers of a target state that it
+            leaves, by target id.
         fault_log: Injected faults, for the report of a failed seed.
     """
 
     fleet: VmFleet
     rng: random.Random
+    earlier_kinds: bool = False
     version: int = 1
     unplanned_at: dict[str, list[float]] = attrs.field(factory=dict)
     planned_stop_at: dict[str, float] = attrs.field(factory=dict)
     drain_acked_at: dict[str, float] = attrs.field(factory=dict)
+    restoring: bool = False
+    limits: list[NamedLimit] = attrs.field(factory=list)
+    leaving_at: dict[str, float] = attrs.field(factory=dict)
     fault_log: list[str] = attrs.field(factory=list)
 
     async def run(self, ends_at: float) -> None:
@@ -61,6 +98,12 @@
             self.block_direction,
             self.abort_connections,
         ]
+        if not self.earlier_kinds:
+            kinds += [
+                self.name_limit,
+                self.state_departure,
+                self.restore_store,
+            ]
         while loop.time() < ends_at:
             kind = self.rng.choice(kinds)
             vm = self.rng.choice(list(self.fleet.vms.values()))
@@ -120,7 +163,7 @@
 
     async def drain_target(self, vm: Vm) -> None:
         """Drains a target and replaces it by another one at its address."""
-        if vm.draining:
+        if vm.draining or vm.target.leaving:
             return
         vm.draining, vm.target.healthy = True, False
         loop = asyncio.get_running_loop()
@@ -130,12 +173,59 @@
             if await self.fleet.send_heartbeat(vm) == OK:
                 self.drain_acked_at[old] = loop.time()
         await asyncio.sleep(2.5)
-        vm.target.id = f"{old}+"
+        self._replace_target(vm)
+
+    def _replace_target(self, vm: Vm) -> None:
+        vm.target.id += "+"
+        vm.target.limit = vm.target.leaving = ""
         vm.born += 1
         vm.sequence = 0
         vm.draining, vm.target.healthy = False, True
         self._record_unplanned_fault(vm)
 
+    async def state_departure(self, vm: Vm) -> None:
+        """Makes a target leave that says so only in its answers."""
+        if vm.draining or vm.target.leaving:
+            return
+        # Its heartbeats go on as ready.
+        loop = asyncio.get_running_loop()
+        self.leaving_at[vm.target.id] = loop.time()
+        vm.target.leaving, vm.target.healthy = "1", False
+        await asyncio.sleep(self.rng.uniform(*LEAVING_S))
+        self._replace_target(vm)
+
+    async def name_limit(self, vm: Vm) -> None:
+        """Makes a target name a limit for a time."""
+        if vm.target.limit or vm.target.leaving or vm.draining:
+            return
+        loop = asyncio.get_running_loop()
+        target_id, from_s = vm.target.id, loop.time()
+        limit = vm.target.limit = self.rng.choice(LIMITS)
+        await asyncio.sleep(self.rng.uniform(*LIMITED_S))
+        if vm.target.id != target_id:
+            # Its successor names no limit.
+            return
+        vm.target.limit = ""
+        self.limits.append(
+            NamedLimit(target_id, float(limit), from_s, loop.time())
+        )
+
+    async def restore_store(self, vm: Vm) -> None:
+        """Restores the store from a copy; the operator writes again."""
+        store = self.fleet.store
+        if self.restoring:
+            return
+        self.restoring = True
+        copy = store.tables.copy()
+        await asyncio.sleep(self.rng.uniform(*COPY_AGE_S))
+        store.faults.down = True
+        newest = store.tables.get("op", "config")
+        store.tables.restore(copy)
+        await asyncio.sleep(RESTORE_S)
+        store.faults.down = False
+        store.tables.put("op", "config", newest)
+        self.restoring = False
+
     async def publish(self, vm: Vm) -> None:
         """Publishes a new version."""
         self.version += self.rng.randint(1, 3)
--- a/tests/processes/soak.feature
+++ b/tests/processes/soak.feature
@@ -2,9 +2,12 @@
 Feature: Faults drawn from a seed violate no guarantee
 
   Scenario Outline: Seed <seed>
-    Then the soak of seed <seed> with 4 VMs and 5 s of faults violates no guarantee
+    Then the soak of seed <seed> with 4 VMs and 5 s of the earlier kinds of fault violates no guarantee
 
     Examples:
       | seed |
       | 4    |
       | 11   |
+
+  Scenario: Limits, departures and restored stores among the faults of seed 101
+    Then the soak of seed 101 with 4 VMs and 8 s of faults violates no guarantee
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -5,6 +5,15 @@
 from soak.__main__ import run_seed
 
 
+@then(
+    "the soak of seed {seed:d} with {vms:d} VMs and {seconds:g} s of the"
+    " earlier kinds of fault violates no guarantee"
+)
+def step_earlier_seed(context, seed, vms, seconds):
+    violations = context.run(run_seed(seed, vms, seconds, earlier_kinds=True))
+    assert not violations, "\n".join(violations)
+
+
 @then(
     "the soak of seed {seed:d} with {vms:d} VMs and {seconds:g} s of faults"
     " violates no guarantee"
