--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -20,9 +20,10 @@
 from guavawing.sidecar.client_call import MAX_OWNERS_TRIED
 from guavawing.sidecar.entry import URGENT_SHARE, USEFUL_SHARE
 from guavawing.sidecar.target_pool import SHED_RETRY_AFTER_S
-from guavawing.traffic.balancer import Balancer, OwnerView
+from guavawing.traffic.balancer import Balancer
 from guavawing.traffic.budget import RetryBudget
 from guavawing.traffic.model import LoadReport
+from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.slot_queue import (
     Admit,
     Queued,
--- a/bench/fleet_node.py
+++ b/bench/fleet_node.py
@@ -5,7 +5,7 @@
 import attrs
 
 from bench.fleet_load import Kind
-from guavawing.traffic.balancer import Balancer, OwnerView
+from guavawing.traffic.balancer import Balancer
 from guavawing.traffic.budget import RetryBudget
 from guavawing.traffic.client_wait import ClientWaitEstimator
 from guavawing.traffic.failures import FailureShare
@@ -15,6 +15,7 @@
     TargetLimit,
     TargetPhase,
 )
+from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.slot_queue import SlotQueue
 
 __all__ = ["Attempt", "Node", "Request"]
--- a/src/guavawing/platform/store_client.py
+++ b/src/guavawing/platform/store_client.py
@@ -26,6 +26,7 @@
     HttpCall,
     StoreEra,
     Transport,
+    check_written,
 )
 
 __all__ = [
@@ -44,10 +45,6 @@
 NOT_FOUND = 404
 GONE = 410
 CONFLICT = 412
-# Statuses of requests that the store rejected without writing anything.
-_REFUSALS = frozenset({400, 403, 404, 413, 429, 503, 507})
-
-
 # Timeouts of calls for rows and for objects, in seconds; far above the latency
 # of a slow store.
 CALL_TIMEOUT_S = 2.0
@@ -233,7 +230,7 @@
             raise TransactionRefusedError(
                 "a row does not have the expected version"
             )
-        _check_written(answer.status)
+        check_written(answer.status)
         return _decode_version(answer.body)
 
     async def put_object(self, name: str, payload: bytes) -> None:
@@ -246,7 +243,7 @@
         path = "/-/blob-put/" + urllib.parse.quote(name)
         call = HttpCall("PUT", path, payload, OBJECT_TIMEOUT_S)
         answer = await self._write(call)
-        _check_written(answer.status)
+        check_written(answer.status)
 
     async def get_object(self, name: str) -> bytes | None:
         """Returns an object's bytes, or None if there is none.
@@ -294,7 +291,7 @@
         call = HttpCall("DELETE", path, b"", CALL_TIMEOUT_S)
         answer = await self._write(call)
         if answer.status != NOT_FOUND:
-            _check_written(answer.status)
+            check_written(answer.status)
 
     async def _get_json(
         self, path: str, query: dict[str, str], timeout_s: float
@@ -364,18 +361,6 @@
     return {"table": write.table, "part": "", "key": write.key}
 
 
-def _check_written(status: int) -> None:
-    if status == OK:
-        return
-    if status in _REFUSALS:
-        raise _unavailable(f"status {status}")
-    # With any other status, the write may have been forwarded and executed, and
-    # its answer lost.
-    raise PlatformWriteUnknownError(
-        f"the store answered a write with status {status}"
-    )
-
-
 def _decode_version(answer: bytes) -> int:
     try:
         version = orjson.loads(answer)["schemaVersion"]
--- a/src/guavawing/platform/store_transport.py
+++ b/src/guavawing/platform/store_transport.py
@@ -5,15 +5,21 @@
 
 import attrs
 
+from guavawing.errors import PlatformUnavailableError, PlatformWriteUnknownError
+
 __all__ = [
     "ERA_HEADER",
     "HttpAnswer",
     "HttpCall",
     "StoreEra",
     "Transport",
+    "check_written",
     "parse_era",
 ]
 
+# Statuses of requests that the store rejected without writing anything.
+_REFUSALS = frozenset({400, 403, 404, 413, 429, 503, 507})
+OK = 200
 ERA_HEADER = "Store-Era"
 _ERA = re.compile(r"[0-9]{1,18}")
 
@@ -95,3 +101,23 @@
     if len(values) != 1 or not _ERA.fullmatch(values[0]):
         return None
     return int(values[0])
+
+
+def check_written(status: int) -> None:
+    """Checks the status of the answer to a write.
+
+    Raises:
+        PlatformUnavailableError: If nothing was written.
+        PlatformWriteUnknownError: If the write may have been executed.
+    """
+    if status == OK:
+        return
+    if status in _REFUSALS:
+        raise PlatformUnavailableError(
+            f"the store gave no usable answer: status {status}"
+        )
+    # With any other status, the write may have been forwarded and executed, and
+    # its answer lost.
+    raise PlatformWriteUnknownError(
+        f"the store answered a write with status {status}"
+    )
--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -11,10 +11,11 @@
 from guavawing.sidecar.mesh_client import MeshClient, RemoteAttempt
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.owner import Owner
-from guavawing.traffic.balancer import Balancer, Choice, OwnerView
+from guavawing.traffic.balancer import Balancer, Choice
 from guavawing.traffic.budget import RetryBudget
 from guavawing.traffic.failures import FailureShare
 from guavawing.traffic.model import Attempt, Outcome, Route
+from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.unserved import Step, combine_verdicts, next_step
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -29,11 +29,11 @@
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.owner import Owner
 from guavawing.sidecar.planned_stop import PlannedStop
+from guavawing.sidecar.readiness import Readiness
 from guavawing.sidecar.store_link import StoreLink
 from guavawing.sidecar.table_watch import TableWatch
 from guavawing.sidecar.target_pool import TargetPool
 from guavawing.sidecar.target_probe import TargetProbe
-from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.model import (
     NO_TARGET_RECORD,
     Incarnation,
@@ -43,6 +43,7 @@
     TargetPhase,
     TargetRecord,
 )
+from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import Peer, PeerTable
 from guavawing.traffic.readers import (
     CONFIGURATION_READERS,
@@ -63,9 +64,6 @@
 CONFIGURATION_PERIOD_S = 0.6
 NODES_PERIOD_S = 0.6
 SETTINGS_POLL_S = 2.0
-# Time after the first configuration for which readiness waits for targets of
-# all services, in seconds: the period of beacons.
-OWNERS_TIMEOUT_S = 1.0
 
 
 class Sidecar:
@@ -80,8 +78,6 @@
         self._log = log
         self._rng = Random()
         self._tasks: list[asyncio.Task[None]] = []
-        self._stopping = False
-        self._configured_at = 0.0
         self._metrics = SidecarMetrics()
         self._own_record = PeerRecord(
             settings.node,
@@ -129,6 +125,9 @@
             log=self._log,
             metrics=self._metrics,
         )
+        self._readiness = Readiness(
+            self._entry, self._owner, self._own_view, self._peers
+        )
         self._callers = HttpServer(
             self._entry.handle,
             max_connections=MAX_CALLER_CONNECTIONS,
@@ -142,7 +141,7 @@
         calls = LocalCalls(
             target=self._target,
             on_target=self._owner.handle_target_change,
-            is_ready=self._is_ready,
+            is_ready=self._readiness.is_ready,
             peers=self._peers,
             log=self._log,
             metrics=self._metrics,
@@ -246,7 +245,7 @@
 
     async def stop(self) -> None:
         """Shuts down gracefully: drains, completes requests and closes."""
-        self._stopping = True
+        self._readiness.stopping = True
         self._log.event("stop", version=self._configuration.version)
         withdrawal = None
         if self._target.phase in (TargetPhase.DRAINING, TargetPhase.GONE):
@@ -306,20 +305,6 @@
             metrics=self._metrics,
         )
 
-    def _is_ready(self) -> bool:
-        """Returns whether clients may send requests to this VM.
-
-        After its first configuration a process is not ready until targets of
-        all services are known, for at most `OWNERS_TIMEOUT_S`.
-        """
-        table = self._entry.table
-        if table is None or self._stopping:
-            return False
-        if self._loop.time() - self._configured_at > OWNERS_TIMEOUT_S:
-            return True
-        self._own_view.apply_report(self._owner.load(), now=self._loop.time())
-        return all(map(self._peers.has_available_owner, table.routing.services))
-
     async def _follow_nodes(self) -> None:
         if self._settings.first_start:
             # The table has only rows that other nodes write concurrently.
@@ -340,11 +325,10 @@
     # Callbacks of the components.
 
     def _apply_routing(self, routing: Routing, from_store: bool) -> None:
-        if self._entry.table is None:
-            self._configured_at = self._loop.time()
         self._entry.table = RouteTable(
             routing, earlier=self._entry.table, rng=self._rng
         )
+        self._readiness.record_configuration()
         self._callers.state.limits = routing.limits
         self._beacons.version = routing.version
         self._beacons.announce_version(from_store=from_store)
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -17,11 +17,12 @@
 from guavawing.sidecar.mesh_client import MeshClient
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.owner import Owner
-from guavawing.traffic.balancer import Balancer, OwnerView
+from guavawing.traffic.balancer import Balancer
 from guavawing.traffic.budget import RetryBudget
 from guavawing.traffic.client_wait import ClientWaitEstimator
 from guavawing.traffic.failures import FailureShare
 from guavawing.traffic.model import Attempt, Route
+from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.routes import RouteTable
 from guavawing.traffic.time_limit import compute_time_limit
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -10,6 +10,7 @@
 from guavawing.sidecar.link_pacer import LinkPacer
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.target_pool import Execution, TargetPool
+from guavawing.sidecar.target_statements import TargetStatements
 from guavawing.traffic.model import (
     Attempt,
     Incarnation,
@@ -104,10 +105,7 @@
         self._ids = itertools.count(1)
         # Fires when the target's rate limit admits the next queued attempt.
         self._limit_timer: asyncio.TimerHandle | None = None
-        # Last logged unreadable statement of the target, and the last process
-        # of which a statement that it leaves was logged.
-        self._logged_unreadable = ""
-        self._logged_leaving: Incarnation | None = None
+        self._statements = TargetStatements(state, log=log, metrics=metrics)
         self.stopping = False
         self.on_phase: Callable[[], None] = lambda: None
 
@@ -155,14 +153,10 @@
 
     def apply_peer_record(self, record: TargetRecord) -> None:
         """Applies what a peer has recorded about the target."""
+        phase_before = self._state.phase
         now = self._loop.time()
-        departure, limit = record.departure, record.limit
-        if departure and self._state.apply_known_departure(departure, now=now):
-            self.handle_target_change()
-        before = self._state.limit_per_s
-        if limit and self._state.apply_known_limit(limit, now=now):
-            self._apply_capacity()
-            self._log_limit(before, source="peer")
+        if self._statements.apply_peer_record(record, now=now):
+            self._handle_statement(phase_before)
 
     def submit(
         self, attempt: Attempt, on_outcome: OutcomeListener, *, local: bool
@@ -271,41 +265,20 @@
         self, notice: TargetNotice, incarnation: Incarnation, sent_at: float
     ) -> None:
         """Applies what the target states about itself in an answer."""
-        if notice.unreadable and notice.unreadable != self._logged_unreadable:
-            self._logged_unreadable = notice.unreadable
-            self._log.state_change(
-                "target-notice-unreadable",
-                target=incarnation.target_id,
-                value=notice.unreadable,
-            )
-        if notice.unreadable:
-            self._metrics.unreadable.inc({"source": "answer"})
-        if notice.leaving and incarnation != self._logged_leaving:
-            self._logged_leaving = incarnation
-            self._log.state_change(
-                "target-leaving", target=incarnation.target_id
-            )
-        now = self._loop.time()
-        limit_before, phase_before = self._state.limit_per_s, self._state.phase
-        changed = self._state.apply_notice(
-            notice, incarnation=incarnation, sent_at=sent_at, now=now
-        )
+        phase_before = self._state.phase
+        if self._statements.apply_notice(
+            notice,
+            incarnation=incarnation,
+            sent_at=sent_at,
+            now=self._loop.time(),
+        ):
+            self._handle_statement(phase_before)
+
+    def _handle_statement(self, phase_before: TargetPhase) -> None:
         if self._state.phase is not phase_before:
             self.handle_target_change()
-        elif changed:
+        else:
             self._apply_capacity()
-        if self._state.limit_per_s != limit_before:
-            asked_s = round(now - sent_at, 3)
-            self._log_limit(limit_before, source="answer", asked_s=asked_s)
-
-    def _log_limit(self, before: float | None, **inputs: object) -> None:
-        self._log.state_change(
-            "target-limit",
-            target=self._state.target_id,
-            per_s=self._state.limit_per_s,
-            before=before,
-            **inputs,
-        )
 
     def _apply_capacity(self) -> None:
         """Applies the target's slots and rate limit to the queue."""
--- a/src/guavawing/traffic/peers.py
+++ b/src/guavawing/traffic/peers.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.model import (
     Incarnation,
     LoadReport,
@@ -12,6 +11,7 @@
     TargetLimit,
     TargetRecord,
 )
+from guavawing.traffic.owner_view import OwnerView
 
 __all__ = ["Peer", "PeerTable"]
 
--- a/tests/steps/beacon_steps.py
+++ b/tests/steps/beacon_steps.py
@@ -13,7 +13,6 @@
 from guavawing.sidecar.mesh_codec import decode_beacon, encode_beacon
 from guavawing.sidecar.mesh_messages import Beacon
 from guavawing.sidecar.metrics import SidecarMetrics
-from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.model import (
     Incarnation,
     LoadReport,
@@ -21,6 +20,7 @@
     TargetLimit,
     TargetPhase,
 )
+from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
 from tests.support import assert_raises
 
--- a/tests/steps/loss_steps.py
+++ b/tests/steps/loss_steps.py
@@ -7,8 +7,8 @@
 from guavawing.sidecar.beacons import Beacons
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.metrics import SidecarMetrics
-from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.model import LoadReport, PeerRecord, TargetPhase
+from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
 from standins.simulated_time_loop import open_simulated_time_loop
 
--- a/tests/steps/store_restore_steps.py
+++ b/tests/steps/store_restore_steps.py
@@ -14,8 +14,8 @@
 from guavawing.sidecar.membership import NODES_TABLE, Membership, _encode_record
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.table_watch import TableWatch
-from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.model import PeerRecord
+from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.readers import NODES_READERS, is_reader
 from standins.platform_tables import PlatformTables
--- a/tests/steps/table_watch_steps.py
+++ b/tests/steps/table_watch_steps.py
@@ -11,8 +11,8 @@
 from guavawing.sidecar.membership import NODES_TABLE, Membership
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.table_watch import TableWatch
-from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.model import PeerRecord
+from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.readers import is_reader
 from standins.simulated_time_loop import open_simulated_time_loop
--- a/tests/steps/target_limit_steps.py
+++ b/tests/steps/target_limit_steps.py
@@ -12,7 +12,6 @@
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.owner import Owner
 from guavawing.sidecar.target_probe import TargetProbe
-from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.model import (
     Incarnation,
     Outcome,
@@ -22,6 +21,7 @@
     TargetRecord,
     TargetReport,
 )
+from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.target_state import TargetState
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
--- a/tests/steps/traffic_choice_steps.py
+++ b/tests/steps/traffic_choice_steps.py
@@ -6,13 +6,14 @@
 import attrs
 from behave import given, then, when
 
-from guavawing.traffic.balancer import Balancer, OwnerView
+from guavawing.traffic.balancer import Balancer
 from guavawing.traffic.model import (
     Incarnation,
     LoadReport,
     TargetLimit,
     TargetPhase,
 )
+from guavawing.traffic.owner_view import OwnerView
 
 NOW = 100.0
 ROUTE = "route"
--- a/tests/steps/traffic_state_steps.py
+++ b/tests/steps/traffic_state_steps.py
@@ -19,7 +19,6 @@
     encode_hello,
     encode_outcome_query,
 )
-from guavawing.traffic.balancer import OwnerView
 from guavawing.traffic.document_delta import apply_delta, make_delta
 from guavawing.traffic.model import (
     Incarnation,
@@ -27,6 +26,7 @@
     PeerRecord,
     TargetPhase,
 )
+from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.readers import is_reader
 from guavawing.traffic.routes import RouteTable
--- a/tests/steps/transfer_steps.py
+++ b/tests/steps/transfer_steps.py
@@ -9,7 +9,7 @@
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.http_request import HttpRequest
 from guavawing.sidecar.metrics import SidecarMetrics
-from guavawing.traffic.balancer import Balancer, OwnerView
+from guavawing.traffic.balancer import Balancer
 from guavawing.traffic.budget import RetryBudget
 from guavawing.traffic.failures import FailureShare
 from guavawing.traffic.model import (
@@ -20,6 +20,7 @@
     SplitPart,
     TargetPhase,
 )
+from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
 from tests.sidecar_support import make_attempt
--- a/tests/traffic_sessions.py
+++ b/tests/traffic_sessions.py
@@ -6,13 +6,14 @@
 from random import Random
 
 from guavawing.model import Address
-from guavawing.traffic.balancer import Balancer, OwnerView
+from guavawing.traffic.balancer import Balancer
 from guavawing.traffic.model import (
     Incarnation,
     LoadReport,
     TargetPhase,
     TargetReport,
 )
+from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.slot_queue import (
     Admit,
     Queued,
