--- a/src/guavawing/node/messages.py
+++ b/src/guavawing/node/messages.py
@@ -4,9 +4,9 @@
 
 from guavawing.config import EffectivePolicy
 from guavawing.policy.bound_key import BoundKey
-from guavawing.verdict import MayHaveRun, NotRun, Ran, Verdict
+from guavawing.verdict import Verdict
 
-__all__ = ["Answer", "CallAttempt", "Headers", "refuse"]
+__all__ = ["Answer", "CallAttempt", "Headers"]
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -58,8 +58,3 @@
     headers: Headers = ()
     body: bytes = b""
     key: str = ""
-
-
-def refuse(verdict: NotRun | MayHaveRun | Ran) -> Answer:
-    """Returns an answer with only a verdict."""
-    return Answer(verdict)
--- a/src/guavawing/sidecar/beacons.py
+++ b/src/guavawing/sidecar/beacons.py
@@ -50,7 +50,6 @@
 NEAR_FANOUT = 3
 # Time for which changes are batched before a beacon, in seconds.
 CHANGE_PERIOD_S = 0.05
-MAX_DATAGRAM_BYTES = 1400
 
 
 class Beacons(asyncio.DatagramProtocol):
--- a/src/guavawing/sidecar/target_pool.py
+++ b/src/guavawing/sidecar/target_pool.py
@@ -98,12 +98,6 @@
         self._idle: list[ClientConnection] = []
         self._conns: set[ClientConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._opened = 0
-
-    @property
-    def opened(self) -> int:
-        """Number of connections opened so far."""
-        return self._opened
 
     def execute(
         self,
@@ -175,7 +169,6 @@
             )
             execution.end(Outcome(NotRun(reason, CONNECT_RETRY_AFTER_S)))
             return
-        self._opened += 1
         self._conns.add(conn)
         sock = transport.get_extra_info("socket")
         if sock is not None:
--- a/standins/distribution_network.py
+++ b/standins/distribution_network.py
@@ -55,7 +55,6 @@
 SEND_TIME_S = 0.005
 PLATFORM_ZONE = "platform"
 MAX_PAYLOAD_BYTES = 2**23
-NO_VERSION_ID = VersionId(0, b"")
 
 Check = Callable[[str, VersionFetcher], None]
 Log = Callable[[float, str, Event, list[Action]], None]
