Keep a limit when the start time of its target becomes known

After a restart a process may find its target by a health check, before the first heartbeat tells when the target started. The heartbeat was then taken as that of another process, so a limit that had been named meanwhile was dropped, and up to as many requests as slots went out at once: 20 in 2.6 s at a limit of 2 a second (cover/target_limits). Found by reading the change.

Change: the first heartbeat of a target found by a health check completes what is known of that process; answers to requests sent before it count for it. A limit that peers recorded by the id alone is applied too.

--- a/src/guavawing/traffic/target_state.py
+++ b/src/guavawing/traffic/target_state.py
@@ -45,6 +45,7 @@
         "_limit_known",
         "_limit_named_at",
         "_peer_limit",
+        "_probed",
         "_sequence",
         "_service",
         "draining_since",
@@ -62,6 +63,9 @@
         self._cold_until = 0.0
         self._departures: dict[Incarnation, float] = {}
         self._limit_named_at = 0.0
+        # Whether the current process was found by a health check, before its
+        # start time was known.
+        self._probed = False
         # Whether an answer of the current process has shown its limit.
         self._limit_known = False
         # Limit that peers recorded before this process started.
@@ -114,9 +118,10 @@
         Returns:
             Whether the target, its phase or its slots changed.
         """
-        if self._is_departed_probed(report, now):
+        if self._is_probed(report, now):
             self._born_ms = report.born_ms
-            self._record_departure(self.incarnation, now)
+            if self.draining_since is not None:
+                self._record_departure(self.incarnation, now)
         same = report.id == self.target_id and report.born_ms == self._born_ms
         if same and report.sequence <= self._sequence:
             return False
@@ -124,6 +129,7 @@
             return False
         before = (self.target_id, self._born_ms, self.phase, self.slots)
         if not same:
+            self._probed = False
             self.draining_since = None
             self.phase = TargetPhase.UNKNOWN
         self.target_id = report.id
@@ -156,6 +162,7 @@
         self.target_id = target_id
         self.slots = self.slots or ASSUMED_SLOTS
         self.phase = TargetPhase.READY
+        self._probed = True
         self._adopt_peer_limit()
         return True
 
@@ -257,7 +264,7 @@
         """
         if notice.leaving:
             self._record_departure(incarnation, now)
-        if incarnation != self.incarnation:
+        if not self._is_current(incarnation):
             return False
         before = (self.limit_per_s, self.phase)
         if notice.leaving and self.phase is not TargetPhase.GONE:
@@ -288,8 +295,9 @@
         self._limit_named_at = 0.0
         if limit is None or limit.incarnation.target_id != self.target_id:
             return
+        born_ms = limit.incarnation.born_ms
         # The start time is unknown if only a health check was received.
-        if self._born_ms in (0, limit.incarnation.born_ms):
+        if 0 in (self._born_ms, born_ms) or self._born_ms == born_ms:
             self.limit_per_s = limit.per_s
 
     def _supersedes(self, report: TargetReport, now: float) -> bool:
@@ -301,18 +309,24 @@
             return False
         return not self.target_id or report.born_ms >= self._born_ms
 
-    def _is_departed_probed(self, report: TargetReport, now: float) -> bool:
-        """Returns whether a heartbeat is the first of a target that leaves.
+    def _is_probed(self, report: TargetReport, now: float) -> bool:
+        """Returns whether a heartbeat is the first of a probed target.
 
-        The start time of such a target is unknown until then.
+        The start time of such a target is unknown until then. Some time after
+        its departure, the heartbeat is that of a new process with its id.
         """
+        if report.id != self.target_id or self._born_ms != 0:
+            return False
         since = self.draining_since
-        return (
-            report.id == self.target_id
-            and self._born_ms == 0
-            and since is not None
-            and now - since < LATE_HEARTBEAT_S
-        )
+        return since is None or now - since < LATE_HEARTBEAT_S
+
+    def _is_current(self, incarnation: Incarnation) -> bool:
+        """Returns whether a process is the current one of the target."""
+        if incarnation.target_id != self.target_id:
+            return False
+        # The request may have been sent before the start time was known.
+        started = incarnation.born_ms
+        return started == self._born_ms or (started == 0 and self._probed)
 
     def _record_departure(self, departure: Incarnation, now: float) -> None:
         self._departures[departure] = now
--- a/tests/cover/target_limits.feature
+++ b/tests/cover/target_limits.feature
@@ -102,6 +102,21 @@
     And a peer has recorded "5" for target "t1"
     Then it reports the limit "2"
 
+  # Guards against a limit that is lost as the start time of its target becomes
+  # known only after it was named.
+  Scenario: A limit named before the first heartbeat to a new process holds
+    Given an owner beside a target of 16 slots that answers after 0.9 s
+    And its process has started after the last heartbeat
+    And at 0 s the target names "2"
+    And at 2.5 s a heartbeat reports the target as ready
+    When 40 requests per second arrive for 5 s
+    Then at least 4 and at most 6 requests in all from 2.4 s to 5 s
+
+  Scenario: A limit that a peer recorded by the target's id alone is applied
+    Given an owner beside a target of 16 slots that answers after 0.9 s
+    And a peer has recorded "2" for the id of target "t1"
+    Then it reports the limit "2"
+
   Scenario: What the target answers counts more than what peers recorded
     Given an owner beside a target of 16 slots that answers after 0.05 s
     When 40 requests per second arrive for 4 s from a peer that recorded "2"
--- a/tests/steps/target_limit_steps.py
+++ b/tests/steps/target_limit_steps.py
@@ -219,6 +219,12 @@
     apply_peer_limit(context, target_id, per_s)
 
 
+@given('a peer has recorded "{per_s:g}" for the id of target "{target_id}"')
+def step_peer_limit_by_id(context, per_s, target_id):
+    limit = TargetLimit(Incarnation(target_id, 0), per_s)
+    context.owner.apply_peer_record(TargetRecord(limit=limit))
+
+
 async def offer(
     context, per_s, seconds, group=1, cancel_s=None, known_per_s=None
 ):
