Bind only the announcing process of a target by its departure

After a restart of the process beside a target, a peer tells it the departure of an earlier target process with the same id.

Change: the first heartbeat completes a draining process only if that process has announced its departure to this node itself. Test: cover/traffic_state, failing before (draining, expected ready).

--- a/src/guavawing/traffic/target_state.py
+++ b/src/guavawing/traffic/target_state.py
@@ -39,6 +39,7 @@
 
     __slots__ = (
         "_address",
+        "_announced",
         "_born_ms",
         "_cold_until",
         "_departures",
@@ -66,6 +67,9 @@
         # Whether the current process was found by a health check, before its
         # start time was known.
         self._probed = False
+        # Whether the current process has announced its departure to this node,
+        # not only to an earlier process of it.
+        self._announced = False
         # Whether an answer of the current process has shown its limit.
         self._limit_known = False
         # Limit that peers recorded before this process started.
@@ -129,7 +133,7 @@
             return False
         before = (self.target_id, self._born_ms, self.phase, self.slots)
         if not same:
-            self._probed = False
+            self._probed = self._announced = False
             self.draining_since = None
             self.phase = TargetPhase.UNKNOWN
         self.target_id = report.id
@@ -236,6 +240,7 @@
             return False
         self._record_departure(Incarnation(target_id, self._born_ms), now)
         before = self.phase
+        self._announced = True
         self._start_draining(now)
         return before is not self.phase
 
@@ -268,6 +273,7 @@
             return False
         before = (self.limit_per_s, self.phase)
         if notice.leaving and self.phase is not TargetPhase.GONE:
+            self._announced = True
             self._start_draining(now)
         self._limit_known = True
         if notice.limit_per_s is not None:
@@ -312,13 +318,16 @@
     def _is_probed(self, report: TargetReport, now: float) -> bool:
         """Returns whether a heartbeat is the first of a probed target.
 
-        The start time of such a target is unknown until then. Some time after
-        its departure, the heartbeat is that of a new process with its id.
+        The start time of such a target is unknown until then. If it drains,
+        the heartbeat is that of a new process with its id, unless the target
+        has announced its departure to this node just before.
         """
         if report.id != self.target_id or self._born_ms != 0:
             return False
         since = self.draining_since
-        return since is None or now - since < LATE_HEARTBEAT_S
+        if since is None:
+            return True
+        return self._announced and now - since < LATE_HEARTBEAT_S
 
     def _is_current(self, incarnation: Incarnation) -> bool:
         """Returns whether a process is the current one of the target."""
--- a/tests/cover/traffic_state.feature
+++ b/tests/cover/traffic_state.feature
@@ -87,6 +87,18 @@
     And a peer reports the departure of "a", born 1000
     Then the target is "a", draining, with 4 slots
 
+  # Guards against a target that is excluded for good, as its process is taken
+  # for the one before, whose departure a peer has recorded.
+  Scenario: A departure of the process before does not bind its successor under the same id
+    Given the node of target address 10.0.0.7:80 in service desk
+    When a health check is answered by "a"
+    And a peer reports the departure of "a", born 1000
+    Then the target is "a", draining, with 4 slots
+    When heartbeats arrive
+      | id | born | sequence | state | slots |
+      | a  | 2000 | 3        | ready | 9     |
+    Then the target is "a", ready, with 9 slots
+
   Scenario Outline: A heartbeat in another format is rejected
     Then the heartbeat <body> is rejected
 
