--- a/src/guavawing/platform/headers.py
+++ b/src/guavawing/platform/headers.py
@@ -23,8 +23,9 @@
 ]
 
 MS_PER_S = 1000
-# Longest time that a client may ask for, in seconds; a longer one is cut.
-MAX_DEADLINE_S = 3600.0
+# Longest time that a client or a target may ask for, in seconds; a longer one
+# is cut.
+MAX_REQUESTED_S = 3600.0
 MAX_QUOTED_BYTES = 80
 RawHeaders = Sequence[tuple[bytes, bytes]]
 
@@ -219,7 +220,7 @@
         elif lower == b"x-not-executed":
             not_executed = True
         elif lower == b"retry-after":
-            retry_after_s = parse_decimal(value)
+            retry_after_s = _parse_retry_after(value)
         elif lower == b"server-limit":
             limits.append(value)
         elif lower == b"server-leaving":
@@ -329,7 +330,13 @@
 def _parse_ms(value: bytes) -> float | None:
     """Converts milliseconds to seconds; None if it is not a decimal number."""
     number = parse_decimal(value)
-    return None if number is None else min(number / MS_PER_S, MAX_DEADLINE_S)
+    return None if number is None else min(number / MS_PER_S, MAX_REQUESTED_S)
+
+
+def _parse_retry_after(value: bytes) -> float | None:
+    """Returns the seconds; None for a date or an unreadable value."""
+    number = parse_decimal(value)
+    return None if number is None else min(number, MAX_REQUESTED_S)
 
 
 def _parse_idle_timeout(value: bytes) -> float | None:
--- a/tests/cover/headers.feature
+++ b/tests/cover/headers.feature
@@ -66,6 +66,7 @@
       | value                         | seconds |
       | 3                             | 3       |
       | 0.25                          | 0.25    |
+      | 1e30                          | 3600    |
       | 0                             | 0       |
       | Wed; 21 Oct 2026 07:28:00 GMT | no      |
       | -1                            | no      |
