Refuse at a stopping owner what it is not likely to finish

Cause: a stopping node serves on for up to 4 s of 6 while other owners of its service restart, and admitted until then whatever came.

Change: it refuses attempts of other nodes whose execution, at four times the mean of their kind, would outlast the process; nothing was sent, so the entry node asks another owner. Its own clients' requests were bounded already.

Test: cover/sidecar_owner, two of four examples fail before.

--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -55,6 +55,9 @@
 SLOT_HOLD_S = 0.02
 # An attempt is logged as slow if it took this many times the mean.
 SLOW_FACTOR = 4.0
+# Factor of the mean time within which nearly all executions end; a process that
+# stops takes no others.
+LONGEST_FACTOR = 4.0
 MS_PER_S = 1000
 
 
@@ -78,6 +81,8 @@
         pacer: Paces large answers on the link of this VM.
         stopping: Whether attempts of other nodes are refused because this
             process stops.
+        ends_at: Event loop's time at which the process ends; None unless it
+            stops.
         on_phase: Called when the phase or the slots of the target change.
     """
 
@@ -107,6 +112,7 @@
         self._limit_timer: asyncio.TimerHandle | None = None
         self._statements = TargetStatements(state, log=log, metrics=metrics)
         self.stopping = False
+        self.ends_at: float | None = None
         self.on_phase: Callable[[], None] = lambda: None
 
     @property
@@ -218,7 +224,7 @@
     def _find_refusal(self, attempt: Attempt, *, local: bool) -> NotRun | None:
         if attempt.service != self._service:
             return NotRun(Reason.WRONG_OWNER, 0.0)
-        if self.stopping and not local:
+        if not local and (self.stopping or not self._can_finish(attempt)):
             return NotRun(Reason.DRAINING, 0.0)
         match self._state.phase:
             case TargetPhase.READY:
@@ -227,6 +233,13 @@
                 return NotRun(Reason.DRAINING, 0.0)
         return NotRun(Reason.TARGET_UNREACHABLE, NO_TARGET_RETRY_AFTER_S)
 
+    def _can_finish(self, attempt: Attempt) -> bool:
+        """Returns whether an attempt is likely to end before the process."""
+        if self.ends_at is None:
+            return True
+        longest_s = LONGEST_FACTOR * self._queue.expect_service_s(attempt.kind)
+        return self._loop.time() + longest_s <= self.ends_at
+
     def _check_link(self, attempt: Attempt) -> NotRun | None:
         """Returns a refusal if the link can't send a large answer in time."""
         if not attempt.bulk:
--- a/src/guavawing/sidecar/planned_stop.py
+++ b/src/guavawing/sidecar/planned_stop.py
@@ -79,7 +79,7 @@
         started_at = self._loop.time()
         ends_at = started_at + self._grace_s - STOP_MARGIN_S
         self._mesh.stopping = True
-        self._entry.ends_at = ends_at
+        self._entry.ends_at = self._owner.ends_at = ends_at
         await asyncio.sleep(READINESS_DELAY_S)
         await self._wait_for_restarts(started_at + MAX_RESTART_WAIT_S)
         self._begin_drain()
--- a/tests/cover/sidecar_owner.feature
+++ b/tests/cover/sidecar_owner.feature
@@ -6,6 +6,20 @@
     And the client of "first" disconnects
     Then "second" is sent after at least 0.02 s, and then at once
 
+  # Guards against a request that is cut at its target, as the process of its
+  # owner, which stops, took it too late.
+  Scenario Outline: An owner whose process ends soon takes only what it can finish
+    Given an owner with 1 slot whose executions take 0.5 s
+    When its process ends in <left> s
+    Then it <takes> an attempt of another node
+
+    Examples:
+      | left | takes   |
+      | 5    | takes   |
+      | 2.2  | takes   |
+      | 1.6  | refuses |
+      | 0.1  | refuses |
+
   Scenario: A slot is reused at once when the target has answered
     Given an owner with 1 slot
     When attempt "first" runs and attempt "second" waits
--- a/tests/steps/sidecar_owner_steps.py
+++ b/tests/steps/sidecar_owner_steps.py
@@ -11,7 +11,7 @@
 from guavawing.sidecar.owner import Owner
 from guavawing.traffic.model import Outcome, TargetReport
 from guavawing.traffic.target_state import TargetState
-from guavawing.verdict import MayHaveRun, Ran, Reason
+from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
 from tests.sidecar_support import make_attempt
 
 ADDRESS = parse_address("10.0.0.7:80")
@@ -120,3 +120,31 @@
 @then('"{name}" is sent at once')
 def step_sent(context, name):
     assert name in context.pool.sent
+
+
+@given("an owner with {slots:d} slot whose executions take {service_s:g} s")
+def step_owner_service(context, slots, service_s):
+    context.run(make_owner(context, slots))
+    context.owner._queue.service_s = service_s
+
+
+@when("its process ends in {seconds:g} s")
+def step_ends(context, seconds):
+    context.owner.ends_at = context.loop.time() + seconds
+
+
+@then("it {takes:w} an attempt of another node")
+def step_takes(context, takes):
+    outcomes = []
+
+    async def offer():
+        now = asyncio.get_running_loop().time()
+        attempt = make_attempt("late", now=now)
+        context.owner.submit(attempt, outcomes.append, local=False)
+
+    context.run(offer())
+    if takes == "takes":
+        assert not outcomes, outcomes
+    else:
+        [outcome] = outcomes
+        assert outcome.verdict == NotRun(Reason.DRAINING, 0.0), outcome
