--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -288,10 +288,9 @@
             self._handle_statement(phase_before)
 
     def _handle_statement(self, phase_before: TargetPhase) -> None:
+        self._apply_capacity()
         if self._state.phase is not phase_before:
-            self.handle_target_change()
-        else:
-            self._apply_capacity()
+            self.on_phase()
 
     def _apply_capacity(self) -> None:
         """Applies the target's slots and rate limit to the queue."""
