Land the types that client accounts, quotas, roll-outs and even load share

Cause: four parts are built side by side and meet in the same classes. Change: client accounts and public routes in a version, the release of a target in heartbeats, beacons and answers, terms of withdrawal, quotas and roll-outs in the settings, further fields of an attempt, and datagrams of other components on the socket of the beacons. A kind of request follows from its route, so that the priority of an account doesn't split its service times. Nothing acts on any of it yet.

--- a/src/guavawing/platform/heartbeats.py
+++ b/src/guavawing/platform/heartbeats.py
@@ -41,6 +41,7 @@
             cold_s=max(0, _check_type(status.get("coldRemainingMs", 0), int))
             / MS_PER_S,
             born_ms=_check_type(content.get("born", 0), int),
+            release=_check_type(info.get("version", ""), str),
         )
     except (
         AttributeError,
--- a/src/guavawing/platform/routing.py
+++ b/src/guavawing/platform/routing.py
@@ -1,11 +1,13 @@
 """Decoding of the configuration that the operator writes to the store."""
 
+import hashlib
 from typing import Any
 
 import orjson
 
 from guavawing.errors import MessageInvalidError
 from guavawing.traffic.model import (
+    ClientAccount,
     ClientLimits,
     Route,
     Routing,
@@ -20,6 +22,7 @@
 # other kind, including unknown ones, are executed at most once.
 _IDEMPOTENT_KINDS = frozenset({"safe", "download"})
 _BULK_KINDS = frozenset({"download"})
+_BULK_BODY_KINDS = frozenset({"upload"})
 DEFAULT_LATENCY_TARGET_MS = 300
 DEFAULT_MAX_CONNECTIONS = 100
 
@@ -51,6 +54,10 @@
             services=services,
             limits=_decode_limits(content.get("limits") or {}),
             document=document,
+            accounts={
+                str(name): _decode_account(str(name), entry)
+                for name, entry in (content.get("tenants") or {}).items()
+            },
         )
     except (AttributeError, KeyError, TypeError, ValueError) as exc:
         raise MessageInvalidError(
@@ -83,6 +90,22 @@
         priority=int(entry.get("priority", 0)),
         max_attempts=max(1, int(entry.get("maxAttempts", 1))),
         parts=parts,
+        bulk_body=kind in _BULK_BODY_KINDS,
+        public=bool(entry.get("public", False)),
+    )
+
+
+def _decode_account(name: str, entry: dict[str, Any]) -> ClientAccount:
+    priority = entry.get("priority")
+    return ClientAccount(
+        name=name,
+        key_digests=frozenset(
+            hashlib.sha256(str(key).encode()).digest()
+            for key in entry["apiKeys"]
+        ),
+        priority=None if priority is None else int(priority),
+        rate_per_s=float(entry.get("ratePerS") or 0),
+        burst=float(entry.get("burst") or 0),
     )
 
 
--- a/src/guavawing/platform/settings.py
+++ b/src/guavawing/platform/settings.py
@@ -10,7 +10,14 @@
 from guavawing.errors import InvalidArgumentError, SettingsInvalidError
 from guavawing.model import Address, parse_address
 
-__all__ = ["VmSettings", "find_settings_file", "parse_settings"]
+__all__ = [
+    "QuotaTerms",
+    "RolloutTerms",
+    "VmSettings",
+    "WithdrawalTerms",
+    "find_settings_file",
+    "parse_settings",
+]
 
 SETTINGS_VARIABLE = "GUAVAWING_SETTINGS"
 # Port of the metrics, as stated in the deployment file.
@@ -19,6 +26,53 @@
 BYTES_PER_MEGABIT = 1_000_000 / 8
 
 
+@attrs.frozen
+class WithdrawalTerms:
+    """Terms of withdrawn keys of client accounts.
+
+    Attributes:
+        strict: Whether they bind a node that has lost contact, too.
+        within_s: Time after which no request with a withdrawn key may be
+            accepted, in seconds.
+    """
+
+    strict: bool
+    within_s: float
+
+
+@attrs.frozen
+class QuotaTerms:
+    """Terms of the quotas of client accounts over the whole fleet.
+
+    Attributes:
+        window_s: Length of the windows in which requests are counted, in
+            seconds.
+        overage: Share by which a quota may be exceeded in a window.
+        allowance: Requests by which it may be exceeded besides.
+    """
+
+    window_s: float
+    overage: float
+    allowance: float
+
+
+@attrs.frozen
+class RolloutTerms:
+    """Terms of moving a service to another release.
+
+    Attributes:
+        exposure_share: Largest share of the service's requests that a faulty
+            release may get from the order to its deadline.
+        exposure_allowance: Requests that it may get besides.
+        roll_back_s: Time after the 50th bad answer of a faulty release in
+            which requests may still be sent to it, in seconds.
+    """
+
+    exposure_share: float
+    exposure_allowance: float
+    roll_back_s: float
+
+
 @attrs.frozen
 class VmSettings:
     """Settings of a process: its VM, addresses and time limits.
@@ -46,6 +100,13 @@
         retry_ratio: Retries per request that are allowed to the whole fleet.
         retry_allowance: Additional retries of the whole fleet in one window.
         first_start: Whether the platform has set the bootstrap flag.
+        data_centres: Names of all data centres, in the same order at each
+            node.
+        contact_s: Time without a disturbance after which a node counts as in
+            contact, in seconds.
+        withdrawal: Terms of withdrawn keys; None if there are none.
+        quota: Terms of quotas; None if there are none.
+        rollout: Terms of roll-outs; None if there are none.
     """
 
     node: str
@@ -68,6 +129,11 @@
     retry_ratio: float
     retry_allowance: float
     first_start: bool
+    data_centres: tuple[str, ...] = ()
+    contact_s: float = 0.0
+    withdrawal: WithdrawalTerms | None = None
+    quota: QuotaTerms | None = None
+    rollout: RolloutTerms | None = None
 
 
 def find_settings_file() -> pathlib.Path:
@@ -123,6 +189,42 @@
         retry_ratio=fields.number(f"{bounds}.retryBudgetRatio"),
         retry_allowance=fields.number(f"{bounds}.retryBudgetSlack"),
         first_start=fields.flag("self.bootstrap"),
+        data_centres=fields.names_below("network.zones"),
+        contact_s=fields.number(f"{bounds}.contactMs") / MS_PER_S
+        if fields.has(f"{bounds}.contactMs")
+        else 0.0,
+        withdrawal=_parse_withdrawal(fields, bounds),
+        quota=_parse_quota(fields, bounds),
+        rollout=_parse_rollout(fields, bounds),
+    )
+
+
+def _parse_withdrawal(fields: "_Fields", bounds: str) -> WithdrawalTerms | None:
+    if not fields.has(f"{bounds}.revokeMs"):
+        return None
+    return WithdrawalTerms(
+        strict=fields.flag(f"{bounds}.revokeStrict"),
+        within_s=fields.number(f"{bounds}.revokeMs") / MS_PER_S,
+    )
+
+
+def _parse_quota(fields: "_Fields", bounds: str) -> QuotaTerms | None:
+    if not fields.has(f"{bounds}.quotaWindowS"):
+        return None
+    return QuotaTerms(
+        window_s=fields.number(f"{bounds}.quotaWindowS"),
+        overage=fields.number(f"{bounds}.quotaOverage"),
+        allowance=fields.number(f"{bounds}.quotaSlack"),
+    )
+
+
+def _parse_rollout(fields: "_Fields", bounds: str) -> RolloutTerms | None:
+    if not fields.has(f"{bounds}.exposureShare"):
+        return None
+    return RolloutTerms(
+        exposure_share=fields.number(f"{bounds}.exposureShare"),
+        exposure_allowance=fields.number(f"{bounds}.exposureSlack"),
+        roll_back_s=fields.number(f"{bounds}.rollbackMs") / MS_PER_S,
     )
 
 
@@ -132,6 +234,20 @@
     def __init__(self, values: Mapping[str, str]) -> None:
         self._values = values
 
+    def has(self, name: str) -> bool:
+        return bool(self._values.get(name))
+
+    def names_below(self, table: str) -> tuple[str, ...]:
+        """Returns the names of a table's fields, sorted."""
+        prefix = table + "."
+        return tuple(
+            sorted(
+                name.removeprefix(prefix)
+                for name in self._values
+                if name.startswith(prefix)
+            )
+        )
+
     def text(self, name: str) -> str:
         value = self._values.get(name, "")
         if not value:
--- a/src/guavawing/sidecar/beacons.py
+++ b/src/guavawing/sidecar/beacons.py
@@ -19,6 +19,7 @@
 from guavawing.sidecar.mesh_codec import (
     decode_beacon,
     encode_beacon,
+    find_kind,
 )
 from guavawing.sidecar.mesh_messages import (
     Beacon,
@@ -52,6 +53,10 @@
 CHANGE_PERIOD_S = 0.05
 
 
+# Called with the payload of a datagram and the host of its sender.
+DatagramHandler = Callable[[bytes, str], None]
+
+
 class Beacons(asyncio.DatagramProtocol):
     """Sends and receives beacons.
 
@@ -113,6 +118,7 @@
             announce=self._send_suspicions,
             log=log,
         )
+        self._handlers: dict[int, DatagramHandler] = {}
         self._sequence = 0
         self._period_number = 0
         self.version = 0
@@ -137,6 +143,20 @@
         if self._transport is not None:
             self._transport.close()
 
+    def register(self, kind: int, handler: DatagramHandler) -> None:
+        """Hands datagrams of a kind to another component.
+
+        Args:
+            kind: One of the kinds of `guavawing.sidecar.mesh_codec`.
+            handler: Called with each of them; raises `MessageInvalidError` if
+                it is unreadable.
+        """
+        self._handlers[kind] = handler
+
+    def send_datagram(self, payload: bytes, host: str) -> None:
+        """Sends a datagram of another component to the node on a VM."""
+        self._send(payload, host)
+
     def announce_change(self) -> None:
         """Schedules a beacon that announces a state change of this node."""
         if self._change_timer is None:
@@ -185,8 +205,12 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Applies a beacon; an unreadable datagram is counted."""
+        """Applies a datagram; an unreadable one is counted."""
         try:
+            handler = self._handlers.get(find_kind(data) or 0)
+            if handler is not None:
+                handler(data, addr[0])
+                return
             beacon = decode_beacon(data)
         except MessageInvalidError:
             self._metrics.unreadable.inc({"source": "beacon"})
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -191,6 +191,8 @@
             late=late,
             useful_until=now + useful_s,
             spare_only=False,
+            kind=route.kind,
+            bulk_body=route.bulk_body,
         )
 
     def _time_left_s(self, now: float) -> float:
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -49,6 +49,7 @@
     "encode_hello",
     "encode_outcome_query",
     "encode_request",
+    "find_kind",
 ]
 
 (
@@ -60,7 +61,16 @@
     OUTCOME_QUERY,
     BEACON,
     HELLO,
-) = range(8)
+    # Datagrams of other components, see `Beacons.register`.
+    FRESHNESS_QUERY,
+    FRESHNESS_ANSWER,
+    QUOTA_REQUEST,
+    QUOTA_GRANT,
+    ROLLOUT_COUNTS,
+    SLOT_OFFER,
+) = range(14)
+# First byte of a msgpack array of up to 15 entries and of one of up to 65,535.
+SHORT_ARRAY, LONG_ARRAY = 0x90, 0xDC
 RAN, NOT_RUN, MAY_HAVE_RUN = range(3)
 
 
@@ -92,6 +102,11 @@
             attempt.spare_only,
             encode_limit(known.limit),
             encode_departure(known.departure),
+            attempt.kind,
+            attempt.bulk_body,
+            attempt.account,
+            attempt.usage,
+            attempt.release,
         )
     )
 
@@ -126,6 +141,7 @@
             encode_limit(load.limit),
             load.limit_wait_s,
             encode_departure(departure),
+            load.release,
         )
     )
 
@@ -181,10 +197,21 @@
             encode_limit(beacon.load.limit),
             beacon.load.limit_wait_s,
             encode_limit(beacon.known.limit),
+            beacon.load.release,
         )
     )
 
 
+def find_kind(payload: bytes) -> int | None:
+    """Returns the kind of a message, or None if it has none."""
+    kind_at = {SHORT_ARRAY: 1, LONG_ARRAY: 3}
+    first = payload[0] if payload else 0
+    start = kind_at.get(first & 0xF0 if first < 0xA0 else first)
+    if start is None or len(payload) <= start:
+        return None
+    return payload[start]
+
+
 def decode_frame(payload: bytes, *, now: float) -> Frame:
     """Decodes a frame of a connection between nodes.
 
@@ -244,7 +271,11 @@
             ),
             read_number(fields[7]),
             read_number(fields[8]),
-            decode_load(fields[9], fields[16:18]),
+            decode_load(
+                fields[9],
+                fields[16:18],
+                release=read_optional(fields, 19) or "",
+            ),
             bool(fields[10]),
             read_number(fields[11]),
             bool(fields[12]),
@@ -278,6 +309,7 @@
             late=bool(fields[13]),
             useful_until=now + float(fields[14]),
             spare_only=bool(fields[15]),
+            **_decode_later_fields(fields),
         ),
         TargetRecord(
             decode_departure(read_optional(fields, 17)),
@@ -286,6 +318,19 @@
     )
 
 
+def _decode_later_fields(fields: list[Any]) -> dict[str, Any]:
+    """Decodes fields that nodes of earlier releases do not send."""
+    if len(fields) < 23:
+        return {}
+    return {
+        "kind": read_number(fields[18]),
+        "bulk_body": bool(fields[19]),
+        "account": read_text(fields[20]),
+        "usage": float(fields[21]),
+        "release": read_text(fields[22]),
+    }
+
+
 def _decode_answer(fields: list[Any]) -> AnswerFrame:
     reason = Reason(fields[3])
     verdict: Verdict
@@ -306,6 +351,8 @@
         read_bytes(fields[7]),
         float(fields[9]),
     )
-    load = decode_load(fields[8], fields[10:12])
+    load = decode_load(
+        fields[8], fields[10:12], release=read_optional(fields, 13) or ""
+    )
     departure = decode_departure(read_optional(fields, 12))
     return AnswerFrame(read_number(fields[1]), outcome, load, departure)
--- a/src/guavawing/sidecar/mesh_fields.py
+++ b/src/guavawing/sidecar/mesh_fields.py
@@ -67,12 +67,15 @@
     )
 
 
-def decode_load(fields: Any, limit_fields: list[Any]) -> LoadReport:
+def decode_load(
+    fields: Any, limit_fields: list[Any], *, release: str = ""
+) -> LoadReport:
     """Decodes a load report.
 
     Args:
         fields: The report without the rate limit.
         limit_fields: Limit and wait; empty from nodes of earlier releases.
+        release: Release of the target's software.
     """
     limit, limit_wait_s = limit_fields or (None, 0.0)
     phase, slots, running, queued, service_s, refused, link_wait_s, kind_ms = (
@@ -92,6 +95,7 @@
         },
         decode_limit(limit),
         _finite(limit_wait_s),
+        read_text(release),
     )
 
 
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -148,6 +148,7 @@
             },
             self._state.limit,
             round(self._queue.find_limit_wait_s(now=now), 3),
+            self._state.release,
         )
 
     def handle_target_change(self) -> None:
--- a/src/guavawing/traffic/model.py
+++ b/src/guavawing/traffic/model.py
@@ -9,13 +9,16 @@
 from guavawing.verdict import Verdict
 
 __all__ = [
+    "NO_ACCOUNT",
     "NO_TARGET_RECORD",
     "Attempt",
+    "ClientAccount",
     "ClientLimits",
     "Incarnation",
     "LoadReport",
     "Outcome",
     "PeerRecord",
+    "RolloutOrder",
     "Route",
     "Routing",
     "ServiceSpec",
@@ -25,9 +28,21 @@
     "TargetPhase",
     "TargetRecord",
     "TargetReport",
+    "make_kind",
 ]
 
 
+def make_kind(priority: int, idempotent: bool, bulk: bool) -> int:
+    """Returns the number of the kind of request of a route.
+
+    Args:
+        priority: Priority of the route.
+        idempotent: Whether requests may be executed more than once.
+        bulk: Whether answers are large.
+    """
+    return priority << 2 | idempotent << 1 | bulk
+
+
 @attrs.frozen
 class SplitPart:
     """A service and its share of a route's requests."""
@@ -46,6 +61,8 @@
         prefix: Prefix of the path; begins and ends with a slash.
         idempotent: Whether a request may be executed more than once.
         bulk: Whether answers are large.
+        bulk_body: Whether requests are large.
+        public: Whether a request needs no key of a client account.
         timeout_s: Maximum time to an answer, in seconds; None if only the
             caller's deadline bounds it.
         latency_target_s: Time within which an answer is fully useful, in
@@ -65,6 +82,55 @@
     priority: int
     max_attempts: int
     parts: tuple[SplitPart, ...]
+    bulk_body: bool = False
+    public: bool = False
+
+    @property
+    def kind(self) -> int:
+        """Number of its kind of request; service times are kept by kind."""
+        return make_kind(self.priority, self.idempotent, self.bulk)
+
+
+@attrs.frozen
+class ClientAccount:
+    """A client account of the configuration.
+
+    Attributes:
+        name: Name of the account; targets receive it with each request.
+        key_digests: SHA-256 digests of its keys.
+        priority: Order of service of its requests, 0 first; None if the
+            priority of the route applies.
+        rate_per_s: Requests per second that it may send to the whole fleet; 0
+            for no limit.
+        burst: Requests that it may send beyond that rate at once.
+    """
+
+    name: str
+    key_digests: frozenset[bytes]
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+NO_ACCOUNT = ""
+
+
+@attrs.frozen
+class RolloutOrder:
+    """An operator's order to move a service to the targets of a release.
+
+    Attributes:
+        service: The service.
+        release: Release of the targets that take over.
+        duration_s: Time within which the move has to be completed or rolled
+            back, in seconds.
+        number: Version of the order's row in the store.
+    """
+
+    service: str
+    release: str
+    duration_s: float
+    number: int
 
 
 @attrs.frozen
@@ -94,6 +160,8 @@
         routes: All routes.
         services: Services by name.
         limits: Limits for clients.
+        accounts: Client accounts by name; without any, requests carry no
+            keys.
         document: Encoded document of the version, to send to other nodes.
     """
 
@@ -102,6 +170,7 @@
     services: dict[str, ServiceSpec]
     limits: ClientLimits
     document: bytes
+    accounts: Mapping[str, ClientAccount] = attrs.field(factory=dict)
 
 
 class TargetPhase(enum.IntEnum):
@@ -128,6 +197,7 @@
             seconds.
         born_ms: Start of its process, Unix time in milliseconds; 0 if not
             given.
+        release: Release of its software; empty if not given.
     """
 
     id: str
@@ -138,6 +208,7 @@
     sequence: int
     cold_s: float
     born_ms: int
+    release: str = ""
 
 
 @attrs.frozen
@@ -225,6 +296,7 @@
             one, as in a process that has just started.
         limit_wait_s: Time until that rate admits another request, in seconds;
             negative if it admits one already.
+        release: Release of the target's software; empty if not known.
     """
 
     phase: TargetPhase
@@ -237,6 +309,7 @@
     kind_s: Mapping[int, float] = attrs.field(factory=dict)
     limit: TargetLimit | None = None
     limit_wait_s: float = 0.0
+    release: str = ""
 
 
 @attrs.frozen
@@ -282,6 +355,12 @@
             useful, in seconds.
         spare_only: Whether it may use only a slot that no queued request
             needs.
+        kind: Kind of request (`make_kind`).
+        bulk_body: Whether its body is large.
+        account: Name of its client account; `NO_ACCOUNT` if it has none.
+        usage: Recent use of its client account relative to what the account
+            may use, 1 if it uses just that; 0 without an account.
+        release: Release of the targets that may execute it; empty for any.
     """
 
     request_id: bytes
@@ -298,11 +377,16 @@
     late: bool
     useful_until: float
     spare_only: bool
-
-    @property
-    def kind(self) -> int:
-        """Number of the kind of request; service times are kept by kind."""
-        return self.priority << 2 | self.idempotent << 1 | self.bulk
+    kind: int = attrs.field(
+        default=attrs.Factory(
+            lambda self: make_kind(self.priority, self.idempotent, self.bulk),
+            takes_self=True,
+        )
+    )
+    bulk_body: bool = False
+    account: str = NO_ACCOUNT
+    usage: float = 0.0
+    release: str = ""
 
 
 @attrs.frozen
--- a/src/guavawing/traffic/target_state.py
+++ b/src/guavawing/traffic/target_state.py
@@ -30,6 +30,7 @@
     Attributes:
         target_id: Id of the current incarnation; empty if none is known.
         slots: Requests that the target executes concurrently.
+        release: Release of its software; empty if not known.
         limit_per_s: Requests per second that it accepts from all nodes
             together, as named in its answers; None without a limit.
         phase: Phase of the target; it accepts requests in `READY`.
@@ -52,6 +53,7 @@
         "draining_since",
         "limit_per_s",
         "phase",
+        "release",
         "slots",
         "target_id",
     )
@@ -76,6 +78,7 @@
         self._peer_limit: TargetLimit | None = None
         self.target_id = ""
         self.slots = 0
+        self.release = ""
         self.limit_per_s: float | None = None
         self.phase = TargetPhase.UNKNOWN
         self.draining_since: float | None = None
@@ -131,7 +134,7 @@
             return False
         if not same and not self._supersedes(report, now):
             return False
-        before = (self.target_id, self._born_ms, self.phase, self.slots)
+        before = self._announced_state()
         if not same:
             self._probed = self._announced = False
             self.draining_since = None
@@ -143,13 +146,23 @@
             self._adopt_peer_limit()
         self._sequence = report.sequence
         self.slots = report.slots
+        self.release = report.release
         self._cold_until = now + report.cold_s
         if report.draining or self.draining_since is not None:
             self._start_draining(now)
         else:
             self.phase = TargetPhase.READY
-        after = (self.target_id, self._born_ms, self.phase, self.slots)
-        return before != after
+        return before != self._announced_state()
+
+    def _announced_state(self) -> tuple[object, ...]:
+        """Returns what other nodes are told of when it changes."""
+        return (
+            self.target_id,
+            self._born_ms,
+            self.phase,
+            self.slots,
+            self.release,
+        )
 
     def apply_probe(self, target_id: str) -> bool:
         """Applies a passed health check of a target without heartbeats.
--- a/src/guavawing/verdict.py
+++ b/src/guavawing/verdict.py
@@ -18,6 +18,9 @@
     # Refusals at the entry node, before the call was sent to an owner.
     UNKNOWN_SERVICE = "unknown-service"
     UNKNOWN_ROUTE = "unknown-route"
+    UNKNOWN_ACCOUNT_KEY = "unknown-account-key"
+    UNPROVEN_CONFIG = "unproven-configuration"
+    OVER_QUOTA = "over-quota"
     MISSING_DEADLINE = "missing-deadline"
     MALFORMED_HEADER = "malformed-header"
     HEADERS_TOO_LARGE = "headers-too-large"
