Check a configuration before it is published: guavawing config check

Cause: the operators wish for one check of errors, entries that can never match, contradicting limits and differences from the version in force. Change: doubts about a valid document are found by a pure module; the command prints errors, doubts and differences as a table or as JSON, with exit code 6 for errors and 9 for doubts alone.

--- a/src/guavawing/cli/exits.py
+++ b/src/guavawing/cli/exits.py
@@ -35,6 +35,7 @@
     INVALID_CONFIG = 6
     BEHIND = 7
     REPLACED = 8
+    DOUBTFUL_CONFIG = 9
     INTERRUPTED = 130
 
 
--- a/src/guavawing/cli/main.py
+++ b/src/guavawing/cli/main.py
@@ -9,6 +9,7 @@
 __all__ = ["main"]
 
 _CONFIG_COMMANDS = (
+    "queries.check:check",
     "commands.defaults:default",
     "queries.diff:diff",
     "commands.exceptions:exception",
@@ -44,7 +45,7 @@
 
     Exit codes: 0 done, 1 other failure, 2 bad usage, 3 conflict, 4 no answer
     and nothing done, 5 outcome unknown, 6 invalid configuration, 7 nodes
-    behind, 8 node replaced, 130 interrupted.
+    behind, 8 node replaced, 9 doubtful configuration, 130 interrupted.
     """
 
 
--- a/src/guavawing/cli/printing.py
+++ b/src/guavawing/cli/printing.py
@@ -7,7 +7,7 @@
 import click
 import orjson
 
-__all__ = ["Progress", "print_json", "print_table"]
+__all__ = ["Progress", "format_value", "print_json", "print_table"]
 
 GAP = "  "
 
@@ -17,6 +17,11 @@
     click.echo(orjson.dumps(tree).decode())
 
 
+def format_value(value: object) -> str:
+    """Returns a value of a document as a cell of a table."""
+    return "-" if value is None else orjson.dumps(value).decode()
+
+
 def print_table(
     header: Sequence[str],
     rows: Sequence[Sequence[object]],
--- a/src/guavawing/cli/queries/diff.py
+++ b/src/guavawing/cli/queries/diff.py
@@ -5,11 +5,10 @@
 
 import attrs
 import click
-import orjson
 
 from guavawing.cli.examples import format_examples
 from guavawing.cli.options import output_option, platform_option
-from guavawing.cli.printing import print_json, print_table
+from guavawing.cli.printing import format_value, print_json, print_table
 from guavawing.config import (
     Difference,
     Document,
@@ -51,7 +50,7 @@
     print_table(
         ("place", "old", "new"),
         [
-            (each.place, _format(each.old), _format(each.new))
+            (each.place, format_value(each.old), format_value(each.new))
             for each in differences
         ],
         colours=(None, "red", "green"),
@@ -80,7 +79,3 @@
             f"got {name!r}, expected a version number or the path of a file"
         )
     return decode_document(path.read_bytes())
-
-
-def _format(value: object) -> str:
-    return "-" if value is None else orjson.dumps(value).decode()
--- a/src/guavawing/config/__init__.py
+++ b/src/guavawing/config/__init__.py
@@ -18,6 +18,7 @@
     Scalar,
     ServiceEntry,
 )
+from guavawing.config.doubts import find_doubts
 from guavawing.config.effective import EffectivePolicy, PolicyTable
 from guavawing.config.fault import Fault, describe_names
 from guavawing.config.validation import (
@@ -49,6 +50,7 @@
     "decode_document",
     "describe_names",
     "encode_document",
+    "find_doubts",
     "find_ended_exceptions",
     "find_faults",
 ]
--- a/tests/processes/cli.feature
+++ b/tests/processes/cli.feature
@@ -54,6 +54,20 @@
       | status --node localhost                              | 2    | 'localhost'             | --help            |
       | status --node 127.0.0.1:1                            | 4    | 127.0.0.1:1             |                   |
 
+  Scenario: A file is checked before it is published
+    Given the operator has run "config publish fleet.json --change-id first"
+    When the operator runs "config check fleet.json"
+    Then the exit code is 0 and the output contains "same as version 1"
+    When the operator runs "config check other.json"
+    Then the exit code is 0 and the output contains "defaults.spill"
+    And the output contains "differences from version 1"
+    When the operator runs "config check broken.json"
+    Then the exit code is 6 and the output contains "exceptions.e1.reason"
+    When the operator runs "config check doubtful.json --output json"
+    Then the exit code is 9 and the output contains "limit_classes.unused"
+    And the output contains ""version":1"
+    And standard error is one line with "1 doubt" and "check it again"
+
   Scenario: Every fault of a file is reported with its place
     When the operator runs "config validate broken.json"
     Then the exit code is 6 and the output contains "exceptions.e1.reason"
--- a/tests/steps/cli_steps.py
+++ b/tests/steps/cli_steps.py
@@ -49,11 +49,13 @@
     context.folder = pathlib.Path(folder.name)
     trees = {
         name: orjson.loads(encode_document(make_newsroom_document()))
-        for name in ("fleet", "other", "broken")
+        for name in ("fleet", "other", "broken", "doubtful")
     }
     trees["other"]["defaults"]["spill"] = False
     trees["broken"]["defaults"]["max_attempts"] = 0
     trees["broken"]["exceptions"]["e1"] = BAD_EXCEPTION
+    for part in ("limit_classes", "capacity"):
+        trees["doubtful"][part]["unused"] = trees["doubtful"][part]["small"]
     for name, tree in trees.items():
         (context.folder / f"{name}.json").write_bytes(orjson.dumps(tree))
 
