Serve requests by the keys of client accounts

Cause: a configuration may hold client accounts; keys were not read, and went to the targets with any X-Tenant that a client sent.

Change: the entry node finds the account by the digest of the key, answers 401 without one on routes that are not public, and the owner sends the account's name to the target. Authorization and X-Tenant of clients are never forwarded while there are accounts. The account's priority goes before the route's in the slot queue and in what counts as most urgent (urgent wait, retries when these are short); kinds stay those of routes. Documents keep digests in place of keys, so peers never receive a key.

--- a/src/guavawing/platform/headers.py
+++ b/src/guavawing/platform/headers.py
@@ -7,7 +7,7 @@
 
 from guavawing.platform.decimals import parse_decimal
 from guavawing.platform.target_notices import NO_NOTICE, decode_notice
-from guavawing.traffic.model import TargetNotice
+from guavawing.traffic.model import NO_ACCOUNT, TargetNotice
 
 __all__ = [
     "NOT_RUN_STATUSES",
@@ -51,6 +51,10 @@
         b"x-expected-instance",
     }
 )
+# Request headers that identify the client account.
+_ACCOUNT_HEADERS = frozenset({b"authorization", b"x-tenant"})
+_KEY_SCHEME = b"token"
+UNAUTHORIZED = 401
 _STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode()
     for status in http.HTTPStatus
@@ -73,6 +77,8 @@
         forwarded: Header lines to forward, each with its line end.
         expects_continue: Whether the client waits for 100 Continue before
             it sends the body.
+        key: Key of the client account; empty if there is none, or more than
+            one.
     """
 
     host: str
@@ -81,6 +87,7 @@
     unreadable: str
     forwarded: bytes
     expects_continue: bool
+    key: bytes = attrs.field(default=b"", repr=False)
 
 
 @attrs.frozen
@@ -113,16 +120,29 @@
     forwarded: bytes
 
 
-def parse_request_head(headers: RawHeaders) -> RequestHead:
-    """Parses the headers of a client's request."""
+def parse_request_head(
+    headers: RawHeaders, *, has_accounts: bool = False
+) -> RequestHead:
+    """Parses the headers of a client's request.
+
+    Args:
+        headers: Names and values.
+        has_accounts: Whether there are client accounts. Headers that identify
+            one are then not forwarded.
+    """
     host = request_id = b""
     deadline_s = None
     unreadable = ""
     expects_continue = False
     dropped = _find_hop_by_hop_headers(headers)
     lines: list[bytes] = []
+    keys: set[bytes] = set()
     for name, value in headers:
         lower = name.lower()
+        if has_accounts and lower in _ACCOUNT_HEADERS:
+            if lower == b"authorization":
+                keys.add(_parse_key(value))
+            continue
         if lower in dropped:
             if lower == b"expect":
                 expects_continue = value.lower() == b"100-continue"
@@ -145,6 +165,7 @@
         unreadable,
         b"".join(lines),
         expects_continue,
+        keys.pop() if len(keys) == 1 else b"",
     )
 
 
@@ -157,6 +178,7 @@
     deadline_s: float,
     target_id: str,
     origin: str,
+    account: str = NO_ACCOUNT,
 ) -> bytes:
     """Serialises a request to a target.
 
@@ -169,7 +191,9 @@
         target_id: Id of the target that must execute it; a different target
             at the same address rejects the request without executing it.
         origin: Service of the VM from which the request was sent.
+        account: Name of the client account; `NO_ACCOUNT` if it has none.
     """
+    tenant = b"X-Tenant: %b\r\n" % account.encode() if account else b""
     has_body = body or method in (b"POST", b"PUT", b"PATCH")
     length = b"Content-Length: %d\r\n" % len(body) if has_body else b""
     return b"".join(
@@ -185,7 +209,9 @@
             target_id.encode(),
             b"\r\nX-Caller-Service: ",
             origin.encode(),
-            b"\r\n\r\n",
+            b"\r\n",
+            tenant,
+            b"\r\n",
             body,
         )
     )
@@ -301,6 +327,8 @@
         head = b"X-Request-Id: " + request_id + b"\r\n"
     if retry_after_s is not None:
         head += b"Retry-After: %.3f\r\n" % retry_after_s
+    if status == UNAUTHORIZED:
+        head += b"WWW-Authenticate: Token\r\n"
     return build_answer(status, head, reason.encode(), closes=closes)
 
 
@@ -333,6 +361,15 @@
     return None if number is None else min(number / MS_PER_S, MAX_REQUESTED_S)
 
 
+def _parse_key(value: bytes) -> bytes:
+    """Returns the key of an `Authorization` header; empty if it has none."""
+    scheme, _, key = value.strip().partition(b" ")
+    key = key.strip()
+    if scheme.lower() != _KEY_SCHEME or len(key.split()) != 1:
+        return b""
+    return key
+
+
 def _parse_retry_after(value: bytes) -> float | None:
     """Returns the seconds; None for a date or an unreadable value."""
     number = parse_decimal(value)
--- a/src/guavawing/platform/routing.py
+++ b/src/guavawing/platform/routing.py
@@ -1,11 +1,15 @@
-"""Decoding of the configuration that the operator writes to the store."""
+"""Decoding of the configuration that the operator writes to the store.
+
+The store holds the keys of client accounts in plain text. Only their digests
+are kept and sent to other nodes.
+"""
 
-import hashlib
 from typing import Any
 
 import orjson
 
 from guavawing.errors import MessageInvalidError
+from guavawing.traffic.accounts import digest_key
 from guavawing.traffic.model import (
     ClientAccount,
     ClientLimits,
@@ -25,17 +29,23 @@
 _BULK_BODY_KINDS = frozenset({"upload"})
 DEFAULT_LATENCY_TARGET_MS = 300
 DEFAULT_MAX_CONNECTIONS = 100
+# Keys of an account, and their digests in a document without keys.
+_KEYS, _DIGESTS = "apiKeys", "keyDigests"
 
 
 def decode_routing(document: bytes) -> Routing:
     """Decodes one complete version of the configuration.
 
+    The document of the result has digests in place of keys; decoding it has
+    the same result.
+
     Raises:
         MessageInvalidError: If the document is not JSON, or a part of it is
             missing or invalid.
     """
     try:
         content = orjson.loads(document)
+        accounts = content.get("tenants") or {}
         services = {
             str(name): ServiceSpec(
                 health_path=str(entry.get("healthCheckPath", "/")),
@@ -53,10 +63,10 @@
             ),
             services=services,
             limits=_decode_limits(content.get("limits") or {}),
-            document=document,
+            document=_redact(content, document),
             accounts={
                 str(name): _decode_account(str(name), entry)
-                for name, entry in (content.get("tenants") or {}).items()
+                for name, entry in accounts.items()
             },
         )
     except (AttributeError, KeyError, TypeError, ValueError) as exc:
@@ -96,19 +106,39 @@
 
 
 def _decode_account(name: str, entry: dict[str, Any]) -> ClientAccount:
+    if not name or not name.isprintable():
+        # It is sent to targets in a header.
+        raise ValueError(f"got account {name!r}, expected a printable name")
     priority = entry.get("priority")
     return ClientAccount(
         name=name,
-        key_digests=frozenset(
-            hashlib.sha256(str(key).encode()).digest()
-            for key in entry["apiKeys"]
-        ),
+        key_digests=frozenset(_list_digests(entry)),
         priority=None if priority is None else int(priority),
         rate_per_s=float(entry.get("ratePerS") or 0),
         burst=float(entry.get("burst") or 0),
     )
 
 
+def _list_digests(entry: dict[str, Any]) -> list[bytes]:
+    """Returns the digests of an account's keys."""
+    digests = [bytes.fromhex(text) for text in entry.get(_DIGESTS, ())]
+    # Only a document without keys may leave them out.
+    keys = entry.get(_KEYS, ()) if _DIGESTS in entry else entry[_KEYS]
+    return digests + [digest_key(str(key).encode()) for key in keys]
+
+
+def _redact(content: dict[str, Any], document: bytes) -> bytes:
+    """Returns a document with digests in place of the keys of accounts."""
+    accounts = (content.get("tenants") or {}).values()
+    with_keys = [entry for entry in accounts if _KEYS in entry]
+    if not with_keys:
+        return document
+    for entry in with_keys:
+        entry[_DIGESTS] = [digest.hex() for digest in _list_digests(entry)]
+        del entry[_KEYS]
+    return orjson.dumps(content)
+
+
 def _decode_limits(entry: dict[str, Any]) -> ClientLimits:
     defaults = ClientLimits()
     return ClientLimits(
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -21,7 +21,7 @@
 from guavawing.traffic.budget import RetryBudget
 from guavawing.traffic.client_wait import ClientWaitEstimator
 from guavawing.traffic.failures import FailureShare
-from guavawing.traffic.model import Attempt, Route
+from guavawing.traffic.model import NO_ACCOUNT, Attempt, ClientAccount, Route
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.routes import RouteTable
@@ -31,6 +31,7 @@
 __all__ = ["Entry", "RetryTerms"]
 
 BAD_REQUEST = 400
+UNAUTHORIZED = 401
 NOT_FOUND = 404
 UNAVAILABLE = 503
 # Retry-After in seconds while no configuration is in force.
@@ -112,7 +113,11 @@
     def handle(self, request: HttpRequest) -> None:
         """Handles a complete request; it may be answered asynchronously."""
         now = self._parts.loop.time()
-        head = parse_request_head(request.headers)
+        table = self.table
+        head = parse_request_head(
+            request.headers,
+            has_accounts=table is not None and bool(table.accounts),
+        )
         if head.unreadable:
             self._refuse(
                 request,
@@ -122,7 +127,7 @@
                 detail=f"got {head.unreadable}, expected a decimal number",
             )
             return
-        if self.table is None:
+        if table is None:
             verdict = NotRun(Reason.NO_CONFIG, NO_CONFIG_RETRY_AFTER_S)
             self._refuse(request, head.request_id, verdict)
             return
@@ -131,7 +136,7 @@
             self._refuse(request, head.request_id, verdict)
             return
         path = request.path.decode("latin-1")
-        route = self.table.find(head.host, path)
+        route = table.find(head.host, path)
         if route is None:
             self._refuse(
                 request,
@@ -140,9 +145,20 @@
                 status=NOT_FOUND,
             )
             return
-        attempt = self._make_attempt(request, head, route, self.table)
+        account = None
+        if table.accounts and not route.public:
+            account = table.accounts.find(head.key)
+            if account is None:
+                self._refuse(
+                    request,
+                    head.request_id,
+                    NotRun(Reason.UNKNOWN_ACCOUNT_KEY),
+                    status=UNAUTHORIZED,
+                )
+                return
+        attempt = self._make_attempt(request, head, route, account, table)
         self._budget.earn(attempt.service, now=now)
-        urgent = self.table.is_most_urgent(route)
+        urgent = table.is_most_urgent(route, priority=attempt.priority)
         ClientCall(self._parts, request, route, attempt, urgent=urgent).begin()
 
     def may_overlap(self, request: HttpRequest) -> bool:
@@ -158,8 +174,12 @@
         request: HttpRequest,
         head: RequestHead,
         route: Route,
+        account: ClientAccount | None,
         table: RouteTable,
     ) -> Attempt:
+        priority = route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
         # A pipelined request may have been queued since its arrival.
         now = request.arrived_at
         client_s = head.deadline_s
@@ -173,7 +193,7 @@
         target_s = USEFUL_SHARE * route.latency_target_s
         useful_s = target_s - spent_s
         late = useful_s <= 0 and deadline_s > route.latency_target_s
-        if table.is_most_urgent(route):
+        if table.is_most_urgent(route, priority=priority):
             useful_s = max(useful_s, URGENT_SHARE * limit_s)
         useful_s = min(useful_s, limit_s)
         return Attempt(
@@ -185,7 +205,7 @@
             head=head.forwarded,
             body=request.body,
             deadline=now + limit_s,
-            priority=route.priority,
+            priority=priority,
             idempotent=route.idempotent,
             bulk=route.bulk,
             late=late,
@@ -193,6 +213,7 @@
             spare_only=False,
             kind=route.kind,
             bulk_body=route.bulk_body,
+            account=NO_ACCOUNT if account is None else account.name,
         )
 
     def _time_left_s(self, now: float) -> float:
--- a/src/guavawing/sidecar/http_request.py
+++ b/src/guavawing/sidecar/http_request.py
@@ -41,7 +41,8 @@
     conn: AnswerSink
     method: bytes
     path: bytes
-    headers: list[tuple[bytes, bytes]]
+    # They may contain the key of a client account.
+    headers: list[tuple[bytes, bytes]] = attrs.field(repr=False)
     body: bytes
     arrived_at: float
     on_disconnect: Callable[[], None] | None = None
--- a/src/guavawing/sidecar/target_pool.py
+++ b/src/guavawing/sidecar/target_pool.py
@@ -200,6 +200,7 @@
             deadline_s=left_s,
             target_id=target_id,
             origin=attempt.origin,
+            account=attempt.account,
         )
         handler = ResponseHandler(
             accepts=lambda reply: answers_request(
--- a/src/guavawing/traffic/routes.py
+++ b/src/guavawing/traffic/routes.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from guavawing.traffic.accounts import AccountTable
 from guavawing.traffic.model import Route, Routing, SplitPart
 
 __all__ = ["RouteTable"]
@@ -52,9 +53,21 @@
 
 
 class RouteTable:
-    """The routes of one configuration version."""
+    """The routes and client accounts of one configuration version.
 
-    __slots__ = ("_by_host", "_rng", "_splits", "_top_priorities", "routing")
+    Attributes:
+        routing: The version.
+        accounts: Its client accounts by key.
+    """
+
+    __slots__ = (
+        "_by_host",
+        "_rng",
+        "_splits",
+        "_top_priorities",
+        "accounts",
+        "routing",
+    )
 
     def __init__(
         self,
@@ -73,6 +86,7 @@
             rng: Source of the random positions at which new splits begin.
         """
         self.routing = routing
+        self.accounts = AccountTable(routing.accounts.values())
         self._rng = rng
         self._by_host: dict[str, dict[str, Route]] = {}
         self._splits: dict[str, _Split] = {}
@@ -86,17 +100,33 @@
         self._top_priorities: dict[str, int] = {}
         for route in routing.routes:
             self._by_host.setdefault(route.host, {})[route.prefix] = route
+            first = self._find_first_priority(route)
             for part in route.parts:
-                top = self._top_priorities.get(part.service, route.priority)
-                self._top_priorities[part.service] = min(top, route.priority)
+                top = self._top_priorities.get(part.service, first)
+                self._top_priorities[part.service] = min(top, first)
+
+    def is_most_urgent(self, route: Route, *, priority: int) -> bool:
+        """Returns whether no requests to its services precede a request.
 
-    def is_most_urgent(self, route: Route) -> bool:
-        """Returns whether no route to its services has a higher priority."""
+        Args:
+            route: Route of the request.
+            priority: Priority of the request.
+        """
         return all(
-            route.priority <= self._top_priorities[part.service]
+            priority <= self._top_priorities[part.service]
             for part in route.parts
         )
 
+    def _find_first_priority(self, route: Route) -> int:
+        """Returns the highest priority that a request of a route may have."""
+        accounts = self.routing.accounts.values()
+        if route.public or not accounts:
+            return route.priority
+        return min(
+            route.priority if account.priority is None else account.priority
+            for account in accounts
+        )
+
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of a path, or None.
 
