Go on checking owners after a silent one has released a request

The check was then never run again: silent owners were neither probed nor suspected, and their idempotent attempts not released before the connection's own keepalive. Change: the next check is scheduled first, and goes over a copy. Measured: the new scenario fails without the change (one suspicion of two) and passes with it.

--- a/src/guavawing/sidecar/mesh_client.py
+++ b/src/guavawing/sidecar/mesh_client.py
@@ -176,10 +176,11 @@
         now = self.loop.time()
         late = now - self._checked_at > CHECK_PERIOD_S + LATE_CHECK_S
         self._checked_at = now
-        for conns in self._conns.values():
+        self._check_timer = self.loop.call_later(CHECK_PERIOD_S, self._check)
+        # A released attempt may open connections to another owner.
+        for conns in tuple(self._conns.values()):
             for conn in conns:
                 conn.check(now, late=late)
-        self._check_timer = self.loop.call_later(CHECK_PERIOD_S, self._check)
 
     def _pick_connection(
         self, host: str, port: int, *, bulk: bool
