Add quotas of client accounts: holders, stocks and pulls between parts

Cause: nothing counts the requests of a client account over the fleet. No request has an account yet, so nothing acts on it.

--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -76,6 +76,7 @@
         "_attempt",
         "_attempt_id",
         "_fallback",
+        "_on_not_run",
         "_owner",
         "_parts",
         "_refusal",
@@ -100,6 +101,7 @@
         attempt: Attempt,
         *,
         urgent: bool,
+        on_not_run: Callable[[], None] | None = None,
     ) -> None:
         """Creates a call that has not started.
 
@@ -109,8 +111,10 @@
             route: Its route.
             attempt: The attempt to submit to owners.
             urgent: Whether the route has the highest priority of its service.
+            on_not_run: Called if it is refused and has not run.
         """
         self._parts = parts
+        self._on_not_run = on_not_run
         self._urgent = urgent
         self._request = request
         self._route = route
@@ -343,6 +347,8 @@
         )
         self._end(verdict, status)
         self._request.respond(payload, closes=closes)
+        if isinstance(verdict, NotRun) and self._on_not_run is not None:
+            self._on_not_run()
 
     def _end(self, verdict: NotRun | MayHaveRun | Ran, status: int) -> None:
         self._request.on_disconnect = None
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -22,6 +22,7 @@
 from guavawing.sidecar.local_calls import LocalCalls
 from guavawing.sidecar.membership import NODES_TABLE, Membership
 from guavawing.sidecar.mesh_client import MeshClient
+from guavawing.sidecar.mesh_codec import QUOTA_GRANT, QUOTA_REQUEST
 from guavawing.sidecar.mesh_messages import (
     ConfigFrame,
 )
@@ -29,6 +30,7 @@
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.owner import Owner
 from guavawing.sidecar.planned_stop import PlannedStop
+from guavawing.sidecar.quotas import Quotas
 from guavawing.sidecar.readiness import Readiness
 from guavawing.sidecar.store_link import StoreLink
 from guavawing.sidecar.table_watch import TableWatch
@@ -93,6 +95,7 @@
         self._pool = TargetPool(settings.target)
         self._create_request_components()
         self._create_shared_components()
+        self._create_quotas()
 
     def _create_request_components(self) -> None:
         settings = self._settings
@@ -152,6 +155,24 @@
         )
         self._scrapes = HttpServer(calls.handle_scrape, max_connections=local)
 
+    def _create_quotas(self) -> None:
+        settings = self._settings
+        if settings.quota is None:
+            return
+        quotas = Quotas(
+            own_record=self._own_record,
+            data_centres=settings.data_centres,
+            terms=settings.quota,
+            peers=self._peers,
+            send=self._beacons.send_datagram,
+            on_suspicion=self._beacons.handle_suspicion,
+            log=self._log,
+            metrics=self._metrics,
+        )
+        self._beacons.register(QUOTA_REQUEST, quotas.handle_request)
+        self._beacons.register(QUOTA_GRANT, quotas.handle_grant)
+        self._entry.quotas = quotas
+
     def _create_shared_components(self) -> None:
         settings = self._settings
         self._beacons = Beacons(
@@ -222,6 +243,8 @@
         await self._ready.listen(settings.ready.host, settings.ready.port)
         await self._scrapes.listen(settings.metrics.host, settings.metrics.port)
         await self._beacons.listen()
+        if self._entry.quotas is not None:
+            self._entry.quotas.start()
         health_probe = TargetProbe(
             settings.target,
             state=self._target,
@@ -269,6 +292,8 @@
             server.close()
         self._mesh_server.close()
         self._mesh.close()
+        if self._entry.quotas is not None:
+            self._entry.quotas.close()
         self._beacons.close()
         self._pool.close_idle()
         self._store_link.close()
@@ -328,6 +353,8 @@
         self._entry.table = RouteTable(
             routing, earlier=self._entry.table, rng=self._rng
         )
+        if self._entry.quotas is not None:
+            self._entry.quotas.set_accounts(routing.accounts.values())
         self._readiness.record_configuration()
         self._callers.state.limits = routing.limits
         self._beacons.version = routing.version
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -1,6 +1,7 @@
 """Entry role of a node: requests of clients on its VM."""
 
 import asyncio
+import functools
 import math
 from random import Random
 
@@ -17,11 +18,18 @@
 from guavawing.sidecar.mesh_client import MeshClient
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.owner import Owner
+from guavawing.sidecar.quotas import (
+    OverQuota,
+    QuotaDecision,
+    Quotas,
+    Token,
+    Unanswered,
+)
 from guavawing.traffic.balancer import Balancer
 from guavawing.traffic.budget import RetryBudget
 from guavawing.traffic.client_wait import ClientWaitEstimator
 from guavawing.traffic.failures import FailureShare
-from guavawing.traffic.model import Attempt, Route
+from guavawing.traffic.model import NO_ACCOUNT, Attempt, ClientAccount, Route
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.routes import RouteTable
@@ -32,6 +40,7 @@
 
 BAD_REQUEST = 400
 NOT_FOUND = 404
+TOO_MANY_REQUESTS = 429
 UNAVAILABLE = 503
 # Retry-After in seconds while no configuration is in force.
 NO_CONFIG_RETRY_AFTER_S = 0.5
@@ -67,6 +76,7 @@
 
     Attributes:
         table: Routes in force; None without a configuration.
+        quotas: Quotas of client accounts; None without terms for them.
         closing: Whether requests are refused because the process stops.
         ends_at: Event loop's time at which the process ends; None unless it
             stops.
@@ -106,6 +116,7 @@
             metrics=metrics,
         )
         self.table: RouteTable | None = None
+        self.quotas: Quotas | None = None
         self.closing = False
         self.ends_at: float | None = None
 
@@ -140,10 +151,94 @@
                 status=NOT_FOUND,
             )
             return
-        attempt = self._make_attempt(request, head, route, self.table)
-        self._budget.earn(attempt.service, now=now)
-        urgent = self.table.is_most_urgent(route)
-        ClientCall(self._parts, request, route, attempt, urgent=urgent).begin()
+        self._admit(request, head, route, self.table, account=None)
+
+    def _admit(
+        self,
+        request: HttpRequest,
+        head: RequestHead,
+        route: Route,
+        table: RouteTable,
+        *,
+        account: ClientAccount | None,
+    ) -> None:
+        """Begins a request once it has a token of its account's quota.
+
+        Args:
+            request: The request.
+            head: Its headers.
+            route: Its route.
+            table: Table of that route.
+            account: Its client account, if any.
+        """
+        quotas = self.quotas
+        if (
+            account is None
+            or quotas is None
+            or not quotas.has_quota(account.name)
+        ):
+            self._begin(request, head, route, table, account, None)
+            return
+        left = False
+
+        def record_disconnect() -> None:
+            nonlocal left
+            left = True
+
+        def handle_decision(decision: QuotaDecision) -> None:
+            request.on_disconnect = None
+            match decision:
+                case Token() if left:
+                    quotas.give_back(decision)
+                case Token():
+                    self._begin(request, head, route, table, account, decision)
+                case OverQuota(wait_s=wait_s):
+                    self._refuse(
+                        request,
+                        head.request_id,
+                        NotRun(Reason.OVER_QUOTA, wait_s),
+                        status=TOO_MANY_REQUESTS,
+                        account=account.name,
+                    )
+                case Unanswered(wait_s=wait_s):
+                    verdict = NotRun(Reason.QUOTA_UNKNOWN, wait_s)
+                    self._refuse(
+                        request,
+                        head.request_id,
+                        verdict,
+                        account=account.name,
+                    )
+
+        request.on_disconnect = record_disconnect
+        quotas.acquire(account.name, handle_decision)
+
+    def _begin(
+        self,
+        request: HttpRequest,
+        head: RequestHead,
+        route: Route,
+        table: RouteTable,
+        account: ClientAccount | None,
+        token: Token | None,
+    ) -> None:
+        """Begins a request that may run."""
+        attempt = self._make_attempt(request, head, route, table)
+        give_back = None
+        if account is not None and token is not None:
+            attempt = attrs.evolve(
+                attempt, account=account.name, usage=token.usage
+            )
+            assert self.quotas is not None
+            give_back = functools.partial(self.quotas.give_back, token)
+        self._budget.earn(attempt.service, now=self._parts.loop.time())
+        ClientCall(
+            self._parts,
+            request,
+            route,
+            attempt,
+            urgent=table.is_most_urgent(route),
+            on_not_run=give_back,
+        ).begin()
 
     def may_overlap(self, request: HttpRequest) -> bool:
         """Returns whether a request may run concurrently with others."""
@@ -213,6 +308,7 @@
         *,
         status: int = UNAVAILABLE,
         detail: str = "",
+        account: str = NO_ACCOUNT,
     ) -> None:
         closes = not request.keeps_open(refused=True)
         payload = build_refusal(
@@ -230,6 +326,7 @@
             notable=True,
             reason=verdict.reason,
             version=self._version(),
+            **({"account": account} if account else {}),
         )
 
     def _version(self) -> int:
--- a/src/guavawing/sidecar/metrics.py
+++ b/src/guavawing/sidecar/metrics.py
@@ -28,6 +28,9 @@
     2.0,
     5.0,
 ]
+# Accounts that have series of their own, and the label of all others.
+MAX_ACCOUNT_SERIES = 100
+OTHER_ACCOUNTS = "(others)"
 
 
 class _Latency:
@@ -76,6 +79,19 @@
             "guavawing_unreadable_total",
             "Rows, heartbeats and messages that could not be read, by source.",
         )
+        self._quota_decisions = self._counter(
+            "guavawing_quota_decisions_total",
+            "Requests of client accounts with a quota, by decision.",
+        )
+        self._over_quota = self._counter(
+            "guavawing_over_quota_total",
+            "Requests refused because they exceed the quota, by account.",
+        )
+        self._quota_pulls = self._counter(
+            "guavawing_quota_pulls_total",
+            "Requests for tokens of other parts of a quota, by outcome.",
+        )
+        self._over_quota_accounts: set[str] = set()
         self.version = self._gauge(
             "guavawing_config_version", "Configuration version in force."
         )
@@ -127,6 +143,24 @@
         """Sets the limit that the target has named; None without a limit."""
         self._target_limit.set({}, -1.0 if per_s is None else per_s)
 
+    def count_quota_decision(self, decision: str) -> None:
+        """Counts a request whose account has a quota."""
+        self._quota_decisions.inc({"decision": decision})
+
+    def count_over_quota(self, account: str) -> None:
+        """Counts a refusal by account; only so many accounts are told apart."""
+        accounts = self._over_quota_accounts
+        if account not in accounts:
+            if len(accounts) >= MAX_ACCOUNT_SERIES:
+                account = OTHER_ACCOUNTS
+            else:
+                accounts.add(account)
+        self._over_quota.inc({"account": account})
+
+    def count_quota_pull(self, *, empty: bool) -> None:
+        """Counts an answer of another part of a quota."""
+        self._quota_pulls.inc({"outcome": "empty" if empty else "tokens"})
+
     def render(self) -> bytes:
         """Returns all series in the text format."""
         for counter in (
@@ -134,6 +168,9 @@
             self.retries,
             self.store_calls,
             self.unreadable,
+            self._quota_decisions,
+            self._over_quota,
+            self._quota_pulls,
         ):
             counter.export()
         for latency in (self._entry, self._queue, self._target):
--- a/src/guavawing/verdict.py
+++ b/src/guavawing/verdict.py
@@ -21,6 +21,7 @@
     UNKNOWN_ACCOUNT_KEY = "unknown-account-key"
     UNPROVEN_CONFIG = "unproven-configuration"
     OVER_QUOTA = "over-quota"
+    QUOTA_UNKNOWN = "quota-unknown"
     MISSING_DEADLINE = "missing-deadline"
     MALFORMED_HEADER = "malformed-header"
     HEADERS_TOO_LARGE = "headers-too-large"
