--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -39,6 +39,7 @@
 __all__ = ["Entry", "RetryTerms"]
 
 BAD_REQUEST = 400
+UNAUTHORIZED = 401
 NOT_FOUND = 404
 TOO_MANY_REQUESTS = 429
 UNAVAILABLE = 503
@@ -123,7 +124,11 @@
     def handle(self, request: HttpRequest) -> None:
         """Handles a complete request; it may be answered asynchronously."""
         now = self._parts.loop.time()
-        head = parse_request_head(request.headers)
+        table = self.table
+        head = parse_request_head(
+            request.headers,
+            has_accounts=table is not None and bool(table.accounts),
+        )
         if head.unreadable:
             self._refuse(
                 request,
@@ -133,7 +138,7 @@
                 detail=f"got {head.unreadable}, expected a decimal number",
             )
             return
-        if self.table is None:
+        if table is None:
             verdict = NotRun(Reason.NO_CONFIG, NO_CONFIG_RETRY_AFTER_S)
             self._refuse(request, head.request_id, verdict)
             return
@@ -142,7 +147,7 @@
             self._refuse(request, head.request_id, verdict)
             return
         path = request.path.decode("latin-1")
-        route = self.table.find(head.host, path)
+        route = table.find(head.host, path)
         if route is None:
             self._refuse(
                 request,
@@ -151,16 +156,26 @@
                 status=NOT_FOUND,
             )
             return
-        self._admit(request, head, route, self.table, account=None)
+        account = None
+        if table.accounts and not route.public:
+            account = table.accounts.find(head.key)
+            if account is None:
+                self._refuse(
+                    request,
+                    head.request_id,
+                    NotRun(Reason.UNKNOWN_ACCOUNT_KEY),
+                    status=UNAUTHORIZED,
+                )
+                return
+        self._admit(request, head, route, account, table)
 
     def _admit(
         self,
         request: HttpRequest,
         head: RequestHead,
         route: Route,
-        table: RouteTable,
-        *,
         account: ClientAccount | None,
+        table: RouteTable,
     ) -> None:
         """Begins a request once it has a token of its account's quota.
 
@@ -168,8 +183,8 @@
             request: The request.
             head: Its headers.
             route: Its route.
-            table: Table of that route.
             account: Its client account, if any.
+            table: Table of that route.
         """
         quotas = self.quotas
         if (
@@ -177,13 +192,14 @@
             or quotas is None
             or not quotas.has_quota(account.name)
         ):
-            self._begin(request, head, route, table, account, None)
+            self._begin(request, head, route, account, table)
             return
         left = False
 
         def record_disconnect() -> None:
             nonlocal left
             left = True
+            self._metrics.count_answer(NotRun(Reason.CANCELLED))
 
         def handle_decision(decision: QuotaDecision) -> None:
             request.on_disconnect = None
@@ -191,7 +207,11 @@
                 case Token() if left:
                     quotas.give_back(decision)
                 case Token():
-                    self._begin(request, head, route, table, account, decision)
+                    self._begin(
+                        request, head, route, account, table, token=decision
+                    )
+                case _ if left:
+                    pass
                 case OverQuota(wait_s=wait_s):
                     self._refuse(
                         request,
@@ -217,18 +237,16 @@
         request: HttpRequest,
         head: RequestHead,
         route: Route,
-        table: RouteTable,
         account: ClientAccount | None,
-        token: Token | None,
+        table: RouteTable,
+        *,
+        token: Token | None = None,
     ) -> None:
-        """Begins a request that may run."""
-        attempt = self._make_attempt(request, head, route, table)
+        """Begins a request that may run; its token is given back if unused."""
+        attempt = self._make_attempt(request, head, route, account, table)
         give_back = None
-        if account is not None and token is not None:
-            attempt = attrs.evolve(
-                attempt, account=account.name, usage=token.usage
-            )
-            assert self.quotas is not None
+        if token is not None and self.quotas is not None:
+            attempt = attrs.evolve(attempt, usage=token.usage)
             give_back = functools.partial(self.quotas.give_back, token)
         self._budget.earn(attempt.service, now=self._parts.loop.time())
         ClientCall(
@@ -236,7 +254,7 @@
             request,
             route,
             attempt,
-            urgent=table.is_most_urgent(route),
+            urgent=table.is_most_urgent(route, priority=attempt.priority),
             on_not_run=give_back,
         ).begin()
 
@@ -253,8 +271,12 @@
         request: HttpRequest,
         head: RequestHead,
         route: Route,
+        account: ClientAccount | None,
         table: RouteTable,
     ) -> Attempt:
+        priority = route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
         # A pipelined request may have been queued since its arrival.
         now = request.arrived_at
         client_s = head.deadline_s
@@ -268,7 +290,7 @@
         target_s = USEFUL_SHARE * route.latency_target_s
         useful_s = target_s - spent_s
         late = useful_s <= 0 and deadline_s > route.latency_target_s
-        if table.is_most_urgent(route):
+        if table.is_most_urgent(route, priority=priority):
             useful_s = max(useful_s, URGENT_SHARE * limit_s)
         useful_s = min(useful_s, limit_s)
         return Attempt(
@@ -280,7 +302,7 @@
             head=head.forwarded,
             body=request.body,
             deadline=now + limit_s,
-            priority=route.priority,
+            priority=priority,
             idempotent=route.idempotent,
             bulk=route.bulk,
             late=late,
@@ -288,6 +310,7 @@
             spare_only=False,
             kind=route.kind,
             bulk_body=route.bulk_body,
+            account=NO_ACCOUNT if account is None else account.name,
         )
 
     def _time_left_s(self, now: float) -> float:
@@ -308,7 +331,7 @@
         *,
         status: int = UNAVAILABLE,
         detail: str = "",
-        account: str = NO_ACCOUNT,
+        **fields: str | float | None,
     ) -> None:
         closes = not request.keeps_open(refused=True)
         payload = build_refusal(
@@ -326,7 +349,7 @@
             notable=True,
             reason=verdict.reason,
             version=self._version(),
-            **({"account": account} if account else {}),
+            **fields,
         )
 
     def _version(self) -> int:
