--- a/tests/steps/sidecar_steps.py
+++ b/tests/steps/sidecar_steps.py
@@ -31,12 +31,16 @@
     plan = [(r["vm"], r["data centre"], r["service"]) for r in context.table]
     context.vms = open_in_scenario(context, open_vm_fleet(plan))
     context.results = []
+    wait_until_serving(context, ["/desk/safe/ok", "/feed/safe/ok"])
+
+
+def wait_until_serving(context, paths):
+    """Waits until all VMs serve the paths; clears what the targets counted."""
 
     async def is_serving():
         vms = context.vms.vms.values()
         if not all([await context.vms.is_ready(vm) for vm in vms]):
             return False
-        paths = ("/desk/safe/ok", "/feed/safe/ok")
         found = [
             (await send_request(context, v, p))[0] for v in vms for p in paths
         ]
