--- a/src/guavawing/node/caller_response.py
+++ b/src/guavawing/node/caller_response.py
@@ -35,6 +35,7 @@
     Reason.TARGET_TIMEOUT: 504,
     Reason.QUEUE_FULL: 429,
     Reason.TOO_MANY_CALLS: 429,
+    Reason.OVER_QUOTA: 429,
     Reason.INTERNAL: 500,
 }
 _STATUS_NOT_RUN = 503
