--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -1,6 +1,7 @@
 """Entry role of a node: requests of clients on its VM."""
 
 import asyncio
+import functools
 import math
 from random import Random
 
@@ -17,6 +18,13 @@
 from guavawing.sidecar.mesh_client import MeshClient
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.owner import Owner
+from guavawing.sidecar.quotas import (
+    OverQuota,
+    QuotaDecision,
+    Quotas,
+    Token,
+    Unanswered,
+)
 from guavawing.traffic.balancer import Balancer
 from guavawing.traffic.budget import RetryBudget
 from guavawing.traffic.client_wait import ClientWaitEstimator
@@ -33,6 +41,7 @@
 BAD_REQUEST = 400
 UNAUTHORIZED = 401
 NOT_FOUND = 404
+TOO_MANY_REQUESTS = 429
 UNAVAILABLE = 503
 # Retry-After in seconds while no configuration is in force.
 NO_CONFIG_RETRY_AFTER_S = 0.5
@@ -68,6 +77,7 @@
 
     Attributes:
         table: Routes in force; None without a configuration.
+        quotas: Quotas of client accounts; None without terms for them.
         closing: Whether requests are refused because the process stops.
         ends_at: Event loop's time at which the process ends; None unless it
             stops.
@@ -107,6 +117,7 @@
             metrics=metrics,
         )
         self.table: RouteTable | None = None
+        self.quotas: Quotas | None = None
         self.closing = False
         self.ends_at: float | None = None
 
@@ -156,10 +167,96 @@
                     status=UNAUTHORIZED,
                 )
                 return
+        self._admit(request, head, route, account, table)
+
+    def _admit(
+        self,
+        request: HttpRequest,
+        head: RequestHead,
+        route: Route,
+        account: ClientAccount | None,
+        table: RouteTable,
+    ) -> None:
+        """Begins a request once it has a token of its account's quota.
+
+        Args:
+            request: The request.
+            head: Its headers.
+            route: Its route.
+            account: Its client account, if any.
+            table: Table of that route.
+        """
+        quotas = self.quotas
+        if (
+            account is None
+            or quotas is None
+            or not quotas.has_quota(account.name)
+        ):
+            self._begin(request, head, route, account, table)
+            return
+        left = False
+
+        def record_disconnect() -> None:
+            nonlocal left
+            left = True
+            self._metrics.count_answer(NotRun(Reason.CANCELLED))
+
+        def handle_decision(decision: QuotaDecision) -> None:
+            request.on_disconnect = None
+            match decision:
+                case Token() if left:
+                    quotas.give_back(decision)
+                case Token():
+                    self._begin(
+                        request, head, route, account, table, token=decision
+                    )
+                case _ if left:
+                    pass
+                case OverQuota(wait_s=wait_s):
+                    self._refuse(
+                        request,
+                        head.request_id,
+                        NotRun(Reason.OVER_QUOTA, wait_s),
+                        status=TOO_MANY_REQUESTS,
+                        account=account.name,
+                    )
+                case Unanswered(wait_s=wait_s):
+                    verdict = NotRun(Reason.QUOTA_UNKNOWN, wait_s)
+                    self._refuse(
+                        request,
+                        head.request_id,
+                        verdict,
+                        account=account.name,
+                    )
+
+        request.on_disconnect = record_disconnect
+        quotas.acquire(account.name, handle_decision)
+
+    def _begin(
+        self,
+        request: HttpRequest,
+        head: RequestHead,
+        route: Route,
+        account: ClientAccount | None,
+        table: RouteTable,
+        *,
+        token: Token | None = None,
+    ) -> None:
+        """Begins a request that may run; its token is given back if unused."""
         attempt = self._make_attempt(request, head, route, account, table)
-        self._budget.earn(attempt.service, now=now)
-        urgent = table.is_most_urgent(route, priority=attempt.priority)
-        ClientCall(self._parts, request, route, attempt, urgent=urgent).begin()
+        give_back = None
+        if token is not None and self.quotas is not None:
+            attempt = attrs.evolve(attempt, usage=token.usage)
+            give_back = functools.partial(self.quotas.give_back, token)
+        self._budget.earn(attempt.service, now=self._parts.loop.time())
+        ClientCall(
+            self._parts,
+            request,
+            route,
+            attempt,
+            urgent=table.is_most_urgent(route, priority=attempt.priority),
+            on_not_run=give_back,
+        ).begin()
 
     def may_overlap(self, request: HttpRequest) -> bool:
         """Returns whether a request may run concurrently with others."""
@@ -234,6 +331,7 @@
         *,
         status: int = UNAVAILABLE,
         detail: str = "",
+        **fields: str | float | None,
     ) -> None:
         closes = not request.keeps_open(refused=True)
         payload = build_refusal(
@@ -251,6 +349,7 @@
             notable=True,
             reason=verdict.reason,
             version=self._version(),
+            **fields,
         )
 
     def _version(self) -> int:
