Admit keys only while the configuration is proven to be fresh

Cause: a withdrawn key ran at nodes that were frozen, or that the store turned away, for as long as these lacked the version without it.

Change: where the terms of withdrawal are strict and there are client accounts, a node admits keys only while a proof is younger than the allowed time. The proof is the time at which the store, or a peer by an echo with its age, was asked; readers of the store wait 1 s for a change in place of 10 s. A key that is not known gets 401 only with a proof younger than the time to apply a version, else 503, and a peer is asked at once. The age of the proof is a gauge, and changes are logged.

--- a/src/guavawing/sidecar/configuration.py
+++ b/src/guavawing/sidecar/configuration.py
@@ -39,6 +39,8 @@
 
     Attributes:
         routing: Routing of the version in force; None if there is none.
+        holds_newest_read: Whether the newest version that was read from the
+            store, or a later one, is in force.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         self._first_seen_at: dict[int, float] = {}
         self._retry_timer: asyncio.TimerHandle | None = None
         self.routing: Routing | None = None
+        self.holds_newest_read = True
 
     @property
     def version(self) -> int:
@@ -73,20 +76,29 @@
         """Applies changed rows of the configuration table."""
         for _ in range(changes.unreadable):
             self._metrics.unreadable.inc({"source": "configuration"})
+        if changes.unreadable:
+            self.holds_newest_read = False
         for row in changes.rows:
             if row.key == CONFIGURATION_KEY and row.value is not None:
-                self.apply_document(row.value, source=STORE)
+                self.holds_newest_read = self.apply_document(
+                    row.value, source=STORE
+                )
 
-    def apply_document(self, document: bytes, *, source: str) -> None:
-        """Puts a document in force if it is valid and newer."""
+    def apply_document(self, document: bytes, *, source: str) -> bool:
+        """Puts a document in force if it is valid and newer.
+
+        Returns:
+            Whether it is valid, so that its version or a later one is in
+            force.
+        """
         try:
             routing = decode_routing(document)
         except MessageInvalidError as exc:
             self._metrics.unreadable.inc({"source": "configuration"})
             self._log.state_change("version-unreadable", cause=str(exc))
-            return
+            return False
         if routing.version <= self.version:
-            return
+            return True
         before, earlier = self.version, self.routing
         if earlier is not None:
             self._earlier.append(earlier)
@@ -101,6 +113,7 @@
             routes=len(routing.routes),
         )
         self._on_version(routing, source == STORE)
+        return True
 
     def apply_config(self, config: ConfigFrame) -> None:
         """Applies a delta or document received from a peer."""
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -17,11 +17,13 @@
 from guavawing.sidecar.configuration import Configuration
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.entry import Entry, RetryTerms
+from guavawing.sidecar.freshness import Freshness
 from guavawing.sidecar.http_server import HttpServer
 from guavawing.sidecar.link_pacer import LinkPacer
 from guavawing.sidecar.local_calls import LocalCalls
 from guavawing.sidecar.membership import NODES_TABLE, Membership
 from guavawing.sidecar.mesh_client import MeshClient
+from guavawing.sidecar.mesh_codec import FRESHNESS_ANSWER, FRESHNESS_QUERY
 from guavawing.sidecar.mesh_messages import (
     ConfigFrame,
 )
@@ -31,7 +33,7 @@
 from guavawing.sidecar.planned_stop import PlannedStop
 from guavawing.sidecar.readiness import Readiness
 from guavawing.sidecar.store_link import StoreLink
-from guavawing.sidecar.table_watch import TableWatch
+from guavawing.sidecar.table_watch import FEED_WAIT_S, TableWatch
 from guavawing.sidecar.target_pool import TargetPool
 from guavawing.sidecar.target_probe import TargetProbe
 from guavawing.traffic.model import (
@@ -91,6 +93,17 @@
         self._peers = PeerTable(self._own_record, self._own_view)
         self._target = TargetState(settings.service, settings.target)
         self._pool = TargetPool(settings.target)
+        self._freshness = Freshness(
+            settings,
+            self._peers,
+            send=lambda payload, host: self._beacons.send_datagram(
+                payload, host
+            ),
+            read_store=lambda: self._configuration_watch.catch_up(),
+            on_newer_version=self._handle_newer_version,
+            log=log,
+            metrics=self._metrics,
+        )
         self._create_request_components()
         self._create_shared_components()
 
@@ -122,6 +135,7 @@
             peers=self._peers,
             mesh=self._mesh,
             retries=RetryTerms(settings.retry_ratio, settings.retry_allowance),
+            freshness=self._freshness,
             log=self._log,
             metrics=self._metrics,
         )
@@ -166,6 +180,8 @@
             log=self._log,
             metrics=self._metrics,
         )
+        self._beacons.register(FRESHNESS_QUERY, self._freshness.handle_query)
+        self._beacons.register(FRESHNESS_ANSWER, self._freshness.handle_answer)
         self._configuration = Configuration(
             on_version=self._apply_routing,
             request_from_peer=lambda peer, version: self._mesh.request_config(
@@ -193,6 +209,8 @@
             self._configuration.apply_changes,
             CONFIGURATION_PERIOD_S,
             CONFIGURATION_READERS,
+            on_read=self._handle_configuration_read,
+            feed_wait_s=lambda: self._freshness.feed_wait_s(FEED_WAIT_S),
         )
         self._nodes_watch = self._watch(
             NODES_TABLE,
@@ -233,6 +251,7 @@
             self._configuration_watch.run(),
             self._follow_nodes(),
             self._poll_settings(),
+            self._freshness.run(),
             health_probe.run(),
         ]
         self._tasks += [self._loop.create_task(each) for each in coroutines]
@@ -293,6 +312,9 @@
         on_changes: Callable[[RowChanges, bool], None],
         period_s: float,
         readers: int,
+        *,
+        on_read: Callable[[float, int], None] = lambda asked_at, era: None,
+        feed_wait_s: Callable[[], float] = lambda: FEED_WAIT_S,
     ) -> TableWatch:
         return TableWatch(
             self._store,
@@ -303,6 +325,8 @@
             on_reachability=self._handle_reachability,
             log=self._log,
             metrics=self._metrics,
+            on_read=on_read,
+            feed_wait_s=feed_wait_s,
         )
 
     async def _follow_nodes(self) -> None:
@@ -328,6 +352,7 @@
         self._entry.table = RouteTable(
             routing, earlier=self._entry.table, rng=self._rng
         )
+        self._freshness.set_routing(routing)
         self._readiness.record_configuration()
         self._callers.state.limits = routing.limits
         self._beacons.version = routing.version
@@ -344,8 +369,19 @@
 
     def _handle_beacon(self, peer: Peer) -> None:
         self._entry.resize_budget()
+        self._freshness.record_peer_version(peer.version)
         self._configuration.handle_peer_version(peer)
 
+    def _handle_newer_version(self, host: str, version: int) -> None:
+        peer = self._peers.get(host)
+        if peer is not None:
+            peer.version = max(peer.version, version)
+            self._configuration.handle_peer_version(peer)
+
+    def _handle_configuration_read(self, asked_at: float, era: int) -> None:
+        if self._configuration.holds_newest_read:
+            self._freshness.record_store_read(asked_at, era)
+
     def _handle_found_peer(self, peer: Peer) -> None:
         self._entry.resize_budget()
         self._beacons.request_beacon(peer)
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -13,10 +13,12 @@
 )
 from guavawing.sidecar.client_call import ClientCall, EntryParts
 from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.freshness import Freshness
 from guavawing.sidecar.http_request import HttpRequest
 from guavawing.sidecar.mesh_client import MeshClient
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.owner import Owner
+from guavawing.traffic.accounts import AccountTable
 from guavawing.traffic.balancer import Balancer
 from guavawing.traffic.budget import RetryBudget
 from guavawing.traffic.client_wait import ClientWaitEstimator
@@ -82,11 +84,13 @@
         peers: PeerTable,
         mesh: MeshClient,
         retries: RetryTerms,
+        freshness: Freshness,
         log: DecisionLog,
         metrics: SidecarMetrics,
     ) -> None:
         self._service = service
         self._peers = peers
+        self._freshness = freshness
         self._log = log
         self._metrics = metrics
         self._budget = RetryBudget(
@@ -148,13 +152,9 @@
         account = None
         if table.accounts and not route.public:
             account = table.accounts.find(head.key)
-            if account is None:
-                self._refuse(
-                    request,
-                    head.request_id,
-                    NotRun(Reason.UNKNOWN_ACCOUNT_KEY),
-                    status=UNAUTHORIZED,
-                )
+            refusal = self._freshness.check_key(known=account is not None)
+            if refusal is not None:
+                self._refuse_key(request, head, refusal, table.accounts)
                 return
         attempt = self._make_attempt(request, head, route, account, table)
         self._budget.earn(attempt.service, now=now)
@@ -226,6 +226,26 @@
         """Resizes the retry budget to the current number of nodes."""
         self._budget.resize(len(self._peers) + 1)
 
+    def _refuse_key(
+        self,
+        request: HttpRequest,
+        head: RequestHead,
+        verdict: NotRun,
+        accounts: AccountTable,
+    ) -> None:
+        """Refuses a request for its key; the log doesn't contain the key."""
+        known = accounts.find(head.key) is not None
+        unknown = verdict.reason is Reason.UNKNOWN_ACCOUNT_KEY
+        age_s = self._freshness.age_s()
+        self._refuse(
+            request,
+            head.request_id,
+            verdict,
+            status=UNAUTHORIZED if unknown else UNAVAILABLE,
+            key="known" if known else accounts.explain(head.key),
+            proof_age_s=round(age_s, 3) if age_s < math.inf else None,
+        )
+
     def _refuse(
         self,
         request: HttpRequest,
@@ -234,6 +254,7 @@
         *,
         status: int = UNAVAILABLE,
         detail: str = "",
+        **fields: str | float | None,
     ) -> None:
         closes = not request.keeps_open(refused=True)
         payload = build_refusal(
@@ -251,6 +272,7 @@
             notable=True,
             reason=verdict.reason,
             version=self._version(),
+            **fields,
         )
 
     def _version(self) -> int:
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -39,6 +39,8 @@
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason, Verdict
 
 __all__ = [
+    "FRESHNESS_ANSWER",
+    "FRESHNESS_QUERY",
     "decode_beacon",
     "decode_frame",
     "encode_answer",
--- a/src/guavawing/sidecar/metrics.py
+++ b/src/guavawing/sidecar/metrics.py
@@ -79,6 +79,12 @@
         self.version = self._gauge(
             "guavawing_config_version", "Configuration version in force."
         )
+        self.config_age = self._gauge(
+            "guavawing_config_proof_age_seconds",
+            "Age of the proof that the newest configuration is in force, if"
+            " keys of client accounts depend on it; -1 without one.",
+        )
+        self.config_age.set({}, -1.0)
         self.peers = self._gauge(
             "guavawing_peers", "Other nodes that are known, by state."
         )
--- a/src/guavawing/sidecar/table_watch.py
+++ b/src/guavawing/sidecar/table_watch.py
@@ -13,10 +13,11 @@
 from guavawing.platform.store_client import RowChanges, StoreClient
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.metrics import SidecarMetrics
+from guavawing.sidecar.steady_clock import read_steady_time
 
-__all__ = ["TableWatch"]
+__all__ = ["FEED_WAIT_S", "TableWatch"]
 
-# Longest long-poll wait that is requested from the store, in seconds.
+# Long-poll wait that is requested from the store by default, in seconds.
 FEED_WAIT_S = 10.0
 # Interval at which a node that does not follow the store checks whether it has
 # become a reader, in seconds.
@@ -48,6 +49,8 @@
         on_reachability: Callable[[bool], None],
         log: DecisionLog,
         metrics: SidecarMetrics,
+        on_read: Callable[[float, int], None] = lambda asked_at, era: None,
+        feed_wait_s: Callable[[], float] = lambda: FEED_WAIT_S,
     ) -> None:
         """Creates a watch that has not started.
 
@@ -64,6 +67,11 @@
                 changes.
             log: Receives the loss and return of the store.
             metrics: Counts the calls.
+            on_read: Called when all changes up to a call have been reported,
+                with the steady time at which the call was sent and the era of
+                the store.
+            feed_wait_s: Returns the longest wait to request from the store, in
+                seconds.
         """
         self._loop = asyncio.get_running_loop()
         self._store = store
@@ -74,6 +82,8 @@
         self._on_reachability = on_reachability
         self._log = log
         self._metrics = metrics
+        self._on_read = on_read
+        self._feed_wait_s = feed_wait_s
         # Version up to which the table is known, and the store's era in which
         # it was given out.
         self._version: int | None = None
@@ -122,6 +132,7 @@
             raise
 
     async def _read(self) -> None:
+        asked_at = read_steady_time()
         if self._version is None:
             changes = await self._store.read_table(self._table)
             if self._follows_from is None:
@@ -129,11 +140,12 @@
             self._version = changes.version
             self._record_era(changes)
             self._on_changes(changes, True)
+            self._on_read(asked_at, changes.era)
             return
         # The first answer after a failure shows whether the store was restored
         # meanwhile, so it is not to wait for a change.
         waits = self.connected and self._follows()
-        wait_s = FEED_WAIT_S if waits else 0.0
+        wait_s = self._feed_wait_s() if waits else 0.0
         changes = await self._store.watch_table(
             self._table, after=self._version, wait_s=wait_s
         )
@@ -145,6 +157,7 @@
         self._version = max(self._version, changes.version)
         if changes.rows:
             self._on_changes(changes, False)
+        self._on_read(asked_at, changes.era)
 
     def _record_era(self, changes: RowChanges) -> None:
         """Records the era of a complete read; logs that it has changed."""
--- a/src/guavawing/traffic/readers.py
+++ b/src/guavawing/traffic/readers.py
@@ -5,7 +5,12 @@
 
 from guavawing.traffic.peers import Peer
 
-__all__ = ["CONFIGURATION_READERS", "NODES_READERS", "is_reader"]
+__all__ = [
+    "CONFIGURATION_READERS",
+    "NODES_READERS",
+    "is_reader",
+    "rank_nodes",
+]
 
 # Nodes of a data centre that read the configuration: one may be lost, or be
 # rejected by the store, before the others detect it.
@@ -37,5 +42,10 @@
     return above < readers
 
 
+def rank_nodes(hosts: Iterable[str]) -> list[str]:
+    """Returns addresses of nodes in the order in which they become readers."""
+    return sorted(hosts, key=_score, reverse=True)
+
+
 def _score(host: str) -> int:
     return zlib.crc32(host.encode())
--- a/src/guavawing/traffic/routes.py
+++ b/src/guavawing/traffic/routes.py
@@ -86,7 +86,10 @@
             rng: Source of the random positions at which new splits begin.
         """
         self.routing = routing
-        self.accounts = AccountTable(routing.accounts.values())
+        self.accounts: AccountTable = AccountTable(
+            routing.accounts.values(),
+            earlier=None if earlier is None else earlier.accounts,
+        )
         self._rng = rng
         self._by_host: dict[str, dict[str, Route]] = {}
         self._splits: dict[str, _Split] = {}
--- a/standins/vm_fleet.py
+++ b/standins/vm_fleet.py
@@ -8,7 +8,8 @@
 import signal
 import sys
 import tempfile
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Iterable, Mapping
+from types import MappingProxyType
 
 import aiohttp
 import attrs
@@ -192,9 +193,23 @@
 
 
 def make_settings(
-    vm_name: str, host: str, dc: str, service: str, store: str
+    vm_name: str,
+    host: str,
+    dc: str,
+    service: str,
+    store: str,
+    bounds: Mapping[str, object] = MappingProxyType({}),
 ) -> str:
-    """Returns the settings file of a VM."""
+    """Returns the settings file of a VM.
+
+    Args:
+        vm_name: Name of the VM.
+        host: Its IP address.
+        dc: Its data centre.
+        service: Service of its target.
+        store: Address of the store.
+        bounds: Time limits besides the usual ones.
+    """
     lines = {
         "self.node": vm_name,
         "self.ip": host,
@@ -215,12 +230,16 @@
         "terms.bounds.retryBudgetRatio": 0.2,
         "terms.bounds.retryBudgetSlack": 56,
     }
+    lines |= {f"terms.bounds.{name}": each for name, each in bounds.items()}
     return "".join(f"{name}={value}\n" for name, value in lines.items())
 
 
 @contextlib.asynccontextmanager
 async def open_vm_fleet(
-    plan: Iterable[tuple[str, str, str]], *, relayed: bool = False
+    plan: Iterable[tuple[str, str, str]],
+    *,
+    relayed: bool = False,
+    bounds: Mapping[str, object] = MappingProxyType({}),
 ) -> AsyncIterator[VmFleet]:
     """Runs a store, targets and daemons on loopback.
 
@@ -229,6 +248,7 @@
         relayed: Whether a relay forwards connections to the store and the
             targets. The zones of its rules are the IP addresses of the VMs,
             `STORE_ZONE`, and `target IP` for the target of a VM.
+        bounds: Time limits in the settings besides the usual ones.
     """
     net = f"127.{10 + os.getpid() % 200}"
     async with contextlib.AsyncExitStack() as stack:
@@ -256,7 +276,7 @@
             host = f"{net}.1.{number}"
             path = pathlib.Path(folder) / f"{name}.conf"
             path.write_text(
-                make_settings(name, host, dc, service, store_address)
+                make_settings(name, host, dc, service, store_address, bounds)
             )
             target = VmTarget(f"i-{name}", failed=failed)
             port = TARGET
--- a/tests/steps/sidecar_steps.py
+++ b/tests/steps/sidecar_steps.py
@@ -28,8 +28,18 @@
 
 @given("VMs of two data centres")
 def step_vms(context):
+    start_vms(context, {})
+
+
+@given("VMs of two data centres where withdrawn keys end within {seconds:g} s")
+def step_strict_vms(context, seconds):
+    bounds = {"revokeStrict": "true", "revokeMs": round(seconds * 1000)}
+    start_vms(context, bounds)
+
+
+def start_vms(context, bounds):
     plan = [(r["vm"], r["data centre"], r["service"]) for r in context.table]
-    context.vms = open_in_scenario(context, open_vm_fleet(plan))
+    context.vms = open_in_scenario(context, open_vm_fleet(plan, bounds=bounds))
     context.results = []
 
     async def is_serving():
