Be ready only with a proof; ask peers for one at the start

Change: a process that may not accept keys yet is not ready for up to 1 s after its first version, as without targets. It asks its peers as soon as it knows some.

--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -140,7 +140,11 @@
             metrics=self._metrics,
         )
         self._readiness = Readiness(
-            self._entry, self._owner, self._own_view, self._peers
+            self._entry,
+            self._owner,
+            self._own_view,
+            self._peers,
+            self._freshness,
         )
         self._callers = HttpServer(
             self._entry.handle,
@@ -370,6 +374,7 @@
     def _handle_beacon(self, peer: Peer) -> None:
         self._entry.resize_budget()
         self._freshness.record_peer_version(peer.version)
+        self._freshness.ask_if_unproven()
         self._configuration.handle_peer_version(peer)
 
     def _handle_newer_version(self, host: str, version: int) -> None:
--- a/src/guavawing/sidecar/freshness.py
+++ b/src/guavawing/sidecar/freshness.py
@@ -117,6 +117,13 @@
             CUT_RETRY_AFTER_S if cut else ASKED_RETRY_AFTER_S,
         )
 
+    @property
+    def awaits_proof(self) -> bool:
+        """Whether all keyed requests are refused for lack of a proof."""
+        return self._enabled and not self._state.admits_keys(
+            now=read_steady_time()
+        )
+
     def age_s(self) -> float:
         """Returns the age of the proof, in seconds; infinite without one."""
         return self._state.age_s(now=read_steady_time())
@@ -137,6 +144,12 @@
         self._version = routing.version
         self._has_accounts = bool(routing.accounts)
         self._state.set_version(routing.version)
+        self.ask_if_unproven()
+
+    def ask_if_unproven(self) -> None:
+        """Asks other nodes, as often as is allowed, without a proof."""
+        if self.awaits_proof:
+            self._ask(demanded=True)
 
     def record_store_read(self, asked_at: float, era: int) -> None:
         """Records that the store's newest version has been applied."""
@@ -204,7 +217,8 @@
         lost = state.unanswered >= STORE_AFTER_UNANSWERED
         if lost and self._rng.random() < share:
             self._read_store()
-        state.begin_round(now=now)
+        if sources:
+            state.begin_round(now=now)
         for host in sources:
             nonce = state.make_nonce(now=read_steady_time())
             self._send(pack((FRESHNESS_QUERY, nonce, self._version)), host)
--- a/src/guavawing/sidecar/readiness.py
+++ b/src/guavawing/sidecar/readiness.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from guavawing.sidecar.entry import Entry
+from guavawing.sidecar.freshness import Freshness
 from guavawing.sidecar.owner import Owner
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
@@ -10,8 +11,9 @@
 __all__ = ["Readiness"]
 
 # Time after the first configuration for which readiness waits for targets of
-# all services, in seconds: the period of beacons.
-OWNERS_TIMEOUT_S = 1.0
+# all services and for a proof that it is the newest one, in seconds: the period
+# of beacons.
+START_TIMEOUT_S = 1.0
 
 
 class Readiness:
@@ -27,12 +29,14 @@
         owner: Owner,
         own_view: OwnerView,
         peers: PeerTable,
+        freshness: Freshness,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._entry = entry
         self._owner = owner
         self._own_view = own_view
         self._peers = peers
+        self._freshness = freshness
         self._configured_at: float | None = None
         self.stopping = False
 
@@ -45,13 +49,16 @@
         """Returns whether clients may send requests to this VM.
 
         After its first configuration a process is not ready until targets of
-        all services are known, for at most `OWNERS_TIMEOUT_S`.
+        all services are known and it may accept keys, for at most
+        `START_TIMEOUT_S`.
         """
         table, configured_at = self._entry.table, self._configured_at
         if table is None or configured_at is None or self.stopping:
             return False
         now = self._loop.time()
-        if now - configured_at > OWNERS_TIMEOUT_S:
+        if now - configured_at > START_TIMEOUT_S:
             return True
+        if self._freshness.awaits_proof:
+            return False
         self._own_view.apply_report(self._owner.load(), now=now)
         return all(map(self._peers.has_available_owner, table.routing.services))
