--- a/src/guavawing/node/caller_response.py
+++ b/src/guavawing/node/caller_response.py
@@ -25,6 +25,7 @@
 _STATUS_OF_REASON = {
     Reason.UNKNOWN_SERVICE: 404,
     Reason.UNKNOWN_ROUTE: 404,
+    Reason.UNKNOWN_ACCOUNT_KEY: 401,
     Reason.MISSING_DEADLINE: 400,
     Reason.MALFORMED_HEADER: 400,
     Reason.HEADERS_TOO_LARGE: 431,
--- a/src/guavawing/traffic/freshness.py
+++ b/src/guavawing/traffic/freshness.py
@@ -59,7 +59,7 @@
 # Nodes that are asked when the first one did not answer.
 NEAR_SOURCES, FAR_SOURCES = 2, 1
 # Nodes that ask each node that passes proofs on.
-FANOUT = 40
+FANOUT = 25
 
 
 @attrs.frozen
