Pass on the demand between parts, and pull sooner

Change: the pause after empty parts is the time in which they gain a token; parts tell each other their demand with a pull.

--- a/src/guavawing/sidecar/quota_messages.py
+++ b/src/guavawing/sidecar/quota_messages.py
@@ -29,9 +29,10 @@
 
 ASK, PULL, DEPOSIT = range(3)
 MS_PER_S = 1000
-# Digits of tokens and of the usage that are sent.
+# Digits of tokens, of the usage and of demands that are sent.
 TOKEN_DIGITS = 3
 USAGE_DIGITS = 2
+DEMAND_DIGITS = 2
 
 
 @attrs.frozen
@@ -54,12 +55,18 @@
     Attributes:
         part: Part that is to give them.
         tokens: Tokens wanted.
+        data_centre: Data centre of the part that asks.
+        shard: Its shard.
+        demand: Demand for it, in tokens per second.
         reply_to: Host to answer, if the message was forwarded to the holder;
             empty for its sender.
     """
 
     part: Part
     tokens: float
+    data_centre: str
+    shard: int
+    demand: float
     reply_to: str = ""
 
 
@@ -84,12 +91,15 @@
             is none.
         usage: Recent demand for the part relative to its rate.
         pending: Whether another answer follows once other parts were asked.
+        demand: Demand for the part that was asked for tokens by another one,
+            in tokens per second.
     """
 
     tokens: float
     wait_s: float = 0.0
     usage: float = 0.0
     pending: bool = False
+    demand: float = 0.0
 
 
 def encode_quota_request(nonce: int, message: QuotaRequest) -> bytes:
@@ -98,9 +108,19 @@
     match message:
         case Ask(part=part, stock=stock):
             return pack((*head, ASK, *part, stock))
-        case PartPull(part=part, tokens=tokens, reply_to=reply_to):
-            rounded = round(tokens, TOKEN_DIGITS)
-            return pack((*head, PULL, *part, rounded, reply_to))
+        case PartPull(part=part):
+            return pack(
+                (
+                    *head,
+                    PULL,
+                    *part,
+                    round(message.tokens, TOKEN_DIGITS),
+                    message.data_centre,
+                    message.shard,
+                    round(message.demand, DEMAND_DIGITS),
+                    message.reply_to,
+                )
+            )
         case PartDeposit(part=part, tokens=tokens):
             return pack((*head, DEPOSIT, *part, tokens))
 
@@ -119,8 +139,14 @@
             case 0:
                 return nonce, Ask(part, read_number(fields[5]))
             case 1:
-                tokens = _read_tokens(fields[5])
-                return nonce, PartPull(part, tokens, read_text(fields[6]))
+                return nonce, PartPull(
+                    part,
+                    _read_tokens(fields[5]),
+                    read_text(fields[6]),
+                    read_number(fields[7]),
+                    _read_tokens(fields[8]),
+                    read_text(fields[9]),
+                )
             case 2:
                 return nonce, PartDeposit(part, _read_tokens(fields[5]))
     except (AttributeError, IndexError, TypeError, ValueError) as exc:
@@ -138,6 +164,7 @@
             math.ceil(grant.wait_s * MS_PER_S),
             round(grant.usage, USAGE_DIGITS),
             grant.pending,
+            round(grant.demand, DEMAND_DIGITS),
         )
     )
 
@@ -155,6 +182,7 @@
             read_number(fields[3]) / MS_PER_S,
             _read_tokens(fields[4]),
             bool(fields[5]),
+            _read_tokens(fields[6]),
         )
     except (AttributeError, IndexError, TypeError, ValueError) as exc:
         raise MessageInvalidError(f"invalid quota grant: {exc}") from exc
--- a/src/guavawing/sidecar/quotas.py
+++ b/src/guavawing/sidecar/quotas.py
@@ -125,6 +125,7 @@
 @attrs.frozen(eq=False)
 class _SentPull:
     part: Part
+    pull: Pull
     host: str
     sent_at: float
     timer: asyncio.TimerHandle
@@ -274,6 +275,12 @@
         pull = self._pulls.pop(nonce, None)
         if pull is not None:
             pull.timer.cancel()
+            self._record_demand(
+                pull.part,
+                pull.pull.data_centre,
+                pull.pull.shard,
+                grant.demand,
+            )
             self._finish_pull(pull, grant.tokens)
             return
         ask = self._asks.get(nonce)
@@ -428,7 +435,7 @@
         else:
             tokens = bucket.take(needed=1.0, stock=stock, now=now)
         if tokens:
-            reply(Grant(tokens, usage=bucket.find_usage(now=now)))
+            reply(Grant(tokens, usage=self._holder.find_usage(bucket, now=now)))
             self._pull(part, denied=False)
             return
         self._waiting[part].append(reply)
@@ -456,11 +463,18 @@
                 if tokens:
                     return False
             else:
-                nonce = self._send_request(PartPull(other, pull.tokens), host)
+                message = PartPull(
+                    other,
+                    pull.tokens,
+                    self._data_centre,
+                    part.shard,
+                    pull.demand,
+                )
+                nonce = self._send_request(message, host)
                 timer = self._loop.call_later(
                     PULL_S, self._handle_silent_donor, nonce
                 )
-                self._pulls[nonce] = _SentPull(part, host, now, timer)
+                self._pulls[nonce] = _SentPull(part, pull, host, now, timer)
                 self._pulling.add(part)
         return True
 
@@ -527,13 +541,14 @@
             self._log_exhausted(part.account, bucket, now)
         for reply in self._waiting.pop(part, ()):
             wait_s = bucket.find_wait_s(now=now)
-            reply(Grant(0.0, wait_s, bucket.find_usage(now=now)))
+            usage = self._holder.find_usage(bucket, now=now)
+            reply(Grant(0.0, wait_s, usage))
 
     def _grant_waiting(self, part: Part, bucket: Bucket, now: float) -> None:
         waiting = self._waiting[part]
         while waiting and (tokens := bucket.take_waiting(needed=1.0)):
             reply = waiting.popleft()
-            reply(Grant(tokens, usage=bucket.find_usage(now=now)))
+            reply(Grant(tokens, usage=self._holder.find_usage(bucket, now=now)))
 
     def _handle_pull(self, nonce: int, pull: PartPull, sender: str) -> None:
         """Gives tokens to another part, or forwards the pull to the holder."""
@@ -544,11 +559,21 @@
             forwarded = attrs.evolve(pull, reply_to=sender)
             self._send(encode_quota_request(nonce, forwarded), holder)
             return
-        tokens = 0.0
+        grant = Grant(0.0)
         bucket = self._holder.open_bucket(part, now=now)
         if bucket is not None and holder == self._host:
+            self._record_demand(part, pull.data_centre, pull.shard, pull.demand)
             tokens = bucket.give(tokens=pull.tokens, now=now)
-        self._send(encode_grant(nonce, Grant(tokens)), reply_to)
+            grant = Grant(tokens, demand=bucket.find_demand(now=now))
+        self._send(encode_grant(nonce, grant), reply_to)
+
+    def _record_demand(
+        self, part: Part, data_centre: str, shard: int, demand: float
+    ) -> None:
+        now = self._loop.time()
+        bucket = self._holder.open_bucket(part, now=now)
+        if bucket is not None:
+            bucket.record_other_demand(data_centre, shard, demand, now=now)
 
     def _log_exhausted(self, account: str, bucket: Bucket, now: float) -> None:
         if now - self._logged_at.get(account, -LOG_PERIOD_S) < LOG_PERIOD_S:
--- a/src/guavawing/traffic/quotas.py
+++ b/src/guavawing/traffic/quotas.py
@@ -45,14 +45,18 @@
 MAX_PART_RATE_PER_S = 400.0
 # Time over which the demand for a bucket is averaged, in seconds.
 DEMAND_S = 1.0
+# Time constant with which a reported demand for another part is forgotten, in
+# seconds.
+OTHER_DEMAND_S = 2.0
 # Demand, in seconds, below which tokens of other parts are requested, which is
 # then requested, and which another part keeps for itself.
-LOW_DEMAND_S = 0.1
-PULLED_DEMAND_S = 0.3
+LOW_DEMAND_S = 0.2
+PULLED_DEMAND_S = 0.5
 KEPT_DEMAND_S = 0.5
-# Time for which other parts are not asked again after all were empty, in
-# seconds.
-PULL_PAUSE_S = 0.25
+# Bounds of the time for which other parts are not asked again after all were
+# empty, in seconds.
+MIN_PULL_PAUSE_S = 0.05
+MAX_PULL_PAUSE_S = 0.25
 # Share of the capacity below which a bucket gives no stocks.
 STOCK_FLOOR = 0.5
 # Pause of a process after which its buckets may have been replaced, in seconds.
@@ -147,11 +151,13 @@
         data_centre: Data centre of the other part.
         shard: Its shard.
         tokens: Tokens wanted.
+        demand: Demand for the part that asks, in tokens per second.
     """
 
     data_centre: str
     shard: int
     tokens: float
+    demand: float
 
 
 @attrs.frozen
@@ -177,6 +183,7 @@
         "_available_at",
         "_demand",
         "_demand_at",
+        "_other_demands",
         "_pull_at",
         "_pulls",
         "_updated_at",
@@ -194,6 +201,8 @@
         self._updated_at = now
         self._demand = 0.0
         self._demand_at = now
+        # Demand for the other parts, and when it was reported.
+        self._other_demands: dict[tuple[str, int], tuple[float, float]] = {}
         # Time at which the tokens that refused requests were told of have all
         # been gained.
         self._available_at = now
@@ -271,9 +280,27 @@
         """Returns the recent demand, in tokens per second."""
         return self._demand * math.exp((self._demand_at - now) / DEMAND_S)
 
-    def find_usage(self, *, now: float) -> float:
-        """Returns the recent demand relative to the rate."""
-        return self.find_demand(now=now) / self.plan.rate_per_s
+    def record_other_demand(
+        self, data_centre: str, shard: int, demand: float, *, now: float
+    ) -> None:
+        """Records the demand for another part, in tokens per second."""
+        self._other_demands[data_centre, shard] = demand, now
+
+    def find_usage(self, *, parts: int, now: float) -> float:
+        """Returns the recent demand relative to the rate of the account.
+
+        Parts that have not reported any demand count as unused; if this one
+        is short of tokens it asks them, and they report it.
+
+        Args:
+            parts: Number of parts of the account.
+            now: Event loop's time, in seconds.
+        """
+        demand = self.find_demand(now=now) + sum(
+            other * math.exp((at - now) / OTHER_DEMAND_S)
+            for other, at in self._other_demands.values()
+        )
+        return demand / (self.plan.rate_per_s * parts)
 
     def plan_pull(self, *, others: int, denied: bool, now: float) -> float:
         """Returns the tokens to request from another part; 0 for none.
@@ -300,7 +327,9 @@
         self._pulls += 1
         if self._pulls >= others:
             self._pulls = 0
-            self._pull_at = now + PULL_PAUSE_S
+            gained_per_s = others * self.plan.rate_per_s
+            pause_s = max(MIN_PULL_PAUSE_S, 1 / gained_per_s)
+            self._pull_at = now + min(pause_s, MAX_PULL_PAUSE_S)
 
 
 class QuotaHolder:
@@ -492,7 +521,13 @@
         turn = self._donors.get(part, 0)
         self._donors[part] = turn + 1
         data_centre, shard = others[turn % len(others)]
-        return Pull(data_centre, shard, tokens)
+        demand = bucket.find_demand(now=now)
+        return Pull(data_centre, shard, tokens, demand)
+
+    def find_usage(self, bucket: Bucket, *, now: float) -> float:
+        """Returns the recent demand for an account relative to its rate."""
+        parts = len(self._data_centres) * bucket.plan.shards
+        return bucket.find_usage(parts=parts, now=now)
 
     def finish_pull(self, part: Part, tokens: float, *, now: float) -> None:
         """Adds the tokens of another part; 0 if it gave none."""
