Put requests beyond an account's share last at the owner

Cause: the queue of a target served whoever sent most. Change: the holder of a quota tells the demand relative to the rate with each token; of an account above its rate only as many requests as are within it keep their place. Without a quota the order is as before (200 random sessions).

--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -11,6 +11,7 @@
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.target_pool import Execution, TargetPool
 from guavawing.sidecar.target_statements import TargetStatements
+from guavawing.traffic.fair_share import yields_to_others
 from guavawing.traffic.model import (
     Attempt,
     Incarnation,
@@ -194,6 +195,7 @@
             attempt.useful_until,
             attempt.spare_only,
             attempt.kind,
+            yields_to_others(attempt.request_id, attempt.usage),
         )
         match self._queue.offer(waiter, now=now):
             case Admit():
--- a/src/guavawing/traffic/quotas.py
+++ b/src/guavawing/traffic/quotas.py
@@ -16,6 +16,7 @@
 
 import attrs
 
+from guavawing.traffic.fair_share import estimate_usage
 from guavawing.traffic.model import ClientAccount
 
 __all__ = [
@@ -300,7 +301,9 @@
             other * math.exp((at - now) / OTHER_DEMAND_S)
             for other, at in self._other_demands.values()
         )
-        return demand / (self.plan.rate_per_s * parts)
+        return estimate_usage(
+            demand, self.plan.rate_per_s * parts, averaged_s=DEMAND_S
+        )
 
     def plan_pull(self, *, others: int, denied: bool, now: float) -> float:
         """Returns the tokens to request from another part; 0 for none.
--- a/src/guavawing/traffic/slot_queue.py
+++ b/src/guavawing/traffic/slot_queue.py
@@ -6,7 +6,7 @@
 once, with the time until capacity is expected. While there are more requests
 than slots, those that can still be answered in time precede those that are
 already late: the throughput of the target is the same, and more answers are in
-time.
+time. Requests beyond the share of their client account come after all others.
 
 A target may also name a rate limit. A request is then admitted only when both a
 slot and the rate allow it.
@@ -59,6 +59,7 @@
         spare_only: Whether it may use only a slot that no queued request
             needs.
         kind: Kind of the request; requests of one kind take about as long.
+        yields: Whether requests of accounts within their shares go first.
     """
 
     id: int
@@ -68,6 +69,7 @@
     useful_until: float
     spare_only: bool
     kind: int = 0
+    yields: bool = False
 
 
 @attrs.frozen
@@ -98,6 +100,7 @@
 
 @attrs.frozen(order=True)
 class _Entry:
+    yields: bool
     priority: int
     late: bool
     number: int
@@ -195,7 +198,9 @@
         """Returns the expected slot time of a kind, in seconds."""
         return self.kind_s.get(kind, self.service_s)
 
-    def estimate_wait_s(self, priority: int, *, late: bool) -> float:
+    def estimate_wait_s(
+        self, priority: int, *, late: bool, yields: bool = False
+    ) -> float:
         """Estimates the wait of a new request for a slot, in seconds."""
         if self._has_slot() and not self._entries:
             return 0.0
@@ -203,8 +208,8 @@
             return NO_TARGET_RETRY_AFTER_S
         ahead = bisect.bisect(
             self._entries,
-            (priority, late),
-            key=lambda entry: (entry.priority, entry.late),
+            (yields, priority, late),
+            key=lambda entry: (entry.yields, entry.priority, entry.late),
         )
         over = len(self._running) - self.slots
         ahead_s = sum(
@@ -222,7 +227,9 @@
             self._running[waiter.id] = (now, waiter.kind)
             self._record_offer(waiter, refused=False)
             return Admit(waiter.id)
-        slot_wait_s = self.estimate_wait_s(waiter.priority, late=waiter.late)
+        slot_wait_s = self.estimate_wait_s(
+            waiter.priority, late=waiter.late, yields=waiter.yields
+        )
         limit_wait_s = self.find_limit_wait_s(now=now)
         wait_s = max(slot_wait_s, limit_wait_s)
         max_wait_s = self._max_wait_s(waiter, now)
@@ -235,6 +242,7 @@
         self._record_offer(waiter, refused=False)
         self._number += 1
         entry = _Entry(
+            waiter.yields,
             waiter.priority,
             waiter.late,
             self._number,
--- a/tests/cover/traffic_slots.feature
+++ b/tests/cover/traffic_slots.feature
@@ -68,3 +68,15 @@
     Then "p" is refused
     When at 30 s calls "c" arrive
     Then "c" wait
+
+  Scenario: Requests beyond the share of their account go last
+    Given a slot queue of 1 slots whose executions take 0.02 s
+    When at 0 s requests "running" arrive
+    And at 0 s requests "excess" of priority 0 arrive beyond their account's share
+    And at 0.001 s requests "fresh" arrive that are useful for 0.3 s
+    And at 0.01 s "running" ends
+    Then "fresh" runs
+    And "excess" waits
+
+  Scenario: Without client accounts the order is priority, lateness, arrival
+    Then 200 random sessions without accounts admit by priority, lateness and arrival
--- a/tests/steps/traffic_slot_steps.py
+++ b/tests/steps/traffic_slot_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 from hypothesis import strategies as st
 
+from guavawing.traffic.fair_share import yields_to_others
 from guavawing.traffic.slot_queue import (
     Admit,
     Queued,
@@ -14,6 +15,8 @@
 from tests.support import check_examples
 
 USUAL_PRIORITY = 2
+# Usage of a request without a client account.
+NO_USAGE = 0.0
 CALL, PACKAGE = 6, 11
 
 
@@ -39,6 +42,7 @@
         late=False,
         spare=False,
         kind=0,
+        yields=False,
     ):
         number = len(self.names) + 1
         self.names[number] = name
@@ -50,6 +54,7 @@
             now + useful_s,
             spare,
             kind,
+            yields,
         )
         self.record(self.queue.offer(waiter, now=now))
 
@@ -238,3 +243,47 @@
             assert states.count("runs") <= slots
             assert states.count("runs") == session.queue.running
             assert states.count("waits") == session.queue.queued
+
+
+@when(
+    'at {now:g} s requests "{names}" of priority {priority:d} arrive beyond'
+    " their account's share"
+)
+def step_arrive_excess(context, now, names, priority):
+    arrive_all(context, names, now, priority=priority, yields=True)
+
+
+@then(
+    "{count:d} random sessions without accounts admit by priority, lateness"
+    " and arrival"
+)
+def step_order_without_accounts(context, count):
+    requests = st.lists(
+        st.tuples(st.integers(0, 3), st.booleans()), min_size=1, max_size=20
+    )
+
+    @check_examples(count, requests)
+    def check(found):
+        session = Session(1, 0.001)
+        session.arrive("first", 0.0)
+        for number, (priority, late) in enumerate(found):
+            request_id = str(number).encode()
+            session.arrive(
+                str(number),
+                0.001,
+                priority=priority,
+                late=late,
+                deadline_s=9.0,
+                yields=yields_to_others(request_id, NO_USAGE),
+            )
+        waiting = [n for n, s in session.state.items() if s == "waits"]
+        expected = sorted(
+            waiting, key=lambda name: (*found[int(name)], int(name))
+        )
+        running, admitted = "first", []
+        while waiting:
+            session.end(running, 0.002)
+            [running] = [n for n, s in session.state.items() if s == "runs"]
+            admitted.append(running)
+            waiting.remove(running)
+        assert admitted == expected, (admitted, expected)
