--- a/src/guavawing/sidecar/quotas.py
+++ b/src/guavawing/sidecar/quotas.py
@@ -125,6 +125,7 @@
 @attrs.frozen(eq=False)
 class _SentPull:
     part: Part
+    pull: Pull
     host: str
     sent_at: float
     timer: asyncio.TimerHandle
@@ -233,8 +234,9 @@
             self._decide(on_decision, Token(account, expires_at, usage))
             return
         refusal_s = self._stock.find_refusal_s(account, now=now)
-        if refusal_s > 0:
-            self._decide(on_decision, OverQuota(refusal_s), account)
+        if refusal_s is not None:
+            wait_s = max(refusal_s, MIN_RETRY_AFTER_S)
+            self._decide(on_decision, OverQuota(wait_s), account)
             return
         part = self._holder.find_part(account)
         self._ask_next(_Request(part, on_decision))
@@ -274,6 +276,12 @@
         pull = self._pulls.pop(nonce, None)
         if pull is not None:
             pull.timer.cancel()
+            self._record_demand(
+                pull.part,
+                pull.pull.data_centre,
+                pull.pull.shard,
+                grant.demand,
+            )
             self._finish_pull(pull, grant.tokens)
             return
         ask = self._asks.get(nonce)
@@ -353,9 +361,6 @@
     def _handle_grant(self, ask: _SentAsk, grant: Grant) -> None:
         request, now = ask.request, self._loop.time()
         account = request.part.account
-        plan = self._holder.find_plan(account)
-        lifetime_s = 0.0 if plan is None else plan.lifetime_s
-        expires_at = ask.sent_at + lifetime_s
         if grant.pending:
             if request.timer is not None:
                 request.timer.cancel()
@@ -363,24 +368,13 @@
                     PENDING_S, self._handle_silence, ask
                 )
             return
+        plan = self._holder.find_plan(account)
+        lifetime_s = 0.0 if plan is None else plan.lifetime_s
+        # Counted from the ask, as the time of the answer isn't known here.
+        expires_at = ask.sent_at + lifetime_s
         tokens = grant.tokens
-        if request.on_decision is None or tokens < 1:
-            if tokens < 1 and request.on_decision is not None:
-                self._stock.refuse_until(
-                    account, now + min(grant.wait_s, REPEAT_REFUSAL_S)
-                )
-                wait_s = max(grant.wait_s, MIN_RETRY_AFTER_S)
-                self._end(request, OverQuota(wait_s))
-                return
-        else:
-            tokens -= 1
-            # The wait for other parts may have outlived the token.
-            valid = now < expires_at or ask.host == self._host
-            if valid:
-                token = Token(account, expires_at, grant.usage)
-                self._end(request, token)
-            else:
-                self._end(request, OverQuota(MIN_RETRY_AFTER_S))
+        if request.on_decision is not None:
+            tokens = self._apply_grant(ask, grant, expires_at)
         self._stock.add(
             account,
             tokens,
@@ -389,6 +383,27 @@
             now=now,
         )
 
+    def _apply_grant(
+        self, ask: _SentAsk, grant: Grant, expires_at: float
+    ) -> float:
+        """Decides on the request of an ask; returns the tokens left over."""
+        request, now = ask.request, self._loop.time()
+        account = request.part.account
+        if grant.tokens < 1:
+            self._stock.refuse(
+                account,
+                until=now + min(grant.wait_s, REPEAT_REFUSAL_S),
+                available_at=now + grant.wait_s,
+            )
+            wait_s = max(grant.wait_s, MIN_RETRY_AFTER_S)
+            self._end(request, OverQuota(wait_s))
+        elif now < expires_at or ask.host == self._host:
+            self._end(request, Token(account, expires_at, grant.usage))
+        else:
+            # The wait for tokens of other parts was longer than their lifetime.
+            self._end(request, OverQuota(MIN_RETRY_AFTER_S))
+        return max(0.0, grant.tokens - 1)
+
     def _end(self, request: _Request, decision: QuotaDecision) -> None:
         if request.timer is not None:
             request.timer.cancel()
@@ -428,7 +443,7 @@
         else:
             tokens = bucket.take(needed=1.0, stock=stock, now=now)
         if tokens:
-            reply(Grant(tokens, usage=bucket.find_usage(now=now)))
+            reply(Grant(tokens, usage=self._holder.find_usage(bucket, now=now)))
             self._pull(part, denied=False)
             return
         self._waiting[part].append(reply)
@@ -456,11 +471,18 @@
                 if tokens:
                     return False
             else:
-                nonce = self._send_request(PartPull(other, pull.tokens), host)
+                message = PartPull(
+                    other,
+                    pull.tokens,
+                    self._data_centre,
+                    part.shard,
+                    pull.demand,
+                )
+                nonce = self._send_request(message, host)
                 timer = self._loop.call_later(
                     PULL_S, self._handle_silent_donor, nonce
                 )
-                self._pulls[nonce] = _SentPull(part, host, now, timer)
+                self._pulls[nonce] = _SentPull(part, pull, host, now, timer)
                 self._pulling.add(part)
         return True
 
@@ -527,13 +549,14 @@
             self._log_exhausted(part.account, bucket, now)
         for reply in self._waiting.pop(part, ()):
             wait_s = bucket.find_wait_s(now=now)
-            reply(Grant(0.0, wait_s, bucket.find_usage(now=now)))
+            usage = self._holder.find_usage(bucket, now=now)
+            reply(Grant(0.0, wait_s, usage))
 
     def _grant_waiting(self, part: Part, bucket: Bucket, now: float) -> None:
         waiting = self._waiting[part]
         while waiting and (tokens := bucket.take_waiting(needed=1.0)):
             reply = waiting.popleft()
-            reply(Grant(tokens, usage=bucket.find_usage(now=now)))
+            reply(Grant(tokens, usage=self._holder.find_usage(bucket, now=now)))
 
     def _handle_pull(self, nonce: int, pull: PartPull, sender: str) -> None:
         """Gives tokens to another part, or forwards the pull to the holder."""
@@ -544,11 +567,21 @@
             forwarded = attrs.evolve(pull, reply_to=sender)
             self._send(encode_quota_request(nonce, forwarded), holder)
             return
-        tokens = 0.0
+        grant = Grant(0.0)
         bucket = self._holder.open_bucket(part, now=now)
         if bucket is not None and holder == self._host:
+            self._record_demand(part, pull.data_centre, pull.shard, pull.demand)
             tokens = bucket.give(tokens=pull.tokens, now=now)
-        self._send(encode_grant(nonce, Grant(tokens)), reply_to)
+            grant = Grant(tokens, demand=bucket.find_demand(now=now))
+        self._send(encode_grant(nonce, grant), reply_to)
+
+    def _record_demand(
+        self, part: Part, data_centre: str, shard: int, demand: float
+    ) -> None:
+        now = self._loop.time()
+        bucket = self._holder.open_bucket(part, now=now)
+        if bucket is not None:
+            bucket.record_other_demand(data_centre, shard, demand, now=now)
 
     def _log_exhausted(self, account: str, bucket: Bucket, now: float) -> None:
         if now - self._logged_at.get(account, -LOG_PERIOD_S) < LOG_PERIOD_S:
--- a/src/guavawing/traffic/quotas.py
+++ b/src/guavawing/traffic/quotas.py
@@ -16,6 +16,7 @@
 
 import attrs
 
+from guavawing.traffic.fair_share import estimate_usage
 from guavawing.traffic.model import ClientAccount
 
 __all__ = [
@@ -45,14 +46,21 @@
 MAX_PART_RATE_PER_S = 400.0
 # Time over which the demand for a bucket is averaged, in seconds.
 DEMAND_S = 1.0
+# Time constant with which a reported demand for another part is forgotten, in
+# seconds.
+OTHER_DEMAND_S = 2.0
 # Demand, in seconds, below which tokens of other parts are requested, which is
 # then requested, and which another part keeps for itself.
-LOW_DEMAND_S = 0.1
-PULLED_DEMAND_S = 0.3
+LOW_DEMAND_S = 0.2
+PULLED_DEMAND_S = 0.5
 KEPT_DEMAND_S = 0.5
-# Time for which other parts are not asked again after all were empty, in
-# seconds.
-PULL_PAUSE_S = 0.25
+# Bounds of the time for which other parts are not asked again after all were
+# empty, in seconds.
+MIN_PULL_PAUSE_S = 0.05
+MAX_PULL_PAUSE_S = 0.25
+# Time until which refused requests are expected to come back one after the
+# other, in seconds; clients that are told to wait longer have given up by then.
+MAX_PROMISED_S = 2.0
 # Share of the capacity below which a bucket gives no stocks.
 STOCK_FLOOR = 0.5
 # Pause of a process after which its buckets may have been replaced, in seconds.
@@ -147,11 +155,13 @@
         data_centre: Data centre of the other part.
         shard: Its shard.
         tokens: Tokens wanted.
+        demand: Demand for the part that asks, in tokens per second.
     """
 
     data_centre: str
     shard: int
     tokens: float
+    demand: float
 
 
 @attrs.frozen
@@ -177,6 +187,7 @@
         "_available_at",
         "_demand",
         "_demand_at",
+        "_other_demands",
         "_pull_at",
         "_pulls",
         "_updated_at",
@@ -194,6 +205,8 @@
         self._updated_at = now
         self._demand = 0.0
         self._demand_at = now
+        # Demand for the other parts, and when it was reported.
+        self._other_demands: dict[tuple[str, int], tuple[float, float]] = {}
         # Time at which the tokens that refused requests were told of have all
         # been gained.
         self._available_at = now
@@ -256,10 +269,11 @@
         The time is in seconds from now. Requests that were refused before are
         expected to come back first.
         """
-        rate = self.plan.rate_per_s * max(self.fill_share, ROUNDING)
-        missing = max(0.0, 1 - self.level)
-        first_at = now + missing / rate
-        self._available_at = max(self._available_at + 1 / rate, first_at)
+        # A node that isn't the holder is soon replaced by it, or becomes it.
+        rate = self.plan.rate_per_s * (self.fill_share or 1.0)
+        first_at = now + max(0.0, 1 - self.level) / rate
+        later_at = min(self._available_at + 1 / rate, now + MAX_PROMISED_S)
+        self._available_at = max(later_at, first_at)
         return self._available_at - now
 
     def record_demand(self, tokens: float, *, now: float) -> None:
@@ -271,9 +285,29 @@
         """Returns the recent demand, in tokens per second."""
         return self._demand * math.exp((self._demand_at - now) / DEMAND_S)
 
-    def find_usage(self, *, now: float) -> float:
-        """Returns the recent demand relative to the rate."""
-        return self.find_demand(now=now) / self.plan.rate_per_s
+    def record_other_demand(
+        self, data_centre: str, shard: int, demand: float, *, now: float
+    ) -> None:
+        """Records the demand for another part, in tokens per second."""
+        self._other_demands[data_centre, shard] = demand, now
+
+    def find_usage(self, *, parts: int, now: float) -> float:
+        """Returns the recent demand relative to the rate of the account.
+
+        Parts that have not reported any demand count as unused; if this one
+        is short of tokens it asks them, and they report it.
+
+        Args:
+            parts: Number of parts of the account.
+            now: Event loop's time, in seconds.
+        """
+        demand = self.find_demand(now=now) + sum(
+            other * math.exp((at - now) / OTHER_DEMAND_S)
+            for other, at in self._other_demands.values()
+        )
+        return estimate_usage(
+            demand, self.plan.rate_per_s * parts, averaged_s=DEMAND_S
+        )
 
     def plan_pull(self, *, others: int, denied: bool, now: float) -> float:
         """Returns the tokens to request from another part; 0 for none.
@@ -300,7 +334,9 @@
         self._pulls += 1
         if self._pulls >= others:
             self._pulls = 0
-            self._pull_at = now + PULL_PAUSE_S
+            gained_per_s = others * self.plan.rate_per_s
+            pause_s = max(MIN_PULL_PAUSE_S, 1 / gained_per_s)
+            self._pull_at = now + min(pause_s, MAX_PULL_PAUSE_S)
 
 
 class QuotaHolder:
@@ -366,6 +402,9 @@
         }
         changed = plans != self._plans
         self._plans = plans
+        for known in (self._started_at, self._donors):
+            for part in [each for each in known if each.account not in plans]:
+                del known[part]
         for part, bucket in tuple(self._buckets.items()):
             plan = plans.get(part.account)
             if plan is None or part.shard >= plan.shards:
@@ -492,7 +531,13 @@
         turn = self._donors.get(part, 0)
         self._donors[part] = turn + 1
         data_centre, shard = others[turn % len(others)]
-        return Pull(data_centre, shard, tokens)
+        demand = bucket.find_demand(now=now)
+        return Pull(data_centre, shard, tokens, demand)
+
+    def find_usage(self, bucket: Bucket, *, now: float) -> float:
+        """Returns the recent demand for an account relative to its rate."""
+        parts = len(self._data_centres) * bucket.plan.shards
+        return bucket.find_usage(parts=parts, now=now)
 
     def finish_pull(self, part: Part, tokens: float, *, now: float) -> None:
         """Adds the tokens of another part; 0 if it gave none."""
@@ -539,6 +584,7 @@
     used_per_s: float = 0.0
     used_at: float = 0.0
     refused_until: float = 0.0
+    available_at: float = 0.0
     usage: float = 0.0
 
 
@@ -607,12 +653,27 @@
         stock = self._stocks.get(account)
         return 0.0 if stock is None else stock.usage
 
-    def refuse_until(self, account: str, until: float) -> None:
-        """Records that the holder has no token before a time."""
-        if account in self._stocks:
-            self._stocks[account].refused_until = until
+    def refuse(
+        self, account: str, *, until: float, available_at: float
+    ) -> None:
+        """Records a refusal of the holder.
+
+        Args:
+            account: Name of the account.
+            until: Event loop's time until which the holder isn't asked again.
+            available_at: Time at which it expects to have a token.
+        """
+        stock = self._stocks.get(account)
+        if stock is not None:
+            stock.refused_until = until
+            stock.available_at = available_at
+
+    def find_refusal_s(self, account: str, *, now: float) -> float | None:
+        """Returns the time until a token is expected; None if unknown.
 
-    def find_refusal_s(self, account: str, *, now: float) -> float:
-        """Returns the time for which the holder has no token, in seconds."""
+        It is known for a short time after a refusal of the holder.
+        """
         stock = self._stocks.get(account)
-        return 0.0 if stock is None else max(0.0, stock.refused_until - now)
+        if stock is None or now >= stock.refused_until:
+            return None
+        return stock.available_at - now
