Log and print where a large answer stands when its deadline passes

An answer of 64 MB that did not come within its deadline could not be traced: the entry node logged only that the call ended.

--- a/src/guavawing/node/mesh_client.py
+++ b/src/guavawing/node/mesh_client.py
@@ -21,6 +21,7 @@
     decode_load,
     read_verdict,
 )
+from guavawing.node.logs import log
 from guavawing.node.messages import Answer, CallAttempt
 from guavawing.node.submission import Submission
 from guavawing.policy.bound_key import NONCE_BYTES, BoundKey
@@ -37,6 +38,7 @@
 MAX_EPOCH_AGE_S = 30.0
 # Limit on the bytes of answers in transit to one entry node.
 MAX_EXPECTED_BYTES = 256 * 1024 * 1024
+MS_PER_S = 1_000
 
 LoadListener = Callable[[MemberId, int, LoadReport], None]
 
@@ -44,6 +46,7 @@
 @attrs.define
 class _Pending:
     fut: asyncio.Future[Answer]
+    call_id: str
     answer: pb.CallAnswer | None = None
     verdict: Verdict | None = None
     body: bytearray = attrs.field(factory=bytearray)
@@ -160,7 +163,7 @@
         assert self.open
         fut: asyncio.Future[Answer] = self._loop.create_future()
         frame_id = next(self._ids)
-        self._pending[frame_id] = _Pending(fut)
+        self._pending[frame_id] = _Pending(fut, attempt.call_id)
         frame = build_request(attempt, frame_id, now=self._loop.time())
         self._write(frame.SerializeToString())
         return Submission(fut, lambda: self._cancel(frame_id))
@@ -173,10 +176,26 @@
             self._stream.close()
 
     def _cancel(self, frame_id: int) -> None:
-        if self._drop(frame_id) is not None:
+        pending = self._drop(frame_id)
+        if pending is not None:
+            if pending.answer is not None:
+                self._log_incomplete(pending, pending.answer.body_length)
             cancel = pb.CallCancel(id=frame_id)
             self._write(pb.MeshFrame(cancel=cancel).SerializeToString())
 
+    def _log_incomplete(self, pending: _Pending, length: int) -> None:
+        assert self._stream is not None
+        silent_s = self._loop.time() - self._stream.last_received_at
+        log(
+            "info",
+            "answer-incomplete",
+            call_id=pending.call_id,
+            owner=self.owner,
+            received=len(pending.body),
+            length=length,
+            silent_ms=round(silent_s * MS_PER_S, 1),
+        )
+
     def _write(self, payload: bytes) -> None:
         assert self._stream is not None
         self._stream.write(payload)
--- a/src/guavawing/node/owner.py
+++ b/src/guavawing/node/owner.py
@@ -25,7 +25,13 @@
 from guavawing.policy.choice import LoadReport
 from guavawing.policy.key_table import Begin, Join, KeyTable, Reject, Replay
 from guavawing.policy.spent_calls import SpentCalls
-from guavawing.verdict import MayHaveRun, NotRun, Reason, Verdict
+from guavawing.verdict import (
+    MayHaveRun,
+    NotRun,
+    Reason,
+    Verdict,
+    verdict_name,
+)
 
 __all__ = ["Owner", "open_owner"]
 
@@ -299,6 +305,15 @@
         """Answers all callers of a call and records its outcome."""
         call = self._calls[call_id]
         verdict = answer.verdict
+        if is_logged("debug"):
+            log(
+                "debug",
+                "attempt-ended",
+                call_id=call.attempt.call_id,
+                verdict=verdict_name(verdict),
+                reason=str(verdict.reason),
+                bytes=len(answer.body),
+            )
         is_spent = call.attempt.call_id in self.spent_calls
         if is_spent and isinstance(verdict, MayHaveRun):
             answer = Answer(attrs.evolve(verdict, budget_spent=True))
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -9,6 +9,8 @@
 
 DATA_CENTRES = ("bergen", "voss", "floro")
 SERVICES = ("desk", "feed")
+# Records of calls that a failed step prints of each node.
+PRINTED_RECORDS = 20
 
 
 def start_event_loop(context):
@@ -76,6 +78,24 @@
         start_fleet(context, feature.tags)
 
 
+def print_call_logs(context):
+    """Prints the last records of calls at each node of the fleet."""
+    for name in context.fleet.nodes:
+        log = context.fleet.folder / f"{name}.log"
+        if log.exists():
+            records = [
+                line
+                for line in log.read_text().splitlines()
+                if '"call_id"' in line
+            ]
+            print(name, *records[-PRINTED_RECORDS:], sep="\n")
+
+
+def after_step(context, step):
+    if step.status.has_failed() and "fleet" in context:
+        print_call_logs(context)
+
+
 def before_scenario(context, scenario):
     if "own_fleet" in scenario.effective_tags:
         start_fleet(context, scenario.effective_tags)
--- a/tests/processes/answers.feature
+++ b/tests/processes/answers.feature
@@ -1,4 +1,4 @@
-@shared_fleet @data_centres.2 @copies.1
+@shared_fleet @data_centres.2 @copies.1 @log_level.debug
 Feature: Each caller gets the complete answer to its own request, or an error
 
   Scenario: A thousand interleaved calls
