Receive large bodies as their owner grants them

An owner admits the body of an upload by its size before any byte of it arrives, and grants two bodies at a time, shortest rest first, 64 KB ahead. Entry nodes don't send them yet.

--- a/src/guavawing/sidecar/link_pacer.py
+++ b/src/guavawing/sidecar/link_pacer.py
@@ -39,25 +39,32 @@
         number: Number of the answer on that connection.
         rest: Bytes that have not been sent.
         write: Called with each piece and whether it is the last one.
+        order: Bytes that determine its place; the lowest is sent first.
     """
 
     channel: Hashable
     number: int
     rest: memoryview
     write: PieceWriter
+    order: int
 
 
 class LinkPacer:
-    """Queue of large answers, of which one is being sent."""
+    """Queue of large answers, of which one is being sent.
+
+    Attributes:
+        piece_bytes: Largest piece that is written at once.
+    """
 
     __slots__ = (
         "_bytes_per_s",
         "_current",
         "_free_at",
         "_loop",
-        "_piece_bytes",
+        "_pending_sources",
         "_timer",
         "_waiting",
+        "piece_bytes",
     )
 
     def __init__(self, link_bytes_per_s: float) -> None:
@@ -68,9 +75,10 @@
         """
         self._loop = asyncio.get_running_loop()
         self._bytes_per_s = LINK_SHARE * link_bytes_per_s
-        self._piece_bytes = max(
+        self.piece_bytes = max(
             MIN_PIECE_BYTES, int(self._bytes_per_s * PIECE_S)
         )
+        self._pending_sources: list[Callable[[], int]] = []
         self._free_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._current: _Answer | None = None
@@ -87,8 +95,22 @@
         if self._current is not None:
             size += len(self._current.rest)
         ahead_s = max(0.0, self._free_at - self._loop.time())
+        size += sum(count() for count in self._pending_sources)
         return ahead_s + size / self._bytes_per_s
 
+    @property
+    def bytes_per_s(self) -> float:
+        """Bandwidth that large answers and bodies may use."""
+        return self._bytes_per_s
+
+    def count_pending(self, count: Callable[[], int]) -> None:
+        """Includes bytes that are not offered yet in the wait for the link.
+
+        Args:
+            count: Returns the number of these bytes.
+        """
+        self._pending_sources.append(count)
+
     def offer(
         self,
         channel: Hashable,
@@ -96,6 +118,7 @@
         write: PieceWriter,
         *,
         number: int = 0,
+        order: int | None = None,
     ) -> None:
         """Queues a large answer, and sends it at once if the link is free.
 
@@ -105,9 +128,12 @@
             payload: Encoded answer.
             write: Called with each piece and whether it is the last one.
             number: Number of the answer on its connection, for `cancel`.
+            order: Bytes that determine its place in the queue; its size by
+                default. A part of a larger whole gives the rest of the whole.
         """
         rest = memoryview(payload)
-        self._waiting.append(_Answer(channel, number, rest, write))
+        order = len(rest) if order is None else order
+        self._waiting.append(_Answer(channel, number, rest, write, order))
         if self._current is None:
             self._current = self._pick()
             self._send()
@@ -137,8 +163,8 @@
                 self._timer = self._loop.call_at(self._free_at, self._send)
                 return
             answer = self._current
-            piece = bytes(answer.rest[: self._piece_bytes])
-            answer.rest = answer.rest[self._piece_bytes :]
+            piece = bytes(answer.rest[: self.piece_bytes])
+            answer.rest = answer.rest[self.piece_bytes :]
             started_at = max(self._free_at, now - MAX_CATCH_UP_S)
             self._free_at = started_at + len(piece) / self._bytes_per_s
             last = not answer.rest
@@ -153,6 +179,6 @@
             firsts.setdefault(answer.channel, answer)
         if not firsts:
             return None
-        shortest = min(firsts.values(), key=lambda answer: len(answer.rest))
+        shortest = min(firsts.values(), key=lambda answer: answer.order)
         self._waiting.remove(shortest)
         return shortest
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import attrs
+
 from guavawing.errors import MessageInvalidError
 from guavawing.sidecar.mesh_fields import (
     decode_departure,
@@ -20,6 +22,8 @@
 from guavawing.sidecar.mesh_messages import (
     AnswerFrame,
     Beacon,
+    BodyGrant,
+    BodyPiece,
     CancelFrame,
     ConfigFrame,
     ConfigRequest,
@@ -43,12 +47,15 @@
     "decode_frame",
     "encode_answer",
     "encode_beacon",
+    "encode_body_grant",
+    "encode_body_piece",
     "encode_cancel",
     "encode_config",
     "encode_config_request",
     "encode_hello",
     "encode_outcome_query",
     "encode_request",
+    "encode_upload",
     "find_kind",
 ]
 
@@ -68,7 +75,11 @@
     QUOTA_GRANT,
     ROLLOUT_COUNTS,
     SLOT_OFFER,
-) = range(14)
+    # Requests whose bodies follow in pieces.
+    UPLOAD,
+    BODY_GRANT,
+    BODY_PIECE,
+) = range(17)
 # First byte of a msgpack array of up to 15 entries and of one of up to 65,535.
 SHORT_ARRAY, LONG_ARRAY = 0x90, 0xDC
 RAN, NOT_RUN, MAY_HAVE_RUN = range(3)
@@ -85,32 +96,71 @@
     return pack(
         (
             REQUEST,
-            frame_id,
-            attempt.request_id,
-            attempt.service,
-            attempt.origin,
-            attempt.method,
-            attempt.path,
-            attempt.head,
-            attempt.body,
-            attempt.deadline - now,
-            attempt.priority,
-            attempt.idempotent,
-            attempt.bulk,
-            attempt.late,
-            attempt.useful_until - now,
-            attempt.spare_only,
-            encode_limit(known.limit),
-            encode_departure(known.departure),
-            attempt.kind,
-            attempt.bulk_body,
-            attempt.account,
-            attempt.usage,
-            attempt.release,
+            *_list_request_fields(frame_id, attempt, attempt.body, now, known),
+        )
+    )
+
+
+def encode_upload(
+    frame_id: int,
+    attempt: Attempt,
+    *,
+    now: float,
+    known: TargetRecord,
+) -> bytes:
+    """Returns the frame of an attempt whose body follows in pieces."""
+    return pack(
+        (
+            UPLOAD,
+            *_list_request_fields(frame_id, attempt, b"", now, known),
+            len(attempt.body),
         )
     )
 
 
+def encode_body_grant(frame_id: int, until: int) -> bytes:
+    """Returns the frame that permits to send a body up to a position."""
+    return pack((BODY_GRANT, frame_id, until))
+
+
+def encode_body_piece(frame_id: int, piece: bytes) -> bytes:
+    """Returns the frame with the next bytes of a body."""
+    return pack((BODY_PIECE, frame_id, piece))
+
+
+def _list_request_fields(
+    frame_id: int,
+    attempt: Attempt,
+    body: bytes,
+    now: float,
+    known: TargetRecord,
+) -> tuple[Any, ...]:
+    return (
+        frame_id,
+        attempt.request_id,
+        attempt.service,
+        attempt.origin,
+        attempt.method,
+        attempt.path,
+        attempt.head,
+        body,
+        attempt.deadline - now,
+        attempt.priority,
+        attempt.idempotent,
+        attempt.bulk,
+        attempt.late,
+        attempt.useful_until - now,
+        attempt.spare_only,
+        encode_limit(known.limit),
+        encode_departure(known.departure),
+        attempt.kind,
+        attempt.bulk_body,
+        attempt.account,
+        attempt.usage,
+        attempt.release,
+    )
+
+
 def encode_answer(
     frame_id: int,
     outcome: Outcome,
@@ -245,6 +295,12 @@
                 )
             case 7:
                 return Hello(read_number(fields[1]))
+            case 14:
+                return _decode_upload(fields, now)
+            case 15:
+                return BodyGrant(read_number(fields[1]), read_number(fields[2]))
+            case 16:
+                return BodyPiece(read_number(fields[1]), read_bytes(fields[2]))
     except (AttributeError, IndexError, TypeError, ValueError) as exc:
         raise MessageInvalidError(f"invalid mesh frame: {exc}") from exc
     raise MessageInvalidError(f"unknown kind {fields[0]!r} of a mesh frame")
@@ -291,6 +347,13 @@
         raise MessageInvalidError(f"invalid beacon: {exc}") from exc
 
 
+def _decode_upload(fields: list[Any], now: float) -> RequestFrame:
+    size = read_number(fields[23])
+    if size <= 0:
+        raise ValueError(f"got a body of {size} bytes, expected a size")
+    return attrs.evolve(_decode_request(fields, now), body_bytes=size)
+
+
 def _decode_request(fields: list[Any], now: float) -> RequestFrame:
     return RequestFrame(
         read_number(fields[1]),
--- a/src/guavawing/sidecar/mesh_messages.py
+++ b/src/guavawing/sidecar/mesh_messages.py
@@ -15,6 +15,8 @@
 __all__ = [
     "AnswerFrame",
     "Beacon",
+    "BodyGrant",
+    "BodyPiece",
     "CancelFrame",
     "ConfigFrame",
     "ConfigRequest",
@@ -34,11 +36,35 @@
         attempt: The attempt.
         known: What the sender has recorded about the owner's target. It binds
             an owner whose process has just started.
+        body_bytes: Size of the body, which follows in pieces as the owner
+            grants them; 0 if the attempt contains its body.
     """
 
     id: int
     attempt: Attempt
     known: TargetRecord = NO_TARGET_RECORD
+    body_bytes: int = 0
+
+
+@attrs.frozen
+class BodyGrant:
+    """Permits an entry node to send the body of a request.
+
+    Attributes:
+        id: Id of the request on its connection.
+        until: Position in bytes up to which it may be sent.
+    """
+
+    id: int
+    until: int
+
+
+@attrs.frozen
+class BodyPiece:
+    """The next bytes of the body of a request."""
+
+    id: int
+    piece: bytes
 
 
 @attrs.frozen
@@ -146,4 +172,6 @@
     | OutcomeQuery
     | ConfigFrame
     | Hello
+    | BodyGrant
+    | BodyPiece
 )
--- a/src/guavawing/sidecar/mesh_server.py
+++ b/src/guavawing/sidecar/mesh_server.py
@@ -9,14 +9,17 @@
 
 from guavawing.errors import MessageInvalidError
 from guavawing.node.frame_stream import FrameStream, Keepalive, pack_frame
+from guavawing.sidecar.body_receiver import BodyReceiver
 from guavawing.sidecar.link_pacer import LARGE_BYTES
 from guavawing.sidecar.mesh_codec import (
     decode_frame,
     encode_answer,
+    encode_body_grant,
     encode_config,
     encode_hello,
 )
 from guavawing.sidecar.mesh_messages import (
+    BodyPiece,
     CancelFrame,
     ConfigRequest,
     OutcomeQuery,
@@ -24,6 +27,7 @@
 )
 from guavawing.sidecar.owner import Owner
 from guavawing.traffic.model import Attempt, Outcome
+from guavawing.traffic.uploads import BodyRoom
 from guavawing.verdict import MayHaveRun, NotRun, Reason
 
 __all__ = ["MeshServer"]
@@ -64,6 +68,7 @@
 
     Attributes:
         process: Random number of this process, sent in each hello.
+        bodies: Large bodies that arrive.
     """
 
     def __init__(
@@ -71,6 +76,7 @@
         owner: Owner,
         *,
         make_update: Callable[[int], tuple[int, bytes] | None],
+        room: BodyRoom | None = None,
     ) -> None:
         """Creates a server that does not listen yet.
 
@@ -79,10 +85,12 @@
             make_update: Returns the update from a version to the one in
                 force: the base of a delta, or 0 for a complete document, and
                 the payload; None if there is none.
+            room: Memory for large bodies, shared with the entry role.
         """
         self.loop = asyncio.get_running_loop()
         self.owner = owner
         self.make_update = make_update
+        self.bodies = BodyReceiver(owner, room or BodyRoom())
         self.process = secrets.randbits(PROCESS_BITS)
         self.connections: set[_Connection] = set()
         self._jobs: dict[bytes, _Job] = {}
@@ -210,6 +218,11 @@
             number=job.frame_id,
         )
 
+    def send_grant(self, frame_id: int, until: int) -> None:
+        """Permits the entry node to send a body up to a position."""
+        if self._stream is not None:
+            self._stream.write(encode_body_grant(frame_id, until))
+
     def abort(self) -> None:
         """Closes the connection and discards buffered data."""
         if self._stream is not None:
@@ -227,12 +240,19 @@
     def on_frame(self, payload: bytes) -> None:
         """Handles a frame of the entry node."""
         match decode_frame(payload, now=self._server.loop.time()):
-            case RequestFrame(id=frame_id, attempt=attempt, known=known):
+            case RequestFrame(id=frame_id, known=known) as request:
                 self._server.owner.apply_peer_record(known)
-                job = self._server.submit(self, frame_id, attempt)
-                if job.conn is not None:
-                    self._jobs[frame_id] = job
+                if request.body_bytes:
+                    self._begin_body(request)
+                else:
+                    self._submit(frame_id, request.attempt)
+            case BodyPiece(id=frame_id, piece=piece):
+                whole = self._server.bodies.receive(self, frame_id, piece)
+                if whole is not None:
+                    self._submit(frame_id, whole)
             case CancelFrame(id=frame_id):
+                if self._server.bodies.drop(self, frame_id):
+                    return
                 job_or_none = self._jobs.pop(frame_id, None)
                 if job_or_none is not None:
                     self._server.cancel(job_or_none)
@@ -257,10 +277,24 @@
         self._server.connections.discard(self)
         self._server.owner.pacer.drop(self)
         self._stream = None
+        self._server.bodies.drop_all(self)
         for job in self._jobs.values():
             job.conn = None
         self._jobs.clear()
 
+    def _submit(self, frame_id: int, attempt: Attempt) -> None:
+        job = self._server.submit(self, frame_id, attempt)
+        if job.conn is not None:
+            self._jobs[frame_id] = job
+
+    def _begin_body(self, request: RequestFrame) -> None:
+        refusal = self._server.bodies.begin(
+            self, request.id, request.attempt, request.body_bytes
+        )
+        if refusal is not None:
+            request_id = request.attempt.request_id
+            self.answer(_Job(request_id, self, request.id), Outcome(refusal))
+
     def _send_config(self, version: int) -> None:
         config = self._server.make_update(version)
         if config is not None and self._stream is not None:
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -222,6 +222,10 @@
         elif pending.execution is not None and pending.attempt.idempotent:
             pending.execution.abandon()
 
+    def find_early_refusal(self, attempt: Attempt) -> NotRun | None:
+        """Returns a refusal of a request of another node before its body."""
+        return self._find_refusal(attempt, local=False)
+
     def _find_refusal(self, attempt: Attempt, *, local: bool) -> NotRun | None:
         if attempt.service != self._service:
             return NotRun(Reason.WRONG_OWNER, 0.0)
@@ -366,6 +370,8 @@
 
     def _complete(self, pending: _PendingAttempt, outcome: Outcome) -> None:
         self._pending.pop(pending.id, None)
+        # Its callback refers to the attempt, whose body may be large.
+        pending.execution = None
         if pending.timer is not None:
             pending.timer.cancel()
             pending.timer = None
