Send large bodies in pieces that their owner has granted

A body was part of one frame on a connection for small requests. On links of 5 Mbit/s it delayed the owner's signs of life, so that connections were closed and uploads ended as "may have run".

Entry nodes now send the bodies of upload routes in paced pieces as the owner grants them, choose owners by the links in between, and count the bodies that they hold: above 64 MB a further one is refused with 503. A body of which not all was sent has not run, whatever is lost. A target connection is not used again if the target answered before it had read the whole request. Requests without large bodies are served as before.

The fake transport of http_client.feature learns get_write_buffer_size.

--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -6,6 +6,7 @@
 import attrs
 
 from guavawing.platform.headers import build_answer, build_refusal
+from guavawing.sidecar.body_sender import has_large_body
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.http_request import HttpRequest
 from guavawing.sidecar.mesh_client import MeshClient, RemoteAttempt
@@ -155,6 +156,8 @@
         choice = self._choose(now, excluded=self._tried)
         if choice is None and allow_repeat:
             choice = self._choose(now, excluded=())
+        if choice is not None and not self._can_send(choice, now):
+            choice = None
         if choice is None:
             self._record_limits(now)
             self._give_up()
@@ -198,15 +201,35 @@
             useful_s=attempt.useful_until - now,
             excluded=excluded,
             now=now,
+            send_s=self._find_send_s(),
         )
 
+    def _can_send(self, choice: Choice, now: float) -> bool:
+        """Returns whether the link can send a large body in time."""
+        send_s = self._find_send_s()
+        late_s = now + send_s - self._attempt.deadline
+        if choice.owner.local or not send_s or late_s <= 0:
+            return True
+        self._record_refusal(NotRun(Reason.QUEUE_FULL, late_s))
+        return False
+
+    def _find_send_s(self) -> float:
+        """Returns the time until the link has sent a large body, in seconds.
+
+        It is 0 for other requests.
+        """
+        if not has_large_body(self._attempt):
+            return 0.0
+        pacer = self._parts.owner.pacer
+        return pacer.wait_s() + len(self._attempt.body) / pacer.bytes_per_s
+
     def _handle_outcome(self, outcome: Outcome) -> None:
         owner = self._owner
         assert owner is not None
         self._owner = None
         owner.outstanding -= 1
         now = self._parts.loop.time()
-        if not owner.local:
+        if not owner.local and not has_large_body(self._attempt):
             transit_s = now - self._tried_at - outcome.held_s
             owner.observe_transit(
                 max(0.0, transit_s), bulk=self._attempt.bulk, now=now
@@ -383,15 +406,21 @@
         owner = self._owner
         if owner is not None:
             owner.record_failure(now=self._parts.loop.time())
-        self._cancel_attempt()
+        is_unsent = self._cancel_attempt() and self._unknown_outcome is None
+        if is_unsent and self._fallback is None and self._attempt.bulk_body:
+            verdict = NotRun(Reason.DEADLINE_PASSED)
+            self._refuse(UNAVAILABLE, verdict, NO_TARGET_RETRY_AFTER_S)
+            return
         self._refuse(GATEWAY_TIMEOUT, MayHaveRun(Reason.DEADLINE_PASSED), None)
 
-    def _cancel_attempt(self) -> None:
+    def _cancel_attempt(self) -> bool:
+        """Cancels the attempt; returns whether it certainly has not run."""
         owner, self._owner = self._owner, None
         if owner is None:
-            return
+            return False
         owner.outstanding -= 1
         if self._remote is not None:
-            self._parts.mesh.cancel(self._remote)
-        elif owner.local:
+            return self._parts.mesh.cancel(self._remote)
+        if owner.local:
             self._parts.owner.cancel(self._attempt_id)
+        return False
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -52,6 +52,7 @@
 )
 from guavawing.traffic.routes import RouteTable
 from guavawing.traffic.target_state import TargetState
+from guavawing.traffic.uploads import BodyRoom
 
 __all__ = ["Sidecar"]
 
@@ -97,6 +98,7 @@
     def _create_request_components(self) -> None:
         settings = self._settings
         pacer = LinkPacer(settings.link_bytes_per_s)
+        room = BodyRoom()
         self._owner = Owner(
             service=settings.service,
             state=self._target,
@@ -114,6 +116,7 @@
             on_alive=self._record_liveness,
             on_suspicion=lambda host: self._beacons.handle_suspicion(host),
             on_config=self._handle_config,
+            pacer=pacer,
         )
         self._entry = Entry(
             service=settings.service,
@@ -122,6 +125,7 @@
             peers=self._peers,
             mesh=self._mesh,
             retries=RetryTerms(settings.retry_ratio, settings.retry_allowance),
+            room=room,
             log=self._log,
             metrics=self._metrics,
         )
@@ -134,8 +138,9 @@
             pacer=pacer,
             overlaps=self._entry.may_overlap,
         )
+        self._callers.state.hold_body = self._entry.hold_body
         self._mesh_server = MeshServer(
-            self._owner, make_update=self._make_update
+            self._owner, make_update=self._make_update, room=room
         )
         local = MAX_LOCAL_CONNECTIONS
         calls = LocalCalls(
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -13,10 +13,12 @@
 )
 from guavawing.sidecar.client_call import ClientCall, EntryParts
 from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.held_body import HeldBody
 from guavawing.sidecar.http_request import HttpRequest
 from guavawing.sidecar.mesh_client import MeshClient
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.owner import Owner
+from guavawing.sidecar.request_reader import RawHeaders
 from guavawing.traffic.balancer import Balancer
 from guavawing.traffic.budget import RetryBudget
 from guavawing.traffic.client_wait import ClientWaitEstimator
@@ -26,6 +28,7 @@
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.routes import RouteTable
 from guavawing.traffic.time_limit import compute_time_limit
+from guavawing.traffic.uploads import BodyRoom
 from guavawing.verdict import NotRun, Reason
 
 __all__ = ["Entry", "RetryTerms"]
@@ -82,10 +85,12 @@
         peers: PeerTable,
         mesh: MeshClient,
         retries: RetryTerms,
+        room: BodyRoom,
         log: DecisionLog,
         metrics: SidecarMetrics,
     ) -> None:
         self._service = service
+        self._room = room
         self._peers = peers
         self._log = log
         self._metrics = metrics
@@ -169,6 +174,17 @@
         route = self.table.find(head.host, request.path.decode("latin-1"))
         return route is not None and route.idempotent
 
+    def hold_body(self, path: bytes, headers: RawHeaders) -> HeldBody | None:
+        """Returns the memory for a large body; None for other requests."""
+        table = self.table
+        if table is None or not table.has_large_bodies:
+            return None
+        head = parse_request_head(headers)
+        route = table.find(head.host, path.decode("latin-1"))
+        if route is None or not route.bulk_body:
+            return None
+        return HeldBody(self._room)
+
     def _make_attempt(
         self,
         request: HttpRequest,
@@ -181,7 +197,7 @@
         if account is not None and account.priority is not None:
             priority = account.priority
         # A pipelined request may have been queued since its arrival.
-        now = request.arrived_at
+        now = request.began_at if route.bulk_body else request.arrived_at
         client_s = head.deadline_s
         deadline_s = compute_time_limit(client_s=client_s, route_s=None)
         limit_s = compute_time_limit(
--- a/src/guavawing/sidecar/http_client.py
+++ b/src/guavawing/sidecar/http_client.py
@@ -250,7 +250,9 @@
         """
         self._handler = None
         self.idle_since = self._loop.time()
-        if surplus or not reply.keeps_open or self._transport is None:
+        # The server answered before it has read the whole request.
+        unread = self._transport and self._transport.get_write_buffer_size()
+        if surplus or unread or not reply.keeps_open or not self._transport:
             self.close()
         handler.on_reply(reply)
 
--- a/src/guavawing/sidecar/http_connection.py
+++ b/src/guavawing/sidecar/http_connection.py
@@ -1,28 +1,40 @@
 """Server side of an HTTP/1.1 connection."""
 
 import asyncio
+import weakref
 from collections.abc import Callable
 from typing import cast
 
 import attrs
 
 from guavawing.errors import RequestUnreadableError
-from guavawing.platform.headers import build_refusal
+from guavawing.platform.headers import build_refusal, parse_request_head
+from guavawing.sidecar.held_body import HeldBody
 from guavawing.sidecar.http_request import HttpRequest
 from guavawing.sidecar.link_pacer import LARGE_BYTES, LinkPacer
-from guavawing.sidecar.request_reader import PARSED_BYTES, RequestReader
+from guavawing.sidecar.request_reader import (
+    PARSED_BYTES,
+    RawHeaders,
+    RequestReader,
+)
 from guavawing.traffic.model import ClientLimits
 from guavawing.traffic.pipeline import Pipeline
+from guavawing.traffic.uploads import ROOM_RETRY_AFTER_S
 
 __all__ = ["ServerConnection", "ServerState"]
 
 REQUEST_TIMEOUT = 408
+UNAVAILABLE = 503
 # Time beyond a timeout after which a connection is closed, in seconds, so that
 # the close does not race with a client that observes the timeout.
 LIMIT_MARGIN_S = 1.0
 # Time for which a stopping process waits for the first request of a new
 # connection, in seconds: several round trips inside a data centre.
 FIRST_REQUEST_S = 0.25
+# Time for which the rest of a refused body is read and discarded, in seconds: a
+# close with unread bytes would reset the connection, and the client would not
+# receive the refusal.
+DISCARD_S = 1.0
 # Total size of buffered requests and answers of a server from which reading is
 # paused on connections with a request in progress: a sixth of the memory of the
 # smallest VMs.
@@ -45,6 +57,8 @@
         max_connections: Further connections are closed on accept.
         pacer: Paces large answers; None sends them unpaced.
         limits: Limits of clients, from the configuration in force.
+        hold_body: Returns the memory for the body of a request, given its path
+            and headers; None if its route has no large bodies.
         stopping: Whether connections are closed after the next answer because
             the process stops.
         last_request_at: Event loop's time at which the last request was
@@ -59,6 +73,7 @@
     pacer: LinkPacer | None
     last_request_at: float
     limits: ClientLimits = attrs.field(factory=ClientLimits)
+    hold_body: Callable[[bytes, RawHeaders], HeldBody | None] = lambda *_: None
     stopping: bool = False
     held_bytes: int = 0
     connections: "set[ServerConnection]" = attrs.field(factory=set)
@@ -72,6 +87,9 @@
     """One client connection; answers are sent in the order of requests."""
 
     __slots__ = (
+        "_began_at",
+        "_body",
+        "_body_request_id",
         "_continue_due",
         "_dispatching",
         "_held_bytes",
@@ -112,6 +130,10 @@
         self._dispatching = False
         self._continue_due = False
         self._waiting_since = 0.0
+        self._began_at = 0.0
+        # Large body that is being received.
+        self._body: HeldBody | None = None
+        self._body_request_id = b""
 
     @property
     def busy(self) -> bool:
@@ -171,8 +193,9 @@
         if self.busy:
             return
         limits = self._server.limits
+        in_header = self.reading and self._body is None
         limit_s = (
-            limits.header_timeout_s if self.reading else limits.idle_timeout_s
+            limits.header_timeout_s if in_header else limits.idle_timeout_s
         )
         if now - self._waiting_since <= limit_s + LIMIT_MARGIN_S:
             return
@@ -188,6 +211,8 @@
             if exchange is None:
                 return
             assert exchange.answer is not None
+            # Without the reference, the request is freed at once.
+            exchange.request.exchange = None
             self._write(self._transport, exchange.answer, exchange.closes)
 
     def _write(
@@ -215,7 +240,11 @@
         transport = self._transport
         assert transport is not None
         self._waiting_since = self._loop.time()
-        if closes:
+        if closes and self._refused and self._body is not None:
+            self._end()
+            transport.write_eof()
+            self._loop.call_later(DISCARD_S, transport.close)
+        elif closes:
             self._end()
             transport.close()
 
@@ -228,11 +257,16 @@
         self._transport = None
         self._server.connections.discard(self)
         self._unparsed = b""
+        if self._body is not None:
+            self._body.release()
+            self._body = None
         dropped = self._pipeline.clear()
         self._update_held_bytes()
         for request in dropped:
-            if request.on_disconnect is not None:
-                request.on_disconnect()
+            request.exchange = None
+            on_disconnect, request.on_disconnect = request.on_disconnect, None
+            if on_disconnect is not None:
+                on_disconnect()
 
     def _advance(self) -> None:
         """Dispatches requests that may start, and reads more if possible."""
@@ -336,6 +370,7 @@
     def on_first_byte(self) -> None:
         """Starts the timeout of a request that is being received."""
         self._is_new = False
+        self._began_at = self._loop.time()
         if not self.busy:
             self._waiting_since = self._loop.time()
 
@@ -344,6 +379,23 @@
         self._continue_due = True
         self._send_continue()
 
+    def expect_body(self, path: bytes, headers: RawHeaders) -> bool:
+        """Reserves memory for the declared size of a large body."""
+        self._body = self._server.hold_body(path, headers)
+        if self._body is None:
+            return True
+        self._body_request_id = parse_request_head(headers).request_id
+        sizes = [v for k, v in headers if k.lower() == b"content-length"]
+        return not sizes or self._body.expect(int(sizes[0]))
+
+    def add_body(self, size: int) -> bool:
+        """Counts a part of a large body."""
+        if self._body is None:
+            return True
+        if not self.busy:
+            self._waiting_since = self._loop.time()
+        return self._body.add(size)
+
     def on_request(
         self,
         method: bytes,
@@ -357,7 +409,13 @@
             # An earlier answer has closed the connection.
             return
         now = self._loop.time()
-        request = HttpRequest(self, method, path, headers, body, now)
+        request = HttpRequest(
+            self, method, path, headers, body, now, began_at=self._began_at
+        )
+        held, self._body = self._body, None
+        if held is not None:
+            # The body stays in memory as long as its request.
+            weakref.finalize(request, held.release).atexit = False
         self._server.last_request_at = now
         request.exchange = self._pipeline.add(request, request.size)
         self._advance()
@@ -373,7 +431,11 @@
         self._refused = True
         if self._transport is None:
             return
-        payload = build_refusal(status, b"", closes=True)
+        request_id = b"" if self._body is None else self._body_request_id
+        retry_after_s = ROOM_RETRY_AFTER_S if status == UNAVAILABLE else None
+        payload = build_refusal(
+            status, request_id, retry_after_s=retry_after_s, closes=True
+        )
         request = HttpRequest(self, b"", b"", [], b"", 0.0)
         exchange = request.exchange = self._pipeline.add(request, 0)
         exchange.begun = True
--- a/src/guavawing/sidecar/http_request.py
+++ b/src/guavawing/sidecar/http_request.py
@@ -36,6 +36,7 @@
         on_disconnect: Called at most once, if the client disconnects before
             the answer is sent.
         exchange: Entry in the pipeline of its connection.
+        began_at: Event loop's time at which the first byte was received.
     """
 
     conn: AnswerSink
@@ -47,6 +48,7 @@
     arrived_at: float
     on_disconnect: Callable[[], None] | None = None
     exchange: "Exchange[HttpRequest] | None" = None
+    began_at: float = 0.0
 
     @property
     def size(self) -> int:
--- a/src/guavawing/sidecar/mesh_client.py
+++ b/src/guavawing/sidecar/mesh_client.py
@@ -8,15 +8,19 @@
 
 from guavawing.errors import MessageInvalidError
 from guavawing.node.frame_stream import FrameStream, Keepalive
+from guavawing.sidecar.body_sender import BodySender, has_large_body
+from guavawing.sidecar.link_pacer import LinkPacer
 from guavawing.sidecar.mesh_codec import (
     decode_frame,
     encode_cancel,
     encode_config_request,
     encode_outcome_query,
     encode_request,
+    encode_upload,
 )
 from guavawing.sidecar.mesh_messages import (
     AnswerFrame,
+    BodyGrant,
     ConfigFrame,
     Hello,
 )
@@ -103,6 +107,7 @@
         on_alive: Callable[[str], None],
         on_suspicion: Callable[[str], None],
         on_config: Callable[[ConfigFrame], None],
+        pacer: LinkPacer | None = None,
     ) -> None:
         """Creates a client without connections.
 
@@ -115,6 +120,7 @@
             on_suspicion: Called with the host of a node that is silent or
                 can't be connected to.
             on_config: Called with a configuration that was requested.
+            pacer: Paces large bodies; None sends them within the request.
         """
         self.loop = asyncio.get_running_loop()
         self.source = source
@@ -123,6 +129,12 @@
         self.on_alive = on_alive
         self.on_suspicion = on_suspicion
         self.on_config = on_config
+        self.pacer = pacer
+        self.senders: set[BodySender] = set()
+        if pacer is not None:
+            pacer.count_pending(
+                lambda: sum(sender.rest for sender in self.senders)
+            )
         self.stopping = False
         self._conns: dict[tuple[str, int, bool], list[_OwnerConnection]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -138,14 +150,18 @@
     ) -> RemoteAttempt:
         """Sends an attempt to the owner at an address."""
         remote = RemoteAttempt(attempt, on_outcome)
-        self._pick_connection(host, port, bulk=attempt.bulk).add(remote)
+        bulk = attempt.bulk or has_large_body(attempt)
+        self._pick_connection(host, port, bulk=bulk).add(remote)
         return remote
 
-    def cancel(self, remote: RemoteAttempt) -> None:
-        """Cancels an attempt; its outcome is no longer reported."""
+    def cancel(self, remote: RemoteAttempt) -> bool:
+        """Cancels an attempt; its outcome is no longer reported.
+
+        Returns:
+            Whether it certainly has not run, and won't.
+        """
         remote.on_outcome = None
-        if remote.conn is not None:
-            remote.conn.cancel(remote)
+        return remote.conn is not None and remote.conn.cancel(remote)
 
     def request_config(self, host: str, port: int, version: int) -> None:
         """Requests a configuration newer than `version` from a node."""
@@ -205,6 +221,7 @@
         self._stream: FrameStream | None = None
         self._connecting = False
         self._process = 0
+        self._grants_bodies = False
         # Time since which a frame of the owner has been awaited.
         self._awaited_since = 0.0
         self._probed = False
@@ -212,10 +229,13 @@
         self._waiting: list[RemoteAttempt] = []
         self._unsent: list[bytes] = []
         self._pending: dict[int, RemoteAttempt] = {}
+        self._senders: dict[int, BodySender] = {}
+        # Attempts with large bodies until the owner's hello is received.
+        self._held: list[RemoteAttempt] = []
 
     @property
     def outstanding(self) -> int:
-        return len(self._pending) + len(self._waiting)
+        return len(self._pending) + len(self._waiting) + len(self._held)
 
     def add(self, remote: RemoteAttempt) -> None:
         remote.conn = self
@@ -232,13 +252,16 @@
             self._unsent.append(payload)
             self._connect()
 
-    def cancel(self, remote: RemoteAttempt) -> None:
-        if remote in self._waiting:
-            self._waiting.remove(remote)
-            return
+    def cancel(self, remote: RemoteAttempt) -> bool:
+        for unsent in (self._waiting, self._held):
+            if remote in unsent:
+                unsent.remove(remote)
+                return True
+        is_partial = self._stop_body(remote.frame_id)
         known = self._pending.pop(remote.frame_id, None) is not None
         if known and self._stream is not None:
             self._stream.write(encode_cancel(remote.frame_id))
+        return is_partial
 
     def close(self) -> None:
         if self._stream is not None:
@@ -251,7 +274,8 @@
         others the answer of this owner is awaited.
         """
         stream = self._stream
-        if stream is None or not (self._pending or self._suspected):
+        waits = self._pending or self._held or self._suspected
+        if stream is None or not waits:
             return
         if late or stream.last_received_at >= self._awaited_since:
             if self._suspected and not late:
@@ -267,29 +291,62 @@
             self._suspected = True
             self._client.on_suspicion(self._host)
         if silent_s > RELEASE_AFTER_S and not self._client.stopping:
-            self._release_idempotent()
-
-    def _release_idempotent(self) -> None:
-        for remote in tuple(self._pending.values()):
-            if remote.attempt.idempotent:
+            self._release()
+
+    def _release(self) -> None:
+        """Releases attempts that have not run or may run twice."""
+        for remote in (*self._held, *self._pending.values()):
+            if self.cancel_unsent(remote):
+                remote.end(Outcome(NotRun(Reason.OWNER_UNREACHABLE, 0.0)))
+            elif remote.attempt.idempotent:
                 self.cancel(remote)
                 remote.end(Outcome(MayHaveRun(Reason.OWNER_LOST)))
 
+    def cancel_unsent(self, remote: RemoteAttempt) -> bool:
+        """Cancels an attempt that the owner does not have completely.
+
+        Returns:
+            Whether it was cancelled.
+        """
+        sender = self._senders.get(remote.frame_id)
+        is_unsent = remote in self._held or (
+            sender is not None and not sender.is_sent
+        )
+        return is_unsent and self.cancel(remote)
+
+    def _stop_body(self, frame_id: int) -> bool:
+        """Ends the sending of a body; returns whether it was incomplete."""
+        sender = self._senders.pop(frame_id, None)
+        if sender is None:
+            return False
+        sender.stop()
+        return not sender.is_sent
+
     # Events of the stream.
 
     def on_open(self, stream: FrameStream) -> None:
         self._stream = stream
         self._process = 0
+        self._grants_bodies = False
 
     def on_frame(self, payload: bytes) -> None:
         match decode_frame(payload, now=self._client.loop.time()):
             case AnswerFrame() as answer:
                 self._client.on_load(self._host, answer.load, answer.departure)
+                self._stop_body(answer.id)
                 remote = self._pending.pop(answer.id, None)
                 if remote is not None:
                     remote.end(answer.outcome)
-            case Hello(process=process):
+            case BodyGrant(id=frame_id, until=until):
+                sender = self._senders.get(frame_id)
+                if sender is not None:
+                    sender.grant(until)
+            case Hello(process=process) as hello:
                 self._process = process
+                self._grants_bodies = hello.grants_bodies
+                held, self._held = self._held, []
+                for remote in held:
+                    self._write(remote)
                 for remote in self._pending.values():
                     remote.process = remote.process or process
             case ConfigFrame() as config:
@@ -306,7 +363,17 @@
     def on_close(self) -> None:
         self._stream = None
         self._suspected = False
+        held, self._held = self._held, []
+        unsent = [
+            remote
+            for remote in self._pending.values()
+            if self._stop_body(remote.frame_id)
+        ]
         lost, self._pending = self._pending, {}
+        self._senders.clear()
+        # The owner executes no part of a body, so that they have not run.
+        for remote in (*held, *unsent):
+            remote.end(Outcome(NotRun(Reason.OWNER_UNREACHABLE, 0.0)))
         unresolved = [
             remote for remote in lost.values() if remote.on_outcome is not None
         ]
@@ -351,19 +418,36 @@
             )
 
     def _write(self, remote: RemoteAttempt) -> None:
-        assert self._stream is not None
+        stream, pacer = self._stream, self._client.pacer
+        assert stream is not None
+        is_large = pacer is not None and has_large_body(remote.attempt)
+        if is_large and not self._process:
+            # The owner's hello states whether it grants bodies.
+            self._held.append(remote)
+            return
         remote.frame_id = next(self._ids)
         remote.process = self._process
         self._pending[remote.frame_id] = remote
-        now = self._client.loop.time()
-        self._stream.write(
-            encode_request(
+        in_pieces = is_large and self._grants_bodies
+        encode = encode_upload if in_pieces else encode_request
+        stream.write(
+            encode(
                 remote.frame_id,
                 remote.attempt,
-                now=now,
+                now=self._client.loop.time(),
                 known=self._client.find_record(self._host),
             )
         )
+        if in_pieces:
+            assert pacer is not None
+            sender = self._senders[remote.frame_id] = BodySender(
+                remote.frame_id,
+                remote.attempt.body,
+                stream=stream,
+                pacer=pacer,
+                on_stop=self._client.senders.discard,
+            )
+            self._client.senders.add(sender)
 
     def _connect(self) -> None:
         if not self._connecting:
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -210,7 +210,7 @@
 
 def encode_hello(process: int) -> bytes:
     """Returns the first frame that an owner sends on a connection."""
-    return pack((HELLO, process))
+    return pack((HELLO, process, True))
 
 
 def encode_config_request(version: int) -> bytes:
@@ -294,7 +294,9 @@
                     read_number(fields[3]),
                 )
             case 7:
-                return Hello(read_number(fields[1]))
+                return Hello(
+                    read_number(fields[1]), bool(read_optional(fields, 2))
+                )
             case 14:
                 return _decode_upload(fields, now)
             case 15:
--- a/src/guavawing/sidecar/mesh_messages.py
+++ b/src/guavawing/sidecar/mesh_messages.py
@@ -108,9 +108,16 @@
 
 @attrs.frozen
 class Hello:
-    """First frame of an owner, with the random number of its process."""
+    """First frame of an owner.
+
+    Attributes:
+        process: Random number of its process.
+        grants_bodies: Whether it grants large bodies; owners of earlier
+            releases expect them within the request.
+    """
 
     process: int
+    grants_bodies: bool = False
 
 
 @attrs.frozen
--- a/src/guavawing/sidecar/request_reader.py
+++ b/src/guavawing/sidecar/request_reader.py
@@ -17,6 +17,7 @@
 BAD_REQUEST = 400
 PAYLOAD_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
+UNAVAILABLE = 503
 # Largest piece that is parsed at once. Between two pieces the connection can
 # stop reading from a client that pipelines many requests.
 PARSED_BYTES = 16 * 1024
@@ -35,6 +36,12 @@
     def on_expect_continue(self) -> None:
         """Handles the header `Expect: 100-continue`."""
 
+    def expect_body(self, path: bytes, headers: RawHeaders) -> bool:
+        """Returns whether there is memory for the body of a request."""
+
+    def add_body(self, size: int) -> bool:
+        """Returns whether there is memory for a part of a body."""
+
     def on_request(
         self, method: bytes, path: bytes, headers: RawHeaders, body: bytes
     ) -> None:
@@ -143,7 +150,9 @@
         self._count_header(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
-        """Checks the complete headers for `Expect: 100-continue`."""
+        """Checks memory for the body, and for `Expect: 100-continue`."""
+        if not self._handler.expect_body(self._url, self._headers):
+            self._abort(UNAVAILABLE)
         for name, value in self._headers:
             if (name.lower(), value.lower()) == (b"expect", b"100-continue"):
                 self._handler.on_expect_continue()
@@ -153,16 +162,17 @@
         self._body_bytes += len(body)
         if self._body_bytes > self._limits().max_body_bytes:
             self._abort(PAYLOAD_TOO_LARGE)
+        if not self._handler.add_body(len(body)):
+            self._abort(UNAVAILABLE)
         self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Reports the complete request."""
         self.reading = False
+        body = b"".join(self._body)
+        self._body.clear()
         self._handler.on_request(
-            self._parser.get_method(),
-            self._url,
-            self._headers,
-            b"".join(self._body),
+            self._parser.get_method(), self._url, self._headers, body
         )
 
     def _reset(self) -> None:
--- a/src/guavawing/traffic/balancer.py
+++ b/src/guavawing/traffic/balancer.py
@@ -111,6 +111,7 @@
         useful_s: float,
         excluded: Container[str],
         now: float,
+        send_s: float = 0.0,
     ) -> Choice | None:
         """Returns the owner for the next attempt, or None if there is none.
 
@@ -122,6 +123,8 @@
             useful_s: Time within which an answer is fully useful, in seconds.
             excluded: Nodes that the request has been sent to already.
             now: Event loop's time, in seconds.
+            send_s: Time in which this node's link sends a large body, in
+                seconds; 0 for other requests.
         """
         working = [
             owner
@@ -132,7 +135,8 @@
         refused = [owner.pressure() for owner in usable if owner.near]
         pressure = sum(refused) / len(refused) if refused else None
         mean_s = _find_mean_s(working, kind)
-        large = self._size_kb.get(route, ASSUMED_KB) >= MIN_LARGE_KB
+        size_kb = self._size_kb.get(route, ASSUMED_KB)
+        large = send_s > 0 or size_kb >= MIN_LARGE_KB
         ranked: dict[_Rank, list[tuple[float, OwnerView]]] = {}
         candidates = [
             owner for owner in usable or working if owner.node not in excluded
@@ -152,6 +156,7 @@
                     pressure=pressure,
                     large=large,
                     bulk=bulk,
+                    send_s=send_s,
                 )
                 if rank is _Rank.LIMITED:
                     continue
@@ -205,6 +210,7 @@
         pressure: float | None,
         large: bool,
         bulk: bool,
+        send_s: float = 0.0,
     ) -> tuple[_Rank, float]:
         """Returns the rank and, within it, the cost of an owner."""
         report = owner.report
@@ -214,6 +220,8 @@
         # slots is preferred: some targets slow down when nearly full.
         busy = (owner.outstanding + owner.others) / max(report.slots, 1)
         transit_s = owner.expect_transit_s(bulk=bulk, now=now)
+        if send_s and not owner.local:
+            transit_s += send_s + report.link_wait_s
         cost_s = wait_s + service_s * (1 + 0.3 * min(busy, 1.0)) + transit_s
         expected_s = wait_s + EXPECTED_SERVICE_FACTOR * service_s + transit_s
         spare_s = useful_s - EXPECTED_SERVICE_FACTOR * service_s
--- a/src/guavawing/traffic/routes.py
+++ b/src/guavawing/traffic/routes.py
@@ -66,6 +66,7 @@
         "_splits",
         "_top_priorities",
         "accounts",
+        "has_large_bodies",
         "routing",
     )
 
@@ -86,6 +87,7 @@
             rng: Source of the random positions at which new splits begin.
         """
         self.routing = routing
+        self.has_large_bodies = any(route.bulk_body for route in routing.routes)
         self.accounts = AccountTable(routing.accounts.values())
         self._rng = rng
         self._by_host: dict[str, dict[str, Route]] = {}
--- a/src/guavawing/traffic/uploads.py
+++ b/src/guavawing/traffic/uploads.py
@@ -15,7 +15,6 @@
 from guavawing.verdict import NotRun, Reason
 
 __all__ = [
-    "GRANTED_BYTES",
     "MAX_HELD_BODY_BYTES",
     "ROOM_RETRY_AFTER_S",
     "BodyIntake",
@@ -27,9 +26,11 @@
 # Bytes of large bodies that a node holds: a third of the memory of the
 # smallest VMs, as a body is copied once when it is passed on.
 MAX_HELD_BODY_BYTES = 64 * 1024 * 1024
-# Bytes that a sender may be ahead of what has arrived: above the product of
-# the bandwidth of the fastest links and the round trip in a data centre.
-GRANTED_BYTES = 64 * 1024
+# Time that the link needs for what a sender may be ahead of what has arrived,
+# in seconds: several round trips in a data centre, and short for a small
+# message that is queued behind it.
+WINDOW_S = 0.02
+MIN_WINDOW_BYTES = 8 * 1024
 # Bodies that are granted at the same time: a second one uses the link while the
 # sender of the first one is slow.
 GRANTED_BODIES = 2
@@ -91,7 +92,7 @@
 class BodyIntake:
     """The bodies that an owner receives, and what their senders may send."""
 
-    __slots__ = ("_bodies", "_bytes_per_s")
+    __slots__ = ("_bodies", "_bytes_per_s", "_window")
 
     def __init__(self, bytes_per_s: float) -> None:
         """Creates an intake without bodies.
@@ -100,6 +101,7 @@
             bytes_per_s: Bandwidth of the owner's link that bodies may use.
         """
         self._bytes_per_s = bytes_per_s
+        self._window = max(MIN_WINDOW_BYTES, int(bytes_per_s * WINDOW_S))
         self._bodies: dict[Hashable, _Incoming] = {}
 
     @property
@@ -171,9 +173,9 @@
 
         first = sorted(self._bodies.items(), key=find_order)
         for key, body in first[:GRANTED_BODIES]:
-            until = min(body.size, body.received + GRANTED_BYTES)
+            until = min(body.size, body.received + self._window)
             # Half a window at a time, to limit the number of messages.
-            is_due = until - body.granted >= GRANTED_BYTES // 2
+            is_due = until - body.granted >= self._window // 2
             if is_due or (until == body.size and until > body.granted):
                 if body.granted == body.received:
                     body.moved_at = now
--- a/standins/vm_target.py
+++ b/standins/vm_target.py
@@ -4,8 +4,9 @@
 (service time of 1 s); `lost` (executed, then the connection is aborted);
 `late` (an answer to another request precedes its own); `cut` (the answer is
 truncated); `shed` (refused without execution); `unsigned` (no signature
-header); `error` (status 500); `large` (200,000 bytes). With the suffix `-once`
-only the first attempt of a request behaves so.
+header); `error` (status 500); `large` (200,000 bytes); `too-large` (status 413
+before the body is read); `hang-up` (closes within the body). With the suffix
+`-once` only the first attempt of a request behaves so.
 """
 
 import asyncio
@@ -87,6 +88,7 @@
         self._target = target
         self._parser = httptools.HttpRequestParser(self)
         self._task: asyncio.Task[None] | None = None
+        self._answered = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
@@ -99,7 +101,8 @@
         self._parser.feed_data(data)
 
     def on_message_begin(self) -> None:
-        self._url, self._body = b"", b""
+        self._url, self._body = b"", bytearray()
+        self._answered = False
         self._headers: dict[str, str] = {}
 
     def on_url(self, url: bytes) -> None:
@@ -108,10 +111,21 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers[name.decode().lower()] = value.decode()
 
+    def on_headers_complete(self) -> None:
+        if self._url.endswith(b"/too-large"):
+            self._answered = True
+            request_id = self._headers.get("x-request-id", "")
+            self._write(413, f"X-Request-Id: {request_id}\r\n", b"")
+
     def on_body(self, body: bytes) -> None:
         self._body += body
+        if self._url.endswith(b"/hang-up"):
+            self._answered = True
+            self._transport.abort()
 
     def on_message_complete(self) -> None:
+        if self._answered:
+            return
         loop = asyncio.get_running_loop()
         self._task = loop.create_task(self._answer())
 
@@ -146,7 +160,7 @@
         target = self._target
         loop = asyncio.get_running_loop()
         execution = Execution(
-            request_id, target.id, self._headers, self._body, loop.time()
+            request_id, target.id, self._headers, bytes(self._body), loop.time()
         )
         target.executions.append(execution)
         target.running += 1
--- a/tests/steps/http_client_steps.py
+++ b/tests/steps/http_client_steps.py
@@ -55,6 +55,9 @@
     def write(self, data):
         pass
 
+    def get_write_buffer_size(self):
+        return 0
+
     def abort(self):
         self.closed = True
 
