--- a/tests/processes/drain.feature
+++ b/tests/processes/drain.feature
@@ -1,4 +1,4 @@
-@shared_fleet @data_centres.1 @copies.2 @log_level.debug
+@shared_fleet @data_centres.1 @copies.2
 Feature: A planned stop interrupts no call and loses none
 
   Background:
