--- a/src/guavawing/sidecar/body_receiver.py
+++ b/src/guavawing/sidecar/body_receiver.py
@@ -57,8 +57,9 @@
                 size, left_s=attempt.deadline - now
             )
         if refusal is None and not self._room.reserve(size):
-            refusal = NotRun(Reason.QUEUE_FULL, ROOM_RETRY_AFTER_S)
+            refusal = NotRun(Reason.OVERLOADED_PEER, ROOM_RETRY_AFTER_S)
         if refusal is not None:
+            self._owner.record_refused_body(attempt, refusal, size=size)
             return refusal
         key = (sink, frame_id)
         self._parts[key] = _Part(attempt, size)
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -148,6 +148,7 @@
             on_target=self._owner.handle_target_change,
             is_ready=self._readiness.is_ready,
             peers=self._peers,
+            room=room,
             log=self._log,
             metrics=self._metrics,
         )
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -183,7 +183,20 @@
         route = table.find(head.host, path.decode("latin-1"))
         if route is None or not route.bulk_body:
             return None
-        return HeldBody(self._room)
+
+        def record_refused(size: int) -> None:
+            reason = Reason.TOO_MANY_CALLS
+            self._metrics.refused_bodies.inc({"reason": reason})
+            self._metrics.count_answer(NotRun(reason))
+            self._log.request(
+                "body-refused",
+                head.request_id,
+                notable=True,
+                reason=reason,
+                bytes=size,
+            )
+
+        return HeldBody(self._room, record_refused)
 
     def _make_attempt(
         self,
--- a/src/guavawing/sidecar/held_body.py
+++ b/src/guavawing/sidecar/held_body.py
@@ -1,5 +1,7 @@
 """Memory for the body of a client's request while it is received."""
 
+from collections.abc import Callable
+
 from guavawing.traffic.uploads import BodyRoom
 
 __all__ = ["HeldBody"]
@@ -8,14 +10,18 @@
 class HeldBody:
     """A large body that is being received, counted in the node's memory."""
 
-    __slots__ = ("_room", "_size", "arrived")
+    __slots__ = ("_on_refused", "_room", "_size", "arrived")
 
-    def __init__(self, room: BodyRoom) -> None:
+    def __init__(
+        self, room: BodyRoom, on_refused: Callable[[int], None]
+    ) -> None:
         """Creates a body without memory.
 
         Args:
             room: Memory for the large bodies of the node.
+            on_refused: Called with the size for which there is no memory.
         """
+        self._on_refused = on_refused
         self._room = room
         self._size = 0
         self.arrived = 0
@@ -24,6 +30,7 @@
         """Reserves memory up to a size; returns False if there is none."""
         more = size - self._size
         if more > 0 and not self._room.reserve(more):
+            self._on_refused(size)
             return False
         self._size = max(self._size, size)
         return True
--- a/src/guavawing/sidecar/local_calls.py
+++ b/src/guavawing/sidecar/local_calls.py
@@ -15,6 +15,7 @@
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.target_state import TargetState
+from guavawing.traffic.uploads import BodyRoom
 
 __all__ = ["LocalCalls"]
 
@@ -37,6 +38,7 @@
         on_target: Callable[[], None],
         is_ready: Callable[[], bool],
         peers: PeerTable,
+        room: BodyRoom,
         log: DecisionLog,
         metrics: SidecarMetrics,
     ) -> None:
@@ -47,6 +49,7 @@
             on_target: Called when the state of the target has changed.
             is_ready: Returns whether clients may send requests to this VM.
             peers: The other nodes, whose numbers are in the metrics.
+            room: Memory for large bodies, whose use is in the metrics.
             log: Receives rejected heartbeats.
             metrics: The metrics to expose.
         """
@@ -55,6 +58,7 @@
         self._on_target = on_target
         self._is_ready = is_ready
         self._peers = peers
+        self._room = room
         self._log = log
         self._metrics = metrics
 
@@ -68,6 +72,7 @@
         alive = sum(1 for peer in self._peers if peer.view.alive)
         self._metrics.peers.set({"state": "alive"}, alive)
         self._metrics.peers.set({"state": "lost"}, len(self._peers) - alive)
+        self._metrics.held_bodies.set({}, self._room.held_bytes)
         self._metrics.log_lines_left_out.set({}, self._log.left_out)
         payload = build_answer(
             OK, TEXT_HEAD, self._metrics.render(), closes=False
--- a/src/guavawing/sidecar/metrics.py
+++ b/src/guavawing/sidecar/metrics.py
@@ -76,6 +76,13 @@
             "guavawing_unreadable_total",
             "Rows, heartbeats and messages that could not be read, by source.",
         )
+        self.refused_bodies = self._counter(
+            "guavawing_bodies_refused_total",
+            "Large bodies refused before they arrived, by reason.",
+        )
+        self.held_bodies = self._gauge(
+            "guavawing_held_body_bytes", "Bytes reserved for large bodies."
+        )
         self.version = self._gauge(
             "guavawing_config_version", "Configuration version in force."
         )
@@ -134,6 +141,7 @@
             self.retries,
             self.store_calls,
             self.unreadable,
+            self.refused_bodies,
         ):
             counter.export()
         for latency in (self._entry, self._queue, self._target):
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -226,6 +226,20 @@
         """Returns a refusal of a request of another node before its body."""
         return self._find_refusal(attempt, local=False)
 
+    def record_refused_body(
+        self, attempt: Attempt, refusal: NotRun, *, size: int
+    ) -> None:
+        """Logs and counts a body that is refused before it arrives."""
+        self._metrics.refused_bodies.inc({"reason": refusal.reason})
+        self._log.request(
+            "body-refused",
+            attempt.request_id,
+            notable=True,
+            reason=refusal.reason,
+            bytes=size,
+            link_wait_s=round(self.pacer.wait_s(), 3),
+        )
+
     def _find_refusal(self, attempt: Attempt, *, local: bool) -> NotRun | None:
         if attempt.service != self._service:
             return NotRun(Reason.WRONG_OWNER, 0.0)
--- a/tests/processes/uploads.feature
+++ b/tests/processes/uploads.feature
@@ -55,3 +55,4 @@
     When 100 clients on "a3" begin uploads of 67108864 bytes
     Then 99 of them get 503 with a Retry-After header
     And the daemon of "a3" uses less than 200 MB when a body has arrived
+    And the metrics of "a3" count 99 refused bodies
--- a/tests/steps/upload_steps.py
+++ b/tests/steps/upload_steps.py
@@ -8,6 +8,7 @@
 import aiohttp
 from behave import given, then, when
 
+from guavawing.platform.settings import METRICS_PORT
 from standins.vm_fleet import HOST_NAME, OUTBOUND, make_document
 from tests.sidecar_support import (
     DEADLINE_MS,
@@ -20,6 +21,7 @@
 PREFIX = "/desk/upload/"
 LIMIT_S = 10.0
 SENT_BYTES = 65_536
+
 # Time in which refusals of further uploads arrive, in seconds.
 REFUSED_S = 5.0
 KB = 1024
@@ -229,6 +231,17 @@
     assert peak_mb < limit_mb, peak_mb
 
 
+@then('the metrics of "{name}" count {count:d} refused bodies')
+def step_counted(context, name, count):
+    async def read():
+        url = f"http://{find_vm(context, name).host}:{METRICS_PORT}/metrics"
+        async with context.vms.http.get(url) as resp:
+            return await resp.text()
+
+    line = f'guavawing_bodies_refused_total{{reason="too-many-calls"}} {count}'
+    assert line in context.run(read())
+
+
 @then("each upload got 200 and was executed once with its complete body")
 def step_complete(context):
     for request_id, body, status, elapsed_s in context.uploads:
