--- a/tests/processes/uploads.feature
+++ b/tests/processes/uploads.feature
@@ -51,6 +51,16 @@
     Then each upload got 200 and was executed once with its complete body
     And the daemon of "a3" exits with code 0 within 6 s
 
+  Scenario: A planned stop of an owner completes uploads or passes them on
+    When clients on "a3" upload 4 bodies of 1000000 bytes to "ok" and the daemon of "a1" gets SIGTERM
+    Then each upload got 200 and was executed once with its complete body
+    And the daemon of "a1" exits with code 0 within 6 s
+
+  Scenario: The owners freeze within the body
+    When a client on "a3" uploads 4000000 bytes to "ok" and the daemons of "a1 a2" are frozen from 0.3 s to 4 s
+    Then the upload got 503 within 3 s
+    And no upload was executed
+
   Scenario: A hundred open uploads of 64 MB
     When 100 clients on "a3" begin uploads of 67108864 bytes
     Then 99 of them get 503 with a Retry-After header
--- a/tests/steps/upload_steps.py
+++ b/tests/steps/upload_steps.py
@@ -24,6 +24,8 @@
 
 # Time in which refusals of further uploads arrive, in seconds.
 REFUSED_S = 5.0
+# Time in which a resumed daemon handles what it has received, in seconds.
+RESUMED_S = 0.5
 KB = 1024
 _ids = itertools.count(1)
 
@@ -129,6 +131,27 @@
     context.run(run())
 
 
+@when(
+    'a client on "{name}" uploads {size:d} bytes to "{mode}" and the daemons of'
+    ' "{frozen}" are frozen from {start:g} s to {end:g} s'
+)
+def step_freeze(context, name, size, mode, frozen, start, end):
+    processes = [find_vm(context, each).process for each in frozen.split()]
+
+    async def run():
+        task = asyncio.ensure_future(upload(context, name, size, mode))
+        await asyncio.sleep(start)
+        for process in processes:
+            process.send(signal.SIGSTOP)
+        await asyncio.sleep(end - start)
+        for process in processes:
+            process.send(signal.SIGCONT)
+        await task
+        await asyncio.sleep(RESUMED_S)
+
+    context.run(run())
+
+
 @when(
     'clients on "{name}" upload {count:d} bodies of {size:d} bytes to "{mode}"'
     ' and the daemon of "{stopped}" gets SIGTERM'
