--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from soak.checks import Answer, find_violations
+from soak.checks import Answer, find_violations, make_upload
 from soak.faults import Faults
 from standins.vm_fleet import HOST_NAME, Vm, VmFleet, open_vm_fleet
 
@@ -32,10 +32,15 @@
     parser.add_argument(
         "--seconds", type=float, default=10.0, help="duration of the faults"
     )
+    parser.add_argument(
+        "--uploads", action="store_true", help="also send large bodies"
+    )
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.count):
-        violations = await run_seed(seed, options.vms, options.seconds)
+        violations = await run_seed(
+            seed, options.vms, options.seconds, uploads=options.uploads
+        )
         failed += bool(violations)
         print(f"seed {seed}: {'FAILED' if violations else 'ok'}", flush=True)
         for line in violations[:20]:
@@ -45,7 +50,12 @@
 
 
 async def run_seed(
-    seed: int, vms: int, seconds: float, *, earlier_kinds: bool = False
+    seed: int,
+    vms: int,
+    seconds: float,
+    *,
+    earlier_kinds: bool = False,
+    uploads: bool = False,
 ) -> list[str]:
     """Runs one seed; returns one line per violation, then the fault log.
 
@@ -54,6 +64,7 @@
         vms: Number of VMs.
         seconds: Duration of the faults.
         earlier_kinds: See `Faults`.
+        uploads: Whether clients also send large bodies.
     """
     rng = random.Random(seed)
     plan = [
@@ -67,6 +78,8 @@
     answers: list[Answer] = []
     loop = asyncio.get_running_loop()
     async with open_vm_fleet(plan, relayed=True) as fleet:
+        if uploads:
+            fleet.kinds = (*fleet.kinds, "upload")
         fleet.publish_probe(1)
         await asyncio.sleep(2.0)
         faults = Faults(fleet, rng, earlier_kinds)
@@ -107,7 +120,7 @@
     connector = aiohttp.TCPConnector(limit=1)
     async with aiohttp.ClientSession(connector=connector) as http:
         while True:
-            kind = rng.choice(("safe", "unsafe", "unsafe", "probe"))
+            kind = rng.choice((*fleet.kinds, "unsafe", "probe"))
             probe = rng.choice(fleet.probes[-NEWEST_PROBES:])
             path = f"/{rng.choice(SERVICES)}/{kind}/{rng.choice(MODES)}"
             if kind == "probe":
@@ -139,8 +152,10 @@
         "X-Request-Id": request_id,
         "X-Deadline-Ms": str(DEADLINE_MS),
     }
-    method = "POST" if kind == "unsafe" else "GET"
+    method = "POST" if kind in ("unsafe", "upload") else "GET"
     data = b"some body" if kind == "unsafe" else None
+    if kind == "upload":
+        data = make_upload(request_id)
     with contextlib.suppress(aiohttp.ClientConnectorError):
         try:
             async with asyncio.timeout(DEADLINE_MS / 1000 + 1):
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,7 +9,7 @@
 from standins.vm_fleet import SLOTS, VmFleet
 from standins.vm_target import BODY
 
-__all__ = ["Answer", "find_violations"]
+__all__ = ["Answer", "find_violations", "make_upload"]
 
 DRAIN_S = 2.0
 # Connections closed within this time after an unplanned fault are permitted.
@@ -25,6 +25,8 @@
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
 OK = 200
+# Lines of a large body; with ids of this test about 120 KB.
+UPLOAD_LINES = 5_000
 NOT_RUN = frozenset({408, 421, 429, 503})
 
 
@@ -36,7 +38,7 @@
         vm: VM whose daemon received the request.
         process: Number of starts of the daemon when the request was sent.
         request_id: Id of the request.
-        kind: `safe`, `unsafe` or `probe`.
+        kind: `safe`, `unsafe`, `upload` or `probe`.
         probe: Version that introduced the route of the probe.
         status: Status; 0 if the connection ended or timed out without an
             answer, -1 if it was refused.
@@ -67,10 +69,11 @@
         for execution in vm.target.executions
     )
     for answer in answers:
-        if answer.kind == "unsafe" and execution_counts[answer.request_id] > 1:
+        at_most_once = answer.kind in ("unsafe", "upload")
+        if at_most_once and execution_counts[answer.request_id] > 1:
             violations.append(f"executed twice: {answer}")
         if (
-            answer.kind == "unsafe"
+            at_most_once
             and answer.status in NOT_RUN
             and execution_counts[answer.request_id]
         ):
@@ -85,6 +88,7 @@
         connection_cut = answer.status == 0 and (executed or outlasted_slack)
         if connection_cut and _is_cut_by_planned_stop(faults, answer):
             violations.append(f"connection cut by a planned stop: {answer}")
+    violations += _find_incomplete_uploads(fleet, answers)
     violations += _find_version_regressions(answers)
     violations += _find_executions_after_drain(fleet, faults)
     for limit in faults.limits:
@@ -98,6 +102,25 @@
     return violations
 
 
+def _find_incomplete_uploads(
+    fleet: VmFleet, answers: list[Answer]
+) -> list[str]:
+    uploads = {a.request_id for a in answers if a.kind == "upload"}
+    return [
+        f"{execution.target_id} got {len(execution.body)} bytes of"
+        f" {execution.request_id}"
+        for vm in fleet.vms.values()
+        for execution in vm.target.executions
+        if execution.request_id in uploads
+        and execution.body != make_upload(execution.request_id)
+    ]
+
+
+def make_upload(request_id: str) -> bytes:
+    """Returns the large body of a request."""
+    return f"body of {request_id}\n".encode() * UPLOAD_LINES
+
+
 def _is_cut_by_planned_stop(faults: Faults, answer: Answer) -> bool:
     """Returns whether only a planned stop can have closed a connection."""
     stopped_at = faults.planned_stop_at.get(answer.vm)
--- a/src/guavawing/sidecar/http_request.py
+++ b/src/guavawing/sidecar/http_request.py
@@ -48,7 +48,9 @@
     arrived_at: float
     on_disconnect: Callable[[], None] | None = None
     exchange: "Exchange[HttpRequest] | None" = None
-    began_at: float = 0.0
+    began_at: float = attrs.field(
+        default=attrs.Factory(lambda self: self.arrived_at, takes_self=True)
+    )
 
     @property
     def size(self) -> int:
--- a/src/guavawing/sidecar/mesh_client.py
+++ b/src/guavawing/sidecar/mesh_client.py
@@ -270,8 +270,9 @@
     def check(self, now: float, *, late: bool) -> None:
         """Probes, then suspects a silent owner.
 
-        Idempotent attempts are released for a retry at another owner; for all
-        others the answer of this owner is awaited.
+        Idempotent attempts, and those of which the owner has only a part of
+        the body, are released for a retry at another owner; for all others the
+        answer of this owner is awaited.
         """
         stream = self._stream
         waits = self._pending or self._held or self._suspected
--- a/standins/vm_fleet.py
+++ b/standins/vm_fleet.py
@@ -29,6 +29,7 @@
 LINK_MBPS = 40.0
 SLOTS = 4
 HOST_NAME = "calls.example"
+KINDS = ("safe", "unsafe")
 
 
 @attrs.define(eq=False)
@@ -87,6 +88,7 @@
         http: HTTP session of the tests.
         relay: Relay in front of the store and the targets, if any.
         probes: Versions that each introduced a probe route.
+        kinds: Kinds of route of each service.
     """
 
     store: PlatformStandIn
@@ -94,6 +96,7 @@
     http: aiohttp.ClientSession
     relay: Relay | None = None
     probes: list[int] = attrs.field(factory=list)
+    kinds: tuple[str, ...] = KINDS
 
     def publish(self, version: int, **changes: object) -> None:
         """Writes a configuration document to the store."""
@@ -107,7 +110,7 @@
         later one.
         """
         self.probes.append(version)
-        routes = make_document(version)["routes"]
+        routes = make_document(version, kinds=self.kinds)["routes"]
         assert isinstance(routes, dict)
         for each in self.probes:
             routes[f"since-{each}"] = {
@@ -166,11 +169,13 @@
             return False
 
 
-def make_document(version: int, **changes: object) -> dict[str, object]:
-    """Returns a configuration with a safe and an unsafe route per service."""
+def make_document(
+    version: int, *, kinds: Iterable[str] = KINDS, **changes: object
+) -> dict[str, object]:
+    """Returns a configuration with a route of each kind per service."""
     routes = {}
     for service in ("desk", "feed"):
-        for kind in ("safe", "unsafe"):
+        for kind in kinds:
             routes[f"{service}-{kind}"] = {
                 "host": HOST_NAME,
                 "prefix": f"/{service}/{kind}/",
--- a/tests/processes/soak.feature
+++ b/tests/processes/soak.feature
@@ -11,3 +11,6 @@
 
   Scenario: Limits, departures and restored stores among the faults of seed 101
     Then the soak of seed 101 with 4 VMs and 8 s of faults violates no guarantee
+
+  Scenario: Uploads among the faults of seed 201
+    Then the soak of seed 201 with 4 VMs, uploads and 8 s of faults violates no guarantee
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -14,6 +14,15 @@
     assert not violations, "\n".join(violations)
 
 
+@then(
+    "the soak of seed {seed:d} with {vms:d} VMs, uploads and {seconds:g} s of"
+    " faults violates no guarantee"
+)
+def step_uploads(context, seed, vms, seconds):
+    violations = context.run(run_seed(seed, vms, seconds, uploads=True))
+    assert not violations, "\n".join(violations)
+
+
 @then(
     "the soak of seed {seed:d} with {vms:d} VMs and {seconds:g} s of faults"
     " violates no guarantee"
