--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -60,6 +60,7 @@
 )
 from guavawing.traffic.routes import RouteTable
 from guavawing.traffic.target_state import TargetState
+from guavawing.traffic.uploads import BodyRoom
 
 __all__ = ["Sidecar"]
 
@@ -117,6 +118,7 @@
     def _create_request_components(self) -> None:
         settings = self._settings
         pacer = LinkPacer(settings.link_bytes_per_s)
+        room = BodyRoom()
         self._owner = Owner(
             service=settings.service,
             state=self._target,
@@ -134,6 +136,7 @@
             on_alive=self._record_liveness,
             on_suspicion=lambda host: self._beacons.handle_suspicion(host),
             on_config=self._handle_config,
+            pacer=pacer,
         )
         self._entry = Entry(
             service=settings.service,
@@ -143,6 +146,7 @@
             mesh=self._mesh,
             retries=RetryTerms(settings.retry_ratio, settings.retry_allowance),
             freshness=self._freshness,
+            room=room,
             log=self._log,
             metrics=self._metrics,
         )
@@ -159,8 +163,9 @@
             pacer=pacer,
             overlaps=self._entry.may_overlap,
         )
+        self._callers.state.hold_body = self._entry.hold_body
         self._mesh_server = MeshServer(
-            self._owner, make_update=self._make_update
+            self._owner, make_update=self._make_update, room=room
         )
         local = MAX_LOCAL_CONNECTIONS
         calls = LocalCalls(
@@ -168,6 +173,7 @@
             on_target=self._owner.handle_target_change,
             is_ready=self._readiness.is_ready,
             peers=self._peers,
+            room=room,
             log=self._log,
             metrics=self._metrics,
         )
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -15,6 +15,7 @@
 from guavawing.sidecar.client_call import ClientCall, EntryParts
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.freshness import Freshness
+from guavawing.sidecar.held_body import HeldBody
 from guavawing.sidecar.http_request import HttpRequest
 from guavawing.sidecar.mesh_client import MeshClient
 from guavawing.sidecar.metrics import SidecarMetrics
@@ -26,6 +27,7 @@
     Token,
     Unanswered,
 )
+from guavawing.sidecar.request_reader import RawHeaders
 from guavawing.traffic.accounts import AccountTable
 from guavawing.traffic.balancer import Balancer
 from guavawing.traffic.budget import RetryBudget
@@ -36,6 +38,7 @@
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.routes import RouteTable
 from guavawing.traffic.time_limit import compute_time_limit
+from guavawing.traffic.uploads import BodyRoom
 from guavawing.verdict import NotRun, Reason
 
 __all__ = ["Entry", "RetryTerms"]
@@ -95,10 +98,12 @@
         mesh: MeshClient,
         retries: RetryTerms,
         freshness: Freshness,
+        room: BodyRoom,
         log: DecisionLog,
         metrics: SidecarMetrics,
     ) -> None:
         self._service = service
+        self._room = room
         self._peers = peers
         self._freshness = freshness
         self._log = log
@@ -266,6 +271,30 @@
         route = self.table.find(head.host, request.path.decode("latin-1"))
         return route is not None and route.idempotent
 
+    def hold_body(self, path: bytes, headers: RawHeaders) -> HeldBody | None:
+        """Returns the memory for a large body; None for other requests."""
+        table = self.table
+        if table is None or not table.has_large_bodies:
+            return None
+        head = parse_request_head(headers)
+        route = table.find(head.host, path.decode("latin-1"))
+        if route is None or not route.bulk_body:
+            return None
+
+        def record_refused(size: int) -> None:
+            reason = Reason.TOO_MANY_CALLS
+            self._metrics.refused_bodies.inc({"reason": reason})
+            self._metrics.count_answer(NotRun(reason))
+            self._log.request(
+                "body-refused",
+                head.request_id,
+                notable=True,
+                reason=reason,
+                bytes=size,
+            )
+
+        return HeldBody(self._room, record_refused)
+
     def _make_attempt(
         self,
         request: HttpRequest,
@@ -278,7 +307,7 @@
         if account is not None and account.priority is not None:
             priority = account.priority
         # A pipelined request may have been queued since its arrival.
-        now = request.arrived_at
+        now = request.began_at if route.bulk_body else request.arrived_at
         client_s = head.deadline_s
         deadline_s = compute_time_limit(client_s=client_s, route_s=None)
         limit_s = compute_time_limit(
--- a/src/guavawing/sidecar/metrics.py
+++ b/src/guavawing/sidecar/metrics.py
@@ -92,6 +92,13 @@
             "Requests for tokens of other parts of a quota, by outcome.",
         )
         self._over_quota_accounts: set[str] = set()
+        self.refused_bodies = self._counter(
+            "guavawing_bodies_refused_total",
+            "Large bodies refused before they arrived, by reason.",
+        )
+        self.held_bodies = self._gauge(
+            "guavawing_held_body_bytes", "Bytes reserved for large bodies."
+        )
         self.version = self._gauge(
             "guavawing_config_version", "Configuration version in force."
         )
@@ -177,6 +184,7 @@
             self._quota_decisions,
             self._over_quota,
             self._quota_pulls,
+            self.refused_bodies,
         ):
             counter.export()
         for latency in (self._entry, self._queue, self._target):
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -224,6 +224,24 @@
         elif pending.execution is not None and pending.attempt.idempotent:
             pending.execution.abandon()
 
+    def find_early_refusal(self, attempt: Attempt) -> NotRun | None:
+        """Returns a refusal of a request of another node before its body."""
+        return self._find_refusal(attempt, local=False)
+
+    def record_refused_body(
+        self, attempt: Attempt, refusal: NotRun, *, size: int
+    ) -> None:
+        """Logs and counts a body that is refused before it arrives."""
+        self._metrics.refused_bodies.inc({"reason": refusal.reason})
+        self._log.request(
+            "body-refused",
+            attempt.request_id,
+            notable=True,
+            reason=refusal.reason,
+            bytes=size,
+            link_wait_s=round(self.pacer.wait_s(), 3),
+        )
+
     def _find_refusal(self, attempt: Attempt, *, local: bool) -> NotRun | None:
         if attempt.service != self._service:
             return NotRun(Reason.WRONG_OWNER, 0.0)
@@ -368,6 +386,8 @@
 
     def _complete(self, pending: _PendingAttempt, outcome: Outcome) -> None:
         self._pending.pop(pending.id, None)
+        # Its callback refers to the attempt, whose body may be large.
+        pending.execution = None
         if pending.timer is not None:
             pending.timer.cancel()
             pending.timer = None
