--- a/src/guavawing/sidecar/http_connection.py
+++ b/src/guavawing/sidecar/http_connection.py
@@ -386,7 +386,11 @@
             return True
         self._body_request_id = parse_request_head(headers).request_id
         sizes = [v for k, v in headers if k.lower() == b"content-length"]
-        return not sizes or self._body.expect(int(sizes[0]))
+        size = int(sizes[0]) if sizes else 0
+        if size > self._server.limits.max_body_bytes:
+            # The reader refuses it for good, whether there is memory or not.
+            return True
+        return self._body.expect(size)
 
     def add_body(self, size: int) -> bool:
         """Counts a part of a large body."""
