Order requests of one account priority by their routes

Change: the rank of a request is the account's priority, then the route's. Without accounts it is the route's priority as before.

--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -177,9 +177,7 @@
         account: ClientAccount | None,
         table: RouteTable,
     ) -> Attempt:
-        priority = route.priority
-        if account is not None and account.priority is not None:
-            priority = account.priority
+        priority = table.rank_request(account, route)
         # A pipelined request may have been queued since its arrival.
         now = request.arrived_at
         client_s = head.deadline_s
--- a/src/guavawing/traffic/accounts.py
+++ b/src/guavawing/traffic/accounts.py
@@ -11,9 +11,13 @@
 import itertools
 from collections.abc import Iterable
 
-from guavawing.traffic.model import ClientAccount
+from guavawing.traffic.model import ClientAccount, Route
 
-__all__ = ["AccountTable", "KeyState", "digest_key"]
+__all__ = ["AccountTable", "KeyState", "digest_key", "rank_request"]
+
+# Priorities of routes that are told apart among requests of one account
+# priority.
+ROUTE_RANKS = 16
 
 # Withdrawn keys that are remembered, so that a refusal can name the reason.
 MAX_WITHDRAWN = 1_000
@@ -27,6 +31,22 @@
     UNKNOWN = "unknown"
 
 
+def rank_request(account: ClientAccount | None, route: Route) -> int:
+    """Returns the order of service of a request, 0 first.
+
+    The priority of the account goes before that of the route, which decides
+    between accounts of the same priority.
+
+    Args:
+        account: Account of the request; None on a public route.
+        route: Its route.
+    """
+    first = route.priority
+    if account is not None and account.priority is not None:
+        first = account.priority
+    return first * ROUTE_RANKS + min(route.priority, ROUTE_RANKS - 1)
+
+
 def digest_key(key: bytes) -> bytes:
     """Returns the digest by which a key is known."""
     return hashlib.sha256(key).digest()
--- a/src/guavawing/traffic/routes.py
+++ b/src/guavawing/traffic/routes.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from guavawing.traffic.accounts import AccountTable
-from guavawing.traffic.model import Route, Routing, SplitPart
+from guavawing.traffic.accounts import AccountTable, rank_request
+from guavawing.traffic.model import ClientAccount, Route, Routing, SplitPart
 
 __all__ = ["RouteTable"]
 
@@ -108,6 +108,17 @@
                 top = self._top_priorities.get(part.service, first)
                 self._top_priorities[part.service] = min(top, first)
 
+    def rank_request(self, account: ClientAccount | None, route: Route) -> int:
+        """Returns the order of service of a request, 0 first.
+
+        Args:
+            account: Account of the request; None without one.
+            route: Its route.
+        """
+        if not self.accounts:
+            return route.priority
+        return rank_request(account, route)
+
     def is_most_urgent(self, route: Route, *, priority: int) -> bool:
         """Returns whether no requests to its services precede a request.
 
@@ -124,11 +135,8 @@
         """Returns the highest priority that a request of a route may have."""
         accounts = self.routing.accounts.values()
         if route.public or not accounts:
-            return route.priority
-        return min(
-            route.priority if account.priority is None else account.priority
-            for account in accounts
-        )
+            return self.rank_request(None, route)
+        return min(self.rank_request(account, route) for account in accounts)
 
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of a path, or None.
--- a/tests/cover/accounts.feature
+++ b/tests/cover/accounts.feature
@@ -82,18 +82,27 @@
     Then its document has none of the keys "k-1 k-2"
     And decoding it again has the same result
 
-  # The priority of an account goes before that of the route.
-  Scenario Outline: The most urgent requests of a service
+  # The priority of an account goes before that of the route, which decides
+  # between accounts of the same priority.
+  Scenario Outline: The order of service of requests, and the most urgent ones
     Given the client accounts
       | name  | keys | priority |
       | first | k-1  | <first>  |
       | other | k-2  | <other>  |
     And a keyed route of priority <keyed> and a public one of priority <public>
-    Then requests of these priorities are most urgent: "<urgent>"
+    Then requests are served in the order "<order>"
+    And the most urgent ones are "<urgent>"
 
     Examples:
-      | first | other | keyed | public | urgent |
-      | 0     | 1     | 2     | 1      | 0      |
-      | 1     | 2     | 0     | 1      | 0 1    |
-      |       | 2     | 1     | 3      | 0 1    |
-      |       |       | 2     | 0      | 0      |
+      | first | other | keyed | public | order              | urgent       |
+      | 0     | 1     | 2     | 1      | first public other | first        |
+      | 1     | 2     | 0     | 1      | first public other | first        |
+      |       | 2     | 1     | 3      | first other public | first        |
+      |       |       | 2     | 0      | public first=other | public       |
+      | 1     | 1     | 0     | 0      | public first=other | public       |
+      | 0     | 0     | 0     | 0      | public=first=other | public first other |
+
+  Scenario: Without client accounts the route's priority is the order of service
+    Given no client accounts
+    And a keyed route of priority 7 and a public one of priority 2
+    Then requests of the keyed route have the order of service 7
--- a/tests/cover/freshness.feature
+++ b/tests/cover/freshness.feature
@@ -70,3 +70,9 @@
     Then at 13.1 s its proof is 3.1 s old
     When version 4 comes into force
     Then at 13.1 s its proof is 0.1 s old
+
+  # Guards against many requests with wrong keys that each ask other nodes.
+  Scenario: A flood of requests asks other nodes ten times a second at most
+    Given a node with version 3 that asked a peer at 10 s
+    When 5000 requests in 2 s from 20 s on need a younger proof
+    Then peers were asked at most 21 times
--- a/tests/steps/account_steps.py
+++ b/tests/steps/account_steps.py
@@ -15,8 +15,6 @@
 from guavawing.traffic.routes import RouteTable
 from standins.vm_fleet import HOST_NAME, make_document
 
-MAX_PRIORITY = 4
-
 
 def make_accounts(rows):
     """Returns the accounts of a configuration, from a table of a scenario."""
@@ -139,16 +137,50 @@
     context.routing = decode_accounts(context.accounts, routes=routes)
 
 
-@then('requests of these priorities are most urgent: "{priorities}"')
-def step_urgent(context, priorities):
+@given("no client accounts")
+def step_no_accounts(context):
+    context.accounts = {}
+
+
+def rank_requests(context):
+    """Returns rank and route of the requests of each account, and public."""
+    table = RouteTable(context.routing, rng=random.Random(1))
+    keyed, public = context.routing.routes
+    accounts = context.routing.accounts
+    requests = {"public": (None, public)}
+    requests |= {name: (each, keyed) for name, each in accounts.items()}
+    return table, {
+        name: (table.rank_request(account, route), route)
+        for name, (account, route) in requests.items()
+    }
+
+
+@then('requests are served in the order "{order}"')
+def step_order(context, order):
+    _, ranked = rank_requests(context)
+    ranks = {name: rank for name, (rank, _) in ranked.items()}
+    groups = [group.split("=") for group in order.split()]
+    for group in groups:
+        assert len({ranks[name] for name in group}) == 1, ranks
+    firsts = [ranks[group[0]] for group in groups]
+    assert firsts == sorted(set(firsts)), ranks
+
+
+@then('the most urgent ones are "{names}"')
+def step_urgent(context, names):
+    table, ranked = rank_requests(context)
+    found = {
+        name
+        for name, (rank, route) in ranked.items()
+        if table.is_most_urgent(route, priority=rank)
+    }
+    assert found == set(names.split()), found
+
+
+@then("requests of the keyed route have the order of service {rank:d}")
+def step_route_order(context, rank):
     table = RouteTable(context.routing, rng=random.Random(1))
-    for route in context.routing.routes:
-        found = [
-            priority
-            for priority in range(MAX_PRIORITY)
-            if table.is_most_urgent(route, priority=priority)
-        ]
-        assert found == [int(each) for each in priorities.split()], found
+    assert table.rank_request(None, context.routing.routes[0]) == rank
 
 
 use_step_matcher("re")
--- a/tests/steps/freshness_steps.py
+++ b/tests/steps/freshness_steps.py
@@ -323,6 +323,23 @@
     context.state.apply_answer(context.nonce ^ 1, answer, now=at)
 
 
+@when(
+    "{count:d} requests in {seconds:g} s from {at:g} s on need a younger proof"
+)
+def step_flood(context, count, seconds, at):
+    context.rounds = 0
+    for number in range(count):
+        now = at + seconds * number / count
+        if context.state.is_due(now=now, demanded=True):
+            context.state.begin_round(now=now)
+            context.rounds += 1
+
+
+@then("peers were asked at most {count:d} times")
+def step_rounds(context, count):
+    assert 0 < context.rounds <= count, context.rounds
+
+
 @then("at {at:g} s its proof is {age:g} s old")
 def step_age(context, at, age):
     found = context.state.age_s(now=at)
