Give small accounts of the margin what they don't use, and ask each part in turn

Change: the next part is asked unless a whole token came; 0.2 s are kept; what the lifetime of tokens leaves of its share goes to capacity and rate.

--- a/src/guavawing/traffic/quotas.py
+++ b/src/guavawing/traffic/quotas.py
@@ -37,6 +37,9 @@
 CAPACITY_SHARE = 0.25
 START_SHARE = 0.4
 LIFETIME_SHARE = 0.25
+# Part of what is left of the last one that goes to the capacity, and the same
+# to the rate.
+SPARE_SHARE = 0.45
 # Changes of the holder of one part in one window that the margin covers.
 STARTS_PER_WINDOW = 2
 # Maximum lifetime of a token outside a bucket, in seconds.
@@ -53,7 +56,7 @@
 # then requested, and which another part keeps for itself.
 LOW_DEMAND_S = 0.2
 PULLED_DEMAND_S = 0.5
-KEPT_DEMAND_S = 0.5
+KEPT_DEMAND_S = 0.2
 # Bounds of the time for which other parts are not asked again after all were
 # empty, in seconds.
 MIN_PULL_PAUSE_S = 0.05
@@ -88,6 +91,8 @@
         rate_per_s: Tokens that its bucket gains per second.
         capacity: Most tokens in its bucket.
         start: Tokens in the bucket of a new holder.
+        share_per_s: Its part of the account's rate; below `rate_per_s` if part
+            of the margin is given out.
         lifetime_s: Time for which tokens outside buckets are valid, in seconds.
         shards: Parts of the account in each data centre.
     """
@@ -95,6 +100,7 @@
     rate_per_s: float
     capacity: float
     start: float
+    share_per_s: float
     lifetime_s: float
     shards: int
 
@@ -120,16 +126,22 @@
     shards = max(1, math.ceil(rate / data_centres / MAX_PART_RATE_PER_S))
     parts = data_centres * shards
     margin = overage * (rate * window_s + account.burst) + allowance
-    capacity = (account.burst + CAPACITY_SHARE * margin) / parts
+    lifetime_s = min(MAX_LIFETIME_S, LIFETIME_SHARE * margin / rate)
+    # Small accounts don't need that share; their tokens are often stranded in
+    # other parts instead.
+    spare = LIFETIME_SHARE * margin - rate * lifetime_s
+    extra = SPARE_SHARE * spare
+    capacity = (account.burst + CAPACITY_SHARE * margin + extra) / parts
     start = START_SHARE * margin / (parts * STARTS_PER_WINDOW)
     # A bucket that never holds a whole token would refuse all requests.
     capacity = max(capacity, 1.0)
     return PartPlan(
-        rate / parts,
-        capacity,
-        min(start, capacity),
-        min(MAX_LIFETIME_S, LIFETIME_SHARE * margin / rate),
-        shards,
+        rate_per_s=(rate + extra / window_s) / parts,
+        capacity=capacity,
+        start=min(start, capacity),
+        share_per_s=rate / parts,
+        lifetime_s=lifetime_s,
+        shards=shards,
     )
 
 
@@ -306,7 +318,7 @@
             for other, at in self._other_demands.values()
         )
         return estimate_usage(
-            demand, self.plan.rate_per_s * parts, averaged_s=DEMAND_S
+            demand, self.plan.share_per_s * parts, averaged_s=DEMAND_S
         )
 
     def plan_pull(self, *, others: int, denied: bool, now: float) -> float:
@@ -326,17 +338,22 @@
         wanted = min(self.plan.capacity, max(1.0, demand * PULLED_DEMAND_S))
         return max(0.0, wanted - self.level)
 
-    def record_pull(self, tokens: float, *, others: int, now: float) -> None:
-        """Records what another part gave, and pauses if none gives any."""
-        if tokens >= min(1.0, self.plan.capacity) - ROUNDING:
+    def record_pull(self, tokens: float, *, others: int, now: float) -> bool:
+        """Records what another part gave; pauses if none gives a whole token.
+
+        Returns:
+            Whether that part may have more.
+        """
+        if tokens >= 1 - ROUNDING:
             self._pulls = 0
-            return
+            return True
         self._pulls += 1
         if self._pulls >= others:
             self._pulls = 0
             gained_per_s = others * self.plan.rate_per_s
             pause_s = max(MIN_PULL_PAUSE_S, 1 / gained_per_s)
             self._pull_at = now + min(pause_s, MAX_PULL_PAUSE_S)
+        return False
 
 
 class QuotaHolder:
@@ -546,9 +563,8 @@
             return
         bucket.deposit(tokens, now=now)
         others = len(self._other_parts(part, bucket.plan))
-        bucket.record_pull(tokens, others=others, now=now)
-        if tokens > ROUNDING:
-            # A part that gave tokens is asked first the next time.
+        if bucket.record_pull(tokens, others=others, now=now):
+            # It is asked first the next time.
             self._donors[part] = max(0, self._donors.get(part, 1) - 1)
 
     def _other_parts(self, part: Part, plan: PartPlan) -> list[tuple[str, int]]:
