--- a/src/guavawing/sidecar/configuration.py
+++ b/src/guavawing/sidecar/configuration.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from guavawing.errors import MessageInvalidError
-from guavawing.platform.routing import decode_routing
+from guavawing.platform.routing import RoutingDecoder
 from guavawing.platform.store_client import CONFIGURATION_KEY, RowChanges
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.mesh_messages import (
@@ -39,6 +39,8 @@
 
     Attributes:
         routing: Routing of the version in force; None if there is none.
+        holds_newest_read: Whether the newest version that was read from the
+            store, or a later one, is in force.
     """
 
     def __init__(
@@ -60,9 +62,13 @@
         self._earlier: collections.deque[Routing] = collections.deque(
             maxlen=KEPT_VERSIONS
         )
+        self._decoder = RoutingDecoder()
+        # Updates to the version in force by the version that they start from.
+        self._updates: dict[int, tuple[int, bytes]] = {}
         self._first_seen_at: dict[int, float] = {}
         self._retry_timer: asyncio.TimerHandle | None = None
         self.routing: Routing | None = None
+        self.holds_newest_read = True
 
     @property
     def version(self) -> int:
@@ -73,24 +79,34 @@
         """Applies changed rows of the configuration table."""
         for _ in range(changes.unreadable):
             self._metrics.unreadable.inc({"source": "configuration"})
+        if changes.unreadable:
+            self.holds_newest_read = False
         for row in changes.rows:
             if row.key == CONFIGURATION_KEY and row.value is not None:
-                self.apply_document(row.value, source=STORE)
+                self.holds_newest_read = self.apply_document(
+                    row.value, source=STORE
+                )
 
-    def apply_document(self, document: bytes, *, source: str) -> None:
-        """Puts a document in force if it is valid and newer."""
+    def apply_document(self, document: bytes, *, source: str) -> bool:
+        """Puts a document in force if it is valid and newer.
+
+        Returns:
+            Whether it is valid, so that its version or a later one is in
+            force.
+        """
         try:
-            routing = decode_routing(document)
+            routing = self._decoder.decode(document)
         except MessageInvalidError as exc:
             self._metrics.unreadable.inc({"source": "configuration"})
             self._log.state_change("version-unreadable", cause=str(exc))
-            return
+            return False
         if routing.version <= self.version:
-            return
+            return True
         before, earlier = self.version, self.routing
         if earlier is not None:
             self._earlier.append(earlier)
         self.routing = routing
+        self._updates.clear()
         self._first_seen_at.clear()
         self._metrics.version.set({}, routing.version)
         self._log.state_change(
@@ -101,6 +117,7 @@
             routes=len(routing.routes),
         )
         self._on_version(routing, source == STORE)
+        return True
 
     def apply_config(self, config: ConfigFrame) -> None:
         """Applies a delta or document received from a peer."""
@@ -130,9 +147,22 @@
             return None
         for earlier in self._earlier:
             if earlier.version == version:
-                delta = make_delta(earlier.document, self.routing.document)
-                return version, delta
-        return 0, compress(self.routing.document)
+                return self._find_update(earlier, self.routing)
+        return self._find_update(None, self.routing)
+
+    def _find_update(
+        self, base: Routing | None, routing: Routing
+    ) -> tuple[int, bytes]:
+        """Returns an update, encoded once for all peers that request it."""
+        version = 0 if base is None else base.version
+        update = self._updates.get(version)
+        if update is None:
+            if base is None:
+                payload = compress(routing.document)
+            else:
+                payload = make_delta(base.document, routing.document)
+            update = self._updates[version] = (version, payload)
+        return update
 
     def handle_peer_version(self, peer: Peer) -> None:
         """Requests the version of a peer if it is newer.
