--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -297,11 +297,11 @@
                 return Hello(
                     read_number(fields[1]), bool(read_optional(fields, 2))
                 )
-            case 14:
+            case kind if kind == UPLOAD:
                 return _decode_upload(fields, now)
-            case 15:
+            case kind if kind == BODY_GRANT:
                 return BodyGrant(read_number(fields[1]), read_number(fields[2]))
-            case 16:
+            case kind if kind == BODY_PIECE:
                 return BodyPiece(read_number(fields[1]), read_bytes(fields[2]))
     except (AttributeError, IndexError, TypeError, ValueError) as exc:
         raise MessageInvalidError(f"invalid mesh frame: {exc}") from exc
@@ -350,10 +350,10 @@
 
 
 def _decode_upload(fields: list[Any], now: float) -> RequestFrame:
-    size = read_number(fields[23])
-    if size <= 0:
+    *request_fields, size = fields
+    if read_number(size) <= 0:
         raise ValueError(f"got a body of {size} bytes, expected a size")
-    return attrs.evolve(_decode_request(fields, now), body_bytes=size)
+    return attrs.evolve(_decode_request(request_fields, now), body_bytes=size)
 
 
 def _decode_request(fields: list[Any], now: float) -> RequestFrame:
