--- a/bench/fleet_load.py
+++ b/bench/fleet_load.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-__all__ = ["Fault", "Kind", "Pattern", "Result"]
+__all__ = ["Fault", "Kind", "Moments", "Pattern", "Result", "Wave"]
 
 
 @attrs.frozen
@@ -61,6 +61,34 @@
     limit_per_s: float | None = None
 
 
+@attrs.frozen
+class Wave:
+    """A periodic change of the clients' requests.
+
+    Attributes:
+        swing: Largest relative deviation from the mean rate.
+        period_s: Time between two crests, in seconds.
+    """
+
+    swing: float
+    period_s: float
+
+
+@attrs.frozen
+class Moments:
+    """Short times for which targets are slow, drawn anew each time.
+
+    Attributes:
+        share: Share of the targets that are slow at a time.
+        slowdown: Factor applied to their execution times.
+        every_s: Duration, in seconds.
+    """
+
+    share: float
+    slowdown: float
+    every_s: float
+
+
 @attrs.frozen
 class Pattern:
     """An offered load and the fleet that serves it.
@@ -75,6 +103,8 @@
         seconds: Duration, in seconds.
         data_centres: Number of data centres.
         faults: Faults injected during the run.
+        wave: Change of the rate; None if it is constant.
+        moments: Moments for which targets are slow, if any.
     """
 
     name: str
@@ -86,6 +116,8 @@
     seconds: float = 20.0
     data_centres: int = 3
     faults: tuple[Fault, ...] = ()
+    wave: Wave | None = None
+    moments: Moments | None = None
 
 
 @attrs.define
--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -9,21 +9,24 @@
 requests or start cold. Links, processors and message loss are not modelled.
 """
 
+import collections
 import heapq
 import itertools
 import math
 import random
 from collections.abc import Callable, Iterable
 
-from bench.fleet_load import Fault, Kind, Pattern, Result
+from bench.fleet_evenness import SAMPLE_PERIOD_S, Evenness
+from bench.fleet_load import Fault, Kind, Moments, Pattern, Result
 from bench.fleet_node import Attempt, Node, Request
 from guavawing.sidecar.client_call import MAX_OWNERS_TRIED
 from guavawing.sidecar.entry import URGENT_SHARE, USEFUL_SHARE
+from guavawing.sidecar.owner import REFERRED_RETRY_AFTER_S
 from guavawing.sidecar.target_pool import SHED_RETRY_AFTER_S
 from guavawing.traffic.balancer import Balancer
 from guavawing.traffic.budget import RetryBudget
 from guavawing.traffic.model import LoadReport
-from guavawing.traffic.owner_view import OwnerView
+from guavawing.traffic.owner_view import OwnerView, take_near_offer
 from guavawing.traffic.slot_queue import (
     Admit,
     Queued,
@@ -51,8 +54,26 @@
 class Fleet:
     """Simulates one load pattern."""
 
-    def __init__(self, pattern: Pattern, seed: int) -> None:
+    def __init__(
+        self,
+        pattern: Pattern,
+        seed: int,
+        *,
+        offers: bool = True,
+        referrals: bool = True,
+    ) -> None:
+        """Creates a fleet.
+
+        Args:
+            pattern: The load.
+            seed: Seed of all random numbers.
+            offers: Whether owners offer free slots.
+            referrals: Whether full owners name others that have offered one.
+        """
         self.pattern = pattern
+        self._offers = offers
+        self._referrals = referrals and offers
+        self.attempts = self.refusals = self.referred = 0
         self.results = {kind.name: Result() for kind in pattern.kinds}
         self._kinds = {kind.name: kind for kind in pattern.kinds}
         self._rng = random.Random(seed)
@@ -60,7 +81,17 @@
         self._order = itertools.count()
         self._ids = itertools.count()
         self._now = 0.0
+        self.evenness = {service: Evenness() for service in pattern.owners}
+        # Requests whose clients wait after a refusal, by service and data
+        # centre.
+        self._paused: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
         self._nodes = self._make_nodes()
+        self._groups: dict[tuple[str, int], list[Node]] = {}
+        for node in self._nodes:
+            group = node.service, node.data_centre
+            self._groups.setdefault(group, []).append(node)
         self._by_name = {node.name: node for node in self._nodes}
         for node in self._nodes:
             self._make_views(node)
@@ -73,6 +104,9 @@
     def run(self) -> None:
         """Simulates the pattern to its end."""
         self._generate_arrivals()
+        self._sample_evenness()
+        if self.pattern.moments is not None:
+            self._change_slow_targets(self.pattern.moments)
         while self._events:
             self._now, _, callback = heapq.heappop(self._events)
             if self._now > self.pattern.seconds + 10.0:
@@ -85,7 +119,8 @@
         pattern = self.pattern
         if self._now < pattern.seconds:
             self._schedule_after(
-                self._rng.expovariate(pattern.rate), self._generate_arrivals
+                self._rng.expovariate(self._find_rate()),
+                self._generate_arrivals,
             )
             kinds = [kind for kind in pattern.kinds if kind.weight]
             weights = [kind.weight for kind in kinds]
@@ -112,12 +147,12 @@
                 return
             pause_s = CLIENT_PAUSE_S if retry_after_s is None else retry_after_s
             if left and self._now + pause_s < deadline:
-                self._schedule_after(
-                    pause_s,
-                    lambda: self._send_request(
-                        kind, data_centre, began_at, left - 1
-                    ),
-                )
+                self._paused[kind.service, data_centre] += 1
+                self._schedule_after(pause_s, repeat)
+
+        def repeat() -> None:
+            self._paused[kind.service, data_centre] -= 1
+            self._send_request(kind, data_centre, began_at, left - 1)
 
         self._schedule_after(
             CLIENT_DELAY_S, lambda: self._enter(kind, entry, deadline, end)
@@ -147,13 +182,25 @@
         entry.budget.earn(kind.service, now=self._now)
         self._send_attempt(request)
 
-    def _send_attempt(self, request: Request) -> None:
+    def _send_attempt(self, request: Request, referred_to: str = "") -> None:
         entry, kind = request.entry, request.kind
         for view in entry.views[kind.service]:
             if view.local:
-                view.apply_report(entry.load(self._now), now=self._now)
+                free = entry.count_free() > entry.offers.count(now=self._now)
+                view.apply_own_report(
+                    entry.load(self._now),
+                    free=free and self._offers,
+                    now=self._now,
+                )
         choice = None
-        if len(request.tried_owners) < MAX_OWNERS_TRIED:
+        if referred_to:
+            choice = entry.balancer.follow_referral(
+                entry.views[kind.service],
+                referred_to,
+                excluded=request.tried_owners,
+                now=self._now,
+            )
+        if choice is None and len(request.tried_owners) < MAX_OWNERS_TRIED:
             choice = entry.balancer.choose(
                 entry.views[kind.service],
                 route=kind.name,
@@ -172,7 +219,8 @@
         view = choice.owner
         owner = self._by_name[view.node]
         request.tried_owners.append(view.node)
-        view.record_sent()
+        self.attempts += 1
+        view.record_sent(now=self._now)
         attempt = Attempt(request, view, owner)
         if not view.near:
             self.results[kind.name].cross_centre_attempts += 1
@@ -187,12 +235,16 @@
         load: LoadReport,
         *,
         served: bool,
+        offered: bool = False,
         refusal_s: float | None = None,
+        referred_to: str = "",
     ) -> None:
         view, request = attempt.view, attempt.request
         entry, service = request.entry, request.kind.service
         view.outstanding -= 1
         view.apply_report(load, now=self._now)
+        if offered:
+            view.offers.add(now=self._now)
         if refusal_s is None:
             request.sent += 1
             entry.failures.observe(service, failed=not served)
@@ -205,7 +257,7 @@
             view.record_refusal(refusal_s, now=self._now)
             earliest_s = request.retry_after_s
             request.retry_after_s = min(earliest_s or math.inf, refusal_s)
-            self._send_attempt(request)
+            self._send_attempt(request, referred_to)
             return
         self._schedule_after(
             CLIENT_DELAY_S, lambda: request.on_end(served, CLIENT_PAUSE_S)
@@ -238,6 +290,17 @@
     def _offer(self, attempt: Attempt, spare: bool) -> None:
         owner, request = attempt.owner, attempt.request
         number = next(self._ids)
+        owner.offers.record_arrival(request.entry.name)
+        if self._referrals and request.referable and owner.count_free() <= 0:
+            referred_to = take_near_offer(
+                owner.views[owner.service], now=self._now
+            )
+            if referred_to:
+                self.referred += 1
+                request.referable = False
+                owner.waiting[number] = attempt
+                self._refuse(owner, number, REFERRED_RETRY_AFTER_S, referred_to)
+                return
         waiter = Waiter(
             number,
             request.kind.priority,
@@ -276,13 +339,24 @@
         if refusal is not None:
             self._refuse(owner, number, refusal.verdict.retry_after_s or 0.0)
 
-    def _refuse(self, owner: Node, number: int, retry_after_s: float) -> None:
+    def _refuse(
+        self,
+        owner: Node,
+        number: int,
+        retry_after_s: float,
+        referred_to: str = "",
+    ) -> None:
         attempt = owner.waiting.pop(number)
+        self.refusals += 1
         load = owner.load(self._now)
         self._schedule_after(
             self._delay_s(attempt.view),
             lambda: self._handle_answer(
-                attempt, load, served=False, refusal_s=retry_after_s
+                attempt,
+                load,
+                served=False,
+                refusal_s=retry_after_s,
+                referred_to=referred_to,
             ),
         )
 
@@ -335,9 +409,16 @@
         attempt = owner.waiting.pop(number)
         admitted = list(owner.queue.finish(number, now=self._now))
         load = owner.load(self._now)
+        offered = self._offers and owner.offers.make(
+            attempt.request.entry.name,
+            free=owner.count_free(),
+            now=self._now,
+        )
         self._schedule_after(
             self._delay_s(attempt.view),
-            lambda: self._handle_answer(attempt, load, served=served),
+            lambda: self._handle_answer(
+                attempt, load, served=served, offered=offered
+            ),
         )
         self._start_all(owner, admitted)
 
@@ -415,6 +496,32 @@
             fault.at + fault.for_s, lambda: change(1.0, 0.0, None)
         )
 
+    def _find_rate(self) -> float:
+        pattern = self.pattern
+        if pattern.wave is None:
+            return pattern.rate
+        phase = 2 * math.pi * self._now / pattern.wave.period_s
+        return pattern.rate * (1 + pattern.wave.swing * math.sin(phase))
+
+    def _change_slow_targets(self, moments: Moments) -> None:
+        for node in self._nodes:
+            slow = self._rng.random() < moments.share
+            node.slowdown = moments.slowdown if slow else 1.0
+        self._schedule_after(
+            moments.every_s, lambda: self._change_slow_targets(moments)
+        )
+
+    def _sample_evenness(self) -> None:
+        if self._now >= self.pattern.seconds:
+            return
+        for (service, data_centre), nodes in self._groups.items():
+            self.evenness[service].sample(
+                nodes,
+                refused=self._paused[service, data_centre],
+                now=self._now,
+            )
+        self._schedule_after(SAMPLE_PERIOD_S, self._sample_evenness)
+
     def _delay_s(self, view: OwnerView) -> float:
         if view.local:
             return 0.0
@@ -429,8 +536,10 @@
         heapq.heappush(self._events, (time_s, next(self._order), callback))
 
 
-def simulate(pattern: Pattern, *, seed: int) -> dict[str, Result]:
+def simulate(
+    pattern: Pattern, *, seed: int, offers: bool = True
+) -> dict[str, Result]:
     """Simulates a pattern and returns the results by kind of request."""
-    fleet = Fleet(pattern, seed)
+    fleet = Fleet(pattern, seed, offers=offers)
     fleet.run()
     return fleet.results
--- a/bench/fleet_node.py
+++ b/bench/fleet_node.py
@@ -16,6 +16,7 @@
     TargetPhase,
 )
 from guavawing.traffic.owner_view import OwnerView
+from guavawing.traffic.slot_offers import SlotOffers
 from guavawing.traffic.slot_queue import SlotQueue
 
 __all__ = ["Attempt", "Node", "Request"]
@@ -39,6 +40,7 @@
         slowdown: Factor applied to execution times.
         refused: Share of requests that the target refuses without execution.
         limit_per_s: Rate limit that the target names; None for none.
+        offers: Offers of the target's slots to entry nodes.
         waiting: Queued and running attempts at the target, by number.
     """
 
@@ -57,8 +59,13 @@
     slowdown: float = 1.0
     refused: float = 0.0
     limit_per_s: float | None = None
+    offers: SlotOffers = attrs.field(factory=SlotOffers)
     waiting: dict[int, "Attempt"] = attrs.field(factory=dict)
 
+    def count_free(self) -> int:
+        """Returns the number of free slots that no queued request needs."""
+        return self.queue.slots - self.queue.running - self.queue.queued
+
     def load(self, now: float) -> LoadReport:
         """Returns the load report of the target at `now`, in seconds."""
         known = self.queue.has_service_time
@@ -88,6 +95,7 @@
     urgent: bool
     tried_owners: list[str] = attrs.field(factory=list)
     sent: int = 0
+    referable: bool = True
     retry_after_s: float | None = None
 
 
--- a/src/guavawing/node/frame_stream.py
+++ b/src/guavawing/node/frame_stream.py
@@ -113,6 +113,14 @@
         self.last_received_at = self._loop.time()
         self.paused = False
 
+    @property
+    def peer_host(self) -> str:
+        """IP address of the other end; empty if it is not known."""
+        if self._transport is None:
+            return ""
+        address = self._transport.get_extra_info("peername")
+        return address[0] if address else ""
+
     def send_keepalive(self) -> None:
         """Sends a keepalive probe without waiting for the next tick."""
         self.write(KEEPALIVE_FRAME)
--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -142,17 +142,32 @@
         )
         self._try_owner()
 
-    def _try_owner(self, *, allow_repeat: bool = False) -> None:
+    def _try_owner(
+        self, *, allow_repeat: bool = False, referred_to: str = ""
+    ) -> None:
         """Submits the attempt to an owner.
 
         Args:
             allow_repeat: Whether an owner that was already tried may be chosen
                 if there is no other.
+            referred_to: Node of the owner that the last one has named, if any.
         """
         parts, attempt = self._parts, self._attempt
         now = parts.loop.time()
-        parts.own_view.apply_report(parts.owner.load(), now=now)
-        choice = self._choose(now, excluded=self._tried)
+        parts.own_view.apply_own_report(
+            parts.owner.load(), free=parts.owner.has_unoffered_slot(), now=now
+        )
+        choice = None
+        if referred_to:
+            attempt = attrs.evolve(attempt, referable=False)
+            choice = parts.balancer.follow_referral(
+                parts.peers.owners(attempt.service),
+                referred_to,
+                excluded=self._tried,
+                now=now,
+            )
+        if choice is None:
+            choice = self._choose(now, excluded=self._tried)
         if choice is None and allow_repeat:
             choice = self._choose(now, excluded=())
         if choice is None:
@@ -170,11 +185,15 @@
                 owner=owner.node,
                 load=str(owner.report),
                 load_age_s=round(now - owner.reported_at, 3),
+                offered=owner.offers.has(now=now),
+                referred=bool(referred_to),
             )
         self._tried.append(owner.node)
         self._owner = owner
         self._tried_at = now
-        owner.record_sent()
+        if not owner.local and owner.offers.has(now=now):
+            parts.metrics.slot_offers.inc({"event": "used"})
+        owner.record_sent(now=now)
         if owner.local:
             self._remote = None
             self._attempt_id = 0
@@ -249,7 +268,7 @@
         )
         match step:
             case Step.ASK_ANOTHER:
-                self._try_owner()
+                self._try_owner(referred_to=outcome.referred_to)
             case Step.RETRY:
                 self._retry(verdict)
             case Step.GIVE_UP:
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -43,7 +43,7 @@
     TargetPhase,
     TargetRecord,
 )
-from guavawing.traffic.owner_view import OwnerView
+from guavawing.traffic.owner_view import OwnerView, take_near_offer
 from guavawing.traffic.peers import Peer, PeerTable
 from guavawing.traffic.readers import (
     CONFIGURATION_READERS,
@@ -107,6 +107,9 @@
             metrics=self._metrics,
         )
         self._owner.on_phase = self._handle_own_target_change
+        self._owner.take_offer = lambda: take_near_offer(
+            self._peers.owners(settings.service), now=self._loop.time()
+        )
         self._mesh = MeshClient(
             source=settings.host,
             on_load=self._handle_load,
@@ -351,12 +354,19 @@
         self._beacons.request_beacon(peer)
 
     def _handle_load(
-        self, host: str, load: LoadReport, departure: Incarnation | None
+        self,
+        host: str,
+        load: LoadReport,
+        departure: Incarnation | None,
+        offered: bool,
     ) -> None:
         peer = self._peers.get(host)
         if peer is not None:
-            self._peers.apply_load(peer, load, now=self._loop.time())
+            now = self._loop.time()
+            self._peers.apply_load(peer, load, now=now)
             peer.departure = departure or peer.departure
+            if offered:
+                peer.view.offers.add(now=now)
 
     def _find_record(self, host: str) -> TargetRecord:
         peer = self._peers.get(host)
--- a/src/guavawing/sidecar/mesh_client.py
+++ b/src/guavawing/sidecar/mesh_client.py
@@ -54,7 +54,7 @@
 LATE_CHECK_S = 0.1
 
 OutcomeListener = Callable[[Outcome], None]
-LoadListener = Callable[[str, LoadReport, Incarnation | None], None]
+LoadListener = Callable[[str, LoadReport, Incarnation | None, bool], None]
 
 
 @attrs.define(eq=False)
@@ -109,7 +109,7 @@
         Args:
             source: Local IP address of the connections.
             on_load: Called with the load and the departure of the target that
-                an answer contains.
+                an answer contains, and whether it offers a free slot.
             find_record: Returns what is recorded about the target on a host.
             on_alive: Called with the host of a node that has responded.
             on_suspicion: Called with the host of a node that is silent or
@@ -283,7 +283,9 @@
     def on_frame(self, payload: bytes) -> None:
         match decode_frame(payload, now=self._client.loop.time()):
             case AnswerFrame() as answer:
-                self._client.on_load(self._host, answer.load, answer.departure)
+                self._client.on_load(
+                    self._host, answer.load, answer.departure, answer.offered
+                )
                 remote = self._pending.pop(answer.id, None)
                 if remote is not None:
                     remote.end(answer.outcome)
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -107,6 +107,7 @@
             attempt.account,
             attempt.usage,
             attempt.release,
+            attempt.referable,
         )
     )
 
@@ -117,6 +118,7 @@
     load: LoadReport,
     *,
     departure: Incarnation | None,
+    offered: bool = False,
 ) -> bytes:
     """Returns the frame with the outcome of an attempt."""
     match outcome.verdict:
@@ -142,6 +144,8 @@
             load.limit_wait_s,
             encode_departure(departure),
             load.release,
+            offered,
+            outcome.referred_to,
         )
     )
 
@@ -328,6 +332,7 @@
         "account": read_text(fields[20]),
         "usage": float(fields[21]),
         "release": read_text(fields[22]),
+        "referable": bool(read_optional(fields, 23)),
     }
 
 
@@ -350,9 +355,13 @@
         read_bytes(fields[6]),
         read_bytes(fields[7]),
         float(fields[9]),
+        read_text(read_optional(fields, 15) or ""),
     )
     load = decode_load(
         fields[8], fields[10:12], release=read_optional(fields, 13) or ""
     )
     departure = decode_departure(read_optional(fields, 12))
-    return AnswerFrame(read_number(fields[1]), outcome, load, departure)
+    offered = bool(read_optional(fields, 14))
+    return AnswerFrame(
+        read_number(fields[1]), outcome, load, departure, offered
+    )
--- a/src/guavawing/sidecar/mesh_messages.py
+++ b/src/guavawing/sidecar/mesh_messages.py
@@ -50,12 +50,14 @@
         outcome: The outcome.
         load: Load of the target.
         departure: Announced departure of the target, if any.
+        offered: Whether the owner offers the receiver a free slot.
     """
 
     id: int
     outcome: Outcome
     load: LoadReport
     departure: Incarnation | None = None
+    offered: bool = False
 
 
 @attrs.frozen
--- a/src/guavawing/sidecar/mesh_server.py
+++ b/src/guavawing/sidecar/mesh_server.py
@@ -123,6 +123,7 @@
             attempt,
             lambda outcome: self._record_outcome(attempt, job, outcome),
             local=False,
+            entry=conn.entry,
         )
         return job
 
@@ -180,11 +181,16 @@
 
 
 class _Connection:
-    """A connection from an entry node."""
+    """A connection from an entry node.
+
+    Attributes:
+        entry: Address of the entry node.
+    """
 
     def __init__(self, server: MeshServer) -> None:
         self._server = server
         self._stream: FrameStream | None = None
+        self.entry = ""
         self._jobs: dict[int, _Job] = {}
 
     def answer(self, job: _Job, outcome: Outcome | None = None) -> None:
@@ -198,7 +204,11 @@
             return
         owner = self._server.owner
         payload = encode_answer(
-            job.frame_id, outcome, owner.load(), departure=owner.departure
+            job.frame_id,
+            outcome,
+            owner.load(),
+            departure=owner.departure,
+            offered=owner.offer_slot(self.entry, outcome.verdict),
         )
         if len(payload) < LARGE_BYTES:
             stream.write(payload)
@@ -221,6 +231,7 @@
             stream.abort()
             return
         self._stream = stream
+        self.entry = stream.peer_host
         self._server.connections.add(self)
         stream.write(encode_hello(self._server.process))
 
--- a/src/guavawing/sidecar/metrics.py
+++ b/src/guavawing/sidecar/metrics.py
@@ -68,6 +68,10 @@
             "guavawing_retries_total",
             "Attempts after the first one, by the reason of the one before.",
         )
+        self.slot_offers = self._counter(
+            "guavawing_slot_offers_total",
+            "Offers of free slots, by what became of them.",
+        )
         self.store_calls = self._counter(
             "guavawing_store_calls_total",
             "Calls to the platform's store, by call and outcome.",
@@ -132,6 +136,7 @@
         for counter in (
             self.answers,
             self.retries,
+            self.slot_offers,
             self.store_calls,
             self.unreadable,
         ):
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -20,6 +20,7 @@
     TargetPhase,
     TargetRecord,
 )
+from guavawing.traffic.slot_offers import SlotOffers
 from guavawing.traffic.slot_queue import (
     Admit,
     Queued,
@@ -33,6 +34,7 @@
     NotRun,
     Ran,
     Reason,
+    Verdict,
     verdict_name,
 )
 
@@ -42,6 +44,8 @@
 
 # Retry-After in seconds while the target is unknown or gone.
 NO_TARGET_RETRY_AFTER_S = 0.4
+# Retry-After in seconds of a refusal that names another owner.
+REFERRED_RETRY_AFTER_S = 0.04
 # Share of the drain time after which queued attempts are no longer sent.
 DRAIN_SHARE = 0.5
 # Wait for the link that is always allowed, also if a large answer will miss its
@@ -84,6 +88,8 @@
         ends_at: Event loop's time at which the process ends; None unless it
             stops.
         on_phase: Called when the phase or the slots of the target change.
+        take_offer: Uses up an offer that this node holds of another owner of
+            the service and returns that owner's node; empty if there is none.
     """
 
     def __init__(
@@ -106,6 +112,7 @@
         self._log = log
         self._metrics = metrics
         self._queue = SlotQueue()
+        self._offers = SlotOffers()
         self._pending: dict[int, _PendingAttempt] = {}
         self._ids = itertools.count(1)
         # Fires when the target's rate limit admits the next queued attempt.
@@ -114,6 +121,7 @@
         self.stopping = False
         self.ends_at: float | None = None
         self.on_phase: Callable[[], None] = lambda: None
+        self.take_offer: Callable[[], str] = lambda: ""
 
     @property
     def departure(self) -> Incarnation | None:
@@ -165,8 +173,49 @@
         if self._statements.apply_peer_record(record, now=now):
             self._handle_statement(phase_before)
 
+    def offer_slot(self, entry: str, verdict: Verdict) -> bool:
+        """Offers an entry node a free slot with an answer.
+
+        Args:
+            entry: Address of the entry node.
+            verdict: Verdict of the answer; a served attempt holds its slot
+                until the answer has been sent.
+
+        Returns:
+            Whether a slot is free and not offered.
+        """
+        free = self._count_free() + isinstance(verdict, Ran)
+        if free <= 0 or not self._takes_requests():
+            return False
+        offered = self._offers.make(entry, free=free, now=self._loop.time())
+        if offered:
+            self._metrics.slot_offers.inc({"event": "made"})
+        return offered
+
+    def has_unoffered_slot(self) -> bool:
+        """Returns whether a slot is free and offered to no entry node."""
+        free = self._count_free()
+        return free > 0 and free > self._offers.count(now=self._loop.time())
+
+    def _count_free(self) -> int:
+        """Returns the number of free slots that no queued attempt needs."""
+        return self._queue.slots - self._queue.running - self._queue.queued
+
+    def _takes_requests(self) -> bool:
+        """Returns whether attempts of other nodes are admitted at once."""
+        return (
+            not self.stopping
+            and self._state.phase is TargetPhase.READY
+            and self._queue.find_limit_wait_s(now=self._loop.time()) <= 0
+        )
+
     def submit(
-        self, attempt: Attempt, on_outcome: OutcomeListener, *, local: bool
+        self,
+        attempt: Attempt,
+        on_outcome: OutcomeListener,
+        *,
+        local: bool,
+        entry: str = "",
     ) -> int:
         """Admits, queues or refuses an attempt.
 
@@ -175,16 +224,28 @@
             on_outcome: Called once with the outcome unless the attempt is
                 cancelled.
             local: Whether this node is also the entry node.
+            entry: Address of the entry node if it is another one.
 
         Returns:
             Id of the attempt for `cancel`.
         """
         now = self._loop.time()
         pending = _PendingAttempt(next(self._ids), attempt, on_outcome, now)
+        if not local:
+            self._offers.record_arrival(entry)
         refusal = self._find_refusal(attempt, local=local)
         if refusal is not None:
             self._complete(pending, Outcome(refusal))
             return pending.id
+        if attempt.referable and self._count_free() <= 0:
+            referred_to = self.take_offer()
+            if referred_to:
+                self._metrics.slot_offers.inc({"event": "passed-on"})
+                verdict = NotRun(Reason.QUEUE_FULL, REFERRED_RETRY_AFTER_S)
+                self._complete(
+                    pending, Outcome(verdict, referred_to=referred_to)
+                )
+                return pending.id
         self._pending[pending.id] = pending
         waiter = Waiter(
             pending.id,
@@ -402,4 +463,5 @@
                 queued=self._queue.queued,
                 slots=self._queue.slots,
                 bytes=len(outcome.body),
+                referred_to=outcome.referred_to,
             )
--- a/src/guavawing/traffic/balancer.py
+++ b/src/guavawing/traffic/balancer.py
@@ -159,10 +159,36 @@
                     ranked.setdefault(rank, []).append((cost_s, owner))
         if not ranked:
             return None
-        best = self._pick(ranked[min(ranked)])
+        best = self._pick(ranked[min(ranked)], now)
         queues = best.near or _may_queue(best, pressure)
         return Choice(best, spare_only=not queues)
 
+    def follow_referral(
+        self,
+        owners: Collection[OwnerView],
+        node: str,
+        *,
+        excluded: Container[str],
+        now: float,
+    ) -> Choice | None:
+        """Returns the owner that another one has named, or None.
+
+        Args:
+            owners: The owners of the service.
+            node: Node of the named owner.
+            excluded: Nodes that the request has been sent to already.
+            now: Event loop's time, in seconds.
+        """
+        for owner in owners:
+            if (
+                owner.node == node
+                and node not in excluded
+                and owner.is_usable(now=now)
+                and owner.accepts_requests()
+            ):
+                return Choice(owner, spare_only=not owner.near)
+        return None
+
     def find_limit_wait_s(
         self, owners: Collection[OwnerView], *, now: float
     ) -> float | None:
@@ -182,16 +208,24 @@
             default=None,
         )
 
-    def _pick(self, costs: list[tuple[float, OwnerView]]) -> OwnerView:
+    def _pick(
+        self, costs: list[tuple[float, OwnerView]], now: float
+    ) -> OwnerView:
         """Returns one of the owners of the same rank.
 
         All entry nodes have nearly the same, slightly outdated reports. If all
         chose the cheapest owner, they would overload one owner after the
-        other, so each node compares `COMPARED_OWNERS` random owners.
+        other, so each node compares `COMPARED_OWNERS` random owners. An owner
+        that has offered this node a slot has offered it to no other node.
         """
+        explores = self._rng.random() < EXPLORED_SHARE
+        if not explores:
+            offered = [pair for pair in costs if pair[1].offers.has(now=now)]
+            if offered:
+                return min(offered, key=lambda pair: pair[0])[1]
         if len(costs) > COMPARED_OWNERS:
             costs = self._rng.sample(costs, COMPARED_OWNERS)
-        if self._rng.random() < EXPLORED_SHARE:
+        if explores:
             return self._rng.choice(costs)[1]
         return min(costs, key=lambda pair: pair[0])[1]
 
--- a/src/guavawing/traffic/owner_view.py
+++ b/src/guavawing/traffic/owner_view.py
@@ -1,11 +1,14 @@
 """State of one owner as an entry node observes it."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from guavawing.traffic.model import LoadReport, TargetPhase
 from guavawing.traffic.rate_limiter import find_admitted_rate
+from guavawing.traffic.slot_offers import HeldOffers
 
-__all__ = ["OwnerView"]
+__all__ = ["OwnerView", "take_near_offer"]
 
 # Half-life of the reported number of other nodes' requests, in seconds.
 REPORT_HALF_LIFE_S = 0.4
@@ -46,6 +49,7 @@
         transit_at: Times at which these means were last updated.
         failures: Consecutive failures.
         ejected_until: End of its last ejection after failures.
+        offers: Its offers of free slots to this node.
     """
 
     node: str
@@ -62,6 +66,7 @@
     transit_at: list[float] = attrs.field(factory=lambda: [0.0, 0.0])
     failures: int = 0
     ejected_until: float = 0.0
+    offers: HeldOffers = attrs.field(factory=HeldOffers)
 
     def apply_report(self, report: LoadReport, *, now: float) -> None:
         """Applies a load report of the owner."""
@@ -71,8 +76,24 @@
         busy = report.running + report.queued
         self.others = float(max(0, busy - self.outstanding))
 
-    def record_sent(self) -> None:
+    def apply_own_report(
+        self, report: LoadReport, *, free: bool, now: float
+    ) -> None:
+        """Applies the load of the owner on this VM, which is never outdated.
+
+        Args:
+            report: Its load.
+            free: Whether it has a free slot that it has not offered.
+            now: Event loop's time, in seconds.
+        """
+        self.apply_report(report, now=now)
+        self.offers.clear()
+        if free:
+            self.offers.add(now=now)
+
+    def record_sent(self, *, now: float) -> None:
         """Records that a request is sent to the owner."""
+        self.offers.use(now=now)
         self.outstanding += 1
         self.sent_since_report += 1
 
@@ -99,6 +120,7 @@
 
     def record_refusal(self, retry_after_s: float, *, now: float) -> None:
         """Records a refusal by a full owner."""
+        self.offers.clear()
         self.full_until = now + min(retry_after_s, MAX_BACKOFF_S)
 
     def record_failure(self, *, now: float) -> None:
@@ -183,3 +205,25 @@
         wait_s = max(0.0, over) * self.service_s() / max(report.slots, 1)
         limit_wait_s = self.estimate_limit_wait_s(now=now)
         return max(wait_s, self.full_until - now, limit_wait_s)
+
+
+def take_near_offer(owners: Iterable[OwnerView], *, now: float) -> str:
+    """Uses up an offer of another owner in this data centre.
+
+    Args:
+        owners: The owners of a service.
+        now: Event loop's time, in seconds.
+
+    Returns:
+        The node that made the offer; empty if none is held.
+    """
+    for owner in owners:
+        if (
+            owner.near
+            and not owner.local
+            and owner.is_usable(now=now)
+            and owner.accepts_requests()
+            and owner.offers.use(now=now)
+        ):
+            return owner.node
+    return ""
--- a/tests/steps/traffic_choice_steps.py
+++ b/tests/steps/traffic_choice_steps.py
@@ -341,5 +341,5 @@
     for _ in range(count):
         owner = choose(context, context.balancer, useful_s).owner
         assert owner.node == name
-        owner.record_sent()
+        owner.record_sent(now=NOW)
     assert choose(context, context.balancer, useful_s) is None
