--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -186,7 +186,7 @@
         entry, kind = request.entry, request.kind
         for view in entry.views[kind.service]:
             if view.local:
-                free = entry.count_free() > entry.offers.count(now=self._now)
+                free = entry.count_free(self._now) > entry.offers.count(now=self._now)
                 view.apply_own_report(
                     entry.load(self._now),
                     free=free and self._offers,
@@ -291,7 +291,7 @@
         owner, request = attempt.owner, attempt.request
         number = next(self._ids)
         owner.offers.record_arrival(request.entry.name)
-        if self._referrals and request.referable and owner.count_free() <= 0:
+        if self._referrals and request.referable and owner.count_free(self._now) <= 0:
             referred_to = take_near_offer(
                 owner.views[owner.service], now=self._now
             )
@@ -411,7 +411,7 @@
         load = owner.load(self._now)
         offered = self._offers and owner.offers.make(
             attempt.request.entry.name,
-            free=owner.count_free(),
+            free=owner.count_free(self._now),
             now=self._now,
         )
         self._schedule_after(
--- a/bench/fleet_node.py
+++ b/bench/fleet_node.py
@@ -62,8 +62,10 @@
     offers: SlotOffers = attrs.field(factory=SlotOffers)
     waiting: dict[int, "Attempt"] = attrs.field(factory=dict)
 
-    def count_free(self) -> int:
+    def count_free(self, now: float) -> int:
         """Returns the number of free slots that no queued request needs."""
+        if self.queue.find_limit_wait_s(now=now) > 0:
+            return 0
         return self.queue.slots - self.queue.running - self.queue.queued
 
     def load(self, now: float) -> LoadReport:
--- a/src/guavawing/traffic/balancer.py
+++ b/src/guavawing/traffic/balancer.py
@@ -218,16 +218,13 @@
         other, so each node compares `COMPARED_OWNERS` random owners. An owner
         that has offered this node a slot has offered it to no other node.
         """
-        explores = self._rng.random() < EXPLORED_SHARE
-        if not explores:
-            offered = [pair for pair in costs if pair[1].offers.has(now=now)]
-            if offered:
-                return min(offered, key=lambda pair: pair[0])[1]
+        compared = costs
         if len(costs) > COMPARED_OWNERS:
-            costs = self._rng.sample(costs, COMPARED_OWNERS)
-        if explores:
-            return self._rng.choice(costs)[1]
-        return min(costs, key=lambda pair: pair[0])[1]
+            compared = self._rng.sample(costs, COMPARED_OWNERS)
+        if self._rng.random() < EXPLORED_SHARE:
+            return self._rng.choice(compared)[1]
+        offered = [pair for pair in costs if pair[1].offers.has(now=now)]
+        return min(offered or compared, key=lambda pair: pair[0])[1]
 
     def _assess(
         self,
