--- a/bench/fleet_report.py
+++ b/bench/fleet_report.py
@@ -2,13 +2,20 @@
 
 import pathlib
 from collections.abc import Mapping, Sequence
+from statistics import fmean
 
 import pygal
 
 from bench.event_model import find_quantile
 from bench.fleet_load import Pattern, Result
+from bench.fleet_model import Fleet
 
-__all__ = ["compute_worth_share", "plot_latency", "plot_worth"]
+__all__ = [
+    "compute_worth_share",
+    "describe_evenness",
+    "plot_latency",
+    "plot_worth",
+]
 
 # Share of a request's worth that a late answer still has.
 LATE_SHARE = 0.3
@@ -27,6 +34,28 @@
     return served / offered
 
 
+def describe_evenness(runs: Sequence[Fleet]) -> list[str]:
+    """Returns a line for each service and one for the messages."""
+    lines = []
+    for service in runs[0].evenness:
+        each = [fleet.evenness[service] for fleet in runs]
+        idle = fmean(one.idle / one.slots for one in each)
+        waiting = fmean(one.idle_while_waiting_share for one in each)
+        busiest = fmean(one.compute_busiest_ratio() for one in each)
+        lines.append(
+            f"{service}: idle {idle:.3f}, idle while a request waits"
+            f" {waiting:.4f}, busiest over mean {busiest:.2f}"
+        )
+    attempts = fmean(fleet.attempts for fleet in runs)
+    refusals = fmean(fleet.refusals for fleet in runs)
+    lines.append(f"attempts {attempts:.0f}, refusals {refusals:.0f}")
+    for kind in runs[0].pattern.kinds:
+        elapsed_s = [s for f in runs for s in f.results[kind.name].elapsed_s]
+        if elapsed_s:
+            lines.append(f"{kind.name}: mean {1000 * fmean(elapsed_s):.0f} ms")
+    return lines
+
+
 def plot_latency(
     pattern: Pattern, results: Mapping[str, Result], path: pathlib.Path
 ) -> None:
--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -142,32 +142,19 @@
         )
         self._try_owner()
 
-    def _try_owner(
-        self, *, allow_repeat: bool = False, referred_to: str = ""
-    ) -> None:
+    def _try_owner(self, *, allow_repeat: bool = False) -> None:
         """Submits the attempt to an owner.
 
         Args:
             allow_repeat: Whether an owner that was already tried may be chosen
                 if there is no other.
-            referred_to: Node of the owner that the last one has named, if any.
         """
         parts, attempt = self._parts, self._attempt
         now = parts.loop.time()
         parts.own_view.apply_own_report(
             parts.owner.load(), free=parts.owner.has_unoffered_slot(), now=now
         )
-        choice = None
-        if referred_to:
-            attempt = attrs.evolve(attempt, referable=False)
-            choice = parts.balancer.follow_referral(
-                parts.peers.owners(attempt.service),
-                referred_to,
-                excluded=self._tried,
-                now=now,
-            )
-        if choice is None:
-            choice = self._choose(now, excluded=self._tried)
+        choice = self._choose(now, excluded=self._tried)
         if choice is None and allow_repeat:
             choice = self._choose(now, excluded=())
         if choice is None:
@@ -186,7 +173,6 @@
                 load=str(owner.report),
                 load_age_s=round(now - owner.reported_at, 3),
                 offered=owner.offers.has(now=now),
-                referred=bool(referred_to),
             )
         self._tried.append(owner.node)
         self._owner = owner
@@ -268,7 +254,7 @@
         )
         match step:
             case Step.ASK_ANOTHER:
-                self._try_owner(referred_to=outcome.referred_to)
+                self._try_owner()
             case Step.RETRY:
                 self._retry(verdict)
             case Step.GIVE_UP:
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -43,7 +43,7 @@
     TargetPhase,
     TargetRecord,
 )
-from guavawing.traffic.owner_view import OwnerView, take_near_offer
+from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import Peer, PeerTable
 from guavawing.traffic.readers import (
     CONFIGURATION_READERS,
@@ -107,9 +107,6 @@
             metrics=self._metrics,
         )
         self._owner.on_phase = self._handle_own_target_change
-        self._owner.take_offer = lambda: take_near_offer(
-            self._peers.owners(settings.service), now=self._loop.time()
-        )
         self._mesh = MeshClient(
             source=settings.host,
             on_load=self._handle_load,
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -193,8 +193,6 @@
             spare_only=False,
             kind=route.kind,
             bulk_body=route.bulk_body,
-            # A large body takes longer to send again than most waits are.
-            referable=not route.bulk_body,
         )
 
     def _time_left_s(self, now: float) -> float:
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -107,7 +107,6 @@
             attempt.account,
             attempt.usage,
             attempt.release,
-            attempt.referable,
         )
     )
 
@@ -145,7 +144,6 @@
             encode_departure(departure),
             load.release,
             offered,
-            outcome.referred_to,
         )
     )
 
@@ -332,7 +330,6 @@
         "account": read_text(fields[20]),
         "usage": float(fields[21]),
         "release": read_text(fields[22]),
-        "referable": bool(read_optional(fields, 23)),
     }
 
 
@@ -355,7 +352,6 @@
         read_bytes(fields[6]),
         read_bytes(fields[7]),
         float(fields[9]),
-        read_text(read_optional(fields, 15) or ""),
     )
     load = decode_load(
         fields[8], fields[10:12], release=read_optional(fields, 13) or ""
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -44,8 +44,6 @@
 
 # Retry-After in seconds while the target is unknown or gone.
 NO_TARGET_RETRY_AFTER_S = 0.4
-# Retry-After in seconds of a refusal that names another owner.
-REFERRED_RETRY_AFTER_S = 0.04
 # Share of the drain time after which queued attempts are no longer sent.
 DRAIN_SHARE = 0.5
 # Wait for the link that is always allowed, also if a large answer will miss its
@@ -88,8 +86,6 @@
         ends_at: Event loop's time at which the process ends; None unless it
             stops.
         on_phase: Called when the phase or the slots of the target change.
-        take_offer: Uses up an offer that this node holds of another owner of
-            the service and returns that owner's node; empty if there is none.
     """
 
     def __init__(
@@ -121,7 +117,6 @@
         self.stopping = False
         self.ends_at: float | None = None
         self.on_phase: Callable[[], None] = lambda: None
-        self.take_offer: Callable[[], str] = lambda: ""
 
     @property
     def departure(self) -> Incarnation | None:
@@ -237,15 +232,6 @@
         if refusal is not None:
             self._complete(pending, Outcome(refusal))
             return pending.id
-        if attempt.referable and self._count_free() <= 0:
-            referred_to = self.take_offer()
-            if referred_to:
-                self._metrics.slot_offers.inc({"event": "passed-on"})
-                verdict = NotRun(Reason.QUEUE_FULL, REFERRED_RETRY_AFTER_S)
-                self._complete(
-                    pending, Outcome(verdict, referred_to=referred_to)
-                )
-                return pending.id
         self._pending[pending.id] = pending
         waiter = Waiter(
             pending.id,
@@ -463,5 +449,4 @@
                 queued=self._queue.queued,
                 slots=self._queue.slots,
                 bytes=len(outcome.body),
-                referred_to=outcome.referred_to,
             )
--- a/src/guavawing/traffic/owner_view.py
+++ b/src/guavawing/traffic/owner_view.py
@@ -1,14 +1,12 @@
 """State of one owner as an entry node observes it."""
 
-from collections.abc import Iterable
-
 import attrs
 
 from guavawing.traffic.model import LoadReport, TargetPhase
 from guavawing.traffic.rate_limiter import find_admitted_rate
 from guavawing.traffic.slot_offers import HeldOffers
 
-__all__ = ["OwnerView", "take_near_offer"]
+__all__ = ["OwnerView"]
 
 # Half-life of the reported number of other nodes' requests, in seconds.
 REPORT_HALF_LIFE_S = 0.4
@@ -205,25 +203,3 @@
         wait_s = max(0.0, over) * self.service_s() / max(report.slots, 1)
         limit_wait_s = self.estimate_limit_wait_s(now=now)
         return max(wait_s, self.full_until - now, limit_wait_s)
-
-
-def take_near_offer(owners: Iterable[OwnerView], *, now: float) -> str:
-    """Uses up an offer of another owner in this data centre.
-
-    Args:
-        owners: The owners of a service.
-        now: Event loop's time, in seconds.
-
-    Returns:
-        The node that made the offer; empty if none is held.
-    """
-    for owner in owners:
-        if (
-            owner.near
-            and not owner.local
-            and owner.is_usable(now=now)
-            and owner.accepts_requests()
-            and owner.offers.use(now=now)
-        ):
-            return owner.node
-    return ""
