Say truthfully that a request has not run after a loss

Five nodes stopped checking for silent owners: opening a connection during the check changed the dictionary under it, and the timer was not set again. 71 requests ended as deadline-passed.

Ruled out: waiting for the owner until the deadline (a client of a VM that is gone would be held); a NotRun from the state of the write buffer.

Change: outcomes of attempts that must not run twice are queried for 2 s; an owner's 'not run' counts only while it would have retained the outcome; the check iterates over a copy; an attempt that was never written, or is still queued at this node's owner at its deadline, is refused with 503.

--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -315,8 +315,6 @@
                 self._refuse(GATEWAY_TIMEOUT, verdict, None)
             case MayHaveRun():
                 self._refuse(BAD_GATEWAY, verdict, None)
-            case NotRun(reason=Reason.DEADLINE_PASSED):
-                self._refuse(GATEWAY_TIMEOUT, verdict, None)
             case NotRun():
                 retry_after_s = self._retry_after_s or NO_TARGET_RETRY_AFTER_S
                 self._refuse(UNAVAILABLE, verdict, retry_after_s)
@@ -388,15 +386,18 @@
         owner = self._owner
         if owner is not None:
             owner.record_failure(now=self._parts.loop.time())
-        self._cancel_attempt()
+        unsent = self._cancel_attempt()
+        if unsent and not self._sent:
+            self._give_up(NotRun(Reason.DEADLINE_PASSED))
+            return
         self._refuse(GATEWAY_TIMEOUT, MayHaveRun(Reason.DEADLINE_PASSED), None)
 
-    def _cancel_attempt(self) -> None:
+    def _cancel_attempt(self) -> bool:
+        """Cancels the attempt; returns whether no target can receive it."""
         owner, self._owner = self._owner, None
         if owner is None:
-            return
+            return False
         owner.outstanding -= 1
         if self._remote is not None:
-            self._parts.mesh.cancel(self._remote)
-        elif owner.local:
-            self._parts.owner.cancel(self._attempt_id)
+            return self._parts.mesh.cancel(self._remote)
+        return owner.local and self._parts.owner.cancel(self._attempt_id)
--- a/src/guavawing/sidecar/mesh_client.py
+++ b/src/guavawing/sidecar/mesh_client.py
@@ -20,6 +20,7 @@
     ConfigFrame,
     Hello,
 )
+from guavawing.sidecar.mesh_server import RETENTION_S
 from guavawing.traffic.model import (
     Attempt,
     Incarnation,
@@ -49,6 +50,13 @@
 # seconds. It is longer than the time to a suspicion because an owner behind a
 # saturated link responds late, and its answer may be in transit.
 RELEASE_AFTER_S = 0.7
+# Time after the loss of a connection for which the outcomes of attempts that
+# must not run twice are queried, and interval of the queries, in seconds. A
+# saturated link delays a new connection as it delayed the lost one.
+QUERY_FOR_S = 2.0
+QUERY_PERIOD_S = 0.2
+# Interval of the check whether a connection being opened is open, in seconds.
+CONNECTING_PERIOD_S = 0.02
 # Delay of a check beyond which this process itself was stalled, so that the
 # silence is no evidence of a fault of the owner.
 LATE_CHECK_S = 0.1
@@ -69,7 +77,9 @@
         frame_id: Id of the request on that connection.
         process: Process number of the owner to which it was sent; 0 if it was
             not sent or the owner's hello has not been received.
-        queried: Whether its outcome has been queried on a new connection.
+        sent_at: Event loop's time at which it was sent, in seconds.
+        lost_at: Event loop's time at which its connection was first lost, in
+            seconds; None if it was not. Its outcome is queried since.
     """
 
     attempt: Attempt
@@ -77,7 +87,8 @@
     conn: "_OwnerConnection | None" = None
     frame_id: int = 0
     process: int = 0
-    queried: bool = False
+    sent_at: float = 0.0
+    lost_at: float | None = None
 
     def end(self, outcome: Outcome) -> None:
         """Reports the outcome; later calls have no effect."""
@@ -141,11 +152,14 @@
         self._pick_connection(host, port, bulk=attempt.bulk).add(remote)
         return remote
 
-    def cancel(self, remote: RemoteAttempt) -> None:
-        """Cancels an attempt; its outcome is no longer reported."""
+    def cancel(self, remote: RemoteAttempt) -> bool:
+        """Cancels an attempt; its outcome is no longer reported.
+
+        Returns:
+            Whether it has not been sent, so that it never runs.
+        """
         remote.on_outcome = None
-        if remote.conn is not None:
-            remote.conn.cancel(remote)
+        return remote.conn is None or remote.conn.cancel(remote)
 
     def request_config(self, host: str, port: int, version: int) -> None:
         """Requests a configuration newer than `version` from a node."""
@@ -176,7 +190,8 @@
         now = self.loop.time()
         late = now - self._checked_at > CHECK_PERIOD_S + LATE_CHECK_S
         self._checked_at = now
-        for conns in self._conns.values():
+        # A released attempt may open a connection to another owner.
+        for conns in tuple(self._conns.values()):
             for conn in conns:
                 conn.check(now, late=late)
         self._check_timer = self.loop.call_later(CHECK_PERIOD_S, self._check)
@@ -231,13 +246,15 @@
             self._unsent.append(payload)
             self._connect()
 
-    def cancel(self, remote: RemoteAttempt) -> None:
+    def cancel(self, remote: RemoteAttempt) -> bool:
+        """Cancels an attempt; returns whether it has not been sent."""
         if remote in self._waiting:
             self._waiting.remove(remote)
-            return
+            return True
         known = self._pending.pop(remote.frame_id, None) is not None
         if known and self._stream is not None:
             self._stream.write(encode_cancel(remote.frame_id))
+        return False
 
     def close(self) -> None:
         if self._stream is not None:
@@ -288,7 +305,7 @@
                 )
                 remote = self._pending.pop(answer.id, None)
                 if remote is not None:
-                    remote.end(answer.outcome)
+                    remote.end(self._check_retained(remote, answer.outcome))
             case Hello(process=process):
                 self._process = process
                 for remote in self._pending.values():
@@ -311,6 +328,9 @@
         unresolved = [
             remote for remote in lost.values() if remote.on_outcome is not None
         ]
+        for remote in unresolved:
+            if remote.lost_at is None:
+                remote.lost_at = self._client.loop.time()
         if unresolved:
             # Their outcomes are queried on a new connection.
             self._client.track(
@@ -318,29 +338,34 @@
             )
 
     async def _query_outcomes(self, remotes: list[RemoteAttempt]) -> None:
-        """Queries the outcomes of lost attempts, once each.
+        """Queries the outcomes of lost attempts on a new connection.
 
-        Attempts that were queried before, or whose process is not known, end
-        as lost.
+        Attempts whose process is not known end as lost, and so do those that
+        may be repeated if the owner can't be connected to.
         """
         for remote in remotes:
-            if remote.queried or not remote.process:
-                remote.end(Outcome(MayHaveRun(Reason.OWNER_LOST)))
-        queried = [
-            remote for remote in remotes if remote.on_outcome is not None
-        ]
-        if not queried:
-            return
-        await self._open()
-        stream = self._stream
-        if stream is None or stream.closed:
-            for remote in queried:
+            if not remote.process:
                 remote.end(Outcome(MayHaveRun(Reason.OWNER_LOST)))
-            return
-        for remote in queried:
+        while remotes := [each for each in remotes if each.on_outcome]:
+            while self._connecting:
+                await asyncio.sleep(CONNECTING_PERIOD_S)
+            await self._open()
+            stream = self._stream
+            if stream is not None and not stream.closed:
+                self._send_queries(remotes, stream)
+                return
+            now = self._client.loop.time()
+            for remote in remotes:
+                if not _may_query_again(remote, now):
+                    remote.end(Outcome(MayHaveRun(Reason.OWNER_LOST)))
+            await asyncio.sleep(QUERY_PERIOD_S)
+
+    def _send_queries(
+        self, remotes: list[RemoteAttempt], stream: FrameStream
+    ) -> None:
+        for remote in remotes:
             if remote.on_outcome is None:
                 continue
-            remote.queried = True
             remote.frame_id = next(self._ids)
             self._pending[remote.frame_id] = remote
             stream.write(
@@ -351,12 +376,29 @@
                 )
             )
 
+    def _check_retained(
+        self, remote: RemoteAttempt, outcome: Outcome
+    ) -> Outcome:
+        """Checks that the answer to a query rests on what the owner retains.
+
+        An owner that has no record of an attempt answers that it has not run.
+        That is true for as long as it would have retained the outcome.
+        """
+        age_s = self._client.loop.time() - remote.sent_at
+        if (
+            remote.lost_at is not None
+            and isinstance(outcome.verdict, NotRun)
+            and age_s >= RETENTION_S
+        ):
+            return Outcome(MayHaveRun(Reason.OWNER_LOST))
+        return outcome
+
     def _write(self, remote: RemoteAttempt) -> None:
         assert self._stream is not None
         remote.frame_id = next(self._ids)
         remote.process = self._process
         self._pending[remote.frame_id] = remote
-        now = self._client.loop.time()
+        now = remote.sent_at = self._client.loop.time()
         self._stream.write(
             encode_request(
                 remote.frame_id,
@@ -400,3 +442,10 @@
         for remote in waiting:
             if remote.on_outcome is not None:
                 self.add(remote)
+
+
+def _may_query_again(remote: RemoteAttempt, now: float) -> bool:
+    """Returns whether the outcome of a lost attempt is still awaited."""
+    assert remote.lost_at is not None
+    ends_at = min(remote.lost_at + QUERY_FOR_S, remote.attempt.deadline)
+    return not remote.attempt.idempotent and now + QUERY_PERIOD_S < ends_at
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -254,20 +254,25 @@
                 self._complete(pending, Outcome(verdict))
         return pending.id
 
-    def cancel(self, attempt_id: int) -> None:
+    def cancel(self, attempt_id: int) -> bool:
         """Cancels an attempt whose outcome is no longer needed.
 
         A queued attempt is removed. A running one is aborted if it is
         idempotent. Otherwise it completes, so that its effects are not partial.
+
+        Returns:
+            Whether it was queued, so that it never runs.
         """
         pending = self._pending.get(attempt_id)
         if pending is None:
-            return
+            return False
         pending.on_outcome = None
         if self._queue.discard(attempt_id):
             self._complete(pending, Outcome(NotRun(Reason.CANCELLED)))
-        elif pending.execution is not None and pending.attempt.idempotent:
+            return True
+        if pending.execution is not None and pending.attempt.idempotent:
             pending.execution.abandon()
+        return False
 
     def _find_refusal(self, attempt: Attempt, *, local: bool) -> NotRun | None:
         if attempt.service != self._service:
