Measure the way to other data centres

Cause: the balancer assumed 9 ms to every other data centre, on top of the transit that it had observed; new deployments have 1.8 and 9.8 ms.

Ruled out: a setting; a mean, which rises with queues on a link.

Change: OwnerView keeps the shortest recent transit; the balancer uses it, or the mean of the owners elsewhere, or 9 ms at first.

--- a/src/guavawing/traffic/balancer.py
+++ b/src/guavawing/traffic/balancer.py
@@ -22,8 +22,9 @@
 
 __all__ = ["Balancer", "Choice"]
 
-# Round-trip time to another data centre, in seconds.
-REMOTE_ROUND_TRIP_S = 0.009
+# Round-trip time assumed for other data centres while none was observed, in
+# seconds.
+ASSUMED_ROUND_TRIP_S = 0.009
 # Wait for a slot up to which an owner counts as free, in seconds: an owner
 # queues a request that cannot be answered in time for the same time.
 FREE_WAIT_S = 0.03
@@ -133,6 +134,7 @@
         pressure = sum(refused) / len(refused) if refused else None
         mean_s = _find_mean_s(working, kind)
         large = self._size_kb.get(route, ASSUMED_KB) >= MIN_LARGE_KB
+        round_trip_s = _find_round_trip_s(working)
         ranked: dict[_Rank, list[tuple[float, OwnerView]]] = {}
         candidates = [
             owner for owner in usable or working if owner.node not in excluded
@@ -152,6 +154,7 @@
                     pressure=pressure,
                     large=large,
                     bulk=bulk,
+                    round_trip_s=round_trip_s,
                 )
                 if rank is _Rank.LIMITED:
                     continue
@@ -210,6 +213,7 @@
         pressure: float | None,
         large: bool,
         bulk: bool,
+        round_trip_s: float,
     ) -> tuple[_Rank, float]:
         """Returns the rank and, within it, the cost of an owner."""
         report = owner.report
@@ -219,6 +223,11 @@
         # slots is preferred: some targets slow down when nearly full.
         busy = (owner.outstanding + owner.others) / max(report.slots, 1)
         transit_s = owner.expect_transit_s(bulk=bulk, now=now)
+        if not owner.near:
+            known_s = owner.round_trip_s
+            transit_s = max(
+                transit_s, round_trip_s if known_s is None else known_s
+            )
         cost_s = wait_s + service_s * (1 + 0.3 * min(busy, 1.0)) + transit_s
         expected_s = wait_s + EXPECTED_SERVICE_FACTOR * service_s + transit_s
         spare_s = useful_s - EXPECTED_SERVICE_FACTOR * service_s
@@ -234,12 +243,11 @@
                 return _Rank.NEAR_BUSY, cost_s
             likely = wait_s + service_s + transit_s <= useful_s
             return (_Rank.NEAR_LIKELY if likely else _Rank.NEAR_FREE), cost_s
-        cost_s += REMOTE_ROUND_TRIP_S
         if wait_s > 0 and not _may_queue(owner, pressure):
             return _Rank.FAR_EXCLUDED, cost_s
         if large and pressure is not None and pressure < MIN_LARGE_PRESSURE:
             return _Rank.FAR_EXCLUDED, cost_s
-        in_time = not large and expected_s + REMOTE_ROUND_TRIP_S <= useful_s
+        in_time = not large and expected_s <= useful_s
         return (_Rank.FAR_IN_TIME if in_time else _Rank.FAR_FREE), cost_s
 
 
@@ -253,6 +261,16 @@
     return sum(reported) / len(reported) if reported else None
 
 
+def _find_round_trip_s(owners: Collection[OwnerView]) -> float:
+    """Returns the mean observed round-trip time to other data centres."""
+    observed = [
+        owner.round_trip_s
+        for owner in owners
+        if not owner.near and owner.round_trip_s is not None
+    ]
+    return sum(observed) / len(observed) if observed else ASSUMED_ROUND_TRIP_S
+
+
 def _may_queue(owner: OwnerView, pressure: float | None) -> bool:
     """Returns whether requests may queue at an owner in another data centre.
 
--- a/src/guavawing/traffic/owner_view.py
+++ b/src/guavawing/traffic/owner_view.py
@@ -15,6 +15,8 @@
 # quickly with large answers.
 TRANSIT_WEIGHT = 0.3
 TRANSIT_HALF_LIFE_S = 1.0
+# Weight of the newest transit time that is above the shortest recent one.
+ROUND_TRIP_WEIGHT = 0.02
 # Service time assumed for a target that has executed nothing yet, in seconds:
 # short, so that it is chosen.
 UNKNOWN_SERVICE_S = 0.02
@@ -45,6 +47,8 @@
         transit_s: Moving mean of the transit time there and back, in seconds,
             for small answers and for bulk ones.
         transit_at: Times at which these means were last updated.
+        round_trip_s: Shortest recent transit time of small answers, in
+            seconds; None if none was observed.
         failures: Consecutive failures.
         ejected_until: End of its last ejection after failures.
         offers: Its offers of free slots to this node.
@@ -62,6 +66,7 @@
     full_until: float = 0.0
     transit_s: list[float] = attrs.field(factory=lambda: [0.0, 0.0])
     transit_at: list[float] = attrs.field(factory=lambda: [0.0, 0.0])
+    round_trip_s: float | None = None
     failures: int = 0
     ejected_until: float = 0.0
     offers: HeldOffers = attrs.field(factory=HeldOffers)
@@ -102,6 +107,12 @@
         known_s = self.expect_transit_s(bulk=bulk, now=now)
         self.transit_s[bulk] = known_s + TRANSIT_WEIGHT * (transit_s - known_s)
         self.transit_at[bulk] = now
+        if not bulk:
+            shortest_s = self.round_trip_s
+            if shortest_s is None:
+                shortest_s = transit_s
+            rise_s = ROUND_TRIP_WEIGHT * (transit_s - shortest_s)
+            self.round_trip_s = min(transit_s, shortest_s + rise_s)
 
     def expect_transit_s(self, *, bulk: bool, now: float) -> float:
         """Returns the expected transit time, in seconds.
--- a/tests/cover/traffic_choice.feature
+++ b/tests/cover/traffic_choice.feature
@@ -138,3 +138,24 @@
     When owner "a" reports a limit of 1000 per second with room in 0 s
     And owner "b" reports 3 running and executions of 0.1 s
     Then requests useful for 0.3 s go to "a" too
+
+  Scenario Outline: The way to another data centre is measured
+    Given near owners "n1" and far owners "f1 f2" of 10 slots
+    When owner "n1" reports 30 running and executions of 0.1 s
+    And each owner "f1 f2" reports 0 running and executions from 0.1 s upwards
+    And answers of owner "f1" take <round_trip> s on their way
+    Then of 20 requests that are useful for <useful> s only "<owner>" get any
+
+    Examples:
+      | round_trip | useful | owner |
+      | 0.0018     | 0.155  | f1    |
+      | 0.009      | 0.155  | n1    |
+      | 0.04       | 0.17   | n1    |
+
+  Scenario: A way that was observed to one owner is assumed to others
+    Given near owners "n1" and far owners "f1 f2" of 10 slots
+    When owner "n1" reports 30 running and executions of 0.1 s
+    And owner "f2" reports 0 running and executions of 0.1 s
+    And answers of owner "f1" take 0.0018 s on their way
+    And owner "f1" reports 30 running and executions of 0.1 s
+    Then of 20 requests that are useful for 0.155 s only "f2" get any
--- a/tests/steps/traffic_choice_steps.py
+++ b/tests/steps/traffic_choice_steps.py
@@ -6,7 +6,7 @@
 import attrs
 from behave import given, then, when
 
-from guavawing.traffic.balancer import Balancer
+from guavawing.traffic.balancer import ASSUMED_ROUND_TRIP_S, Balancer
 from guavawing.traffic.model import (
     Incarnation,
     LoadReport,
@@ -271,6 +271,7 @@
         pressure=sum(pressures) / len(pressures) if pressures else None,
         large=False,
         bulk=False,
+        round_trip_s=ASSUMED_ROUND_TRIP_S,
     )
     return rank
 
@@ -343,3 +344,9 @@
         assert owner.node == name
         owner.record_sent(now=NOW)
     assert choose(context, context.balancer, useful_s) is None
+
+
+@when('answers of owner "{name}" take {seconds:g} s on their way')
+def step_round_trip(context, name, seconds):
+    for _ in range(10):
+        context.views[name].observe_transit(seconds, bulk=False, now=NOW)
