--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -21,10 +21,12 @@
 from bench.fleet_node import Attempt, Node, Request
 from guavawing.sidecar.client_call import MAX_OWNERS_TRIED
 from guavawing.sidecar.entry import URGENT_SHARE, USEFUL_SHARE
+from guavawing.sidecar.owner import PASSED_RETRY_AFTER_S
 from guavawing.sidecar.target_pool import SHED_RETRY_AFTER_S
 from guavawing.traffic.balancer import Balancer
 from guavawing.traffic.budget import RetryBudget
 from guavawing.traffic.model import LoadReport
+from guavawing.traffic.neighbours import NeighbourLoad, find_last_heard
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.slot_queue import (
     Admit,
@@ -57,13 +59,14 @@
         pattern: The pattern.
         attempts: Attempts sent to owners.
         refusals: Attempts that owners refused for lack of capacity.
+        passed: Those of them that owners passed on.
         results: Results by kind of request.
         evenness: Evenness of the load by service.
     """
 
     def __init__(self, pattern: Pattern, seed: int) -> None:
         self.pattern = pattern
-        self.attempts = self.refusals = 0
+        self.attempts = self.refusals = self.passed = 0
         self.results = {kind.name: Result() for kind in pattern.kinds}
         self._kinds = {kind.name: kind for kind in pattern.kinds}
         self._rng = random.Random(seed)
@@ -172,7 +175,7 @@
         entry.budget.earn(kind.service, now=self._now)
         self._send_attempt(request)
 
-    def _send_attempt(self, request: Request) -> None:
+    def _send_attempt(self, request: Request, passed_to: str = "") -> None:
         entry, kind = request.entry, request.kind
         for view in entry.views[kind.service]:
             if view.local:
@@ -185,7 +188,14 @@
                     now=self._now,
                 )
         choice = None
-        if len(request.tried_owners) < MAX_OWNERS_TRIED:
+        if passed_to:
+            choice = entry.balancer.choose_named(
+                entry.views[kind.service],
+                passed_to,
+                excluded=request.tried_owners,
+                now=self._now,
+            )
+        if choice is None and len(request.tried_owners) < MAX_OWNERS_TRIED:
             choice = entry.balancer.choose(
                 entry.views[kind.service],
                 route=kind.name,
@@ -203,6 +213,11 @@
             return
         view = choice.owner
         owner = self._by_name[view.node]
+        neighbour = None
+        if not request.passed_on:
+            neighbour = find_last_heard(
+                entry.views[kind.service], view, now=self._now
+            )
         request.tried_owners.append(view.node)
         self.attempts += 1
         view.record_sent(now=self._now)
@@ -211,7 +226,8 @@
             self.results[kind.name].cross_centre_attempts += 1
         spare = choice.spare_only
         self._schedule_after(
-            self._delay_s(view), lambda: self._offer(attempt, spare)
+            self._delay_s(view),
+            lambda: self._offer(attempt, spare, neighbour),
         )
 
     def _handle_answer(
@@ -222,6 +238,7 @@
         served: bool,
         offered: bool = False,
         refusal_s: float | None = None,
+        passed_to: str = "",
     ) -> None:
         view, request = attempt.view, attempt.request
         entry, service = request.entry, request.kind.service
@@ -241,7 +258,7 @@
             view.record_refusal(refusal_s, now=self._now)
             earliest_s = request.retry_after_s
             request.retry_after_s = min(earliest_s or math.inf, refusal_s)
-            self._send_attempt(request)
+            self._send_attempt(request, passed_to)
             return
         self._schedule_after(
             CLIENT_DELAY_S, lambda: request.on_end(served, CLIENT_PAUSE_S)
@@ -271,10 +288,23 @@
 
     # The owner.
 
-    def _offer(self, attempt: Attempt, spare: bool) -> None:
+    def _offer(
+        self, attempt: Attempt, spare: bool, neighbour: NeighbourLoad | None
+    ) -> None:
         owner, request = attempt.owner, attempt.request
         number = next(self._ids)
         owner.offers.record_arrival(request.entry.name)
+        owner.waiting[number] = attempt
+        if neighbour is not None:
+            owner.neighbours.record(neighbour)
+            passed_to = ""
+            if owner.count_free(self._now) <= 0:
+                passed_to = owner.neighbours.take_slot(now=self._now)
+            if passed_to:
+                request.passed_on = True
+                self.passed += 1
+                self._refuse(owner, number, PASSED_RETRY_AFTER_S, passed_to)
+                return
         waiter = Waiter(
             number,
             request.kind.priority,
@@ -284,7 +314,6 @@
             spare,
             self._kind_index(request.kind),
         )
-        owner.waiting[number] = attempt
         match owner.queue.offer(waiter, now=self._now):
             case Admit():
                 self._start(owner, number)
@@ -313,7 +342,13 @@
         if refusal is not None:
             self._refuse(owner, number, refusal.verdict.retry_after_s or 0.0)
 
-    def _refuse(self, owner: Node, number: int, retry_after_s: float) -> None:
+    def _refuse(
+        self,
+        owner: Node,
+        number: int,
+        retry_after_s: float,
+        passed_to: str = "",
+    ) -> None:
         attempt = owner.waiting.pop(number)
         self.refusals += 1
         load = owner.load(self._now)
@@ -324,6 +359,7 @@
                 load,
                 served=False,
                 refusal_s=retry_after_s,
+                passed_to=passed_to,
             ),
         )
 
--- a/bench/fleet_node.py
+++ b/bench/fleet_node.py
@@ -15,6 +15,7 @@
     TargetLimit,
     TargetPhase,
 )
+from guavawing.traffic.neighbours import Neighbours
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.slot_offers import SlotOffers
 from guavawing.traffic.slot_queue import SlotQueue
@@ -41,6 +42,7 @@
         refused: Share of requests that the target refuses without execution.
         limit_per_s: Rate limit that the target names; None for none.
         offers: Offers of the target's slots to entry nodes.
+        neighbours: What the owner knows of its neighbours.
         waiting: Queued and running attempts at the target, by number.
     """
 
@@ -60,6 +62,7 @@
     refused: float = 0.0
     limit_per_s: float | None = None
     offers: SlotOffers = attrs.field(factory=SlotOffers)
+    neighbours: Neighbours = attrs.field(factory=Neighbours)
     waiting: dict[int, "Attempt"] = attrs.field(factory=dict)
 
     def count_free(self, now: float) -> int:
@@ -97,6 +100,7 @@
     urgent: bool
     tried_owners: list[str] = attrs.field(factory=list)
     sent: int = 0
+    passed_on: bool = False
     retry_after_s: float | None = None
 
 
--- a/bench/fleet_report.py
+++ b/bench/fleet_report.py
@@ -48,7 +48,11 @@
         )
     attempts = fmean(fleet.attempts for fleet in runs)
     refusals = fmean(fleet.refusals for fleet in runs)
-    lines.append(f"attempts {attempts:.0f}, refusals {refusals:.0f}")
+    passed = fmean(fleet.passed for fleet in runs)
+    lines.append(
+        f"attempts {attempts:.0f}, refusals {refusals:.0f},"
+        f" of them passed on {passed:.0f}"
+    )
     for kind in runs[0].pattern.kinds:
         elapsed_s = [s for f in runs for s in f.results[kind.name].elapsed_s]
         if elapsed_s:
--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -15,6 +15,7 @@
 from guavawing.traffic.budget import RetryBudget
 from guavawing.traffic.failures import FailureShare
 from guavawing.traffic.model import Attempt, Outcome, Route
+from guavawing.traffic.neighbours import find_last_heard
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.unserved import Step, combine_verdicts, next_step
@@ -78,6 +79,7 @@
         "_fallback",
         "_owner",
         "_parts",
+        "_passed_on",
         "_refusal",
         "_remote",
         "_request",
@@ -121,6 +123,8 @@
         self._tried: list[str] = []
         self._tried_at = request.arrived_at
         self._sent = 0
+        # Whether an owner has passed the request on.
+        self._passed_on = False
         # Verdict of the last attempt that may have run.
         self._unknown_outcome: MayHaveRun | None = None
         # Last refusal by an owner or a target.
@@ -142,19 +146,31 @@
         )
         self._try_owner()
 
-    def _try_owner(self, *, allow_repeat: bool = False) -> None:
+    def _try_owner(
+        self, *, allow_repeat: bool = False, passed_to: str = ""
+    ) -> None:
         """Submits the attempt to an owner.
 
         Args:
             allow_repeat: Whether an owner that was already tried may be chosen
                 if there is no other.
+            passed_to: Node of the owner that the last one has named, if any.
         """
         parts, attempt = self._parts, self._attempt
         now = parts.loop.time()
         parts.own_view.apply_own_report(
             parts.owner.load(), free=parts.owner.has_unoffered_slot(), now=now
         )
-        choice = self._choose(now, excluded=self._tried)
+        choice = None
+        if passed_to:
+            choice = parts.balancer.choose_named(
+                parts.peers.owners(attempt.service),
+                passed_to,
+                excluded=self._tried,
+                now=now,
+            )
+        if choice is None:
+            choice = self._choose(now, excluded=self._tried)
         if choice is None and allow_repeat:
             choice = self._choose(now, excluded=())
         if choice is None:
@@ -174,6 +190,13 @@
                 load_age_s=round(now - owner.reported_at, 3),
                 offered=owner.offers.has(now=now),
             )
+        neighbour = None
+        # A large body takes longer to send again than most waits are.
+        if not (passed_to or self._passed_on or attempt.bulk_body):
+            neighbour = find_last_heard(
+                parts.peers.owners(attempt.service), owner, now=now
+            )
+        self._passed_on = self._passed_on or bool(passed_to)
         self._tried.append(owner.node)
         self._owner = owner
         self._tried_at = now
@@ -184,13 +207,20 @@
             self._remote = None
             self._attempt_id = 0
             self._attempt_id = parts.owner.submit(
-                attempt, self._handle_outcome, local=True
+                attempt,
+                self._handle_outcome,
+                local=True,
+                neighbour=neighbour,
             )
             return
         peer = parts.peers.get(owner.node)
         assert peer is not None
         self._remote = parts.mesh.submit(
-            owner.node, peer.record.mesh_port, attempt, self._handle_outcome
+            owner.node,
+            peer.record.mesh_port,
+            attempt,
+            self._handle_outcome,
+            neighbour=neighbour,
         )
 
     def _choose(self, now: float, *, excluded: Sequence[str]) -> Choice | None:
@@ -254,7 +284,7 @@
         )
         match step:
             case Step.ASK_ANOTHER:
-                self._try_owner()
+                self._try_owner(passed_to=outcome.passed_to)
             case Step.RETRY:
                 self._retry(verdict)
             case Step.GIVE_UP:
--- a/src/guavawing/sidecar/mesh_client.py
+++ b/src/guavawing/sidecar/mesh_client.py
@@ -28,6 +28,7 @@
     Outcome,
     TargetRecord,
 )
+from guavawing.traffic.neighbours import NeighbourLoad
 from guavawing.verdict import MayHaveRun, NotRun, Reason
 
 __all__ = ["MeshClient", "RemoteAttempt"]
@@ -78,6 +79,8 @@
         process: Process number of the owner to which it was sent; 0 if it was
             not sent or the owner's hello has not been received.
         sent_at: Event loop's time at which it was sent, in seconds.
+        neighbour: What its owner is told of another owner; None if it must not
+            be passed on.
         lost_at: Event loop's time at which its connection was first lost, in
             seconds; None if it was not. Its outcome is queried since.
     """
@@ -88,6 +91,7 @@
     frame_id: int = 0
     process: int = 0
     sent_at: float = 0.0
+    neighbour: NeighbourLoad | None = None
     lost_at: float | None = None
 
     def end(self, outcome: Outcome) -> None:
@@ -146,9 +150,20 @@
         port: int,
         attempt: Attempt,
         on_outcome: OutcomeListener,
+        *,
+        neighbour: NeighbourLoad | None = None,
     ) -> RemoteAttempt:
-        """Sends an attempt to the owner at an address."""
-        remote = RemoteAttempt(attempt, on_outcome)
+        """Sends an attempt to the owner at an address.
+
+        Args:
+            host: IP address of the owner's VM.
+            port: Its mesh port.
+            attempt: The attempt.
+            on_outcome: Called once with the outcome unless it is cancelled.
+            neighbour: What the owner is told of another owner; None if the
+                attempt must not be passed on.
+        """
+        remote = RemoteAttempt(attempt, on_outcome, neighbour=neighbour)
         self._pick_connection(host, port, bulk=attempt.bulk).add(remote)
         return remote
 
@@ -405,6 +420,7 @@
                 remote.attempt,
                 now=now,
                 known=self._client.find_record(self._host),
+                neighbour=remote.neighbour,
             )
         )
 
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -36,6 +36,7 @@
     PeerRecord,
     TargetRecord,
 )
+from guavawing.traffic.neighbours import NeighbourLoad
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason, Verdict
 
 __all__ = [
@@ -80,6 +81,7 @@
     *,
     now: float,
     known: TargetRecord,
+    neighbour: NeighbourLoad | None,
 ) -> bytes:
     """Returns the frame that requests the execution of an attempt."""
     return pack(
@@ -107,6 +109,7 @@
             attempt.account,
             attempt.usage,
             attempt.release,
+            neighbour and (neighbour.node, neighbour.free, now - neighbour.at),
         )
     )
 
@@ -144,6 +147,7 @@
             encode_departure(departure),
             load.release,
             offered,
+            outcome.passed_to,
         )
     )
 
@@ -317,9 +321,17 @@
             decode_departure(read_optional(fields, 17)),
             decode_limit(read_optional(fields, 16)),
         ),
+        _decode_neighbour(read_optional(fields, 23), now),
     )
 
 
+def _decode_neighbour(fields: Any, now: float) -> NeighbourLoad | None:
+    if fields is None:
+        return None
+    node, free, age_s = fields
+    return NeighbourLoad(read_text(node), read_number(free), now - float(age_s))
+
+
 def _decode_later_fields(fields: list[Any]) -> dict[str, Any]:
     """Decodes fields that nodes of earlier releases do not send."""
     if len(fields) < 23:
@@ -352,6 +364,7 @@
         read_bytes(fields[6]),
         read_bytes(fields[7]),
         float(fields[9]),
+        read_text(read_optional(fields, 15) or ""),
     )
     load = decode_load(
         fields[8], fields[10:12], release=read_optional(fields, 13) or ""
--- a/src/guavawing/sidecar/mesh_messages.py
+++ b/src/guavawing/sidecar/mesh_messages.py
@@ -11,6 +11,7 @@
     PeerRecord,
     TargetRecord,
 )
+from guavawing.traffic.neighbours import NeighbourLoad
 
 __all__ = [
     "AnswerFrame",
@@ -34,11 +35,14 @@
         attempt: The attempt.
         known: What the sender has recorded about the owner's target. It binds
             an owner whose process has just started.
+        neighbour: Load of another owner, known to the sender; None if the
+            attempt must not be passed on.
     """
 
     id: int
     attempt: Attempt
     known: TargetRecord = NO_TARGET_RECORD
+    neighbour: NeighbourLoad | None = None
 
 
 @attrs.frozen
--- a/src/guavawing/sidecar/mesh_server.py
+++ b/src/guavawing/sidecar/mesh_server.py
@@ -107,10 +107,9 @@
     def _make_stream(self) -> FrameStream:
         return FrameStream(_Connection(self), keepalive=KEEPALIVE)
 
-    def submit(
-        self, conn: "_Connection", frame_id: int, attempt: Attempt
-    ) -> _Job:
+    def submit(self, conn: "_Connection", frame: RequestFrame) -> _Job:
         """Submits an attempt to the owner and records its outcome."""
+        frame_id, attempt = frame.id, frame.attempt
         job = _Job(attempt.request_id, conn, frame_id)
         if attempt.request_id in self._jobs:
             # A duplicate, or an attempt that was cancelled by a query that
@@ -124,6 +123,7 @@
             lambda outcome: self._record_outcome(attempt, job, outcome),
             local=False,
             entry=conn.entry,
+            neighbour=frame.neighbour,
         )
         return job
 
@@ -238,9 +238,9 @@
     def on_frame(self, payload: bytes) -> None:
         """Handles a frame of the entry node."""
         match decode_frame(payload, now=self._server.loop.time()):
-            case RequestFrame(id=frame_id, attempt=attempt, known=known):
+            case RequestFrame(id=frame_id, known=known) as frame:
                 self._server.owner.apply_peer_record(known)
-                job = self._server.submit(self, frame_id, attempt)
+                job = self._server.submit(self, frame)
                 if job.conn is not None:
                     self._jobs[frame_id] = job
             case CancelFrame(id=frame_id):
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -20,6 +20,7 @@
     TargetPhase,
     TargetRecord,
 )
+from guavawing.traffic.neighbours import NeighbourLoad, Neighbours
 from guavawing.traffic.slot_offers import SlotOffers
 from guavawing.traffic.slot_queue import (
     Admit,
@@ -44,6 +45,8 @@
 
 # Retry-After in seconds while the target is unknown or gone.
 NO_TARGET_RETRY_AFTER_S = 0.4
+# Retry-After in seconds of a refusal that passes an attempt on.
+PASSED_RETRY_AFTER_S = 0.04
 # Share of the drain time after which queued attempts are no longer sent.
 DRAIN_SHARE = 0.5
 # Wait for the link that is always allowed, also if a large answer will miss its
@@ -109,6 +112,7 @@
         self._metrics = metrics
         self._queue = SlotQueue()
         self._offers = SlotOffers()
+        self._neighbours = Neighbours()
         self._pending: dict[int, _PendingAttempt] = {}
         self._ids = itertools.count(1)
         # Fires when the target's rate limit admits the next queued attempt.
@@ -196,6 +200,15 @@
         """Returns the number of free slots that no queued attempt needs."""
         return self._queue.slots - self._queue.running - self._queue.queued
 
+    def _find_neighbour(self) -> str:
+        """Returns another owner for an attempt that would wait, or nothing."""
+        if self._count_free() > 0:
+            return ""
+        passed_to = self._neighbours.take_slot(now=self._loop.time())
+        if passed_to:
+            self._metrics.slot_offers.inc({"event": "passed-on"})
+        return passed_to
+
     def _takes_requests(self) -> bool:
         """Returns whether attempts of other nodes are admitted at once."""
         return (
@@ -211,6 +224,7 @@
         *,
         local: bool,
         entry: str = "",
+        neighbour: NeighbourLoad | None = None,
     ) -> int:
         """Admits, queues or refuses an attempt.
 
@@ -220,6 +234,8 @@
                 cancelled.
             local: Whether this node is also the entry node.
             entry: Address of the entry node if it is another one.
+            neighbour: Load of another owner, known to the entry node; None if
+                the attempt must not be passed on.
 
         Returns:
             Id of the attempt for `cancel`.
@@ -232,6 +248,13 @@
         if refusal is not None:
             self._complete(pending, Outcome(refusal))
             return pending.id
+        if neighbour is not None:
+            self._neighbours.record(neighbour)
+            passed_to = self._find_neighbour()
+            if passed_to:
+                verdict = NotRun(Reason.QUEUE_FULL, PASSED_RETRY_AFTER_S)
+                self._complete(pending, Outcome(verdict, passed_to=passed_to))
+                return pending.id
         self._pending[pending.id] = pending
         waiter = Waiter(
             pending.id,
@@ -454,4 +477,5 @@
                 queued=self._queue.queued,
                 slots=self._queue.slots,
                 bytes=len(outcome.body),
+                passed_to=outcome.passed_to,
             )
--- a/src/guavawing/traffic/balancer.py
+++ b/src/guavawing/traffic/balancer.py
@@ -166,6 +166,32 @@
         queues = best.near or _may_queue(best, pressure)
         return Choice(best, spare_only=not queues)
 
+    def choose_named(
+        self,
+        owners: Collection[OwnerView],
+        node: str,
+        *,
+        excluded: Container[str],
+        now: float,
+    ) -> Choice | None:
+        """Returns the owner that another one has named, or None.
+
+        Args:
+            owners: The owners of the service.
+            node: Node of the named owner.
+            excluded: Nodes that the request has been sent to already.
+            now: Event loop's time, in seconds.
+        """
+        for owner in owners:
+            if (
+                owner.node == node
+                and node not in excluded
+                and owner.is_usable(now=now)
+                and owner.accepts_requests()
+            ):
+                return Choice(owner, spare_only=not owner.near)
+        return None
+
     def find_limit_wait_s(
         self, owners: Collection[OwnerView], *, now: float
     ) -> float | None:
--- a/src/guavawing/traffic/model.py
+++ b/src/guavawing/traffic/model.py
@@ -399,6 +399,8 @@
         head: Header lines of the target's answer to forward.
         body: Complete body of the target's answer.
         held_s: Time that the attempt spent at the owner, in seconds.
+        passed_to: Node of another owner with a free slot, named by the one
+            that refused the attempt; empty if there is none.
     """
 
     verdict: Verdict
@@ -406,3 +408,4 @@
     head: bytes = b""
     body: bytes = b""
     held_s: float = 0.0
+    passed_to: str = ""
--- a/src/guavawing/traffic/owner_view.py
+++ b/src/guavawing/traffic/owner_view.py
@@ -180,6 +180,14 @@
             and report.slots > 0
         )
 
+    def count_free(self) -> int:
+        """Returns the free slots after what was sent since the report."""
+        report = self.report
+        if report is None:
+            return 0
+        busy = report.running + report.queued + self.sent_since_report
+        return report.slots - busy
+
     def is_usable(self, *, now: float) -> bool:
         """Returns whether the owner is alive and not ejected."""
         return self.alive and now >= self.ejected_until
