--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -21,7 +21,11 @@
 from bench.fleet_node import Attempt, Node, Request
 from guavawing.sidecar.client_call import MAX_OWNERS_TRIED
 from guavawing.sidecar.entry import URGENT_SHARE, USEFUL_SHARE
-from guavawing.sidecar.owner import PASSED_RETRY_AFTER_S
+from guavawing.sidecar.owner import (
+    MAX_PASSED_PRESSURE,
+    MIN_PASSED_WAIT_S,
+    PASSED_RETRY_AFTER_S,
+)
 from guavawing.sidecar.target_pool import SHED_RETRY_AFTER_S
 from guavawing.traffic.balancer import Balancer
 from guavawing.traffic.budget import RetryBudget
@@ -298,7 +302,14 @@
         if neighbour is not None:
             owner.neighbours.record(neighbour)
             passed_to = ""
-            if owner.count_free(self._now) <= 0:
+            wait_s = owner.queue.estimate_wait_s(
+                request.kind.priority, late=request.late
+            )
+            if (
+                owner.count_free(self._now) <= 0
+                and wait_s >= MIN_PASSED_WAIT_S
+                and owner.queue.refused_share <= MAX_PASSED_PRESSURE
+            ):
                 passed_to = owner.neighbours.take_slot(now=self._now)
             if passed_to:
                 request.passed_on = True
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -45,6 +45,12 @@
 
 # Retry-After in seconds while the target is unknown or gone.
 NO_TARGET_RETRY_AFTER_S = 0.4
+# Shortest expected wait for which an attempt is passed on, in seconds: below
+# it, the way to the other owner gains little.
+MIN_PASSED_WAIT_S = 0.02
+# Share of refused requests above which none is passed on: a free slot is taken
+# by another before the request arrives, which has then lost its place here.
+MAX_PASSED_PRESSURE = 0.05
 # Retry-After in seconds of a refusal that passes an attempt on.
 PASSED_RETRY_AFTER_S = 0.04
 # Share of the drain time after which queued attempts are no longer sent.
@@ -200,9 +206,16 @@
         """Returns the number of free slots that no queued attempt needs."""
         return self._queue.slots - self._queue.running - self._queue.queued
 
-    def _find_neighbour(self) -> str:
+    def _find_neighbour(self, attempt: Attempt) -> str:
         """Returns another owner for an attempt that would wait, or nothing."""
-        if self._count_free() > 0:
+        wait_s = self._queue.estimate_wait_s(
+            attempt.priority, late=attempt.late
+        )
+        if (
+            self._count_free() > 0
+            or wait_s < MIN_PASSED_WAIT_S
+            or self._queue.refused_share > MAX_PASSED_PRESSURE
+        ):
             return ""
         passed_to = self._neighbours.take_slot(now=self._loop.time())
         if passed_to:
@@ -250,7 +263,7 @@
             return pending.id
         if neighbour is not None:
             self._neighbours.record(neighbour)
-            passed_to = self._find_neighbour()
+            passed_to = self._find_neighbour(attempt)
             if passed_to:
                 verdict = NotRun(Reason.QUEUE_FULL, PASSED_RETRY_AFTER_S)
                 self._complete(pending, Outcome(verdict, passed_to=passed_to))
--- a/src/guavawing/traffic/neighbours.py
+++ b/src/guavawing/traffic/neighbours.py
@@ -19,7 +19,7 @@
 __all__ = ["NO_NEIGHBOUR", "NeighbourLoad", "Neighbours", "find_last_heard"]
 
 # Age up to which the load of a neighbour is used, in seconds.
-MAX_AGE_S = 0.1
+MAX_AGE_S = 0.05
 
 
 @attrs.frozen
