Merge even load: offers of free slots, and requests passed on to neighbours

Large bodies keep their pieces; what a lost connection leaves open is queried for longer; a request that was not sent by its deadline is answered with 503. The fakes of transfer.feature take the new arguments.

--- a/bench/fleet_node.py
+++ b/bench/fleet_node.py
@@ -15,7 +15,9 @@
     TargetLimit,
     TargetPhase,
 )
+from guavawing.traffic.neighbours import Neighbours
 from guavawing.traffic.owner_view import OwnerView
+from guavawing.traffic.slot_offers import SlotOffers
 from guavawing.traffic.slot_queue import SlotQueue
 
 __all__ = ["Attempt", "Node", "Request"]
@@ -39,6 +41,8 @@
         slowdown: Factor applied to execution times.
         refused: Share of requests that the target refuses without execution.
         limit_per_s: Rate limit that the target names; None for none.
+        offers: Offers of the target's slots to entry nodes.
+        neighbours: What the owner knows of its neighbours.
         waiting: Queued and running attempts at the target, by number.
     """
 
@@ -57,8 +61,16 @@
     slowdown: float = 1.0
     refused: float = 0.0
     limit_per_s: float | None = None
+    offers: SlotOffers = attrs.field(factory=SlotOffers)
+    neighbours: Neighbours = attrs.field(factory=Neighbours)
     waiting: dict[int, "Attempt"] = attrs.field(factory=dict)
 
+    def count_free(self, now: float) -> int:
+        """Returns the number of free slots that no queued request needs."""
+        if self.queue.find_limit_wait_s(now=now) > 0:
+            return 0
+        return self.queue.slots - self.queue.running - self.queue.queued
+
     def load(self, now: float) -> LoadReport:
         """Returns the load report of the target at `now`, in seconds."""
         known = self.queue.has_service_time
@@ -88,6 +100,7 @@
     urgent: bool
     tried_owners: list[str] = attrs.field(factory=list)
     sent: int = 0
+    passed_on: bool = False
     retry_after_s: float | None = None
 
 
--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -16,6 +16,7 @@
 from guavawing.traffic.budget import RetryBudget
 from guavawing.traffic.failures import FailureShare
 from guavawing.traffic.model import Attempt, Outcome, Route
+from guavawing.traffic.neighbours import find_last_heard
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.unserved import Step, combine_verdicts, next_step
@@ -80,6 +81,7 @@
         "_on_not_run",
         "_owner",
         "_parts",
+        "_passed_on",
         "_refusal",
         "_remote",
         "_request",
@@ -126,6 +128,8 @@
         self._tried: list[str] = []
         self._tried_at = request.arrived_at
         self._sent = 0
+        # Whether an owner has passed the request on.
+        self._passed_on = False
         # Verdict of the last attempt that may have run.
         self._unknown_outcome: MayHaveRun | None = None
         # Last refusal by an owner or a target.
@@ -147,17 +151,31 @@
         )
         self._try_owner()
 
-    def _try_owner(self, *, allow_repeat: bool = False) -> None:
+    def _try_owner(
+        self, *, allow_repeat: bool = False, passed_to: str = ""
+    ) -> None:
         """Submits the attempt to an owner.
 
         Args:
             allow_repeat: Whether an owner that was already tried may be chosen
                 if there is no other.
+            passed_to: Node of the owner that the last one has named, if any.
         """
         parts, attempt = self._parts, self._attempt
         now = parts.loop.time()
-        parts.own_view.apply_report(parts.owner.load(), now=now)
-        choice = self._choose(now, excluded=self._tried)
+        parts.own_view.apply_own_report(
+            parts.owner.load(), free=parts.owner.has_unoffered_slot(), now=now
+        )
+        choice = None
+        if passed_to:
+            choice = parts.balancer.choose_named(
+                parts.peers.owners(attempt.service),
+                passed_to,
+                excluded=self._tried,
+                now=now,
+            )
+        if choice is None:
+            choice = self._choose(now, excluded=self._tried)
         if choice is None and allow_repeat:
             choice = self._choose(now, excluded=())
         if choice is not None and not self._can_send(choice, now):
@@ -177,22 +195,39 @@
                 owner=owner.node,
                 load=str(owner.report),
                 load_age_s=round(now - owner.reported_at, 3),
+                offered=owner.offers.has(now=now),
             )
+        neighbour = None
+        # A large body takes longer to send again than most waits are.
+        if not (passed_to or self._passed_on or attempt.bulk_body):
+            neighbour = find_last_heard(
+                parts.peers.owners(attempt.service), owner, now=now
+            )
+        self._passed_on = self._passed_on or bool(passed_to)
         self._tried.append(owner.node)
         self._owner = owner
         self._tried_at = now
-        owner.record_sent()
+        if not owner.local and owner.offers.has(now=now):
+            parts.metrics.slot_offers.inc({"event": "used"})
+        owner.record_sent(now=now)
         if owner.local:
             self._remote = None
             self._attempt_id = 0
             self._attempt_id = parts.owner.submit(
-                attempt, self._handle_outcome, local=True
+                attempt,
+                self._handle_outcome,
+                local=True,
+                neighbour=neighbour,
             )
             return
         peer = parts.peers.get(owner.node)
         assert peer is not None
         self._remote = parts.mesh.submit(
-            owner.node, peer.record.mesh_port, attempt, self._handle_outcome
+            owner.node,
+            peer.record.mesh_port,
+            attempt,
+            self._handle_outcome,
+            neighbour=neighbour,
         )
 
     def _choose(self, now: float, *, excluded: Sequence[str]) -> Choice | None:
@@ -276,7 +311,7 @@
         )
         match step:
             case Step.ASK_ANOTHER:
-                self._try_owner()
+                self._try_owner(passed_to=outcome.passed_to)
             case Step.RETRY:
                 self._retry(verdict)
             case Step.GIVE_UP:
@@ -337,8 +372,6 @@
                 self._refuse(GATEWAY_TIMEOUT, verdict, None)
             case MayHaveRun():
                 self._refuse(BAD_GATEWAY, verdict, None)
-            case NotRun(reason=Reason.DEADLINE_PASSED):
-                self._refuse(GATEWAY_TIMEOUT, verdict, None)
             case NotRun():
                 retry_after_s = self._retry_after_s or NO_TARGET_RETRY_AFTER_S
                 self._refuse(UNAVAILABLE, verdict, retry_after_s)
@@ -412,21 +445,18 @@
         owner = self._owner
         if owner is not None:
             owner.record_failure(now=self._parts.loop.time())
-        is_unsent = self._cancel_attempt() and self._unknown_outcome is None
-        if is_unsent and self._fallback is None and self._attempt.bulk_body:
-            verdict = NotRun(Reason.DEADLINE_PASSED)
-            self._refuse(UNAVAILABLE, verdict, NO_TARGET_RETRY_AFTER_S)
+        unsent = self._cancel_attempt()
+        if unsent and not self._sent:
+            self._give_up(NotRun(Reason.DEADLINE_PASSED))
             return
         self._refuse(GATEWAY_TIMEOUT, MayHaveRun(Reason.DEADLINE_PASSED), None)
 
     def _cancel_attempt(self) -> bool:
-        """Cancels the attempt; returns whether it certainly has not run."""
+        """Cancels the attempt; returns whether no target can receive it."""
         owner, self._owner = self._owner, None
         if owner is None:
             return False
         owner.outstanding -= 1
         if self._remote is not None:
             return self._parts.mesh.cancel(self._remote)
-        if owner.local:
-            self._parts.owner.cancel(self._attempt_id)
-        return False
+        return owner.local and self._parts.owner.cancel(self._attempt_id)
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -429,12 +429,19 @@
         self._beacons.request_beacon(peer)
 
     def _handle_load(
-        self, host: str, load: LoadReport, departure: Incarnation | None
+        self,
+        host: str,
+        load: LoadReport,
+        departure: Incarnation | None,
+        offered: bool,
     ) -> None:
         peer = self._peers.get(host)
         if peer is not None:
-            self._peers.apply_load(peer, load, now=self._loop.time())
+            now = self._loop.time()
+            self._peers.apply_load(peer, load, now=now)
             peer.departure = departure or peer.departure
+            if offered:
+                peer.view.offers.add(now=now)
 
     def _find_record(self, host: str) -> TargetRecord:
         peer = self._peers.get(host)
--- a/src/guavawing/sidecar/mesh_client.py
+++ b/src/guavawing/sidecar/mesh_client.py
@@ -24,6 +24,7 @@
     ConfigFrame,
     Hello,
 )
+from guavawing.sidecar.mesh_server import RETENTION_S
 from guavawing.traffic.model import (
     Attempt,
     Incarnation,
@@ -31,6 +32,7 @@
     Outcome,
     TargetRecord,
 )
+from guavawing.traffic.neighbours import NeighbourLoad
 from guavawing.verdict import MayHaveRun, NotRun, Reason
 
 __all__ = ["MeshClient", "RemoteAttempt"]
@@ -53,12 +55,19 @@
 # seconds. It is longer than the time to a suspicion because an owner behind a
 # saturated link responds late, and its answer may be in transit.
 RELEASE_AFTER_S = 0.7
+# Time after the loss of a connection for which the outcomes of attempts that
+# must not run twice are queried, and interval of the queries, in seconds. A
+# saturated link delays a new connection as it delayed the lost one.
+QUERY_FOR_S = 2.0
+QUERY_PERIOD_S = 0.2
+# Interval of the check whether a connection being opened is open, in seconds.
+CONNECTING_PERIOD_S = 0.02
 # Delay of a check beyond which this process itself was stalled, so that the
 # silence is no evidence of a fault of the owner.
 LATE_CHECK_S = 0.1
 
 OutcomeListener = Callable[[Outcome], None]
-LoadListener = Callable[[str, LoadReport, Incarnation | None], None]
+LoadListener = Callable[[str, LoadReport, Incarnation | None, bool], None]
 
 
 @attrs.define(eq=False)
@@ -73,7 +82,11 @@
         frame_id: Id of the request on that connection.
         process: Process number of the owner to which it was sent; 0 if it was
             not sent or the owner's hello has not been received.
-        queried: Whether its outcome has been queried on a new connection.
+        sent_at: Event loop's time at which it was sent, in seconds.
+        neighbour: What its owner is told of another owner; None if it must not
+            be passed on.
+        lost_at: Event loop's time at which its connection was first lost, in
+            seconds; None if it was not. Its outcome is queried since.
     """
 
     attempt: Attempt
@@ -81,7 +94,9 @@
     conn: "_OwnerConnection | None" = None
     frame_id: int = 0
     process: int = 0
-    queried: bool = False
+    sent_at: float = 0.0
+    neighbour: NeighbourLoad | None = None
+    lost_at: float | None = None
 
     def end(self, outcome: Outcome) -> None:
         """Reports the outcome; later calls have no effect."""
@@ -114,7 +129,7 @@
         Args:
             source: Local IP address of the connections.
             on_load: Called with the load and the departure of the target that
-                an answer contains.
+                an answer contains, and whether it offers a free slot.
             find_record: Returns what is recorded about the target on a host.
             on_alive: Called with the host of a node that has responded.
             on_suspicion: Called with the host of a node that is silent or
@@ -147,9 +162,20 @@
         port: int,
         attempt: Attempt,
         on_outcome: OutcomeListener,
+        *,
+        neighbour: NeighbourLoad | None = None,
     ) -> RemoteAttempt:
-        """Sends an attempt to the owner at an address."""
-        remote = RemoteAttempt(attempt, on_outcome)
+        """Sends an attempt to the owner at an address.
+
+        Args:
+            host: IP address of the owner's VM.
+            port: Its mesh port.
+            attempt: The attempt.
+            on_outcome: Called once with the outcome unless it is cancelled.
+            neighbour: What the owner is told of another owner; None if the
+                attempt must not be passed on.
+        """
+        remote = RemoteAttempt(attempt, on_outcome, neighbour=neighbour)
         bulk = attempt.bulk or has_large_body(attempt)
         self._pick_connection(host, port, bulk=bulk).add(remote)
         return remote
@@ -161,7 +187,7 @@
             Whether it certainly has not run, and won't.
         """
         remote.on_outcome = None
-        return remote.conn is not None and remote.conn.cancel(remote)
+        return remote.conn is None or remote.conn.cancel(remote)
 
     def request_config(self, host: str, port: int, version: int) -> None:
         """Requests a configuration newer than `version` from a node."""
@@ -333,11 +359,13 @@
     def on_frame(self, payload: bytes) -> None:
         match decode_frame(payload, now=self._client.loop.time()):
             case AnswerFrame() as answer:
-                self._client.on_load(self._host, answer.load, answer.departure)
+                self._client.on_load(
+                    self._host, answer.load, answer.departure, answer.offered
+                )
                 self._stop_body(answer.id)
                 remote = self._pending.pop(answer.id, None)
                 if remote is not None:
-                    remote.end(answer.outcome)
+                    remote.end(self._check_retained(remote, answer.outcome))
             case BodyGrant(id=frame_id, until=until):
                 sender = self._senders.get(frame_id)
                 if sender is not None:
@@ -378,6 +406,9 @@
         unresolved = [
             remote for remote in lost.values() if remote.on_outcome is not None
         ]
+        for remote in unresolved:
+            if remote.lost_at is None:
+                remote.lost_at = self._client.loop.time()
         if unresolved:
             # Their outcomes are queried on a new connection.
             self._client.track(
@@ -385,29 +416,34 @@
             )
 
     async def _query_outcomes(self, remotes: list[RemoteAttempt]) -> None:
-        """Queries the outcomes of lost attempts, once each.
+        """Queries the outcomes of lost attempts on a new connection.
 
-        Attempts that were queried before, or whose process is not known, end
-        as lost.
+        Attempts whose process is not known end as lost, and so do those that
+        may be repeated if the owner can't be connected to.
         """
         for remote in remotes:
-            if remote.queried or not remote.process:
+            if not remote.process:
                 remote.end(Outcome(MayHaveRun(Reason.OWNER_LOST)))
-        queried = [
-            remote for remote in remotes if remote.on_outcome is not None
-        ]
-        if not queried:
-            return
-        await self._open()
-        stream = self._stream
-        if stream is None or stream.closed:
-            for remote in queried:
-                remote.end(Outcome(MayHaveRun(Reason.OWNER_LOST)))
-            return
-        for remote in queried:
+        while remotes := [each for each in remotes if each.on_outcome]:
+            while self._connecting:
+                await asyncio.sleep(CONNECTING_PERIOD_S)
+            await self._open()
+            stream = self._stream
+            if stream is not None and not stream.closed:
+                self._send_queries(remotes, stream)
+                return
+            now = self._client.loop.time()
+            for remote in remotes:
+                if not _may_query_again(remote, now):
+                    remote.end(Outcome(MayHaveRun(Reason.OWNER_LOST)))
+            await asyncio.sleep(QUERY_PERIOD_S)
+
+    def _send_queries(
+        self, remotes: list[RemoteAttempt], stream: FrameStream
+    ) -> None:
+        for remote in remotes:
             if remote.on_outcome is None:
                 continue
-            remote.queried = True
             remote.frame_id = next(self._ids)
             self._pending[remote.frame_id] = remote
             stream.write(
@@ -418,6 +454,23 @@
                 )
             )
 
+    def _check_retained(
+        self, remote: RemoteAttempt, outcome: Outcome
+    ) -> Outcome:
+        """Checks that the answer to a query rests on what the owner retains.
+
+        An owner that has no record of an attempt answers that it has not run.
+        That is true for as long as it would have retained the outcome.
+        """
+        age_s = self._client.loop.time() - remote.sent_at
+        if (
+            remote.lost_at is not None
+            and isinstance(outcome.verdict, NotRun)
+            and age_s >= RETENTION_S
+        ):
+            return Outcome(MayHaveRun(Reason.OWNER_LOST))
+        return outcome
+
     def _write(self, remote: RemoteAttempt) -> None:
         stream, pacer = self._stream, self._client.pacer
         assert stream is not None
@@ -429,16 +482,22 @@
         remote.frame_id = next(self._ids)
         remote.process = self._process
         self._pending[remote.frame_id] = remote
+        now = remote.sent_at = self._client.loop.time()
+        known = self._client.find_record(self._host)
         in_pieces = is_large and self._grants_bodies
-        encode = encode_upload if in_pieces else encode_request
-        stream.write(
-            encode(
+        if in_pieces:
+            payload = encode_upload(
+                remote.frame_id, remote.attempt, now=now, known=known
+            )
+        else:
+            payload = encode_request(
                 remote.frame_id,
                 remote.attempt,
-                now=self._client.loop.time(),
-                known=self._client.find_record(self._host),
+                now=now,
+                known=known,
+                neighbour=remote.neighbour,
             )
-        )
+        stream.write(payload)
         if in_pieces:
             assert pacer is not None
             sender = self._senders[remote.frame_id] = BodySender(
@@ -484,3 +543,10 @@
         for remote in waiting:
             if remote.on_outcome is not None:
                 self.add(remote)
+
+
+def _may_query_again(remote: RemoteAttempt, now: float) -> bool:
+    """Returns whether the outcome of a lost attempt is still awaited."""
+    assert remote.lost_at is not None
+    ends_at = min(remote.lost_at + QUERY_FOR_S, remote.attempt.deadline)
+    return not remote.attempt.idempotent and now + QUERY_PERIOD_S < ends_at
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -40,6 +40,7 @@
     PeerRecord,
     TargetRecord,
 )
+from guavawing.traffic.neighbours import NeighbourLoad
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason, Verdict
 
 __all__ = [
@@ -93,12 +94,15 @@
     *,
     now: float,
     known: TargetRecord,
+    neighbour: NeighbourLoad | None,
 ) -> bytes:
     """Returns the frame that requests the execution of an attempt."""
     return pack(
         (
             REQUEST,
-            *_list_request_fields(frame_id, attempt, attempt.body, now, known),
+            *_list_request_fields(
+                frame_id, attempt, attempt.body, now, known, neighbour
+            ),
         )
     )
 
@@ -114,7 +118,7 @@
     return pack(
         (
             UPLOAD,
-            *_list_request_fields(frame_id, attempt, b"", now, known),
+            *_list_request_fields(frame_id, attempt, b"", now, known, None),
             len(attempt.body),
         )
     )
@@ -136,6 +140,7 @@
     body: bytes,
     now: float,
     known: TargetRecord,
+    neighbour: NeighbourLoad | None,
 ) -> tuple[Any, ...]:
     return (
         frame_id,
@@ -160,6 +165,7 @@
         attempt.account,
         attempt.usage,
         attempt.release,
+        neighbour and (neighbour.node, neighbour.free, now - neighbour.at),
     )
 
 
@@ -169,6 +175,7 @@
     load: LoadReport,
     *,
     departure: Incarnation | None,
+    offered: bool = False,
 ) -> bytes:
     """Returns the frame with the outcome of an attempt."""
     match outcome.verdict:
@@ -194,6 +201,8 @@
             load.limit_wait_s,
             encode_departure(departure),
             load.release,
+            offered,
+            outcome.passed_to,
         )
     )
 
@@ -382,9 +391,17 @@
             decode_departure(read_optional(fields, 17)),
             decode_limit(read_optional(fields, 16)),
         ),
+        _decode_neighbour(read_optional(fields, 23), now),
     )
 
 
+def _decode_neighbour(fields: Any, now: float) -> NeighbourLoad | None:
+    if fields is None:
+        return None
+    node, free, age_s = fields
+    return NeighbourLoad(read_text(node), read_number(free), now - float(age_s))
+
+
 def _decode_later_fields(fields: list[Any]) -> dict[str, Any]:
     """Decodes fields that nodes of earlier releases do not send."""
     if len(fields) < 23:
@@ -417,9 +434,13 @@
         read_bytes(fields[6]),
         read_bytes(fields[7]),
         float(fields[9]),
+        read_text(read_optional(fields, 15) or ""),
     )
     load = decode_load(
         fields[8], fields[10:12], release=read_optional(fields, 13) or ""
     )
     departure = decode_departure(read_optional(fields, 12))
-    return AnswerFrame(read_number(fields[1]), outcome, load, departure)
+    offered = bool(read_optional(fields, 14))
+    return AnswerFrame(
+        read_number(fields[1]), outcome, load, departure, offered
+    )
--- a/src/guavawing/sidecar/mesh_messages.py
+++ b/src/guavawing/sidecar/mesh_messages.py
@@ -11,6 +11,7 @@
     PeerRecord,
     TargetRecord,
 )
+from guavawing.traffic.neighbours import NeighbourLoad
 
 __all__ = [
     "AnswerFrame",
@@ -36,6 +37,8 @@
         attempt: The attempt.
         known: What the sender has recorded about the owner's target. It binds
             an owner whose process has just started.
+        neighbour: Load of another owner, known to the sender; None if the
+            attempt must not be passed on.
         body_bytes: Size of the body, which follows in pieces as the owner
             grants them; 0 if the attempt contains its body.
     """
@@ -43,6 +46,7 @@
     id: int
     attempt: Attempt
     known: TargetRecord = NO_TARGET_RECORD
+    neighbour: NeighbourLoad | None = None
     body_bytes: int = 0
 
 
@@ -76,12 +80,14 @@
         outcome: The outcome.
         load: Load of the target.
         departure: Announced departure of the target, if any.
+        offered: Whether the owner offers the receiver a free slot.
     """
 
     id: int
     outcome: Outcome
     load: LoadReport
     departure: Incarnation | None = None
+    offered: bool = False
 
 
 @attrs.frozen
--- a/src/guavawing/sidecar/mesh_server.py
+++ b/src/guavawing/sidecar/mesh_server.py
@@ -115,10 +115,9 @@
     def _make_stream(self) -> FrameStream:
         return FrameStream(_Connection(self), keepalive=KEEPALIVE)
 
-    def submit(
-        self, conn: "_Connection", frame_id: int, attempt: Attempt
-    ) -> _Job:
+    def submit(self, conn: "_Connection", frame: RequestFrame) -> _Job:
         """Submits an attempt to the owner and records its outcome."""
+        frame_id, attempt = frame.id, frame.attempt
         job = _Job(attempt.request_id, conn, frame_id)
         if attempt.request_id in self._jobs:
             # A duplicate, or an attempt that was cancelled by a query that
@@ -131,6 +130,8 @@
             attempt,
             lambda outcome: self._record_outcome(attempt, job, outcome),
             local=False,
+            entry=conn.entry,
+            neighbour=frame.neighbour,
         )
         return job
 
@@ -188,11 +189,16 @@
 
 
 class _Connection:
-    """A connection from an entry node."""
+    """A connection from an entry node.
+
+    Attributes:
+        entry: Address of the entry node.
+    """
 
     def __init__(self, server: MeshServer) -> None:
         self._server = server
         self._stream: FrameStream | None = None
+        self.entry = ""
         self._jobs: dict[int, _Job] = {}
 
     def answer(self, job: _Job, outcome: Outcome | None = None) -> None:
@@ -206,7 +212,11 @@
             return
         owner = self._server.owner
         payload = encode_answer(
-            job.frame_id, outcome, owner.load(), departure=owner.departure
+            job.frame_id,
+            outcome,
+            owner.load(),
+            departure=owner.departure,
+            offered=owner.offer_slot(self.entry, outcome.verdict),
         )
         if len(payload) < LARGE_BYTES:
             stream.write(payload)
@@ -234,6 +244,7 @@
             stream.abort()
             return
         self._stream = stream
+        self.entry = stream.peer_host
         self._server.connections.add(self)
         stream.write(encode_hello(self._server.process))
 
@@ -245,11 +256,11 @@
                 if request.body_bytes:
                     self._begin_body(request)
                 else:
-                    self._submit(frame_id, request.attempt)
+                    self._submit(request)
             case BodyPiece(id=frame_id, piece=piece):
                 whole = self._server.bodies.receive(self, frame_id, piece)
                 if whole is not None:
-                    self._submit(frame_id, whole)
+                    self._submit(RequestFrame(frame_id, whole))
             case CancelFrame(id=frame_id):
                 if self._server.bodies.drop(self, frame_id):
                     return
@@ -282,10 +293,10 @@
             job.conn = None
         self._jobs.clear()
 
-    def _submit(self, frame_id: int, attempt: Attempt) -> None:
-        job = self._server.submit(self, frame_id, attempt)
+    def _submit(self, frame: RequestFrame) -> None:
+        job = self._server.submit(self, frame)
         if job.conn is not None:
-            self._jobs[frame_id] = job
+            self._jobs[frame.id] = job
 
     def _begin_body(self, request: RequestFrame) -> None:
         refusal = self._server.bodies.begin(
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -21,6 +21,8 @@
     TargetPhase,
     TargetRecord,
 )
+from guavawing.traffic.neighbours import NeighbourLoad, Neighbours
+from guavawing.traffic.slot_offers import SlotOffers
 from guavawing.traffic.slot_queue import (
     Admit,
     Queued,
@@ -34,6 +36,7 @@
     NotRun,
     Ran,
     Reason,
+    Verdict,
     verdict_name,
 )
 
@@ -43,6 +46,14 @@
 
 # Retry-After in seconds while the target is unknown or gone.
 NO_TARGET_RETRY_AFTER_S = 0.4
+# Shortest expected wait for which an attempt is passed on, in seconds: below
+# it, the way to the other owner gains little.
+MIN_PASSED_WAIT_S = 0.02
+# Share of refused requests above which none is passed on: a free slot is taken
+# by another before the request arrives, which has then lost its place here.
+MAX_PASSED_PRESSURE = 0.05
+# Retry-After in seconds of a refusal that passes an attempt on.
+PASSED_RETRY_AFTER_S = 0.04
 # Share of the drain time after which queued attempts are no longer sent.
 DRAIN_SHARE = 0.5
 # Wait for the link that is always allowed, also if a large answer will miss its
@@ -107,6 +118,8 @@
         self._log = log
         self._metrics = metrics
         self._queue = SlotQueue()
+        self._offers = SlotOffers()
+        self._neighbours = Neighbours()
         self._pending: dict[int, _PendingAttempt] = {}
         self._ids = itertools.count(1)
         # Fires when the target's rate limit admits the next queued attempt.
@@ -166,8 +179,66 @@
         if self._statements.apply_peer_record(record, now=now):
             self._handle_statement(phase_before)
 
+    def offer_slot(self, entry: str, verdict: Verdict) -> bool:
+        """Offers an entry node a free slot with an answer.
+
+        Args:
+            entry: Address of the entry node.
+            verdict: Verdict of the answer; a served attempt holds its slot
+                until the answer has been sent.
+
+        Returns:
+            Whether a slot is free and not offered.
+        """
+        free = self._count_free() + isinstance(verdict, Ran)
+        if free <= 0 or not self._takes_requests():
+            return False
+        offered = self._offers.make(entry, free=free, now=self._loop.time())
+        if offered:
+            self._metrics.slot_offers.inc({"event": "made"})
+        return offered
+
+    def has_unoffered_slot(self) -> bool:
+        """Returns whether a slot is free and offered to no entry node."""
+        free = self._count_free()
+        return free > 0 and free > self._offers.count(now=self._loop.time())
+
+    def _count_free(self) -> int:
+        """Returns the number of free slots that no queued attempt needs."""
+        return self._queue.slots - self._queue.running - self._queue.queued
+
+    def _find_neighbour(self, attempt: Attempt) -> str:
+        """Returns another owner for an attempt that would wait, or nothing."""
+        wait_s = self._queue.estimate_wait_s(
+            attempt.priority, late=attempt.late
+        )
+        if (
+            self._count_free() > 0
+            or wait_s < MIN_PASSED_WAIT_S
+            or self._queue.refused_share > MAX_PASSED_PRESSURE
+        ):
+            return ""
+        passed_to = self._neighbours.take_slot(now=self._loop.time())
+        if passed_to:
+            self._metrics.slot_offers.inc({"event": "passed-on"})
+        return passed_to
+
+    def _takes_requests(self) -> bool:
+        """Returns whether attempts of other nodes are admitted at once."""
+        return (
+            not self.stopping
+            and self._state.phase is TargetPhase.READY
+            and self._queue.find_limit_wait_s(now=self._loop.time()) <= 0
+        )
+
     def submit(
-        self, attempt: Attempt, on_outcome: OutcomeListener, *, local: bool
+        self,
+        attempt: Attempt,
+        on_outcome: OutcomeListener,
+        *,
+        local: bool,
+        entry: str = "",
+        neighbour: NeighbourLoad | None = None,
     ) -> int:
         """Admits, queues or refuses an attempt.
 
@@ -176,16 +247,28 @@
             on_outcome: Called once with the outcome unless the attempt is
                 cancelled.
             local: Whether this node is also the entry node.
+            entry: Address of the entry node if it is another one.
+            neighbour: Load of another owner, known to the entry node; None if
+                the attempt must not be passed on.
 
         Returns:
             Id of the attempt for `cancel`.
         """
         now = self._loop.time()
         pending = _PendingAttempt(next(self._ids), attempt, on_outcome, now)
+        if not local:
+            self._offers.record_arrival(entry)
         refusal = self._find_refusal(attempt, local=local)
         if refusal is not None:
             self._complete(pending, Outcome(refusal))
             return pending.id
+        if neighbour is not None:
+            self._neighbours.record(neighbour)
+            passed_to = self._find_neighbour(attempt)
+            if passed_to:
+                verdict = NotRun(Reason.QUEUE_FULL, PASSED_RETRY_AFTER_S)
+                self._complete(pending, Outcome(verdict, passed_to=passed_to))
+                return pending.id
         self._pending[pending.id] = pending
         waiter = Waiter(
             pending.id,
@@ -209,20 +292,25 @@
                 self._complete(pending, Outcome(verdict))
         return pending.id
 
-    def cancel(self, attempt_id: int) -> None:
+    def cancel(self, attempt_id: int) -> bool:
         """Cancels an attempt whose outcome is no longer needed.
 
         A queued attempt is removed. A running one is aborted if it is
         idempotent. Otherwise it completes, so that its effects are not partial.
+
+        Returns:
+            Whether it was queued, so that it never runs.
         """
         pending = self._pending.get(attempt_id)
         if pending is None:
-            return
+            return False
         pending.on_outcome = None
         if self._queue.discard(attempt_id):
             self._complete(pending, Outcome(NotRun(Reason.CANCELLED)))
-        elif pending.execution is not None and pending.attempt.idempotent:
+            return True
+        if pending.execution is not None and pending.attempt.idempotent:
             pending.execution.abandon()
+        return False
 
     def find_early_refusal(self, attempt: Attempt) -> NotRun | None:
         """Returns a refusal of a request of another node before its body."""
@@ -424,4 +512,5 @@
                 queued=self._queue.queued,
                 slots=self._queue.slots,
                 bytes=len(outcome.body),
+                passed_to=outcome.passed_to,
             )
--- a/src/guavawing/traffic/balancer.py
+++ b/src/guavawing/traffic/balancer.py
@@ -22,8 +22,9 @@
 
 __all__ = ["Balancer", "Choice"]
 
-# Round-trip time to another data centre, in seconds.
-REMOTE_ROUND_TRIP_S = 0.009
+# Round-trip time assumed for other data centres while none was observed, in
+# seconds.
+ASSUMED_ROUND_TRIP_S = 0.009
 # Wait for a slot up to which an owner counts as free, in seconds: an owner
 # queues a request that cannot be answered in time for the same time.
 FREE_WAIT_S = 0.03
@@ -137,6 +138,7 @@
         mean_s = _find_mean_s(working, kind)
         size_kb = self._size_kb.get(route, ASSUMED_KB)
         large = send_s > 0 or size_kb >= MIN_LARGE_KB
+        round_trip_s = _find_round_trip_s(working)
         ranked: dict[_Rank, list[tuple[float, OwnerView]]] = {}
         candidates = [
             owner for owner in usable or working if owner.node not in excluded
@@ -157,6 +159,7 @@
                     large=large,
                     bulk=bulk,
                     send_s=send_s,
+                    round_trip_s=round_trip_s,
                 )
                 if rank is _Rank.LIMITED:
                     continue
@@ -164,10 +167,36 @@
                     ranked.setdefault(rank, []).append((cost_s, owner))
         if not ranked:
             return None
-        best = self._pick(ranked[min(ranked)])
+        best = self._pick(ranked[min(ranked)], now)
         queues = best.near or _may_queue(best, pressure)
         return Choice(best, spare_only=not queues)
 
+    def choose_named(
+        self,
+        owners: Collection[OwnerView],
+        node: str,
+        *,
+        excluded: Container[str],
+        now: float,
+    ) -> Choice | None:
+        """Returns the owner that another one has named, or None.
+
+        Args:
+            owners: The owners of the service.
+            node: Node of the named owner.
+            excluded: Nodes that the request has been sent to already.
+            now: Event loop's time, in seconds.
+        """
+        for owner in owners:
+            if (
+                owner.node == node
+                and node not in excluded
+                and owner.is_usable(now=now)
+                and owner.accepts_requests()
+            ):
+                return Choice(owner, spare_only=not owner.near)
+        return None
+
     def find_limit_wait_s(
         self, owners: Collection[OwnerView], *, now: float
     ) -> float | None:
@@ -187,18 +216,23 @@
             default=None,
         )
 
-    def _pick(self, costs: list[tuple[float, OwnerView]]) -> OwnerView:
+    def _pick(
+        self, costs: list[tuple[float, OwnerView]], now: float
+    ) -> OwnerView:
         """Returns one of the owners of the same rank.
 
         All entry nodes have nearly the same, slightly outdated reports. If all
         chose the cheapest owner, they would overload one owner after the
-        other, so each node compares `COMPARED_OWNERS` random owners.
+        other, so each node compares `COMPARED_OWNERS` random owners. An owner
+        that has offered this node a slot has offered it to no other node.
         """
+        compared = costs
         if len(costs) > COMPARED_OWNERS:
-            costs = self._rng.sample(costs, COMPARED_OWNERS)
+            compared = self._rng.sample(costs, COMPARED_OWNERS)
         if self._rng.random() < EXPLORED_SHARE:
-            return self._rng.choice(costs)[1]
-        return min(costs, key=lambda pair: pair[0])[1]
+            return self._rng.choice(compared)[1]
+        offered = [pair for pair in costs if pair[1].offers.has(now=now)]
+        return min(offered or compared, key=lambda pair: pair[0])[1]
 
     def _assess(
         self,
@@ -211,6 +245,7 @@
         large: bool,
         bulk: bool,
         send_s: float = 0.0,
+        round_trip_s: float,
     ) -> tuple[_Rank, float]:
         """Returns the rank and, within it, the cost of an owner."""
         report = owner.report
@@ -222,6 +257,11 @@
         transit_s = owner.expect_transit_s(bulk=bulk, now=now)
         if send_s and not owner.local:
             transit_s += send_s + report.link_wait_s
+        if not owner.near:
+            known_s = owner.round_trip_s
+            transit_s = max(
+                transit_s, round_trip_s if known_s is None else known_s
+            )
         cost_s = wait_s + service_s * (1 + 0.3 * min(busy, 1.0)) + transit_s
         expected_s = wait_s + EXPECTED_SERVICE_FACTOR * service_s + transit_s
         spare_s = useful_s - EXPECTED_SERVICE_FACTOR * service_s
@@ -237,12 +277,11 @@
                 return _Rank.NEAR_BUSY, cost_s
             likely = wait_s + service_s + transit_s <= useful_s
             return (_Rank.NEAR_LIKELY if likely else _Rank.NEAR_FREE), cost_s
-        cost_s += REMOTE_ROUND_TRIP_S
         if wait_s > 0 and not _may_queue(owner, pressure):
             return _Rank.FAR_EXCLUDED, cost_s
         if large and pressure is not None and pressure < MIN_LARGE_PRESSURE:
             return _Rank.FAR_EXCLUDED, cost_s
-        in_time = not large and expected_s + REMOTE_ROUND_TRIP_S <= useful_s
+        in_time = not large and expected_s <= useful_s
         return (_Rank.FAR_IN_TIME if in_time else _Rank.FAR_FREE), cost_s
 
 
@@ -256,6 +295,16 @@
     return sum(reported) / len(reported) if reported else None
 
 
+def _find_round_trip_s(owners: Collection[OwnerView]) -> float:
+    """Returns the mean observed round-trip time to other data centres."""
+    observed = [
+        owner.round_trip_s
+        for owner in owners
+        if not owner.near and owner.round_trip_s is not None
+    ]
+    return sum(observed) / len(observed) if observed else ASSUMED_ROUND_TRIP_S
+
+
 def _may_queue(owner: OwnerView, pressure: float | None) -> bool:
     """Returns whether requests may queue at an owner in another data centre.
 
--- a/src/guavawing/traffic/owner_view.py
+++ b/src/guavawing/traffic/owner_view.py
@@ -4,6 +4,7 @@
 
 from guavawing.traffic.model import LoadReport, TargetPhase
 from guavawing.traffic.rate_limiter import find_admitted_rate
+from guavawing.traffic.slot_offers import HeldOffers
 
 __all__ = ["OwnerView"]
 
@@ -14,6 +15,8 @@
 # quickly with large answers.
 TRANSIT_WEIGHT = 0.3
 TRANSIT_HALF_LIFE_S = 1.0
+# Weight of the newest transit time that is above the shortest recent one.
+ROUND_TRIP_WEIGHT = 0.02
 # Service time assumed for a target that has executed nothing yet, in seconds:
 # short, so that it is chosen.
 UNKNOWN_SERVICE_S = 0.02
@@ -44,8 +47,11 @@
         transit_s: Moving mean of the transit time there and back, in seconds,
             for small answers and for bulk ones.
         transit_at: Times at which these means were last updated.
+        round_trip_s: Shortest recent transit time of small answers, in
+            seconds; None if none was observed.
         failures: Consecutive failures.
         ejected_until: End of its last ejection after failures.
+        offers: Its offers of free slots to this node.
     """
 
     node: str
@@ -60,8 +66,10 @@
     full_until: float = 0.0
     transit_s: list[float] = attrs.field(factory=lambda: [0.0, 0.0])
     transit_at: list[float] = attrs.field(factory=lambda: [0.0, 0.0])
+    round_trip_s: float | None = None
     failures: int = 0
     ejected_until: float = 0.0
+    offers: HeldOffers = attrs.field(factory=HeldOffers)
 
     def apply_report(self, report: LoadReport, *, now: float) -> None:
         """Applies a load report of the owner."""
@@ -71,8 +79,24 @@
         busy = report.running + report.queued
         self.others = float(max(0, busy - self.outstanding))
 
-    def record_sent(self) -> None:
+    def apply_own_report(
+        self, report: LoadReport, *, free: bool, now: float
+    ) -> None:
+        """Applies the load of the owner on this VM, which is never outdated.
+
+        Args:
+            report: Its load.
+            free: Whether it has a free slot that it has not offered.
+            now: Event loop's time, in seconds.
+        """
+        self.apply_report(report, now=now)
+        self.offers.clear()
+        if free:
+            self.offers.add(now=now)
+
+    def record_sent(self, *, now: float) -> None:
         """Records that a request is sent to the owner."""
+        self.offers.use(now=now)
         self.outstanding += 1
         self.sent_since_report += 1
 
@@ -83,6 +107,12 @@
         known_s = self.expect_transit_s(bulk=bulk, now=now)
         self.transit_s[bulk] = known_s + TRANSIT_WEIGHT * (transit_s - known_s)
         self.transit_at[bulk] = now
+        if not bulk:
+            shortest_s = self.round_trip_s
+            if shortest_s is None:
+                shortest_s = transit_s
+            rise_s = ROUND_TRIP_WEIGHT * (transit_s - shortest_s)
+            self.round_trip_s = min(transit_s, shortest_s + rise_s)
 
     def expect_transit_s(self, *, bulk: bool, now: float) -> float:
         """Returns the expected transit time, in seconds.
@@ -99,6 +129,7 @@
 
     def record_refusal(self, retry_after_s: float, *, now: float) -> None:
         """Records a refusal by a full owner."""
+        self.offers.clear()
         self.full_until = now + min(retry_after_s, MAX_BACKOFF_S)
 
     def record_failure(self, *, now: float) -> None:
@@ -149,6 +180,14 @@
             and report.slots > 0
         )
 
+    def count_free(self) -> int:
+        """Returns the free slots after what was sent since the report."""
+        report = self.report
+        if report is None:
+            return 0
+        busy = report.running + report.queued + self.sent_since_report
+        return report.slots - busy
+
     def is_usable(self, *, now: float) -> bool:
         """Returns whether the owner is alive and not ejected."""
         return self.alive and now >= self.ejected_until
--- a/tests/steps/transfer_steps.py
+++ b/tests/steps/transfer_steps.py
@@ -61,7 +61,7 @@
     def __init__(self, ends, peers):
         self.ends, self.peers, self.tried = list(ends), peers, []
 
-    def submit(self, host, port, attempt, on_outcome):
+    def submit(self, host, port, attempt, on_outcome, *, neighbour=None):
         self.tried.append(host)
         outcome = self.ends.pop(0)
         if outcome is None:
@@ -76,6 +76,9 @@
     def load(self):
         return LoadReport(TargetPhase.UNKNOWN, 0, 0, 0, 0.0)
 
+    def has_unoffered_slot(self):
+        return False
+
 
 def make_peers(names, now):
     own_record = PeerRecord("me", "me", 1, "east", "feed", 1)
