--- a/src/guavawing/traffic/neighbours.py
+++ b/src/guavawing/traffic/neighbours.py
@@ -66,7 +66,7 @@
             last, last_at = owner, owner.reported_at
     if last is None:
         return NO_NEIGHBOUR
-    return NeighbourLoad(last.node, last.count_free(), last_at)
+    return NeighbourLoad(last.node, last.count_free(now=now), last_at)
 
 
 class Neighbours:
--- a/src/guavawing/traffic/owner_view.py
+++ b/src/guavawing/traffic/owner_view.py
@@ -180,10 +180,13 @@
             and report.slots > 0
         )
 
-    def count_free(self) -> int:
-        """Returns the free slots after what was sent since the report."""
+    def count_free(self, *, now: float) -> int:
+        """Returns the free slots after what was sent since the report.
+
+        There are none while the target's rate limit allows no request.
+        """
         report = self.report
-        if report is None:
+        if report is None or self.estimate_limit_wait_s(now=now) > 0:
             return 0
         busy = report.running + report.queued + self.sent_since_report
         return report.slots - busy
--- a/tests/cover/passed_on.feature
+++ b/tests/cover/passed_on.feature
@@ -64,6 +64,12 @@
     And owner "n2" is told of 2 free slots of "n3"
     And owner "f1" is told of nothing
 
+  Scenario: A neighbour whose rate limit is used up has no free slot
+    Given near owners "n1 n2" and far owners "" of 5 slots
+    When owner "n1" reports 1 running 0.02 s ago
+    And owner "n2" reports 1 running and a rate limit that admits none for 0.5 s
+    Then owner "n1" is told of 0 free slots of "n2"
+
   Scenario Outline: Frames of nodes of both releases are read
     When a request <tells> is encoded and decoded
     Then what it tells is the same
--- a/tests/steps/passed_on_steps.py
+++ b/tests/steps/passed_on_steps.py
@@ -8,7 +8,9 @@
 from guavawing.sidecar.mesh_fields import pack, unpack
 from guavawing.traffic.model import (
     NO_TARGET_RECORD,
+    Incarnation,
     LoadReport,
+    TargetLimit,
     TargetPhase,
 )
 from guavawing.traffic.neighbours import (
@@ -138,6 +140,23 @@
     context.views[name].apply_report(load, now=NOW - ago)
 
 
+@when(
+    'owner "{name}" reports {running:d} running and a rate limit that admits'
+    " none for {wait_s:g} s"
+)
+def step_report_limit(context, name, running, wait_s):
+    load = LoadReport(
+        TargetPhase.READY,
+        context.slots,
+        running,
+        0,
+        0.1,
+        limit=TargetLimit(Incarnation(name, 0), 2.0),
+        limit_wait_s=wait_s,
+    )
+    context.views[name].apply_report(load, now=NOW)
+
+
 def find_told(context, name):
     return find_last_heard(context.views.values(), context.views[name], now=NOW)
 
