Roll-outs judged by what callers see

Cause: an operator's order to move a service to another release was not served; targets of any release got requests alike. Change: orders are read with the configuration, a decider among the readers of the store holds the status row by conditional writes, entry nodes split requests by the share in force, owners refuse what the roll-out does not allow and send counts. On only where the settings have terms of roll-outs.

--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -1,7 +1,8 @@
 """Routing and retries of one client request at its entry node."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
+from random import Random
 
 import attrs
 
@@ -17,6 +18,7 @@
 from guavawing.traffic.model import Attempt, Outcome, Route
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
+from guavawing.traffic.rollout_state import Group, RolloutView
 from guavawing.traffic.unserved import Step, combine_verdicts, next_step
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
 
@@ -52,6 +54,9 @@
         failures: Share of failed answers by service.
         budget: This node's share of the retry budgets.
         version: Returns the configuration version in force.
+        find_rollout: Returns what is known of the roll-outs of a service; None
+            if the deployment has none.
+        rng: Draws the requests that a new release gets.
         log: Receives decisions.
         metrics: Counts answers and retries.
     """
@@ -67,6 +72,8 @@
     version: Callable[[], int]
     log: DecisionLog
     metrics: SidecarMetrics
+    find_rollout: Callable[[str], RolloutView] | None = None
+    rng: Random = attrs.field(factory=Random)
 
 
 class ClientCall:
@@ -76,6 +83,8 @@
         "_attempt",
         "_attempt_id",
         "_fallback",
+        "_group",
+        "_new_failed",
         "_owner",
         "_parts",
         "_refusal",
@@ -132,6 +141,10 @@
         # Server error of a target, returned if no retry succeeds.
         self._fallback: Outcome | None = None
         self._timer: asyncio.TimerHandle | None = None
+        # Targets that the current attempt may use during a roll-out, and
+        # whether one of the new release has not served the request.
+        self._group = Group.ANY
+        self._new_failed = False
 
     def begin(self) -> None:
         """Submits the attempt to the first owner."""
@@ -162,6 +175,8 @@
         owner = choice.owner
         if choice.spare_only:
             attempt = attrs.evolve(attempt, spare_only=True)
+        if self._group is Group.NEW and owner.report is not None:
+            attempt = attrs.evolve(attempt, release=owner.report.release)
         if parts.log.is_sampled(attempt.request_id):
             parts.log.request(
                 "request-sent",
@@ -189,9 +204,32 @@
         )
 
     def _choose(self, now: float, *, excluded: Sequence[str]) -> Choice | None:
+        parts, attempt = self._parts, self._attempt
+        owners = parts.peers.owners(attempt.service)
+        if parts.find_rollout is None:
+            return self._choose_among(owners, now, excluded=excluded)
+        rollout = parts.find_rollout(attempt.service)
+        for group in rollout.pick_groups(
+            parts.rng, failed_new=self._new_failed, now=now
+        ):
+            choice = self._choose_among(
+                rollout.select(owners, group, now=now), now, excluded=excluded
+            )
+            self._group = group
+            if choice is not None:
+                return choice
+        return None
+
+    def _choose_among(
+        self,
+        owners: Collection[OwnerView],
+        now: float,
+        *,
+        excluded: Sequence[str],
+    ) -> Choice | None:
         parts, attempt = self._parts, self._attempt
         return parts.balancer.choose(
-            parts.peers.owners(attempt.service),
+            owners,
             route=self._route.name,
             kind=attempt.kind,
             bulk=attempt.bulk,
@@ -212,6 +250,7 @@
                 max(0.0, transit_s), bulk=self._attempt.bulk, now=now
             )
         verdict = outcome.verdict
+        self._new_failed |= self._group is Group.NEW
         failed = outcome.status in SERVER_ERRORS
         failures = self._parts.failures
         if isinstance(verdict, Ran):
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -22,6 +22,7 @@
 from guavawing.sidecar.local_calls import LocalCalls
 from guavawing.sidecar.membership import NODES_TABLE, Membership
 from guavawing.sidecar.mesh_client import MeshClient
+from guavawing.sidecar.mesh_codec import ROLLOUT_COUNTS, ROLLOUT_STATE
 from guavawing.sidecar.mesh_messages import (
     ConfigFrame,
 )
@@ -30,6 +31,7 @@
 from guavawing.sidecar.owner import Owner
 from guavawing.sidecar.planned_stop import PlannedStop
 from guavawing.sidecar.readiness import Readiness
+from guavawing.sidecar.rollouts import Rollouts
 from guavawing.sidecar.store_link import StoreLink
 from guavawing.sidecar.table_watch import TableWatch
 from guavawing.sidecar.target_pool import TargetPool
@@ -50,6 +52,7 @@
     NODES_READERS,
     is_reader,
 )
+from guavawing.traffic.rollout_state import RolloutView
 from guavawing.traffic.routes import RouteTable
 from guavawing.traffic.target_state import TargetState
 
@@ -122,6 +125,7 @@
             peers=self._peers,
             mesh=self._mesh,
             retries=RetryTerms(settings.retry_ratio, settings.retry_allowance),
+            find_rollout=self._find_rollout if settings.rollout else None,
             log=self._log,
             metrics=self._metrics,
         )
@@ -190,7 +194,7 @@
         )
         self._configuration_watch = self._watch(
             CONFIGURATION_TABLE,
-            self._configuration.apply_changes,
+            self._apply_operator_changes,
             CONFIGURATION_PERIOD_S,
             CONFIGURATION_READERS,
         )
@@ -200,6 +204,7 @@
             NODES_PERIOD_S,
             NODES_READERS,
         )
+        self._rollouts = self._create_rollouts()
         self._planned_stop = PlannedStop(
             service=settings.service,
             grace_s=settings.grace_s,
@@ -211,6 +216,29 @@
             peers=self._peers,
         )
 
+    def _create_rollouts(self) -> Rollouts | None:
+        """Creates the component for roll-outs if the settings have terms."""
+        terms = self._settings.rollout
+        if terms is None:
+            return None
+        rollouts = Rollouts(
+            terms,
+            own_record=self._own_record,
+            store=self._store,
+            peers=self._peers,
+            owner=self._owner,
+            target=self._target,
+            send=self._beacons.send_datagram,
+            is_reader=lambda: self._is_reader(CONFIGURATION_READERS),
+            log=self._log,
+            metrics=self._metrics,
+        )
+        self._owner.admits_release = rollouts.admits
+        self._owner.on_executed = rollouts.observe
+        self._beacons.register(ROLLOUT_STATE, rollouts.handle_state)
+        self._beacons.register(ROLLOUT_COUNTS, rollouts.handle_counts)
+        return rollouts
+
     async def start(self) -> None:
         """Opens all listeners and starts to watch the store."""
         settings = self._settings
@@ -260,6 +288,8 @@
         """Closes all components without waiting for requests."""
         for task in self._tasks:
             task.cancel()
+        if self._rollouts is not None:
+            self._rollouts.close()
         for server in (
             self._callers,
             self._ready,
@@ -324,6 +354,17 @@
 
     # Callbacks of the components.
 
+    def _apply_operator_changes(
+        self, changes: RowChanges, complete: bool
+    ) -> None:
+        self._configuration.apply_changes(changes, complete)
+        if self._rollouts is not None:
+            self._rollouts.apply_changes(changes, complete)
+
+    def _find_rollout(self, service: str) -> RolloutView:
+        assert self._rollouts is not None
+        return self._rollouts.find_view(service)
+
     def _apply_routing(self, routing: Routing, from_store: bool) -> None:
         self._entry.table = RouteTable(
             routing, earlier=self._entry.table, rng=self._rng
@@ -339,6 +380,7 @@
             target=self._target.target_id,
             phase=self._target.phase.name.lower(),
             slots=self._target.slots,
+            release=self._target.release,
         )
         self._beacons.announce_change()
 
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from random import Random
 
 import attrs
@@ -24,6 +25,7 @@
 from guavawing.traffic.model import Attempt, Route
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
+from guavawing.traffic.rollout_state import RolloutView
 from guavawing.traffic.routes import RouteTable
 from guavawing.traffic.time_limit import compute_time_limit
 from guavawing.verdict import NotRun, Reason
@@ -81,6 +83,7 @@
         peers: PeerTable,
         mesh: MeshClient,
         retries: RetryTerms,
+        find_rollout: Callable[[str], RolloutView] | None = None,
         log: DecisionLog,
         metrics: SidecarMetrics,
     ) -> None:
@@ -102,6 +105,7 @@
             failures=FailureShare(),
             budget=self._budget,
             version=self._version,
+            find_rollout=find_rollout,
             log=log,
             metrics=metrics,
         )
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -68,7 +68,8 @@
     QUOTA_GRANT,
     ROLLOUT_COUNTS,
     SLOT_OFFER,
-) = range(14)
+    ROLLOUT_STATE,
+) = range(15)
 # First byte of a msgpack array of up to 15 entries and of one of up to 65,535.
 SHORT_ARRAY, LONG_ARRAY = 0x90, 0xDC
 RAN, NOT_RUN, MAY_HAVE_RUN = range(3)
--- a/src/guavawing/sidecar/metrics.py
+++ b/src/guavawing/sidecar/metrics.py
@@ -82,6 +82,14 @@
         self.peers = self._gauge(
             "guavawing_peers", "Other nodes that are known, by state."
         )
+        self.rollout_share = self._gauge(
+            "guavawing_rollout_share",
+            "Share of a service's requests that its new release gets.",
+        )
+        self.rollout_verdict = self._gauge(
+            "guavawing_rollout_verdict",
+            "Roll-out of a service: 0 running, 1 completed, 2 rolled back.",
+        )
         self._target_limit = self._gauge(
             "guavawing_target_limit",
             "Requests per second that the target accepts; -1 without a limit.",
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 
@@ -84,6 +84,9 @@
         ends_at: Event loop's time at which the process ends; None unless it
             stops.
         on_phase: Called when the phase or the slots of the target change.
+        admits_release: Returns whether a roll-out allows an attempt here.
+        on_executed: Called with each attempt that the target has executed, its
+            outcome and the time that it took, in seconds.
     """
 
     def __init__(
@@ -114,6 +117,10 @@
         self.stopping = False
         self.ends_at: float | None = None
         self.on_phase: Callable[[], None] = lambda: None
+        self.admits_release: Callable[[Attempt], bool] = lambda _: True
+        self.on_executed: Callable[[Attempt, Outcome, float], None] = (
+            lambda _attempt, _outcome, _seconds: None
+        )
 
     @property
     def departure(self) -> Incarnation | None:
@@ -125,6 +132,17 @@
         """Whether attempts are queued or run, or answers are being sent."""
         return bool(self._pending) or self.pacer.busy
 
+    @property
+    def pending(self) -> int:
+        """Number of attempts that are queued or run."""
+        return len(self._pending)
+
+    def running(self) -> Iterator[tuple[bytes, float]]:
+        """Yields path and time of sending of each attempt that runs."""
+        for pending in self._pending.values():
+            if pending.execution is not None:
+                yield pending.attempt.path, pending.sent_at
+
     def load(self) -> LoadReport:
         """Returns the load of the target, as reported to entry nodes."""
         phase = self._state.phase
@@ -225,6 +243,8 @@
     def _find_refusal(self, attempt: Attempt, *, local: bool) -> NotRun | None:
         if attempt.service != self._service:
             return NotRun(Reason.WRONG_OWNER, 0.0)
+        if not self.admits_release(attempt):
+            return NotRun(Reason.DRAINING, 0.0)
         if not local and (self.stopping or not self._can_finish(attempt)):
             return NotRun(Reason.DRAINING, 0.0)
         match self._state.phase:
@@ -328,6 +348,9 @@
         return None
 
     def _finish(self, pending: _PendingAttempt, outcome: Outcome) -> None:
+        self.on_executed(
+            pending.attempt, outcome, self._loop.time() - pending.sent_at
+        )
         match outcome.verdict:
             case Ran():
                 now = self._loop.time()
--- a/src/guavawing/traffic/readers.py
+++ b/src/guavawing/traffic/readers.py
@@ -5,7 +5,12 @@
 
 from guavawing.traffic.peers import Peer
 
-__all__ = ["CONFIGURATION_READERS", "NODES_READERS", "is_reader"]
+__all__ = [
+    "CONFIGURATION_READERS",
+    "NODES_READERS",
+    "find_rank",
+    "is_reader",
+]
 
 # Nodes of a data centre that read the configuration: one may be lost, or be
 # rejected by the store, before the others detect it.
@@ -26,15 +31,24 @@
         near: Other nodes of its data centre.
         readers: Number of readers that the data centre should have.
     """
+    return find_rank(host, near) < readers
+
+
+def find_rank(host: str, near: Iterable[Peer]) -> int:
+    """Returns how many nodes of its data centre read the store before a node.
+
+    Args:
+        host: Address of the node.
+        near: Other nodes of its data centre.
+    """
     own = _score(host)
-    above = sum(
+    return sum(
         1
         for peer in near
         if peer.view.alive
         and peer.reaches_store
         and _score(peer.record.host) > own
     )
-    return above < readers
 
 
 def _score(host: str) -> int:
