--- a/src/guavawing/sidecar/rollouts.py
+++ b/src/guavawing/sidecar/rollouts.py
@@ -122,6 +122,7 @@
     Attributes:
         view: What entry nodes and owners go by.
         ordered_at: Event loop's time of the order, as far as it is known.
+        fresh: Whether this node has seen the order being written.
         ledger: Counts of the owners; None unless this node decides.
         decides_since: Time at which this node became decider.
         row_version: Version of the status row that the next write expects.
@@ -134,6 +135,7 @@
 
     view: RolloutView
     ordered_at: float
+    fresh: bool = False
     ledger: CountLedger | None = None
     decides_since: float = 0.0
     row_version: int = 0
@@ -274,11 +276,13 @@
                 self._metrics.unreadable.inc({"source": "rollout"})
                 self._log.state_change("rollout-unreadable", cause=str(exc))
                 continue
-            self._apply_order(order, changes.era)
+            self._apply_order(order, changes.era, fresh=not complete)
         if complete:
             self._log_missing(changes)
 
-    def _apply_order(self, order: RolloutOrder, era: int) -> None:
+    def _apply_order(
+        self, order: RolloutOrder, era: int, *, fresh: bool
+    ) -> None:
         now = self._loop.time()
         known = self._rollouts.get(order.service)
         state = RolloutState(order, era=era)
@@ -307,7 +311,10 @@
             order=order.number,
         )
         self._adopt(state, confirmed_at=now, ordered_at=now)
-        self._announce(self._rollouts[order.service], self._select_all())
+        rollout = self._rollouts[order.service]
+        rollout.fresh = fresh
+        if fresh:
+            self._announce(rollout, self._select_all())
 
     def _withdraw(self, row: StoredRow) -> None:
         service = row.key.removeprefix(ROLLOUT_PREFIX)
@@ -341,6 +348,8 @@
             state, confirmed_at=confirmed_at, ordered_at=ordered_at
         )
         rollout = self._rollouts[state.order.service]
+        if state.continues(rollout.state):
+            rollout.ordered_at = min(rollout.ordered_at, ordered_at)
         # Each confirmation is passed on once.
         if changed or confirmed_at > was_confirmed_at + CONFIRM_S / 2:
             near = self._peers.near()
@@ -488,8 +497,8 @@
         service = state.order.service
         rank = self._find_rank(service)
         if not state.version:
-            # Nobody has begun; the first in order begins at once.
-            wait_s = 0.0 if rank == 0 else TAKEOVER_S
+            # Nobody is known to have begun; the first in order begins at once.
+            wait_s = 0.0 if rank == 0 and rollout.fresh else TAKEOVER_S
         else:
             wait_s = TAKEOVER_S
         wait_s += min(MAX_RANK_WAIT_S, RANK_WAIT_S * rank)
--- a/standins/vm_target.py
+++ b/standins/vm_target.py
@@ -65,6 +65,7 @@
         limit: Value of `Server-Limit` in its answers; empty for none.
         leaving: Value of `Server-Leaving` in its answers; empty for none.
         retry_after: Value of `Retry-After` in its refusals; empty for none.
+        faulty: Whether it answers all requests with status 500.
     """
 
     id: str
@@ -76,6 +77,7 @@
     limit: str = ""
     leaving: str = ""
     retry_after: str = ""
+    faulty: bool = False
 
     def count(self, request_id: str) -> int:
         """Returns the number of executions of a request."""
@@ -130,6 +132,8 @@
         name, _, once = mode.partition("-")
         if once and request_id in target.failed:
             name = "ok"
+        if target.faulty:
+            name = "error"
         target.failed.add(request_id)
         request_id_header = f"X-Request-Id: {request_id}\r\n"
         if name == "shed":
