--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -175,7 +175,7 @@
         owner = choice.owner
         if choice.spare_only:
             attempt = attrs.evolve(attempt, spare_only=True)
-        if self._group is Group.NEW and owner.report is not None:
+        if self._group is not Group.ANY and owner.report is not None:
             attempt = attrs.evolve(attempt, release=owner.report.release)
         if parts.log.is_sampled(attempt.request_id):
             parts.log.request(
--- a/src/guavawing/sidecar/rollouts.py
+++ b/src/guavawing/sidecar/rollouts.py
@@ -96,6 +96,8 @@
 # First and longest wait after failed calls, in seconds.
 FIRST_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.0
+# The longest wait of a node that only has to learn how an old order ended.
+IDLE_BACKOFF_S = 4.0
 # Nodes to which an announcement is passed on: of this data centre by the
 # decider, of each other one, and by nodes that have heard it.
 NEAR_FANOUT = 40
@@ -313,6 +315,8 @@
         self._adopt(state, confirmed_at=now, ordered_at=now)
         rollout = self._rollouts[order.service]
         rollout.fresh = fresh
+        if known is None and not fresh:
+            rollout.view.binding = False
         if fresh:
             self._announce(rollout, self._select_all())
 
@@ -383,7 +387,8 @@
         if rollout is None:
             rollout = self._rollouts[service] = _Rollout(view, ordered_at)
         elif before is None or not state.continues(before):
-            rollout.ordered_at = ordered_at
+            if before is None or not _is_same_order(state.order, before.order):
+                rollout.ordered_at = ordered_at
             self._stop_deciding(rollout)
         if state.decider != self._own_record.host and state.decider:
             self._stop_deciding(rollout)
@@ -457,10 +462,9 @@
         self._renew_counter(rollout)
         now = self._loop.time()
         release = self._target.release
-        closed = (
-            state.closing
-            and not state.halted
-            and release not in ("", state.order.release)
+        closing = state.closing and not state.halted
+        closed = release in state.avoided or (
+            closing and release not in ("", state.order.release)
         )
         ready = self._target.phase is TargetPhase.READY
         counts = OwnerCounts(
@@ -533,7 +537,9 @@
                         "rollout-not-taken-over", cause=str(exc)
                     )
                     await asyncio.sleep(backoff_s * random.uniform(0.5, 1.5))
-                    backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
+                    urgent = rollout.view.binding
+                    longest_s = MAX_BACKOFF_S if urgent else IDLE_BACKOFF_S
+                    backoff_s = min(longest_s, backoff_s * 2)
                 else:
                     return
         finally:
@@ -847,9 +853,16 @@
             heard = series is not None and now - series.heard_at < SILENT_S
             if heard and series is not None and ledger.is_new(series):
                 continue
+            done = (
+                heard
+                and series is not None
+                and series.counts.closed
+                and not series.counts.busy
+            )
+            if done and report.release in rollout.state.avoided:
+                continue
             targets += 1
-            if heard and series is not None:
-                done = series.counts.closed and not series.counts.busy
+            if heard:
                 busy += not done
             else:
                 busy += 1
@@ -925,7 +938,7 @@
     if stored is None:
         return own
     if stored.order_number == order.number:
-        if before.version and before.phase is not RolloutPhase.RUNNING:
+        if before.phase is not RolloutPhase.RUNNING:
             return own
         return stored
     avoided = set(before.avoided) | set(stored.avoided)
--- a/src/guavawing/traffic/rollout_state.py
+++ b/src/guavawing/traffic/rollout_state.py
@@ -36,9 +36,9 @@
 UNORDERED_HOLD_S = 3.0
 # Interval at which new releases are looked for, in seconds.
 UNORDERED_CHECK_S = 0.1
-# Time after completion in which targets of other releases get nothing, in
-# seconds; they have ended by then.
-COMPLETED_HOLD_S = 10.0
+# Time after a verdict in which targets of the other side, or of an unknown
+# release, get nothing, in seconds; those that have to go have ended by then.
+VERDICT_HOLD_S = 10.0
 # Targets of the new release that take a small share: at least this many in each
 # data centre, and of all as a multiple of the share. With few, each is loaded
 # like the targets of the old release.
@@ -119,6 +119,9 @@
         confirmed_at: Event loop's time up to which the decider has confirmed
             it, in seconds.
         changed_at: Time at which the state was adopted, in seconds.
+        binding: Whether the state binds. An order that a node finds when it
+            starts may have been carried out long ago, so it waits for what the
+            row or a peer says.
     """
 
     __slots__ = (
@@ -126,6 +129,7 @@
         "_first_seen",
         "_held",
         "_stale_s",
+        "binding",
         "changed_at",
         "confirmed_at",
         "state",
@@ -137,6 +141,7 @@
         self._held: frozenset[str] = frozenset()
         self._checked_at = -math.inf
         self.state: RolloutState | None = None
+        self.binding = True
         self.confirmed_at = -math.inf
         self.changed_at = -math.inf
 
@@ -158,6 +163,7 @@
             if known and known.halted and state.continues(known):
                 state = attrs.evolve(state, halted=state.running)
             self.state = state
+            self.binding = True
             self.confirmed_at = confirmed_at
             self.changed_at = now
             return True
@@ -165,6 +171,10 @@
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
         return False
 
+    @property
+    def _binding(self) -> RolloutState | None:
+        return self.state if self.binding else None
+
     def is_fresh(self, *, now: float) -> bool:
         """Returns whether the decider has confirmed the state recently."""
         return now - self.confirmed_at <= self._stale_s
@@ -195,12 +205,15 @@
                 request or refused it.
             now: Event loop's time, in seconds.
         """
-        state = self.state
+        state = self._binding
         if state is None:
             return (Group.ANY,)
-        if state.phase is RolloutPhase.COMPLETED:
-            held = now - self.changed_at < COMPLETED_HOLD_S
-            return (Group.NEW,) if held else (Group.ANY,)
+        held = now - self.changed_at < VERDICT_HOLD_S
+        match state.phase:
+            case RolloutPhase.COMPLETED:
+                return (Group.NEW, Group.ANY) if held else (Group.ANY,)
+            case RolloutPhase.ROLLED_BACK:
+                return (Group.OLD,) if held else (Group.OLD, Group.ANY)
         share = self.share(now=now)
         if share >= 1.0:
             return (Group.NEW,)
@@ -216,23 +229,29 @@
         now: float,
     ) -> Collection[OwnerView]:
         """Returns the owners whose targets belong to a group."""
-        state = self.state
+        state = self._binding
         if state is None:
             return self._select_unordered(owners, now)
         release, avoided = state.order.release, state.avoided
         match group:
             case Group.ANY:
+                if state.phase is RolloutPhase.ROLLED_BACK:
+                    avoided = (release, *avoided)
                 return [
                     each for each in owners if _release(each) not in avoided
                 ]
             case Group.OLD:
                 # A target of unknown release may have the new one, so it gets
                 # nothing until its next heartbeat names it.
-                return [
+                old = [
                     each
                     for each in owners
                     if _release(each) not in ("", release, *avoided)
                 ]
+                if old:
+                    return old
+                # The ordered release is the one in force.
+                return [each for each in owners if _release(each) == release]
         new = [each for each in owners if _release(each) == release]
         share = self.share(now=now)
         if share >= ALL_TARGETS_SHARE or state.closing:
@@ -249,7 +268,7 @@
         """
         if asked and asked != release:
             return False
-        state = self.state
+        state = self._binding
         if state is None:
             return True
         new = release == state.order.release
@@ -257,10 +276,12 @@
             case RolloutPhase.ROLLED_BACK:
                 return not new and release not in state.avoided
             case RolloutPhase.COMPLETED:
-                held = now - self.changed_at < COMPLETED_HOLD_S
+                held = now - self.changed_at < VERDICT_HOLD_S
                 return new or not held
         if new:
             return asked == release and not state.halted
+        if release in state.avoided:
+            return False
         return not state.closing or state.halted
 
     def _select_unordered(
--- a/tests/cover/rollout_state.feature
+++ b/tests/cover/rollout_state.feature
@@ -66,6 +66,19 @@
       | 1     | 2   | 0       | adopted |
       | 3     | 0   | 9       | ignored |
 
+  Scenario: After a verdict, targets of unknown release are used again
+    Given owners of "desk" with the releases "? ?"
+    And the state of order 1 to "v2" with rolled_back
+    Then a request uses "" first
+    And 11 s later a request may use "? ?"
+
+  Scenario: An order that a node finds at its start does not bind it
+    Given the state of order 1 to "v2" with share 0.3
+    But the node has found the order at its start
+    Then a request uses "v1 v1 v2 v2" first
+    When a state of order 1, era 1, version 6 arrives
+    Then a request that a new target has failed uses "v1 v1"
+
   Scenario: A withdrawn share stays withdrawn for its order
     Given the state of order 1 to "v2" with halted
     When a state of order 1, era 1, version 6 arrives
--- a/tests/steps/rollout_state_steps.py
+++ b/tests/steps/rollout_state_steps.py
@@ -131,6 +131,32 @@
     assert found == releases.split(), found
 
 
+@given("the node has found the order at its start")
+def step_found(context):
+    context.view.binding = False
+
+
+@then('a request uses "" first')
+def step_uses_none(context):
+    found = pick(context)
+    assert not found, found
+
+
+@then('{seconds:g} s later a request may use "{releases}"')
+def step_may_use(context, seconds, releases):
+    context.now += seconds
+    groups = context.view.pick_groups(
+        Random(1), failed_new=False, now=context.now
+    )
+    found = [
+        owner.report.release or "?"
+        for owner in context.view.select(
+            context.owners, groups[-1], now=context.now
+        )
+    ]
+    assert found == releases.split(), found
+
+
 @then('{seconds:g} s later a request uses "{releases}" first')
 def step_uses_later(context, seconds, releases):
     context.now += seconds
