--- a/tests/steps/rollout_judge_steps.py
+++ b/tests/steps/rollout_judge_steps.py
@@ -13,13 +13,13 @@
     OwnerCounts,
     find_bucket,
 )
-from guavawing.traffic.rollout_judge import (
+from guavawing.traffic.rollout_judge import assess
+from guavawing.traffic.rollout_plan import (
     Close,
     Complete,
     Halt,
     PlanInput,
     Raise,
-    assess,
     find_next_step,
 )
 from guavawing.traffic.rollout_state import RolloutState
