--- a/src/guavawing/sidecar/rollout_decider.py
+++ b/src/guavawing/sidecar/rollout_decider.py
@@ -87,7 +87,7 @@
         task: Call to the store that is under way.
         completing: Whether a write of the completion may be under way.
         confirmed_at: Time of the last own announcement.
-        passed_on_at: Time of the last announcement that was passed on.
+        counted_at: Time of the last counts of the own target.
         assessment: The last assessment.
     """
 
@@ -100,7 +100,7 @@
     task: "asyncio.Task[None] | None" = None
     completing: bool = False
     confirmed_at: float = 0.0
-    passed_on_at: float = 0.0
+    counted_at: float = 0.0
     assessment: Assessment = attrs.field(factory=Assessment)
 
     @property
--- a/src/guavawing/sidecar/rollouts.py
+++ b/src/guavawing/sidecar/rollouts.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import random
 import zlib
 from collections.abc import Callable
@@ -53,6 +54,10 @@
 TICK_S = 0.25
 # The same while the new release gets everything for the first time.
 CLOSING_TICK_S = 0.1
+# Counts a second that a decider gets of a large service, and the longest
+# interval of those of one owner, in seconds.
+MAX_COUNTS_PER_S = 400
+MAX_COUNTS_PERIOD_S = 1.5
 # Time for which a verdict is announced again, in seconds.
 VERDICT_ANNOUNCED_S = 10.0
 # Silence of the decider after which a reader of the store takes its place, and
@@ -328,9 +333,7 @@
         active = closing = False
         for rollout in tuple(self._rollouts.values()):
             state = rollout.state
-            if not state.running and (
-                now - rollout.view.changed_at > VERDICT_ANNOUNCED_S
-            ):
+            if now - rollout.view.changed_at > _find_active_s(rollout):
                 continue
             active = True
             closing |= state.running and state.closing
@@ -354,6 +357,11 @@
         if not state.decider:
             return
         now = self._loop.time()
+        owners = len(self._peers.owners(state.order.service))
+        period_s = min(MAX_COUNTS_PERIOD_S, owners / MAX_COUNTS_PER_S)
+        if now - rollout.counted_at < period_s:
+            return
+        rollout.counted_at = now
         counts = self._reports.make_counts(state, now=now)
         if state.decider != own.host:
             self._send(encode_counts(counts), state.decider)
@@ -424,6 +432,17 @@
         return peer is not None and not peer.view.near
 
 
+def _find_active_s(rollout: Rollout) -> float:
+    """Returns the time after its last change in which a roll-out is active."""
+    state = rollout.state
+    if not state.running:
+        return VERDICT_ANNOUNCED_S
+    if rollout.view.binding:
+        return math.inf
+    # An order that was found at the start; it has probably ended.
+    return max(VERDICT_ANNOUNCED_S, state.order.duration_s)
+
+
 def _score(service: str, data_centre: str) -> int:
     return zlib.crc32(f"{service} {data_centre}".encode())
 
--- a/src/guavawing/traffic/rollout_counts.py
+++ b/src/guavawing/traffic/rollout_counts.py
@@ -203,24 +203,25 @@
         self._merge_old_slots(slot)
 
     def find_overdue(
-        self, route: str, limit: int
-    ) -> dict[tuple[str, bool], int]:
+        self, limits: Mapping[str, int]
+    ) -> dict[tuple[str, str, bool], int]:
         """Returns the requests that have run longer than a limit already.
 
         Args:
-            route: Name of the route.
-            limit: First bucket above the limit.
+            limits: First bucket above the limit, by route.
 
         Returns:
-            Their number by data centre and whether the release is the new one.
+            Their number by route, data centre and whether the release is the
+            new one.
         """
-        found: dict[tuple[str, bool], int] = {}
+        found: dict[tuple[str, str, bool], int] = {}
         for series in self.owners.values():
-            buckets = series.counts.running.get(route, ())
-            overdue = sum(bucket >= limit for bucket in buckets)
-            if overdue:
-                key = (series.data_centre, self.is_new(series))
-                found[key] = found.get(key, 0) + overdue
+            for route, buckets in series.counts.running.items():
+                limit = limits.get(route, BUCKETS)
+                overdue = sum(bucket >= limit for bucket in buckets)
+                if overdue:
+                    key = (route, series.data_centre, self.is_new(series))
+                    found[key] = found.get(key, 0) + overdue
         return found
 
     def is_new(self, series: Series) -> bool:
--- a/src/guavawing/traffic/rollout_judge.py
+++ b/src/guavawing/traffic/rollout_judge.py
@@ -106,8 +106,9 @@
         slot = _Slot(number, data_centre, *pair.summarize(limit))
         slots.setdefault(route, []).append(slot)
     newest = max((number for number, _, _ in ledger.pairs), default=0)
-    for route, found in slots.items():
-        _add_overdue(found, ledger, route, limits[route], newest)
+    for (route, data_centre, new), count in ledger.find_overdue(limits).items():
+        found = slots.setdefault(route, [])
+        _add_overdue(found, newest, data_centre, count, new=new)
     assessments = []
     for first in (EARLIER_SLOTS, newest - RECENT_SLOTS + 1):
         together = _Sums()
@@ -168,28 +169,26 @@
 
 
 def _add_overdue(
-    slots: list[_Slot],
-    ledger: CountLedger,
-    route: str,
-    limit: int,
-    newest: int,
+    slots: list[_Slot], newest: int, data_centre: str, count: int, *, new: bool
 ) -> None:
     """Adds requests that have run for too long already: they will be bad."""
-    overdue = ledger.find_overdue(route, limit)
-    for (data_centre, new), count in overdue.items():
+    slot = next(
+        (
+            each
+            for each in slots
+            if each.number == newest and each.data_centre == data_centre
+        ),
+        None,
+    )
+    if slot is None:
         slot = _Slot(newest, data_centre, 0, 0, 0, 0)
-        for each in slots:
-            if each.number == newest and each.data_centre == data_centre:
-                slot = each
-                break
-        else:
-            slots.append(slot)
-        if new:
-            slot.new += count
-            slot.new_bad += count
-        else:
-            slot.old += count
-            slot.old_bad += count
+        slots.append(slot)
+    if new:
+        slot.new += count
+        slot.new_bad += count
+    else:
+        slot.old += count
+        slot.old_bad += count
 
 
 def _sum_slots(slots: list[_Slot], first: int) -> _Sums:
