Keep everything at the new release for a tenth of the time before old targets stop

Change: closing lasts a tenth of the duration, 2 s at most. Measured: rollout_decider, rollout_state and processes/rollouts: 45 scenarios pass.

--- a/src/guavawing/traffic/rollout_plan.py
+++ b/src/guavawing/traffic/rollout_plan.py
@@ -38,6 +38,10 @@
 MIN_DURATION_S = 4.0
 # Shortest time at one share, in seconds.
 MIN_STEP_S = 1.0
+# Time with all requests before the old targets may stop, as a share of the
+# duration and at most, in seconds: a fault under load has to show.
+MIN_CLOSING_SHARE = 0.1
+MAX_CLOSING_S = 2.0
 # Time from a fault to the end of what it gets: counts, decision, announcement;
 # and that for which the exposure is kept when a small share is raised.
 REACTION_S = 1.05
@@ -178,6 +182,11 @@
     excess = assessment.bad - assessment.expected
     if assessment.errors >= LAST_DOUBT_ERRORS and excess >= MIN_LAST_EXCESS:
         return Halt("doubtful")
+    closing_s = min(
+        MAX_CLOSING_S, MIN_CLOSING_SHARE * plan.state.order.duration_s
+    )
+    if plan.step_s < closing_s and left_s > WRITE_S:
+        return Wait()
     if not plan.old_busy:
         return Complete()
     only_silent = plan.old_busy <= plan.old_silent
