--- a/src/guavawing/sidecar/rollout_decider.py
+++ b/src/guavawing/sidecar/rollout_decider.py
@@ -32,7 +32,10 @@
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.traffic.model import TargetPhase
 from guavawing.traffic.peers import PeerTable
-from guavawing.traffic.rollout_counts import CountLedger
+from guavawing.traffic.rollout_counts import (
+    CountLedger,
+    find_counts_period_s,
+)
 from guavawing.traffic.rollout_judge import Assessment, assess
 from guavawing.traffic.rollout_plan import (
     Close,
@@ -59,8 +62,10 @@
 MAX_BACKOFF_S = 1.0
 # The longest wait of a node that only has to learn how an old order ended.
 IDLE_BACKOFF_S = 4.0
-# Age of counts beyond which an owner counts as silent, in seconds.
+# Age of counts beyond which an owner counts as silent, in seconds, and in
+# intervals of the counts of a large service.
 SILENT_S = 2.0
+SILENT_PERIODS = 2.5
 # Share of the duration after which targets count that are still cold.
 COLD_SHARE = 0.35
 # Time in which a decider discovers the targets before it may complete without
@@ -440,10 +445,11 @@
         duration_s = state.order.duration_s
         elapsed_s = now - rollout.ordered_at
         cold_too = elapsed_s > COLD_SHARE * duration_s
+        silent_s = self._find_silent_s(state.order.service)
         new_slots = old_slots = exposed = 0
         for series in ledger.owners.values():
             counts = series.counts
-            heard = now - series.heard_at < SILENT_S
+            heard = now - series.heard_at < silent_s
             if ledger.is_new(series):
                 done = sum(map(sum, counts.routes.values()))
                 exposed += done + counts.busy
@@ -480,6 +486,7 @@
     ) -> tuple[int, int, int]:
         """Returns the other targets, those not done, and the silent ones."""
         release = rollout.state.order.release
+        silent_s = self._find_silent_s(rollout.state.order.service)
         targets = busy = silent = 0
         for owner in self._peers.owners(rollout.state.order.service):
             report = owner.report
@@ -488,7 +495,7 @@
             if report.phase in (TargetPhase.UNKNOWN, TargetPhase.GONE):
                 continue
             series = ledger.owners.get(owner.node)
-            heard = series is not None and now - series.heard_at < SILENT_S
+            heard = series is not None and now - series.heard_at < silent_s
             if heard and series is not None and ledger.is_new(series):
                 continue
             done = (
@@ -507,6 +514,10 @@
                 silent += 1
         return targets, busy, silent
 
+    def _find_silent_s(self, service: str) -> float:
+        owners = len(self._peers.owners(service))
+        return max(SILENT_S, SILENT_PERIODS * find_counts_period_s(owners))
+
     def _count(self, outcome: str) -> None:
         self._metrics.store_calls.inc({"call": "rollout", "outcome": outcome})
 
--- a/src/guavawing/sidecar/rollouts.py
+++ b/src/guavawing/sidecar/rollouts.py
@@ -41,6 +41,7 @@
 )
 from guavawing.traffic.peers import Peer, PeerTable
 from guavawing.traffic.readers import CONFIGURATION_READERS, find_rank
+from guavawing.traffic.rollout_counts import find_counts_period_s
 from guavawing.traffic.rollout_state import (
     RolloutPhase,
     RolloutState,
@@ -54,10 +55,6 @@
 TICK_S = 0.25
 # The same while the new release gets everything for the first time.
 CLOSING_TICK_S = 0.1
-# Counts a second that a decider gets of a large service, and the longest
-# interval of those of one owner, in seconds.
-MAX_COUNTS_PER_S = 400
-MAX_COUNTS_PERIOD_S = 1.5
 # Time for which a verdict is announced again, in seconds.
 VERDICT_ANNOUNCED_S = 10.0
 # Silence of the decider after which a reader of the store takes its place, and
@@ -358,8 +355,7 @@
             return
         now = self._loop.time()
         owners = len(self._peers.owners(state.order.service))
-        period_s = min(MAX_COUNTS_PERIOD_S, owners / MAX_COUNTS_PER_S)
-        if now - rollout.counted_at < period_s:
+        if now - rollout.counted_at < find_counts_period_s(owners):
             return
         rollout.counted_at = now
         counts = self._reports.make_counts(state, now=now)
--- a/src/guavawing/traffic/rollout_counts.py
+++ b/src/guavawing/traffic/rollout_counts.py
@@ -16,6 +16,7 @@
     "OwnerCounts",
     "Series",
     "find_bucket",
+    "find_counts_period_s",
     "find_route",
 ]
 
@@ -27,6 +28,10 @@
 # Maximum number of routes that are counted apart.
 MAX_ROUTES = 24
 OTHER_ROUTES = ""
+# Counts a second that a decider gets of a large service, and the longest
+# interval of those of one owner, in seconds.
+MAX_COUNTS_PER_S = 1000
+MAX_COUNTS_PERIOD_S = 3.0
 # Slots of time kept apart by the ledger; older ones are added up.
 MAX_SLOTS = 16
 EARLIER_SLOTS = -1
@@ -42,6 +47,15 @@
     return min(BUCKETS - 1, 1 + int(BUCKETS_PER_DOUBLING * doublings))
 
 
+def find_counts_period_s(owners: int) -> float:
+    """Returns the shortest interval of the counts of one owner, in seconds.
+
+    Args:
+        owners: Number of owners of the service.
+    """
+    return min(MAX_COUNTS_PERIOD_S, owners / MAX_COUNTS_PER_S)
+
+
 def find_route(path: bytes) -> str:
     """Returns the name under which requests for a path are counted."""
     segments = path.split(b"/", 2)
