Leave old targets time to finish before the deadline of a roll-out

Change: it is put off until 2 s and a tenth of the duration are left. A withdrawn order does not reopen old targets while the completion may be under way; a node looks for its place among the deciders only once the decider is silent.

--- a/src/guavawing/sidecar/rollouts.py
+++ b/src/guavawing/sidecar/rollouts.py
@@ -199,16 +199,12 @@
             if era > before.era and _is_same_order(order, before.order):
                 # The store was restored from a copy that has the order.
                 state = attrs.evolve(before, order=order, era=era, version=0)
-            elif before.order.release != order.release:
-                avoided = (*before.avoided, before.order.release)
-                started = before.phase is not RolloutPhase.COMPLETED
-                if started:
-                    state = attrs.evolve(
-                        state,
-                        avoided=tuple(
-                            each for each in avoided if each != order.release
-                        ),
-                    )
+            else:
+                avoided = set(before.avoided)
+                if before.phase is not RolloutPhase.COMPLETED:
+                    avoided.add(before.order.release)
+                avoided.discard(order.release)
+                state = attrs.evolve(state, avoided=tuple(sorted(avoided)))
         self._log.state_change(
             "rollout-ordered",
             service=order.service,
@@ -229,6 +225,9 @@
         known = self._rollouts.get(service)
         if known is None or not known.state.running:
             return
+        if known.state.closing and not self._decider.decides(known):
+            # The decider may be writing the completion.
+            return
         self._log.state_change("rollout-withdrawn", service=service)
         self._decider.halt(known, "withdrawn")
 
@@ -365,21 +364,17 @@
             rollout.ledger.apply(own.host, own.data_centre, counts, now=now)
 
     def _may_take_over(self, rollout: Rollout) -> bool:
-        if not self._is_reader():
-            return False
         state = rollout.state
         if not state.running and state.version:
             return False
-        service = state.order.service
-        rank = self._find_rank(service)
-        if not state.version:
-            # Nobody is known to have begun; the first in order begins at once.
-            wait_s = 0.0 if rank == 0 and rollout.fresh else TAKEOVER_S
-        else:
-            wait_s = TAKEOVER_S
-        wait_s += min(MAX_RANK_WAIT_S, RANK_WAIT_S * rank)
+        # If nobody has begun, the first in order begins at once.
+        begun = state.version or not rollout.fresh
         silent_s = self._loop.time() - rollout.view.confirmed_at
-        return silent_s >= wait_s
+        if (begun and silent_s < TAKEOVER_S) or not self._is_reader():
+            return False
+        rank = self._find_rank(state.order.service)
+        wait_s = TAKEOVER_S if begun or rank else 0.0
+        return silent_s >= wait_s + min(MAX_RANK_WAIT_S, RANK_WAIT_S * rank)
 
     def _find_rank(self, service: str) -> int:
         """Returns how many readers come first as decider, as far as known."""
--- a/src/guavawing/traffic/rollout_plan.py
+++ b/src/guavawing/traffic/rollout_plan.py
@@ -42,6 +42,9 @@
 # duration and at most, in seconds: a fault under load has to show.
 MIN_CLOSING_SHARE = 0.1
 MAX_CLOSING_S = 2.0
+# Time before the deadline, beyond the time above, from which the last step is no
+# longer put off for want of outcomes, in seconds: old targets have to finish.
+LAST_STEP_S = 2.0
 # Time from a fault to the end of what it gets: counts, decision, announcement;
 # and that for which the exposure is kept when a small share is raised.
 REACTION_S = 1.05
@@ -170,7 +173,7 @@
     if not _is_affordable(plan, 1.0, left_s):
         return False
     errors = plan.assessment.errors
-    if left_s < (1 - CLOSE_DUE) / 2 * plan.state.order.duration_s:
+    if left_s < _find_closing_s(plan) + LAST_STEP_S:
         return errors < LAST_DOUBT_ERRORS
     return (
         errors < DOUBT_ERRORS and plan.assessment.fewest >= MIN_ROUTE_OUTCOMES
@@ -182,10 +185,7 @@
     excess = assessment.bad - assessment.expected
     if assessment.errors >= LAST_DOUBT_ERRORS and excess >= MIN_LAST_EXCESS:
         return Halt("doubtful")
-    closing_s = min(
-        MAX_CLOSING_S, MIN_CLOSING_SHARE * plan.state.order.duration_s
-    )
-    if plan.step_s < closing_s and left_s > WRITE_S:
+    if plan.step_s < _find_closing_s(plan) and left_s > WRITE_S:
         return Wait()
     if not plan.old_busy:
         return Complete()
@@ -193,6 +193,12 @@
     return Complete() if only_silent and left_s <= WRITE_S else Wait()
 
 
+def _find_closing_s(plan: PlanInput) -> float:
+    """Returns how long the new release gets everything before completion."""
+    share_s = MIN_CLOSING_SHARE * plan.state.order.duration_s
+    return min(MAX_CLOSING_S, share_s)
+
+
 def _find_scale(plan: PlanInput) -> float:
     """Returns by how much the exposure allows the steps to be larger.
 
