Merge roll-outs judged by what callers see

Requests of a service that is moved are not passed on to a neighbour that an owner names, as its release may be another.

--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -28,6 +28,8 @@
     FRESHNESS_QUERY,
     QUOTA_GRANT,
     QUOTA_REQUEST,
+    ROLLOUT_COUNTS,
+    ROLLOUT_STATE,
 )
 from guavawing.sidecar.mesh_messages import (
     ConfigFrame,
@@ -38,6 +40,7 @@
 from guavawing.sidecar.planned_stop import PlannedStop
 from guavawing.sidecar.quotas import Quotas
 from guavawing.sidecar.readiness import Readiness
+from guavawing.sidecar.rollouts import Rollouts
 from guavawing.sidecar.store_link import StoreLink
 from guavawing.sidecar.table_watch import FEED_WAIT_S, TableWatch
 from guavawing.sidecar.target_pool import TargetPool
@@ -58,6 +61,7 @@
     NODES_READERS,
     is_reader,
 )
+from guavawing.traffic.rollout_state import RolloutView
 from guavawing.traffic.routes import RouteTable
 from guavawing.traffic.target_state import TargetState
 from guavawing.traffic.uploads import BodyRoom
@@ -147,6 +151,7 @@
             retries=RetryTerms(settings.retry_ratio, settings.retry_allowance),
             freshness=self._freshness,
             room=room,
+            find_rollout=self._find_rollout if settings.rollout else None,
             log=self._log,
             metrics=self._metrics,
         )
@@ -241,7 +246,7 @@
         )
         self._configuration_watch = self._watch(
             CONFIGURATION_TABLE,
-            self._configuration.apply_changes,
+            self._apply_operator_changes,
             CONFIGURATION_PERIOD_S,
             CONFIGURATION_READERS,
             on_read=self._handle_configuration_read,
@@ -253,6 +258,7 @@
             NODES_PERIOD_S,
             NODES_READERS,
         )
+        self._rollouts = self._create_rollouts()
         self._planned_stop = PlannedStop(
             service=settings.service,
             grace_s=settings.grace_s,
@@ -264,6 +270,29 @@
             peers=self._peers,
         )
 
+    def _create_rollouts(self) -> Rollouts | None:
+        """Creates the component for roll-outs if the settings have terms."""
+        terms = self._settings.rollout
+        if terms is None:
+            return None
+        rollouts = Rollouts(
+            terms,
+            own_record=self._own_record,
+            store=self._store,
+            peers=self._peers,
+            owner=self._owner,
+            target=self._target,
+            send=self._beacons.send_datagram,
+            is_reader=lambda: self._is_reader(CONFIGURATION_READERS),
+            log=self._log,
+            metrics=self._metrics,
+        )
+        self._owner.admits_release = rollouts.admits
+        self._owner.on_executed = rollouts.observe
+        self._beacons.register(ROLLOUT_STATE, rollouts.handle_state)
+        self._beacons.register(ROLLOUT_COUNTS, rollouts.handle_counts)
+        return rollouts
+
     async def start(self) -> None:
         """Opens all listeners and starts to watch the store."""
         settings = self._settings
@@ -316,6 +345,8 @@
         """Closes all components without waiting for requests."""
         for task in self._tasks:
             task.cancel()
+        if self._rollouts is not None:
+            self._rollouts.close()
         for server in (
             self._callers,
             self._ready,
@@ -387,6 +418,17 @@
 
     # Callbacks of the components.
 
+    def _apply_operator_changes(
+        self, changes: RowChanges, complete: bool
+    ) -> None:
+        self._configuration.apply_changes(changes, complete)
+        if self._rollouts is not None:
+            self._rollouts.apply_changes(changes, complete)
+
+    def _find_rollout(self, service: str) -> RolloutView:
+        assert self._rollouts is not None
+        return self._rollouts.find_view(service)
+
     def _apply_routing(self, routing: Routing, from_store: bool) -> None:
         self._entry.table = RouteTable(
             routing, earlier=self._entry.table, rng=self._rng
@@ -405,6 +447,7 @@
             target=self._target.target_id,
             phase=self._target.phase.name.lower(),
             slots=self._target.slots,
+            release=self._target.release,
         )
         self._beacons.announce_change()
 
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import math
+from collections.abc import Callable
 from random import Random
 
 import attrs
@@ -36,6 +37,7 @@
 from guavawing.traffic.model import NO_ACCOUNT, Attempt, ClientAccount, Route
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
+from guavawing.traffic.rollout_state import RolloutView
 from guavawing.traffic.routes import RouteTable
 from guavawing.traffic.time_limit import compute_time_limit
 from guavawing.traffic.uploads import BodyRoom
@@ -99,6 +101,7 @@
         retries: RetryTerms,
         freshness: Freshness,
         room: BodyRoom,
+        find_rollout: Callable[[str], RolloutView] | None = None,
         log: DecisionLog,
         metrics: SidecarMetrics,
     ) -> None:
@@ -122,6 +125,7 @@
             failures=FailureShare(),
             budget=self._budget,
             version=self._version,
+            find_rollout=find_rollout,
             log=log,
             metrics=metrics,
         )
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -78,11 +78,12 @@
     QUOTA_GRANT,
     ROLLOUT_COUNTS,
     SLOT_OFFER,
+    ROLLOUT_STATE,
     # Requests whose bodies follow in pieces.
     UPLOAD,
     BODY_GRANT,
     BODY_PIECE,
-) = range(17)
+) = range(18)
 # First byte of a msgpack array of up to 15 entries and of one of up to 65,535.
 SHORT_ARRAY, LONG_ARRAY = 0x90, 0xDC
 RAN, NOT_RUN, MAY_HAVE_RUN = range(3)
--- a/standins/vm_fleet.py
+++ b/standins/vm_fleet.py
@@ -32,6 +32,11 @@
 HOST_NAME = "calls.example"
 DATA_CENTRES = ("bergen", "voss")
 KINDS = ("safe", "unsafe")
+ROLLOUT_BOUNDS = {
+    "exposureShare": 0.1,
+    "exposureSlack": 50,
+    "rollbackMs": 5000,
+}
 
 
 @attrs.define(eq=False)
@@ -51,6 +56,7 @@
         sends_heartbeats: Whether heartbeats are sent periodically.
         fault_active: Whether a fault of the process is in progress.
         sequence: Sequence number of the last heartbeat.
+        release: Release of the target as sent in heartbeats.
         born: Start of the target's process as sent in heartbeats, in
             milliseconds; higher for a replacement.
     """
@@ -67,6 +73,7 @@
     sends_heartbeats: bool = True
     fault_active: bool = False
     sequence: int = 0
+    release: str = "v1"
     born: int = 1000
 
     @property
@@ -137,7 +144,7 @@
             "born": vm.born,
             "info": {
                 "service": vm.service,
-                "version": "v1",
+                "version": vm.release,
                 "zone": vm.data_centre,
                 "slots": SLOTS,
             },
@@ -247,6 +254,7 @@
     *,
     relayed: bool = False,
     bounds: Mapping[str, object] = MappingProxyType({}),
+    releases: Mapping[str, str] | None = None,
 ) -> AsyncIterator[VmFleet]:
     """Runs a store, targets and daemons on loopback.
 
@@ -256,7 +264,11 @@
             targets. The zones of its rules are the IP addresses of the VMs,
             `STORE_ZONE`, and `target IP` for the target of a VM.
         bounds: Time limits in the settings besides the usual ones.
+        releases: Releases of targets by VM; the settings then have terms of
+            roll-outs.
     """
+    if releases is not None:
+        bounds = {**ROLLOUT_BOUNDS, **bounds}
     net = f"127.{10 + os.getpid() % 200}"
     async with contextlib.AsyncExitStack() as stack:
         enter = stack.enter_async_context
@@ -308,6 +320,7 @@
                 path,
                 pathlib.Path(folder) / f"{name}.log",
             )
+            vm.release = (releases or {}).get(name, vm.release)
             fleet.vms[name] = vm
             await fleet.start(vm)
             stack.push_async_callback(process.kill)
