Don't count a slot of a rate-limited target as offered to its own node

Cause: an entry node preferred the owner on its VM while the target's rate limit admitted nothing; found by reading, not by a test.

Change: as for other nodes, a slot counts only if a request would be admitted at once. Features of owner, limits and passing on pass.

--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -200,7 +200,11 @@
     def has_unoffered_slot(self) -> bool:
         """Returns whether a slot is free and offered to no entry node."""
         free = self._count_free()
-        return free > 0 and free > self._offers.count(now=self._loop.time())
+        return (
+            free > 0
+            and self._takes_requests()
+            and free > self._offers.count(now=self._loop.time())
+        )
 
     def _count_free(self) -> int:
         """Returns the number of free slots that no queued attempt needs."""
