Failures of a new release on trial don't count as those of the service

Their requests were sent before the order had reached the nodes, as the targets of the scenario serve both releases from the start, and the failures then counted as common to the service, after which no request is retried elsewhere. Change: an outcome at a release that gets a share is left out of the service's share of failures, and its failure is retried at an old target. The fault of the scenario begins once the order is known: on the platform the targets of the new release start after it. The check that all requests are answered with 200 stays.

--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -85,6 +85,7 @@
         "_fallback",
         "_group",
         "_new_failed",
+        "_on_trial",
         "_owner",
         "_parts",
         "_refusal",
@@ -145,6 +146,9 @@
         # whether one of the new release has not served the request.
         self._group = Group.ANY
         self._new_failed = False
+        # Whether it is at a new release that gets a share: its failures say
+        # nothing of the old one.
+        self._on_trial = False
 
     def begin(self) -> None:
         """Submits the attempt to the first owner."""
@@ -209,13 +213,15 @@
         if parts.find_rollout is None:
             return self._choose_among(owners, now, excluded=excluded)
         rollout = parts.find_rollout(attempt.service)
-        for group in rollout.pick_groups(
+        groups = rollout.pick_groups(
             parts.rng, failed_new=self._new_failed, now=now
-        ):
+        )
+        for group in groups:
             choice = self._choose_among(
                 rollout.select(owners, group, now=now), now, excluded=excluded
             )
             self._group = group
+            self._on_trial = group is Group.NEW and Group.OLD in groups
             if choice is not None:
                 return choice
         return None
@@ -253,7 +259,7 @@
         self._new_failed |= self._group is Group.NEW
         failed = outcome.status in SERVER_ERRORS
         failures = self._parts.failures
-        if isinstance(verdict, Ran):
+        if isinstance(verdict, Ran) and not self._on_trial:
             failures.observe(self._attempt.service, failed=failed)
         match verdict:
             case Ran() if not failed:
@@ -278,7 +284,8 @@
                 self._record_refusal(verdict)
         step = next_step(
             verdict,
-            common=failures.are_common(self._attempt.service),
+            common=not self._on_trial
+            and failures.are_common(self._attempt.service),
             idempotent=self._attempt.idempotent,
             sent=self._sent,
             max_sent=self._route.max_attempts,
