Roll-outs: keep the row of a later order; answer who has missed a withdrawal

A reader that was cut off while a second order was given took the status row over for the first one: a completed roll-out read running again, and nobody wrote it once more. It now reads the order before it takes over a row with a higher order number.

A decider that had not heard of a withdrawal (an order that was withdrawn, or a fault that the decider before it saw) went on, as nodes that know its version of the row did not answer its announcements.

--- a/src/guavawing/sidecar/rollout_decider.py
+++ b/src/guavawing/sidecar/rollout_decider.py
@@ -24,13 +24,14 @@
 )
 from guavawing.platform.settings import RolloutTerms
 from guavawing.platform.store_client import (
+    CONFIGURATION_TABLE,
     RowWrite,
     StoreClient,
     StoredRow,
 )
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.metrics import SidecarMetrics
-from guavawing.traffic.model import TargetPhase
+from guavawing.traffic.model import RolloutOrder, TargetPhase
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.rollout_counts import (
     CountLedger,
@@ -241,6 +242,8 @@
         found_at = self._loop.time()
         if rollout.state != before:
             return
+        if stored is not None and stored.order_number > before.order.number:
+            await self._check_order(before.order)
         plan = _make_plan(before, stored)
         state = attrs.evolve(
             before,
@@ -275,6 +278,28 @@
             rollout, attrs.evolve(state, version=version), found_at
         )
 
+    async def _check_order(self, order: RolloutOrder) -> None:
+        """Checks that an order is still the one in the store.
+
+        A node that was cut off may have missed a later one. The number in the
+        status row alone does not tell, as it may be from before the store was
+        restored.
+
+        Raises:
+            TransactionRefusedError: If the order was replaced or withdrawn.
+            PlatformError: If the store gives no usable answer.
+        """
+        row = await self._store.read_row(
+            CONFIGURATION_TABLE, ROLLOUT_PREFIX + order.service
+        )
+        self._count("answered")
+        found = 0 if row is None else row.version
+        if row is None or row.value is None or found != order.number:
+            raise TransactionRefusedError(
+                f"got order {found} of {order.service} from the store, "
+                f"expected {order.number}"
+            )
+
     def _become_decider(
         self, rollout: Rollout, state: RolloutState, since: float
     ) -> None:
--- a/src/guavawing/sidecar/rollouts.py
+++ b/src/guavawing/sidecar/rollouts.py
@@ -245,8 +245,7 @@
         state = message.state
         known = self._rollouts.get(state.order.service)
         if known is not None and known.state.supersedes(state):
-            if not known.state.is_same_version(state):
-                self._send(self._encode(known), host)
+            self._send(self._encode(known), host)
             return
         confirmed_at = now - message.age_s
         was_confirmed_at = known.view.confirmed_at if known else -1.0
--- a/tests/cover/rollout_decider.feature
+++ b/tests/cover/rollout_decider.feature
@@ -87,3 +87,24 @@
     And the roll-out goes on for 5 s
     Then the status is "rolled_back" to "v2"
     And no target of "v2" executed anything in the last 5 s
+
+  Scenario: A withdrawal that the decider has not heard of reaches it
+    When "v2" is ordered within 14 s
+    And the roll-out goes on for 4 s
+    And a node of the other data centre is cut off and hears of a withdrawal
+    And the roll-out goes on for 3 s
+    And the node is no longer cut off
+    And the roll-out goes on for 2 s
+    Then the status is "rolled_back" to "v2"
+
+  Scenario: A node that missed an order leaves the row of that order alone
+    When "v2" is ordered within 14 s
+    And the roll-out goes on for 4 s
+    And another node than the decider is cut off
+    And the roll-out goes on for 12 s
+    And "v1" is ordered within 14 s
+    And the roll-out goes on for 26 s
+    And the node is no longer cut off but does not follow the store yet
+    And the roll-out goes on for 4 s
+    Then the status is "completed" to "v1"
+    And the node that was cut off did not decide again
--- a/tests/steps/rollout_decider_steps.py
+++ b/tests/steps/rollout_decider_steps.py
@@ -15,7 +15,11 @@
 )
 from guavawing.model import Address
 from guavawing.platform.settings import RolloutTerms
-from guavawing.platform.store_client import StoreClient
+from guavawing.platform.store_client import (
+    RowChanges,
+    StoreClient,
+    StoredRow,
+)
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.mesh_codec import ROLLOUT_COUNTS, find_kind
 from guavawing.sidecar.metrics import SidecarMetrics
@@ -79,6 +83,8 @@
         self.loop, self.rng = loop, Random(7)
         self.tables = PlatformTables()
         self.faulty, self.cut, self.away = set(), set(), False
+        # Nodes whose watch of the orders is not answered.
+        self.unwatched = set()
         self.writes, self.lost, self.writers = 0, set(), []
         self.nodes = {}
         for number, release in enumerate(releases.split()):
@@ -88,7 +94,7 @@
         self.tasks = [loop.create_task(self.offer())]
         for node in self.nodes.values():
             watch = TableWatch(
-                StoreClient(self.make_call(node)),
+                StoreClient(self.make_call(node, watches=True)),
                 "op",
                 on_changes=node.rollouts.apply_changes,
                 min_period_s=0.6,
@@ -149,9 +155,10 @@
             peer = node.peers.apply_record(record, now=0.0)
             node.peers.apply_load(peer, report, now=0.0)
 
-    def make_call(self, node):
+    def make_call(self, node, *, watches=False):
         async def call(request):
-            if self.away or node.host in self.cut:
+            unwatched = watches and node.host in self.unwatched
+            if self.away or unwatched or node.host in self.cut:
                 await asyncio.sleep(0.1)
                 raise PlatformUnavailableError("connection refused")
             answer = await node.transport.call(request)
@@ -272,6 +279,48 @@
     network.cut.clear()
 
 
+def cut_off_node(context, *, far):
+    """Cuts off a node that doesn't decide."""
+    network = context.network
+    decider = network.read_status()["plan"]["decider"]
+    data_centre = network.make_record(decider).data_centre
+    context.cut_off = next(
+        host
+        for host in network.nodes
+        if host != decider
+        and (network.make_record(host).data_centre != data_centre) is far
+    )
+    network.cut.add(context.cut_off)
+    return network.nodes[context.cut_off]
+
+
+@when("another node than the decider is cut off")
+def step_cut_other(context):
+    cut_off_node(context, far=False)
+
+
+@when("a node of the other data centre is cut off and hears of a withdrawal")
+def step_cut_withdrawn(context):
+    node = cut_off_node(context, far=True)
+    state = node.rollouts.find_view(SERVICE).state
+    version = state.order.number + 1
+    row = StoredRow("op", KEY, None, version)
+    changes = RowChanges((row,), version, 0, state.era)
+    node.rollouts.apply_changes(changes, False)
+
+
+@when("the node is no longer cut off")
+def step_back(context):
+    context.network.cut.clear()
+
+
+@when("the node is no longer cut off but does not follow the store yet")
+def step_back_unwatched(context):
+    context.network.unwatched.add(context.cut_off)
+    context.network.writers.clear()
+    context.network.cut.clear()
+
+
 @when("the store of the roll-out is away for {seconds:g} s")
 def step_away(context, seconds):
     context.network.away = True
