--- a/src/guavawing/traffic/rollout_plan.py
+++ b/src/guavawing/traffic/rollout_plan.py
@@ -42,8 +42,9 @@
 # duration and at most, in seconds: a fault under load has to show.
 MIN_CLOSING_SHARE = 0.1
 MAX_CLOSING_S = 2.0
-# Time before the deadline, beyond the time above, from which the last step is not
-# put off for want of outcomes any more, in seconds: old targets have to finish.
+# Time before the deadline, beyond the time above, from which the last step is
+# not put off for want of outcomes any more, in seconds: old targets have to
+# finish.
 LAST_STEP_S = 2.0
 # Time from a fault to the end of what it gets: counts, decision, announcement;
 # and that for which the exposure is kept when a small share is raised.
