Roll-outs: ask targets of unknown release before those of the new one

With no old target known by its release (all old ones found by a health check after a restart, or announcing none), requests for the old release went to the new one, at any share. They now go to the targets of unknown release while the roll-out runs.

--- a/src/guavawing/traffic/rollout_state.py
+++ b/src/guavawing/traffic/rollout_state.py
@@ -250,6 +250,10 @@
                 ]
                 if old:
                     return old
+                # Those with the new release refuse what doesn't name it.
+                unknown = [each for each in owners if not _release(each)]
+                if unknown and state.running:
+                    return unknown
                 # The ordered release is the one in force.
                 return [each for each in owners if _release(each) == release]
         new = [each for each in owners if _release(each) == release]
--- a/tests/cover/rollout_state.feature
+++ b/tests/cover/rollout_state.feature
@@ -44,6 +44,11 @@
     And the state of order 1 to "v2" with share 0.0
     Then a request uses "v1" first
 
+  Scenario: No old target is known by its release, so unknown ones are asked
+    Given owners of "desk" with the releases "? ? v2 v2"
+    And the state of order 1 to "v2" with share 0.0
+    Then a request uses targets of unknown release before those of "v2"
+
   Scenario: A release that appears without an order is used after 3 s
     Given owners of "desk" with the releases "v1 v1"
     When owners of "desk" have the releases "v1 v2"
--- a/tests/steps/rollout_state_steps.py
+++ b/tests/steps/rollout_state_steps.py
@@ -142,6 +142,12 @@
     assert not found, found
 
 
+@then('a request uses targets of unknown release before those of "v2"')
+def step_uses_unknown(context):
+    found = pick(context)
+    assert found == ["", ""], found
+
+
 @then('{seconds:g} s later a request may use "{releases}"')
 def step_may_use(context, seconds, releases):
     context.now += seconds
