Roll-outs: an order that is given again has its own deadline

An order with the same service, release and duration as the one before it kept the time of the first, so an order given again after a roll-back was rolled back at once as out of time. That time is now kept only if the store was restored.

--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -82,6 +82,7 @@
     __slots__ = (
         "_attempt",
         "_attempt_id",
+        "_draw",
         "_fallback",
         "_group",
         "_new_failed",
@@ -145,6 +146,7 @@
         # whether one of the new release has not served the request.
         self._group = Group.ANY
         self._new_failed = False
+        self._draw = parts.rng.random()
 
     def begin(self) -> None:
         """Submits the attempt to the first owner."""
@@ -210,7 +212,7 @@
             return self._choose_among(owners, now, excluded=excluded)
         rollout = parts.find_rollout(attempt.service)
         for group in rollout.pick_groups(
-            parts.rng, failed_new=self._new_failed, now=now
+            self._draw, failed_new=self._new_failed, now=now
         ):
             choice = self._choose_among(
                 rollout.select(owners, group, now=now), now, excluded=excluded
--- a/src/guavawing/sidecar/rollouts.py
+++ b/src/guavawing/sidecar/rollouts.py
@@ -289,7 +289,13 @@
         if rollout is None:
             rollout = self._rollouts[service] = Rollout(view, ordered_at)
         elif before is None or not state.continues(before):
-            if before is None or not _is_same_order(state.order, before.order):
+            # The same order with another number is the known one only if the
+            # store was restored meanwhile; else it was given again.
+            if (
+                before is None
+                or state.era == before.era
+                or not _is_same_order(state.order, before.order)
+            ):
                 rollout.ordered_at = ordered_at
             self._decider.stop(rollout)
         if state.decider != self._own_record.host and state.decider:
--- a/src/guavawing/traffic/rollout_state.py
+++ b/src/guavawing/traffic/rollout_state.py
@@ -14,7 +14,6 @@
 import math
 import zlib
 from collections.abc import Collection
-from random import Random
 
 import attrs
 
@@ -195,12 +194,13 @@
         return state.share if self.is_fresh(now=now) else 0.0
 
     def pick_groups(
-        self, rng: Random, *, failed_new: bool, now: float
+        self, draw: float, *, failed_new: bool, now: float
     ) -> tuple[Group, ...]:
         """Returns the targets that an attempt may use, the preferred first.
 
         Args:
-            rng: Draws the requests that the new release gets.
+            draw: Random number from 0 to 1 of the request, the same for all its
+                attempts, so that refusals do not raise the share.
             failed_new: Whether a target of the new release has failed the
                 request or refused it.
             now: Event loop's time, in seconds.
@@ -217,7 +217,7 @@
         share = self.share(now=now)
         if share >= 1.0:
             return (Group.NEW,)
-        if failed_new or rng.random() >= share:
+        if failed_new or draw >= share:
             return (Group.OLD,)
         return (Group.NEW, Group.OLD)
 
