--- a/tests/cover/transfer.feature
+++ b/tests/cover/transfer.feature
@@ -21,3 +21,8 @@
     Given an idempotent request, owners "a" and an allowed retry
     When attempts end with "lost" and no owner is left
     Then the client gets 502
+
+  Scenario: Refusals do not raise the share of a new release
+    Given an idempotent request, owners "a b c new" and an allowed retry
+    When many requests are refused by all owners
+    Then the new target was asked by its share of them
--- a/tests/steps/rollout_decider_steps.py
+++ b/tests/steps/rollout_decider_steps.py
@@ -190,7 +190,8 @@
         view = entry.rollouts.find_view(SERVICE)
         now = self.loop.time()
         owners = list(entry.peers.owners(SERVICE))
-        for group in view.pick_groups(self.rng, failed_new=False, now=now):
+        draw = self.rng.random()
+        for group in view.pick_groups(draw, failed_new=False, now=now):
             found = view.select(owners, group, now=now)
             if not found:
                 continue
--- a/tests/steps/rollout_state_steps.py
+++ b/tests/steps/rollout_state_steps.py
@@ -105,7 +105,7 @@
 def pick(context, *, failed_new=False, rng=None):
     """Returns the releases that a request uses first."""
     groups = context.view.pick_groups(
-        rng or Random(1), failed_new=failed_new, now=context.now
+        (rng or Random(1)).random(), failed_new=failed_new, now=context.now
     )
     owners = context.view.select(context.owners, groups[0], now=context.now)
     return [owner.report.release for owner in owners]
@@ -152,7 +152,7 @@
 def step_may_use(context, seconds, releases):
     context.now += seconds
     groups = context.view.pick_groups(
-        Random(1), failed_new=False, now=context.now
+        Random(1).random(), failed_new=False, now=context.now
     )
     found = [
         owner.report.release or "?"
--- a/tests/steps/transfer_steps.py
+++ b/tests/steps/transfer_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 from random import Random
 
+import attrs
 from behave import given, then, when
 
 from guavawing.sidecar.client_call import ClientCall, EntryParts
@@ -16,16 +17,21 @@
     LoadReport,
     Outcome,
     PeerRecord,
+    RolloutOrder,
     Route,
     SplitPart,
     TargetPhase,
 )
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
+from guavawing.traffic.rollout_state import RolloutState, RolloutView
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
 from tests.sidecar_support import make_attempt
 
 LEFT_S = 2.0
+# An owner whose target has the new release of a roll-out, and its share.
+NEW, SHARE = "new", 0.1
+REQUESTS = 2000
 IDLE = LoadReport(TargetPhase.READY, 8, 0, 0, 0.05)
 ENDS = {
     "served": Outcome(Ran(), 200),
@@ -84,14 +90,22 @@
     for name in names:
         record = PeerRecord(name, name, 1, "east", "desk", 1)
         peer = peers.apply_record(record, now=now)
-        peers.apply_load(peer, IDLE, now=now)
+        release = "v2" if name == NEW else "v1"
+        report = attrs.evolve(IDLE, release=release)
+        peers.apply_load(peer, report, now=now)
     return peers, view
 
 
-async def run_request(context, ends):
+async def run_request(context, ends, *, rng=None):
     loop = asyncio.get_running_loop()
     now = loop.time()
     peers, own_view = make_peers(context.names, now)
+    view = None
+    if NEW in context.names:
+        view = RolloutView(roll_back_s=5.0)
+        order = RolloutOrder("desk", "v2", 14.0, 1)
+        state = RolloutState(order, version=1, share=SHARE)
+        view.apply(state, confirmed_at=now, now=now)
     mesh = MemoryMesh(ends, peers)
     parts = EntryParts(
         loop=loop,
@@ -105,6 +119,8 @@
         version=lambda: 1,
         log=DecisionLog(node="me"),
         metrics=SidecarMetrics(),
+        find_rollout=None if view is None else lambda _: view,
+        rng=rng or Random(1),
     )
     conn = MemoryConnection()
     request = HttpRequest(conn, b"GET", b"/x", [], b"", now)
@@ -139,3 +155,21 @@
 @then('these owners were tried: "{names}"')
 def step_tried(context, names):
     assert sorted(context.tried) == names.split(), context.tried
+
+
+@when("many requests are refused by all owners")
+def step_all_refuse(context):
+    rng = Random(1)
+    context.tries = []
+    for _ in range(REQUESTS):
+        ends = [ENDS["full"]] * len(context.names)
+        _, tried = context.run(run_request(context, ends, rng=rng))
+        context.tries.append(tried)
+
+
+@then("the new target was asked by its share of them")
+def step_share(context):
+    found = sum(NEW in tried for tried in context.tries) / REQUESTS
+    assert abs(found - SHARE) < SHARE / 4, found
+    longest = max(map(len, context.tries))
+    assert longest > 2, f"got at most {longest} attempts of a request"
