Roll-outs: go on in the era of a store restored without the order

Versions that a restored store gives are lower. The decider kept the era before, so no node took its states over: it wrote the same step at each tick, and the roll-out ended as out of time. States now have the era of their write.

--- a/src/guavawing/sidecar/rollout_decider.py
+++ b/src/guavawing/sidecar/rollout_decider.py
@@ -453,7 +453,9 @@
                     backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
                     continue
                 now = self._loop.time()
-                after = attrs.evolve(after, version=version)
+                # A restored store gives lower versions, in a later era.
+                era = max(after.era, self._store.era.newest)
+                after = attrs.evolve(after, era=era, version=version)
                 if rollout.view.apply(after, confirmed_at=now, now=now):
                     self._on_state(rollout.state)
                     self._announce(rollout)
--- a/tests/cover/rollout_decider.feature
+++ b/tests/cover/rollout_decider.feature
@@ -97,6 +97,16 @@
     Then the status is "rolled_back" to "v2"
     And no target of "v2" executed anything in the last 5 s
 
+  Scenario: The store comes back from a copy that is older than the order
+    Given the store of the roll-out is copied
+    When 100 other rows are written
+    And "v2" is ordered within 14 s
+    And the roll-out goes on for 7 s
+    And the store of the roll-out is restored
+    And the roll-out goes on for 8 s
+    Then the status is "completed" to "v2"
+    And the store was written at most 16 times by one decider
+
   Scenario: A withdrawal that the decider has not heard of reaches it
     When "v2" is ordered within 14 s
     And the roll-out goes on for 4 s
--- a/tests/steps/rollout_decider_steps.py
+++ b/tests/steps/rollout_decider_steps.py
@@ -329,6 +329,13 @@
     context.network.away = False
 
 
+@when("{count:d} other rows are written")
+def step_other_rows(context, count):
+    for number in range(count):
+        context.network.tables.put("other", f"row/{number}", b"{}")
+
+
+@given("the store of the roll-out is copied")
 @when("the store of the roll-out is copied")
 def step_copied(context):
     context.copy = context.network.tables.copy()
