Roll-outs: an old target that names no release does not hold up the end

Its owner refuses everything while the roll-out closes, but never reported so: the roll-out stayed at closing for ever, neither completed nor rolled back. It now reports itself closed.

--- a/src/guavawing/sidecar/outcome_reports.py
+++ b/src/guavawing/sidecar/outcome_reports.py
@@ -69,7 +69,7 @@
         release = self._target.release
         closing = state.closing and not state.halted
         closed = release in state.avoided or (
-            closing and release not in ("", state.order.release)
+            closing and release != state.order.release
         )
         ready = self._target.phase is TargetPhase.READY
         cold = self._target.is_cold(now=now)
--- a/tests/cover/rollout_decider.feature
+++ b/tests/cover/rollout_decider.feature
@@ -31,6 +31,14 @@
     Then the status is "completed" to "v1"
     And requests were executed all the while
 
+  Scenario: An old target that names no release does not hold up the end
+    Given nodes whose targets have the releases "v1 v2 ? v2"
+    When "v2" is ordered within 14 s
+    And the roll-out goes on for 14 s
+    Then the status is "completed" to "v2"
+    And no target of "" executed anything in the last 2 s
+    And no target of "v1" executed anything in the last 2 s
+
   Scenario: A withdrawn order is rolled back
     When "v2" is ordered within 14 s
     And the roll-out goes on for 6 s
--- a/tests/steps/rollout_decider_steps.py
+++ b/tests/steps/rollout_decider_steps.py
@@ -88,7 +88,7 @@
         self.writes, self.lost, self.writers = 0, set(), []
         self.nodes = {}
         for number, release in enumerate(releases.split()):
-            self.add_node(number, release)
+            self.add_node(number, release.replace("?", ""))
         for node in self.nodes.values():
             self.introduce(node)
         self.tasks = [loop.create_task(self.offer())]
@@ -390,6 +390,11 @@
     check_none_since(context, "v1", seconds)
 
 
+@then('no target of "" executed anything in the last {seconds:g} s')
+def step_none_unknown(context, seconds):
+    check_none_since(context, "", seconds)
+
+
 @then('no target of "{release}" executed anything in the last {seconds:g} s')
 def step_none(context, release, seconds):
     check_none_since(context, release, seconds)
