Roll-outs: old owners that all restart do not complete one

A restarting owner does not know its target at first and was left out of the old targets. Those whose counts were of another release are now counted.

--- a/src/guavawing/sidecar/rollout_decider.py
+++ b/src/guavawing/sidecar/rollout_decider.py
@@ -519,9 +519,13 @@
             report = owner.report
             if report is None or report.release == release:
                 continue
-            if report.phase in (TargetPhase.UNKNOWN, TargetPhase.GONE):
-                continue
             series = ledger.owners.get(owner.node)
+            # An owner that restarts does not know its target at first.
+            was_old = series is not None and not ledger.is_new(series)
+            if report.phase is TargetPhase.GONE or (
+                report.phase is TargetPhase.UNKNOWN and not was_old
+            ):
+                continue
             heard = series is not None and now - series.heard_at < silent_s
             if heard and series is not None and ledger.is_new(series):
                 continue
--- a/tests/cover/rollout_decider.feature
+++ b/tests/cover/rollout_decider.feature
@@ -39,6 +39,14 @@
     And no target of "" executed anything in the last 2 s
     And no target of "v1" executed anything in the last 2 s
 
+  Scenario: Old owners that all restart do not complete it
+    When "v2" is ordered within 14 s
+    And the roll-out goes on for 4 s
+    And the owners of "v1" restart and do not know their targets for 1 s
+    Then the status is "running" to "v2"
+    When the roll-out goes on for 9 s
+    Then the status is "completed" to "v2"
+
   Scenario: A withdrawn order is rolled back
     When "v2" is ordered within 14 s
     And the roll-out goes on for 6 s
--- a/tests/steps/rollout_decider_steps.py
+++ b/tests/steps/rollout_decider_steps.py
@@ -322,6 +322,28 @@
     context.network.cut.clear()
 
 
+def announce_phase(network, release, phase):
+    """Tells all nodes of the phase of the targets of a release."""
+    slots = SLOTS if phase is TargetPhase.READY else 0
+    known = release if phase is TargetPhase.READY else ""
+    report = LoadReport(phase, slots, 0, 0, 0.0, release=known)
+    now = network.loop.time()
+    for node in network.nodes.values():
+        for view in node.peers.owners(SERVICE):
+            if network.nodes[view.node].release == release:
+                view.apply_report(report, now=now)
+
+
+@when(
+    'the owners of "{release}" restart and do not know their targets for '
+    "{seconds:g} s"
+)
+def step_restart(context, release, seconds):
+    announce_phase(context.network, release, TargetPhase.UNKNOWN)
+    step_pass(context, seconds)
+    announce_phase(context.network, release, TargetPhase.READY)
+
+
 @when("the store of the roll-out is away for {seconds:g} s")
 def step_away(context, seconds):
     context.network.away = True
