--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -84,6 +84,7 @@
     __slots__ = (
         "_attempt",
         "_attempt_id",
+        "_draw",
         "_fallback",
         "_group",
         "_new_failed",
@@ -155,6 +156,7 @@
         # whether one of the new release has not served the request.
         self._group = Group.ANY
         self._new_failed = False
+        self._draw = parts.rng.random()
         # Whether it is at a new release that gets a share: its failures say
         # nothing of the old one.
         self._on_trial = False
@@ -257,7 +259,7 @@
             return self._choose_among(owners, now, excluded=excluded)
         rollout = parts.find_rollout(attempt.service)
         groups = rollout.pick_groups(
-            parts.rng, failed_new=self._new_failed, now=now
+            self._draw, failed_new=self._new_failed, now=now
         )
         for group in groups:
             choice = self._choose_among(
--- a/tests/steps/rollout_state_steps.py
+++ b/tests/steps/rollout_state_steps.py
@@ -105,7 +105,7 @@
 def pick(context, *, failed_new=False, rng=None):
     """Returns the releases that a request uses first."""
     groups = context.view.pick_groups(
-        rng or Random(1), failed_new=failed_new, now=context.now
+        (rng or Random(1)).random(), failed_new=failed_new, now=context.now
     )
     owners = context.view.select(context.owners, groups[0], now=context.now)
     return [owner.report.release for owner in owners]
@@ -142,11 +142,17 @@
     assert not found, found
 
 
+@then('a request uses targets of unknown release before those of "v2"')
+def step_uses_unknown(context):
+    found = pick(context)
+    assert found == ["", ""], found
+
+
 @then('{seconds:g} s later a request may use "{releases}"')
 def step_may_use(context, seconds, releases):
     context.now += seconds
     groups = context.view.pick_groups(
-        Random(1), failed_new=False, now=context.now
+        Random(1).random(), failed_new=False, now=context.now
     )
     found = [
         owner.report.release or "?"
