Withdraw keys and use up quotas in the soak test

Cause: the soak drew no faults for client accounts, so that nothing checked withdrawn keys and quotas while faults overlap.

Clients send keys, also withdrawn ones and one that never existed; faults also publish versions without a key. Checks: no target runs a request that was sent more than 2.5 s after the withdrawal of its key was acknowledged; targets get the name of the account and never a key; no log has a key; no account has more requests run in any 5 s than (rate * window + burst) * (1 + overage) + allowance. A status 401 now also means that a request has not run, in all soaks. Without the option no draw is added.

Nothing is withdrawn while the store is unavailable or is being overwritten with a copy, as no operator gets an acknowledgement then.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,6 +8,12 @@
 
 import aiohttp
 
+from soak.accounts import (
+    BOUNDS,
+    KEYS,
+    find_account_violations,
+    make_accounts,
+)
 from soak.checks import Answer, find_violations, make_upload
 from soak.faults import Faults
 from standins.vm_fleet import HOST_NAME, Vm, VmFleet, open_vm_fleet
@@ -21,6 +27,9 @@
 MIN_SERVED = 20
 # Probes request the routes of this many newest versions.
 NEWEST_PROBES = 4
+ACCOUNTS_TIMEOUT_S = 20.0
+# Longer than the log is buffered, in seconds.
+FLUSH_S = 0.6
 
 
 async def main() -> int:
@@ -35,11 +44,20 @@
     parser.add_argument(
         "--uploads", action="store_true", help="also send large bodies"
     )
+    parser.add_argument(
+        "--accounts",
+        action="store_true",
+        help="also withdraw keys of client accounts, which have quotas",
+    )
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.count):
         violations = await run_seed(
-            seed, options.vms, options.seconds, uploads=options.uploads
+            seed,
+            options.vms,
+            options.seconds,
+            uploads=options.uploads,
+            accounts=options.accounts,
         )
         failed += bool(violations)
         print(f"seed {seed}: {'FAILED' if violations else 'ok'}", flush=True)
@@ -56,6 +74,7 @@
     *,
     earlier_kinds: bool = False,
     uploads: bool = False,
+    accounts: bool = False,
 ) -> list[str]:
     """Runs one seed; returns one line per violation, then the fault log.
 
@@ -65,6 +84,7 @@
         seconds: Duration of the faults.
         earlier_kinds: See `Faults`.
         uploads: Whether clients also send large bodies.
+        accounts: Whether clients send keys of client accounts.
     """
     rng = random.Random(seed)
     plan = [
@@ -77,12 +97,17 @@
     ]
     answers: list[Answer] = []
     loop = asyncio.get_running_loop()
-    async with open_vm_fleet(plan, relayed=True) as fleet:
+    bounds = BOUNDS if accounts else {}
+    async with open_vm_fleet(plan, relayed=True, bounds=bounds) as fleet:
         if uploads:
             fleet.kinds = (*fleet.kinds, "upload")
         fleet.publish_probe(1)
         await asyncio.sleep(2.0)
         faults = Faults(fleet, rng, earlier_kinds)
+        if accounts:
+            fleet.accounts = make_accounts()
+            await faults.publish(next(iter(fleet.vms.values())))
+            await _wait_for_version(fleet, faults.version)
         clients = [
             loop.create_task(
                 _run_client(fleet, vm, random.Random(f"{seed} {n}"), answers)
@@ -97,6 +122,9 @@
             client.cancel()
         await asyncio.gather(*clients, return_exceptions=True)
         violations = find_violations(fleet, faults, answers)
+        if accounts:
+            await asyncio.sleep(FLUSH_S)
+            violations += find_account_violations(fleet, faults, answers)
         served = sum(
             a.status == 200 for a in answers if a.sent_at > recovered_at
         )
@@ -109,6 +137,18 @@
         return violations
 
 
+async def _wait_for_version(fleet: VmFleet, version: int) -> None:
+    """Waits until the version is in force at all daemons."""
+    async with asyncio.timeout(ACCOUNTS_TIMEOUT_S):
+        for vm in fleet.vms.values():
+            while not any(
+                record["message_type"] == "version-in-force"
+                and record["version"] == version
+                for record in vm.read_log()
+            ):
+                await asyncio.sleep(0.1)
+
+
 async def _run_client(
     fleet: VmFleet,
     vm: Vm,
@@ -126,8 +166,11 @@
             if kind == "probe":
                 path = f"/since-{probe}/ok"
             request_id = f"{vm.name}-{rng.getrandbits(48):x}"
+            key = rng.choice(list(KEYS)) if fleet.accounts else ""
             sent_at, process = loop.time(), vm.process.starts
-            status, body = await _send_request(http, vm, kind, path, request_id)
+            status, body = await _send_request(
+                http, vm, kind, path, request_id, key
+            )
             answers.append(
                 Answer(
                     vm.name,
@@ -139,19 +182,27 @@
                     body,
                     sent_at,
                     loop.time(),
+                    key,
                 )
             )
             await asyncio.sleep(rng.uniform(0, 0.03) if status else 0.2)
 
 
 async def _send_request(
-    http: aiohttp.ClientSession, vm: Vm, kind: str, path: str, request_id: str
+    http: aiohttp.ClientSession,
+    vm: Vm,
+    kind: str,
+    path: str,
+    request_id: str,
+    key: str,
 ) -> tuple[int, bytes]:
     headers = {
         "Host": HOST_NAME,
         "X-Request-Id": request_id,
         "X-Deadline-Ms": str(DEADLINE_MS),
     }
+    if key:
+        headers["Authorization"] = f"Token {key}"
     method = "POST" if kind in ("unsafe", "upload") else "GET"
     data = b"some body" if kind == "unsafe" else None
     if kind == "upload":
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -27,7 +27,7 @@
 OK = 200
 # Lines of a large body; with ids of this test about 120 KB.
 UPLOAD_LINES = 5_000
-NOT_RUN = frozenset({408, 421, 429, 503})
+NOT_RUN = frozenset({401, 408, 421, 429, 503})
 
 
 @attrs.frozen
@@ -45,6 +45,7 @@
         body: Response body.
         sent_at: Event loop time of sending, in seconds.
         ended_at: Event loop time of the end, in seconds.
+        key: Key of a client account; empty if there are no accounts.
     """
 
     vm: str
@@ -56,6 +57,7 @@
     body: bytes
     sent_at: float
     ended_at: float
+    key: str = ""
 
 
 def find_violations(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -63,6 +63,10 @@
         drain_acked_at: Time at which the drain of a target was acknowledged,
             by target id.
         restoring: Whether the store is being restored from a copy.
+        overwriting: Whether what is written to the store now is overwritten
+            at the end of its restoration.
+        withdrawn_at: Time at which a version without a key was acknowledged,
+            by key of a client account.
         limits: Limits that targets have named.
         leaving_at: Time from which the answers of a target state that it
             leaves, by target id.
@@ -77,6 +81,8 @@
     planned_stop_at: dict[str, float] = attrs.field(factory=dict)
     drain_acked_at: dict[str, float] = attrs.field(factory=dict)
     restoring: bool = False
+    overwriting: bool = False
+    withdrawn_at: dict[str, float] = attrs.field(factory=dict)
     limits: list[NamedLimit] = attrs.field(factory=list)
     leaving_at: dict[str, float] = attrs.field(factory=dict)
     fault_log: list[str] = attrs.field(factory=list)
@@ -104,6 +110,8 @@
                 self.state_departure,
                 self.restore_store,
             ]
+        if self.fleet.accounts:
+            kinds += [self.withdraw_key] * 3
         while loop.time() < ends_at:
             kind = self.rng.choice(kinds)
             vm = self.rng.choice(list(self.fleet.vms.values()))
@@ -218,19 +226,37 @@
         self.restoring = True
         copy = store.tables.copy()
         await asyncio.sleep(self.rng.uniform(*COPY_AGE_S))
-        store.faults.down = True
+        store.faults.down = self.overwriting = True
         newest = store.tables.get("op", "config")
         store.tables.restore(copy)
         await asyncio.sleep(RESTORE_S)
         store.faults.down = False
         store.tables.put("op", "config", newest)
-        self.restoring = False
+        self.restoring = self.overwriting = False
 
     async def publish(self, vm: Vm) -> None:
         """Publishes a new version."""
         self.version += self.rng.randint(1, 3)
         self.fleet.publish_probe(self.version)
 
+    async def withdraw_key(self, vm: Vm) -> None:
+        """Publishes a version without one key of an account with several."""
+        if self.fleet.store.faults.down or self.overwriting:
+            # The store acknowledges nothing.
+            return
+        keys = [
+            (account, key)
+            for account in self.fleet.accounts.values()
+            if len(account["apiKeys"]) > 1
+            for key in account["apiKeys"]
+        ]
+        if not keys:
+            return
+        account, key = self.rng.choice(keys)
+        account["apiKeys"].remove(key)
+        await self.publish(vm)
+        self.withdrawn_at[key] = asyncio.get_running_loop().time()
+
     async def fail_store(self, vm: Vm) -> None:
         """Makes the store unavailable, or lose one reply or its history."""
         faults = self.fleet.store.faults
--- a/standins/vm_fleet.py
+++ b/standins/vm_fleet.py
@@ -10,6 +10,7 @@
 import tempfile
 from collections.abc import AsyncIterator, Iterable, Mapping
 from types import MappingProxyType
+from typing import Any
 
 import aiohttp
 import attrs
@@ -98,6 +99,7 @@
         relay: Relay in front of the store and the targets, if any.
         probes: Versions that each introduced a probe route.
         kinds: Kinds of route of each service.
+        accounts: Client accounts of the versions with probe routes.
     """
 
     store: PlatformStandIn
@@ -106,6 +108,7 @@
     relay: Relay | None = None
     probes: list[int] = attrs.field(factory=list)
     kinds: tuple[str, ...] = KINDS
+    accounts: dict[str, dict[str, Any]] = attrs.field(factory=dict)
 
     def publish(self, version: int, **changes: object) -> None:
         """Writes a configuration document to the store."""
@@ -126,7 +129,8 @@
                 **routes["desk-safe"],
                 "prefix": f"/since-{each}/",
             }
-        self.publish(version, routes=routes)
+        changes = {"tenants": self.accounts} if self.accounts else {}
+        self.publish(version, routes=routes, **changes)
 
     async def start(self, vm: Vm) -> None:
         """Starts the daemon of a VM."""
--- a/tests/processes/soak.feature
+++ b/tests/processes/soak.feature
@@ -14,3 +14,6 @@
 
   Scenario: Uploads among the faults of seed 201
     Then the soak of seed 201 with 4 VMs, uploads and 8 s of faults violates no guarantee
+
+  Scenario: Keys withdrawn and quotas used up among the faults of seed 301
+    Then the soak of seed 301 with 4 VMs, accounts and 8 s of faults violates no guarantee
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -23,6 +23,15 @@
     assert not violations, "\n".join(violations)
 
 
+@then(
+    "the soak of seed {seed:d} with {vms:d} VMs, accounts and {seconds:g} s of"
+    " faults violates no guarantee"
+)
+def step_accounts(context, seed, vms, seconds):
+    violations = context.run(run_seed(seed, vms, seconds, accounts=True))
+    assert not violations, "\n".join(violations)
+
+
 @then(
     "the soak of seed {seed:d} with {vms:d} VMs and {seconds:g} s of faults"
     " violates no guarantee"
