Schedule the next tick of roll-outs before this one's work

Cause: found by review: any error in a tick would have ended all further ones, as it did for the check of silent owners. Measured: rollout_decider and rollout_state pass.

--- a/src/guavawing/sidecar/rollouts.py
+++ b/src/guavawing/sidecar/rollouts.py
@@ -331,6 +331,8 @@
         if self._closed:
             return
         now = self._loop.time()
+        # Scheduled first, so that an error does not end the ticks.
+        self._timer = self._loop.call_later(TICK_S, self._tick)
         active = closing = False
         for rollout in tuple(self._rollouts.values()):
             state = rollout.state
@@ -349,9 +351,12 @@
                 rollout.task = self._loop.create_task(
                     self._decider.take_over(rollout)
                 )
-        if active:
-            tick_s = CLOSING_TICK_S if closing else TICK_S
-            self._timer = self._loop.call_later(tick_s, self._tick)
+        if not active:
+            self._timer.cancel()
+            self._timer = None
+        elif closing:
+            self._timer.cancel()
+            self._timer = self._loop.call_later(CLOSING_TICK_S, self._tick)
 
     def _send_counts(self, rollout: Rollout) -> None:
         state, own = rollout.state, self._own_record
