Keep queried outcomes awaited, and don't deny forgotten ones

Cause: an owner that noticed the end of an old connection late detached attempts whose outcome was queried on a new one already, so the outcome was never sent. And an owner that had dropped outcomes before their time, because there were more than 2,000 in 5 s, answered that attempts without a record had not run. An order that had run could so be sent to another owner.

Change: a closed connection detaches only its own attempts. After outcomes of attempts that may have run were dropped early, an attempt without a record may have run, until their time is over. Dropped refusals don't matter for that.

Result: two of the four scenarios of retained_outcomes.feature failed before (no answer; "not-run" for an attempt that had run); all four pass, and lost_outcomes.feature, 10 scenarios.

--- a/src/guavawing/sidecar/mesh_server.py
+++ b/src/guavawing/sidecar/mesh_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 import secrets
 from collections.abc import Callable
 
@@ -97,6 +98,9 @@
         self._retained: collections.deque[tuple[float, bytes]] = (
             collections.deque()
         )
+        # Time until which an attempt without a record may have run, as its
+        # outcome may be among those that were dropped before their time.
+        self._complete_from = -math.inf
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -150,13 +154,17 @@
 
         An attempt that has not arrived is cancelled in advance: if it arrives
         later, it is not executed, so that the answer "not run" stays valid.
-        Outcomes of an earlier process are not known.
+        Outcomes of an earlier process are not known, nor are those that were
+        dropped because there were too many.
         """
         request_id = query.request_id
         job = self._jobs.get(request_id)
         if query.process != self.process:
             job = _Job(request_id, None, 0)
             job.outcome = Outcome(MayHaveRun(Reason.OWNER_REPLACED))
+        elif job is None and self.loop.time() <= self._complete_from:
+            job = _Job(request_id, None, 0)
+            job.outcome = Outcome(MayHaveRun(Reason.ANSWER_NOT_KEPT))
         elif job is None:
             job = _Job(request_id, None, 0)
             job.outcome = Outcome(NotRun(Reason.OWNER_UNREACHABLE, 0.0))
@@ -184,8 +192,15 @@
             len(self._retained) > MAX_RETAINED
             or now - self._retained[0][0] > RETENTION_S
         ):
-            _, oldest = self._retained.popleft()
-            self._jobs.pop(oldest, None)
+            ended_at, oldest = self._retained.popleft()
+            job = self._jobs.pop(oldest, None)
+            # Without its record a refused attempt still counts as not run.
+            if (
+                job is not None
+                and job.outcome is not None
+                and not isinstance(job.outcome.verdict, NotRun)
+            ):
+                self._complete_from = ended_at + RETENTION_S
 
 
 class _Connection:
@@ -290,7 +305,9 @@
         self._stream = None
         self._server.bodies.drop_all(self)
         for job in self._jobs.values():
-            job.conn = None
+            # Another connection may have queried its outcome before.
+            if job.conn is self:
+                job.conn = None
         self._jobs.clear()
 
     def _submit(self, frame: RequestFrame) -> None:
