Don't ask again for a request that has its token

Cause: the timer of a request for a token was cancelled, but not cleared, when the request was decided. A pending answer of a node that was asked before started it again: 0.25 s later that node was avoided, or suspected, although it had answered, and a third node gave a token that nobody needed.

Change: the timer is cleared.

Result: the first scenario of quota_asks.feature failed before (three nodes were asked); both pass.

--- a/src/guavawing/sidecar/quotas.py
+++ b/src/guavawing/sidecar/quotas.py
@@ -407,6 +407,8 @@
     def _end(self, request: _Request, decision: QuotaDecision) -> None:
         if request.timer is not None:
             request.timer.cancel()
+            # A pending answer of another node must not start it again.
+            request.timer = None
         on_decision, request.on_decision = request.on_decision, None
         if on_decision is not None:
             self._decide(on_decision, decision, request.part.account)
