Count tokens once that the network delivers twice

Cause: a datagram that gives tokens to the holder of a part has a nonce, but the holder did not look at it. Tokens of one that arrived twice counted twice, against the rule that a lost or late message never adds any.

Change: a holder remembers the senders and nonces of its last 2,000 deposits.

--- a/src/guavawing/sidecar/quotas.py
+++ b/src/guavawing/sidecar/quotas.py
@@ -71,6 +71,9 @@
 # seconds.
 LOG_PERIOD_S = 5.0
 NONCE_BITS = 32
+# Deposits that are remembered, so that one that arrives twice counts once. Only
+# tokens that were not used are deposited.
+MAX_REMEMBERED_DEPOSITS = 2_000
 
 
 @attrs.frozen
@@ -186,6 +189,10 @@
         # Answers to asks that wait for tokens of other parts.
         self._waiting: dict[Part, collections.deque[Callable[[Grant], None]]]
         self._waiting = collections.defaultdict(collections.deque)
+        # Senders and nonces of the last deposits, the oldest first.
+        self._deposits: collections.OrderedDict[tuple[str, int], None] = (
+            collections.OrderedDict()
+        )
         self._avoid_until: dict[str, float] = {}
         self._unanswered_since: dict[str, float] = {}
         self._far: dict[str, list[str]] = {}
@@ -266,7 +273,8 @@
             case PartPull():
                 self._handle_pull(nonce, message, sender)
             case PartDeposit(part=part, tokens=tokens):
-                self._holder.deposit(part, tokens, now=now)
+                if self._is_first(sender, nonce):
+                    self._holder.deposit(part, tokens, now=now)
 
     def handle_grant(self, payload: bytes, sender: str) -> None:
         """Handles the answer of another node."""
@@ -560,6 +568,16 @@
             reply = waiting.popleft()
             reply(Grant(tokens, usage=self._holder.find_usage(bucket, now=now)))
 
+    def _is_first(self, sender: str, nonce: int) -> bool:
+        """Returns whether a deposit has not arrived before."""
+        key = sender, nonce
+        if key in self._deposits:
+            return False
+        self._deposits[key] = None
+        if len(self._deposits) > MAX_REMEMBERED_DEPOSITS:
+            self._deposits.popitem(last=False)
+        return True
+
     def _handle_pull(self, nonce: int, pull: PartPull, sender: str) -> None:
         """Gives tokens to another part, or forwards the pull to the holder."""
         now = self._loop.time()
--- a/tests/cover/quota_asks.feature
+++ b/tests/cover/quota_asks.feature
@@ -13,3 +13,9 @@
     When the first node answers 0.01 s later that its answer is pending
     And the second node grants a token
     Then no third node is asked and no node suspected within 1 s
+
+  # Networks deliver some datagrams twice.
+  Scenario: Tokens that arrive twice count once
+    Given a node with an empty bucket
+    When a datagram that gives it 2 tokens arrives twice, and another one once
+    Then its bucket has 4 tokens
--- a/tests/steps/quota_ask_steps.py
+++ b/tests/steps/quota_ask_steps.py
@@ -10,8 +10,10 @@
 from guavawing.sidecar.quota_messages import (
     Ask,
     Grant,
+    PartDeposit,
     decode_quota_request,
     encode_grant,
+    encode_quota_request,
 )
 from guavawing.sidecar.quotas import Quotas, Token
 from guavawing.traffic.model import ClientAccount, PeerRecord
@@ -129,3 +131,39 @@
     assert len(asker.asks) == 2, asker.asks
     assert asker.suspected == [], asker.suspected
     assert len(asker.decisions) == 1, asker.decisions
+
+
+async def hold():
+    asker = Asker()
+    holder = asker.quotas._holder
+    names = (f"account-{number}" for number in range(100))
+    name = next(n for n in names if asker.quotas.find_holder(n) == OWN_HOST)
+    asker.part = holder.find_part(name)
+    asker.bucket = holder.open_bucket(asker.part, now=0.0)
+    asker.bucket.level = 0.0
+    return asker
+
+
+@given("a node with an empty bucket")
+def step_holder(context):
+    opened = open_simulated_time_loop()
+    context.loop = opened.__enter__()
+    context.add_cleanup(opened.__exit__, None, None, None)
+    context.asker = run(context, hold())
+
+
+@when(
+    "a datagram that gives it {tokens:g} tokens arrives twice, and another one"
+    " once"
+)
+def step_deposits(context, tokens):
+    asker = context.asker
+    for nonce in (1, 1, 2):
+        message = PartDeposit(asker.part, tokens)
+        payload = encode_quota_request(nonce, message)
+        asker.quotas.handle_request(payload, HOSTS[1])
+
+
+@then("its bucket has {tokens:g} tokens")
+def step_level(context, tokens):
+    assert context.asker.bucket.level == tokens, context.asker.bucket.level
