Keep nothing for accounts that are not in force

Cause: a node kept the ranked holders of each part that it was ever asked about until its near nodes changed, also of accounts that were removed, and of accounts that only other nodes know.

Change: ranks of removed accounts are dropped, those of unknown ones not kept.

--- a/src/guavawing/traffic/quotas.py
+++ b/src/guavawing/traffic/quotas.py
@@ -419,7 +419,7 @@
         }
         changed = plans != self._plans
         self._plans = plans
-        for known in (self._started_at, self._donors):
+        for known in (self._started_at, self._donors, self._ranks):
             for part in [each for each in known if each.account not in plans]:
                 del known[part]
         for part, bucket in tuple(self._buckets.items()):
@@ -446,7 +446,10 @@
         """Returns the near hosts that may hold a part, the holder first."""
         ranked = self._ranks.get(part)
         if ranked is None:
-            ranked = self._ranks[part] = rank_hosts(part, self._alive)
+            ranked = rank_hosts(part, self._alive)
+            # Other nodes may ask for accounts that are not known here.
+            if part.account in self._plans:
+                self._ranks[part] = ranked
         return ranked
 
     def set_view(
--- a/tests/cover/quota_asks.feature
+++ b/tests/cover/quota_asks.feature
@@ -19,3 +19,8 @@
     Given a node with an empty bucket
     When a datagram that gives it 2 tokens arrives twice, and another one once
     Then its bucket has 4 tokens
+
+  Scenario: Nothing is kept for accounts that were removed or never existed
+    Given a node with an empty bucket
+    When 50 versions replace all accounts, and others ask for unknown ones
+    Then it keeps the holders of no account but those in force
--- a/tests/steps/quota_ask_steps.py
+++ b/tests/steps/quota_ask_steps.py
@@ -6,11 +6,13 @@
 
 from guavawing.platform.settings import QuotaTerms
 from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.mesh_codec import QUOTA_REQUEST, find_kind
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.quota_messages import (
     Ask,
     Grant,
     PartDeposit,
+    PartPull,
     decode_quota_request,
     encode_grant,
     encode_quota_request,
@@ -19,6 +21,7 @@
 from guavawing.traffic.model import ClientAccount, PeerRecord
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
+from guavawing.traffic.quotas import Part
 from standins.simulated_time_loop import open_simulated_time_loop
 
 OWN_HOST = "10.0.0.1"
@@ -71,6 +74,8 @@
         )
 
     def record(self, payload, host):
+        if find_kind(payload) != QUOTA_REQUEST:
+            return
         nonce, message = decode_quota_request(payload)
         if isinstance(message, Ask):
             self.asks.append((nonce, host))
@@ -167,3 +172,29 @@
 @then("its bucket has {tokens:g} tokens")
 def step_level(context, tokens):
     assert context.asker.bucket.level == tokens, context.asker.bucket.level
+
+
+def make_account(number):
+    return ClientAccount(
+        f"other-{number}", frozenset(), rate_per_s=RATE_PER_S, burst=BURST
+    )
+
+
+@when(
+    "{count:d} versions replace all accounts, and others ask for unknown ones"
+)
+def step_replace(context, count):
+    quotas = context.asker.quotas
+    for number in range(count):
+        account = make_account(number)
+        quotas.set_accounts([account])
+        quotas.find_holder(account.name)
+        pull = PartPull(Part(f"unknown-{number}", 0), 1.0, "dc1", 0, 1.0)
+        payload = encode_quota_request(number, pull)
+        quotas.handle_request(payload, HOSTS[1])
+
+
+@then("it keeps the holders of no account but those in force")
+def step_holders(context):
+    ranks = context.asker.quotas._holder._ranks
+    assert {part.account for part in ranks} <= {"other-49"}, len(ranks)
