--- a/src/guavawing/sidecar/quota_messages.py
+++ b/src/guavawing/sidecar/quota_messages.py
@@ -13,7 +13,7 @@
     read_text,
     unpack,
 )
-from guavawing.traffic.quotas import Part
+from guavawing.traffic.quota_parts import Part
 
 __all__ = [
     "Ask",
--- a/src/guavawing/sidecar/quotas.py
+++ b/src/guavawing/sidecar/quotas.py
@@ -28,15 +28,10 @@
 )
 from guavawing.traffic.model import ClientAccount, PeerRecord
 from guavawing.traffic.peers import PeerTable
-from guavawing.traffic.quotas import (
-    Bucket,
-    Deposit,
-    Part,
-    Pull,
-    QuotaHolder,
-    TokenStock,
-    rank_hosts,
-)
+from guavawing.traffic.quota_bucket import Bucket
+from guavawing.traffic.quota_parts import Part, rank_hosts
+from guavawing.traffic.quotas import Deposit, Pull, QuotaHolder
+from guavawing.traffic.token_stock import TokenStock
 
 __all__ = ["OverQuota", "QuotaDecision", "Quotas", "Token", "Unanswered"]
 
--- a/tests/steps/quota_ask_steps.py
+++ b/tests/steps/quota_ask_steps.py
@@ -21,7 +21,7 @@
 from guavawing.traffic.model import ClientAccount, PeerRecord
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
-from guavawing.traffic.quotas import Part
+from guavawing.traffic.quota_parts import Part
 from standins.simulated_time_loop import open_simulated_time_loop
 
 OWN_HOST = "10.0.0.1"
--- a/tests/steps/quota_holder_steps.py
+++ b/tests/steps/quota_holder_steps.py
@@ -6,13 +6,9 @@
 from hypothesis import strategies as st
 
 from guavawing.traffic.model import ClientAccount
-from guavawing.traffic.quotas import (
-    Bucket,
-    Part,
-    PartPlan,
-    QuotaHolder,
-    plan_part,
-)
+from guavawing.traffic.quota_bucket import Bucket
+from guavawing.traffic.quota_parts import Part, PartPlan, plan_part
+from guavawing.traffic.quotas import QuotaHolder
 from tests.support import check_examples
 
 TERMS = {"window_s": 5.0, "overage": 0.1, "allowance": 20.0}
--- a/tests/steps/quota_process_steps.py
+++ b/tests/steps/quota_process_steps.py
@@ -8,7 +8,7 @@
 import aiohttp
 from behave import given, then, when
 
-from guavawing.traffic.quotas import Part, rank_hosts
+from guavawing.traffic.quota_parts import Part, rank_hosts
 from standins.vm_fleet import HOST_NAME, open_vm_fleet
 from tests.sidecar_support import DEADLINE_MS
 from tests.steps.account_process_steps import make_routes
