Log who follows the store, and for how long it was silent

The logs could not tell a silent feed from a reader that is lost or a task that has ended: nothing is written while a call of the feed waits, and no line shows which nodes follow a table. store-followed and store-left show the readers, store-lost the time since the last answer, and a gauge the time of the last answer of each table.

--- a/src/guavawing/sidecar/metrics.py
+++ b/src/guavawing/sidecar/metrics.py
@@ -112,6 +112,10 @@
             " keys of client accounts depend on it; -1 without one.",
         )
         self.config_age.set({}, -1.0)
+        self.store_answered = self._gauge(
+            "guavawing_store_answered_timestamp_seconds",
+            "Time of the store's last answer to a node that follows a table.",
+        )
         self.peers = self._gauge(
             "guavawing_peers", "Other nodes that are known, by state."
         )
--- a/src/guavawing/sidecar/table_watch.py
+++ b/src/guavawing/sidecar/table_watch.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import time
 from collections.abc import Callable
 
 from guavawing.errors import (
@@ -90,6 +91,8 @@
         self._era = 0
         self.connected = False
         self._ever_failed = False
+        self._answered_at = self._loop.time()
+        self._followed = False
         self._follows_from: float | None = None
         self._catch_up_due = asyncio.Event()
 
@@ -188,10 +191,20 @@
 
     def _follows(self) -> bool:
         discovered = self._loop.time() >= (self._follows_from or 0.0)
-        return discovered and self._is_reader()
+        follows = discovered and self._is_reader()
+        if follows is not self._followed:
+            self._followed = follows
+            self._log.state_change(
+                "store-followed" if follows else "store-left",
+                table=self._table,
+                version=self._version,
+            )
+        return follows
 
     def _record_success(self) -> None:
         self._count("answered")
+        self._answered_at = self._loop.time()
+        self._metrics.store_answered.set({"table": self._table}, time.time())
         if not self.connected:
             self.connected = True
             self._on_reachability(True)
@@ -207,7 +220,11 @@
             self.connected = False
             self._on_reachability(False)
             self._log.state_change(
-                "store-lost", table=self._table, cause=str(exc)
+                "store-lost",
+                table=self._table,
+                cause=str(exc),
+                version=self._version,
+                silent_s=round(self._loop.time() - self._answered_at, 3),
             )
 
     def _count(self, outcome: str) -> None:
