Give up a silent feed of the store in time to apply a version

Callers saw: a route that was added 2 s before is refused with 404, at every node of the fleet.

Cause: a node that follows the store asks it to wait 10 s for a change and allows 1.5 s more. A connection that has fallen silent without a reset looks the same as a store without a change; TCP's keepalive gave it up after 4 s. When all connections fell silent, no node read anything for 4 s, while a version has to be in force within 2 s. Class: the silence of a peer taken for the absence of news.

The wait and the time for the answer follow from the time within which a version has to be in force. After a call without an answer the link closes idle connections that were used before it: they were lost with it, and the next call would wait for another timeout.

--- a/src/guavawing/platform/store_client.py
+++ b/src/guavawing/platform/store_client.py
@@ -49,8 +49,6 @@
 # of a slow store.
 CALL_TIMEOUT_S = 2.0
 OBJECT_TIMEOUT_S = 5.0
-# Timeout of a watch beyond the wait that it requests, in seconds.
-WATCH_MARGIN_S = 1.5
 
 
 @attrs.frozen
@@ -172,7 +170,7 @@
             start = page.rows[-1].key + "\0"
 
     async def watch_table(
-        self, table: str, *, after: int, wait_s: float
+        self, table: str, *, after: int, wait_s: float, answer_s: float
     ) -> RowChanges:
         """Waits for changes of a table.
 
@@ -180,6 +178,7 @@
             table: Name of the table.
             after: Version after which changes are returned.
             wait_s: Longest time to wait for a change, in seconds.
+            answer_s: Time for the answer beyond that wait, in seconds.
 
         Raises:
             HistoryLostError: If the whole table has to be read again.
@@ -190,9 +189,7 @@
             "after": str(after),
             "waitMs": str(int(wait_s * MS_PER_S)),
         }
-        content = await self._get_json(
-            "/-/rows-feed", query, wait_s + WATCH_MARGIN_S
-        )
+        content = await self._get_json("/-/rows-feed", query, wait_s + answer_s)
         return self._decode_changes(content)
 
     async def write_rows(self, writes: Sequence[RowWrite]) -> int:
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -42,9 +42,10 @@
 from guavawing.sidecar.readiness import Readiness
 from guavawing.sidecar.rollouts import Rollouts
 from guavawing.sidecar.store_link import StoreLink
-from guavawing.sidecar.table_watch import FEED_WAIT_S, TableWatch
+from guavawing.sidecar.table_watch import TableWatch
 from guavawing.sidecar.target_pool import TargetPool
 from guavawing.sidecar.target_probe import TargetProbe
+from guavawing.traffic.feed_wait import FeedWait, limit_feed_wait
 from guavawing.traffic.model import (
     NO_TARGET_RECORD,
     Incarnation,
@@ -250,7 +251,9 @@
             CONFIGURATION_PERIOD_S,
             CONFIGURATION_READERS,
             on_read=self._handle_configuration_read,
-            feed_wait_s=lambda: self._freshness.feed_wait_s(FEED_WAIT_S),
+            find_wait=lambda: self._freshness.limit_feed_wait(
+                limit_feed_wait(settings.apply_s)
+            ),
         )
         self._nodes_watch = self._watch(
             NODES_TABLE,
@@ -384,7 +387,7 @@
         readers: int,
         *,
         on_read: Callable[[float, int], None] = lambda asked_at, era: None,
-        feed_wait_s: Callable[[], float] = lambda: FEED_WAIT_S,
+        find_wait: Callable[[], FeedWait] = FeedWait,
     ) -> TableWatch:
         return TableWatch(
             self._store,
@@ -396,7 +399,7 @@
             log=self._log,
             metrics=self._metrics,
             on_read=on_read,
-            feed_wait_s=feed_wait_s,
+            find_wait=find_wait,
         )
 
     async def _follow_nodes(self) -> None:
--- a/src/guavawing/sidecar/freshness.py
+++ b/src/guavawing/sidecar/freshness.py
@@ -5,6 +5,8 @@
 import random
 from collections.abc import Callable
 
+import attrs
+
 from guavawing.errors import MessageInvalidError
 from guavawing.platform.settings import VmSettings
 from guavawing.sidecar.decision_log import DecisionLog
@@ -12,6 +14,7 @@
 from guavawing.sidecar.mesh_fields import pack, read_number, unpack
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.steady_clock import read_steady_time
+from guavawing.traffic.feed_wait import FeedWait
 from guavawing.traffic.freshness import (
     ConfigFreshness,
     FreshnessAnswer,
@@ -128,16 +131,17 @@
         """Returns the age of the proof, in seconds; infinite without one."""
         return self._state.age_s(now=read_steady_time())
 
-    def feed_wait_s(self, default_s: float) -> float:
-        """Returns how long the store may wait for a change, in seconds.
+    def limit_feed_wait(self, limits: FeedWait) -> FeedWait:
+        """Returns the time limits of a call of the store's change feed.
 
         Args:
-            default_s: The wait without client accounts.
+            limits: Those without client accounts.
         """
         if not self._enabled:
-            return default_s
+            return limits
         renewed = self._state.is_renewed(now=read_steady_time())
-        return min(default_s, self._state.terms.renewal_s) if renewed else 0.0
+        renewal_s = self._state.terms.renewal_s if renewed else 0.0
+        return attrs.evolve(limits, wait_s=min(limits.wait_s, renewal_s))
 
     def set_routing(self, routing: Routing) -> None:
         """Records that a version has come into force."""
--- a/src/guavawing/sidecar/store_link.py
+++ b/src/guavawing/sidecar/store_link.py
@@ -48,6 +48,7 @@
     async def call(self, call: HttpCall) -> HttpAnswer:
         """Sends a call; see `guavawing.platform.store_transport.Transport`."""
         conn = await self._connect()
+        sent_at = self._loop.time()
         fut: asyncio.Future[HttpReply] = self._loop.create_future()
         lost = PlatformWriteUnknownError("connection to the store lost")
         handler = ResponseHandler(
@@ -61,6 +62,8 @@
                 reply = await fut
         except TimeoutError as exc:
             conn.close()
+            # Connections without an answer since then may be lost, too.
+            self._close_idle(before=sent_at)
             raise PlatformWriteUnknownError(
                 f"store did not answer within {call.timeout_s} s"
             ) from exc
@@ -87,6 +90,13 @@
             conn.close()
         self._idle.clear()
 
+    def _close_idle(self, *, before: float) -> None:
+        """Closes idle connections whose last answer is older than a time."""
+        for conn in self._idle:
+            if conn.idle_since < before:
+                conn.close()
+        self._idle = [conn for conn in self._idle if conn.usable]
+
     async def _connect(self) -> ClientConnection:
         now = self._loop.time()
         while self._idle:
--- a/src/guavawing/sidecar/table_watch.py
+++ b/src/guavawing/sidecar/table_watch.py
@@ -15,11 +15,10 @@
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.steady_clock import read_steady_time
+from guavawing.traffic.feed_wait import FeedWait
 
-__all__ = ["FEED_WAIT_S", "TableWatch"]
+__all__ = ["TableWatch"]
 
-# Long-poll wait that is requested from the store by default, in seconds.
-FEED_WAIT_S = 10.0
 # Interval at which a node that does not follow the store checks whether it has
 # become a reader, in seconds.
 READER_CHECK_PERIOD_S = 0.25
@@ -51,7 +50,7 @@
         log: DecisionLog,
         metrics: SidecarMetrics,
         on_read: Callable[[float, int], None] = lambda asked_at, era: None,
-        feed_wait_s: Callable[[], float] = lambda: FEED_WAIT_S,
+        find_wait: Callable[[], FeedWait] = FeedWait,
     ) -> None:
         """Creates a watch that has not started.
 
@@ -71,8 +70,7 @@
             on_read: Called when all changes up to a call have been reported,
                 with the steady time at which the call was sent and the era of
                 the store.
-            feed_wait_s: Returns the longest wait to request from the store, in
-                seconds.
+            find_wait: Returns the time limits of the next call of the feed.
         """
         self._loop = asyncio.get_running_loop()
         self._store = store
@@ -84,7 +82,7 @@
         self._log = log
         self._metrics = metrics
         self._on_read = on_read
-        self._feed_wait_s = feed_wait_s
+        self._find_wait = find_wait
         # Version up to which the table is known, and the store's era in which
         # it was given out.
         self._version: int | None = None
@@ -148,9 +146,12 @@
         # The first answer after a failure shows whether the store was restored
         # meanwhile, so it is not to wait for a change.
         waits = self.connected and self._follows()
-        wait_s = self._feed_wait_s() if waits else 0.0
+        limits = self._find_wait()
         changes = await self._store.watch_table(
-            self._table, after=self._version, wait_s=wait_s
+            self._table,
+            after=self._version,
+            wait_s=limits.wait_s if waits else 0.0,
+            answer_s=limits.answer_s,
         )
         if changes.era != self._era:
             # Versions are given out again after the store was restored, so this
--- /dev/null
+++ b/tests/cover/silent_store.feature
@@ -0,0 +1,31 @@
+Feature: Connections to the platform's store that fall silent without a reset
+
+  # Guards against versions that are late because nobody notices a silent feed.
+  Scenario Outline: A version written behind a silent connection is read in time
+    Given a node that follows versions which have to be in force within <apply> s
+    And its call of the feed has waited <waited> s for a change
+    When its connection falls silent without a reset
+    And a version is written
+    Then the version is read within <apply> s
+
+    Examples:
+      | apply | waited |
+      | 2     | 0      |
+      | 2     | 0.5    |
+      | 2.5   | 0.1    |
+      | 3     | 1      |
+
+  # Guards against a store that is slow being taken for one that is silent.
+  Scenario: A slow store is followed without losing it
+    Given a node that follows versions which have to be in force within 2 s
+    When the store takes 0.8 s for each answer
+    And a version is written
+    Then the version is read within 2 s
+    And the store has not been lost
+
+  # Guards against a second silent connection being used after the first.
+  Scenario: After an unanswered call other idle connections are not used again
+    Given a link to a store with 2 idle connections
+    When these connections fall silent without a reset
+    Then a call ends unanswered after its timeout
+    And the next call is answered at once on a new connection
--- a/tests/steps/table_watch_steps.py
+++ b/tests/steps/table_watch_steps.py
@@ -39,7 +39,7 @@
         self.reads += 1
         return RowChanges(tuple(self.rows), len(self.rows), 0)
 
-    async def watch_table(self, table, *, after, wait_s):
+    async def watch_table(self, table, *, after, wait_s, answer_s):
         self.feeds += 1
         if self.failures:
             self.failures -= 1
@@ -152,7 +152,7 @@
         await shared.first_reads.wait()
         return found
 
-    async def watch_table(self, table, *, after, wait_s):
+    async def watch_table(self, table, *, after, wait_s, answer_s):
         self.calls += 1
         shared = self.shared
         if not shared.find_after(after) and wait_s:
