Report the loss of a connection that is given up while it opens

Cause: if the time to connect ends in the same turn of the event loop in which the connection has opened, which is likely after a pause of the process, uvloop closes the transport without calling connection_lost. The stream was recorded as open by then. Every later request to that owner, and each check of all connections, failed with 'the handler is closed'.

Evidence: the lines name FrameStream._tick and MeshClient._check with a TCPTransport that is closed; the scenario, which pauses the process as a connection opens, failed before with the same error.

The stream of an opening that is given up is now ended by the connection itself: its attempts are queried or end as not run, and the next one opens another connection.

--- a/src/guavawing/node/frame_stream.py
+++ b/src/guavawing/node/frame_stream.py
@@ -86,6 +86,7 @@
         "_keepalive",
         "_loop",
         "_needed",
+        "_reported_close",
         "_silent_ticks",
         "_timer",
         "_transport",
@@ -109,6 +110,7 @@
         # Frames written while another one is being written in pieces.
         self._deferred: list[bytes] = []
         self._unfinished = False
+        self._reported_close = False
         self.closed = False
         self.last_received_at = self._loop.time()
         self.paused = False
@@ -162,6 +164,15 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def abandon(self) -> None:
+        """Ends a connection whose opening was given up.
+
+        The event loop may close its transport without reporting the loss.
+        """
+        if self._transport is not None:
+            self.abort()
+            self.connection_lost(None)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the keepalive timer and notifies the handler."""
         self._transport = cast(asyncio.Transport, transport)
@@ -193,11 +204,13 @@
         self._handler.on_writable()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Stops the keepalive timer and notifies the handler."""
+        """Stops the keepalive timer and notifies the handler once."""
         self.closed = True
         if self._timer is not None:
             self._timer.cancel()
-        self._handler.on_close()
+        if not self._reported_close:
+            self._reported_close = True
+            self._handler.on_close()
 
     def _read_frames(self, data: bytes) -> None:
         start = 0
--- a/src/guavawing/sidecar/owner_connection.py
+++ b/src/guavawing/sidecar/owner_connection.py
@@ -383,15 +383,17 @@
         if self._stream is not None and not self._stream.closed:
             return
         self._connecting = True
+        stream = FrameStream(self, keepalive=KEEPALIVE)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await self._client.loop.create_connection(
-                    lambda: FrameStream(self, keepalive=KEEPALIVE),
+                    lambda: stream,
                     self._host,
                     self._port,
                     local_addr=(self._client.source, 0),
                 )
         except (OSError, TimeoutError):
+            stream.abandon()
             self._client.on_suspicion(self._host)
             verdict = NotRun(Reason.OWNER_UNREACHABLE, OWNER_RETRY_AFTER_S)
             self._unsent.clear()
--- a/tests/steps/mesh_client_steps.py
+++ b/tests/steps/mesh_client_steps.py
@@ -2,21 +2,51 @@
 
 import asyncio
 import contextlib
+import time
+from unittest import mock
 
+import uvloop
 from behave import given, then, when
 
+from guavawing.node.frame_stream import FrameStream
 from guavawing.sidecar.mesh_client import MeshClient
 from guavawing.traffic.model import NO_TARGET_RECORD
-from guavawing.verdict import MayHaveRun, Reason
+from guavawing.verdict import MayHaveRun, NotRun, Reason
 from tests.sidecar_support import make_attempt
 
 HOST = "127.0.0.1"
+# Time in which a request reaches an owner or is given up, in seconds.
+SENT_S = 0.3
 
 
 class SilentOwner(asyncio.Protocol):
     """Reads requests and never answers them."""
 
 
+class RecordingOwner(asyncio.Protocol):
+    """Records the bytes of each connection."""
+
+    def __init__(self, received):
+        self.received = received
+
+    def connection_made(self, transport):
+        self.received.append(b"")
+
+    def data_received(self, data):
+        self.received[-1] += data
+
+
+def make_client(suspicions):
+    return MeshClient(
+        source=HOST,
+        on_load=lambda *_: None,
+        find_record=lambda _: NO_TARGET_RECORD,
+        on_alive=lambda _: None,
+        on_suspicion=suspicions.append,
+        on_config=lambda _: None,
+    )
+
+
 @given("two owners that accept connections and never answer")
 def step_silent_owners(context):
     async def listen():
@@ -38,14 +68,7 @@
 
     async def send():
         loop = asyncio.get_running_loop()
-        client = MeshClient(
-            source=HOST,
-            on_load=lambda *_: None,
-            find_record=lambda _: NO_TARGET_RECORD,
-            on_alive=lambda _: None,
-            on_suspicion=context.suspicions.append,
-            on_config=lambda _: None,
-        )
+        client = make_client(context.suspicions)
         done = asyncio.Event()
         attempt = make_attempt("r1", now=loop.time())
         ports = iter(context.ports)
@@ -75,3 +98,65 @@
     verdicts = [outcome.verdict for outcome in context.outcomes]
     assert verdicts == [MayHaveRun(Reason.OWNER_LOST)] * 2, verdicts
     assert len(context.suspicions) == 2, context.suspicions
+
+
+@given("an owner that reads requests and never answers")
+def step_recording_owner(context):
+    context.received, context.outcomes, context.faults = [], [], []
+
+
+@when(
+    "the process is paused for {seconds:g} seconds as a connection to it opens"
+)
+def step_paused(context, seconds):
+    context.pause_s = seconds
+
+
+@when("another request is sent to it")
+def step_other_request(context):
+    connect = FrameStream.connection_made
+    pauses = [context.pause_s]
+
+    def connect_and_pause(stream, transport):
+        connect(stream, transport)
+        if pauses:
+            time.sleep(pauses.pop())
+
+    async def send():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(
+            lambda _, fault: context.faults.append(fault)
+        )
+        server = await loop.create_server(
+            lambda: RecordingOwner(context.received), HOST, 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        client = make_client([])
+        for name in ("r1", "r2"):
+            attempt = make_attempt(name, now=loop.time())
+            client.submit(HOST, port, attempt, context.outcomes.append)
+            await asyncio.sleep(SENT_S)
+        client.close()
+        server.close()
+
+    with (
+        mock.patch.object(FrameStream, "connection_made", connect_and_pause),
+        asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner,
+    ):
+        runner.run(send())
+
+
+@then("the first request has not run")
+def step_not_run(context):
+    assert context.outcomes, "there is no outcome"
+    assert isinstance(context.outcomes[0].verdict, NotRun), context.outcomes
+
+
+@then("the owner has received the other one")
+def step_received(context):
+    assert b"r2" in b"".join(context.received), context.received
+
+
+@then("no callback of the event loop has failed")
+def step_no_faults(context):
+    assert not context.faults, context.faults
