Read the store in place of readers that are not heard of

What callers would see: a version that is late at every node of a data centre, or of all, after the nodes that read the store for the others froze or lost power.

Cause: a node took over once it held the readers for lost, 3.3 beacon periods after their last beacon, and a node that had just started counted as a reader from its first beacon on, before the store had answered it. The time to apply a version is 2 s.

A reader now counts only while it was heard of within 1.6 beacon periods and has said that the store answers it. Whether the store does is told by the watch of the configuration alone; the watch of nodes used to overwrite it. If a beacon is lost, another node reads the store for half a second, which costs one call.

The scenarios with 3, 4 and 40 nodes failed before (nobody had read the row after 2 s); the stand-in of beacons in table_watch now sends them each second, as nodes do, instead of once.

--- a/src/guavawing/sidecar/beacons.py
+++ b/src/guavawing/sidecar/beacons.py
@@ -122,7 +122,12 @@
         self._sequence = 0
         self._period_number = 0
         self.version = 0
-        self.reaches_store = True
+        self.reaches_store = False
+
+    @property
+    def near_period_s(self) -> float:
+        """Time between two beacons to the same near node, in seconds."""
+        return PERIOD_S * max(1.0, len(self._peers.near()) / NEAR_PER_PERIOD)
 
     async def listen(self) -> None:
         """Opens the socket and starts the periodic beacons."""
@@ -257,11 +262,10 @@
     def _tick(self) -> None:
         now = self._loop.time()
         near, far = self._peers.near(), self._peers.far()
-        near_periods = max(1.0, len(near) / NEAR_PER_PERIOD)
         far_periods = max(1.0, len(far) / FAR_PER_PERIOD)
         lost = self._peers.expire(
             now=now,
-            near_period_s=PERIOD_S * near_periods,
+            near_period_s=self.near_period_s,
             far_period_s=PERIOD_S * far_periods,
         )
         for peer in lost:
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -251,6 +251,7 @@
             CONFIGURATION_PERIOD_S,
             CONFIGURATION_READERS,
             on_read=self._handle_configuration_read,
+            on_reachability=self._handle_reachability,
             find_wait=lambda: self._freshness.limit_feed_wait(
                 limit_feed_wait(settings.apply_s)
             ),
@@ -387,6 +388,7 @@
         readers: int,
         *,
         on_read: Callable[[float, int], None] = lambda asked_at, era: None,
+        on_reachability: Callable[[bool], None] = lambda reached: None,
         find_wait: Callable[[], FeedWait] = FeedWait,
     ) -> TableWatch:
         return TableWatch(
@@ -395,7 +397,7 @@
             on_changes=on_changes,
             min_period_s=period_s,
             is_reader=lambda: self._is_reader(readers),
-            on_reachability=self._handle_reachability,
+            on_reachability=on_reachability,
             log=self._log,
             metrics=self._metrics,
             on_read=on_read,
@@ -517,8 +519,10 @@
         return self._configuration.make_update(version)
 
     def _is_reader(self, readers: int) -> bool:
-        host = self._settings.host
-        return is_reader(host, self._peers.near(), readers=readers)
+        heard = self._peers.heard_near(
+            now=self._loop.time(), period_s=self._beacons.near_period_s
+        )
+        return is_reader(self._settings.host, heard, readers=readers)
 
     def _handle_reachability(self, reached: bool) -> None:
         if self._beacons.reaches_store != reached:
--- a/src/guavawing/traffic/peers.py
+++ b/src/guavawing/traffic/peers.py
@@ -18,6 +18,10 @@
 # Number of beacon periods without a beacon after which a node is considered
 # lost; the fraction allows for the jitter of timers.
 MISSED_BEACONS = 3.3
+# Number of beacon periods without a sign of a node after which others read the
+# store in its place. One lost beacon causes an additional call at most, while a
+# late one can make a version late.
+HEARD_PERIODS = 1.6
 # Silence after which a node is no longer sent every beacon, in seconds.
 LONG_LOST_S = 12.0
 # Maximum time that a restart of a node takes, in seconds.
@@ -92,6 +96,20 @@
         """Returns the other nodes of this data centre."""
         return [peer for peer in self if peer.view.near]
 
+    def heard_near(self, *, now: float, period_s: float) -> list[Peer]:
+        """Returns the near nodes of which there is recent liveness evidence.
+
+        Args:
+            now: Event loop's time, in seconds.
+            period_s: Time between two beacons of a near node.
+        """
+        since = now - HEARD_PERIODS * period_s
+        return [
+            peer
+            for peer in self.near()
+            if peer.last_seen_at is not None and peer.last_seen_at >= since
+        ]
+
     def far(self) -> list[Peer]:
         """Returns the nodes of other data centres."""
         return [peer for peer in self if not peer.view.near]
--- a/src/guavawing/traffic/readers.py
+++ b/src/guavawing/traffic/readers.py
@@ -29,7 +29,7 @@
 
     Args:
         host: Address of the node.
-        near: Other nodes of its data centre.
+        near: Other nodes of its data centre of which it has heard lately.
         readers: Number of readers that the data centre should have.
     """
     return find_rank(host, near) < readers
--- a/tests/cover/table_watch.feature
+++ b/tests/cover/table_watch.feature
@@ -42,3 +42,18 @@
     When they start together
     And they run for 2 s
     Then at most 4 of them follow the table
+
+  # Guards against versions that are late because all readers are silent.
+  Scenario Outline: Others read in time what frozen readers can't
+    Given <count> nodes of a fleet that starts for the first time
+    When they start together
+    And they run for <seconds> s
+    And the nodes that follow the table are frozen
+    And a row is written
+    Then another node has read the row within 2 s
+
+    Examples:
+      | count | seconds |
+      | 3     | 4.05    |
+      | 4     | 4.5     |
+      | 40    | 4.95    |
--- a/tests/steps/table_watch_steps.py
+++ b/tests/steps/table_watch_steps.py
@@ -1,6 +1,7 @@
 """Steps about the watch of a table in an in-memory store."""
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
 from behave import given, then, when
@@ -20,6 +21,7 @@
 TABLE = "nodes"
 # Longer than any pause of a watch before a call that is due, in seconds.
 SETTLED_S = 0.6
+BEACON_PERIOD_S = 1.0
 
 
 class MemoryTable:
@@ -191,19 +193,44 @@
     host: str
     client: TableClient
     peers: PeerTable = None
-    calls_when_found: int = 0
+    is_reader: Callable[[], bool] = None
+    keys: set[str] = attrs.field(factory=set)
+    frozen: bool = False
 
 
 def start_node(context, node):
     """Runs membership and watch of a node; its beacons arrive at once."""
+    loop = asyncio.get_running_loop()
     record = PeerRecord(node.host, node.host, 1, "bergen", "desk", 1)
     view = OwnerView(node.host, local=True, near=True)
     node.peers = PeerTable(record, view)
 
     def send_beacon(peer):
-        now = asyncio.get_running_loop().time()
+        if node.frozen:
+            return
         other = context.nodes[peer.record.host]
-        other.peers.apply_record(record, now=now)
+        known = other.peers.apply_record(record, now=loop.time())
+        other.peers.record_liveness(known, now=loop.time())
+
+    async def send_beacons():
+        while True:
+            await asyncio.sleep(BEACON_PERIOD_S)
+            for peer in node.peers:
+                send_beacon(peer)
+            node.peers.expire(
+                now=loop.time(),
+                near_period_s=BEACON_PERIOD_S,
+                far_period_s=BEACON_PERIOD_S,
+            )
+
+    def find_is_reader():
+        heard = node.peers.heard_near(now=loop.time(), period_s=BEACON_PERIOD_S)
+        return is_reader(node.host, heard, readers=2)
+
+    def apply(changes, complete):
+        if not node.frozen:
+            membership.apply_changes(changes, complete)
+            node.keys.update(row.key for row in changes.rows)
 
     log, metrics = DecisionLog(node=node.host), SidecarMetrics()
     membership = Membership(
@@ -219,9 +246,9 @@
     watch = TableWatch(
         node.client,
         NODES_TABLE,
-        on_changes=membership.apply_changes,
+        on_changes=apply,
         min_period_s=0.05,
-        is_reader=lambda: is_reader(node.host, node.peers.near(), readers=2),
+        is_reader=find_is_reader,
         on_reachability=lambda _: None,
         log=log,
         metrics=metrics,
@@ -230,9 +257,12 @@
     async def run():
         if context.joins_first:
             await membership.join()
-        await watch.run()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(watch.run())
+            group.create_task(send_beacons())
 
-    return asyncio.get_running_loop().create_task(run())
+    node.is_reader = find_is_reader
+    return loop.create_task(run())
 
 
 @given("{count:d} nodes of a fleet that starts for the first time")
@@ -300,3 +330,35 @@
 @then("at most {most:d} of them follow the table")
 def step_followers(context, most):
     assert context.shared.following <= most, context.shared.following
+
+
+@when("the nodes that follow the table are frozen")
+def step_freeze(context):
+    readers = [node for node in context.nodes.values() if node.is_reader()]
+    assert len(readers) == 2, [node.host for node in readers]
+    for node in readers:
+        node.frozen = True
+
+
+@when("a row is written")
+def step_row(context):
+    row = StoredRow(NODES_TABLE, "new", b"{}", context.shared.version + 1)
+
+    async def write():
+        shared = context.shared
+        shared.version += 1
+        shared.rows[row.key] = row
+        changed, shared.changed = shared.changed, asyncio.Event()
+        changed.set()
+
+    run(context, write())
+
+
+@then("another node has read the row within {seconds:g} s")
+def step_row_read(context, seconds):
+    async def wait():
+        async with asyncio.timeout(seconds):
+            while not any("new" in n.keys for n in context.nodes.values()):
+                await asyncio.sleep(0.01)
+
+    run(context, wait())
