Reject rows, beacons and heartbeats that name no VM or no usable number

What callers would see: a node that sends no beacons any more and is held for lost by all others, or one that no longer follows the configuration.

Cause: the row of a node and the record in a beacon were checked for types only. A host that is no IPv4 address made sendto raise ValueError, in the timer of the beacons, in the watch of nodes and, by the announcement of a version, in the watch of the configuration. A port of 70000 was connected to modulo 2^16. Heartbeats with slots of 2^63 or -5, a sequence of 2^64 - 1 and the like were accepted. An entry of the feed that is no object ended the watch with AttributeError; a configuration nested 1,000 deep, or a number beyond every float, would have done so by RecursionError or OverflowError.

They are checked where they are decoded, counted, and name nothing.

--- a/src/guavawing/platform/heartbeats.py
+++ b/src/guavawing/platform/heartbeats.py
@@ -14,6 +14,11 @@
 DEREGISTRATION_PATH = "/-/Instances.Deregister/"
 MS_PER_S = 1000
 MAX_ID_LENGTH = 200
+# Largest accepted numbers: slots of a target, time for which it stays slow
+# after its start, and counters, which are exact in JSON up to this one.
+MAX_SLOTS = 1_000_000
+MAX_COLD_MS = 24 * 3600 * MS_PER_S
+MAX_COUNT = 2**53
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -35,12 +40,19 @@
             id=_check_type(target_id, str),
             service=_check_type(info["service"], str),
             address=parse_address(_check_type(content["address"], str)),
-            slots=_check_type(info["slots"], int),
+            slots=_check_number(info["slots"], MAX_SLOTS),
             draining=_DRAINING_BY_STATE[_check_type(status["state"], str)],
-            sequence=_check_type(status["sequence"], int),
-            cold_s=max(0, _check_type(status.get("coldRemainingMs", 0), int))
+            sequence=_check_number(status["sequence"], MAX_COUNT),
+            cold_s=max(
+                0,
+                _check_number(
+                    status.get("coldRemainingMs", 0),
+                    MAX_COLD_MS,
+                    least=-MAX_COLD_MS,
+                ),
+            )
             / MS_PER_S,
-            born_ms=_check_type(content.get("born", 0), int),
+            born_ms=_check_number(content.get("born", 0), MAX_COUNT),
             release=_check_type(info.get("version", ""), str),
         )
     except (
@@ -61,3 +73,11 @@
     if type(value) is not kind:
         raise TypeError(f"got {value!r}, expected {kind.__name__}")
     return value
+
+
+def _check_number(value: Any, most: int, *, least: int = 0) -> int:
+    """Returns a whole number within bounds."""
+    number: int = _check_type(value, int)
+    if not least <= number <= most:
+        raise ValueError(f"got {number}, expected {least} to {most}")
+    return number
--- a/src/guavawing/platform/routing.py
+++ b/src/guavawing/platform/routing.py
@@ -94,7 +94,14 @@
                     for name, entry in (content.get("tenants") or {}).items()
                 },
             )
-        except (AttributeError, KeyError, TypeError, ValueError) as exc:
+        except (
+            ArithmeticError,
+            AttributeError,
+            KeyError,
+            RecursionError,
+            TypeError,
+            ValueError,
+        ) as exc:
             raise MessageInvalidError(
                 f"the configuration is invalid: {exc!r}"
             ) from exc
--- a/src/guavawing/platform/store_client.py
+++ b/src/guavawing/platform/store_client.py
@@ -315,7 +315,7 @@
         for entry in entries:
             try:
                 rows.append(_decode_row(entry))
-            except (KeyError, TypeError, ValueError):
+            except (AttributeError, KeyError, TypeError, ValueError):
                 # One invalid row must not hide the others; callers check the
                 # count.
                 unreadable += 1
--- a/src/guavawing/sidecar/membership.py
+++ b/src/guavawing/sidecar/membership.py
@@ -21,6 +21,7 @@
     StoredRow,
 )
 from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.mesh_fields import read_host, read_port, read_text
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.traffic.model import PeerRecord
 from guavawing.traffic.peers import Peer, PeerTable
@@ -267,16 +268,15 @@
     """Returns the record of a row, or None if it is unreadable."""
     try:
         content = orjson.loads(row.value or b"")
-        texts = [
-            content[name] for name in ("node", "host", "data_centre", "service")
-        ]
-        port = content["mesh_port"]
+        record = PeerRecord(
+            read_text(content["node"]),
+            read_host(content["host"]),
+            read_port(content["mesh_port"]),
+            read_text(content["data_centre"]),
+            read_text(content["service"]),
+            0,
+        )
     except (KeyError, TypeError, ValueError):
         # Counted by the caller.
         return None
-    if not all(isinstance(text, str) for text in texts):
-        return None
-    if type(port) is not int or row.key != texts[1]:
-        return None
-    node, host, data_centre, service = texts
-    return PeerRecord(node, host, port, data_centre, service, 0)
+    return record if record.host == row.key else None
--- a/src/guavawing/sidecar/mesh_codec.py
+++ b/src/guavawing/sidecar/mesh_codec.py
@@ -14,8 +14,10 @@
     encode_load,
     pack,
     read_bytes,
+    read_host,
     read_number,
     read_optional,
+    read_port,
     read_text,
     unpack,
 )
@@ -333,8 +335,8 @@
         return Beacon(
             PeerRecord(
                 read_text(fields[1]),
-                read_text(fields[2]),
-                read_number(fields[3]),
+                read_host(fields[2]),
+                read_port(fields[3]),
                 read_text(fields[4]),
                 read_text(fields[5]),
                 read_number(fields[6]),
--- a/src/guavawing/sidecar/mesh_fields.py
+++ b/src/guavawing/sidecar/mesh_fields.py
@@ -1,10 +1,12 @@
 """Fields that several messages between nodes share, and their types."""
 
+import ipaddress
 import math
 from typing import Any
 
 import msgpack
 
+from guavawing.model import MAX_PORT
 from guavawing.traffic.model import (
     Incarnation,
     LoadReport,
@@ -21,8 +23,10 @@
     "encode_load",
     "pack",
     "read_bytes",
+    "read_host",
     "read_number",
     "read_optional",
+    "read_port",
     "read_text",
     "unpack",
 ]
@@ -183,3 +187,28 @@
     if type(value) is not str:
         raise TypeError(f"got {value!r:.80}, expected text")
     return value
+
+
+def read_host(value: Any) -> str:
+    """Returns the address of a VM, to which datagrams can be sent.
+
+    Raises:
+        TypeError: If it is no text.
+        ValueError: If it is no IPv4 address of a single VM.
+    """
+    address = ipaddress.IPv4Address(read_text(value))
+    if address.is_unspecified or address.is_multicast or address.is_reserved:
+        raise ValueError(f"got {value!r}, expected the address of one VM")
+    return str(address)
+
+
+def read_port(value: Any) -> int:
+    """Returns a port.
+
+    Raises:
+        TypeError: If it is no number.
+        ValueError: If it is out of range.
+    """
+    if not 0 < read_number(value) <= MAX_PORT:
+        raise ValueError(f"got port {value}, expected 1 to {MAX_PORT}")
+    return int(value)
