Start background tasks again that end by an unexpected error

What callers would see: a node that is ready and goes on by an old version, without a line in the log, because the task that follows the configuration has ended.

Cause: the tasks of the daemon were kept in a list that nobody looked at; the timers of beacons, quotas and HTTP limits were set again after their work. A watch moved its version on before the rows had been applied, and a configuration recorded a version before its routes were in place, so what failed once was never tried again.

Of the versions that are read together only the newest valid one is put in force, so that one which fails does not hold up its successors.

--- a/src/guavawing/sidecar/beacons.py
+++ b/src/guavawing/sidecar/beacons.py
@@ -260,6 +260,9 @@
         self._on_peer(peer)
 
     def _tick(self) -> None:
+        # Scheduled first, so that an error does not end the beacons.
+        jitter = random.uniform(1 - JITTER, 1 + JITTER)
+        self._timer = self._loop.call_later(PERIOD_S * jitter, self._tick)
         now = self._loop.time()
         near, far = self._peers.near(), self._peers.far()
         far_periods = max(1.0, len(far) / FAR_PER_PERIOD)
@@ -285,8 +288,6 @@
             ):
                 continue
             self._send(payload, peer.record.host)
-        jitter = random.uniform(1 - JITTER, 1 + JITTER)
-        self._timer = self._loop.call_later(PERIOD_S * jitter, self._tick)
 
     def _select_due(self, peers: list[Peer], count: int) -> list[Peer]:
         """Returns the nodes that are due in this period, in rotation."""
--- a/src/guavawing/sidecar/configuration.py
+++ b/src/guavawing/sidecar/configuration.py
@@ -81,11 +81,18 @@
             self._metrics.unreadable.inc({"source": "configuration"})
         if changes.unreadable:
             self.holds_newest_read = False
-        for row in changes.rows:
-            if row.key == CONFIGURATION_KEY and row.value is not None:
-                self.holds_newest_read = self.apply_document(
-                    row.value, source=STORE
-                )
+        documents = [
+            row.value
+            for row in changes.rows
+            if row.key == CONFIGURATION_KEY and row.value is not None
+        ]
+        # Versions in between are only of use if the newest one is invalid.
+        for number, document in enumerate(reversed(documents)):
+            is_valid = self.apply_document(document, source=STORE)
+            if number == 0:
+                self.holds_newest_read = is_valid
+            if is_valid:
+                break
 
     def apply_document(self, document: bytes, *, source: str) -> bool:
         """Puts a document in force if it is valid and newer.
@@ -103,6 +110,8 @@
         if routing.version <= self.version:
             return True
         before, earlier = self.version, self.routing
+        # First, so that a version which can't be put in force is not recorded.
+        self._on_version(routing, source == STORE)
         if earlier is not None:
             self._earlier.append(earlier)
         self.routing = routing
@@ -116,7 +125,6 @@
             source=source,
             routes=len(routing.routes),
         )
-        self._on_version(routing, source == STORE)
         return True
 
     def apply_config(self, config: ConfigFrame) -> None:
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -13,6 +13,7 @@
     RowChanges,
     StoreClient,
 )
+from guavawing.sidecar.background import BackgroundTasks
 from guavawing.sidecar.beacons import Beacons
 from guavawing.sidecar.configuration import Configuration
 from guavawing.sidecar.decision_log import DecisionLog
@@ -91,8 +92,8 @@
         self._path = path
         self._log = log
         self._rng = Random()
-        self._tasks: list[asyncio.Task[None]] = []
         self._metrics = SidecarMetrics()
+        self._tasks = BackgroundTasks(log=log, metrics=self._metrics)
         self._own_record = PeerRecord(
             settings.node,
             settings.host,
@@ -317,14 +318,14 @@
             peers=self._peers,
             on_found=self._owner.handle_target_change,
         )
-        coroutines = [
-            self._configuration_watch.run(),
-            self._follow_nodes(),
-            self._poll_settings(),
-            self._freshness.run(),
-            health_probe.run(),
-        ]
-        self._tasks += [self._loop.create_task(each) for each in coroutines]
+        for name, run in (
+            ("watch-configuration", self._configuration_watch.run),
+            ("watch-nodes", self._follow_nodes),
+            ("poll-settings", self._poll_settings),
+            ("freshness", self._freshness.run),
+            ("probe-target", health_probe.run),
+        ):
+            self._tasks.start(name, run)
         self._log.event(
             "start",
             host=settings.host,
@@ -347,8 +348,7 @@
 
     def close(self) -> None:
         """Closes all components without waiting for requests."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.close()
         if self._rollouts is not None:
             self._rollouts.close()
         for server in (
--- a/src/guavawing/sidecar/http_server.py
+++ b/src/guavawing/sidecar/http_server.py
@@ -81,7 +81,8 @@
                 conn.close()
 
     def _sweep(self) -> None:
+        # Scheduled first, so that an error does not end the checks.
+        self._sweep_timer = self._loop.call_later(SWEEP_PERIOD_S, self._sweep)
         now = self._loop.time()
         for conn in tuple(self.state.connections):
             conn.check_limits(now)
-        self._sweep_timer = self._loop.call_later(SWEEP_PERIOD_S, self._sweep)
--- a/src/guavawing/sidecar/metrics.py
+++ b/src/guavawing/sidecar/metrics.py
@@ -112,6 +112,10 @@
             " keys of client accounts depend on it; -1 without one.",
         )
         self.config_age.set({}, -1.0)
+        self.failed_tasks = self._counter(
+            "guavawing_failed_tasks_total",
+            "Unexpected ends of background tasks, which were started again.",
+        )
         self.store_answered = self._gauge(
             "guavawing_store_answered_timestamp_seconds",
             "Time of the store's last answer to a node that follows a table.",
@@ -202,6 +206,7 @@
             self._over_quota,
             self._quota_pulls,
             self.refused_bodies,
+            self.failed_tasks,
         ):
             counter.export()
         for latency in (self._entry, self._queue, self._target):
--- a/src/guavawing/sidecar/quotas.py
+++ b/src/guavawing/sidecar/quotas.py
@@ -613,6 +613,8 @@
     # Both sides.
 
     def _tick(self) -> None:
+        # Scheduled first, so that an error does not end the ticks.
+        self._timer = self._loop.call_later(VIEW_PERIOD_S, self._tick)
         now = self._loop.time()
         if self._holder.tick(now=now):
             self._log.state_change("quota-buckets-restarted")
@@ -624,7 +626,6 @@
             alive, known=len(near) + 1, now=now
         ):
             self._send_deposit(deposit)
-        self._timer = self._loop.call_later(VIEW_PERIOD_S, self._tick)
 
     def _send_deposit(self, deposit: Deposit) -> None:
         part, tokens = deposit.part, deposit.tokens
--- a/src/guavawing/sidecar/table_watch.py
+++ b/src/guavawing/sidecar/table_watch.py
@@ -127,7 +127,7 @@
         self._catch_up_due.clear()
         try:
             await self._read()
-        except PlatformError:
+        except Exception:
             if catches_up:
                 self._catch_up_due.set()
             raise
@@ -138,9 +138,9 @@
             changes = await self._store.read_table(self._table)
             if self._follows_from is None:
                 self._follows_from = self._loop.time() + DISCOVERY_WAIT_S
-            self._version = changes.version
             self._record_era(changes)
             self._on_changes(changes, True)
+            self._version = changes.version
             self._on_read(asked_at, changes.era)
             return
         # The first answer after a failure shows whether the store was restored
@@ -158,9 +158,10 @@
             # answer may leave out changes.
             self._version = None
             return
-        self._version = max(self._version, changes.version)
         if changes.rows:
             self._on_changes(changes, False)
+        # Changes that could not be applied are read again.
+        self._version = max(self._version, changes.version)
         self._on_read(asked_at, changes.era)
 
     def _record_era(self, changes: RowChanges) -> None:
