Report an interim answer that ends the connection as a loss

What callers would see: an answer with status 100 or 103 and no body in place of the target's.

Cause: a connection that ended behind an interim answer was taken for the end of an answer without a declared length, whatever its status. The check of the request id hid it unless the interim answer carried that id, or the request had none.

--- a/src/guavawing/sidecar/http_client.py
+++ b/src/guavawing/sidecar/http_client.py
@@ -175,7 +175,8 @@
         """Completes a close-delimited answer, or reports the loss."""
         self.usable = False
         self._transport = None
-        if exc is None and self._started and not self._framed:
+        is_final = self._started and self._status >= MIN_FINAL_STATUS
+        if exc is None and is_final and not self._framed:
             # A body without a declared length ends with the connection.
             self._finish_reply(keeps_open=False)
             self._dispatch_replies()
--- a/tests/cover/http_client.feature
+++ b/tests/cover/http_client.feature
@@ -21,6 +21,20 @@
       | nothing then ends                                                 | a loss   | closed |
       | id r0, length 3, old then ends                                    | a loss   | closed |
 
+  # Guards against an interim answer that is passed on as the final one, and
+  # against a head that ends early and looks like an answer without a body.
+  Scenario Outline: An answer that ends within its head is a loss
+    Then an answer with <framing> that ends <how> after any byte of its head is a loss
+    And the same holds behind <interim>
+
+    Examples:
+      | framing  | how                | interim         |
+      | length 2 | at once            | 100 Continue    |
+      | chunks   | at once            | 100 Continue    |
+      | nothing  | at once            | 103 Early Hints |
+      | length 2 | sent byte by byte  | 103 Early Hints |
+      | nothing  | sent byte by byte  | 100 Continue    |
+
   Scenario: Unsolicited bytes close the connection
     Given an idle connection to a target
     When the target sends id r0, length 2, hi
--- a/tests/steps/http_client_steps.py
+++ b/tests/steps/http_client_steps.py
@@ -282,6 +282,45 @@
     assert context.fed_bytes <= size * MB, context.fed_bytes
 
 
+HEADS = {
+    "length 2": HEAD + b"Content-Length: 2\r\n\r\n",
+    "chunks": CHUNKED,
+    "nothing": HEAD + b"X-Response-Signature: 1\r\n\r\n",
+}
+
+
+@then(
+    "an answer with {framing} that ends {how} after any byte of its head is a"
+    " loss"
+)
+def step_cut_heads(context, framing, how):
+    context.head, context.bytewise = HEADS[framing], how != "at once"
+    check_cut_heads(context, b"")
+
+
+@then("the same holds behind {interim}")
+def step_cut_interim(context, interim):
+    # The id of the request in an interim answer does not make it the final one.
+    status_line = f"HTTP/1.1 {interim}\r\n".encode()
+    check_cut_heads(context, status_line + b"X-Request-Id: r1\r\n\r\n")
+
+
+def check_cut_heads(context, prefix):
+    """Ends an answer after the prefix and each part of its head."""
+    for end in range(len(context.head)):
+        step_request(context, "r1")
+        data = prefix + context.head[:end]
+        size = 1 if context.bytewise else max(1, len(data))
+
+        async def feed(data=data, size=size):
+            for start in range(0, len(data), size):
+                context.conn.data_received(data[start : start + size])
+            context.conn.connection_lost(None)
+
+        context.run(feed())
+        assert context.outcome == "a loss", (end, context.outcome)
+
+
 @then("the request gets {outcome}")
 def step_outcome(context, outcome):
     assert context.outcome == outcome, context.outcome
