Accept a refusal only where it can't be one of an earlier request

What callers would see: 'not run, try again' for a request that a target runs, or such a request runs at a second target.

Cause: an answer without a request id was taken for the request at hand as soon as it said X-Not-Executed or named an instance. On a kept connection it may be an earlier refusal, written once more. Likewise, if a request was refused and sent to the same target again on the same connection, the repeated refusal has the right id; and a request without an id accepted any refusal.

Such a refusal is ignored on a connection that has carried another request, as one with another id is, and the answer is awaited. For a request without an id it proves nothing. A request is not sent again on a connection on which it was refused.

--- a/src/guavawing/platform/headers.py
+++ b/src/guavawing/platform/headers.py
@@ -266,11 +266,19 @@
     )
 
 
-def answers_request(headers: RawHeaders, request_id: bytes) -> bool:
+def answers_request(
+    headers: RawHeaders, request_id: bytes, *, reused: bool
+) -> bool:
     """Returns whether an answer belongs to a request.
 
     A target may send a second answer to an earlier request. A rejection of a
-    request that was not executed may have no request id.
+    request that was not executed may have no request id; on a connection that
+    has carried another request it may be one of that.
+
+    Args:
+        headers: Headers of the answer.
+        request_id: Id of the request; empty if it has none.
+        reused: Whether its connection has carried another request.
     """
     rejects = False
     for name, value in headers:
@@ -278,7 +286,7 @@
         if lower == b"x-request-id":
             return value == request_id
         if lower in (b"x-not-executed", b"x-instance-id"):
-            rejects = True
+            rejects = not reused
     return rejects or not request_id
 
 
--- a/src/guavawing/sidecar/http_client.py
+++ b/src/guavawing/sidecar/http_client.py
@@ -1,6 +1,7 @@
 """Client side of an HTTP/1.1 connection, with one request at a time."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 from typing import cast
 
@@ -18,6 +19,8 @@
 MAX_OVERHEAD_BYTES = 64 * 1024
 OVERHEAD_PER_BODY_BYTE = 8
 MIN_FINAL_STATUS = 200
+# Number of refused requests that a connection remembers.
+MAX_REFUSED_IDS = 8
 _FRAMING = frozenset({b"content-length", b"transfer-encoding"})
 _BODILESS = frozenset({204, 304})
 
@@ -66,6 +69,8 @@
         held_bytes: Bytes buffered of an incomplete body.
         idle_timeout_s: Keep-alive timeout that the server announced, in
             seconds; None if there was none.
+        reused: Whether it has carried a request before the last one.
+        refused_ids: Ids of the requests that the server refused last on it.
     """
 
     __slots__ = (
@@ -80,12 +85,15 @@
         "_overhead",
         "_parser",
         "_replies",
+        "_sent",
         "_started",
         "_status",
         "_transport",
         "held_bytes",
         "idle_since",
         "idle_timeout_s",
+        "refused_ids",
+        "reused",
         "usable",
     )
 
@@ -111,6 +119,11 @@
         self._overhead = 0
         self._handler: ResponseHandler | None = None
         self._replies: list[HttpReply] = []
+        self._sent = False
+        self.reused = False
+        self.refused_ids: collections.deque[bytes] = collections.deque(
+            maxlen=MAX_REFUSED_IDS
+        )
         self.usable = False
         self.idle_since = self._loop.time()
         self.idle_timeout_s: float | None = None
@@ -125,6 +138,7 @@
         """Sends an encoded request; there must be none outstanding."""
         assert self._transport is not None and not self.busy
         self._handler = handler
+        self.reused, self._sent = self._sent, True
         self._body_total = self._overhead = 0
         self._transport.write(payload)
 
--- a/src/guavawing/sidecar/target_pool.py
+++ b/src/guavawing/sidecar/target_pool.py
@@ -118,7 +118,7 @@
                 the attempt was sent, in seconds.
         """
         execution = Execution(attempt, on_end, on_notice)
-        conn = self._pop_idle(idempotent=attempt.idempotent)
+        conn = self._pop_idle(attempt)
         if conn is not None:
             self._send(execution, conn, target_id)
         else:
@@ -133,8 +133,12 @@
         for conn in idle:
             conn.close()
 
-    def _pop_idle(self, *, idempotent: bool) -> ClientConnection | None:
-        """Removes and returns the most recently used connection, if usable."""
+    def _pop_idle(self, attempt: Attempt) -> ClientConnection | None:
+        """Removes and returns the most recently used connection, if usable.
+
+        It is not one on which the target has refused the same request: the
+        refusal may come again.
+        """
         now = self._loop.time()
         while self._idle:
             conn = self._idle[-1]
@@ -142,7 +146,9 @@
             limit_s = max(allowed_s - IDLE_MARGIN_S, allowed_s / 2)
             idle_s = now - conn.idle_since
             if conn.usable and idle_s <= limit_s:
-                if not idempotent and idle_s > AT_MOST_ONCE_IDLE_S:
+                if not attempt.idempotent and idle_s > AT_MOST_ONCE_IDLE_S:
+                    return None
+                if attempt.request_id in conn.refused_ids:
                     return None
                 return self._idle.pop()
             # All others have been idle for longer.
@@ -204,7 +210,7 @@
         )
         handler = ResponseHandler(
             accepts=lambda reply: answers_request(
-                reply.headers, attempt.request_id
+                reply.headers, attempt.request_id, reused=conn.reused
             ),
             on_reply=lambda reply: self._handle_reply(execution, reply),
             on_loss=lambda _: execution.end(
@@ -225,10 +231,26 @@
         elif conn.usable:
             conn.close()
         outcome = _classify_reply(reply, head)
+        if isinstance(outcome.verdict, NotRun):
+            outcome = self._check_refusal(execution, conn, outcome)
         if not execution.ended and _is_from_target(outcome.verdict):
             execution.on_notice(head.notice, execution.sent_at)
         execution.end(outcome)
 
+    def _check_refusal(
+        self, execution: Execution, conn: ClientConnection, outcome: Outcome
+    ) -> Outcome:
+        """Returns the outcome that a refusal proves for the request at hand.
+
+        A target may send a refusal again. One of a request without an id can't
+        be told from that of an earlier request on the same connection.
+        """
+        request_id = execution.attempt.request_id
+        if not request_id and conn.reused:
+            return Outcome(MayHaveRun(Reason.TARGET_BROKE))
+        conn.refused_ids.append(request_id)
+        return outcome
+
     def _time_out(self, execution: Execution) -> None:
         if execution.conn is not None:
             execution.conn.close()
--- a/tests/steps/http_client_steps.py
+++ b/tests/steps/http_client_steps.py
@@ -102,7 +102,7 @@
         b"GET / HTTP/1.1\r\n\r\n",
         ResponseHandler(
             accepts=lambda reply: answers_request(
-                reply.headers, request_id.encode()
+                reply.headers, request_id.encode(), reused=False
             ),
             on_reply=lambda reply: record_outcome(reply.body.decode()),
             on_loss=lambda _: record_outcome("a loss"),
@@ -121,7 +121,7 @@
             b"GET / HTTP/1.1\r\n\r\n",
             ResponseHandler(
                 accepts=lambda reply: answers_request(
-                    reply.headers, request_id.encode()
+                    reply.headers, request_id.encode(), reused=True
                 ),
                 on_reply=lambda reply: context.replies.append(reply.body),
                 on_loss=lambda _: context.replies.append(b"a loss"),
