Leave rows of partitions out of the feed of a table

What callers would see: a version that stays in force for good, or none: handled by an older version, long after newer ones were acknowledged.

Cause: rows-get is asked for the rows without a partition, but rows-feed has no such argument and names the rows of all partitions. A row with the key of the configuration in any partition was taken for the operator's, and by its version hid all later ones.

Two of the four new scenarios of tests/cover/odd_entries.feature failed before; the other two guard entries that can't be read.

--- a/src/guavawing/platform/store_client.py
+++ b/src/guavawing/platform/store_client.py
@@ -174,6 +174,8 @@
     ) -> RowChanges:
         """Waits for changes of a table.
 
+        Rows of partitions are left out, as `read_table` does.
+
         Args:
             table: Name of the table.
             after: Version after which changes are returned.
@@ -314,7 +316,9 @@
         rows, unreadable = [], 0
         for entry in entries:
             try:
-                rows.append(_decode_row(entry))
+                # The feed of a table has the rows of all its partitions.
+                if not entry.get("part"):
+                    rows.append(_decode_row(entry))
             except (AttributeError, KeyError, TypeError, ValueError):
                 # One invalid row must not hide the others; callers check the
                 # count.
--- a/tests/cover/odd_entries.feature
+++ b/tests/cover/odd_entries.feature
@@ -52,3 +52,17 @@
       | sequence        | 18446744073709551615 |
       | born            | -1                   |
       | born            | 18446744073709551615 |
+
+  # Guards against a row of another partition taken for the configuration, with
+  # a version that all later ones are below.
+  Scenario Outline: Of the feed of a table only readable rows without a partition count
+    When the feed has a row "config" of version 7, then <entry>
+    Then the only row is "config" of version 7
+    And <unreadable> entries are unreadable
+
+    Examples:
+      | entry                                      | unreadable |
+      | a row "config" of partition "p" with "9"   | 0          |
+      | a removed row "config" of partition "p"    | 0          |
+      | a text                                     | 1          |
+      | a row without a value                      | 1          |
--- a/tests/steps/odd_entry_steps.py
+++ b/tests/steps/odd_entry_steps.py
@@ -1,6 +1,7 @@
 """Steps about entries that no node or target of this fleet has written."""
 
 import asyncio
+import base64
 import json
 
 import uvloop
@@ -8,7 +9,12 @@
 
 from guavawing.errors import MessageInvalidError
 from guavawing.platform.heartbeats import decode_heartbeat
-from guavawing.platform.store_client import RowChanges, StoredRow
+from guavawing.platform.store_client import (
+    RowChanges,
+    StoreClient,
+    StoredRow,
+)
+from guavawing.platform.store_transport import HttpAnswer
 from guavawing.sidecar.beacons import Beacons
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.membership import NODES_TABLE, Membership
@@ -194,3 +200,43 @@
     owner[field] = json.loads(value)
     with assert_raises(MessageInvalidError, "is invalid"):
         decode_heartbeat("a", json.dumps(body).encode())
+
+
+def make_entry(version, value, **fields):
+    text = base64.b64encode(value).decode()
+    entry = {"table": "op", "part": "", "key": "config", "value": text}
+    return entry | {"schemaVersion": version} | fields
+
+
+ODD_ENTRIES = {
+    'a row "config" of partition "p" with "9"': make_entry(8, b"9", part="p"),
+    'a removed row "config" of partition "p"': make_entry(
+        8, b"", part="p", deleted=True
+    ),
+    "a text": "...",
+    "a row without a value": {"table": "op", "part": "", "key": "config"},
+}
+
+
+@when('the feed has a row "config" of version 7, then {entry}')
+def step_feed(context, entry):
+    rows = [make_entry(7, b"7"), ODD_ENTRIES[entry]]
+    body = json.dumps({"rows": rows, "schemaVersion": 8, "nowMs": 1}).encode()
+
+    async def answer(call):
+        return HttpAnswer(200, body, None)
+
+    context.changes = context.run(
+        StoreClient(answer).watch_table("op", after=6, wait_s=0, answer_s=1)
+    )
+
+
+@then('the only row is "config" of version 7')
+def step_only_row(context):
+    expected = StoredRow("op", "config", b"7", 7)
+    assert context.changes.rows == (expected,), context.changes
+
+
+@then("{count:d} entries are unreadable")
+def step_unreadable(context, count):
+    assert context.changes.unreadable == count, context.changes
