Request versions on the connections of small answers

What callers would see: a version that is late at one node, behind large answers, on links of 10 Mbit/s.

Cause: versions were requested on the connection of large answers. A large answer leaves in pieces, shorter ones of other connections go first, and frames behind it wait for its end: 1 MB takes 0.8 s on such a link, and longer when it is shared, while a version has to be in force within 2 to 3 s. An update is a few hundred bytes; a whole document is sent to a node that starts.

The scenario failed before: the request was on the connection of the download.

--- a/src/guavawing/sidecar/mesh_client.py
+++ b/src/guavawing/sidecar/mesh_client.py
@@ -124,8 +124,11 @@
         return remote.conn is None or remote.conn.cancel(remote)
 
     def request_config(self, host: str, port: int, version: int) -> None:
-        """Requests a configuration newer than `version` from a node."""
-        conn = self._pick_connection(host, port, bulk=True)
+        """Requests a configuration newer than `version` from a node.
+
+        Its answer does not wait for the end of a large one.
+        """
+        conn = self._pick_connection(host, port, bulk=False)
         conn.send(encode_config_request(version))
 
     def close(self) -> None:
--- a/tests/cover/mesh_client.feature
+++ b/tests/cover/mesh_client.feature
@@ -15,3 +15,9 @@
     Then the first request has not run
     And the owner has received the other one
     And no callback of the event loop has failed
+
+  # Guards against a version that waits for the end of large answers.
+  Scenario: A version is not requested on the connection of large answers
+    Given an owner that reads requests and never answers
+    When a download and then a version are requested from it
+    Then the version is requested on another connection
--- a/tests/steps/mesh_client_steps.py
+++ b/tests/steps/mesh_client_steps.py
@@ -8,8 +8,9 @@
 import uvloop
 from behave import given, then, when
 
-from guavawing.node.frame_stream import FrameStream
+from guavawing.node.frame_stream import FrameStream, pack_frame
 from guavawing.sidecar.mesh_client import MeshClient
+from guavawing.sidecar.mesh_codec import encode_config_request
 from guavawing.traffic.model import NO_TARGET_RECORD
 from guavawing.verdict import MayHaveRun, NotRun, Reason
 from tests.sidecar_support import make_attempt
@@ -30,10 +31,11 @@
         self.received = received
 
     def connection_made(self, transport):
+        self.number = len(self.received)
         self.received.append(b"")
 
     def data_received(self, data):
-        self.received[-1] += data
+        self.received[self.number] += data
 
 
 def make_client(suspicions):
@@ -160,3 +162,31 @@
 @then("no callback of the event loop has failed")
 def step_no_faults(context):
     assert not context.faults, context.faults
+
+
+@when("a download and then a version are requested from it")
+def step_download(context):
+    async def send():
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: RecordingOwner(context.received), HOST, 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        client = make_client([])
+        attempt = make_attempt("r1", now=loop.time(), bulk=True)
+        client.submit(HOST, port, attempt, context.outcomes.append)
+        await asyncio.sleep(SENT_S)
+        client.request_config(HOST, port, 7)
+        await asyncio.sleep(SENT_S)
+        client.close()
+        server.close()
+
+    context.run(send())
+
+
+@then("the version is requested on another connection")
+def step_version_requested(context):
+    first, *others = context.received
+    assert b"r1" in first, context.received
+    expected = pack_frame(encode_config_request(7))
+    assert others == [expected], context.received
