Test versions behind silent connections in processes and in the soak

Fleets of daemons behind a relay whose open connections fall silent, and a check of the soak that a version is in force 2 s after its acknowledgement at a VM that nothing has disturbed for 3 s.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -24,7 +24,12 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
+# Versions are in force after this time, at VMs without a disturbance for the
+# second one.
+APPLY_S = 2.0
+CONTACT_S = 3.0
 OK = 200
+UNKNOWN_ROUTE = 404
 # Lines of a large body; with ids of this test about 120 KB.
 UPLOAD_LINES = 5_000
 NOT_RUN = frozenset({401, 408, 421, 429, 503})
@@ -92,6 +97,7 @@
             violations.append(f"connection cut by a planned stop: {answer}")
     violations += _find_incomplete_uploads(fleet, answers)
     violations += _find_version_regressions(answers)
+    violations += _find_late_versions(faults, answers)
     violations += _find_executions_after_drain(fleet, faults)
     for limit in faults.limits:
         violations += _find_excess(fleet, faults, limit)
@@ -157,6 +163,26 @@
     return violations
 
 
+def _find_late_versions(faults: Faults, answers: list[Answer]) -> list[str]:
+    """Returns probes refused by an older version than had to be in force."""
+    violations = []
+    for answer in answers:
+        published_at = faults.published_at.get(answer.probe, math.inf)
+        if answer.kind != "probe" or answer.status != UNKNOWN_ROUTE:
+            continue
+        if answer.sent_at <= published_at + APPLY_S:
+            continue
+        if not any(
+            each.vm in ("", answer.vm)
+            and each.from_s < answer.ended_at
+            and each.until_s > answer.sent_at - CONTACT_S
+            for each in faults.disturbances
+        ):
+            late_s = answer.sent_at - published_at
+            violations.append(f"version late, {late_s:.1f} s: {answer}")
+    return violations
+
+
 def _find_executions_after_drain(fleet: VmFleet, faults: Faults) -> list[str]:
     return [
         f"{execution.target_id} received {execution.request_id} after its drain"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import signal
+from collections.abc import Iterator
 
 import aiohttp
 import attrs
@@ -47,6 +49,21 @@
     until_s: float
 
 
+@attrs.define
+class Disturbance:
+    """Span in which a VM, or all of them, may learn of versions late.
+
+    Attributes:
+        vm: Name of the VM; empty for all.
+        from_s: Event loop time of its start, in seconds.
+        until_s: Time of its end.
+    """
+
+    vm: str
+    from_s: float
+    until_s: float = math.inf
+
+
 @attrs.define
 class Faults:
     """Injects random faults and reverts them.
@@ -70,6 +87,8 @@
         limits: Limits that targets have named.
         leaving_at: Time from which the answers of a target state that it
             leaves, by target id.
+        published_at: Time at which a version was acknowledged, by version.
+        disturbances: Spans in which versions may be late.
         fault_log: Injected faults, for the report of a failed seed.
     """
 
@@ -85,6 +104,8 @@
     withdrawn_at: dict[str, float] = attrs.field(factory=dict)
     limits: list[NamedLimit] = attrs.field(factory=list)
     leaving_at: dict[str, float] = attrs.field(factory=dict)
+    published_at: dict[int, float] = attrs.field(factory=dict)
+    disturbances: list[Disturbance] = attrs.field(factory=list)
     fault_log: list[str] = attrs.field(factory=list)
 
     async def run(self, ends_at: float) -> None:
@@ -109,6 +130,7 @@
                 self.name_limit,
                 self.state_departure,
                 self.restore_store,
+                self.silence_connections,
             ]
         if self.fleet.accounts:
             kinds += [self.withdraw_key] * 3
@@ -122,6 +144,17 @@
             await asyncio.sleep(self.rng.uniform(*PAUSE_S))
         await asyncio.gather(*running)
 
+    @contextlib.contextmanager
+    def _disturb(self, vm: str = "") -> Iterator[None]:
+        """Records a disturbance of a VM, or of all, that lasts as the block."""
+        loop = asyncio.get_running_loop()
+        disturbance = Disturbance(vm, loop.time())
+        self.disturbances.append(disturbance)
+        try:
+            yield
+        finally:
+            disturbance.until_s = loop.time()
+
     def _record_unplanned_fault(self, vm: Vm) -> None:
         now = asyncio.get_running_loop().time()
         self.unplanned_at.setdefault(vm.name, []).append(now)
@@ -142,8 +175,9 @@
             return
         vm.fault_active = True
         self._record_unplanned_fault(vm)
-        await vm.process.kill()
-        await self._restart(vm)
+        with self._disturb(vm.name):
+            await vm.process.kill()
+            await self._restart(vm)
         self._record_unplanned_fault(vm)
         vm.fault_active = False
 
@@ -153,8 +187,9 @@
             return
         vm.fault_active = True
         self.planned_stop_at[vm.name] = asyncio.get_running_loop().time()
-        vm.process.send(signal.SIGTERM)
-        await self._restart(vm)
+        with self._disturb(vm.name):
+            vm.process.send(signal.SIGTERM)
+            await self._restart(vm)
         vm.fault_active = False
 
     async def pause(self, vm: Vm) -> None:
@@ -163,9 +198,10 @@
             return
         vm.fault_active = True
         self._record_unplanned_fault(vm)
-        vm.process.send(signal.SIGSTOP)
-        await self._sleep_fault_duration()
-        vm.process.send(signal.SIGCONT)
+        with self._disturb(vm.name):
+            vm.process.send(signal.SIGSTOP)
+            await self._sleep_fault_duration()
+            vm.process.send(signal.SIGCONT)
         self._record_unplanned_fault(vm)
         vm.fault_active = False
 
@@ -226,18 +262,21 @@
         self.restoring = True
         copy = store.tables.copy()
         await asyncio.sleep(self.rng.uniform(*COPY_AGE_S))
-        store.faults.down = self.overwriting = True
-        newest = store.tables.get("op", "config")
-        store.tables.restore(copy)
-        await asyncio.sleep(RESTORE_S)
-        store.faults.down = False
-        store.tables.put("op", "config", newest)
+        with self._disturb():
+            store.faults.down = self.overwriting = True
+            newest = store.tables.get("op", "config")
+            store.tables.restore(copy)
+            await asyncio.sleep(RESTORE_S)
+            store.faults.down = False
+            store.tables.put("op", "config", newest)
         self.restoring = self.overwriting = False
 
     async def publish(self, vm: Vm) -> None:
         """Publishes a new version."""
         self.version += self.rng.randint(1, 3)
         self.fleet.publish_probe(self.version)
+        if not self.overwriting:
+            self.published_at[self.version] = asyncio.get_running_loop().time()
 
     async def withdraw_key(self, vm: Vm) -> None:
         """Publishes a version without one key of an account with several."""
@@ -260,21 +299,23 @@
     async def fail_store(self, vm: Vm) -> None:
         """Makes the store unavailable, or lose one reply or its history."""
         faults = self.fleet.store.faults
-        match self.rng.randrange(3):
-            case 0:
-                faults.down = True
-                await self._sleep_fault_duration()
-                faults.down = False
-            case 1:
-                faults.lose_replies += 1
-            case 2:
-                faults.history_lost = True
+        with self._disturb():
+            match self.rng.randrange(3):
+                case 0:
+                    faults.down = True
+                    await self._sleep_fault_duration()
+                    faults.down = False
+                case 1:
+                    faults.lose_replies += 1
+                case 2:
+                    faults.history_lost = True
 
     async def refuse_store(self, vm: Vm) -> None:
         """Makes the store refuse the requests of a VM."""
-        self.fleet.store.faults.refused.add(vm.host)
-        await self._sleep_fault_duration()
-        self.fleet.store.faults.refused.discard(vm.host)
+        with self._disturb():
+            self.fleet.store.faults.refused.add(vm.host)
+            await self._sleep_fault_duration()
+            self.fleet.store.faults.refused.discard(vm.host)
 
     async def delay(self, vm: Vm) -> None:
         """Delays traffic from a target to its VM."""
@@ -285,7 +326,8 @@
         zone = self.rng.choice([STORE_ZONE, f"target {vm.host}"])
         endpoints = [vm.host, zone]
         self.rng.shuffle(endpoints)
-        await self._apply_rule(endpoints[0], endpoints[1], Rule(cut=True))
+        with self._disturb(vm.name):
+            await self._apply_rule(endpoints[0], endpoints[1], Rule(cut=True))
 
     async def _apply_rule(self, sender: str, receiver: str, rule: Rule) -> None:
         assert self.fleet.relay is not None
@@ -298,4 +340,15 @@
         assert self.fleet.relay is not None
         for each in self.fleet.vms.values():
             self._record_unplanned_fault(each)
-        self.fleet.relay.abort_connections()
+        with self._disturb():
+            self.fleet.relay.abort_connections()
+
+    async def silence_connections(self, vm: Vm) -> None:
+        """Makes all open connections through the relay fall silent."""
+        assert self.fleet.relay is not None
+        zones = [STORE_ZONE]
+        for each in self.fleet.vms.values():
+            self._record_unplanned_fault(each)
+            zones.append(f"target {each.host}")
+        with self._disturb():
+            self.fleet.relay.silence_connections(*zones)
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import random
 from collections.abc import Callable
@@ -55,6 +56,10 @@
     _servers: list[asyncio.Server] = attrs.field(factory=list)
     _transports: list[asyncio.DatagramTransport] = attrs.field(factory=list)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    # Number of times that the connections to a zone have fallen silent.
+    _silences: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
 
     def cut(self, sender: str, receiver: str) -> None:
         """Blocks traffic from one zone to another."""
@@ -70,6 +75,10 @@
         for task in tuple(self._tasks):
             task.cancel()
 
+    def silence_connections(self, *zones: str) -> None:
+        """Drops further bytes of open connections to zones, without a reset."""
+        self._silences.update(zones)
+
     def heal(self) -> None:
         """Removes all rules."""
         self.rules.clear()
@@ -139,6 +148,9 @@
         key = (sender, receiver)
         self.forwarded_bytes[key] = self.forwarded_bytes.get(key, 0) + size
 
+    def _count_silences(self, sender: str, receiver: str) -> int:
+        return self._silences[sender] + self._silences[receiver]
+
     async def _wait_until_passing(self, sender: str, receiver: str) -> None:
         while self.rule(sender, receiver).cut:
             await asyncio.sleep(POLL_PERIOD_S)
@@ -163,12 +175,17 @@
         sender: str,
         receiver: str,
     ) -> None:
+        silences = self._count_silences(sender, receiver)
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(CHUNK_BYTES):
+                if silences != self._count_silences(sender, receiver):
+                    continue
                 rule = self.rule(sender, receiver)
                 if rule.delay_s:
                     await asyncio.sleep(rule.delay_s)
                 await self._wait_until_passing(sender, receiver)
+                if silences != self._count_silences(sender, receiver):
+                    continue
                 self.count(sender, receiver, len(data))
                 writer.write(data)
                 await writer.drain()
