--- a/src/guavawing/sidecar/target_pool.py
+++ b/src/guavawing/sidecar/target_pool.py
@@ -247,6 +247,9 @@
         """
         request_id = execution.attempt.request_id
         if not request_id and conn.reused:
+            # Its own answer may still come.
+            self._drop(conn)
+            conn.close()
             return Outcome(MayHaveRun(Reason.TARGET_BROKE))
         conn.refused_ids.append(request_id)
         return outcome
--- a/tests/cover/repeated_refusals.feature
+++ b/tests/cover/repeated_refusals.feature
@@ -12,7 +12,13 @@
       | r1    | r2     | 503 X-Not-Executed    | ran          |
       | r1    | r2     | 429 X-Not-Executed    | ran          |
       | r1    | r2     | 421 X-Instance-Id     | ran          |
-      | r1    | no id  | 503 X-Not-Executed    | may-have-run |
+
+  Scenario: A refusal proves nothing for a request without an id on a used connection
+    Given a target that refuses r1 with 503 X-Not-Executed
+    When it writes that refusal once more, without an id, before it answers no id
+    Then no id ends as may-have-run
+    And both requests were sent on one connection
+    And that connection is not used again
 
   Scenario Outline: A repeated refusal that names its request is ignored
     Given a target that refuses r1 with <refusal>
--- a/tests/steps/repeated_refusal_steps.py
+++ b/tests/steps/repeated_refusal_steps.py
@@ -121,3 +121,9 @@
 @then("the requests were sent on two connections")
 def step_two_connections(context):
     assert context.connections == [1, 1], context.connections
+
+
+@then("that connection is not used again")
+def step_not_used(context):
+    context.run(execute(context, "r3"))
+    assert context.connections == [2, 1], context.connections
