--- a/tests/processes/soak.feature
+++ b/tests/processes/soak.feature
@@ -17,3 +17,7 @@
 
   Scenario: Keys withdrawn and quotas used up among the faults of seed 301
     Then the soak of seed 301 with 4 VMs, accounts and 8 s of faults violates no guarantee
+
+  # Guards against versions that are late behind silent connections.
+  Scenario: Silent connections among the faults of seed 508
+    Then the soak of seed 508 with 6 VMs and 10 s of faults violates no guarantee
