Read the newest version only after a pause, and await answers that arrive

Cause: the feed returns each version since the call before.

A node that did not follow the configuration without a break reads the table as a whole, which is one version. The time limit of a call moves on while bytes of its answer arrive, up to 15 s, and ends 1 s after the last. The silent part of a call is 0.7 of the time to apply a version now, so that such a transfer and passing the version on have the rest.

--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -256,6 +256,7 @@
             find_wait=lambda: self._freshness.limit_feed_wait(
                 limit_feed_wait(settings.apply_s)
             ),
+            rereads=True,
         )
         self._nodes_watch = self._watch(
             NODES_TABLE,
@@ -390,6 +391,7 @@
         on_read: Callable[[float, int], None] = lambda asked_at, era: None,
         on_reachability: Callable[[bool], None] = lambda reached: None,
         find_wait: Callable[[], FeedWait] = FeedWait,
+        rereads: bool = False,
     ) -> TableWatch:
         return TableWatch(
             self._store,
@@ -402,6 +404,7 @@
             metrics=self._metrics,
             on_read=on_read,
             find_wait=find_wait,
+            rereads=rereads,
         )
 
     async def _follow_nodes(self) -> None:
--- a/src/guavawing/sidecar/store_link.py
+++ b/src/guavawing/sidecar/store_link.py
@@ -26,6 +26,11 @@
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# Time without further bytes after which an answer that has begun counts as
+# lost, and longest time for a whole answer, in seconds: a large one takes
+# seconds on a narrow link.
+MAX_STALL_S = 1.0
+MAX_ANSWER_S = 15.0
 # Longest idle time of a connection that is reused, in seconds.
 MAX_IDLE_S = 4.0
 
@@ -44,6 +49,8 @@
         self._loop = asyncio.get_running_loop()
         self._address = address
         self._idle: list[ClientConnection] = []
+        # Time limits of the calls under way, and the latest ones allowed.
+        self._limits: dict[ClientConnection, tuple[asyncio.Timeout, float]] = {}
 
     async def call(self, call: HttpCall) -> HttpAnswer:
         """Sends a call; see `guavawing.platform.store_transport.Transport`."""
@@ -58,7 +65,8 @@
         )
         conn.send(self._encode(call), handler)
         try:
-            async with asyncio.timeout(call.timeout_s):
+            async with asyncio.timeout(call.timeout_s) as limit:
+                self._limits[conn] = limit, sent_at + MAX_ANSWER_S
                 reply = await fut
         except TimeoutError as exc:
             conn.close()
@@ -70,6 +78,8 @@
         except BaseException:
             conn.close()
             raise
+        finally:
+            self._limits.pop(conn, None)
         if conn.usable:
             self._idle.append(conn)
         eras = [
@@ -90,6 +100,14 @@
             conn.close()
         self._idle.clear()
 
+    def _extend(self, conn: ClientConnection) -> None:
+        """Moves the time limit of a call whose answer is arriving."""
+        limit, latest = self._limits.get(conn, (None, 0.0))
+        ends_at = None if limit is None else limit.when()
+        if limit is not None and ends_at is not None and not limit.expired():
+            extended = min(self._loop.time() + MAX_STALL_S, latest)
+            limit.reschedule(max(ends_at, extended))
+
     def _close_idle(self, *, before: float) -> None:
         """Closes idle connections whose last answer is older than a time."""
         for conn in self._idle:
@@ -107,7 +125,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 transport, conn = await self._loop.create_connection(
-                    ClientConnection,
+                    lambda: ClientConnection(on_growth=self._extend),
                     self._address.host,
                     self._address.port,
                     local_addr=(self._source, 0),
--- a/src/guavawing/sidecar/table_watch.py
+++ b/src/guavawing/sidecar/table_watch.py
@@ -51,6 +51,7 @@
         metrics: SidecarMetrics,
         on_read: Callable[[float, int], None] = lambda asked_at, era: None,
         find_wait: Callable[[], FeedWait] = FeedWait,
+        rereads: bool = False,
     ) -> None:
         """Creates a watch that has not started.
 
@@ -71,6 +72,9 @@
                 with the steady time at which the call was sent and the era of
                 the store.
             find_wait: Returns the time limits of the next call of the feed.
+            rereads: Whether the table is read as a whole after a time in which
+                it was not followed. The feed returns each change of a row
+                since, which for few large rows is far more than the table.
         """
         self._loop = asyncio.get_running_loop()
         self._store = store
@@ -83,6 +87,9 @@
         self._metrics = metrics
         self._on_read = on_read
         self._find_wait = find_wait
+        self._rereads = rereads
+        # Whether the last call was answered, and the table followed since.
+        self._current = False
         # Version up to which the table is known, and the store's era in which
         # it was given out.
         self._version: int | None = None
@@ -103,6 +110,7 @@
         backoff_s = FIRST_BACKOFF_S
         while True:
             while not self._is_due():
+                self._current = False
                 await self._pause(READER_CHECK_PERIOD_S)
             started_at = self._loop.time()
             try:
@@ -128,19 +136,21 @@
         try:
             await self._read()
         except Exception:
+            self._current = False
             if catches_up:
                 self._catch_up_due.set()
             raise
 
     async def _read(self) -> None:
         asked_at = read_steady_time()
-        if self._version is None:
+        if self._version is None or (self._rereads and not self._current):
             changes = await self._store.read_table(self._table)
             if self._follows_from is None:
                 self._follows_from = self._loop.time() + DISCOVERY_WAIT_S
             self._record_era(changes)
             self._on_changes(changes, True)
             self._version = changes.version
+            self._current = True
             self._on_read(asked_at, changes.era)
             return
         # The first answer after a failure shows whether the store was restored
--- a/src/guavawing/traffic/feed_wait.py
+++ b/src/guavawing/traffic/feed_wait.py
@@ -13,7 +13,7 @@
 
 # Share of the time to apply a version that may pass without a sign of life;
 # the rest is for another call and for passing the version on.
-SILENT_SHARE = 0.9
+SILENT_SHARE = 0.7
 # Bounds of the time for an answer after the wait, in seconds: the shortest is
 # above the latency of a slow store.
 MIN_ANSWER_S = 1.0
--- a/tests/cover/silent_store.feature
+++ b/tests/cover/silent_store.feature
@@ -29,3 +29,29 @@
     When these connections fall silent without a reset
     Then a call ends unanswered after its timeout
     And the next call is answered at once on a new connection
+
+  # Guards against a node that takes over and reads every version since its
+  # last call over a narrow link, until its call times out.
+  Scenario: A node that begins to follow reads the newest version only
+    Given a node that follows versions which have to be in force within 2.5 s
+    And it does not follow them at first
+    And 20 versions of 200 KB are written behind a link of 10 Mbit/s
+    When it begins to follow them
+    Then the newest version is read within 1 s
+    And the store has not been lost
+
+  # Guards against a large answer given up as silence.
+  Scenario Outline: An answer that has begun is awaited while its bytes arrive
+    Given a store that sends an answer in <pieces> pieces, one each 0.1 s
+    When a call of 0.3 s is sent to it
+    Then the call is answered with <pieces> pieces
+
+    Examples:
+      | pieces |
+      | 2      |
+      | 10     |
+
+  Scenario: An answer that stops midway is given up
+    Given a store that sends an answer in 3 pieces, one each 0.1 s, and stops before the last
+    When a call of 0.3 s is sent to it
+    Then the call ends unanswered within 2 s
--- a/tests/steps/silent_store_steps.py
+++ b/tests/steps/silent_store_steps.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import contextlib
+import json
+import math
 
+import attrs
 from behave import given, then, when
 
 from guavawing.errors import PlatformWriteUnknownError
@@ -28,6 +31,7 @@
 HOST = "127.0.0.1"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 CALL_TIMEOUT_S = 0.3
+PIECE_S = 0.1
 
 
 class SilencedTransport:
@@ -37,6 +41,9 @@
         self._inner = TablesTransport(tables)
         self._silenced = asyncio.Event()
         self.delay_s = 0.0
+        self.bytes_per_s = math.inf
+        # Whether reads of the table return the last row only.
+        self.has_one_row = False
 
     def silence(self):
         self._silenced.set()
@@ -47,7 +54,10 @@
         try:
             async with asyncio.timeout(call.timeout_s):
                 answer = await self._inner.call(call)
-                await asyncio.sleep(self.delay_s)
+                if self.has_one_row and "rows-get" in call.path:
+                    answer = keep_last_row(answer)
+                transfer_s = len(answer.body) / self.bytes_per_s
+                await asyncio.sleep(self.delay_s + transfer_s)
                 if silenced.is_set():
                     await asyncio.Event().wait()
         except TimeoutError as exc:
@@ -55,6 +65,13 @@
         return answer
 
 
+def keep_last_row(answer):
+    content = json.loads(answer.body)
+    content["rows"].sort(key=lambda row: row["schemaVersion"])
+    del content["rows"][:-1]
+    return attrs.evolve(answer, body=json.dumps(content).encode())
+
+
 @given(
     "a node that follows versions which have to be in force within "
     "{seconds:g} s"
@@ -62,6 +79,7 @@
 def step_follower(context, seconds):
     start_clock(context)
     context.read, context.reachability = [], []
+    context.is_reader = True
 
     async def start():
         context.transport = SilencedTransport(context.tables)
@@ -72,11 +90,12 @@
                 row.value for row in changes.rows
             ),
             min_period_s=PERIOD_S,
-            is_reader=lambda: True,
+            is_reader=lambda: context.is_reader,
             on_reachability=context.reachability.append,
             log=DecisionLog(node="n1"),
             metrics=SidecarMetrics(),
             find_wait=lambda: limit_feed_wait(seconds),
+            rereads=True,
         )
         context.task = asyncio.get_running_loop().create_task(watch.run())
         await asyncio.sleep(SETTLED_S)
@@ -183,3 +202,97 @@
 
 async def close(context):
     context.link.close()
+
+
+@given("it does not follow them at first")
+def step_no_reader(context):
+    context.is_reader = False
+    run(context, asyncio.sleep(SETTLED_S))
+
+
+@given(
+    "{count:d} versions of {size:d} KB are written behind a link of"
+    " {mbps:g} Mbit/s"
+)
+def step_large_versions(context, count, size, mbps):
+    context.transport.bytes_per_s = mbps * 1e6 / 8
+    # The feed has each change, which the stand-in keeps of other rows only.
+    for number in range(count):
+        context.newest = b"%d" % number + b"x" * size * 1000
+        context.tables.put(TABLE, f"config {number}", context.newest)
+    context.transport.has_one_row = True
+
+
+@when("it begins to follow them")
+def step_begins(context):
+    context.is_reader = True
+
+
+@then("the newest version is read within {seconds:g} s")
+def step_newest(context, seconds):
+    run(
+        context,
+        wait_until(
+            lambda: context.newest in context.read,
+            seconds,
+            lambda: [value[:20] for value in context.read],
+        ),
+    )
+
+
+@given("a store that sends an answer in {count:d} pieces, one each 0.1 s")
+def step_slow_store(context, count):
+    start_slow_store(context, count, stops=False)
+
+
+@given(
+    "a store that sends an answer in {count:d} pieces, one each 0.1 s, and"
+    " stops before the last"
+)
+def step_stopping_store(context, count):
+    start_slow_store(context, count, stops=True)
+
+
+def start_slow_store(context, count, *, stops):
+    ports = PortBlock()
+    context.add_cleanup(ports.close)
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % count
+        writer.write(head)
+        for _ in range(count - stops):
+            await asyncio.sleep(PIECE_S)
+            writer.write(b"x")
+
+    async def start():
+        address = parse_address(ports.allocate())
+        await asyncio.start_server(serve, address.host, address.port)
+        context.link = StoreLink(address, source=HOST)
+
+    context.run(start())
+
+
+@when("a call of 0.3 s is sent to it")
+def step_slow_call(context):
+    async def send():
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        try:
+            return await call(context), loop.time() - started_at
+        except PlatformWriteUnknownError:
+            return None, loop.time() - started_at
+
+    context.answer, context.spent_s = context.run(send())
+
+
+@then("the call is answered with {count:d} pieces")
+def step_pieces(context, count):
+    assert context.answer is not None, context.spent_s
+    assert context.answer.body == b"x" * count, context.answer
+
+
+@then("the call ends unanswered within {seconds:g} s")
+def step_stopped(context, seconds):
+    assert context.answer is None, context.answer
+    assert context.spent_s < seconds, context.spent_s
