Find what has changed in a table that is read as a whole

Cause: after a pause the whole table was reported as complete, as after a start. Roll-outs take an order of a complete table for one of unknown age that does not bind yet, and a removed row is in no complete table. Roll-outs were left out of whole reads by a condition in the daemon, which left them the versions one by one.

The watch compares the whole read with what it has reported: rows of newer versions and rows that are gone are reported as changes, as the feed would. A restored store is still read as complete. The condition goes.

--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -256,8 +256,7 @@
             find_wait=lambda: self._freshness.limit_feed_wait(
                 limit_feed_wait(settings.apply_s)
             ),
-            # A withdrawn order of a roll-out is only seen in the feed.
-            rereads=settings.rollout is None,
+            rereads=True,
         )
         self._nodes_watch = self._watch(
             NODES_TABLE,
--- a/src/guavawing/sidecar/table_watch.py
+++ b/src/guavawing/sidecar/table_watch.py
@@ -4,14 +4,20 @@
 import contextlib
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+
+import attrs
 
 from guavawing.errors import (
     HistoryLostError,
     PlatformError,
     PlatformUnavailableError,
 )
-from guavawing.platform.store_client import RowChanges, StoreClient
+from guavawing.platform.store_client import (
+    RowChanges,
+    StoreClient,
+    StoredRow,
+)
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.sidecar.steady_clock import read_steady_time
@@ -73,8 +79,9 @@
                 the store.
             find_wait: Returns the time limits of the next call of the feed.
             rereads: Whether the table is read as a whole after a time in which
-                it was not followed. The feed returns each change of a row
-                since, which for few large rows is far more than the table.
+                it was not followed, and what has changed is found by
+                comparison. The feed returns each change of a row since, which
+                for few large rows is far more than the table.
         """
         self._loop = asyncio.get_running_loop()
         self._store = store
@@ -90,6 +97,8 @@
         self._rereads = rereads
         # Whether the last call was answered, and the table followed since.
         self._current = False
+        # Keys of the rows, if the table is compared.
+        self._keys: set[str] = set()
         # Version up to which the table is known, and the store's era in which
         # it was given out.
         self._version: int | None = None
@@ -143,37 +152,67 @@
 
     async def _read(self) -> None:
         asked_at = read_steady_time()
-        if self._version is None or (self._rereads and not self._current):
+        if self._version is None:
             changes = await self._store.read_table(self._table)
             if self._follows_from is None:
                 self._follows_from = self._loop.time() + DISCOVERY_WAIT_S
             self._record_era(changes)
             self._on_changes(changes, True)
+            self._keys.clear()
+            self._record_keys(changes.rows)
             self._version = changes.version
             self._current = True
             self._on_read(asked_at, changes.era)
             return
-        # The first answer after a failure shows whether the store was restored
-        # meanwhile, so it is not to wait for a change.
-        waits = self.connected and self._follows()
-        limits = self._find_wait()
-        changes = await self._store.watch_table(
-            self._table,
-            after=self._version,
-            wait_s=limits.wait_s if waits else 0.0,
-            answer_s=limits.answer_s,
-        )
+        if self._rereads and not self._current:
+            whole = await self._store.read_table(self._table)
+            changes = self._find_changes(whole, after=self._version)
+        else:
+            changes = await self._watch(after=self._version)
         if changes.era != self._era:
             # Versions are given out again after the store was restored, so this
             # answer may leave out changes.
             self._version = None
             return
-        if changes.rows:
+        if changes.rows or changes.unreadable:
             self._on_changes(changes, False)
         # Changes that could not be applied are read again.
+        self._record_keys(changes.rows)
         self._version = max(self._version, changes.version)
+        self._current = True
         self._on_read(asked_at, changes.era)
 
+    async def _watch(self, *, after: int) -> RowChanges:
+        # The first answer after a failure shows whether the store was restored
+        # meanwhile, so it is not to wait for a change.
+        waits = self.connected and self._follows()
+        limits = self._find_wait()
+        return await self._store.watch_table(
+            self._table,
+            after=after,
+            wait_s=limits.wait_s if waits else 0.0,
+            answer_s=limits.answer_s,
+        )
+
+    def _find_changes(self, whole: RowChanges, *, after: int) -> RowChanges:
+        """Returns what has changed in a table that was read as a whole."""
+        rows = [row for row in whole.rows if row.version > after]
+        found = {row.key for row in whole.rows}
+        if not whole.unreadable:
+            # An unreadable row might be any of those that are missing.
+            rows += [
+                StoredRow(self._table, key, None, whole.version)
+                for key in sorted(self._keys - found)
+            ]
+        return attrs.evolve(whole, rows=tuple(rows))
+
+    def _record_keys(self, rows: Sequence[StoredRow]) -> None:
+        for row in rows if self._rereads else ():
+            if row.value is None:
+                self._keys.discard(row.key)
+            else:
+                self._keys.add(row.key)
+
     def _record_era(self, changes: RowChanges) -> None:
         """Records the era of a complete read; logs that it has changed."""
         if self._era not in (0, changes.era):
--- a/tests/cover/silent_store.feature
+++ b/tests/cover/silent_store.feature
@@ -40,6 +40,24 @@
     Then the newest version is read within 1 s
     And the store has not been lost
 
+  # Guards against an order that is withdrawn or given while nobody follows the
+  # table, and is not seen, or taken for an old one, by the node that takes over.
+  Scenario: A node that begins to follow is told of what has changed
+    Given a node that follows versions which have to be in force within 2.5 s
+    And rows "a b" in the table, which it has read
+    And it does not follow them at first
+    When row "a" is removed and row "c" is written
+    And it begins to follow them
+    Then within 1 s it has been told of the removal of "a" and of "c" as changes
+
+  Scenario: A node that begins to follow a restored store reads all rows
+    Given a node that follows versions which have to be in force within 2.5 s
+    And rows "a b" in the table, which it has read
+    And it does not follow them at first
+    When the store is restored and row "c" is written
+    And it begins to follow them
+    Then within 2 s it has been told of "a b c" as the whole table
+
   # Guards against a large answer given up as silence.
   Scenario Outline: An answer that has begun is awaited while its bytes arrive
     Given a store that sends an answer in <pieces> pieces, one each 0.1 s
--- a/tests/steps/silent_store_steps.py
+++ b/tests/steps/silent_store_steps.py
@@ -79,16 +79,18 @@
 def step_follower(context, seconds):
     start_clock(context)
     context.read, context.reachability = [], []
-    context.is_reader = True
+    context.is_reader, context.reports = True, []
+
+    def record(changes, complete):
+        context.read += [row.value for row in changes.rows]
+        context.reports.append((changes, complete))
 
     async def start():
         context.transport = SilencedTransport(context.tables)
         watch = TableWatch(
             StoreClient(context.transport.call),
             TABLE,
-            on_changes=lambda changes, _: context.read.extend(
-                row.value for row in changes.rows
-            ),
+            on_changes=record,
             min_period_s=PERIOD_S,
             is_reader=lambda: context.is_reader,
             on_reachability=context.reachability.append,
@@ -223,6 +225,61 @@
     context.transport.has_one_row = True
 
 
+@given('rows "{names}" in the table, which it has read')
+def step_rows(context, names):
+    for name in names.split():
+        context.tables.put(TABLE, name, name.encode())
+    run(context, asyncio.sleep(SETTLED_S))
+
+
+@when('row "{removed}" is removed and row "{written}" is written')
+def step_changed(context, removed, written):
+    context.reports.clear()
+    context.tables.transact(
+        {
+            "precondition": [],
+            "puts": [],
+            "remove": [{"table": TABLE, "part": "", "key": removed}],
+        }
+    )
+    context.tables.put(TABLE, written, written.encode())
+
+
+@when('the store is restored and row "{written}" is written')
+def step_restored(context, written):
+    context.reports.clear()
+    context.tables.restore(context.tables.copy())
+    context.tables.put(TABLE, written, written.encode())
+
+
+@then(
+    'within {seconds:g} s it has been told of the removal of "{removed}" and of'
+    ' "{written}" as changes'
+)
+def step_told(context, seconds, removed, written):
+    expected = {removed: None, written: written.encode()}
+    check_reports(context, seconds, [(expected, False)])
+
+
+@then('within {seconds:g} s it has been told of "{names}" as the whole table')
+def step_told_whole(context, seconds, names):
+    expected = {name: name.encode() for name in names.split()}
+    check_reports(context, seconds, [(expected, True)])
+
+
+def check_reports(context, seconds, expected):
+    def find_reports():
+        return [
+            ({row.key: row.value for row in changes.rows}, complete)
+            for changes, complete in context.reports
+        ]
+
+    run(
+        context,
+        wait_until(lambda: find_reports() == expected, seconds, find_reports),
+    )
+
+
 @when("it begins to follow them")
 def step_begins(context):
     context.is_reader = True
