--- a/src/guavawing/platform/store_client.py
+++ b/src/guavawing/platform/store_client.py
@@ -180,7 +180,7 @@
             table: Name of the table.
             after: Version after which changes are returned.
             wait_s: Longest time to wait for a change, in seconds.
-            answer_s: Time for the answer beyond that wait, in seconds.
+            answer_s: Time until the answer begins beyond that wait, in seconds.
 
         Raises:
             HistoryLostError: If the whole table has to be read again.
--- a/src/guavawing/platform/store_transport.py
+++ b/src/guavawing/platform/store_transport.py
@@ -32,7 +32,8 @@
         method: HTTP method.
         path: Path and query.
         body: Complete body.
-        timeout_s: Timeout of the answer, in seconds.
+        timeout_s: Timeout of the answer, in seconds; a transport may extend it
+            while the answer arrives.
     """
 
     method: str
--- a/src/guavawing/traffic/feed_wait.py
+++ b/src/guavawing/traffic/feed_wait.py
@@ -29,7 +29,7 @@
 
     Attributes:
         wait_s: Longest wait for a change that is requested, in seconds.
-        answer_s: Time for the answer beyond that wait, in seconds.
+        answer_s: Time until the answer begins beyond that wait, in seconds.
     """
 
     wait_s: float = MAX_WAIT_S
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -5,6 +5,8 @@
 
 import aiohttp
 
+from guavawing.sidecar.beacons import Beacons
+from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.traffic.model import Attempt
 from standins.vm_fleet import HOST_NAME
 
@@ -41,6 +43,22 @@
     return Attempt(**(fields | changes))
 
 
+def make_quiet_beacons(record, *, port, peers, read_load, metrics):
+    """Returns the beacons of a node whose other components do nothing."""
+    return Beacons(
+        own_record=record,
+        port=port,
+        peers=peers,
+        read_load=read_load,
+        on_peer=lambda _: None,
+        read_departure=lambda: None,
+        on_slots=lambda _: None,
+        on_target_record=lambda _: None,
+        log=DecisionLog(node=record.node),
+        metrics=metrics,
+    )
+
+
 def find_vm(context, name):
     return context.vms.vms[name]
 
--- a/tests/steps/beacon_steps.py
+++ b/tests/steps/beacon_steps.py
@@ -8,8 +8,6 @@
 from behave import given, then, when
 
 from guavawing.errors import MessageInvalidError
-from guavawing.sidecar.beacons import Beacons
-from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.mesh_codec import decode_beacon, encode_beacon
 from guavawing.sidecar.mesh_messages import Beacon
 from guavawing.sidecar.metrics import SidecarMetrics
@@ -22,6 +20,7 @@
 )
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
+from tests.sidecar_support import make_quiet_beacons
 from tests.support import assert_raises
 
 PORT = 7002
@@ -52,16 +51,11 @@
     context.peers = PeerTable(
         OWN_RECORD, OwnerView(OWN_RECORD.host, local=True, near=True)
     )
-    context.beacons = Beacons(
-        own_record=OWN_RECORD,
+    context.beacons = make_quiet_beacons(
+        OWN_RECORD,
         port=PORT,
         peers=context.peers,
         read_load=lambda: IDLE,
-        on_peer=lambda _: None,
-        read_departure=lambda: None,
-        on_slots=lambda _: None,
-        on_target_record=lambda _: None,
-        log=DecisionLog(node=OWN_RECORD.node),
         metrics=SidecarMetrics(),
     )
     context.transport = MemoryTransport()
--- a/tests/steps/loss_steps.py
+++ b/tests/steps/loss_steps.py
@@ -4,13 +4,12 @@
 
 from behave import given, then, when
 
-from guavawing.sidecar.beacons import Beacons
-from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.traffic.model import LoadReport, PeerRecord, TargetPhase
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
 from standins.simulated_time_loop import open_simulated_time_loop
+from tests.sidecar_support import make_quiet_beacons
 
 PORT = 7002
 IDLE = LoadReport(TargetPhase.READY, 4, 0, 0, 0.1)
@@ -80,16 +79,11 @@
         view = OwnerView(record.host, local=True, near=True)
         self.record = record
         self.peers = PeerTable(record, view)
-        self.beacons = Beacons(
-            own_record=record,
+        self.beacons = make_quiet_beacons(
+            record,
             port=PORT,
             peers=self.peers,
             read_load=lambda: IDLE,
-            on_peer=lambda _: None,
-            read_departure=lambda: None,
-            on_slots=lambda _: None,
-            on_target_record=lambda _: None,
-            log=DecisionLog(node=record.node),
             metrics=SidecarMetrics(),
         )
         self.transport = Transport(network, record.host)
--- a/tests/steps/odd_entry_steps.py
+++ b/tests/steps/odd_entry_steps.py
@@ -15,7 +15,6 @@
     StoredRow,
 )
 from guavawing.platform.store_transport import HttpAnswer
-from guavawing.sidecar.beacons import Beacons
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.membership import NODES_TABLE, Membership
 from guavawing.sidecar.mesh_codec import decode_beacon, encode_beacon
@@ -25,6 +24,7 @@
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
 from standins.ports import PortBlock
+from tests.sidecar_support import make_quiet_beacons
 from tests.support import assert_raises
 
 HOST, PEER_HOST, OTHER_HOST = "127.0.0.1", "127.0.0.2", "127.0.0.3"
@@ -98,16 +98,11 @@
         context.peers = PeerTable(record, view)
         context.metrics = SidecarMetrics()
         log = DecisionLog(node="n1")
-        context.beacons = Beacons(
-            own_record=record,
+        context.beacons = make_quiet_beacons(
+            record,
             port=port,
             peers=context.peers,
             read_load=lambda: IDLE,
-            on_peer=lambda _: None,
-            read_departure=lambda: None,
-            on_slots=lambda _: None,
-            on_target_record=lambda _: None,
-            log=log,
             metrics=context.metrics,
         )
         context.membership = Membership(
