Log requests of versions from peers, their age, and outdated whole reads

`store-followed` and `store-lost` tell the first two hypotheses apart. The third and fourth had no line: a whole read older than what is known (`store-outdated`), and a version that waits for a peer (`version-requested`, `known_s` of `version-in-force`). No logic changes.

--- a/src/guavawing/sidecar/configuration.py
+++ b/src/guavawing/sidecar/configuration.py
@@ -116,6 +116,7 @@
             self._earlier.append(earlier)
         self.routing = routing
         self._updates.clear()
+        known_since = self._first_seen_at.get(routing.version)
         self._first_seen_at.clear()
         self._metrics.version.set({}, routing.version)
         self._log.state_change(
@@ -124,6 +125,9 @@
             before=before,
             source=source,
             routes=len(routing.routes),
+            known_s=None
+            if known_since is None
+            else round(self._loop.time() - known_since, 3),
         )
         return True
 
@@ -196,6 +200,13 @@
             return
         if now - self._requested_at >= REQUEST_PERIOD_S:
             self._requested_at = now
+            self._log.state_change(
+                "version-requested",
+                version=peer.version,
+                before=self.version,
+                peer=peer.record.node,
+                known_s=round(waited_s, 3),
+            )
             self._request_from_peer(peer, self.version)
         elif self._retry_timer is None:
             # The answer to the last request may be lost or outdated.
--- a/src/guavawing/sidecar/table_watch.py
+++ b/src/guavawing/sidecar/table_watch.py
@@ -166,6 +166,13 @@
             return
         if self._rereads and not self._current:
             whole = await self._store.read_table(self._table)
+            if whole.era == self._era and whole.version < self._version:
+                self._log.state_change(
+                    "store-outdated",
+                    table=self._table,
+                    version=whole.version,
+                    known=self._version,
+                )
             changes = self._find_changes(whole, after=self._version)
         else:
             changes = await self._watch(after=self._version)
