Read a table as a whole on a new connection, within the feed's time limits

A node that takes over from a lost reader may serve an old version for 2 s and more beyond the take-over.

Cause: since a node that begins to follow the configuration reads the table first. That read took an idle connection, which may have been silent for up to 4 s, and waited 2.0 s for the answer, which is all the time that a version has; the limits of the feed did not hold for it.

Change: such a read opens a new connection, closes the idle ones, and waits as long as the feed does.

Evidence: the scenarios of cover/silent_store 'reads on a connection that answers' (two) and 'gives up a read without an answer in time' failed before, with only the field HttpCall.fresh added; they pass now.

--- a/src/guavawing/platform/store_client.py
+++ b/src/guavawing/platform/store_client.py
@@ -131,7 +131,13 @@
         return next((row for row in changes.rows if row.key == key), None)
 
     async def read_table(
-        self, table: str, *, after: str = "", limit: int | None = None
+        self,
+        table: str,
+        *,
+        after: str = "",
+        limit: int | None = None,
+        answer_s: float = CALL_TIMEOUT_S,
+        fresh: bool = False,
     ) -> RowChanges:
         """Returns rows of a table in key order.
 
@@ -139,6 +145,8 @@
             table: Name of the table.
             after: Exclusive start key.
             limit: Maximum number of rows; None for all.
+            answer_s: Time until each page begins, in seconds.
+            fresh: Whether the first page is read on a new connection.
 
         Returns:
             The rows, with the version of the first page.
@@ -156,7 +164,10 @@
             query = {"table": table, "part": "", "from": start}
             if limit is not None:
                 query["limit"] = str(limit - len(rows))
-            content = await self._get_json("/-/rows-get", query, CALL_TIMEOUT_S)
+            content = await self._get_json(
+                "/-/rows-get", query, answer_s, fresh=fresh
+            )
+            fresh = False
             page = self._decode_changes(content)
             rows += page.rows
             unreadable += page.unreadable
@@ -293,10 +304,15 @@
             check_written(answer.status)
 
     async def _get_json(
-        self, path: str, query: dict[str, str], timeout_s: float
+        self,
+        path: str,
+        query: dict[str, str],
+        timeout_s: float,
+        *,
+        fresh: bool = False,
     ) -> dict[str, Any]:
         url = f"{path}?{urllib.parse.urlencode(query)}"
-        status, body = await self._get_raw(url, timeout_s)
+        status, body = await self._get_raw(url, timeout_s, fresh=fresh)
         if status == GONE:
             raise HistoryLostError("the store no longer has these changes")
         if status != OK:
@@ -325,12 +341,13 @@
                 unreadable += 1
         return RowChanges(tuple(rows), version, unreadable, self.era.newest)
 
-    async def _get_raw(self, path: str, timeout_s: float) -> tuple[int, bytes]:
+    async def _get_raw(
+        self, path: str, timeout_s: float, *, fresh: bool = False
+    ) -> tuple[int, bytes]:
         era_before = self.era.newest
+        call = HttpCall("GET", path, b"", timeout_s, fresh)
         try:
-            answer = await self._transport(
-                HttpCall("GET", path, b"", timeout_s)
-            )
+            answer = await self._transport(call)
         except PlatformWriteUnknownError as exc:
             # An unanswered read has no effect, so its outcome is not unknown.
             raise _unavailable(str(exc)) from exc
--- a/src/guavawing/platform/store_transport.py
+++ b/src/guavawing/platform/store_transport.py
@@ -34,12 +34,15 @@
         body: Complete body.
         timeout_s: Timeout of the answer, in seconds; a transport may extend it
             while the answer arrives.
+        fresh: Whether it is sent on a new connection, since idle ones may have
+            been lost without a sign.
     """
 
     method: str
     path: str
     body: bytes
     timeout_s: float
+    fresh: bool = False
 
 
 @attrs.frozen
--- a/src/guavawing/sidecar/store_link.py
+++ b/src/guavawing/sidecar/store_link.py
@@ -54,6 +54,8 @@
 
     async def call(self, call: HttpCall) -> HttpAnswer:
         """Sends a call; see `guavawing.platform.store_transport.Transport`."""
+        if call.fresh:
+            self.close()
         conn = await self._connect()
         sent_at = self._loop.time()
         fut: asyncio.Future[HttpReply] = self._loop.create_future()
--- a/src/guavawing/sidecar/table_watch.py
+++ b/src/guavawing/sidecar/table_watch.py
@@ -153,7 +153,7 @@
     async def _read(self) -> None:
         asked_at = read_steady_time()
         if self._version is None:
-            changes = await self._store.read_table(self._table)
+            changes = await self._read_whole()
             if self._follows_from is None:
                 self._follows_from = self._loop.time() + DISCOVERY_WAIT_S
             self._record_era(changes)
@@ -165,7 +165,7 @@
             self._on_read(asked_at, changes.era)
             return
         if self._rereads and not self._current:
-            whole = await self._store.read_table(self._table)
+            whole = await self._read_whole()
             if whole.era == self._era and whole.version < self._version:
                 self._log.state_change(
                     "store-outdated",
@@ -189,6 +189,12 @@
         self._current = True
         self._on_read(asked_at, changes.era)
 
+    async def _read_whole(self) -> RowChanges:
+        """Reads the table; idle connections may have been lost by then."""
+        return await self._store.read_table(
+            self._table, answer_s=self._find_wait().answer_s, fresh=True
+        )
+
     async def _watch(self, *, after: int) -> RowChanges:
         # The first answer after a failure shows whether the store was restored
         # meanwhile, so it is not to wait for a change.
--- a/tests/cover/silent_store.feature
+++ b/tests/cover/silent_store.feature
@@ -30,6 +30,12 @@
     Then a call ends unanswered after its timeout
     And the next call is answered at once on a new connection
 
+  Scenario: A call on a new connection closes the idle ones
+    Given a link to a store with 2 idle connections
+    When these connections fall silent without a reset
+    Then a call on a new connection is answered at once
+    And the next call is answered at once on that connection
+
   # Guards against a node that takes over and reads every version since its
   # last call over a narrow link, until its call times out.
   Scenario: A node that begins to follow reads the newest version only
@@ -40,6 +46,31 @@
     Then the newest version is read within 1 s
     And the store has not been lost
 
+  # Guards against a node that takes over from a lost reader and is late itself,
+  # as its first read waits on a connection that has fallen silent.
+  Scenario Outline: A node that begins to follow reads on a connection that answers
+    Given a node that follows versions which have to be in force within <apply> s
+    And it does not follow them at first
+    When its idle connections fall silent without a reset
+    And a version is written
+    And it begins to follow them
+    Then the version is read within 0.5 s
+    And the store has not been lost
+
+    Examples:
+      | apply |
+      | 2     |
+      | 2.5   |
+
+  # Guards against a first read that waits as long as a version may take.
+  Scenario: A node that begins to follow gives up a read without an answer in time
+    Given a node that follows versions which have to be in force within 2 s
+    And it does not follow them at first
+    And its next call is not answered
+    When a version is written
+    And it begins to follow them
+    Then the version is read within 2 s
+
   # Guards against an order that is withdrawn or given while nobody follows the
   # table, and is not seen, or taken for an old one, by the node that takes over.
   Scenario: A node that begins to follow is told of what has changed
--- a/tests/steps/background_steps.py
+++ b/tests/steps/background_steps.py
@@ -58,7 +58,7 @@
 
     row: StoredRow | None = None
 
-    async def read_table(self, table):
+    async def read_table(self, table, *, answer_s, fresh):
         return RowChanges((), 0, 0)
 
     async def watch_table(self, table, *, after, wait_s, answer_s):
--- a/tests/steps/silent_store_steps.py
+++ b/tests/steps/silent_store_steps.py
@@ -17,6 +17,7 @@
 from guavawing.sidecar.store_link import StoreLink
 from guavawing.sidecar.table_watch import TableWatch
 from guavawing.traffic.feed_wait import limit_feed_wait
+from standins.platform_tables import PlatformTables
 from standins.ports import PortBlock
 from standins.tables_transport import TablesTransport
 from tests.store_support import (
@@ -44,6 +45,12 @@
         self.bytes_per_s = math.inf
         # Whether reads of the table return the last row only.
         self.has_one_row = False
+        # Whether idle connections are silent, and number of further calls that
+        # are not answered on any connection.
+        self.idle_silent = False
+        self.unanswered = 0
+        # Copy of the tables that answers whole reads.
+        self.outdated = None
 
     def silence(self):
         self._silenced.set()
@@ -53,6 +60,13 @@
         silenced = self._silenced
         try:
             async with asyncio.timeout(call.timeout_s):
+                if self.unanswered:
+                    self.unanswered -= 1
+                    await asyncio.Event().wait()
+                if self.idle_silent and not call.fresh:
+                    await asyncio.Event().wait()
+                if self.outdated is not None and "rows-get" in call.path:
+                    return await self.outdated.call(call)
                 answer = await self._inner.call(call)
                 if self.has_one_row and "rows-get" in call.path:
                     answer = keep_last_row(answer)
@@ -177,8 +191,10 @@
     context.run(start())
 
 
-async def call(context):
-    return await context.link.call(HttpCall("GET", "/", b"", CALL_TIMEOUT_S))
+async def call(context, *, fresh=False):
+    return await context.link.call(
+        HttpCall("GET", "/", b"", CALL_TIMEOUT_S, fresh)
+    )
 
 
 @when("these connections fall silent without a reset")
@@ -202,6 +218,21 @@
     context.run(close(context))
 
 
+@then("a call on a new connection is answered at once")
+def step_fresh_call(context):
+    opened = context.opened
+    answer = context.run(call(context, fresh=True))
+    assert answer.status == 200, answer
+    assert context.opened == opened + 1, context.opened
+
+
+@then("the next call is answered at once on that connection")
+def step_reused(context):
+    opened = context.opened
+    step_answered(context)
+    assert context.opened == opened, context.opened
+
+
 async def close(context):
     context.link.close()
 
@@ -280,6 +311,42 @@
     )
 
 
+@when("its idle connections fall silent without a reset")
+def step_idle_silence(context):
+    context.transport.idle_silent = True
+
+
+@given("its next call is not answered")
+def step_next_unanswered(context):
+    context.transport.unanswered = 1
+
+
+@given('a copy of the store from before row "{name}", which it has read')
+def step_copy(context, name):
+    context.outdated = PlatformTables()
+    context.outdated.restore(context.tables.copy())
+    context.outdated.era = context.tables.era
+    context.tables.put(TABLE, name, name.encode())
+    run(context, asyncio.sleep(SETTLED_S))
+    assert name.encode() in context.read, context.read
+
+
+@when("the store answers whole reads from the copy")
+def step_outdated(context):
+    context.reports.clear()
+    context.transport.outdated = TablesTransport(context.outdated)
+
+
+@when('row "{name}" is written')
+def step_row(context, name):
+    context.tables.put(TABLE, name, name.encode())
+
+
+@then('within {seconds:g} s it has been told of "{name}" only, as a change')
+def step_told_one(context, seconds, name):
+    check_reports(context, seconds, [({name: name.encode()}, False)])
+
+
 @when("it begins to follow them")
 def step_begins(context):
     context.is_reader = True
--- a/tests/steps/table_watch_steps.py
+++ b/tests/steps/table_watch_steps.py
@@ -37,7 +37,7 @@
         row = StoredRow(TABLE, key, b"{}", len(self.rows) + 1)
         self.rows.append(row)
 
-    async def read_table(self, table):
+    async def read_table(self, table, *, answer_s, fresh):
         self.reads += 1
         return RowChanges(tuple(self.rows), len(self.rows), 0)
 
@@ -147,7 +147,7 @@
     def __init__(self, shared):
         self.shared, self.calls = shared, 0
 
-    async def read_table(self, table):
+    async def read_table(self, table, *, answer_s, fresh):
         self.calls += 1
         shared = self.shared
         found = RowChanges(tuple(shared.rows.values()), shared.version, 0)
