Remove nothing that an outdated whole read lacks

An order to a roll-out, given while nobody of a data centre followed the table, may be withdrawn there for good.

Cause: a node that begins to follow compares a whole read with what it knows. A copy of the store that is some seconds behind answers as of a version older than that; the rows that it lacks were reported as removed, and the feed, which continues from the known version, never returns them.

Change: such an answer is logged (`store-outdated`) and the feed is asked from the known version. The configuration itself never went back, as versions only increase.

Evidence: cover/silent_store 'removes nothing that an outdated answer lacks' failed before ([({'c': None}, False), ({'d': b'd'}, False)]) and passes now.

--- a/src/guavawing/sidecar/table_watch.py
+++ b/src/guavawing/sidecar/table_watch.py
@@ -165,15 +165,7 @@
             self._on_read(asked_at, changes.era)
             return
         if self._rereads and not self._current:
-            whole = await self._read_whole()
-            if whole.era == self._era and whole.version < self._version:
-                self._log.state_change(
-                    "store-outdated",
-                    table=self._table,
-                    version=whole.version,
-                    known=self._version,
-                )
-            changes = self._find_changes(whole, after=self._version)
+            changes = await self._reread(after=self._version)
         else:
             changes = await self._watch(after=self._version)
         if changes.era != self._era:
@@ -207,6 +199,20 @@
             answer_s=limits.answer_s,
         )
 
+    async def _reread(self, *, after: int) -> RowChanges:
+        """Returns what has changed, by a whole read if it is up to date."""
+        whole = await self._read_whole()
+        if whole.era == self._era and whole.version < after:
+            self._log.state_change(
+                "store-outdated",
+                table=self._table,
+                version=whole.version,
+                known=after,
+            )
+            # What an outdated copy lacks may be there.
+            return await self._watch(after=after)
+        return self._find_changes(whole, after=after)
+
     def _find_changes(self, whole: RowChanges, *, after: int) -> RowChanges:
         """Returns what has changed in a table that was read as a whole."""
         rows = [row for row in whole.rows if row.version > after]
--- a/tests/cover/silent_store.feature
+++ b/tests/cover/silent_store.feature
@@ -71,6 +71,18 @@
     And it begins to follow them
     Then the version is read within 2 s
 
+  # Guards against a row that counts as removed, and never comes back, since an
+  # outdated copy of the store lacks it.
+  Scenario: A node that begins to follow removes nothing that an outdated answer lacks
+    Given a node that follows versions which have to be in force within 2.5 s
+    And rows "a b" in the table, which it has read
+    And a copy of the store from before row "c", which it has read
+    And it does not follow them at first
+    When the store answers whole reads from the copy
+    And row "d" is written
+    And it begins to follow them
+    Then within 1 s it has been told of "d" only, as a change
+
   # Guards against an order that is withdrawn or given while nobody follows the
   # table, and is not seen, or taken for an old one, by the node that takes over.
   Scenario: A node that begins to follow is told of what has changed
