Begin no request late in a planned stop that the process can't finish

What callers saw: while other owners of its service restart, a node that stops serves on for up to 4.0 s of its grace of 6 s. Requests of 2 s that came from 3.4 s on, not idempotent, were passed to their target and answered 504 deadline-passed at 5.3 s, while the target was at work on them.

Cause: the owner checked whether attempts of other nodes can end in time; for requests of its own clients only the time limit was cut to what the process has left, which ends the request rather than refuse it. What waited in the owner's queue was checked at its arrival only.

Change: once clients had the time to learn of the stop, a request begins only if its own limit or four times the mean time of its kind are over before the process is; else 503 stopping with Retry-After. Checked where an attempt is passed to an owner, and where it leaves the owner's queue.

--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -1,6 +1,7 @@
 """Routing and retries of one client request at its entry node."""
 
 import asyncio
+import math
 from collections.abc import Callable, Collection, Sequence
 from random import Random
 
@@ -20,11 +21,12 @@
 from guavawing.traffic.neighbours import find_last_heard
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
+from guavawing.traffic.process_end import can_finish
 from guavawing.traffic.rollout_state import Group, RolloutView
 from guavawing.traffic.unserved import Step, combine_verdicts, next_step
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
 
-__all__ = ["ClientCall", "EntryParts"]
+__all__ = ["STOPPING_RETRY_AFTER_S", "ClientCall", "EntryParts"]
 
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
@@ -32,6 +34,9 @@
 MS_PER_S = 1000
 # Retry-After in seconds of a refusal without a better estimate.
 NO_TARGET_RETRY_AFTER_S = 0.5
+# Retry-After in seconds of a process that stops; its successor starts within
+# that time.
+STOPPING_RETRY_AFTER_S = 1.0
 # Shortest Retry-After in seconds while rate limits are used up.
 MIN_RETRY_AFTER_S = 0.04
 # Maximum number of owners that a request is sent to.
@@ -58,6 +63,8 @@
         version: Returns the configuration version in force.
         find_rollout: Returns what is known of the roll-outs of a service; None
             if the deployment has none.
+        find_last_answer: Returns the time by which new attempts have to end
+            because the process does; infinite while there is none.
         rng: Draws the requests that a new release gets.
         log: Receives decisions.
         metrics: Counts answers and retries.
@@ -75,6 +82,7 @@
     log: DecisionLog
     metrics: SidecarMetrics
     find_rollout: Callable[[str], RolloutView] | None = None
+    find_last_answer: Callable[[], float] = lambda: math.inf
     rng: Random = attrs.field(factory=Random)
 
 
@@ -198,7 +206,9 @@
             choice = self._choose(now, excluded=self._tried)
         if choice is None and allow_repeat:
             choice = self._choose(now, excluded=())
-        if choice is not None and not self._can_send(choice, now):
+        if choice is not None and not (
+            self._can_finish(choice, now) and self._can_send(choice, now)
+        ):
             choice = None
         if choice is None:
             self._record_limits(now)
@@ -290,6 +300,21 @@
             send_s=self._find_send_s(),
         )
 
+    def _can_finish(self, choice: Choice, now: float) -> bool:
+        """Returns whether an attempt can end before this process does."""
+        owner, attempt = choice.owner, self._attempt
+        kind_s = owner.report.kind_s if owner.report is not None else {}
+        if can_finish(
+            now=now,
+            wait_s=owner.estimate_wait_s(now=now),
+            service_s=kind_s.get(attempt.kind),
+            deadline=attempt.deadline,
+            last_at=self._parts.find_last_answer(),
+        ):
+            return True
+        self._record_refusal(NotRun(Reason.STOPPING, STOPPING_RETRY_AFTER_S))
+        return False
+
     def _can_send(self, choice: Choice, now: float) -> bool:
         """Returns whether the link can send a large body in time."""
         send_s = self._find_send_s()
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -13,7 +13,11 @@
     build_refusal,
     parse_request_head,
 )
-from guavawing.sidecar.client_call import ClientCall, EntryParts
+from guavawing.sidecar.client_call import (
+    STOPPING_RETRY_AFTER_S,
+    ClientCall,
+    EntryParts,
+)
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.freshness import Freshness
 from guavawing.sidecar.held_body import HeldBody
@@ -37,6 +41,7 @@
 from guavawing.traffic.model import NO_ACCOUNT, Attempt, ClientAccount, Route
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
+from guavawing.traffic.process_end import find_last_answer
 from guavawing.traffic.rollout_state import RolloutView
 from guavawing.traffic.routes import RouteTable
 from guavawing.traffic.time_limit import compute_time_limit
@@ -52,12 +57,6 @@
 UNAVAILABLE = 503
 # Retry-After in seconds while no configuration is in force.
 NO_CONFIG_RETRY_AFTER_S = 0.5
-# Retry-After in seconds of a process that stops; its successor starts within
-# that time.
-STOPPING_RETRY_AFTER_S = 1.0
-# Time reserved for the last answers before the process ends, in seconds: above
-# the time after the deadline at which the wait for an owner's answer ends.
-LAST_ANSWER_S = 0.3
 # Share of a route's latency target that is available at this node; the rest is
 # for the transit between client and node.
 USEFUL_SHARE = 0.9
@@ -86,6 +85,8 @@
         table: Routes in force; None without a configuration.
         quotas: Quotas of client accounts; None without terms for them.
         closing: Whether requests are refused because the process stops.
+        clients_informed: Whether clients have had the time to learn that the
+            process stops. Requests that it can't finish are refused since.
         ends_at: Event loop's time at which the process ends; None unless it
             stops.
     """
@@ -126,12 +127,14 @@
             budget=self._budget,
             version=self._version,
             find_rollout=find_rollout,
+            find_last_answer=self._find_last_answer,
             log=log,
             metrics=metrics,
         )
         self.table: RouteTable | None = None
         self.quotas: Quotas | None = None
         self.closing = False
+        self.clients_informed = False
         self.ends_at: float | None = None
 
     def handle(self, request: HttpRequest) -> None:
@@ -312,10 +315,9 @@
         now = request.began_at if route.bulk_body else request.arrived_at
         client_s = head.deadline_s
         deadline_s = compute_time_limit(client_s=client_s, route_s=None)
+        left_s = self._time_left_s(now)
         limit_s = compute_time_limit(
-            client_s=client_s,
-            route_s=route.timeout_s,
-            process_s=self._time_left_s(now),
+            client_s=client_s, route_s=route.timeout_s, process_s=left_s
         )
         spent_s = self._wait_estimator.estimate_spent_s(route.name, deadline_s)
         target_s = USEFUL_SHARE * route.latency_target_s
@@ -332,7 +334,7 @@
             path=request.path,
             head=head.forwarded,
             body=request.body,
-            deadline=now + limit_s,
+            deadline=now + limit_s if limit_s < left_s else self._last_answer,
             priority=priority,
             idempotent=route.idempotent,
             bulk=route.bulk,
@@ -346,9 +348,18 @@
 
     def _time_left_s(self, now: float) -> float:
         """Returns the time left for requests before the process ends."""
+        return self._last_answer - now
+
+    @property
+    def _last_answer(self) -> float:
+        """Time by which the last requests have to end; infinite if none."""
         if self.ends_at is None:
             return math.inf
-        return self.ends_at - LAST_ANSWER_S - now
+        return find_last_answer(self.ends_at)
+
+    def _find_last_answer(self) -> float:
+        """Returns the time by which new attempts have to end."""
+        return self._last_answer if self.clients_informed else math.inf
 
     def resize_budget(self) -> None:
         """Resizes the retry budget to the current number of nodes."""
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -22,6 +22,11 @@
     TargetRecord,
 )
 from guavawing.traffic.neighbours import NeighbourLoad, Neighbours
+from guavawing.traffic.process_end import (
+    LONGEST_FACTOR,
+    can_finish,
+    find_last_answer,
+)
 from guavawing.traffic.slot_offers import SlotOffers
 from guavawing.traffic.slot_queue import (
     Admit,
@@ -67,9 +72,6 @@
 SLOT_HOLD_S = 0.02
 # An attempt is logged as slow if it took this many times the mean.
 SLOW_FACTOR = 4.0
-# Factor of the mean time within which nearly all executions end; a process that
-# stops takes no others.
-LONGEST_FACTOR = 4.0
 MS_PER_S = 1000
 
 
@@ -95,6 +97,9 @@
             process stops.
         ends_at: Event loop's time at which the process ends; None unless it
             stops.
+        clients_informed: Whether clients have had the time to learn that the
+            process stops. Queued attempts that it can't finish are refused
+            since.
         on_phase: Called when the phase or the slots of the target change.
         admits_release: Returns whether a roll-out allows an attempt here.
         on_executed: Called with each attempt that the target has executed, its
@@ -130,6 +135,7 @@
         self._statements = TargetStatements(state, log=log, metrics=metrics)
         self.stopping = False
         self.ends_at: float | None = None
+        self.clients_informed = False
         self.on_phase: Callable[[], None] = lambda: None
         self.admits_release: Callable[[Attempt], bool] = lambda _: True
         self.on_executed: Callable[[Attempt, Outcome, float], None] = (
@@ -457,6 +463,18 @@
             return NotRun(Reason.DRAINING, 0.0)
         if self._state.phase is TargetPhase.GONE:
             return NotRun(Reason.TARGET_UNREACHABLE, NO_TARGET_RETRY_AFTER_S)
+        if (
+            self.ends_at is not None
+            and self.clients_informed
+            and not can_finish(
+                now=now,
+                wait_s=0.0,
+                service_s=self._queue.expect_service_s(pending.attempt.kind),
+                deadline=pending.attempt.deadline,
+                last_at=find_last_answer(self.ends_at),
+            )
+        ):
+            return NotRun(Reason.DRAINING, 0.0)
         return None
 
     def _finish(self, pending: _PendingAttempt, outcome: Outcome) -> None:
--- a/src/guavawing/sidecar/planned_stop.py
+++ b/src/guavawing/sidecar/planned_stop.py
@@ -1,9 +1,10 @@
 """Planned stop: graceful shutdown from SIGTERM to the last answer.
 
 The process serves requests as usual until the platform has informed clients
-that this node is not ready. It then refuses attempts of other nodes and closes
-client connections after their next answer. Finally it refuses new requests,
-and ends once all running ones have been answered.
+that this node is not ready, and from then on only those that it can finish. It
+then refuses attempts of other nodes and closes client connections after their
+next answer. Finally it refuses new requests, and ends once all running ones
+have been answered.
 """
 
 import asyncio
@@ -81,6 +82,7 @@
         self._mesh.stopping = True
         self._entry.ends_at = self._owner.ends_at = ends_at
         await asyncio.sleep(READINESS_DELAY_S)
+        self._entry.clients_informed = self._owner.clients_informed = True
         await self._wait_for_restarts(started_at + MAX_RESTART_WAIT_S)
         self._begin_drain()
         closes_at = self._loop.time() + LATE_REQUESTS_S
--- /dev/null
+++ b/tests/processes/late_requests.feature
@@ -0,0 +1,30 @@
+@alone
+Feature: Requests that come late in the grace period of a planned stop
+
+  Background:
+    Given VMs of two data centres
+      | vm | data centre | service |
+      | a1 | bergen      | desk    |
+      | a2 | bergen      | desk    |
+      | a3 | bergen      | feed    |
+      | b1 | voss        | desk    |
+    And each target of "desk" has executed POST "/desk/unsafe/slower"
+
+  # Guards against requests that are passed on late in a planned stop and ended
+  # by an answer of the node's own, or cut, while their target is at work.
+  Scenario: A planned stop takes no request that it can't finish
+    When the daemon of "a2" gets SIGTERM
+    And clients on "a2" send POST "/desk/unsafe/slower" each 0.2 s for 6 s
+    Then each request that was executed was answered with 200
+    And the others got 503 or no connection
+    And some got 200
+
+  # The same, with the longest stop: the node serves on while the other owners
+  # of its service are down.
+  Scenario: A planned stop during restarts takes no request that it can't finish
+    When the daemon of "a2" gets SIGTERM
+    And the daemon of "a1" is killed 0.3 s and that of "b1" 1.2 s later
+    And 3.4 s elapse
+    And clients on "a2" send POST "/desk/unsafe/slower" each 0.1 s for 2 s
+    Then each request that was executed was answered with 200
+    And the others got 503 or no connection
--- /dev/null
+++ b/tests/steps/late_request_steps.py
@@ -0,0 +1,92 @@
+"""Steps about requests that come late in a planned stop."""
+
+import asyncio
+import collections
+
+from behave import given, then, when
+
+from tests.sidecar_support import find_executions, find_vm, send_request
+
+
+@given('each target of "{service}" has executed {method:w} "{path}"')
+def step_executed(context, service, method, path):
+    vms = [vm for vm in context.vms.vms.values() if vm.service == service]
+
+    async def send():
+        while not all(vm.target.executions for vm in vms):
+            calls = [
+                send_request(context, vm, path, method=method) for vm in vms
+            ]
+            answers = await asyncio.gather(*calls)
+            assert {status for status, _, _ in answers} == {200}, answers
+
+    context.run(send())
+
+
+@when(
+    'the daemon of "{first}" is killed {first_s:g} s and that of "{second}"'
+    " {second_s:g} s later"
+)
+def step_kill_later(context, first, first_s, second, second_s):
+    async def kill(name, seconds):
+        await asyncio.sleep(seconds)
+        await find_vm(context, name).process.kill()
+
+    async def start():
+        loop = asyncio.get_running_loop()
+        context.kills = [
+            loop.create_task(kill(first, first_s)),
+            loop.create_task(kill(second, second_s)),
+        ]
+
+    context.run(start())
+
+
+@when(
+    'clients on "{name}" send {method:w} "{path}" each {period_s:g} s for'
+    " {seconds:g} s"
+)
+def step_send_series(context, name, method, path, period_s, seconds):
+    vm = find_vm(context, name)
+
+    async def send():
+        loop = asyncio.get_running_loop()
+        tasks = {}
+        for number in range(int(seconds / period_s)):
+            request_id = f"late-{number}"
+            call = send_request(
+                context, vm, path, method=method, request_id=request_id
+            )
+            tasks[request_id] = loop.create_task(call)
+            await asyncio.sleep(period_s)
+        return {each: await task for each, task in tasks.items()}
+
+    context.answers = context.run(send())
+
+
+@then("each request that was executed was answered with 200")
+def step_executed_answered(context):
+    cut = {
+        request_id: (status, body)
+        for request_id, (status, _, body) in context.answers.items()
+        if status != 200 and find_executions(context, request_id)
+    }
+    assert not cut, (cut, summarize(context))
+
+
+@then("the others got 503 or no connection")
+def step_others(context):
+    found = {status for status, _, _ in context.answers.values()}
+    assert found <= {200, 503, 0}, summarize(context)
+
+
+@then("some got 200")
+def step_some_served(context):
+    found = {status for status, _, _ in context.answers.values()}
+    assert 200 in found, summarize(context)
+
+
+def summarize(context):
+    return dict(
+        collections.Counter(status for status, _, _ in context.answers.values())
+    )
--- a/tests/steps/sidecar_owner_steps.py
+++ b/tests/steps/sidecar_owner_steps.py
@@ -94,9 +94,14 @@
     context.run(disconnect(context, name))
 
 
-async def answer(context, name):
+async def answer(context, name, verdict=None):
     context.freed_at = asyncio.get_running_loop().time()
-    context.pool.executions[name].end(Outcome(Ran(), 200))
+    context.pool.executions[name].end(Outcome(verdict or Ran(), 200))
+
+
+@when('the target refuses "{name}"')
+def step_target_refuses(context, name):
+    context.run(answer(context, name, NotRun(Reason.TARGET_SHED, 0.0)))
 
 
 @when('the target answers "{name}"')
@@ -133,6 +138,18 @@
     context.owner.ends_at = context.loop.time() + seconds
 
 
+@when("its process ends in {seconds:g} s and clients have learned of it")
+def step_informed(context, seconds):
+    step_ends(context, seconds)
+    context.owner.clients_informed = True
+
+
+@then('the target has {received:w} "{name}" from its queue')
+def step_received(context, received, name):
+    assert (name in context.pool.sent) is (received == "received")
+    assert context.owner.pending == (received == "received")
+
+
 @then("it {takes:w} an attempt of another node")
 def step_takes(context, takes):
     outcomes = []
--- a/tests/steps/traffic_time_steps.py
+++ b/tests/steps/traffic_time_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from guavawing.traffic.process_end import can_finish
 from guavawing.traffic.slot_queue import Admit, Refuse, SlotQueue, Waiter
 from guavawing.traffic.time_limit import compute_time_limit
 
@@ -65,3 +66,23 @@
 @then("the second one is refused")
 def step_second(context):
     assert isinstance(context.decisions[1], Refuse), context.decisions
+
+
+@given("a process that answers requests for another {seconds:g} s")
+def step_process(context, seconds):
+    context.last_at = seconds
+
+
+@then(
+    "a request with {deadline_s:g} s to its deadline, {wait_s:g} s of wait and"
+    " {service} s of service {begins}"
+)
+def step_begins(context, deadline_s, wait_s, service, begins):
+    allowed = can_finish(
+        now=0.0,
+        wait_s=wait_s,
+        service_s=None if service == "unknown" else float(service),
+        deadline=deadline_s,
+        last_at=context.last_at,
+    )
+    assert allowed is (begins == "begins"), allowed
