Begin the sidecar's scenarios when all nodes use all targets

Two entries of KNOWN-RED.txt, @1.9 of 'A fault of a target' and 'A target that drains gets no more requests', were due to their start: the steps waited until each VM had served each path once, which one target of a service can do alone.

--- a/tests/steps/sidecar_steps.py
+++ b/tests/steps/sidecar_steps.py
@@ -44,13 +44,30 @@
     wait_until_serving(context, ["/desk/safe/ok", "/feed/safe/ok"])
 
 
+def find_usable_targets(vm):
+    """Returns the names of the VMs whose targets a daemon uses."""
+    phases = {}
+    for record in vm.read_log():
+        match record["message_type"]:
+            case "target":
+                phases[vm.name] = record["phase"]
+            case "peer-target":
+                phases[record["peer"]] = record["phase"]
+    return {name for name, phase in phases.items() if phase == "ready"}
+
+
 def wait_until_serving(context, paths):
-    """Waits until all VMs serve the paths; clears what the targets counted."""
+    """Waits until all VMs serve the paths and use all targets.
+
+    Clears what the targets have counted.
+    """
 
     async def is_serving():
         vms = context.vms.vms.values()
         if not all([await context.vms.is_ready(vm) for vm in vms]):
             return False
+        if any(find_usable_targets(vm) != set(context.vms.vms) for vm in vms):
+            return False
         found = [
             (await send_request(context, v, p))[0] for v in vms for p in paths
         ]
