--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,7 +3,9 @@
 import argparse
 import asyncio
 import contextlib
+import pathlib
 import random
+import shutil
 import sys
 
 import aiohttp
@@ -49,6 +51,11 @@
         action="store_true",
         help="also withdraw keys of client accounts, which have quotas",
     )
+    parser.add_argument(
+        "--logs",
+        type=pathlib.Path,
+        help="folder that gets the daemons' logs of failed seeds",
+    )
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.count):
@@ -58,6 +65,7 @@
             options.seconds,
             uploads=options.uploads,
             accounts=options.accounts,
+            logs=options.logs,
         )
         failed += bool(violations)
         print(f"seed {seed}: {'FAILED' if violations else 'ok'}", flush=True)
@@ -75,6 +83,7 @@
     earlier_kinds: bool = False,
     uploads: bool = False,
     accounts: bool = False,
+    logs: pathlib.Path | None = None,
 ) -> list[str]:
     """Runs one seed; returns one line per violation, then the fault log.
 
@@ -85,6 +94,7 @@
         earlier_kinds: See `Faults`.
         uploads: Whether clients also send large bodies.
         accounts: Whether clients send keys of client accounts.
+        logs: Folder that gets the daemons' logs if the seed fails.
     """
     rng = random.Random(seed)
     plan = [
@@ -134,9 +144,18 @@
             )
         if violations:
             violations += [f"fault: {line}" for line in faults.fault_log]
+            if logs is not None:
+                await asyncio.sleep(FLUSH_S)
+                _copy_logs(fleet, logs / str(seed))
         return violations
 
 
+def _copy_logs(fleet: VmFleet, folder: pathlib.Path) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    for vm in fleet.vms.values():
+        shutil.copy(vm.log, folder)
+
+
 async def _wait_for_version(fleet: VmFleet, version: int) -> None:
     """Waits until the version is in force at all daemons."""
     async with asyncio.timeout(ACCOUNTS_TIMEOUT_S):
