Request the whole document after a delta that does not apply

The node's document of version 1 was another one than its peers': the stand-in's operator had written that number twice. An operator can do so where the store comes back from an older copy and the number is given out again. Class: a request that is repeated as it was, though its answer can't differ.

Change: after a delta that does not apply, the whole document is requested at once from the same peer.

Evidence: cover/traffic_state 'A delta that does not apply' failed before (one request, [1]) and passes now.

--- a/src/guavawing/sidecar/configuration.py
+++ b/src/guavawing/sidecar/configuration.py
@@ -59,6 +59,7 @@
         self._log = log
         self._metrics = metrics
         self._requested_at = -REQUEST_PERIOD_S
+        self._requested_from: Peer | None = None
         self._earlier: collections.deque[Routing] = collections.deque(
             maxlen=KEPT_VERSIONS
         )
@@ -116,7 +117,7 @@
             self._earlier.append(earlier)
         self.routing = routing
         self._updates.clear()
-        known_since = self._first_seen_at.get(routing.version)
+        known_s = self._known_s(routing.version)
         self._first_seen_at.clear()
         self._metrics.version.set({}, routing.version)
         self._log.state_change(
@@ -125,9 +126,7 @@
             before=before,
             source=source,
             routes=len(routing.routes),
-            known_s=None
-            if known_since is None
-            else round(self._loop.time() - known_since, 3),
+            known_s=known_s,
         )
         return True
 
@@ -144,9 +143,38 @@
         except MessageInvalidError as exc:
             self._metrics.unreadable.inc({"source": "configuration"})
             self._log.state_change("version-unreadable", cause=str(exc))
+            if config.base:
+                self._request_document()
             return
         self.apply_document(document, source=PEER)
 
+    def _request_document(self) -> None:
+        """Requests the whole document after a delta that does not apply.
+
+        The peer may know another document by the number of this version, so
+        that no delta leads away from it.
+        """
+        peer, self._requested_from = self._requested_from, None
+        if peer is not None:
+            self._request(peer, before=0)
+
+    def _request(self, peer: Peer, *, before: int) -> None:
+        """Requests what a peer has after a version; 0 requests all of it."""
+        self._requested_at = self._loop.time()
+        self._log.state_change(
+            "version-requested",
+            version=peer.version,
+            before=before,
+            peer=peer.record.node,
+            known_s=self._known_s(peer.version),
+        )
+        self._request_from_peer(peer, before)
+
+    def _known_s(self, version: int) -> float | None:
+        """Returns how long a peer is known to have a version, in seconds."""
+        since = self._first_seen_at.get(version)
+        return None if since is None else round(self._loop.time() - since, 3)
+
     def make_update(self, version: int) -> tuple[int, bytes] | None:
         """Encodes the update from a peer's version to the one in force.
 
@@ -199,15 +227,8 @@
             )
             return
         if now - self._requested_at >= REQUEST_PERIOD_S:
-            self._requested_at = now
-            self._log.state_change(
-                "version-requested",
-                version=peer.version,
-                before=self.version,
-                peer=peer.record.node,
-                known_s=round(waited_s, 3),
-            )
-            self._request_from_peer(peer, self.version)
+            self._requested_from = peer
+            self._request(peer, before=self.version)
         elif self._retry_timer is None:
             # The answer to the last request may be lost or outdated.
             self._retry_timer = self._loop.call_later(
--- a/tests/cover/traffic_state.feature
+++ b/tests/cover/traffic_state.feature
@@ -225,3 +225,12 @@
     When two peers with version 1 and two with none request an update
     Then both peers of a version get the same encoded update
     And the updates lead to version 3
+
+  # Guards against a node that stays at a version for good, as its document of
+  # that number is another one than its peers', so that no delta applies to it.
+  Scenario: A delta that does not apply is followed by the whole document
+    Given a node with versions 1, 2 and 3 of a configuration
+    And another node with a different document of version 1
+    When that node hears that the first one has version 3
+    Then it requests an update from version 1, then the whole document
+    And version 3 is in force at it
--- a/tests/steps/configuration_steps.py
+++ b/tests/steps/configuration_steps.py
@@ -8,8 +8,12 @@
 from guavawing.platform.routing import RoutingDecoder, decode_routing
 from guavawing.sidecar.configuration import Configuration
 from guavawing.sidecar.decision_log import DecisionLog
+from guavawing.sidecar.mesh_messages import ConfigFrame
 from guavawing.sidecar.metrics import SidecarMetrics
 from guavawing.traffic.document_delta import apply_delta, decompress
+from guavawing.traffic.model import PeerRecord
+from guavawing.traffic.owner_view import OwnerView
+from guavawing.traffic.peers import Peer
 from tests.support import assert_raises
 from tests.traffic_documents import SERVICE, make_route
 
@@ -103,3 +107,49 @@
     assert (base, none) == (1, 0)
     assert apply_delta(context.documents[1], delta) == context.documents[3]
     assert decompress(payload) == context.documents[3]
+
+
+@given("another node with a different document of version 1")
+def step_different_document(context):
+    context.requested = []
+
+    def answer(peer, version):
+        context.requested.append(version)
+        update = context.configuration.make_update(version)
+        context.other.apply_config(ConfigFrame(*update))
+
+    async def make():
+        return Configuration(
+            on_version=lambda *_: None,
+            request_from_peer=answer,
+            is_store_reader=lambda: False,
+            log=DecisionLog(node="a2"),
+            metrics=SidecarMetrics(),
+        )
+
+    context.other = context.run(make())
+    document = encode_version(1, make_routes(5))
+    assert document != context.documents[1]
+    context.other.apply_document(document, source="store")
+
+
+@when("that node hears that the first one has version 3")
+def step_hears(context):
+    record = PeerRecord("a1", "10.0.0.1", 7380, "bergen", "desk", 1)
+    view = OwnerView(record.host, local=False, near=True)
+    peer = Peer(record, view, 0.0, version=3)
+
+    async def handle():
+        context.other.handle_peer_version(peer)
+
+    context.run(handle())
+
+
+@then("it requests an update from version 1, then the whole document")
+def step_requested(context):
+    assert context.requested == [1, 0], context.requested
+
+
+@then("version 3 is in force at it")
+def step_in_force(context):
+    assert context.other.version == 3, context.other.version
