--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -302,6 +302,9 @@
 
     def _can_finish(self, choice: Choice, now: float) -> bool:
         """Returns whether an attempt can end before this process does."""
+        last_at = self._parts.find_last_answer()
+        if last_at == math.inf:
+            return True
         owner, attempt = choice.owner, self._attempt
         kind_s = owner.report.kind_s if owner.report is not None else {}
         if can_finish(
@@ -309,7 +312,7 @@
             wait_s=owner.estimate_wait_s(now=now),
             service_s=kind_s.get(attempt.kind),
             deadline=attempt.deadline,
-            last_at=self._parts.find_last_answer(),
+            last_at=last_at,
         ):
             return True
         self._record_refusal(NotRun(Reason.STOPPING, STOPPING_RETRY_AFTER_S))
