Read client connections once more before closing the idle ones in a stop

What callers saw: a request on a kept connection is reset, without an answer, 0.2 s and more after it was sent, in the planned stop of a node that was paused or starved of processor time 2.3 s after SIGTERM.

Cause: the timer of the drain closes the connections that look idle. After a pause, timers run before the sockets are read, so a request that has waited in the socket's buffer is lost with its connection.

Change: answers close their connections from 2.3 s on; connections that are still idle 50 ms later are closed then, after the sockets have been read.

--- a/src/guavawing/sidecar/planned_stop.py
+++ b/src/guavawing/sidecar/planned_stop.py
@@ -85,6 +85,10 @@
         self._entry.clients_informed = self._owner.clients_informed = True
         await self._wait_for_restarts(started_at + MAX_RESTART_WAIT_S)
         self._begin_drain()
+        # A request may have come on a connection that still looks idle, as
+        # timers run before sockets are read after a pause.
+        await asyncio.sleep(STOP_POLL_S)
+        self._callers.close_idle()
         closes_at = self._loop.time() + LATE_REQUESTS_S
         while self._loop.time() < ends_at and self._has_work():
             self._entry.closing |= self._loop.time() > closes_at
@@ -109,11 +113,10 @@
             await asyncio.sleep(STOP_POLL_S)
 
     def _begin_drain(self) -> None:
-        """Refuses attempts of other nodes and closes client connections."""
+        """Refuses attempts of other nodes; answers close connections."""
         self._owner.stopping = True
         self._beacons.announce_change()
         self._callers.state.stopping = True
-        self._callers.close_idle()
 
     def _has_work(self) -> bool:
         if self._callers.busy or self._owner.busy:
--- a/tests/processes/late_requests.feature
+++ b/tests/processes/late_requests.feature
@@ -28,3 +28,11 @@
     And clients on "a2" send POST "/desk/unsafe/slower" each 0.1 s for 2 s
     Then each request that was executed was answered with 200
     And the others got 503 or no connection
+
+  # Guards against a connection that is closed as idle while a request that came
+  # on it has not been read yet.
+  Scenario: A planned stop answers a request that came while the process was paused
+    Given a client on "a2" with an open connection
+    When the daemon of "a2" gets SIGTERM
+    And it is paused from 2 s to 2.6 s after that, and the client sends GET "/desk/safe/ok" at 2.2 s
+    Then the paused process has answered with 200
--- a/tests/steps/late_request_steps.py
+++ b/tests/steps/late_request_steps.py
@@ -2,10 +2,19 @@
 
 import asyncio
 import collections
+import signal
 
 from behave import given, then, when
 
-from tests.sidecar_support import find_executions, find_vm, send_request
+from standins.vm_fleet import HOST_NAME, OUTBOUND
+from tests.sidecar_support import (
+    DEADLINE_MS,
+    find_executions,
+    find_vm,
+    send_request,
+)
+
+MAX_HEAD_BYTES = 65_536
 
 
 @given('each target of "{service}" has executed {method:w} "{path}"')
@@ -86,6 +95,57 @@
     assert 200 in found, summarize(context)
 
 
+def make_request(path):
+    return (
+        f"GET {path} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
+        f"X-Request-Id: kept\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n\r\n"
+    ).encode()
+
+
+@given('a client on "{name}" with an open connection')
+def step_open_connection(context, name):
+    vm = find_vm(context, name)
+
+    async def connect():
+        context.conn = await asyncio.open_connection(vm.host, OUTBOUND)
+        reader, writer = context.conn
+        writer.write(make_request("/desk/safe/ok"))
+        assert b" 200 " in await reader.readline()
+        # The rest of the answer.
+        await asyncio.sleep(0.1)
+        await reader.read(MAX_HEAD_BYTES)
+
+    context.run(connect())
+    context.stopped_vm = vm
+
+
+@when(
+    "it is paused from {from_s:g} s to {until_s:g} s after that, and the client"
+    ' sends GET "{path}" at {sent_s:g} s'
+)
+def step_pause(context, from_s, until_s, path, sent_s):
+    process = context.stopped_vm.process
+
+    async def pause():
+        await asyncio.sleep(from_s)
+        process.send(signal.SIGSTOP)
+        await asyncio.sleep(sent_s - from_s)
+        context.conn[1].write(make_request(path))
+        await asyncio.sleep(until_s - sent_s)
+        process.send(signal.SIGCONT)
+        try:
+            return await context.conn[0].readline()
+        except ConnectionError as exc:
+            return repr(exc).encode()
+
+    context.status_line = context.run(pause())
+
+
+@then("the paused process has answered with {status:d}")
+def step_status(context, status):
+    assert f" {status} ".encode() in context.status_line, context.status_line
+
+
 def summarize(context):
     return dict(
         collections.Counter(status for status, _, _ in context.answers.values())
