Answer all open requests before a process that stops ends

An upload sent 0.7 s before SIGTERM got neither an answer nor a refusal; its connection was closed 5.6 s after SIGTERM, when the process ended.

Cause: the deadline of a request that came before the stop is not cut to what the process has left, and nothing else answered it at the end.

Change: 0.15 s before the process ends, every request that has begun and is not answered yet ends as at its deadline: not run if no target can have received it, else a timeout.

Evidence: processes/late_requests 'a request that outlasts it' failed before (ServerDisconnectedError in place of 504) and passes now.

--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -68,6 +68,7 @@
         rng: Draws the requests that a new release gets.
         log: Receives decisions.
         metrics: Counts answers and retries.
+        open_calls: Requests that have begun and are not answered yet.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -84,6 +85,7 @@
     find_rollout: Callable[[str], RolloutView] | None = None
     find_last_answer: Callable[[], float] = lambda: math.inf
     rng: Random = attrs.field(factory=Random)
+    open_calls: "set[ClientCall]" = attrs.field(factory=set)
 
 
 class ClientCall:
@@ -172,9 +174,10 @@
     def begin(self) -> None:
         """Submits the attempt to the first owner."""
         parts = self._parts
+        parts.open_calls.add(self)
         self._request.on_disconnect = self._handle_disconnect
         self._timer = parts.loop.call_at(
-            self._attempt.deadline + DEADLINE_MARGIN_S, self._handle_deadline
+            self._attempt.deadline + DEADLINE_MARGIN_S, self.end
         )
         self._try_owner()
 
@@ -488,6 +491,7 @@
         if self._timer is not None:
             self._timer.cancel()
         parts = self._parts
+        parts.open_calls.discard(self)
         elapsed_s = parts.loop.time() - self._started_at
         parts.metrics.count_answer(verdict)
         parts.metrics.observe_entry(elapsed_s)
@@ -512,13 +516,17 @@
 
     def _handle_disconnect(self) -> None:
         """Cancels the attempt after the client has disconnected."""
+        self._parts.open_calls.discard(self)
         if self._timer is not None:
             self._timer.cancel()
         self._cancel_attempt()
         self._parts.metrics.count_answer(MayHaveRun(Reason.CANCELLED))
 
-    def _handle_deadline(self) -> None:
-        """Cancels the attempt at the deadline and answers with a timeout."""
+    def end(self) -> None:
+        """Cancels the attempt at the deadline and answers with a timeout.
+
+        It is called earlier if the process ends before.
+        """
         owner = self._owner
         if owner is not None:
             owner.record_failure(now=self._parts.loop.time())
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -270,6 +270,11 @@
             on_not_run=give_back,
         ).begin()
 
+    def end_open_calls(self) -> None:
+        """Answers all requests that have begun, as the process ends."""
+        for call in tuple(self._parts.open_calls):
+            call.end()
+
     def may_overlap(self, request: HttpRequest) -> bool:
         """Returns whether a request may run concurrently with others."""
         if self.table is None:
--- a/src/guavawing/sidecar/planned_stop.py
+++ b/src/guavawing/sidecar/planned_stop.py
@@ -35,6 +35,9 @@
 # in seconds.
 STOP_MARGIN_S = 0.4
 STOP_POLL_S = 0.05
+# Time before the end of the process at which all open requests are answered, in
+# seconds: enough to send the answers.
+LAST_FLUSH_S = 0.15
 
 
 class PlannedStop:
@@ -81,6 +84,8 @@
         ends_at = started_at + self._grace_s - STOP_MARGIN_S
         self._mesh.stopping = True
         self._entry.ends_at = self._owner.ends_at = ends_at
+        # Requests that came before the stop may have later deadlines.
+        self._loop.call_at(ends_at - LAST_FLUSH_S, self._entry.end_open_calls)
         await asyncio.sleep(READINESS_DELAY_S)
         self._entry.clients_informed = self._owner.clients_informed = True
         await self._wait_for_restarts(started_at + MAX_RESTART_WAIT_S)
--- a/standins/vm_target.py
+++ b/standins/vm_target.py
@@ -1,12 +1,12 @@
 """Stand-in for the target of a VM on the platform.
 
 The last segment of the request path selects the behaviour: `ok`; `slow`
-(service time of 1 s); `slower` (2 s); `lost` (executed, then the connection is
-aborted); `late` (an answer to another request precedes its own); `cut` (the
-answer is truncated); `shed` (refused without execution); `unsigned` (no
-signature header); `error` (status 500); `large` (200,000 bytes); `too-large`
-(status 413 before the body is read); `hang-up` (closes within the body). With
-the suffix `-once` only the first attempt of a request behaves so.
+(service time of 1 s); `slower` (2 s); `endless` (an hour); `lost` (executed,
+then the connection is aborted); `late` (an answer to another request precedes
+its own); `cut` (the answer is truncated); `shed` (refused without execution);
+`unsigned` (no signature header); `error` (status 500); `large` (200,000 bytes);
+`too-large` (status 413 before the body is read); `hang-up` (closes within the
+body). With the suffix `-once` only the first attempt of a request behaves so.
 """
 
 import asyncio
@@ -17,7 +17,7 @@
 import attrs
 import httptools
 
-WORK_S = {"slow": 1.0, "slower": 2.0}
+WORK_S = {"slow": 1.0, "slower": 2.0, "endless": 3600.0}
 DEFAULT_WORK_S = 0.005
 BODY = b"the whole answer"
 LARGE_BYTES = 200_000
--- a/tests/processes/late_requests.feature
+++ b/tests/processes/late_requests.feature
@@ -36,3 +36,11 @@
     When the daemon of "a2" gets SIGTERM
     And it is paused from 2 s to 2.6 s after that, and the client sends GET "/desk/safe/ok" at 2.2 s
     Then the paused process has answered with 200
+
+  # Guards against a request from before the stop that is cut without an answer,
+  # as its deadline is after the end of the process.
+  Scenario: A planned stop answers a request that outlasts it
+    Given requests have 9 s on the routes of "desk"
+    When a client on "a2" sends POST "/desk/unsafe/endless" with 9 s to its deadline
+    And the daemon of "a2" gets SIGTERM
+    Then that client gets 504 within 6 s
--- a/tests/steps/late_request_steps.py
+++ b/tests/steps/late_request_steps.py
@@ -6,15 +6,21 @@
 
 from behave import given, then, when
 
-from standins.vm_fleet import HOST_NAME, OUTBOUND
+from standins.vm_fleet import HOST_NAME, OUTBOUND, make_document
 from tests.sidecar_support import (
     DEADLINE_MS,
+    POLL_S,
     find_executions,
     find_vm,
     send_request,
+    wait_for,
 )
 
 MAX_HEAD_BYTES = 65_536
+# Rounds of requests until each target has got one.
+MAX_ROUNDS = 20
+# Time in which a version comes into force, in seconds.
+START_S = 5.0
 
 
 @given('each target of "{service}" has executed {method:w} "{path}"')
@@ -22,12 +28,15 @@
     vms = [vm for vm in context.vms.vms.values() if vm.service == service]
 
     async def send():
-        while not all(vm.target.executions for vm in vms):
+        for _ in range(MAX_ROUNDS):
+            if all(vm.target.executions for vm in vms):
+                return
             calls = [
                 send_request(context, vm, path, method=method) for vm in vms
             ]
             answers = await asyncio.gather(*calls)
             assert {status for status, _, _ in answers} == {200}, answers
+        raise AssertionError([len(vm.target.executions) for vm in vms])
 
     context.run(send())
 
@@ -146,6 +155,57 @@
     assert f" {status} ".encode() in context.status_line, context.status_line
 
 
+@given('requests have {seconds:g} s on the routes of "{service}"')
+def step_long_routes(context, seconds, service):
+    routes = make_document(2)["routes"]
+    for route in routes.values():
+        if route["service"] == service:
+            route["timeoutMs"] = round(seconds * 1000)
+    context.vms.publish(2, routes=routes)
+    vms = context.vms.vms.values()
+
+    async def is_in_force():
+        return all(
+            any(record.get("version") == 2 for record in vm.read_log())
+            for vm in vms
+        )
+
+    context.run(wait_for(START_S, is_in_force, lambda: "version 2 is late"))
+
+
+@when(
+    'a client on "{name}" sends {method:w} "{path}" with {seconds:g} s to its'
+    " deadline"
+)
+def step_send_long(context, name, method, path, seconds):
+    deadline = {"X-Deadline-Ms": str(round(seconds * 1000))}
+
+    async def start():
+        call = send_request(
+            context,
+            find_vm(context, name),
+            path,
+            method=method,
+            request_id="long",
+            extra_headers=deadline,
+        )
+        context.long = asyncio.get_running_loop().create_task(call)
+        while not find_executions(context, "long"):
+            await asyncio.sleep(POLL_S)
+
+    context.run(start())
+
+
+@then("that client gets {status:d} within {seconds:g} s")
+def step_long_answer(context, status, seconds):
+    async def wait():
+        async with asyncio.timeout(seconds):
+            return await context.long
+
+    answer = context.run(wait())
+    assert answer[0] == status, answer
+
+
 def summarize(context):
     return dict(
         collections.Counter(status for status, _, _ in context.answers.values())
