Keep the end of the process in one object

Entry and owner each held the time at which the process ends and whether clients know of it, and three callables handed on the time of the last answer. Both rules of admission, for own requests and for attempts of other nodes, now belong to traffic/process_end.ProcessEnd, which the owner holds. No rule changes; the tests keep their bounds.

--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -1,7 +1,6 @@
 """Routing and retries of one client request at its entry node."""
 
 import asyncio
-import math
 from collections.abc import Callable, Collection, Sequence
 from random import Random
 
@@ -21,7 +20,6 @@
 from guavawing.traffic.neighbours import find_last_heard
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
-from guavawing.traffic.process_end import can_finish
 from guavawing.traffic.rollout_state import Group, RolloutView
 from guavawing.traffic.unserved import Step, combine_verdicts, next_step
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
@@ -63,8 +61,6 @@
         version: Returns the configuration version in force.
         find_rollout: Returns what is known of the roll-outs of a service; None
             if the deployment has none.
-        find_last_answer: Returns the time by which new attempts have to end
-            because the process does; infinite while there is none.
         rng: Draws the requests that a new release gets.
         log: Receives decisions.
         metrics: Counts answers and retries.
@@ -83,7 +79,6 @@
     log: DecisionLog
     metrics: SidecarMetrics
     find_rollout: Callable[[str], RolloutView] | None = None
-    find_last_answer: Callable[[], float] = lambda: math.inf
     rng: Random = attrs.field(factory=Random)
     open_calls: "set[ClientCall]" = attrs.field(factory=set)
 
@@ -305,17 +300,17 @@
 
     def _can_finish(self, choice: Choice, now: float) -> bool:
         """Returns whether an attempt can end before this process does."""
-        last_at = self._parts.find_last_answer()
-        if last_at == math.inf:
+        process_end = self._parts.owner.process_end
+        if not process_end.clients_informed:
+            # Spares the estimate of the wait.
             return True
         owner, attempt = choice.owner, self._attempt
         kind_s = owner.report.kind_s if owner.report is not None else {}
-        if can_finish(
+        if process_end.can_finish(
             now=now,
             wait_s=owner.estimate_wait_s(now=now),
             service_s=kind_s.get(attempt.kind),
             deadline=attempt.deadline,
-            last_at=last_at,
         ):
             return True
         self._record_refusal(NotRun(Reason.STOPPING, STOPPING_RETRY_AFTER_S))
--- a/src/guavawing/sidecar/entry.py
+++ b/src/guavawing/sidecar/entry.py
@@ -41,7 +41,7 @@
 from guavawing.traffic.model import NO_ACCOUNT, Attempt, ClientAccount, Route
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
-from guavawing.traffic.process_end import find_last_answer
+from guavawing.traffic.process_end import ProcessEnd
 from guavawing.traffic.rollout_state import RolloutView
 from guavawing.traffic.routes import RouteTable
 from guavawing.traffic.time_limit import compute_time_limit
@@ -85,10 +85,6 @@
         table: Routes in force; None without a configuration.
         quotas: Quotas of client accounts; None without terms for them.
         closing: Whether requests are refused because the process stops.
-        clients_informed: Whether clients have had the time to learn that the
-            process stops. Requests that it can't finish are refused since.
-        ends_at: Event loop's time at which the process ends; None unless it
-            stops.
     """
 
     def __init__(
@@ -127,15 +123,12 @@
             budget=self._budget,
             version=self._version,
             find_rollout=find_rollout,
-            find_last_answer=self._find_last_answer,
             log=log,
             metrics=metrics,
         )
         self.table: RouteTable | None = None
         self.quotas: Quotas | None = None
         self.closing = False
-        self.clients_informed = False
-        self.ends_at: float | None = None
 
     def handle(self, request: HttpRequest) -> None:
         """Handles a complete request; it may be answered asynchronously."""
@@ -339,7 +332,11 @@
             path=request.path,
             head=head.forwarded,
             body=request.body,
-            deadline=now + limit_s if limit_s < left_s else self._last_answer,
+            deadline=(
+                now + limit_s
+                if limit_s < left_s
+                else self._process_end.last_answer
+            ),
             priority=priority,
             idempotent=route.idempotent,
             bulk=route.bulk,
@@ -353,18 +350,11 @@
 
     def _time_left_s(self, now: float) -> float:
         """Returns the time left for requests before the process ends."""
-        return self._last_answer - now
+        return self._process_end.last_answer - now
 
     @property
-    def _last_answer(self) -> float:
-        """Time by which the last requests have to end; infinite if none."""
-        if self.ends_at is None:
-            return math.inf
-        return find_last_answer(self.ends_at)
-
-    def _find_last_answer(self) -> float:
-        """Returns the time by which new attempts have to end."""
-        return self._last_answer if self.clients_informed else math.inf
+    def _process_end(self) -> ProcessEnd:
+        return self._parts.owner.process_end
 
     def resize_budget(self) -> None:
         """Resizes the retry budget to the current number of nodes."""
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -22,11 +22,7 @@
     TargetRecord,
 )
 from guavawing.traffic.neighbours import NeighbourLoad, Neighbours
-from guavawing.traffic.process_end import (
-    LONGEST_FACTOR,
-    can_finish,
-    find_last_answer,
-)
+from guavawing.traffic.process_end import ProcessEnd
 from guavawing.traffic.slot_offers import SlotOffers
 from guavawing.traffic.slot_queue import (
     Admit,
@@ -95,11 +91,7 @@
         pacer: Paces large answers on the link of this VM.
         stopping: Whether attempts of other nodes are refused because this
             process stops.
-        ends_at: Event loop's time at which the process ends; None unless it
-            stops.
-        clients_informed: Whether clients have had the time to learn that the
-            process stops. Queued attempts that it can't finish are refused
-            since.
+        process_end: End of this process, in the event loop's time.
         on_phase: Called when the phase or the slots of the target change.
         admits_release: Returns whether a roll-out allows an attempt here.
         on_executed: Called with each attempt that the target has executed, its
@@ -134,8 +126,7 @@
         self._limit_timer: asyncio.TimerHandle | None = None
         self._statements = TargetStatements(state, log=log, metrics=metrics)
         self.stopping = False
-        self.ends_at: float | None = None
-        self.clients_informed = False
+        self.process_end = ProcessEnd()
         self.on_phase: Callable[[], None] = lambda: None
         self.admits_release: Callable[[Attempt], bool] = lambda _: True
         self.on_executed: Callable[[Attempt, Outcome, float], None] = (
@@ -374,10 +365,10 @@
 
     def _can_finish(self, attempt: Attempt) -> bool:
         """Returns whether an attempt is likely to end before the process."""
-        if self.ends_at is None:
-            return True
-        longest_s = LONGEST_FACTOR * self._queue.expect_service_s(attempt.kind)
-        return self._loop.time() + longest_s <= self.ends_at
+        return self.process_end.can_take(
+            now=self._loop.time(),
+            service_s=self._queue.expect_service_s(attempt.kind),
+        )
 
     def _check_link(self, attempt: Attempt) -> NotRun | None:
         """Returns a refusal if the link can't send a large answer in time."""
@@ -463,16 +454,11 @@
             return NotRun(Reason.DRAINING, 0.0)
         if self._state.phase is TargetPhase.GONE:
             return NotRun(Reason.TARGET_UNREACHABLE, NO_TARGET_RETRY_AFTER_S)
-        if (
-            self.ends_at is not None
-            and self.clients_informed
-            and not can_finish(
-                now=now,
-                wait_s=0.0,
-                service_s=self._queue.expect_service_s(pending.attempt.kind),
-                deadline=pending.attempt.deadline,
-                last_at=find_last_answer(self.ends_at),
-            )
+        if not self.process_end.can_finish(
+            now=now,
+            wait_s=0.0,
+            service_s=self._queue.expect_service_s(pending.attempt.kind),
+            deadline=pending.attempt.deadline,
         ):
             return NotRun(Reason.DRAINING, 0.0)
         return None
--- a/src/guavawing/sidecar/planned_stop.py
+++ b/src/guavawing/sidecar/planned_stop.py
@@ -83,11 +83,12 @@
         started_at = self._loop.time()
         ends_at = started_at + self._grace_s - STOP_MARGIN_S
         self._mesh.stopping = True
-        self._entry.ends_at = self._owner.ends_at = ends_at
+        process_end = self._owner.process_end
+        process_end.at = ends_at
         # Requests that came before the stop may have later deadlines.
         self._loop.call_at(ends_at - LAST_FLUSH_S, self._entry.end_open_calls)
         await asyncio.sleep(READINESS_DELAY_S)
-        self._entry.clients_informed = self._owner.clients_informed = True
+        process_end.clients_informed = True
         await self._wait_for_restarts(started_at + MAX_RESTART_WAIT_S)
         self._begin_drain()
         # A request may have come on a connection that still looks idle, as
--- a/src/guavawing/traffic/process_end.py
+++ b/src/guavawing/traffic/process_end.py
@@ -6,7 +6,11 @@
 refusal sends the client elsewhere at once.
 """
 
-__all__ = ["LONGEST_FACTOR", "can_finish", "find_last_answer"]
+import math
+
+import attrs
+
+__all__ = ["LAST_ANSWER_S", "ProcessEnd"]
 
 # Factor of the mean time within which nearly all executions end.
 LONGEST_FACTOR = 4.0
@@ -15,36 +19,58 @@
 LAST_ANSWER_S = 0.3
 
 
-def find_last_answer(ends_at: float) -> float:
-    """Returns the time by which the last requests have to end.
+@attrs.define
+class ProcessEnd:
+    """End of this process, shared by the components that admit requests.
 
-    Args:
-        ends_at: Time at which the process ends, in seconds.
-    """
-    return ends_at - LAST_ANSWER_S
-
-
-def can_finish(
-    *,
-    now: float,
-    wait_s: float,
-    service_s: float | None,
-    deadline: float,
-    last_at: float,
-) -> bool:
-    """Returns whether a request is likely to end before the process does.
-
-    Args:
-        now: Current time, in seconds.
-        wait_s: Expected time until it is sent to its target, in seconds.
-        service_s: Mean time that the target takes, in seconds; None if it is
-            not known.
-        deadline: Deadline of the request, in seconds. It is `last_at` if it
-            would be later without the end of the process.
-        last_at: Time by which the last requests have to end, in seconds.
+    Attributes:
+        at: Time at which the process ends, in seconds; infinite unless it
+            stops.
+        clients_informed: Whether clients have had the time to learn that the
+            process stops. Requests that it can't finish are refused since.
     """
-    if deadline < last_at:
-        return True
-    if service_s is None:
-        return False
-    return now + wait_s + LONGEST_FACTOR * service_s <= last_at
+
+    at: float = math.inf
+    clients_informed: bool = False
+
+    @property
+    def last_answer(self) -> float:
+        """Time by which the last requests have to end, in seconds."""
+        return self.at - LAST_ANSWER_S
+
+    def can_finish(
+        self,
+        *,
+        now: float,
+        wait_s: float,
+        service_s: float | None,
+        deadline: float,
+    ) -> bool:
+        """Returns whether a request may begin.
+
+        Args:
+            now: Current time, in seconds.
+            wait_s: Expected time until it is sent to its target, in seconds.
+            service_s: Mean time that the target takes, in seconds; None if it
+                is not known.
+            deadline: Deadline of the request, in seconds. It is `last_answer`
+                if it would be later without the end of the process.
+        """
+        if not self.clients_informed or deadline < self.last_answer:
+            return True
+        if service_s is None:
+            return False
+        longest_s = LONGEST_FACTOR * service_s
+        return now + wait_s + longest_s <= self.last_answer
+
+    def can_take(self, *, now: float, service_s: float) -> bool:
+        """Returns whether an attempt of another node may begin.
+
+        It is refused from the start of the stop on, as the other node can send
+        it elsewhere at once.
+
+        Args:
+            now: Current time, in seconds.
+            service_s: Mean time that the target takes, in seconds.
+        """
+        return now + LONGEST_FACTOR * service_s <= self.at
--- a/tests/steps/sidecar_owner_steps.py
+++ b/tests/steps/sidecar_owner_steps.py
@@ -135,13 +135,13 @@
 
 @when("its process ends in {seconds:g} s")
 def step_ends(context, seconds):
-    context.owner.ends_at = context.loop.time() + seconds
+    context.owner.process_end.at = context.loop.time() + seconds
 
 
 @when("its process ends in {seconds:g} s and clients have learned of it")
 def step_informed(context, seconds):
     step_ends(context, seconds)
-    context.owner.clients_informed = True
+    context.owner.process_end.clients_informed = True
 
 
 @then('the target has {received:w} "{name}" from its queue')
--- a/tests/steps/traffic_time_steps.py
+++ b/tests/steps/traffic_time_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from guavawing.traffic.process_end import can_finish
+from guavawing.traffic.process_end import LAST_ANSWER_S, ProcessEnd
 from guavawing.traffic.slot_queue import Admit, Refuse, SlotQueue, Waiter
 from guavawing.traffic.time_limit import compute_time_limit
 
@@ -70,7 +70,7 @@
 
 @given("a process that answers requests for another {seconds:g} s")
 def step_process(context, seconds):
-    context.last_at = seconds
+    context.process_end = ProcessEnd(at=seconds, clients_informed=True)
 
 
 @then(
@@ -78,11 +78,12 @@
     " {service} s of service {begins}"
 )
 def step_begins(context, deadline_s, wait_s, service, begins):
-    allowed = can_finish(
-        now=0.0,
+    # The last answer is due the stated time after this one.
+    now = -LAST_ANSWER_S
+    allowed = context.process_end.can_finish(
+        now=now,
         wait_s=wait_s,
         service_s=None if service == "unknown" else float(service),
-        deadline=deadline_s,
-        last_at=context.last_at,
+        deadline=now + deadline_s,
     )
     assert allowed is (begins == "begins"), allowed
