--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -89,6 +89,16 @@
         return 0, {}, repr(exc).encode()
 
 
+def start_request(context, name, path, **options):
+    """Sends a request as `send_request` and returns the task of its answer."""
+
+    async def start():
+        call = send_request(context, find_vm(context, name), path, **options)
+        return asyncio.get_running_loop().create_task(call)
+
+    return context.run(start())
+
+
 def find_executions(context, request_id):
     """Returns each execution of a request at a target, with its VM."""
     return [
--- a/tests/steps/late_request_steps.py
+++ b/tests/steps/late_request_steps.py
@@ -9,17 +9,17 @@
 from standins.vm_fleet import HOST_NAME, OUTBOUND, make_document
 from tests.sidecar_support import (
     DEADLINE_MS,
-    POLL_S,
     find_executions,
     find_vm,
     send_request,
+    start_request,
     wait_for,
 )
 
 MAX_HEAD_BYTES = 65_536
 # Rounds of requests until each target has got one.
 MAX_ROUNDS = 20
-# Time in which a version comes into force, in seconds.
+# Time in which a version comes into force, or an execution begins, in seconds.
 START_S = 5.0
 
 
@@ -180,20 +180,19 @@
 def step_send_long(context, name, method, path, seconds):
     deadline = {"X-Deadline-Ms": str(round(seconds * 1000))}
 
-    async def start():
-        call = send_request(
-            context,
-            find_vm(context, name),
-            path,
-            method=method,
-            request_id="long",
-            extra_headers=deadline,
-        )
-        context.long = asyncio.get_running_loop().create_task(call)
-        while not find_executions(context, "long"):
-            await asyncio.sleep(POLL_S)
+    context.long = start_request(
+        context,
+        name,
+        path,
+        method=method,
+        request_id="long",
+        extra_headers=deadline,
+    )
 
-    context.run(start())
+    async def has_begun():
+        return bool(find_executions(context, "long"))
+
+    context.run(wait_for(START_S, has_begun, lambda: "it was not executed"))
 
 
 @then("that client gets {status:d} within {seconds:g} s")
--- a/tests/steps/sidecar_steps.py
+++ b/tests/steps/sidecar_steps.py
@@ -18,6 +18,7 @@
     find_executions,
     find_vm,
     send_request,
+    start_request,
     wait_for,
 )
 from tests.steps.fresh_steps import start_fresh_callers
@@ -259,17 +260,9 @@
     " waiting"
 )
 def step_send_concurrently(context, name, method, path, request_id):
-    async def start():
-        call = send_request(
-            context,
-            find_vm(context, name),
-            path,
-            method=method,
-            request_id=request_id,
-        )
-        return asyncio.get_running_loop().create_task(call)
-
-    context.tasks = [context.run(start())]
+    context.tasks = [
+        start_request(context, name, path, method=method, request_id=request_id)
+    ]
 
 
 @when('{count:d} clients on "{name}" send {method:w} "{path}" without waiting')
