--- a/tests/steps/transfer_steps.py
+++ b/tests/steps/transfer_steps.py
@@ -24,6 +24,7 @@
 )
 from guavawing.traffic.owner_view import OwnerView
 from guavawing.traffic.peers import PeerTable
+from guavawing.traffic.process_end import ProcessEnd
 from guavawing.traffic.rollout_state import RolloutState, RolloutView
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason
 from tests.sidecar_support import make_attempt
@@ -79,6 +80,9 @@
 class NoTarget:
     """The owner of a node without a target."""
 
+    def __init__(self):
+        self.process_end = ProcessEnd()
+
     def load(self):
         return LoadReport(TargetPhase.UNKNOWN, 0, 0, 0, 0.0)
 
