--- a/tests/cover/rollout_decider.feature
+++ b/tests/cover/rollout_decider.feature
@@ -13,6 +13,22 @@
     And the store was written at most 8 times by one decider
     And no old target executed anything after that
 
+  # Guards against a decision that waits as if a decider were lost.
+  Scenario Outline: An order that <host> reads after it heard of it is taken up
+    When the store does not answer the watch of "<host>"
+    And "v2" is ordered within 14 s
+    And the roll-out goes on for 0.2 s
+    And the store answers the watch again
+    And the roll-out goes on for 0.8 s
+    Then the status is "running" to "v2"
+
+    Examples:
+      | host     |
+      | 10.0.0.0 |
+      | 10.0.0.1 |
+      | 10.0.0.2 |
+      | 10.0.0.3 |
+
   Scenario Outline: Orders that can't or need not be carried out
     When "<release>" is ordered within <seconds> s
     And the roll-out goes on for <passed> s
--- a/tests/steps/rollout_decider_steps.py
+++ b/tests/steps/rollout_decider_steps.py
@@ -260,6 +260,18 @@
     step_pass(context, 0.01)
 
 
+@when('the store does not answer the watch of "{host}"')
+def step_unwatched(context, host):
+    context.network.unwatched.add(host)
+    context.network.nodes[host].transport.cut()
+    step_pass(context, 0.01)
+
+
+@when("the store answers the watch again")
+def step_watched(context):
+    context.network.unwatched.clear()
+
+
 @when("the order is withdrawn")
 def step_withdrawn(context):
     context.network.tables.put("op", KEY, None)
