Soak: planned stops in turn, signals during them, and requests of 2 s

'--stops' stops the daemons of a service one after the other, with overlap; some get a second SIGTERM, are paused or killed meanwhile. A new check: what is not idempotent and runs at a target is not answered 504 by a planned stop before its deadline.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,6 +6,7 @@
 import random
 import shutil
 import sys
+from collections.abc import Sequence
 
 import aiohttp
 
@@ -15,13 +16,14 @@
     find_account_violations,
     make_accounts,
 )
-from soak.checks import Answer, find_violations, make_upload
+from soak.checks import DEADLINE_S, Answer, find_violations, make_upload
 from soak.faults import Faults
 from standins.vm_fleet import HOST_NAME, Vm, VmFleet, open_vm_fleet
 
 CLIENTS_PER_VM = 3
-DEADLINE_MS = 2900
 MODES = ("ok",) * 12 + ("slow", "lost", "late", "cut", "shed", "unsigned")
+# Requests of 2 s, which come late in a planned stop.
+LONG_MODES = ("slower",) * 4
 SERVICES = ("desk", "feed")
 DATA_CENTRES = ("bergen", "voss")
 RECOVERY_S = 6.0
@@ -53,6 +55,12 @@
         action="store_true",
         help="also withdraw keys of client accounts, which have quotas",
     )
+    parser.add_argument(
+        "--stops",
+        action="store_true",
+        help="also stop the daemons of a service in turn, with more signals"
+        " during the stops, and send requests of 2 s",
+    )
     parser.add_argument(
         "--logs",
         type=pathlib.Path,
@@ -67,6 +75,7 @@
             options.seconds,
             uploads=options.uploads,
             accounts=options.accounts,
+            stops=options.stops,
             logs=options.logs,
         )
         failed += bool(violations)
@@ -85,6 +94,7 @@
     earlier_kinds: bool = False,
     uploads: bool = False,
     accounts: bool = False,
+    stops: bool = False,
     logs: pathlib.Path | None = None,
 ) -> list[str]:
     """Runs one seed; returns one line per violation, then the fault log.
@@ -96,6 +106,8 @@
         earlier_kinds: See `Faults`.
         uploads: Whether clients also send large bodies.
         accounts: Whether clients send keys of client accounts.
+        stops: Whether the daemons of a service are also stopped in turn, and
+            clients also send requests of 2 s.
         logs: Folder that gets the daemons' logs if the seed fails.
     """
     rng = random.Random(seed)
@@ -115,7 +127,7 @@
             fleet.kinds = (*fleet.kinds, "upload")
         fleet.publish_probe(1)
         await asyncio.sleep(2.0)
-        faults = Faults(fleet, rng, earlier_kinds)
+        faults = Faults(fleet, rng, earlier_kinds, stops)
         if accounts:
             fleet.accounts = make_accounts()
             await faults.publish(next(iter(fleet.vms.values())))
@@ -124,7 +136,13 @@
         check_task = loop.create_task(loop_check.run())
         clients = [
             loop.create_task(
-                _run_client(fleet, vm, random.Random(f"{seed} {n}"), answers)
+                _run_client(
+                    fleet,
+                    vm,
+                    random.Random(f"{seed} {n}"),
+                    answers,
+                    MODES + LONG_MODES if stops else MODES,
+                )
             )
             for vm in fleet.vms.values()
             for n in range(CLIENTS_PER_VM)
@@ -200,6 +218,7 @@
     vm: Vm,
     rng: random.Random,
     answers: list[Answer],
+    modes: Sequence[str],
 ) -> None:
     """Runs a client that keeps its connection while the daemon runs."""
     loop = asyncio.get_running_loop()
@@ -208,7 +227,7 @@
         while True:
             kind = rng.choice((*fleet.kinds, "unsafe", "probe"))
             probe = rng.choice(fleet.probes[-NEWEST_PROBES:])
-            path = f"/{rng.choice(SERVICES)}/{kind}/{rng.choice(MODES)}"
+            path = f"/{rng.choice(SERVICES)}/{kind}/{rng.choice(modes)}"
             if kind == "probe":
                 path = f"/since-{probe}/ok"
             request_id = f"{vm.name}-{rng.getrandbits(48):x}"
@@ -246,7 +265,7 @@
     headers = {
         "Host": HOST_NAME,
         "X-Request-Id": request_id,
-        "X-Deadline-Ms": str(DEADLINE_MS),
+        "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
     }
     if key:
         headers["Authorization"] = f"Token {key}"
@@ -255,7 +274,7 @@
     if kind == "upload":
         data = make_upload(request_id)
     try:
-        async with asyncio.timeout(DEADLINE_MS / 1000 + 1):
+        async with asyncio.timeout(DEADLINE_S + 1):
             async with http.request(
                 method, vm.url + path, headers=headers, data=data
             ) as resp:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,7 +9,7 @@
 from standins.vm_fleet import SLOTS, VmFleet
 from standins.vm_target import BODY
 
-__all__ = ["Answer", "find_violations", "make_upload"]
+__all__ = ["DEADLINE_S", "Answer", "find_violations", "make_upload"]
 
 DRAIN_S = 2.0
 # Connections closed within this time after an unplanned fault are permitted.
@@ -30,6 +30,11 @@
 CONTACT_S = 3.0
 OK = 200
 UNKNOWN_ROUTE = 404
+DEADLINE_S = 2.9
+# An answer that says that the deadline has passed comes at most this long
+# before the deadline, in seconds.
+EARLY_S = 0.2
+DEADLINE_PASSED = 504
 # Lines of a large body; with ids of this test about 120 KB.
 UPLOAD_LINES = 5_000
 NOT_RUN = frozenset({401, 408, 421, 429, 503})
@@ -95,6 +100,14 @@
         connection_cut = answer.status == 0 and (executed or outlasted_slack)
         if connection_cut and _is_cut_by_planned_stop(faults, answer):
             violations.append(f"connection cut by a planned stop: {answer}")
+        if (
+            at_most_once
+            and executed
+            and answer.status == DEADLINE_PASSED
+            and answer.ended_at < answer.sent_at + DEADLINE_S - EARLY_S
+            and _is_cut_by_planned_stop(faults, answer)
+        ):
+            violations.append(f"given up by a planned stop: {answer}")
     violations += _find_incomplete_uploads(fleet, answers)
     violations += _find_version_regressions(answers)
     violations += _find_late_versions(faults, answers)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,6 +26,12 @@
 LIMITED_S = (4.0, 8.0)
 LEAVING_S = (3.0, 5.0)
 COPY_AGE_S = (0.3, 2.0)
+# Ranges of the time between the stops of a service's daemons, and from SIGTERM
+# to a second signal, in seconds.
+STOP_GAP_S = (0.0, 1.5)
+SECOND_SIGNAL_S = (0.0, 5.0)
+# Time for which a stopping daemon is paused, in seconds.
+PAUSED_S = (0.05, 0.5)
 # Time for which a store that is restored is away, in seconds.
 RESTORE_S = 0.3
 LIMITS = ("0", "2", "5", "20")
@@ -74,6 +80,7 @@
         earlier_kinds: Whether only the kinds of fault are injected that
             existed when seeds up to 98 were recorded; with others the same
             seed draws another sequence.
+        stops: Whether most faults are planned stops of several daemons.
         version: Newest version published.
         unplanned_at: Start and end times of unplanned faults, by VM.
         planned_stop_at: Time of the last planned stop, by VM.
@@ -95,6 +102,7 @@
     fleet: VmFleet
     rng: random.Random
     earlier_kinds: bool = False
+    stops: bool = False
     version: int = 1
     unplanned_at: dict[str, list[float]] = attrs.field(factory=dict)
     planned_stop_at: dict[str, float] = attrs.field(factory=dict)
@@ -132,6 +140,8 @@
                 self.restore_store,
                 self.silence_connections,
             ]
+        if self.stops:
+            kinds += [self.stop_service] * 8
         if self.fleet.accounts:
             kinds += [self.withdraw_key] * 3
         while loop.time() < ends_at:
@@ -192,6 +202,38 @@
             await self._restart(vm)
         vm.fault_active = False
 
+    async def stop_service(self, vm: Vm) -> None:
+        """Stops the daemons of a service in turn; the stops may overlap."""
+        async with asyncio.TaskGroup() as group:
+            for each in self.fleet.vms.values():
+                if each.service != vm.service:
+                    continue
+                if not each.fault_active:
+                    group.create_task(self.stop(each))
+                    group.create_task(self._send_second_signal(each))
+                await asyncio.sleep(self.rng.uniform(*STOP_GAP_S))
+
+    async def _send_second_signal(self, vm: Vm) -> None:
+        """Signals a daemon that stops; others get no signal."""
+        starts = vm.process.starts
+        await asyncio.sleep(self.rng.uniform(*SECOND_SIGNAL_S))
+        assert vm.process.proc is not None
+        stopping = vm.process.starts == starts
+        if not stopping or vm.process.proc.returncode is not None:
+            return
+        match self.rng.randrange(4):
+            case 0:
+                vm.process.send(signal.SIGTERM)
+            case 1:
+                self._record_unplanned_fault(vm)
+                vm.process.send(signal.SIGSTOP)
+                await asyncio.sleep(self.rng.uniform(*PAUSED_S))
+                vm.process.send(signal.SIGCONT)
+                self._record_unplanned_fault(vm)
+            case 2:
+                self._record_unplanned_fault(vm)
+                vm.process.send(signal.SIGKILL)
+
     async def pause(self, vm: Vm) -> None:
         """Pauses a daemon with SIGSTOP and resumes it."""
         if vm.fault_active:
