Bound the kinds whose durations are kept

Routes come and go with the configuration; an entry node kept 32 counts for each name it had ever used. The first of 500 kinds is forgotten for another one (cover/traffic_time: Kinds that come and go take no more and more memory).

--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -355,11 +355,10 @@
         failed = outcome.status in SERVER_ERRORS
         failures = self._parts.failures
         if isinstance(verdict, Ran):
-            self._parts.durations.observe(
-                self._route.name, now - self._tried_at
-            )
-        if isinstance(verdict, Ran) and not self._on_trial:
-            failures.observe(self._attempt.service, failed=failed)
+            taken_s = now - self._tried_at
+            self._parts.durations.observe(self._route.name, taken_s)
+            if not self._on_trial:
+                failures.observe(self._attempt.service, failed=failed)
         match verdict:
             case Ran() if not failed:
                 owner.record_success()
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -470,12 +470,11 @@
 
     def _finish(self, pending: _PendingAttempt, outcome: Outcome) -> None:
         now = self._loop.time()
-        self.on_executed(pending.attempt, outcome, now - pending.sent_at)
+        taken_s = now - pending.sent_at
+        self.on_executed(pending.attempt, outcome, taken_s)
         match outcome.verdict:
             case Ran():
-                self._durations.observe(
-                    pending.attempt.kind, now - pending.sent_at
-                )
+                self._durations.observe(pending.attempt.kind, taken_s)
                 self._complete(pending, outcome)
                 self._start(self._queue.finish(pending.id, now=now))
                 return
--- a/src/guavawing/traffic/durations.py
+++ b/src/guavawing/traffic/durations.py
@@ -19,6 +19,8 @@
 NEARLY_ALL = 0.99
 # Requests of a kind from which the time of nearly all of them is known.
 MIN_KNOWN = 20
+# Maximum number of kinds; the one that was seen first is forgotten.
+MAX_KINDS = 500
 # Weight, in requests, at which the counts of a kind are halved, so that they
 # follow what its requests take now.
 MAX_WEIGHT = 1000
@@ -43,7 +45,12 @@
 
     def observe(self, kind: Hashable, seconds: float) -> None:
         """Counts a duration, in seconds."""
-        counts = self._counts.setdefault(kind, [0] * BUCKETS)
+        counts = self._counts.get(kind)
+        if counts is None:
+            if len(self._counts) >= MAX_KINDS:
+                oldest = next(iter(self._counts))
+                del self._counts[oldest], self._weights[oldest]
+            counts = self._counts[kind] = [0] * BUCKETS
         counts[find_bucket(seconds)] += 1
         weight = self._weights.get(kind, 0) + 1
         if weight >= MAX_WEIGHT:
--- a/tests/cover/traffic_time.feature
+++ b/tests/cover/traffic_time.feature
@@ -69,3 +69,10 @@
   Scenario: The time of nearly all requests follows a change
     Given 1000 requests that took 2 s and then 20000 that took 0.02 s
     Then nearly all of them took at most 0.02 s, to a quarter above
+
+  Scenario: Kinds that come and go take no more and more memory
+    Given 20 requests that took 0.02 s and 0 that took 2 s
+    When 20 requests of each of 499 other kinds have ended
+    Then nearly all of them took at most 0.02 s, to a quarter above
+    When 20 requests of each of 500 other kinds have ended
+    Then what nearly all of them took is not known
--- a/tests/steps/traffic_time_steps.py
+++ b/tests/steps/traffic_time_steps.py
@@ -119,6 +119,13 @@
         context.durations.observe("read", seconds)
 
 
+@when("{count:d} requests of each of {kinds:d} other kinds have ended")
+def step_other_kinds(context, count, kinds):
+    for kind in range(kinds):
+        for _ in range(count):
+            context.durations.observe(kind, 1.0)
+
+
 @then("nearly all of them took at most {seconds:g} s, to a quarter above")
 def step_longest(context, seconds):
     found_s = context.durations.find_longest_s("read")
