--- a/tests/processes/soak.feature
+++ b/tests/processes/soak.feature
@@ -21,3 +21,7 @@
   # Guards against versions that are late behind silent connections.
   Scenario: Silent connections among the faults of seed 508
     Then the soak of seed 508 with 6 VMs and 10 s of faults violates no guarantee
+
+  # Guards against requests that are executed late in a planned stop and given up.
+  Scenario: Planned stops in turn among the faults of seed 1106
+    Then the soak of seed 1106 with 6 VMs, stops and 10 s of faults violates no guarantee
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -39,3 +39,12 @@
 def step_seed(context, seed, vms, seconds):
     violations = context.run(run_seed(seed, vms, seconds))
     assert not violations, "\n".join(violations)
+
+
+@then(
+    "the soak of seed {seed:d} with {vms:d} VMs, stops and {seconds:g} s of"
+    " faults violates no guarantee"
+)
+def step_stops(context, seed, vms, seconds):
+    violations = context.run(run_seed(seed, vms, seconds, stops=True))
+    assert not violations, "\n".join(violations)
