Idempotent requests begin late in a stop without knowledge of their time

What callers see: a node whose process has served fewer than 20 requests of a route refuses idempotent ones with 503, from 2.3 s after SIGTERM on, which it could have answered.

Cause: refuses what it knows too little of. The reason holds for what can't be sent again only; an idempotent request that is cut costs nothing else.

What is not idempotent is judged as before this commit.

--- a/src/guavawing/sidecar/client_call.py
+++ b/src/guavawing/sidecar/client_call.py
@@ -314,6 +314,7 @@
             wait_s=owner.estimate_wait_s(now=now),
             service_s=kind_s.get(attempt.kind),
             longest_s=self._parts.durations.find_longest_s(self._route.name),
+            idempotent=attempt.idempotent,
             deadline=attempt.deadline,
         ):
             return True
--- a/src/guavawing/sidecar/owner.py
+++ b/src/guavawing/sidecar/owner.py
@@ -463,6 +463,7 @@
             wait_s=0.0,
             service_s=self._queue.expect_service_s(pending.attempt.kind),
             longest_s=self._durations.find_longest_s(pending.attempt.kind),
+            idempotent=pending.attempt.idempotent,
             deadline=pending.attempt.deadline,
         ):
             return NotRun(Reason.DRAINING, 0.0)
--- a/src/guavawing/traffic/process_end.py
+++ b/src/guavawing/traffic/process_end.py
@@ -46,6 +46,7 @@
         wait_s: float,
         service_s: float | None,
         longest_s: float | None,
+        idempotent: bool,
         deadline: float,
     ) -> bool:
         """Returns whether a request may begin.
@@ -57,14 +58,16 @@
                 is not known.
             longest_s: Time within which nearly all requests like it have
                 ended, in seconds; None if it is not known.
+            idempotent: Whether it may be sent again after it was cut. If not,
+                what is not known keeps it from beginning.
             deadline: Deadline of the request, in seconds. It is `last_answer`
                 if it would be later without the end of the process.
         """
         if not self.clients_informed or deadline < self.last_answer:
             return True
-        if service_s is None or longest_s is None:
+        if service_s is None or (longest_s is None and not idempotent):
             return False
-        needed_s = max(wait_s + LONGEST_FACTOR * service_s, longest_s)
+        needed_s = max(wait_s + LONGEST_FACTOR * service_s, longest_s or 0.0)
         return now + needed_s <= self.last_answer
 
     def can_take(
--- a/tests/processes/late_requests.feature
+++ b/tests/processes/late_requests.feature
@@ -48,6 +48,13 @@
     And it is paused from 2 s to 2.6 s after that, and the client sends GET "/desk/safe/ok" at 2.2 s
     Then the paused process has answered with 200
 
+  # Guards against an idempotent request that is refused for want of knowledge.
+  Scenario: A planned stop answers a request that came while a pause took longer
+    Given a client on "a2" with an open connection
+    When the daemon of "a2" gets SIGTERM
+    And it is paused from 2 s to 2.9 s after that, and the client sends GET "/desk/safe/ok" at 2.2 s
+    Then the paused process has answered with 200
+
   # Guards against a request from before the stop that is cut without an answer,
   # as its deadline is after the end of the process.
   Scenario: A planned stop answers a request that outlasts it
