--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,8 +28,9 @@
 SERVICES = ("desk", "feed")
 DATA_CENTRES = ("bergen", "voss")
 RECOVERY_S = 6.0
-# Requests that are sent and served in the first time after the recovery, or in
-# the sum of both if clients send requests that take the second one, in seconds.
+# Fewest requests that are sent and served in a time after the recovery, and
+# that time, in seconds. Where clients send long requests, it is extended by the
+# time that these take.
 MIN_SERVED = 20
 SERVED_S = 1.5
 LONG_S = 2.0
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -5,13 +5,17 @@
 from soak.__main__ import run_seed
 
 
+def check_seed(context, seed, vms, seconds, **options):
+    violations = context.run(run_seed(seed, vms, seconds, **options))
+    assert not violations, "\n".join(violations)
+
+
 @then(
     "the soak of seed {seed:d} with {vms:d} VMs and {seconds:g} s of the"
     " earlier kinds of fault violates no guarantee"
 )
 def step_earlier_seed(context, seed, vms, seconds):
-    violations = context.run(run_seed(seed, vms, seconds, earlier_kinds=True))
-    assert not violations, "\n".join(violations)
+    check_seed(context, seed, vms, seconds, earlier_kinds=True)
 
 
 @then(
@@ -19,8 +23,7 @@
     " faults violates no guarantee"
 )
 def step_uploads(context, seed, vms, seconds):
-    violations = context.run(run_seed(seed, vms, seconds, uploads=True))
-    assert not violations, "\n".join(violations)
+    check_seed(context, seed, vms, seconds, uploads=True)
 
 
 @then(
@@ -28,8 +31,7 @@
     " faults violates no guarantee"
 )
 def step_accounts(context, seed, vms, seconds):
-    violations = context.run(run_seed(seed, vms, seconds, accounts=True))
-    assert not violations, "\n".join(violations)
+    check_seed(context, seed, vms, seconds, accounts=True)
 
 
 @then(
@@ -37,8 +39,7 @@
     " violates no guarantee"
 )
 def step_seed(context, seed, vms, seconds):
-    violations = context.run(run_seed(seed, vms, seconds))
-    assert not violations, "\n".join(violations)
+    check_seed(context, seed, vms, seconds)
 
 
 @then(
@@ -46,5 +47,4 @@
     " faults violates no guarantee"
 )
 def step_stops(context, seed, vms, seconds):
-    violations = context.run(run_seed(seed, vms, seconds, stops=True))
-    assert not violations, "\n".join(violations)
+    check_seed(context, seed, vms, seconds, stops=True)
