--- a/src/guavawing/platform/headers.py
+++ b/src/guavawing/platform/headers.py
@@ -193,7 +193,7 @@
         origin: Service of the VM from which the request was sent.
         account: Name of the client account; `NO_ACCOUNT` if it has none.
     """
-    tenant = b"X-Tenant: %b\r\n" % account.encode() if account else b""
+    account_line = b"X-Tenant: %b\r\n" % account.encode() if account else b""
     has_body = body or method in (b"POST", b"PUT", b"PATCH")
     length = b"Content-Length: %d\r\n" % len(body) if has_body else b""
     return b"".join(
@@ -210,7 +210,7 @@
             b"\r\nX-Caller-Service: ",
             origin.encode(),
             b"\r\n",
-            tenant,
+            account_line,
             b"\r\n",
             body,
         )
--- a/src/guavawing/sidecar/quotas.py
+++ b/src/guavawing/sidecar/quotas.py
@@ -522,7 +522,7 @@
     def _handle_silent_donor(self, nonce: int) -> None:
         pull = self._pulls.pop(nonce, None)
         if pull is not None:
-            # Far nodes are noticed late to be lost.
+            # That a far node is lost is known late.
             now = self._loop.time()
             self._avoid_until[pull.host] = now + FAR_VIEW_PERIOD_S
             self._finish_pull(pull, 0.0)
--- a/src/guavawing/sidecar/rollouts.py
+++ b/src/guavawing/sidecar/rollouts.py
@@ -194,10 +194,11 @@
         state = RolloutState(order, era=era)
         if known is not None:
             before = known.state
-            if (era, order.number) <= (before.era, before.order.number):
-                if (era, order.number) == (before.era, before.order.number):
-                    # Another node announced it before this one read it.
-                    known.fresh = known.fresh or fresh
+            found, held = (era, order.number), (before.era, before.order.number)
+            if found == held:
+                # Another node announced it before this one read it.
+                known.fresh = known.fresh or fresh
+            if found <= held:
                 return
             if era > before.era and _is_same_order(order, before.order):
                 # The store was restored from a copy that has the order.
