Review, case 5: a departure told to a restarted sidecar binds for 5 s only

Cause: the deregistration's start time of the target is not read, so a late heartbeat of the same process counts as one of a new process after 5 s. Ruled out: the same with a sidecar that knew the target, which passes. Change: the case.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
+cd "$(dirname "$0")/../.." && exec python3 review/5/case.py
