Review, case 5: count only requests that machines in touch pass on

Cause: the check started 3 s after the acknowledgement, when the restarted process had not been in touch for that long. Change: it starts `contactMs` after the start of the new process.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -73,13 +73,16 @@
         await asyncio.sleep(LATE_S + 8)
         stop.set()
         await asyncio.gather(*readers)
+        # Both machines are in touch from then on.
+        counted_from = max(left_at + DRAIN_S, vm.started_at + CONTACT_S)
         after = [
             round(run["began"] - left_at, 2)
             for run in target.runs
-            if run["began"] > left_at + max(DRAIN_S, CONTACT_S)
+            if run["began"] > counted_from
         ]
         record.write(
             "summary",
+            counted_from=round(counted_from - left_at, 2),
             runs=len(target.runs),
             runs_of_other=len(fleet.targets["b1"].runs),
             runs_after_drain=after,
--- a/review/harness.py
+++ b/review/harness.py
@@ -348,6 +348,7 @@
         self.path = pathlib.Path()
         self.log = pathlib.Path()
         self.process: asyncio.subprocess.Process | None = None
+        self.started_at = 0.0
         self.ends: list[tuple[float, int]] = []
         self.restarts = True
 
@@ -414,6 +415,7 @@
                 return
             await asyncio.sleep(RESTART_DELAY_S)
             await vm.start()
+            vm.started_at = self.record.now()
             self.record.write("process-started", vm=vm.name)
 
     async def is_ready(self, vm: Vm) -> bool:
