--- a/review/harness.py
+++ b/review/harness.py
@@ -276,11 +276,15 @@
             options = dict(
                 part.split("=") for part in path.split("/") if "=" in part
             )
-            await asyncio.sleep(int(options.get("ms", 20)) / 1000)
+            work_ms = int(options.get("ms", 20))
+            left_ms = float(headers.get("x-deadline-ms", work_ms))
+            await asyncio.sleep(min(work_ms, left_ms) / 1000)
             run["ended"] = self.record.now()
-            answer = bytes(int(options.get("bytes", 100)))
+            # It stops work at the deadline that it receives.
+            in_time = work_ms <= left_ms
+            answer = bytes(int(options.get("bytes", 100)) if in_time else 0)
             return encode(
-                "HTTP/1.1 200 OK",
+                "HTTP/1.1 200 OK" if in_time else "HTTP/1.1 504 Deadline",
                 {
                     "X-Request-Id": request_id,
                     "X-Response-Signature": f"sig.{request_id}",
