Bytes of a target without end neither exhaust memory nor hold up others

What callers saw: a target sends tiny chunks or trailers without end; its node passes 300 MB within 2 s and is killed, and requests that sound targets had run end without an answer. Until then requests to others wait up to 2.5 s. Cause: limits in bytes of content. A chunk or trailer is an object of over 50 bytes, and a call of the parser of 0.3 microseconds; what is allowed beside a body grows with it, trailers included. Why this works: an incomplete body is one object, trailers are counted and not kept, headers are counted as objects, summed over the pool; costly bytes are parsed one piece of one connection each 2 ms, whatever their number.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,6 +23,9 @@
 CLIENTS_PER_VM = 3
 DEADLINE_MS = 2900
 MODES = ("ok",) * 12 + ("slow", "lost", "late", "cut", "shed", "unsigned")
+# Answers without end, and the memory that a daemon may use beside them, in MB.
+FLOOD_MODES = ("flood",)
+MAX_MEMORY_MB = 200
 # Requests of 2 s, which come late in a planned stop.
 LONG_MODES = ("slower",) * 4
 SERVICES = ("desk", "feed")
@@ -42,6 +45,8 @@
 # Interval at which the lateness of this process's event loop is measured, in
 # seconds.
 LOOP_CHECK_S = 0.05
+# Interval at which the memory of the daemons is read, in seconds.
+MEMORY_CHECK_S = 0.25
 
 
 async def main() -> int:
@@ -67,6 +72,11 @@
         help="also stop the daemons of a service in turn, with more signals"
         " during the stops, and send requests of 2 s",
     )
+    parser.add_argument(
+        "--floods",
+        action="store_true",
+        help="also have targets send bodies in tiny chunks without end",
+    )
     parser.add_argument(
         "--logs",
         type=pathlib.Path,
@@ -82,6 +92,7 @@
             uploads=options.uploads,
             accounts=options.accounts,
             stops=options.stops,
+            floods=options.floods,
             logs=options.logs,
         )
         failed += bool(violations)
@@ -101,6 +112,7 @@
     uploads: bool = False,
     accounts: bool = False,
     stops: bool = False,
+    floods: bool = False,
     logs: pathlib.Path | None = None,
 ) -> list[str]:
     """Runs one seed; returns one line per violation, then the fault log.
@@ -114,9 +126,11 @@
         accounts: Whether clients send keys of client accounts.
         stops: Whether the daemons of a service are also stopped in turn, and
             clients also send requests of 2 s.
+        floods: Whether targets also send bodies without end.
         logs: Folder that gets the daemons' logs if the seed fails.
     """
     rng = random.Random(seed)
+    modes = MODES + LONG_MODES * stops + FLOOD_MODES * floods
     plan = [
         (
             f"vm{number}",
@@ -139,7 +153,11 @@
             await faults.publish(next(iter(fleet.vms.values())))
             await _wait_for_version(fleet, faults.version)
         loop_check = LoopCheck()
-        check_task = loop.create_task(loop_check.run())
+        peaks_mb: dict[str, float] = {}
+        check_tasks = [
+            loop.create_task(loop_check.run()),
+            loop.create_task(_watch_memory(fleet, peaks_mb)),
+        ]
         clients = [
             loop.create_task(
                 _run_client(
@@ -147,7 +165,7 @@
                     vm,
                     random.Random(f"{seed} {n}"),
                     answers,
-                    MODES + LONG_MODES if stops else MODES,
+                    modes,
                 )
             )
             for vm in fleet.vms.values()
@@ -157,10 +175,15 @@
         recovered_at = loop.time() + RECOVERY_S
         served_s = SERVED_S + (LONG_S if stops else 0.0)
         await asyncio.sleep(RECOVERY_S + served_s)
-        for task in (*clients, check_task):
+        for task in (*clients, *check_tasks):
             task.cancel()
-        await asyncio.gather(*clients, check_task, return_exceptions=True)
+        await asyncio.gather(*clients, *check_tasks, return_exceptions=True)
         violations = find_violations(fleet, faults, answers)
+        violations += [
+            f"{name} used {used_mb:.0f} MB"
+            for name, used_mb in peaks_mb.items()
+            if used_mb > MAX_MEMORY_MB
+        ]
         if accounts:
             await asyncio.sleep(FLUSH_S)
             violations += find_account_violations(fleet, faults, answers)
@@ -202,6 +225,15 @@
             self.late_s = max(self.late_s, loop.time() - due_at)
 
 
+async def _watch_memory(fleet: VmFleet, peaks_mb: dict[str, float]) -> None:
+    """Keeps the peak memory of each daemon, of all its processes."""
+    while True:
+        for vm in fleet.vms.values():
+            used_mb = vm.process.read_peak_memory_mb()
+            peaks_mb[vm.name] = max(peaks_mb.get(vm.name, 0.0), used_mb)
+        await asyncio.sleep(MEMORY_CHECK_S)
+
+
 def _copy_logs(fleet: VmFleet, folder: pathlib.Path) -> None:
     folder.mkdir(parents=True, exist_ok=True)
     for vm in fleet.vms.values():
--- a/src/guavawing/sidecar/store_link.py
+++ b/src/guavawing/sidecar/store_link.py
@@ -16,6 +16,7 @@
     HttpReply,
     ResponseHandler,
 )
+from guavawing.sidecar.parse_pacer import ParsePacer
 
 __all__ = ["StoreLink"]
 
@@ -49,6 +50,7 @@
         self._loop = asyncio.get_running_loop()
         self._address = address
         self._idle: list[ClientConnection] = []
+        self._pacer = ParsePacer()
         # Time limits of the calls under way, and the latest ones allowed.
         self._limits: dict[ClientConnection, tuple[asyncio.Timeout, float]] = {}
 
@@ -127,7 +129,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 transport, conn = await self._loop.create_connection(
-                    lambda: ClientConnection(on_growth=self._extend),
+                    lambda: ClientConnection(
+                        on_growth=self._extend, pacer=self._pacer
+                    ),
                     self._address.host,
                     self._address.port,
                     local_addr=(self._source, 0),
--- a/src/guavawing/sidecar/target_pool.py
+++ b/src/guavawing/sidecar/target_pool.py
@@ -19,6 +19,7 @@
     HttpReply,
     ResponseHandler,
 )
+from guavawing.sidecar.parse_pacer import ParsePacer
 from guavawing.traffic.model import Attempt, Outcome, TargetNotice
 from guavawing.verdict import MayHaveRun, NotRun, Ran, Reason, Verdict
 
@@ -38,9 +39,9 @@
 # Time after the deadline for which the answer of the target is awaited.
 ANSWER_MARGIN_S = 0.25
 CONNECT_RETRY_AFTER_S = 0.5
-# Limit of answer bytes buffered by all connections: a sixth of the memory of
-# the smallest VMs. Above it the largest partial answer is aborted, which is the
-# endless one if there is one.
+# Limit of memory for the incomplete answers of all connections, in bytes: a
+# sixth of that of the smallest VMs. Above it the largest partial answer is
+# aborted, which is the endless one if there is one.
 MAX_READ_BYTES = 32 * 1024 * 1024
 # Retry-After in seconds if the target rejected the request for overload without
 # one of its own.
@@ -97,6 +98,7 @@
         self._address = address
         self._idle: list[ClientConnection] = []
         self._conns: set[ClientConnection] = set()
+        self._pacer = ParsePacer()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def execute(
@@ -161,7 +163,9 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 transport, conn = await self._loop.create_connection(
                     lambda: ClientConnection(
-                        self._drop, on_growth=self._limit_buffered_bytes
+                        self._drop,
+                        on_growth=self._limit_buffered_bytes,
+                        pacer=self._pacer,
                     ),
                     host,
                     port,
--- a/standins/process.py
+++ b/standins/process.py
@@ -47,6 +47,17 @@
         with contextlib.suppress(ProcessLookupError):
             self.proc.send_signal(sig)
 
+    def read_peak_memory_mb(self) -> float:
+        """Returns the peak resident memory of the running process, in MB."""
+        assert self.proc is not None
+        # The process may end at any time.
+        with contextlib.suppress(OSError):
+            status = pathlib.Path(f"/proc/{self.proc.pid}/status").read_text()
+            for line in status.splitlines():
+                if line.startswith("VmHWM:"):
+                    return int(line.split()[1]) / 1024
+        return 0.0
+
     async def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
         """Waits for the process to exit and returns its exit code.
 
--- a/standins/vm_target.py
+++ b/standins/vm_target.py
@@ -6,7 +6,8 @@
 its own); `cut` (the answer is truncated); `shed` (refused without execution);
 `unsigned` (no signature header); `error` (status 500); `large` (200,000 bytes);
 `too-large` (status 413 before the body is read); `hang-up` (closes within the
-body). With the suffix `-once` only the first attempt of a request behaves so.
+body); `flood` (a body in tiny chunks without end). With the suffix `-once` only
+the first attempt of a request behaves so.
 """
 
 import asyncio
@@ -21,6 +22,7 @@
 DEFAULT_WORK_S = 0.005
 BODY = b"the whole answer"
 LARGE_BYTES = 200_000
+FLOOD = b"2\r\naa\r\n" * 4_000
 
 
 def make_large_body(request_id: str) -> bytes:
@@ -92,6 +94,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._task: asyncio.Task[None] | None = None
         self._answered = False
+        self._writable = asyncio.Event()
+        self._writable.set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
@@ -100,6 +104,12 @@
         if self._task is not None:
             self._task.cancel()
 
+    def pause_writing(self) -> None:
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        self._writable.set()
+
     def data_received(self, data: bytes) -> None:
         self._parser.feed_data(data)
 
@@ -193,11 +203,22 @@
                 self._write(200, request_id_header, BODY)
             case "large":
                 self._write(200, signed_headers, make_large_body(request_id))
+            case "flood":
+                await self._flood(signed_headers)
             case "error":
                 self._write(500, signed_headers, b"")
             case _:
                 self._write(200, signed_headers, BODY)
 
+    async def _flood(self, head: str) -> None:
+        """Sends a body without end until the caller closes."""
+        lines = f"HTTP/1.1 200 X\r\n{head}Transfer-Encoding: chunked\r\n\r\n"
+        self._transport.write(lines.encode())
+        while True:
+            self._transport.write(FLOOD)
+            await asyncio.sleep(0)
+            await self._writable.wait()
+
     def _write(
         self, status: int, head: str, body: bytes, *, length: int = -1
     ) -> None:
--- a/tests/cover/http_client.feature
+++ b/tests/cover/http_client.feature
@@ -72,6 +72,67 @@
     Then the request gets its 200000 bytes
     And the connection to the target is kept
 
+  # Guards against a connection that is not read any more after an answer for
+  # which it waited for turns.
+  Scenario: The next request is answered after an answer of small chunks
+    Given a request "r1" on a connection to a target
+    And a request "r2" that is sent when the answer has come
+    When a target sends 50000 chunks of one byte and then an answer to "r2"
+    Then the two answers have 50000 and 2 bytes
+
+  # Guards against headers, or trailers behind a large body, that are kept as
+  # objects of the process without a limit of their own.
+  Scenario Outline: Headers and trailers are read up to a limit, whatever the body
+    Given a request "r1" on a connection to a target
+    When a broken target sends <size> KB of <part> behind a body of 1 MB
+    Then the request gets <outcome>
+
+    Examples:
+      | size | part     | outcome         |
+      | 63   | trailers | its 1048576 bytes |
+      | 65   | trailers | a loss          |
+
+  # Guards against a node that runs out of memory by the answers of one target,
+  # and with it loses the requests of all other clients.
+  Scenario Outline: An incomplete answer needs little more memory than its body
+    Given a request "r1" on a connection to a target
+    When a target has sent 200 KB in chunks of <size> bytes
+    Then the incomplete answer needs at most 600 KB of memory
+
+    Examples:
+      | size |
+      | 1    |
+      | 2    |
+      | 9    |
+      | 1024 |
+
+  # Guards against headers and trailers, each an object, that exhaust the memory
+  # of a node beside large bodies or on many connections.
+  Scenario Outline: Answers of <bytes> without end need bounded memory
+    Given <count> requests at a target that sends <bytes> without end
+    When their memory has been traced for 1.0 s
+    Then at most 50 MB of memory were in use
+
+    Examples:
+      | count | bytes         |
+      | 9     | trailers      |
+      | 200   | short headers |
+
+  # Guards against requests to other targets that wait for seconds while the
+  # event loop parses the answers of a broken one.
+  Scenario Outline: Answers of <bytes> without end don't hold up the event loop
+    Given <count> requests at a target that sends <bytes> without end
+    When the requests have been read for 1.0 s
+    Then the event loop was never late by more than 0.1 s
+
+    Examples:
+      | count | bytes                      |
+      | 9     | chunks of 1 byte           |
+      | 9     | chunks of 2 bytes          |
+      | 9     | chunks of 9 bytes          |
+      | 9     | chunks of 2 and 1024 bytes |
+      | 9     | trailers                   |
+
   Scenario: Of answers that are read concurrently the largest is abandoned at the memory limit
     Given 5 requests at a target that sends 4 answers of 1 MB and one without end
     Then the 4 answers are complete and the one without end is lost
--- a/tests/processes/soak.feature
+++ b/tests/processes/soak.feature
@@ -25,3 +25,8 @@
   # Guards against requests that are executed late in a planned stop and given up.
   Scenario: Planned stops in turn among the faults of seed 1106
     Then the soak of seed 1106 with 6 VMs, stops and 10 s of faults violates no guarantee
+
+  # Guards against a node whose memory or event loop the answers of one target
+  # exhaust, with the requests of all its other clients.
+  Scenario: Answers without end among the faults of seed 1300
+    Then the soak of seed 1300 with 4 VMs, floods and 8 s of faults violates no guarantee
--- a/tests/steps/http_client_steps.py
+++ b/tests/steps/http_client_steps.py
@@ -1,6 +1,10 @@
 """Steps that feed bytes of a target to a client connection."""
 
 import asyncio
+import contextlib
+import socket
+import threading
+import tracemalloc
 
 from behave import given, then, when
 
@@ -47,10 +51,18 @@
 
 
 class FakeTransport:
-    """Discards written bytes and records whether it was closed."""
+    """Discards written bytes and records whether it was closed or paused."""
 
     def __init__(self):
         self.closed = False
+        self.reads = asyncio.Event()
+        self.reads.set()
+
+    def pause_reading(self):
+        self.reads.clear()
+
+    def resume_reading(self):
+        self.reads.set()
 
     def write(self, data):
         pass
@@ -60,6 +72,7 @@
 
     def abort(self):
         self.closed = True
+        self.reads.set()
 
 
 def make_bytes(text):
@@ -179,6 +192,7 @@
             context.conn.data_received(first)
         context.fed_bytes = len(first)
         for _ in range(MAX_PACKETS):
+            await context.transport.reads.wait()
             if not context.conn.usable:
                 return
             context.conn.data_received(repeated)
@@ -192,7 +206,44 @@
     async def feed():
         chunks = CHUNKED + b"1\r\na\r\n" * count + b"0\r\n\r\n"
         for start in range(0, len(chunks), 1400):
+            await context.transport.reads.wait()
             context.conn.data_received(chunks[start : start + 1400])
+        await context.transport.reads.wait()
+
+    context.run(feed())
+
+
+@when(
+    "a target sends {count:d} chunks of one byte and then an answer to"
+    ' "{request_id}"'
+)
+def step_small_chunks_and_next(context, count, request_id):
+    step_small_chunks(context, count)
+
+    async def feed():
+        context.conn.data_received(make_bytes(f"id {request_id}, length 2, hi"))
+
+    context.run(feed())
+
+
+@then("the two answers have {first:d} and {second:d} bytes")
+def step_two_sizes(context, first, second):
+    assert list(map(len, context.replies)) == [first, second], context.replies
+
+
+@when("a broken target sends {size:d} KB of trailers behind a body of 1 MB")
+def step_trailers(context, size):
+    async def feed():
+        line = b"a: %s\r\n" % (b"b" * 122)
+        data = CHUNKED + b"100000\r\n" + b"a" * MB + b"\r\n0\r\n"
+        # Names and values count, not what is between them.
+        data += line * (size * 1024 // 123) + b"\r\n"
+        for start in range(0, len(data), 60_000):
+            await context.transport.reads.wait()
+            if not context.conn.usable:
+                return
+            context.conn.data_received(data[start : start + 60_000])
+        await context.transport.reads.wait()
 
     context.run(feed())
 
@@ -272,9 +323,128 @@
     assert context.max_held_bytes <= size * MB, context.max_held_bytes
 
 
+@when("a target has sent {size:d} KB in chunks of {chunk:d} bytes")
+def step_part_in_chunks(context, size, chunk):
+    async def feed():
+        data = CHUNKED + make_chunk(chunk) * (size * 1024 // chunk)
+        tracemalloc.start()
+        try:
+            for start in range(0, len(data), 16_384):
+                await context.transport.reads.wait()
+                context.conn.data_received(data[start : start + 16_384])
+            await context.transport.reads.wait()
+            context.used_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+
+    context.run(feed())
+
+
+@then("the incomplete answer needs at most {size:d} KB of memory")
+def step_part_memory(context, size):
+    assert context.outcome is None, context.outcome
+    assert context.used_bytes <= size * 1024, context.used_bytes
+
+
+def make_chunk(size):
+    return b"%x\r\n%s\r\n" % (size, b"a" * size)
+
+
+# First bytes of an answer, and bytes that are repeated after them.
+FLOODS = {
+    "chunks of 1 byte": (CHUNKED, make_chunk(1)),
+    "chunks of 2 bytes": (CHUNKED, make_chunk(2)),
+    "chunks of 9 bytes": (CHUNKED, make_chunk(9)),
+    "chunks of 2 and 1024 bytes": (CHUNKED, make_chunk(2) + make_chunk(1024)),
+    "trailers": (CHUNKED + make_chunk(4 * MB) + b"0\r\n", b"a:b\r\n"),
+    "short headers": (HEAD, b"a:b\r\n"),
+}
+
+
+@given("{count:d} requests at a target that sends {what} without end")
+def step_flooding_target(context, count, what):
+    """Opens a target on threads, which sends until its caller closes."""
+    context.block = PortBlock()
+    context.add_cleanup(context.block.close)
+    context.address = parse_address(context.block.allocate())
+    context.count = count
+    first, repeated = FLOODS[what]
+    block = repeated * (1 + 65_536 // len(repeated))
+    listener = socket.create_server(
+        (context.address.host, context.address.port), backlog=count
+    )
+    context.add_cleanup(listener.close)
+
+    def flood(sock):
+        # The caller closes the connection.
+        with sock, contextlib.suppress(OSError):
+            sock.recv(65_536)
+            sock.sendall(first)
+            while True:
+                sock.sendall(block)
+
+    def accept():
+        # The listener is closed when the scenario ends.
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = listener.accept()
+                threading.Thread(target=flood, args=(sock,)).start()
+
+    threading.Thread(target=accept).start()
+    context.add_cleanup(listener.shutdown, socket.SHUT_RDWR)
+
+
+@when("the requests have been read for {duration:g} s")
+def step_read_floods(context, duration):
+    async def run():
+        loop = asyncio.get_running_loop()
+        pool = TargetPool(context.address)
+        executions = [
+            pool.execute(
+                make_attempt(f"r{number}", now=loop.time(), left_s=20.0),
+                target_id="i-1",
+                on_end=lambda *_: None,
+                on_notice=lambda *_: None,
+            )
+            for number in range(context.count)
+        ]
+        ends_at = loop.time() + duration
+        while (now := loop.time()) < ends_at:
+            await asyncio.sleep(0.005)
+            late_s = loop.time() - now - 0.005
+            context.late_s = max(context.late_s, late_s)
+        for execution in executions:
+            execution.abandon()
+        pool.close_idle()
+
+    context.late_s = 0.0
+    context.run(run())
+
+
+@when("their memory has been traced for {duration:g} s")
+def step_trace_floods(context, duration):
+    tracemalloc.start()
+    try:
+        step_read_floods(context, duration)
+        _, context.peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+
+
+@then("at most {size:d} MB of memory were in use")
+def step_peak(context, size):
+    assert context.peak_bytes <= size * MB, context.peak_bytes
+
+
+@then("the event loop was never late by more than {bound:g} s")
+def step_late(context, bound):
+    assert context.late_s <= bound, context.late_s
+
+
 @then("the request gets its {count:d} bytes")
 def step_bytes(context, count):
-    assert context.outcome == "a" * count, len(context.outcome)
+    got = context.outcome
+    assert got == "a" * count, (len(got), got[:100])
 
 
 @then("at most {size:g} MB of it were read")
@@ -323,7 +493,7 @@
 
 @then("the request gets {outcome}")
 def step_outcome(context, outcome):
-    assert context.outcome == outcome, context.outcome
+    assert context.outcome == outcome, context.outcome[:100]
 
 
 @then("the connection to the target is {state}")
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -48,3 +48,11 @@
 )
 def step_stops(context, seed, vms, seconds):
     check_seed(context, seed, vms, seconds, stops=True)
+
+
+@then(
+    "the soak of seed {seed:d} with {vms:d} VMs, floods and {seconds:g} s of"
+    " faults violates no guarantee"
+)
+def step_floods(context, seed, vms, seconds):
+    check_seed(context, seed, vms, seconds, floods=True)
