Bodies of clients in tiny chunks are parsed in turns, as one object

What callers would see: as with endless answers, requests of other clients wait while one client's body in tiny chunks is parsed, and are lost when the memory of the node is exhausted. Cause: the reader kept one object a chunk, and parsed all received bytes at once. Change: the body is one object; costly bytes wait for the turns of the server's connections, which pause reading like a full pipeline.

--- a/src/guavawing/sidecar/http_connection.py
+++ b/src/guavawing/sidecar/http_connection.py
@@ -12,12 +12,10 @@
 from guavawing.sidecar.held_body import HeldBody
 from guavawing.sidecar.http_request import HttpRequest
 from guavawing.sidecar.link_pacer import LARGE_BYTES, LinkPacer
-from guavawing.sidecar.request_reader import (
-    PARSED_BYTES,
-    RawHeaders,
-    RequestReader,
-)
+from guavawing.sidecar.parse_pacer import ParsePacer
+from guavawing.sidecar.request_reader import RawHeaders, RequestReader
 from guavawing.traffic.model import ClientLimits
+from guavawing.traffic.parse_turns import PIECE_BYTES
 from guavawing.traffic.pipeline import Pipeline
 from guavawing.traffic.uploads import ROOM_RETRY_AFTER_S
 
@@ -65,6 +63,7 @@
             received.
         held_bytes: Size of the buffered requests and answers.
         connections: The open connections.
+        parse_pacer: Turns of the connections that send costly bytes.
     """
 
     handler: Callable[[HttpRequest], None]
@@ -77,6 +76,7 @@
     stopping: bool = False
     held_bytes: int = 0
     connections: "set[ServerConnection]" = attrs.field(factory=set)
+    parse_pacer: ParsePacer = attrs.field(factory=ParsePacer)
 
     def admits(self) -> bool:
         """Returns whether the newest connection is within the limit."""
@@ -105,6 +105,7 @@
         "_transport",
         "_unparsed",
         "_waiting_since",
+        "_waits_turn",
     )
 
     def __init__(self, server: ServerState) -> None:
@@ -123,8 +124,10 @@
         # Whether a large answer is being sent by the pacer.
         self._sending = False
         self._is_new = True
-        # Bytes received while the pipeline was full.
+        # Bytes received while the pipeline was full, or before the turn of
+        # this connection.
         self._unparsed = b""
+        self._waits_turn = False
         self._paused = False
         self._parsing = False
         self._dispatching = False
@@ -257,6 +260,7 @@
         self._transport = None
         self._server.connections.discard(self)
         self._unparsed = b""
+        self._server.parse_pacer.drop(self)
         if self._body is not None:
             self._body.release()
             self._body = None
@@ -311,7 +315,9 @@
             self._transport.resume_reading()
 
     def _is_full(self) -> bool:
-        """Returns whether reading pauses until the next answer."""
+        """Returns whether reading pauses until the next answer or turn."""
+        if self._waits_turn:
+            return True
         above_limit = self._server.held_bytes >= MAX_HELD_BYTES
         return self._pipeline.is_full or (above_limit and bool(self._pipeline))
 
@@ -321,7 +327,7 @@
         self._held_bytes = held
 
     def _parse(self, data: bytes) -> None:
-        """Parses bytes until the pipeline is full."""
+        """Parses bytes until the pipeline is full or they are costly."""
         self._parsing = True
         view = memoryview(data)
         try:
@@ -332,13 +338,21 @@
                         self._paused = True
                         self._transport.pause_reading()
                     return
-                self._reader.feed(view[:PARSED_BYTES])
-                view = view[PARSED_BYTES:]
+                self._reader.feed(view[:PIECE_BYTES])
+                view = view[PIECE_BYTES:]
+                if self._reader.costly:
+                    self._waits_turn = True
+                    self._server.parse_pacer.wait(self)
         except RequestUnreadableError as exc:
             self._refuse(exc.status)
         finally:
             self._parsing = False
 
+    def parse_piece(self) -> None:
+        """Parses one piece of costly bytes, at the turn of this connection."""
+        self._waits_turn = False
+        self._resume_reading()
+
     # Events of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/src/guavawing/sidecar/request_reader.py
+++ b/src/guavawing/sidecar/request_reader.py
@@ -11,16 +11,14 @@
 
 from guavawing.errors import RequestUnreadableError
 from guavawing.traffic.model import ClientLimits
+from guavawing.traffic.parse_turns import PIECE_BYTES, is_costly
 
-__all__ = ["PARSED_BYTES", "RequestHandler", "RequestReader"]
+__all__ = ["RequestHandler", "RequestReader"]
 
 BAD_REQUEST = 400
 PAYLOAD_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
 UNAVAILABLE = 503
-# Largest piece that is parsed at once. Between two pieces the connection can
-# stop reading from a client that pipelines many requests.
-PARSED_BYTES = 16 * 1024
 # Bytes of chunk framing that are allowed for each byte of a body.
 FRAMING_PER_BODY_BYTE = 8
 
@@ -88,11 +86,19 @@
         self.reading = False
         self._reset()
 
+    @property
+    def costly(self) -> bool:
+        """Whether the rest of the request is parsed by turns."""
+        return self.reading and is_costly(
+            framing_bytes=self._read_bytes - self._body_bytes,
+            body_bytes=self._body_bytes,
+        )
+
     def feed(self, piece: memoryview) -> None:
         """Parses received bytes.
 
         Args:
-            piece: At most `PARSED_BYTES` bytes.
+            piece: At most `PIECE_BYTES` bytes.
 
         Raises:
             RequestUnreadableError: If the bytes are not a valid request, or
@@ -121,7 +127,7 @@
         self._read_bytes += size
         allowed = (
             self._limits().max_header_bytes
-            + PARSED_BYTES
+            + PIECE_BYTES
             + (1 + FRAMING_PER_BODY_BYTE) * self._body_bytes
         )
         if self._read_bytes > allowed:
@@ -164,12 +170,12 @@
             self._abort(PAYLOAD_TOO_LARGE)
         if not self._handler.add_body(len(body)):
             self._abort(UNAVAILABLE)
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Reports the complete request."""
         self.reading = False
-        body = b"".join(self._body)
+        body = bytes(self._body)
         self._body.clear()
         self._handler.on_request(
             self._parser.get_method(), self._url, self._headers, body
@@ -178,7 +184,8 @@
     def _reset(self) -> None:
         self._url = b""
         self._headers: RawHeaders = []
-        self._body: list[bytes] = []
+        # One object, whatever the number of chunks.
+        self._body = bytearray()
         self._header_bytes = 0
         self._body_bytes = 0
 
--- a/tests/cover/pipeline.feature
+++ b/tests/cover/pipeline.feature
@@ -130,5 +130,12 @@
       | a chunk extension |
       | trailers          |
 
+  # Guards against clients whose bodies in tiny chunks exhaust the memory of a
+  # node, or hold up the event loop for its other clients.
+  Scenario: Bodies in tiny chunks are parsed in turns and need little memory
+    Given 5 clients that each send a body of 200 KB in chunks of 2
+    Then at most 60 KB of each have been parsed
+    And each body arrives whole, 200 KB, and uses at most 1000 KB
+
   Scenario: Answers keep their order over random events
     Then over 4000 sessions of random events answers are in order, requests that are not idempotent run alone, and none behind a closed connection has been begun
--- a/tests/steps/pipeline_steps.py
+++ b/tests/steps/pipeline_steps.py
@@ -1,6 +1,7 @@
 """Steps that pipeline requests to a server without a network."""
 
 import asyncio
+import tracemalloc
 from random import Random
 
 from behave import given, then, when
@@ -199,6 +200,52 @@
     first, repeated = ENDLESS[what]
     context.sent = len(first) + len(repeated) * MAX_PACKETS
     open_client(context, [first] + [repeated] * MAX_PACKETS)
+    context.run(deliver_all(context.clients[-1]))
+
+
+async def deliver_all(client):
+    """Delivers the packets of a client as its turns come."""
+    async with asyncio.timeout(20):
+        while client.transport.packets and not client.transport.closed:
+            await asyncio.sleep(0.001)
+            client.deliver()
+
+
+@given("{count:d} clients that each send a body of {size:d} KB in chunks of 2")
+def step_tiny_chunks(context, count, size):
+    chunks = b"2\r\naa\r\n" * (size * 512)
+    for number in range(count):
+        head = CHUNKED.replace(b"/safe/x", b"/safe/%d" % number)
+        open_client(context, [head, chunks, b"0\r\n\r\n"])
+
+
+@then("at most {size:d} KB of each have been parsed")
+def step_parsed(context, size):
+    for client in context.clients:
+        left = len(client.conn._unparsed) + sum(
+            map(len, client.transport.packets)
+        )
+        total = 512 * 7 * 200 + 5
+        assert total - left <= size * 1024, (total, left)
+
+
+@then("each body arrives whole, {size:d} KB, and uses at most {most:d} KB")
+def step_whole_bodies(context, size, most):
+    async def receive():
+        tracemalloc.start()
+        try:
+            await asyncio.gather(*map(deliver_all, context.clients))
+            async with asyncio.timeout(20):
+                while len(context.begun) < len(context.clients):
+                    await asyncio.sleep(0.001)
+            _, context.peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+
+    context.run(receive())
+    for _, request in context.begun:
+        assert request.body == b"a" * (size * 1024), len(request.body)
+    assert context.peak <= most * 1024 * len(context.clients), context.peak
 
 
 def send_bodies(context, clients, count, kind, size):
