A departure binds the next process of the node that acknowledged it

What callers saw: a target announces its departure; its node is killed at the acknowledgement and restarted. A heartbeat from before arrives 3 s late, and the target gets requests again, later than the bound, until it exits with them. Cause: a process that has just started takes the heartbeat that introduces a target for news, and does not read the start that a deregistration names, so a departure that it hears first binds it for 5 s only. Why this works: the target fails its health check from its departure on. A heartbeat that introduces a process of it is held until a check passes and names its id, or until heartbeats have come in order for 10 s; a deregistration binds the process whose start it names. It needs no store and no peer.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -72,6 +72,12 @@
         help="also stop the daemons of a service in turn, with more signals"
         " during the stops, and send requests of 2 s",
     )
+    parser.add_argument(
+        "--departures",
+        action="store_true",
+        help="also kill daemons that have acknowledged a departure, and send"
+        " late heartbeats to the next process",
+    )
     parser.add_argument(
         "--floods",
         action="store_true",
@@ -93,6 +99,7 @@
             accounts=options.accounts,
             stops=options.stops,
             floods=options.floods,
+            departures=options.departures,
             logs=options.logs,
         )
         failed += bool(violations)
@@ -113,6 +120,7 @@
     accounts: bool = False,
     stops: bool = False,
     floods: bool = False,
+    departures: bool = False,
     logs: pathlib.Path | None = None,
 ) -> list[str]:
     """Runs one seed; returns one line per violation, then the fault log.
@@ -126,6 +134,7 @@
         accounts: Whether clients send keys of client accounts.
         stops: Whether the daemons of a service are also stopped in turn, and
             clients also send requests of 2 s.
+        departures: Whether daemons are also killed after departures.
         floods: Whether targets also send bodies without end.
         logs: Folder that gets the daemons' logs if the seed fails.
     """
@@ -147,7 +156,7 @@
             fleet.kinds = (*fleet.kinds, "upload")
         fleet.publish_probe(1)
         await asyncio.sleep(2.0)
-        faults = Faults(fleet, rng, earlier_kinds, stops)
+        faults = Faults(fleet, rng, earlier_kinds, stops, departures)
         if accounts:
             fleet.accounts = make_accounts()
             await faults.publish(next(iter(fleet.vms.values())))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,6 +26,8 @@
 LIMITED_S = (4.0, 8.0)
 LEAVING_S = (3.0, 5.0)
 COPY_AGE_S = (0.3, 2.0)
+# Range of the time from a departure to the arrival of an earlier heartbeat.
+LATE_HEARTBEAT_S = (1.0, 5.0)
 # Ranges of the time between the stops of a service's daemons, and from SIGTERM
 # to a second signal, in seconds.
 STOP_GAP_S = (0.0, 1.5)
@@ -81,6 +83,8 @@
             existed when seeds up to 98 were recorded; with others the same
             seed draws another sequence.
         stops: Whether most faults are planned stops of several daemons.
+        departures: Whether daemons are also killed when they have acknowledged
+            a departure.
         version: Newest version published.
         unplanned_at: Start and end times of unplanned faults, by VM.
         planned_stop_at: Time of the last planned stop, by VM.
@@ -103,6 +107,7 @@
     rng: random.Random
     earlier_kinds: bool = False
     stops: bool = False
+    departures: bool = False
     version: int = 1
     unplanned_at: dict[str, list[float]] = attrs.field(factory=dict)
     planned_stop_at: dict[str, float] = attrs.field(factory=dict)
@@ -140,6 +145,8 @@
                 self.restore_store,
                 self.silence_connections,
             ]
+        if self.departures:
+            kinds += [self.lose_departure] * 4
         if self.stops:
             kinds += [self.stop_service] * 8
         if self.fleet.accounts:
@@ -269,6 +276,36 @@
         vm.draining, vm.target.healthy = False, True
         self._record_unplanned_fault(vm)
 
+    async def lose_departure(self, vm: Vm) -> None:
+        """Kills a daemon that has acknowledged a departure.
+
+        A heartbeat from before the departure reaches its next process.
+        """
+        if vm.draining or vm.target.leaving or vm.fault_active:
+            return
+        vm.fault_active, vm.sends_heartbeats = True, False
+        loop = asyncio.get_running_loop()
+        late, old = self.fleet.make_heartbeat(vm), vm.target.id
+        vm.draining, vm.target.healthy = True, False
+        announce = self.rng.choice(
+            (self.fleet.deregister, self.fleet.send_heartbeat)
+        )
+        with contextlib.suppress(aiohttp.ClientError):
+            if await announce(vm) == OK:
+                self.drain_acked_at[old] = loop.time()
+        self._record_unplanned_fault(vm)
+        with self._disturb(vm.name):
+            await vm.process.kill()
+            await self._restart(vm)
+        self._record_unplanned_fault(vm)
+        vm.fault_active = False
+        await asyncio.sleep(self.rng.uniform(*LATE_HEARTBEAT_S))
+        with contextlib.suppress(aiohttp.ClientError):
+            await self.fleet.send_heartbeat(vm, late)
+        await asyncio.sleep(self.rng.uniform(*LEAVING_S))
+        self._replace_target(vm)
+        vm.sends_heartbeats = True
+
     async def state_departure(self, vm: Vm) -> None:
         """Makes a target leave that says so only in its answers."""
         if vm.draining or vm.target.leaving:
--- a/src/guavawing/platform/heartbeats.py
+++ b/src/guavawing/platform/heartbeats.py
@@ -8,7 +8,12 @@
 from guavawing.model import parse_address
 from guavawing.traffic.model import TargetReport
 
-__all__ = ["DEREGISTRATION_PATH", "HEARTBEAT_PATH", "decode_heartbeat"]
+__all__ = [
+    "DEREGISTRATION_PATH",
+    "HEARTBEAT_PATH",
+    "decode_deregistration",
+    "decode_heartbeat",
+]
 
 HEARTBEAT_PATH = "/-/Instances.Heartbeat/"
 DEREGISTRATION_PATH = "/-/Instances.Deregister/"
@@ -68,6 +73,30 @@
         ) from exc
 
 
+def decode_deregistration(target_id: str, body: bytes) -> int:
+    """Decodes the start of a target that deregisters.
+
+    Args:
+        target_id: Id in the path of the call.
+        body: Body of the call.
+
+    Returns:
+        Start of its process, Unix time in milliseconds; 0 if not given.
+
+    Raises:
+        MessageInvalidError: If the body is neither empty nor JSON, or the
+            start has an unexpected type or value.
+    """
+    try:
+        content = orjson.loads(body or b"{}")
+        return _check_number(content.get("born", 0), MAX_COUNT)
+    except (AttributeError, TypeError, ValueError) as exc:
+        raise MessageInvalidError(
+            f"the deregistration of {target_id[:MAX_ID_LENGTH]!r} is invalid:"
+            f" {exc!r}"
+        ) from exc
+
+
 def _check_type(value: Any, kind: type) -> Any:
     """Returns a value of exactly a type; a bool is not an int here."""
     if type(value) is not kind:
--- a/src/guavawing/sidecar/background.py
+++ b/src/guavawing/sidecar/background.py
@@ -25,7 +25,7 @@
         """
         self._log = log
         self._metrics = metrics
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def start(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
         """Starts a task.
@@ -35,11 +35,13 @@
             run: Runs it until it is done or cancelled.
         """
         supervision = self._supervise(name, run)
-        self._tasks.append(asyncio.get_running_loop().create_task(supervision))
+        task = asyncio.get_running_loop().create_task(supervision)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def close(self) -> None:
         """Cancels all tasks."""
-        for task in self._tasks:
+        for task in tuple(self._tasks):
             task.cancel()
 
     async def _supervise(
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -47,6 +47,7 @@
 from guavawing.sidecar.target_pool import TargetPool
 from guavawing.sidecar.target_probe import TargetProbe
 from guavawing.traffic.feed_wait import FeedWait, limit_feed_wait
+from guavawing.traffic.heartbeat_proof import HeartbeatProof
 from guavawing.traffic.model import (
     NO_TARGET_RECORD,
     Incarnation,
@@ -105,6 +106,7 @@
         self._own_view = OwnerView(settings.host, local=True, near=True)
         self._peers = PeerTable(self._own_record, self._own_view)
         self._target = TargetState(settings.service, settings.target)
+        self._proof = HeartbeatProof(self._target)
         self._pool = TargetPool(settings.target)
         self._freshness = Freshness(
             settings,
@@ -174,9 +176,21 @@
         self._mesh_server = MeshServer(
             self._owner, make_update=self._make_update, room=room
         )
+        self._health_probe = TargetProbe(
+            settings.target,
+            state=self._target,
+            proof=self._proof,
+            find_path=self._find_health_path,
+            peers=self._peers,
+            on_found=self._owner.handle_target_change,
+        )
         local = MAX_LOCAL_CONNECTIONS
         calls = LocalCalls(
             target=self._target,
+            proof=self._proof,
+            on_unverified=lambda: self._tasks.start(
+                "verify-heartbeat", self._health_probe.verify
+            ),
             on_target=self._owner.handle_target_change,
             is_ready=self._readiness.is_ready,
             peers=self._peers,
@@ -313,19 +327,12 @@
         await self._beacons.listen()
         if self._entry.quotas is not None:
             self._entry.quotas.start()
-        health_probe = TargetProbe(
-            settings.target,
-            state=self._target,
-            find_path=self._find_health_path,
-            peers=self._peers,
-            on_found=self._owner.handle_target_change,
-        )
         for name, run in (
             ("watch-configuration", self._configuration_watch.run),
             ("watch-nodes", self._follow_nodes),
             ("poll-settings", self._poll_settings),
             ("freshness", self._freshness.run),
-            ("probe-target", health_probe.run),
+            ("probe-target", self._health_probe.run),
         ):
             self._tasks.start(name, run)
         self._log.event(
--- a/src/guavawing/sidecar/local_calls.py
+++ b/src/guavawing/sidecar/local_calls.py
@@ -8,11 +8,13 @@
 from guavawing.platform.heartbeats import (
     DEREGISTRATION_PATH,
     HEARTBEAT_PATH,
+    decode_deregistration,
     decode_heartbeat,
 )
 from guavawing.sidecar.decision_log import DecisionLog
 from guavawing.sidecar.http_request import HttpRequest
 from guavawing.sidecar.metrics import SidecarMetrics
+from guavawing.traffic.heartbeat_proof import HeartbeatProof
 from guavawing.traffic.peers import PeerTable
 from guavawing.traffic.target_state import TargetState
 from guavawing.traffic.uploads import BodyRoom
@@ -35,6 +37,8 @@
         self,
         *,
         target: TargetState,
+        proof: HeartbeatProof,
+        on_unverified: Callable[[], None],
         on_target: Callable[[], None],
         is_ready: Callable[[], bool],
         peers: PeerTable,
@@ -46,6 +50,8 @@
 
         Args:
             target: Updated by heartbeats and departures.
+            proof: Holds heartbeats that have to be verified.
+            on_unverified: Called when it holds one.
             on_target: Called when the state of the target has changed.
             is_ready: Returns whether clients may send requests to this VM.
             peers: The other nodes, whose numbers are in the metrics.
@@ -55,6 +61,8 @@
         """
         self._loop = asyncio.get_running_loop()
         self._target = target
+        self._proof = proof
+        self._on_unverified = on_unverified
         self._on_target = on_target
         self._is_ready = is_ready
         self._peers = peers
@@ -86,17 +94,32 @@
             target_id = path.removeprefix(HEARTBEAT_PATH)
             status = self._apply_heartbeat(target_id, request.body)
         elif path.startswith(DEREGISTRATION_PATH):
-            status = self._apply_deregistration(
-                path.removeprefix(DEREGISTRATION_PATH)
-            )
+            target_id = path.removeprefix(DEREGISTRATION_PATH)
+            status = self._apply_deregistration(target_id, request.body)
         else:
             status = NOT_FOUND
         body = b"{}" if status == OK else b""
         payload = build_answer(status, JSON_HEAD, body, closes=False)
         request.respond(payload)
 
-    def _apply_deregistration(self, target_id: str) -> int:
-        if self._target.apply_departure(target_id, now=self._loop.time()):
+    def _apply_deregistration(self, target_id: str, body: bytes) -> int:
+        born_ms = 0
+        try:
+            born_ms = decode_deregistration(target_id, body)
+        except MessageInvalidError as exc:
+            # The path names the target, so its departure binds all the same.
+            self._metrics.unreadable.inc({"source": "deregistration"})
+            self._log.state_change("deregistration-unreadable", cause=str(exc))
+        born_ms = born_ms or self._proof.find_start(target_id)
+        self._log.state_change(
+            "target-deregistered",
+            target=target_id[:MAX_LOGGED_ID_CHARS],
+            born_ms=born_ms,
+            known=target_id == self._target.target_id,
+        )
+        if self._target.apply_departure(
+            target_id, born_ms=born_ms, now=self._loop.time()
+        ):
             self._on_target()
         return OK
 
@@ -113,6 +136,14 @@
                 "heartbeat-of-another", target=target_id[:MAX_LOGGED_ID_CHARS]
             )
             return BAD_REQUEST
-        if self._target.apply_report(report, now=self._loop.time()):
+        now = self._loop.time()
+        if not self._proof.admit(report, now=now):
+            self._log.state_change(
+                "heartbeat-unverified",
+                target=target_id[:MAX_LOGGED_ID_CHARS],
+                sequence=report.sequence,
+            )
+            self._on_unverified()
+        elif self._target.apply_report(report, now=now):
             self._on_target()
         return OK
--- a/src/guavawing/traffic/target_state.py
+++ b/src/guavawing/traffic/target_state.py
@@ -116,6 +116,13 @@
         """Returns whether the target is still slow after its start."""
         return now < self._cold_until
 
+    def introduces(self, report: TargetReport, *, now: float) -> bool:
+        """Returns whether a heartbeat would make another process current."""
+        if self._is_probed(report, now):
+            return False
+        same = report.id == self.target_id and report.born_ms == self._born_ms
+        return not same and self._supersedes(report, now)
+
     def apply_report(self, report: TargetReport, *, now: float) -> bool:
         """Applies a heartbeat.
 
@@ -238,20 +245,33 @@
         self._start_draining(now)
         return True
 
-    def apply_departure(self, target_id: str, *, now: float) -> bool:
+    def apply_departure(
+        self, target_id: str, *, now: float, born_ms: int = 0
+    ) -> bool:
         """Applies the departure that a target announces.
 
+        Args:
+            target_id: Id of the target.
+            now: Event loop's time, in seconds.
+            born_ms: Start of its process, Unix time in milliseconds; 0 if not
+                given.
+
         Returns:
             Whether the phase changed.
         """
         if target_id != self.target_id:
-            # This process started after the target's last heartbeat, so the
-            # target's start time is unknown.
-            self._record_departure(Incarnation(target_id, 0), now)
+            # This process started after the target's last heartbeat.
+            self._record_departure(Incarnation(target_id, born_ms), now)
             return False
+        if born_ms and self._born_ms and born_ms != self._born_ms:
+            self._record_departure(Incarnation(target_id, born_ms), now)
+            if born_ms < self._born_ms:
+                # It is a late call of an earlier process.
+                return False
         if self.phase is TargetPhase.GONE:
             return False
-        self._record_departure(Incarnation(target_id, self._born_ms), now)
+        started = self._born_ms or born_ms
+        self._record_departure(Incarnation(target_id, started), now)
         before = self.phase
         self._announced = True
         self._start_draining(now)
--- a/standins/vm_fleet.py
+++ b/standins/vm_fleet.py
@@ -142,10 +142,10 @@
         """Sends a signal to the daemon of a VM."""
         vm.process.send(sig)
 
-    async def send_heartbeat(self, vm: Vm) -> int:
-        """Sends one heartbeat; returns the response status."""
+    def make_heartbeat(self, vm: Vm) -> dict[str, object]:
+        """Returns the next heartbeat of a target, as it is now."""
         vm.sequence += 1
-        body = {
+        return {
             "address": f"{vm.host}:{TARGET}",
             "born": vm.born,
             "info": {
@@ -160,6 +160,17 @@
                 "coldRemainingMs": 0,
             },
         }
+
+    async def send_heartbeat(
+        self, vm: Vm, heartbeat: dict[str, object] | None = None
+    ) -> int:
+        """Sends one heartbeat; returns the response status.
+
+        Args:
+            vm: VM of the target.
+            heartbeat: An earlier heartbeat, which is late; None for the next.
+        """
+        body = self.make_heartbeat(vm) if heartbeat is None else heartbeat
         url = f"http://{vm.host}:{CONTROL}/-/Instances.Heartbeat/{vm.target.id}"
         async with self.http.post(url, json=body) as resp:
             await resp.read()
@@ -169,7 +180,7 @@
         """Deregisters a target; returns the response status."""
         path = f"-/Instances.Deregister/{vm.target.id}"
         url = f"http://{vm.host}:{CONTROL}/{path}"
-        async with self.http.post(url) as resp:
+        async with self.http.post(url, json={"born": vm.born}) as resp:
             await resp.read()
             return resp.status
 
--- a/tests/processes/soak.feature
+++ b/tests/processes/soak.feature
@@ -30,3 +30,8 @@
   # exhaust, with the requests of all its other clients.
   Scenario: Answers without end among the faults of seed 1300
     Then the soak of seed 1300 with 4 VMs, floods and 8 s of faults violates no guarantee
+
+  # Guards against departures that are forgotten with the process that has
+  # acknowledged them.
+  Scenario: Departures before kills among the faults of seed 1400
+    Then the soak of seed 1400 with 4 VMs, departures and 8 s of faults violates no guarantee
--- a/tests/processes/target_notices.feature
+++ b/tests/processes/target_notices.feature
@@ -26,6 +26,27 @@
     Then target "a1" got no request later than 2 s after its first answer
     And each that was refused got 503 with a Retry-After header
 
+  # Guards against a departure that is forgotten with the process that has
+  # acknowledged it, after which a late heartbeat brings the target back.
+  Scenario Outline: A departure holds when <which> are killed at its acknowledgement
+    When clients on "a2 b1" send "/desk/safe/ok" 20 times a second for 8 s
+    And target "a1" <leaves>, and <which> are killed at the acknowledgement
+    And a heartbeat from before arrives 3 s after it was sent
+    Then target "a1" got no request later than 2 s after the acknowledgement
+
+    Examples:
+      | which          | leaves                            |
+      | its daemon     | deregisters                       |
+      | its daemon     | reports that it drains            |
+      | all daemons    | deregisters                       |
+
+  # Guards against a target that is out of service for long after a restart of
+  # its daemon, as its heartbeat has to be verified.
+  Scenario: A sound target is in service soon after a restart of its daemon
+    When clients on "a2 b1" send "/desk/safe/ok" 20 times a second for 6 s
+    And the daemon of "a1" is killed after 1 s and started again
+    Then target "a1" got requests again within 3 s after 1 s
+
   # Guards against a client that is told to come back before the target that
   # refused its request wants it to.
   Scenario Outline: A target's own Retry-After reaches the client
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -56,3 +56,11 @@
 )
 def step_floods(context, seed, vms, seconds):
     check_seed(context, seed, vms, seconds, floods=True)
+
+
+@then(
+    "the soak of seed {seed:d} with {vms:d} VMs, departures and {seconds:g} s"
+    " of faults violates no guarantee"
+)
+def step_departures(context, seed, vms, seconds):
+    check_seed(context, seed, vms, seconds, departures=True)
--- a/tests/steps/target_limit_steps.py
+++ b/tests/steps/target_limit_steps.py
@@ -6,6 +6,7 @@
 
 from guavawing.model import parse_address
 from guavawing.sidecar.target_probe import TargetProbe
+from guavawing.traffic.heartbeat_proof import HeartbeatProof
 from guavawing.traffic.model import (
     Incarnation,
     PeerRecord,
@@ -336,6 +337,7 @@
         await TargetProbe(
             address,
             state=state,
+            proof=HeartbeatProof(state),
             find_path=lambda: "/health",
             peers=PeerTable(record, view),
             on_found=lambda: None,
--- a/tests/steps/target_notice_steps.py
+++ b/tests/steps/target_notice_steps.py
@@ -73,6 +73,62 @@
     context.results = context.sending.result()
 
 
+@when('target "{name}" {leaves}, and {which} are killed at the acknowledgement')
+def step_leaves_and_kill(context, name, leaves, which):
+    fleet, vm = context.vms, find_vm(context, name)
+    loop = context.loop
+
+    async def leave():
+        await asyncio.sleep(1.0)
+        vm.sends_heartbeats = False
+        context.late = (vm, fleet.make_heartbeat(vm), loop.time())
+        vm.target.healthy = False
+        if leaves == "deregisters":
+            assert await fleet.deregister(vm) == 200
+        else:
+            vm.draining = True
+            assert await fleet.send_heartbeat(vm) == 200
+        context.acked_at = loop.time()
+        killed = fleet.vms.values() if which == "all daemons" else [vm]
+        await asyncio.gather(*(each.process.kill() for each in killed))
+        await asyncio.sleep(RESTART_S)
+        for each in killed:
+            await fleet.start(each)
+
+    context.run(leave())
+
+
+@when("a heartbeat from before arrives {seconds:g} s after it was sent")
+def step_late_heartbeat(context, seconds):
+    vm, heartbeat, sent_at = context.late
+
+    async def arrive():
+        await asyncio.sleep(sent_at + seconds - context.loop.time())
+        assert await context.vms.send_heartbeat(vm, heartbeat) == 200
+
+    context.run(arrive())
+    context.results = context.sending.result()
+
+
+@then(
+    'target "{name}" got no request later than {seconds:g} s after the'
+    " acknowledgement"
+)
+def step_none_after(context, name, seconds):
+    executions = find_vm(context, name).target.executions
+    assert executions, "the target got no request"
+    late = [e.at - context.acked_at for e in executions]
+    late = [round(at, 2) for at in late if at > seconds]
+    assert not late, late
+
+
+@then('target "{name}" got requests again within {seconds:g} s after {at:g} s')
+def step_again(context, name, seconds, at):
+    arrivals = list_arrivals(context, name)
+    again = [each for each in arrivals if each > at + RESTART_S]
+    assert again and again[0] <= at + seconds, arrivals
+
+
 def list_arrivals(context, name):
     """Returns the times of requests at a target, since the first was sent."""
     executions = find_vm(context, name).target.executions
