A planned stop ends once its answers have left the transports

Cause: work counted as done once its answer was handed to a transport, and a connection that is being closed was not counted; what the transports hold is lost with the process. Why this works: a server is busy until its transports are empty, closing ones included; a stop waits for that and for answers to other nodes, at most until the grace period is over.

--- a/src/guavawing/node/frame_stream.py
+++ b/src/guavawing/node/frame_stream.py
@@ -123,6 +123,13 @@
         address = self._transport.get_extra_info("peername")
         return address[0] if address else ""
 
+    @property
+    def sending(self) -> bool:
+        """Whether a part of a frame is not sent yet."""
+        return self._transport is not None and (
+            self._unfinished or self._transport.get_write_buffer_size() > 0
+        )
+
     def send_keepalive(self) -> None:
         """Sends a keepalive probe without waiting for the next tick."""
         self.write(KEEPALIVE_FRAME)
@@ -206,6 +213,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stops the keepalive timer and notifies the handler once."""
         self.closed = True
+        self._transport = None
         if self._timer is not None:
             self._timer.cancel()
         if not self._reported_close:
--- a/src/guavawing/sidecar/daemon.py
+++ b/src/guavawing/sidecar/daemon.py
@@ -287,6 +287,7 @@
             entry=self._entry,
             owner=self._owner,
             mesh=self._mesh,
+            mesh_server=self._mesh_server,
             beacons=self._beacons,
             peers=self._peers,
         )
--- a/src/guavawing/sidecar/http_connection.py
+++ b/src/guavawing/sidecar/http_connection.py
@@ -63,6 +63,7 @@
             received.
         held_bytes: Size of the buffered requests and answers.
         connections: The open connections.
+        flushing: Connections that are closed once their last answer is sent.
         parse_pacer: Turns of the connections that send costly bytes.
     """
 
@@ -76,6 +77,7 @@
     stopping: bool = False
     held_bytes: int = 0
     connections: "set[ServerConnection]" = attrs.field(factory=set)
+    flushing: "set[ServerConnection]" = attrs.field(factory=set)
     parse_pacer: ParsePacer = attrs.field(factory=ParsePacer)
 
     def admits(self) -> bool:
@@ -143,6 +145,13 @@
         """Whether any request has not been answered completely."""
         return bool(self._pipeline) or self._sending
 
+    @property
+    def sending(self) -> bool:
+        """Whether a part of an answer is not sent, or not written yet."""
+        transport = self._transport
+        unsent = transport is not None and transport.get_write_buffer_size() > 0
+        return self._sending or unsent
+
     @property
     def reading(self) -> bool:
         """Whether a request has been received in part."""
@@ -241,12 +250,16 @@
         transport = self._transport
         assert transport is not None
         self._waiting_since = self._loop.time()
-        if closes and self._refused and self._body is not None:
-            self._end()
+        if not closes:
+            return
+        # The transport may hold most of the answer.
+        self._server.flushing.add(self)
+        discards = self._refused and self._body is not None
+        self._end()
+        if discards:
             transport.write_eof()
             self._loop.call_later(DISCARD_S, transport.close)
-        elif closes:
-            self._end()
+        else:
             transport.close()
 
     def _end(self) -> None:
@@ -375,6 +388,7 @@
         if self._sending and self._server.pacer is not None:
             self._server.pacer.drop(self)
         self._sending = False
+        self._server.flushing.discard(self)
         self._end()
 
     # Events of the reader.
--- a/src/guavawing/sidecar/http_server.py
+++ b/src/guavawing/sidecar/http_server.py
@@ -47,8 +47,10 @@
 
     @property
     def busy(self) -> bool:
-        """Whether any request is unanswered."""
-        return any(conn.busy for conn in self.state.connections)
+        """Whether any request is unanswered, or any answer not sent."""
+        return bool(self.state.flushing) or any(
+            conn.busy or conn.sending for conn in self.state.connections
+        )
 
     @property
     def awaits_first_request(self) -> bool:
--- a/src/guavawing/sidecar/mesh_server.py
+++ b/src/guavawing/sidecar/mesh_server.py
@@ -109,6 +109,11 @@
             self._make_stream, host, port, backlog=1024, reuse_address=True
         )
 
+    @property
+    def sending(self) -> bool:
+        """Whether a part of an answer to an entry node is not sent yet."""
+        return any(conn.sending for conn in self.connections)
+
     def close(self) -> None:
         """Closes the listener and all connections."""
         if self._server is not None:
@@ -216,6 +221,11 @@
         self.entry = ""
         self._jobs: dict[int, _Job] = {}
 
+    @property
+    def sending(self) -> bool:
+        """Whether a part of a frame is not sent yet."""
+        return self._stream is not None and self._stream.sending
+
     def answer(self, job: _Job, outcome: Outcome | None = None) -> None:
         """Sends an outcome to the entry node."""
         outcome = job.outcome if outcome is None else outcome
--- a/src/guavawing/sidecar/planned_stop.py
+++ b/src/guavawing/sidecar/planned_stop.py
@@ -4,7 +4,7 @@
 that this node is not ready, and from then on only those that it can finish. It
 then refuses attempts of other nodes and closes client connections after their
 next answer. Finally it refuses new requests, and ends once all running ones
-have been answered.
+have been answered and the answers have left its transports.
 """
 
 import asyncio
@@ -13,6 +13,7 @@
 from guavawing.sidecar.entry import Entry
 from guavawing.sidecar.http_server import HttpServer
 from guavawing.sidecar.mesh_client import MeshClient
+from guavawing.sidecar.mesh_server import MeshServer
 from guavawing.sidecar.owner import Owner
 from guavawing.traffic.peers import PeerTable
 
@@ -52,6 +53,7 @@
         entry: Entry,
         owner: Owner,
         mesh: MeshClient,
+        mesh_server: MeshServer,
         beacons: Beacons,
         peers: PeerTable,
     ) -> None:
@@ -65,6 +67,7 @@
             entry: Handles the requests of clients.
             owner: Owner of the target.
             mesh: Connections to other nodes.
+            mesh_server: Connections of other nodes to this owner.
             beacons: Announces the shutdown to other nodes.
             peers: The other nodes.
         """
@@ -75,6 +78,7 @@
         self._entry = entry
         self._owner = owner
         self._mesh = mesh
+        self._mesh_server = mesh_server
         self._beacons = beacons
         self._peers = peers
 
@@ -101,7 +105,9 @@
             await asyncio.sleep(STOP_POLL_S)
         self._callers.close_listener()
         while self._loop.time() < ends_at and (
-            self._callers.busy or self._callers.awaits_first_request
+            self._callers.busy
+            or self._callers.awaits_first_request
+            or self._mesh_server.sending
         ):
             await asyncio.sleep(STOP_POLL_S)
         return self._loop.time() - started_at
--- a/standins/vm_target.py
+++ b/standins/vm_target.py
@@ -5,6 +5,7 @@
 then the connection is aborted); `late` (an answer to another request precedes
 its own); `cut` (the answer is truncated); `shed` (refused without execution);
 `unsigned` (no signature header); `error` (status 500); `large` (200,000 bytes);
+`huge` (more than the kernel buffers of a connection);
 `too-large` (status 413 before the body is read); `hang-up` (closes within the
 body); `flood` (a body in tiny chunks without end). With the suffix `-once` only
 the first attempt of a request behaves so.
@@ -22,6 +23,7 @@
 DEFAULT_WORK_S = 0.005
 BODY = b"the whole answer"
 LARGE_BYTES = 200_000
+HUGE_BYTES = 3_000_000
 FLOOD = b"2\r\naa\r\n" * 4_000
 
 
@@ -203,6 +205,8 @@
                 self._write(200, request_id_header, BODY)
             case "large":
                 self._write(200, signed_headers, make_large_body(request_id))
+            case "huge":
+                self._write(200, signed_headers, bytes(HUGE_BYTES))
             case "flood":
                 await self._flood(signed_headers)
             case "error":
--- a/tests/cover/pipeline.feature
+++ b/tests/cover/pipeline.feature
@@ -66,6 +66,15 @@
     Then the client has received "/safe/1 /safe/2 /safe/3"
     And the client's connection is closed
 
+  # Guards against a process that ends with answers in its transports.
+  Scenario: A server is busy until its last answer has left the transport
+    Given a client that sends "/safe/1" and reads nothing
+    When the server begins to stop
+    And "/safe/1" is answered
+    Then the server is busy
+    When the client has read everything
+    Then the server is not busy
+
   Scenario: A stopping server begins one request at a time
     Given a server that has begun to stop
     And a client that sends "/safe/1 /safe/2"
--- a/tests/processes/late_requests.feature
+++ b/tests/processes/late_requests.feature
@@ -48,6 +48,14 @@
     And it is paused from 2 s to 2.6 s after that, and the client sends GET "/desk/safe/ok" at 2.2 s
     Then the paused process has answered with 200
 
+  # Guards against a process that ends while answers are still in the buffers of
+  # its transports, and cuts those that clients read more slowly.
+  Scenario: A planned stop ends after its clients have got their whole answers
+    When the daemon of "a2" gets SIGTERM
+    And 2.0 s elapse
+    And a client on "a2" sends GET "/desk/safe/huge" and reads 3 MB in 2.4 s
+    Then that client has got the whole answer
+
   # Guards against an idempotent request that is refused for want of knowledge.
   Scenario: A planned stop answers a request that came while a pause took longer
     Given a client on "a2" with an open connection
--- a/tests/steps/late_request_steps.py
+++ b/tests/steps/late_request_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import signal
+import socket
 
 from behave import given, then, when
 
@@ -17,6 +18,8 @@
 )
 
 MAX_HEAD_BYTES = 65_536
+READ_BUFFER_BYTES = 65_536
+SEGMENT_BYTES = 1_460
 # Rounds of requests until each target has got one.
 MAX_ROUNDS = 20
 # Time in which a version comes into force, or an execution begins, in seconds.
@@ -72,6 +75,47 @@
     context.run(start())
 
 
+@when(
+    'a client on "{name}" sends GET "{path}" and reads {size:d} MB in'
+    " {seconds:g} s"
+)
+def step_read_slowly(context, name, path, size, seconds):
+    vm = find_vm(context, name)
+    lines = (
+        f"GET {path} HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Request-Id: slow-1"
+        f"\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n\r\n"
+    )
+
+    async def read():
+        loop = asyncio.get_running_loop()
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BUFFER_BYTES)
+        # The kernel would buffer more of an answer in large segments.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+        await loop.sock_connect(sock, (vm.host, OUTBOUND))
+        reader, writer = await asyncio.open_connection(sock=sock)
+        writer.write(lines.encode())
+        context.head = await reader.readuntil(b"\r\n\r\n")
+        context.got, began_at = 0, loop.time()
+        while piece := await reader.read(READ_BUFFER_BYTES):
+            context.got += len(piece)
+            due = began_at + seconds * context.got / (size * 1_000_000)
+            await asyncio.sleep(max(0.0, due - loop.time()))
+        writer.close()
+
+    context.run(read())
+
+
+@then("that client has got the whole answer")
+def step_whole(context):
+    assert context.head.startswith(b"HTTP/1.1 200 "), context.head
+    assert f"Content-Length: {context.got}\r\n".encode() in context.head, (
+        context.got,
+        context.head,
+    )
+
+
 @when(
     'clients on "{name}" send {method:w} "{path}" each {period_s:g} s for'
     " {seconds:g} s"
--- a/tests/steps/pipeline_steps.py
+++ b/tests/steps/pipeline_steps.py
@@ -8,6 +8,7 @@
 
 from guavawing.platform.headers import build_answer, build_refusal
 from guavawing.sidecar.http_connection import ServerConnection, ServerState
+from guavawing.sidecar.http_server import HttpServer
 from guavawing.traffic.model import ClientLimits
 from guavawing.traffic.pipeline import MAX_IN_FLIGHT, Pipeline
 
@@ -41,6 +42,8 @@
     def __init__(self):
         self.written, self.closed, self.reading = b"", False, True
         self.packets = []
+        # Whether what is written stays in the transport.
+        self.holds = False
 
     def write(self, data):
         assert not self.closed, "written after the close"
@@ -51,6 +54,9 @@
 
     abort = close
 
+    def get_write_buffer_size(self):
+        return len(self.written) if self.holds else 0
+
     def pause_reading(self):
         assert self.reading, "paused twice"
         self.reading = False
@@ -160,6 +166,32 @@
     open_client(context, [packet])
 
 
+@given('a client that sends "{paths}" and reads nothing')
+def step_client_reads_nothing(context, paths):
+    step_client(context, paths)
+    context.clients[-1].transport.holds = True
+
+
+@when("the client has read everything")
+def step_has_read(context):
+    async def read():
+        client = context.clients[-1]
+        client.transport.holds = False
+        client.conn.connection_lost(None)
+
+    context.run(read())
+
+
+@then("the server is {verdict}")
+def step_busy(context, verdict):
+    async def read():
+        server = HttpServer(lambda _: None, max_connections=1)
+        server.state = context.server
+        return server.busy
+
+    assert context.run(read()) == (verdict == "busy"), verdict
+
+
 @given('a client that sends "{paths}" and then {what}')
 def step_bad_client(context, paths, what):
     packets = [make_request(path) for path in paths.split()]
