Tests: what holds up the event loop is measured as processor time

The scenario took the wait for a processor, and for the threads of its target, for work of the event loop. Change: the time that the loop's thread computes while a timer waits, at most 0.05 s in place of 0.1 s late.

--- a/tests/cover/http_client.feature
+++ b/tests/cover/http_client.feature
@@ -123,7 +123,7 @@
   Scenario Outline: Answers of <bytes> without end don't hold up the event loop
     Given <count> requests at a target that sends <bytes> without end
     When the requests have been read for 1.0 s
-    Then the event loop was never late by more than 0.1 s
+    Then no timer of the event loop waited for more than 0.05 s of work
 
     Examples:
       | count | bytes                      |
--- a/tests/steps/http_client_steps.py
+++ b/tests/steps/http_client_steps.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 import threading
+import time
 import tracemalloc
 
 from behave import given, then, when
@@ -409,15 +410,18 @@
             for number in range(context.count)
         ]
         ends_at = loop.time() + duration
-        while (now := loop.time()) < ends_at:
+        while loop.time() < ends_at:
+            # Processor time of the loop's thread, as a busy machine and the
+            # threads of the target delay it, too.
+            began_at = time.thread_time()
             await asyncio.sleep(0.005)
-            late_s = loop.time() - now - 0.005
-            context.late_s = max(context.late_s, late_s)
+            held_s = time.thread_time() - began_at
+            context.held_s = max(context.held_s, held_s)
         for execution in executions:
             execution.abandon()
         pool.close_idle()
 
-    context.late_s = 0.0
+    context.held_s = 0.0
     context.run(run())
 
 
@@ -436,9 +440,9 @@
     assert context.peak_bytes <= size * MB, context.peak_bytes
 
 
-@then("the event loop was never late by more than {bound:g} s")
-def step_late(context, bound):
-    assert context.late_s <= bound, context.late_s
+@then("no timer of the event loop waited for more than {bound:g} s of work")
+def step_held(context, bound):
+    assert context.held_s <= bound, context.held_s
 
 
 @then("the request gets its {count:d} bytes")
