A turn of parsing ends by the framing parsed in it

What callers would see: a valid answer of 1 MB in chunks of 64 bytes took 0.45 s since, 0.01 s before it; in chunks of 16 bytes 0.70 s and 0.03 s. Cause: a turn was 4 KB whatever it contained, so chunks of 64 bytes were parsed at a twelfth of the cost that a turn may have. Change: a turn ends after 3 KB of framing, some 600 chunks of any size.

--- a/src/guavawing/sidecar/http_client.py
+++ b/src/guavawing/sidecar/http_client.py
@@ -9,7 +9,11 @@
 import httptools
 
 from guavawing.sidecar.parse_pacer import ParsePacer
-from guavawing.traffic.parse_turns import PIECE_BYTES, is_costly
+from guavawing.traffic.parse_turns import (
+    PIECE_BYTES,
+    ends_turn,
+    is_costly,
+)
 
 __all__ = ["ClientConnection", "HttpReply", "ResponseHandler"]
 
@@ -201,15 +205,16 @@
             self._unparsed = memoryview(bytes(self._unparsed) + data)
             return
         self._unparsed = memoryview(data)
-        if self._is_costly():
+        if is_costly(framing_bytes=self._overhead, body_bytes=self._body_total):
             self._set_paused(True)
             self._report_growth()
         else:
-            self.parse_piece()
+            self.parse_turn()
 
-    def parse_piece(self) -> None:
-        """Parses a piece of the received bytes, and more if it is cheap."""
+    def parse_turn(self) -> None:
+        """Parses the received bytes until the turn of the connection ends."""
         started_with = self._body_total, len(self._headers)
+        before_turn = self._overhead
         while self._unparsed:
             piece = self._unparsed[:PIECE_BYTES]
             # An empty view would keep the received bytes in memory.
@@ -225,7 +230,11 @@
                 self._fail_pending(exc)
                 return
             self._overhead += len(piece) - (self._body_total - before)
-            if self._exceeds_limits() or self._is_costly():
+            if self._exceeds_limits() or ends_turn(
+                framing_bytes=self._overhead,
+                body_bytes=self._body_total,
+                before_turn=before_turn,
+            ):
                 break
         self._set_paused(bool(self._unparsed))
         # Reported after the counting, since the handler may send the next
@@ -262,11 +271,6 @@
             or self._header_bytes > MAX_HEADER_BYTES
         )
 
-    def _is_costly(self) -> bool:
-        return is_costly(
-            framing_bytes=self._overhead, body_bytes=self._body_total
-        )
-
     def connection_lost(self, exc: Exception | None) -> None:
         """Completes a close-delimited answer, or reports the loss."""
         self.usable = False
--- a/src/guavawing/sidecar/http_connection.py
+++ b/src/guavawing/sidecar/http_connection.py
@@ -341,6 +341,7 @@
         """Parses bytes until the pipeline is full or they are costly."""
         self._parsing = True
         view = memoryview(data)
+        before_turn = self._reader.framing_bytes
         try:
             while view and not self._refused and self._transport is not None:
                 if self._is_full():
@@ -351,7 +352,10 @@
                     return
                 self._reader.feed(view[:PIECE_BYTES])
                 view = view[PIECE_BYTES:]
-                if self._reader.costly:
+                # Without more bytes the next ones wait, however few these were.
+                if self._reader.ends_turn(before_turn) or (
+                    not view and self._reader.costly
+                ):
                     self._waits_turn = True
                     self._server.parse_pacer.wait(self)
         except RequestUnreadableError as exc:
@@ -359,8 +363,8 @@
         finally:
             self._parsing = False
 
-    def parse_piece(self) -> None:
-        """Parses one piece of costly bytes, at the turn of this connection."""
+    def parse_turn(self) -> None:
+        """Parses costly bytes until the turn of this connection ends."""
         self._waits_turn = False
         self._resume_reading()
 
--- a/src/guavawing/sidecar/parse_pacer.py
+++ b/src/guavawing/sidecar/parse_pacer.py
@@ -11,8 +11,8 @@
 class _Parsing(Protocol):
     """A connection that has bytes to parse."""
 
-    def parse_piece(self) -> None:
-        """Parses one piece, and waits again if more is left."""
+    def parse_turn(self) -> None:
+        """Parses until its turn ends, and waits again if more is left."""
 
 
 class ParsePacer:
@@ -26,7 +26,7 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def wait(self, conn: _Parsing) -> None:
-        """Calls `parse_piece` of a connection once, at its turn."""
+        """Calls `parse_turn` of a connection once, at its turn."""
         self._queue.add(conn)
         if self._timer is None:
             self._timer = self._loop.call_later(TURN_S, self._give_turn)
@@ -42,4 +42,4 @@
             return
         if len(self._queue):
             self._timer = self._loop.call_later(TURN_S, self._give_turn)
-        conn.parse_piece()
+        conn.parse_turn()
--- a/src/guavawing/sidecar/request_reader.py
+++ b/src/guavawing/sidecar/request_reader.py
@@ -11,7 +11,11 @@
 
 from guavawing.errors import RequestUnreadableError
 from guavawing.traffic.model import ClientLimits
-from guavawing.traffic.parse_turns import PIECE_BYTES, is_costly
+from guavawing.traffic.parse_turns import (
+    PIECE_BYTES,
+    ends_turn,
+    is_costly,
+)
 
 __all__ = ["RequestHandler", "RequestReader"]
 
@@ -90,12 +94,28 @@
         self.reading = False
         self._reset()
 
+    @property
+    def framing_bytes(self) -> int:
+        """Bytes received of the incomplete request besides its body."""
+        return self._read_bytes - self._body_bytes if self.reading else 0
+
     @property
     def costly(self) -> bool:
         """Whether the rest of the request is parsed by turns."""
         return self.reading and is_costly(
-            framing_bytes=self._read_bytes - self._body_bytes,
+            framing_bytes=self.framing_bytes, body_bytes=self._body_bytes
+        )
+
+    def ends_turn(self, before_turn: int) -> bool:
+        """Returns whether the connection has to wait for its next turn.
+
+        Args:
+            before_turn: `framing_bytes` when the turn began.
+        """
+        return self.reading and ends_turn(
+            framing_bytes=self.framing_bytes,
             body_bytes=self._body_bytes,
+            before_turn=before_turn,
         )
 
     def feed(self, piece: memoryview) -> None:
--- a/src/guavawing/traffic/parse_turns.py
+++ b/src/guavawing/traffic/parse_turns.py
@@ -4,24 +4,27 @@
 without end on many connections of a node. Such bytes cost the parser far more
 than the same number of bytes in a body, and the event loop serves nobody else
 meanwhile. A message is parsed as it arrives while its framing is in proportion
-to its body; beyond that its connection waits for its turn, and all of these
-together get one piece per period, so their share of the processor does not
-depend on their number. A valid message of tiny chunks is delayed, not refused.
+to its body; beyond that its connection waits for its turn. One connection gets
+a turn per period, which ends by the framing parsed in it, so the share of the
+processor depends neither on their number nor on the size of chunks. A valid
+message of tiny chunks is delayed, not refused.
 """
 
 from typing import Generic, TypeVar
 
-__all__ = ["PIECE_BYTES", "TURN_S", "TurnQueue", "is_costly"]
+__all__ = ["PIECE_BYTES", "TURN_S", "TurnQueue", "ends_turn", "is_costly"]
 
 # Framing that a message of any size may have, in bytes.
 FREE_FRAMING_BYTES = 16 * 1024
 # Bytes of a body that allow for one more byte of framing: chunks of 450 bytes
 # are never costly.
 BODY_BYTES_PER_FRAMING_BYTE = 64
-# Largest piece that is parsed at once, in bytes: less than 1 ms on the slowest
-# VMs, whatever it contains.
+# Framing after which a turn ends, in bytes: some 600 chunks or headers, which
+# take the slowest VMs less than 1 ms.
+TURN_FRAMING_BYTES = 3 * 1024
+# Largest piece that is parsed before the framing is counted, in bytes.
 PIECE_BYTES = 4 * 1024
-# Period in which one piece of one connection is parsed, in seconds.
+# Period in which one connection gets a turn, in seconds.
 TURN_S = 0.002
 
 _T = TypeVar("_T")
@@ -38,6 +41,18 @@
     return framing_bytes > allowed
 
 
+def ends_turn(*, framing_bytes: int, body_bytes: int, before_turn: int) -> bool:
+    """Returns whether a connection has to wait for its next turn.
+
+    Args:
+        framing_bytes: Bytes parsed of the message besides its body.
+        body_bytes: Bytes parsed of its body.
+        before_turn: `framing_bytes` when the turn began.
+    """
+    costly = is_costly(framing_bytes=framing_bytes, body_bytes=body_bytes)
+    return costly and framing_bytes - before_turn >= TURN_FRAMING_BYTES
+
+
 class TurnQueue(Generic[_T]):
     """Waiting connections; each one gets a turn before any gets a second."""
 
--- a/tests/cover/http_client.feature
+++ b/tests/cover/http_client.feature
@@ -72,6 +72,13 @@
     Then the request gets its 200000 bytes
     And the connection to the target is kept
 
+  # Guards against valid answers of small chunks that take seconds.
+  Scenario: A valid answer of small chunks takes few turns
+    Given a request "r1" on a connection to a target
+    When a target sends 1000000 bytes in chunks of 64 bytes
+    Then the request gets its 1000000 bytes
+    And its connection took at most 60 turns
+
   # Guards against a connection that is not read any more after an answer for
   # which it waited for turns.
   Scenario: The next request is answered after an answer of small chunks
--- a/tests/cover/parse_turns.feature
+++ b/tests/cover/parse_turns.feature
@@ -12,6 +12,19 @@
       | 32768   | 1048576 | is not |
       | 32769   | 1048576 | is     |
 
+  # Guards against turns that are so short that valid messages of small chunks
+  # take many, and against ones that hold up the event loop.
+  Scenario Outline: A turn ends by the framing parsed in it
+    Then a turn from <before> to <framing> bytes of framing with <body> of body <is> over
+
+    Examples:
+      | before | framing | body    | is     |
+      | 20000  | 23071   | 0       | is not |
+      | 20000  | 23072   | 0       | is     |
+      | 0      | 16384   | 0       | is not |
+      | 0      | 16385   | 0       | is     |
+      | 20000  | 30000   | 1048576 | is not |
+
   # Guards against one connection that keeps the others from being parsed.
   Scenario: Each waiting connection gets a turn before any gets a second
     Given the connections "a, b, c" wait for a turn
--- a/tests/steps/http_client_steps.py
+++ b/tests/steps/http_client_steps.py
@@ -6,6 +6,7 @@
 import threading
 import time
 import tracemalloc
+from types import SimpleNamespace
 
 from behave import given, then, when
 
@@ -51,6 +52,10 @@
 MAX_PACKETS = 40_000
 
 
+def make_chunk(size):
+    return b"%x\r\n%s\r\n" % (size, b"a" * size)
+
+
 class FakeTransport:
     """Discards written bytes and records whether it was closed or paused."""
 
@@ -202,16 +207,43 @@
     context.run(feed())
 
 
+async def deliver(context, data, *, packet_bytes):
+    """Delivers bytes in packets until the connection is closed.
+
+    A packet waits while the connection does not read; the last one is parsed
+    when this returns.
+    """
+    for start in range(0, len(data), packet_bytes):
+        await context.transport.reads.wait()
+        if not context.conn.usable:
+            return
+        context.conn.data_received(data[start : start + packet_bytes])
+    await context.transport.reads.wait()
+
+
 @when("a target sends {count:d} chunks of one byte in small packets")
 def step_small_chunks(context, count):
-    async def feed():
-        chunks = CHUNKED + b"1\r\na\r\n" * count + b"0\r\n\r\n"
-        for start in range(0, len(chunks), 1400):
-            await context.transport.reads.wait()
-            context.conn.data_received(chunks[start : start + 1400])
-        await context.transport.reads.wait()
+    data = CHUNKED + make_chunk(1) * count + b"0\r\n\r\n"
+    context.run(deliver(context, data, packet_bytes=1400))
 
-    context.run(feed())
+
+@when("a target sends {size:d} bytes in chunks of {chunk:d} bytes")
+def step_chunks(context, size, chunk):
+    pacer = context.conn._pacer
+    wait, context.turns = pacer.wait, 0
+
+    def count_turn(conn):
+        context.turns += 1
+        wait(conn)
+
+    context.conn._pacer = SimpleNamespace(wait=count_turn, drop=pacer.drop)
+    data = CHUNKED + make_chunk(chunk) * (size // chunk) + b"0\r\n\r\n"
+    context.run(deliver(context, data, packet_bytes=65_536))
+
+
+@then("its connection took at most {most:d} turns")
+def step_turns(context, most):
+    assert 0 < context.turns <= most, context.turns
 
 
 @when(
@@ -234,19 +266,10 @@
 
 @when("a broken target sends {size:d} KB of trailers behind a body of 1 MB")
 def step_trailers(context, size):
-    async def feed():
-        line = b"a: %s\r\n" % (b"b" * 122)
-        data = CHUNKED + b"100000\r\n" + b"a" * MB + b"\r\n0\r\n"
-        # Names and values count, not what is between them.
-        data += line * (size * 1024 // 123) + b"\r\n"
-        for start in range(0, len(data), 60_000):
-            await context.transport.reads.wait()
-            if not context.conn.usable:
-                return
-            context.conn.data_received(data[start : start + 60_000])
-        await context.transport.reads.wait()
-
-    context.run(feed())
+    # Names and values count, not what is between them.
+    lines = (b"a: %s\r\n" % (b"b" * 122)) * (size * 1024 // 123)
+    data = CHUNKED + make_chunk(MB) + b"0\r\n" + lines + b"\r\n"
+    context.run(deliver(context, data, packet_bytes=60_000))
 
 
 @given(
@@ -326,14 +349,12 @@
 
 @when("a target has sent {size:d} KB in chunks of {chunk:d} bytes")
 def step_part_in_chunks(context, size, chunk):
+    data = CHUNKED + make_chunk(chunk) * (size * 1024 // chunk)
+
     async def feed():
-        data = CHUNKED + make_chunk(chunk) * (size * 1024 // chunk)
         tracemalloc.start()
         try:
-            for start in range(0, len(data), 16_384):
-                await context.transport.reads.wait()
-                context.conn.data_received(data[start : start + 16_384])
-            await context.transport.reads.wait()
+            await deliver(context, data, packet_bytes=16_384)
             context.used_bytes, _ = tracemalloc.get_traced_memory()
         finally:
             tracemalloc.stop()
@@ -347,10 +368,6 @@
     assert context.used_bytes <= size * 1024, context.used_bytes
 
 
-def make_chunk(size):
-    return b"%x\r\n%s\r\n" % (size, b"a" * size)
-
-
 # First bytes of an answer, and bytes that are repeated after them.
 FLOODS = {
     "chunks of 1 byte": (CHUNKED, make_chunk(1)),
--- a/tests/steps/parse_turn_steps.py
+++ b/tests/steps/parse_turn_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from guavawing.traffic.parse_turns import TurnQueue, is_costly
+from guavawing.traffic.parse_turns import TurnQueue, ends_turn, is_costly
 
 
 @then(
@@ -14,6 +14,15 @@
     assert costly == (verb == "is"), costly
 
 
+@then(
+    "a turn from {before:d} to {framing:d} bytes of framing with {body:d} of"
+    " body {verb} over"
+)
+def step_turn_over(context, before, framing, body, verb):
+    over = ends_turn(framing_bytes=framing, body_bytes=body, before_turn=before)
+    assert over == (verb == "is"), over
+
+
 @given('the connections "{names}" wait for a turn')
 def step_queue(context, names):
     context.queue, context.turns = TurnQueue(), []
